--- /dev/null
+++ b/rockbarrow/journal/journal_test.go
@@ -0,0 +1,438 @@
+// SPDX-License-Identifier: MIT
+
+package journal
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// letter is one message or reply on its way between a writer and a replica.
+type letter struct {
+	writer  int
+	to      Member
+	message Message
+	reply   Reply
+}
+
+// bench steps writers and replicas with every letter in the test's hands.
+type bench struct {
+	t        testing.TB
+	replicas map[Member]*Replica
+	writers  []*Writer
+	pending  []letter
+	round    uint64
+	// history is the agreed sequence of digests that any writer called committed.
+	history []Digest
+	// served counts writers that came to serve.
+	served int
+	broken string
+}
+
+func newBench(t testing.TB, members ...Member) *bench {
+	b := &bench{t: t, replicas: map[Member]*Replica{}}
+	for _, m := range members {
+		b.replicas[key(m)] = &Replica{Witness: m.witness}
+	}
+	return b
+}
+
+// key drops the marks so that a member is found by its life alone.
+func key(m Member) Member { return NewMember(m.instance, m.incarnation) }
+
+func (b *bench) writer(self Member, initial Members) int {
+	b.round++
+	w := &Writer{Self: self, Initial: initial, Incarnation: b.round}
+	w.Adopt(b.replicas[key(self)])
+	b.writers = append(b.writers, w)
+	return len(b.writers) - 1
+}
+
+func (b *bench) step(i int, e Event) {
+	for _, a := range b.writers[i].Handle(e) {
+		switch a := a.(type) {
+		case Send:
+			b.pending = append(b.pending, letter{writer: i, to: a.To, message: a.Message})
+		case Serving:
+			b.served++
+		case Committed:
+			b.committed(a.Entries)
+		}
+	}
+}
+
+// committed checks that no two writers ever disagree on an index.
+func (b *bench) committed(entries []Entry) {
+	for _, e := range entries {
+		at := int(e.index) - 1
+		if at < len(b.history) {
+			if b.history[at] != e.digest {
+				b.broken = fmt.Sprintf("entry %d committed twice with different content", e.index)
+			}
+			continue
+		}
+		if at > len(b.history) {
+			b.broken = fmt.Sprintf("entry %d committed after a hole", e.index)
+			return
+		}
+		b.history = append(b.history, e.digest)
+	}
+}
+
+func (b *bench) take(i int) letter {
+	l := b.pending[i]
+	b.pending = append(b.pending[:i:i], b.pending[i+1:]...)
+	return l
+}
+
+func (b *bench) deliver(l letter) {
+	if l.reply != nil {
+		b.step(l.writer, Replied{From: l.to, Reply: l.reply})
+		return
+	}
+	r := b.replicas[key(l.to)]
+	if r == nil {
+		b.pending = append(b.pending, letter{writer: l.writer, to: l.to, reply: Silent{}})
+		return
+	}
+	reply, _ := r.Handle(l.message)
+	b.pending = append(b.pending, letter{writer: l.writer, to: l.to, reply: reply})
+}
+
+func (b *bench) lose(l letter) { b.step(l.writer, Lost{To: l.to}) }
+
+func (b *bench) drain() {
+	for n := 0; len(b.pending) > 0 && n < 10_000; n++ {
+		b.deliver(b.take(0))
+	}
+}
+
+func three() (Member, Member, Member) {
+	return NewMember("a", 1), NewMember("b", 1), NewMember("c", 1)
+}
+
+func TestWriterServesAndCommits(t *testing.T) {
+	m1, m2, m3 := three()
+	b := newBench(t, m1, m2, m3)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Propose{Payload: []byte("x")})
+	b.drain()
+	if !b.writers[w].Serves() || len(b.history) != 2 {
+		t.Fatalf("serves %v with %d committed, want true with 2", b.writers[w].Serves(), len(b.history))
+	}
+}
+
+func TestOneCopyIsNotDurable(t *testing.T) {
+	m1 := NewMember("a", 1)
+	m2 := NewMember("b", 1)
+	m3 := NewMember("c", 1).WithWitness()
+	b := newBench(t, m1, m2, m3)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Propose{Payload: []byte("x")})
+	for len(b.pending) > 0 {
+		l := b.take(0)
+		if l.to.Is(m2) {
+			continue
+		}
+		b.deliver(l)
+	}
+	if got := b.writers[w].Commit(); got != 1 {
+		t.Fatalf("commit %d with one copy and a witness's vote, want 1", got)
+	}
+}
+
+func TestDiskMustSync(t *testing.T) {
+	m1, m2, _ := three()
+	m3 := NewMember("c", 1).WithDisk()
+	b := newBench(t, m1, m2, m3)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Propose{Payload: []byte("x")})
+	var disk letter
+	for len(b.pending) > 0 {
+		l := b.take(0)
+		if l.to.Is(m3) {
+			disk = l
+			continue
+		}
+		b.deliver(l)
+	}
+	if got := b.writers[w].Commit(); got != 1 {
+		t.Fatalf("commit %d before the disk answered, want 1", got)
+	}
+	b.deliver(disk)
+	b.drain()
+	if got := b.writers[w].Commit(); got != 2 {
+		t.Fatalf("commit %d after the disk answered, want 2", got)
+	}
+}
+
+func TestWitnessHoldsNoPayload(t *testing.T) {
+	m1, m2, _ := three()
+	m3 := NewMember("c", 1).WithWitness()
+	b := newBench(t, m1, m2, m3)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Propose{Payload: []byte("secret")})
+	for _, l := range b.pending {
+		if a, ok := l.message.(Append); ok && l.to.Is(m3) && a.Entries[0].payload != nil {
+			t.Fatal("a payload was sent to a witness")
+		}
+	}
+	b.drain()
+	e, ok := b.replicas[key(m3)].log.Entry(2)
+	if !ok || !e.stripped() {
+		t.Fatalf("witness entry %+v, want one without payload", e)
+	}
+}
+
+func TestSecondLossRightAfterRepair(t *testing.T) {
+	m1, m2, m3 := three()
+	m4 := NewMember("d", 1)
+	b := newBench(t, m1, m2, m3, m4)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Propose{Payload: []byte("x")})
+	b.drain()
+	delete(b.replicas, m3)
+	b.step(w, Admit{Member: m4})
+	b.drain()
+	b.step(w, Dismiss{Member: m3})
+	b.drain()
+	if got := b.writers[w].Members(); len(got) != 3 || !got.Has(m4) {
+		t.Fatalf("members %v, want a, b and d", got)
+	}
+	delete(b.replicas, m1)
+	next := b.writer(m4, nil)
+	b.step(next, Campaign{})
+	b.drain()
+	if !b.writers[next].Serves() {
+		t.Fatal("the repaired journal does not serve after the second loss")
+	}
+	if e, ok := b.writers[next].log.Entry(2); !ok || string(e.payload) != "x" {
+		t.Fatal("the entry before the repair is gone")
+	}
+}
+
+func TestFreshReplicaCannotHideAKeyedJournal(t *testing.T) {
+	m1, m2, m3 := three()
+	b := newBench(t, m1, m2, m3)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.writers[w].Keyed = true
+	b.step(w, Campaign{})
+	for len(b.pending) > 0 {
+		l := b.take(0)
+		if !l.to.Is(m3) {
+			b.deliver(l)
+		}
+	}
+	reborn := NewMember("b", 2)
+	delete(b.replicas, m2)
+	b.replicas[reborn] = &Replica{Fresh: true}
+	second := b.writer(m3, Members{m1, reborn, m3})
+	b.writers[second].Keyed = true
+	b.step(second, Campaign{})
+	for len(b.pending) > 0 {
+		l := b.take(0)
+		if !l.to.Is(m1) {
+			b.deliver(l)
+		}
+	}
+	if b.writers[second].Serves() {
+		t.Fatal("a second creation served beside the first")
+	}
+}
+
+func TestSnapshotReachesALateMember(t *testing.T) {
+	m1, m2, m3 := three()
+	b := newBench(t, m1, m2, m3)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	for len(b.pending) > 0 {
+		l := b.take(0)
+		if !l.to.Is(m3) {
+			b.deliver(l)
+			continue
+		}
+		b.lose(l)
+	}
+	for i := range 5 {
+		b.step(w, Propose{Payload: []byte{byte(i)}})
+		for len(b.pending) > 0 {
+			l := b.take(0)
+			if l.to.Is(m3) {
+				b.lose(l)
+				continue
+			}
+			b.deliver(l)
+		}
+	}
+	if !b.writers[w].Compact(4, []byte("state")) {
+		t.Fatal("compaction refused")
+	}
+	b.step(w, Resend{})
+	b.drain()
+	b.step(w, Resend{})
+	b.drain()
+	if got := b.replicas[m3].log.Base(); string(got.State()) != "state" || b.replicas[m3].log.LastIndex() != 6 {
+		t.Fatalf("late member has base %d and last %d, want 4 and 6", got.Index(), b.replicas[m3].log.LastIndex())
+	}
+}
+
+// TestSchedules tries every schedule of two duelling writers that departs from
+// delivery in order by at most two choices among deferring, losing and doubling
+// a letter.
+func TestSchedules(t *testing.T) {
+	const depth = 34
+	runs := 0
+	var walk func(prefix map[int]int, from, left int)
+	walk = func(prefix map[int]int, from, left int) {
+		runs++
+		if msg := duel(t, prefix); msg != "" {
+			t.Fatalf("schedule %v: %s", prefix, msg)
+		}
+		if left == 0 {
+			return
+		}
+		for at := from; at < depth; at++ {
+			for choice := 1; choice <= 3; choice++ {
+				prefix[at] = choice
+				walk(prefix, at+1, left-1)
+				delete(prefix, at)
+			}
+		}
+	}
+	walk(map[int]int{}, 0, 2)
+	if runs < 5000 {
+		t.Fatalf("%d schedules tried, want at least 5000", runs)
+	}
+}
+
+// duel runs two writers under a schedule and returns what broke.
+func duel(t testing.TB, departures map[int]int) string {
+	m1, m2, m3 := three()
+	b := newBench(t, m1, m2, m3)
+	set := Members{m1, m2, m3}
+	first := b.writer(m1, set)
+	second := b.writer(m2, set)
+	b.step(first, Campaign{})
+	for at := 0; at < 120; at++ {
+		switch at {
+		case 9:
+			b.step(first, Propose{Payload: []byte("one")})
+		case 12:
+			b.step(second, Campaign{})
+		case 14:
+			b.step(first, Propose{Payload: []byte("two")})
+		case 30:
+			b.step(second, Propose{Payload: []byte("three")})
+		case 40:
+			b.step(first, Campaign{})
+		}
+		if at%20 == 19 {
+			b.step(first, Resend{})
+			b.step(second, Resend{})
+		}
+		if len(b.pending) == 0 {
+			continue
+		}
+		switch departures[at] {
+		case 0:
+			b.deliver(b.take(0))
+		case 1:
+			b.pending = append(b.pending, b.take(0))
+		case 2:
+			b.lose(b.take(0))
+		case 3:
+			b.pending = append(b.pending, b.pending[0])
+			b.deliver(b.take(0))
+		}
+	}
+	return b.broken
+}
+
+// TestRandomFaults drives three writers through losses, doubles, restarts that
+// forget, and changes of members, and checks that committed entries agree.
+func TestRandomFaults(t *testing.T) {
+	served, committed := 0, 0
+	for seed := range uint64(2000) {
+		b := randomFaults(t, seed)
+		if b.broken != "" {
+			t.Fatalf("seed %d: %s", seed, b.broken)
+		}
+		served += b.served
+		committed += len(b.history)
+	}
+	if served < 4000 || committed < 14000 {
+		t.Fatalf("only %d writers served and %d entries committed: the faults leave nothing to check", served, committed)
+	}
+}
+
+func randomFaults(t testing.TB, seed uint64) *bench {
+	r := rand.New(rand.NewPCG(seed, 1))
+	names := []string{"a", "b", "c", "d"}
+	lives := []uint64{1, 1, 1, 1}
+	m1, m2, m3 := three()
+	b := newBench(t, m1, m2, m3, NewMember("d", 1))
+	set := Members{m1, m2, m3}
+	live := func(i int) Member { return NewMember(names[i], lives[i]) }
+	for i := range names {
+		b.writer(live(i), set)
+	}
+	restarts := 0
+	for n := range 900 {
+		switch x := r.IntN(100); {
+		case x < 2:
+			i := r.IntN(len(names))
+			b.round++
+			b.step(b.latest(names[i]), Campaign{Round: b.round})
+		case x < 12:
+			b.step(r.IntN(len(b.writers)), Propose{Payload: fmt.Appendf(nil, "%d", n)})
+		case x < 16:
+			b.step(r.IntN(len(b.writers)), Resend{})
+		case x < 18:
+			b.step(r.IntN(len(b.writers)), Admit{Member: live(r.IntN(len(names)))})
+		case x < 20:
+			w := b.writers[r.IntN(len(b.writers))]
+			if m := w.Members(); len(m) > 3 {
+				b.step(r.IntN(len(b.writers)), Dismiss{Member: m[r.IntN(len(m))]})
+			}
+		case x == 20 && restarts == 0 && n > 300:
+			i := r.IntN(len(names))
+			restarts++
+			delete(b.replicas, live(i))
+			lives[i]++
+			b.replicas[live(i)] = &Replica{}
+			b.writer(live(i), set)
+		case len(b.pending) > 0:
+			i := r.IntN(min(len(b.pending), 4))
+			switch y := r.IntN(20); {
+			case y == 0:
+				b.lose(b.take(i))
+			case y == 1:
+				b.pending = append(b.pending, b.pending[i])
+			default:
+				b.deliver(b.take(i))
+			}
+		}
+	}
+	return b
+}
+
+// latest returns the newest writer of an instance.
+func (b *bench) latest(instance string) int {
+	for i := len(b.writers) - 1; i >= 0; i-- {
+		if b.writers[i].Self.instance == instance {
+			return i
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/rockbarrow/journal/log.go
@@ -0,0 +1,225 @@
+// SPDX-License-Identifier: MIT
+
+package journal
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+)
+
+// Digest is a SHA-256 over an entry and all before it.
+type Digest [sha256.Size]byte
+
+// Entry is one entry of a log. Its payload is never changed once made.
+type Entry struct {
+	index  uint64
+	ballot Ballot
+	// digest covers the previous entry's digest and all fields below, so that
+	// equal digests mean equal logs up to here.
+	digest        Digest
+	payloadDigest Digest
+	// payload is nil in a witness, which keeps only its digest.
+	payload []byte
+	// members is the set from this entry on, or nil when it does not change.
+	members Members
+}
+
+// Index returns the entry's place in the log; the first is 1.
+func (e Entry) Index() uint64 { return e.index }
+
+// Ballot returns the ballot of the writer that made the entry.
+func (e Entry) Ballot() Ballot { return e.ballot }
+
+// Digest returns the digest of the log up to and including the entry.
+func (e Entry) Digest() Digest { return e.digest }
+
+// PayloadDigest returns the digest of the payload alone.
+func (e Entry) PayloadDigest() Digest { return e.payloadDigest }
+
+// Payload returns the application's bytes; nil in a writer's own first entry.
+func (e Entry) Payload() []byte { return e.payload }
+
+// Members returns the set that this entry brings into force, or nil.
+func (e Entry) Members() Members { return e.members }
+
+// RestoreEntry returns an entry as another process or a disk handed it over.
+// [Log] checks its digest before it is kept.
+func RestoreEntry(index uint64, b Ballot, d, payloadDigest Digest, payload []byte, m Members) Entry {
+	return Entry{index: index, ballot: b, digest: d, payloadDigest: payloadDigest, payload: payload, members: m}
+}
+
+// withoutPayload returns what a witness may hold.
+func (e Entry) withoutPayload() Entry { e.payload = nil; return e }
+
+// stripped reports whether the payload is missing.
+func (e Entry) stripped() bool {
+	return e.payload == nil && e.payloadDigest != sha256.Sum256(nil)
+}
+
+// sealed returns the entry with its digests set, after prev.
+func (e Entry) sealed(prev Digest) Entry {
+	e.payloadDigest = sha256.Sum256(e.payload)
+	e.digest = e.chain(prev)
+	return e
+}
+
+func (e Entry) chain(prev Digest) Digest {
+	h := sha256.New()
+	h.Write(prev[:])
+	var n [8]byte
+	put := func(v uint64) {
+		binary.BigEndian.PutUint64(n[:], v)
+		h.Write(n[:])
+	}
+	text := func(s string) {
+		put(uint64(len(s)))
+		h.Write([]byte(s))
+	}
+	put(e.index)
+	put(e.ballot.round)
+	text(e.ballot.instance)
+	put(e.ballot.incarnation)
+	h.Write(e.payloadDigest[:])
+	put(uint64(len(e.members)))
+	for _, m := range e.members {
+		text(m.String())
+	}
+	return Digest(h.Sum(nil))
+}
+
+// Base stands for all entries up to its index, folded into a state.
+type Base struct {
+	index   uint64
+	ballot  Ballot
+	digest  Digest
+	members Members
+	state   []byte
+}
+
+// Index returns the last index that the state folds; 0 is the empty log.
+func (b Base) Index() uint64 { return b.index }
+
+// Ballot returns the ballot of the last folded entry.
+func (b Base) Ballot() Ballot { return b.ballot }
+
+// Digest returns the digest of the last folded entry.
+func (b Base) Digest() Digest { return b.digest }
+
+// Members returns the set in force at the base.
+func (b Base) Members() Members { return b.members }
+
+// State returns the application's snapshot.
+func (b Base) State() []byte { return b.state }
+
+// RestoreBase returns a base as another process or a disk handed it over.
+func RestoreBase(index uint64, b Ballot, d Digest, m Members, state []byte) Base {
+	return Base{index: index, ballot: b, digest: d, members: m, state: state}
+}
+
+// Log is a base and the entries after it. The zero value is empty.
+type Log struct {
+	base Base
+	// entries are consecutive and the first follows the base; each one's digest
+	// chains to the one before it.
+	entries []Entry
+}
+
+// Base returns the snapshot below the entries.
+func (l *Log) Base() Base { return l.base }
+
+// Last returns the index, ballot and digest of the newest entry.
+func (l *Log) Last() (uint64, Ballot, Digest) {
+	if n := len(l.entries); n > 0 {
+		e := l.entries[n-1]
+		return e.index, e.ballot, e.digest
+	}
+	return l.base.index, l.base.ballot, l.base.digest
+}
+
+// LastIndex returns the index of the newest entry.
+func (l *Log) LastIndex() uint64 { return l.base.index + uint64(len(l.entries)) }
+
+// Entry returns the entry at an index that is above the base.
+func (l *Log) Entry(index uint64) (Entry, bool) {
+	if index <= l.base.index || index > l.LastIndex() {
+		return Entry{}, false
+	}
+	return l.entries[index-l.base.index-1], true
+}
+
+// After returns the entries above index, at most limit of them.
+func (l *Log) After(index uint64, limit int) []Entry {
+	if index < l.base.index || index >= l.LastIndex() {
+		return nil
+	}
+	es := l.entries[index-l.base.index:]
+	return es[:min(limit, len(es)):min(limit, len(es))]
+}
+
+// Members returns the newest set in the log; nil for an empty log.
+func (l *Log) Members() Members {
+	m, _ := l.membersAt()
+	return m
+}
+
+// membersAt returns the newest set and the index that brought it.
+func (l *Log) membersAt() (Members, uint64) {
+	for i := len(l.entries) - 1; i >= 0; i-- {
+		if m := l.entries[i].members; m != nil {
+			return m, l.entries[i].index
+		}
+	}
+	return l.base.members, l.base.index
+}
+
+// digestAt returns the digest of the log up to index.
+func (l *Log) digestAt(index uint64) (Digest, bool) {
+	if index == l.base.index {
+		return l.base.digest, true
+	}
+	e, ok := l.Entry(index)
+	return e.digest, ok
+}
+
+// put stores an entry at its index and drops what stood at or after it, when
+// that was another entry. It reports whether the entry chains and whether it
+// changed the log.
+func (l *Log) put(e Entry) (ok, changed bool) {
+	prev, ok := l.digestAt(e.index - 1)
+	if !ok || e.chain(prev) != e.digest {
+		return false, false
+	}
+	if e.payload != nil && sha256.Sum256(e.payload) != e.payloadDigest {
+		return false, false
+	}
+	old, has := l.Entry(e.index)
+	if has && old.digest == e.digest {
+		return true, false
+	}
+	at := e.index - l.base.index - 1
+	l.entries = append(l.entries[:at:at], e)
+	return true, true
+}
+
+// compact folds the entries up to index into state.
+func (l *Log) compact(index uint64, state []byte) bool {
+	e, ok := l.Entry(index)
+	if !ok {
+		return false
+	}
+	members := l.base.members
+	for _, o := range l.entries[:index-l.base.index] {
+		if o.members != nil {
+			members = o.members
+		}
+	}
+	kept := l.entries[index-l.base.index:]
+	l.entries = append(make([]Entry, 0, len(kept)), kept...)
+	l.base = Base{index: index, ballot: e.ballot, digest: e.digest, members: members, state: state}
+	return true
+}
+
+// copyLog returns a log that shares entries but not the slice.
+func (l *Log) copyLog() Log {
+	return Log{base: l.base, entries: append([]Entry(nil), l.entries...)}
+}
