program, owner, roster, control: stepped cores

Cause: the promises on order, budget, answers, at most once and configuration are decisions, and each has to run without sockets, clocks or goroutines.

--- /dev/null
+++ b/rockbarrow/control/leader.go
@@ -0,0 +1,292 @@
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/operatorpb"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+// CommandID is the host's number for one waiting operator.
+type CommandID uint64
+
+// Event is what a [Leader] handles.
+type Event interface{ event() }
+
+// Start campaigns in a round that this process never used.
+type Start struct{ Round uint64 }
+
+// Replied is a voter's reply to a [Send].
+type Replied struct {
+	From  journal.Member
+	Reply journal.Reply
+}
+
+// Lost says that a [Send] got no reply.
+type Lost struct{ To journal.Member }
+
+// Asked is an operator's command.
+type Asked struct {
+	ID       CommandID
+	Operator string
+	Apply    *operatorpb.ApplyRequest
+}
+
+// Replacing asks for another voter in the place of a lost one.
+type Replacing struct{ New, Old journal.Member }
+
+// Ticked lets time pass.
+type Ticked struct{}
+
+func (Start) event()     {}
+func (Replied) event()   {}
+func (Lost) event()      {}
+func (Asked) event()     {}
+func (Replacing) event() {}
+func (Ticked) event()    {}
+
+// Action is what a [Leader] wants done.
+type Action interface{ action() }
+
+// Send carries a journal message to a voter.
+type Send struct {
+	To      journal.Member
+	Message journal.Message
+}
+
+// Tell answers a waiting operator with a stored outcome.
+type Tell struct {
+	ID      CommandID
+	Outcome *recordpb.ControlOutcome
+}
+
+// Publish brings a version into force everywhere.
+type Publish struct{ Document *configpb.Document }
+
+// Deposed says that another leader was met. Commands still waiting have an
+// outcome that is not determined here.
+type Deposed struct {
+	By      journal.Ballot
+	Waiting []CommandID
+}
+
+func (Send) action()    {}
+func (Tell) action()    {}
+func (Publish) action() {}
+func (Deposed) action() {}
+
+// Leader writes the control journal. Set the exported fields before the first
+// event.
+type Leader struct {
+	Self        journal.Member
+	Incarnation uint64
+	// Voters are the first members of an empty journal.
+	Voters  journal.Members
+	Replica *journal.Replica
+	Places  []Place
+	// CompactAfter folds the journal once it holds this many entries.
+	CompactAfter uint64
+
+	writer journal.Writer
+	state  State
+	// queue are commands not proposed yet; one is proposed at a time, so that
+	// each is decided under the state that it meets.
+	queue []Asked
+	// proposed waits for its entry to commit.
+	proposed *Asked
+	folded   uint64
+	replace  *Replacing
+}
+
+// DefaultCompactAfter is the default of CompactAfter.
+const DefaultCompactAfter = 1024
+
+// State returns the folded journal.
+func (l *Leader) State() *State { return &l.state }
+
+// Serves reports whether commands are taken.
+func (l *Leader) Serves() bool { return l.writer.Serves() }
+
+// Writer returns the journal's writer, for status.
+func (l *Leader) Writer() *journal.Writer { return &l.writer }
+
+// Folded returns the journal index up to which the document is folded.
+func (l *Leader) Folded() uint64 { return l.folded }
+
+// Handle takes one event.
+func (l *Leader) Handle(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Start:
+		l.writer = journal.Writer{Self: l.Self, Incarnation: l.Incarnation, Initial: l.Voters, Eager: true}
+		if l.Replica != nil {
+			l.writer.Adopt(l.Replica)
+		}
+		return l.journal(now, journal.Campaign{Round: e.Round})
+	case Replied:
+		return l.journal(now, journal.Replied{From: e.From, Reply: e.Reply})
+	case Lost:
+		return l.journal(now, journal.Lost{To: e.To})
+	case Asked:
+		return l.asked(now, e)
+	case Replacing:
+		l.replace = &e
+		return l.replaceStep(now)
+	case Ticked:
+		return append(l.journal(now, journal.Resend{}), l.replaceStep(now)...)
+	}
+	return nil
+}
+
+func (l *Leader) asked(now time.Time, e Asked) []Action {
+	if e.Apply.GetDryRun() {
+		return []Action{Tell{ID: e.ID, Outcome: l.decide(e)}}
+	}
+	l.queue = append(l.queue, e)
+	return l.proposeNext(now)
+}
+
+func (l *Leader) decide(e Asked) *recordpb.ControlOutcome {
+	a := e.Apply
+	return l.state.Decide(a.GetCommandId(), a.GetExpectedVersion(), a.GetCommand(), l.Places)
+}
+
+// proposeNext decides waiting commands until one needs an entry.
+func (l *Leader) proposeNext(now time.Time) []Action {
+	var out []Action
+	for l.proposed == nil && l.writer.Serves() && len(l.queue) > 0 {
+		e := l.queue[0]
+		l.queue = l.queue[1:]
+		outcome := l.decide(e)
+		known := l.state.Outcome(e.Apply.GetCommandId()) != nil
+		if known || outcome.GetResult() == recordpb.ControlOutcome_RESULT_REUSED_ID {
+			out = append(out, Tell{ID: e.ID, Outcome: outcome})
+			continue
+		}
+		l.proposed = &e
+		out = append(out, l.propose(now, e, outcome)...)
+	}
+	return out
+}
+
+func (l *Leader) propose(now time.Time, e Asked, outcome *recordpb.ControlOutcome) []Action {
+	r := &recordpb.ControlRecord{
+		AtMs:            now.UnixMilli(),
+		CommandId:       e.Apply.GetCommandId(),
+		Operator:        e.Operator,
+		ExpectedVersion: e.Apply.GetExpectedVersion(),
+		Command:         e.Apply.GetCommand(),
+		Outcome:         outcome,
+	}
+	payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(r)
+	if err != nil {
+		l.proposed = nil
+		return nil
+	}
+	return l.journal(now, journal.Propose{Payload: payload})
+}
+
+func (l *Leader) journal(now time.Time, e journal.Event) []Action {
+	var out []Action
+	for _, a := range l.writer.Handle(e) {
+		switch a := a.(type) {
+		case journal.Send:
+			out = append(out, Send{To: a.To, Message: a.Message})
+		case journal.Serving:
+			l.restore()
+		case journal.Committed:
+			out = append(out, l.committed(now, a.Entries)...)
+		case journal.Deposed:
+			out = append(out, l.deposed(a.By))
+		}
+	}
+	return out
+}
+
+// restore starts the fold from the journal's base.
+func (l *Leader) restore() {
+	base := l.writer.Log().Base()
+	l.state = State{}
+	l.folded = base.Index()
+	if base.State() != nil {
+		if err := l.state.Restore(base.State()); err != nil {
+			// The base's digest chain was checked; only a foreign build writes this.
+			l.state = State{}
+		}
+	}
+}
+
+func (l *Leader) committed(now time.Time, entries []journal.Entry) []Action {
+	var out []Action
+	before := l.state.Document().GetVersion()
+	for _, e := range entries {
+		l.folded = e.Index()
+		if e.Payload() == nil {
+			continue
+		}
+		var r recordpb.ControlRecord
+		if err := proto.Unmarshal(e.Payload(), &r); err != nil {
+			continue
+		}
+		l.state.Apply(e.Index(), &r)
+		if p := l.proposed; p != nil && p.Apply.GetCommandId() == r.GetCommandId() {
+			out = append(out, Tell{ID: p.ID, Outcome: l.state.Outcome(r.GetCommandId())})
+			l.proposed = nil
+		}
+	}
+	if doc := l.state.Document(); doc.GetVersion() > before || before == 0 {
+		out = append([]Action{Publish{Document: doc}}, out...)
+	}
+	l.compact()
+	return append(out, l.proposeNext(now)...)
+}
+
+func (l *Leader) compact() {
+	after := l.CompactAfter
+	if after == 0 {
+		after = DefaultCompactAfter
+	}
+	log := l.writer.Log()
+	if l.folded-log.Base().Index() < after {
+		return
+	}
+	if state, err := l.state.Snapshot(); err == nil {
+		l.writer.Compact(l.folded, state)
+	}
+}
+
+func (l *Leader) deposed(by journal.Ballot) Action {
+	d := Deposed{By: by}
+	if l.proposed != nil {
+		d.Waiting = append(d.Waiting, l.proposed.ID)
+	}
+	for _, q := range l.queue {
+		d.Waiting = append(d.Waiting, q.ID)
+	}
+	l.proposed = nil
+	l.queue = nil
+	return d
+}
+
+// replaceStep first admits the new voter, which copies the journal before it
+// counts, and then dismisses the old one.
+func (l *Leader) replaceStep(now time.Time) []Action {
+	r := l.replace
+	if r == nil || !l.writer.Serves() || l.writer.Changing() {
+		return nil
+	}
+	members := l.writer.Members()
+	if !members.Has(r.New) {
+		return l.journal(now, journal.Admit{Member: r.New})
+	}
+	if members.Has(r.Old) {
+		return l.journal(now, journal.Dismiss{Member: r.Old})
+	}
+	l.replace = nil
+	return nil
+}
--- /dev/null
+++ b/rockbarrow/control/validate.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: MIT
+
+package control
+
+import (
+	"fmt"
+	"net/url"
+	"regexp"
+
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+// MaxCallsLimit is the most calls that a program may allow one run.
+const MaxCallsLimit = 4096
+
+// Place is what the settings say of a failure domain.
+type Place struct {
+	domain    string
+	instances int
+	disks     int
+}
+
+// NewPlace returns a failure domain with its numbers of instances and of those
+// with a disk.
+func NewPlace(domain string, instances, disks int) Place {
+	return Place{domain: domain, instances: instances, disks: disks}
+}
+
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// validator collects what is wrong with a document.
+type validator struct {
+	snapshot *Snapshot
+	places   map[string]Place
+	found    []*recordpb.Violation
+}
+
+// Validate returns what is wrong with a whole document, by field paths.
+func Validate(doc *configpb.Document, places []Place) []*recordpb.Violation {
+	v := &validator{snapshot: NewSnapshot(doc), places: map[string]Place{}}
+	for _, p := range places {
+		v.places[p.domain] = p
+	}
+	for _, c := range doc.GetCustomers() {
+		v.customer(c)
+	}
+	for _, m := range doc.GetModels() {
+		v.name("models", m.GetName())
+	}
+	for _, b := range doc.GetBindings() {
+		v.binding(b)
+	}
+	for _, e := range doc.GetEndpoints() {
+		v.endpoint(e)
+	}
+	for _, s := range doc.GetServices() {
+		v.service(s)
+	}
+	for _, p := range doc.GetPrograms() {
+		v.program(p)
+	}
+	for _, w := range doc.GetWithdrawals() {
+		if w.GetMode() == configpb.Withdrawal_MODE_UNSPECIFIED {
+			v.add(fmt.Sprintf("withdrawals[%s].mode", w.GetSubject()), "must be drain or fence")
+		}
+	}
+	return v.found
+}
+
+func (v *validator) add(field, description string) {
+	v.found = append(v.found, &recordpb.Violation{Field: field, Description: description})
+}
+
+func (v *validator) name(list, name string) string {
+	path := fmt.Sprintf("%s[%s]", list, name)
+	if !nameForm.MatchString(name) {
+		v.add(path+".name", "must be 1 to 63 of a-z, 0-9, dot, dash and underscore, and begin with a letter or digit")
+	}
+	return path
+}
+
+func (v *validator) customer(c *configpb.Customer) {
+	path := v.name("customers", c.GetName())
+	for i, h := range c.GetKeyHashes() {
+		if len(h) != 64 {
+			v.add(fmt.Sprintf("%s.key_hashes[%d]", path, i), "must be a SHA-256 in hexadecimal")
+		}
+		if o := v.snapshot.keys[h]; o.GetName() != c.GetName() {
+			v.add(fmt.Sprintf("%s.key_hashes[%d]", path, i), "belongs to customer "+o.GetName()+" too")
+		}
+	}
+}
+
+func (v *validator) binding(b *configpb.Binding) {
+	path := v.name("bindings", b.GetName())
+	if len(b.GetDomains()) == 0 {
+		v.add(path+".domains", "must name at least one failure domain")
+	}
+	durable := false
+	for i, d := range b.GetDomains() {
+		p, ok := v.places[d]
+		if !ok {
+			v.add(fmt.Sprintf("%s.domains[%d]", path, i), "no instance has the failure domain "+d)
+			continue
+		}
+		durable = durable || p.instances >= 2 || p.disks >= 1
+	}
+	if !durable && len(b.GetDomains()) > 0 {
+		v.add(path+".domains", "no allowed failure domain has two instances or one with a disk to keep history")
+	}
+}
+
+func (v *validator) endpoint(e *configpb.Endpoint) {
+	path := v.name("endpoints", e.GetName())
+	if _, ok := v.places[e.GetDomain()]; !ok {
+		v.add(path+".domain", "no instance has the failure domain "+e.GetDomain())
+	}
+	u, err := url.Parse(e.GetAddress())
+	if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+		v.add(path+".address", "must be a URL such as http://10.0.0.7:8000")
+	}
+	if (len(e.GetModels()) == 0) == (e.GetService() == "") {
+		v.add(path+".models", "must name models, or a service, but not both")
+	}
+	for i, m := range e.GetModels() {
+		if _, ok := v.snapshot.models[m]; !ok {
+			v.add(fmt.Sprintf("%s.models[%d]", path, i), "no model "+m)
+		}
+	}
+	if s := e.GetService(); s != "" {
+		if _, ok := v.snapshot.services[s]; !ok {
+			v.add(path+".service", "no service "+s)
+		}
+	}
+}
+
+func (v *validator) service(s *configpb.Service) {
+	path := v.name("services", s.GetName())
+	b, ok := v.snapshot.bindings[s.GetBinding()]
+	if !ok {
+		v.add(path+".binding", "no binding "+s.GetBinding())
+		return
+	}
+	if !servedIn(v.snapshot.byService[s.GetName()], b) {
+		v.add(path+".binding", "no endpoint of the service stands in an allowed failure domain")
+	}
+}
+
+func (v *validator) program(p *configpb.Program) {
+	path := v.name("programs", p.GetName())
+	if _, ok := v.snapshot.customers[p.GetCustomer()]; !ok {
+		v.add(path+".customer", "no customer "+p.GetCustomer())
+	}
+	if _, ok := v.snapshot.models[p.GetModel()]; !ok {
+		v.add(path+".model", "no model "+p.GetModel())
+	}
+	if p.GetBudgetTokens() == 0 {
+		v.add(path+".budget_tokens", "must be 1 or more")
+	}
+	if p.GetMaxCalls() > MaxCallsLimit {
+		v.add(path+".max_calls", fmt.Sprintf("must be %d or less", MaxCallsLimit))
+	}
+	b, ok := v.snapshot.bindings[p.GetBinding()]
+	if !ok {
+		v.add(path+".binding", "no binding "+p.GetBinding())
+		return
+	}
+	if !servedIn(v.snapshot.byModel[p.GetModel()], b) {
+		v.add(path+".binding", "no engine with model "+p.GetModel()+" stands in an allowed failure domain")
+	}
+}
+
+func servedIn(endpoints []*configpb.Endpoint, b Binding) bool {
+	for _, e := range endpoints {
+		if b.Allows(e.GetDomain()) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rockbarrow/owner/owner.go
@@ -0,0 +1,219 @@
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/program"
+	"rockbarrow.dev/rockbarrow/roster"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+// Event is what an [Owner] handles.
+type Event interface{ event() }
+
+// Start campaigns for the journal in a round that this process never used.
+type Start struct{ Round uint64 }
+
+// Replied is a replica's reply to a [Send].
+type Replied struct {
+	From  journal.Member
+	Reply journal.Reply
+}
+
+// Lost says that a [Send] got no reply.
+type Lost struct{ To journal.Member }
+
+// Asked hands an event to the program.
+type Asked struct{ Event program.Event }
+
+// Ticked lets time pass under the newest view.
+type Ticked struct{ View *roster.View }
+
+func (Start) event()   {}
+func (Replied) event() {}
+func (Lost) event()    {}
+func (Asked) event()   {}
+func (Ticked) event()  {}
+
+// Action is what an [Owner] wants done.
+type Action interface{ action() }
+
+// Send carries a journal message to a member.
+type Send struct {
+	To      journal.Member
+	Message journal.Message
+}
+
+// Do is an action of the program.
+type Do struct{ Action program.Action }
+
+// Deposed says that another writer was met; the owner is of no more use.
+type Deposed struct{ By journal.Ballot }
+
+func (Send) action()    {}
+func (Do) action()      {}
+func (Deposed) action() {}
+
+// Owner owns one run. Set the exported fields before the first event.
+type Owner struct {
+	// Run is the run's id and the journal's name.
+	Run string
+	// Domain is the run's home failure domain.
+	Domain string
+	// Self is the own replica.
+	Self journal.Member
+	// Incarnation is the number of this life of the process.
+	Incarnation uint64
+	// Initial is the set of members of a run that does not exist yet.
+	Initial journal.Members
+	// Keyed is true when the run's creation may be resent to another instance.
+	Keyed bool
+	// Replica is the own copy if there is one, to start from.
+	Replica *journal.Replica
+	Machine program.Machine
+
+	writer journal.Writer
+	// early are program events that wait for the journal to serve.
+	early []program.Event
+	// whole is false while the set of members should change.
+	whole bool
+}
+
+// Serves reports whether the owner's journal serves.
+func (o *Owner) Serves() bool { return o.writer.Serves() }
+
+// Whole reports whether the journal's replicas are as they should be.
+func (o *Owner) Whole() bool { return o.whole }
+
+// Members returns the journal's members.
+func (o *Owner) Members() journal.Members { return o.writer.Members() }
+
+// Writer returns the journal's writer, for status.
+func (o *Owner) Writer() *journal.Writer { return &o.writer }
+
+// Handle takes one event.
+func (o *Owner) Handle(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Start:
+		o.writer = journal.Writer{Self: o.Self, Incarnation: o.Incarnation, Initial: o.Initial, Keyed: o.Keyed}
+		if o.Replica != nil {
+			o.writer.Adopt(o.Replica)
+		}
+		return o.journal(now, journal.Campaign{Round: e.Round})
+	case Replied:
+		return o.journal(now, journal.Replied{From: e.From, Reply: e.Reply})
+	case Lost:
+		return o.journal(now, journal.Lost{To: e.To})
+	case Asked:
+		return o.ask(now, e.Event)
+	case Ticked:
+		return o.tick(now, e.View)
+	}
+	return nil
+}
+
+// ask holds events back until the journal serves.
+func (o *Owner) ask(now time.Time, e program.Event) []Action {
+	if !o.writer.Serves() && !o.writer.Deposed() {
+		o.early = append(o.early, e)
+		return nil
+	}
+	return o.do(now, o.Machine.Handle(now, e))
+}
+
+func (o *Owner) tick(now time.Time, v *roster.View) []Action {
+	out := o.journal(now, journal.Resend{})
+	if !o.writer.Serves() {
+		return out
+	}
+	out = append(out, o.do(now, o.Machine.Handle(now, program.Ticked{}))...)
+	if v == nil {
+		return out
+	}
+	step := plan(o.writer.Members(), v, o.Run, o.Domain, o.Self)
+	o.whole = step == nil && !o.writer.Changing()
+	if step != nil {
+		out = append(out, o.journal(now, step)...)
+	}
+	return out
+}
+
+// journal steps the writer and everything that follows from it.
+func (o *Owner) journal(now time.Time, e journal.Event) []Action {
+	var out []Action
+	for _, a := range o.writer.Handle(e) {
+		switch a := a.(type) {
+		case journal.Send:
+			out = append(out, Send{To: a.To, Message: a.Message})
+		case journal.Committed:
+			out = append(out, o.committed(now, a.Entries)...)
+		case journal.Deposed:
+			out = append(out, o.do(now, o.Machine.Handle(now, program.Deposed{By: a.By.Instance()}))...)
+			out = append(out, o.release(now)...)
+			out = append(out, Deposed{By: a.By})
+		}
+	}
+	return out
+}
+
+// committed folds entries. The first ones after a takeover are the whole
+// journal; only then is the program loaded.
+func (o *Owner) committed(now time.Time, entries []journal.Entry) []Action {
+	var out []Action
+	for _, e := range entries {
+		if e.Payload() == nil {
+			continue
+		}
+		out = append(out, o.do(now, o.Machine.Handle(now, program.Recorded{Records: Records(e.Payload())}))...)
+	}
+	if o.Machine.Loaded() {
+		return out
+	}
+	out = append(out, o.do(now, o.Machine.Handle(now, program.Loaded{}))...)
+	return append(out, o.release(now)...)
+}
+
+// release hands the events that came early to the program.
+func (o *Owner) release(now time.Time) []Action {
+	early := o.early
+	o.early = nil
+	var out []Action
+	for _, e := range early {
+		out = append(out, o.do(now, o.Machine.Handle(now, e))...)
+	}
+	return out
+}
+
+// do turns the program's commits into proposals and passes the rest on.
+func (o *Owner) do(now time.Time, actions []program.Action) []Action {
+	var out []Action
+	for _, a := range actions {
+		c, ok := a.(program.Commit)
+		if !ok {
+			out = append(out, Do{Action: a})
+			continue
+		}
+		payload, err := proto.MarshalOptions{Deterministic: true}.Marshal(&recordpb.Batch{Records: c.Records})
+		if err != nil {
+			// Only invalid UTF-8 cannot be encoded, and adapters refuse it.
+			continue
+		}
+		out = append(out, o.journal(now, journal.Propose{Payload: payload})...)
+	}
+	return out
+}
+
+// Records decodes the payload of an entry; a payload that does not decode
+// holds no records.
+func Records(payload []byte) []*recordpb.Record {
+	var b recordpb.Batch
+	if err := proto.Unmarshal(payload, &b); err != nil {
+		return nil
+	}
+	return b.GetRecords()
+}
--- /dev/null
+++ b/rockbarrow/owner/plan.go
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/roster"
+)
+
+const (
+	// copies is how many members should hold a run's history.
+	copies = 3
+	// maxMembers bounds the set while a member is being replaced.
+	maxMembers = 5
+)
+
+// Initial returns the members of a new run: the first instances of its home
+// domain in rendezvous order, one with a disk among them where the domain has
+// one, and a witness of another domain where the home has too few. It depends
+// on the names alone, so that two instances that create the same run ask the
+// same replicas.
+func Initial(v *roster.View, run, domain string) journal.Members {
+	home := v.Ranked(run, domain, true)
+	var out journal.Members
+	for _, i := range home[:min(copies, len(home))] {
+		out = append(out, i.Member())
+	}
+	out = withDisk(out, home)
+	if len(out) < copies {
+		if far := v.Ranked(run, domain, false); len(far) > 0 {
+			out = append(out, witness(far[0]))
+		}
+	}
+	return out
+}
+
+// withDisk gives the last seat to the first instance with a disk if no member
+// has one.
+func withDisk(out journal.Members, home []roster.Instance) journal.Members {
+	for _, m := range out {
+		if m.Disk() {
+			return out
+		}
+	}
+	for _, i := range home[len(out):] {
+		if i.Disk() {
+			out[len(out)-1] = i.Member()
+			return out
+		}
+	}
+	return out
+}
+
+// witness returns the instance as a holder of digests in memory; a witness
+// never uses a disk, so its life is the process's.
+func witness(i roster.Instance) journal.Member {
+	return journal.NewMember(i.Instance(), i.Beat().Incarnation()).WithWitness()
+}
+
+// census sorts the members of a journal by what the view says of them.
+type census struct {
+	live, dead   journal.Members
+	copies       int
+	disk         bool
+	witnesses    journal.Members
+	spareCopies  []roster.Instance
+	spareWitness []roster.Instance
+}
+
+func count(members journal.Members, v *roster.View, run, domain string) census {
+	var c census
+	for _, m := range members {
+		if !holds(v, m) {
+			c.dead = append(c.dead, m)
+			continue
+		}
+		c.live = append(c.live, m)
+		if m.Witness() {
+			c.witnesses = append(c.witnesses, m)
+			continue
+		}
+		c.copies++
+		c.disk = c.disk || m.Disk()
+	}
+	c.spareCopies = spares(v.Ranked(run, domain, true), members)
+	c.spareWitness = spares(v.Ranked(run, domain, false), members)
+	return c
+}
+
+// holds reports whether a member's life goes on and does not leave; a witness
+// lives as long as its process.
+func holds(v *roster.View, m journal.Member) bool {
+	i, ok := v.Find(m.Instance())
+	if !ok || i.State() == roster.Leaving {
+		return false
+	}
+	if !m.Witness() {
+		return v.Holds(m)
+	}
+	if i.State() == roster.Dead {
+		return false
+	}
+	return i.State() == roster.Unheard || i.Beat().Incarnation() == m.Incarnation()
+}
+
+// spares returns the usable instances without a seat.
+func spares(ranked []roster.Instance, members journal.Members) []roster.Instance {
+	var out []roster.Instance
+	for _, i := range ranked {
+		if i.Usable() && i.Member().Incarnation() != 0 && !seated(members, i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+func seated(members journal.Members, i roster.Instance) bool {
+	return members.Has(i.Member()) || members.Has(witness(i))
+}
+
+// plan returns the next change of the members, or nil when they are as they
+// should be. A lost member is replaced before it is dismissed.
+func plan(members journal.Members, v *roster.View, run, domain string, self journal.Member) journal.Event {
+	if i, ok := v.Find(self.Instance()); !ok || !i.Usable() {
+		return nil
+	}
+	c := count(members, v, run, domain)
+	if len(members) < maxMembers {
+		if e := admit(c); e != nil {
+			return e
+		}
+	}
+	if len(c.dead) > 0 && c.enough() {
+		return journal.Dismiss{Member: c.dead[0]}
+	}
+	if len(c.dead) == 0 && len(c.witnesses) > 0 && c.copies >= copies {
+		return journal.Dismiss{Member: c.witnesses[0]}
+	}
+	if len(c.dead) == 0 && c.copies > copies {
+		return surplus(c, self)
+	}
+	return nil
+}
+
+func admit(c census) journal.Event {
+	if !c.disk {
+		for _, i := range c.spareCopies {
+			if i.Disk() {
+				return journal.Admit{Member: i.Member()}
+			}
+		}
+	}
+	if c.copies < copies && len(c.spareCopies) > 0 {
+		return journal.Admit{Member: c.spareCopies[0].Member()}
+	}
+	if len(c.live) < copies && len(c.witnesses) == 0 && len(c.spareWitness) > 0 {
+		return journal.Admit{Member: witness(c.spareWitness[0])}
+	}
+	return nil
+}
+
+// enough reports whether the live members alone can make commits durable.
+func (c census) enough() bool {
+	return len(c.live) >= 2 && (c.copies >= 2 || c.disk)
+}
+
+// surplus dismisses the last copy that is neither the owner nor the only disk.
+func surplus(c census, self journal.Member) journal.Event {
+	disks := 0
+	for _, m := range c.live {
+		if m.Disk() {
+			disks++
+		}
+	}
+	for n := len(c.live) - 1; n >= 0; n-- {
+		m := c.live[n]
+		if m.Witness() || m.Is(self) || (m.Disk() && disks == 1) {
+			continue
+		}
+		return journal.Dismiss{Member: m}
+	}
+	return nil
+}
+
+// Successor returns the member that should own a journal under a view: the
+// first that lives and holds history. A leaving instance comes after all others.
+func Successor(members journal.Members, v *roster.View) (journal.Member, bool) {
+	var second *journal.Member
+	for _, m := range members {
+		if m.Witness() || !v.Holds(m) {
+			continue
+		}
+		i, _ := v.Find(m.Instance())
+		if i.Usable() {
+			return m, true
+		}
+		if second == nil {
+			second = &m
+		}
+	}
+	if second != nil {
+		return *second, true
+	}
+	return journal.Member{}, false
+}
--- /dev/null
+++ b/rockbarrow/program/call.go
@@ -0,0 +1,365 @@
+// SPDX-License-Identifier: MIT
+
+package program
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/problem"
+	"rockbarrow.dev/schema/peerpb"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+type stage int
+
+const (
+	queued stage = iota
+	placing
+	proposing
+	sent
+	settling
+)
+
+// call is a call that the owner has not settled yet.
+type call struct {
+	turn      *peerpb.Turn
+	digest    []byte
+	listeners []CallID
+	arrived   time.Time
+	stage     stage
+	// attempt is the newest attempt; 0 before the first intent.
+	attempt uint32
+	// charged is the reserve of earlier attempts that may have run.
+	charged uint64
+	reserve uint64
+	avoid   []string
+	// buffer is the answer of this attempt so far.
+	buffer     []byte
+	proposedAt time.Time
+	intent     *recordpb.Intent
+	// refusal is what the caller is told once the settling record commits.
+	refusal *peerpb.Problem
+}
+
+// reopen makes a call of an intent that an earlier owner left.
+func reopen(t *Turn) *call {
+	in := t.intent
+	return &call{
+		turn: &peerpb.Turn{
+			Sequence:        in.GetSequence(),
+			RequestId:       in.GetRequestId(),
+			Messages:        t.messages,
+			MaxAnswerTokens: in.GetMaxAnswerTokens(),
+			Repeatable:      in.GetRepeatable(),
+			ServiceBody:     in.GetServiceBody(),
+		},
+		digest:  in.GetBodyDigest(),
+		stage:   sent,
+		attempt: in.GetAttempt(),
+		charged: in.GetChargedTokens(),
+		reserve: in.GetReserveTokens(),
+		intent:  in,
+	}
+}
+
+// BodyDigest returns the digest of what a caller asks in a turn.
+func BodyDigest(t *peerpb.Turn) []byte {
+	h := sha256.New()
+	put := func(s string) {
+		var n [8]byte
+		binary.BigEndian.PutUint64(n[:], uint64(len(s)))
+		h.Write(n[:])
+		h.Write([]byte(s))
+	}
+	for _, msg := range t.GetMessages() {
+		put(msg.GetRole())
+		put(msg.GetContent())
+	}
+	put(string(t.GetServiceBody()))
+	put(fmt.Sprint(t.GetMaxAnswerTokens(), t.GetRepeatable(), t.GetWholeHistory()))
+	return h.Sum(nil)
+}
+
+func (m *Machine) called(now time.Time, e Called) []Action {
+	if m.state.created == nil {
+		return refuse(e.ID, problem.New(problem.NotFound, "the run does not exist"))
+	}
+	c := &call{turn: e.Turn, digest: BodyDigest(e.Turn), listeners: []CallID{e.ID}, arrived: now}
+	if out, done := m.resent(e, c); done {
+		return out
+	}
+	if m.state.ended != "" || m.ending != "" {
+		return refuse(e.ID, problem.New(problem.RunEnded, "the run ended: "+or(m.state.ended, m.ending)))
+	}
+	if p := m.position(c); p != nil {
+		return refuse(e.ID, p)
+	}
+	return m.enqueue(now, c)
+}
+
+// resent answers a request id that is known.
+func (m *Machine) resent(e Called, c *call) ([]Action, bool) {
+	id := e.Turn.GetRequestId()
+	if o := m.pending(id); o != nil {
+		if !bytes.Equal(o.digest, c.digest) {
+			return refuse(e.ID, reused()), true
+		}
+		o.listeners = append(o.listeners, e.ID)
+		return m.catchUp(o, e), true
+	}
+	t := m.state.Find(id)
+	if t == nil {
+		return nil, false
+	}
+	if !bytes.Equal(t.intent.GetBodyDigest(), c.digest) {
+		return refuse(e.ID, reused()), true
+	}
+	if t.state == Answered {
+		return []Action{Tell{ID: e.ID, Event: finalEvent(t.answered, true), Done: true}}, true
+	}
+	return refuse(e.ID, unknownProblem(t.why)), true
+}
+
+func reused() *peerpb.Problem {
+	return problem.New(problem.RequestReused, "the request id came before with another body")
+}
+
+// pending returns the unsettled call of a request id, or nil.
+func (m *Machine) pending(requestID string) *call {
+	if m.open != nil && m.open.turn.GetRequestId() == requestID {
+		return m.open
+	}
+	for _, c := range m.waiting {
+		if c.turn.GetRequestId() == requestID {
+			return c
+		}
+	}
+	return nil
+}
+
+// catchUp hands a joining caller the part of the stream that it lacks.
+func (m *Machine) catchUp(c *call, e Called) []Action {
+	if c.stage != sent || len(c.buffer) == 0 {
+		return nil
+	}
+	from := uint64(0)
+	restart := false
+	if at := e.Turn.GetResumeAttempt(); at != 0 {
+		if at == c.attempt && e.Turn.GetResumeOffset() <= uint64(len(c.buffer)) {
+			from = e.Turn.GetResumeOffset()
+		} else {
+			restart = true
+		}
+	}
+	return []Action{Tell{ID: e.ID, Event: deltaEvent(c.attempt, from, string(c.buffer[from:]), restart)}}
+}
+
+func deltaEvent(attempt uint32, offset uint64, content string, restart bool) *peerpb.DoEvent {
+	d := &peerpb.Delta{Attempt: attempt, Offset: offset, Content: content, Restart: restart}
+	return &peerpb.DoEvent{Body: &peerpb.DoEvent_Delta{Delta: d}}
+}
+
+// position finds the call's place in the order, or tells why it has none.
+func (m *Machine) position(c *call) *peerpb.Problem {
+	if c.turn.GetWholeHistory() {
+		if m.Busy() {
+			return problem.New(problem.SequenceConflict, "another call of the run is under way")
+		}
+		added, ok := m.added(c.turn.GetMessages())
+		if !ok {
+			return problem.New(problem.HistoryMismatch, "the messages before the new ones differ from the stored history")
+		}
+		c.turn = cloneTurn(c.turn)
+		c.turn.Messages = added
+		c.turn.Sequence = or(c.turn.GetSequence(), m.state.Next())
+	}
+	seq := c.turn.GetSequence()
+	switch {
+	case seq == 0:
+		return problem.New(problem.BadRequest, "sequence: must be 1 or more")
+	case seq < m.state.Next():
+		return problem.New(problem.AlreadySettled, fmt.Sprintf("the next sequence is %d", m.state.Next()))
+	case m.open != nil && seq == m.open.turn.GetSequence():
+		return problem.New(problem.SequenceConflict, "another request id holds the sequence")
+	case len(m.waiting) >= or(m.MaxWaiting, DefaultMaxWaiting):
+		return problem.Retry(problem.Overloaded, "too many calls wait for their predecessors", time.Second)
+	}
+	for _, o := range m.waiting {
+		if o.turn.GetSequence() == seq {
+			return problem.New(problem.SequenceConflict, "another request id waits for the sequence")
+		}
+	}
+	return nil
+}
+
+func cloneTurn(t *peerpb.Turn) *peerpb.Turn {
+	return &peerpb.Turn{
+		Sequence:        t.GetSequence(),
+		RequestId:       t.GetRequestId(),
+		Messages:        t.GetMessages(),
+		MaxAnswerTokens: t.GetMaxAnswerTokens(),
+		Repeatable:      t.GetRepeatable(),
+		ServiceBody:     t.GetServiceBody(),
+	}
+}
+
+// added returns the messages after the stored history.
+func (m *Machine) added(sent []*recordpb.Message) ([]*recordpb.Message, bool) {
+	stored := m.state.History()
+	if len(sent) <= len(stored) {
+		return nil, false
+	}
+	for i, s := range stored {
+		if s.GetRole() != sent[i].GetRole() || s.GetContent() != sent[i].GetContent() {
+			return nil, false
+		}
+	}
+	return sent[len(stored):], true
+}
+
+func (m *Machine) enqueue(now time.Time, c *call) []Action {
+	at, _ := slices.BinarySearchFunc(m.waiting, c.turn.GetSequence(), func(o *call, seq uint64) int {
+		return int(int64(o.turn.GetSequence()) - int64(seq))
+	})
+	m.waiting = slices.Insert(m.waiting, at, c)
+	return m.startNext(now)
+}
+
+// startNext starts the waiting call whose turn it is.
+func (m *Machine) startNext(now time.Time) []Action {
+	if m.open != nil || !m.loaded || len(m.waiting) == 0 {
+		return nil
+	}
+	c := m.waiting[0]
+	if c.turn.GetSequence() != m.state.Next() {
+		return nil
+	}
+	m.waiting = m.waiting[1:]
+	if p := m.affordable(c); p != nil {
+		out := m.tellAll(c, problemEvent(p), true)
+		return append(out, m.startNext(now)...)
+	}
+	m.open = c
+	return []Action{m.place(c)}
+}
+
+// affordable reserves the most that the call may cost.
+func (m *Machine) affordable(c *call) *peerpb.Problem {
+	created := m.state.created
+	if limit := created.GetMaxCalls(); limit > 0 && m.state.calls >= limit {
+		return problem.New(problem.CallsExhausted, fmt.Sprintf("the run may make %d calls", limit))
+	}
+	answer := created.GetMaxAnswerTokens()
+	if ask := c.turn.GetMaxAnswerTokens(); ask > 0 && (answer == 0 || ask < answer) {
+		answer = ask
+	}
+	c.turn = cloneTurn(c.turn)
+	c.turn.MaxAnswerTokens = answer
+	c.reserve = m.promptTokens(c) + uint64(answer)
+	if created.GetService() != "" {
+		c.reserve = 0
+	}
+	if c.charged+c.reserve > m.state.Left()+m.state.reserved {
+		detail := fmt.Sprintf("%d tokens are left, the call may cost %d", m.state.Left(), c.reserve)
+		return problem.New(problem.BudgetExhausted, detail)
+	}
+	return nil
+}
+
+// promptTokens bounds the prompt: the true size up to the last answer and an
+// estimate from above for what came since. Engines refuse a longer prompt.
+func (m *Machine) promptTokens(c *call) uint64 {
+	tokens := uint64(0)
+	from := 0
+	for i, t := range m.state.turns {
+		if t.state == Answered {
+			tokens = t.answered.GetPromptTokens() + t.answered.GetAnswerTokens()
+			from = i + 1
+		}
+	}
+	for _, t := range m.state.turns[from:] {
+		if t.state != Intended {
+			tokens += EstimateTokens(t.messages)
+		}
+	}
+	return tokens + EstimateTokens(c.turn.GetMessages())
+}
+
+// EstimateTokens bounds the tokens of messages from above for usual text: one
+// for each three bytes and eight for each message.
+func EstimateTokens(messages []*recordpb.Message) uint64 {
+	n := uint64(0)
+	for _, msg := range messages {
+		n += uint64(len(msg.GetRole())+len(msg.GetContent()))/3 + 8
+	}
+	return n
+}
+
+func (m *Machine) place(c *call) Action {
+	c.stage = placing
+	history := m.historyFor(c)
+	p := Place{
+		Sequence:     c.turn.GetSequence(),
+		Attempt:      c.attempt + 1,
+		PromptTokens: c.reserve - min(c.reserve, uint64(c.turn.GetMaxAnswerTokens())),
+		AnswerTokens: c.turn.GetMaxAnswerTokens(),
+		Repeatable:   c.turn.GetRepeatable(),
+		Avoid:        slices.Clone(c.avoid),
+		Attained:     m.state.spent,
+		History:      history,
+	}
+	if n := len(m.state.turns); n > 0 {
+		p.Last = m.state.turns[n-1].answered.GetEndpoint()
+	}
+	return p
+}
+
+// historyFor returns what the engine is given: all before the call, and the
+// call's own messages.
+func (m *Machine) historyFor(c *call) []*recordpb.Message {
+	history := m.state.History()
+	if m.state.Open() != nil {
+		return history
+	}
+	return append(history, c.turn.GetMessages()...)
+}
+
+func (m *Machine) expireWaiting(now time.Time) []Action {
+	var out []Action
+	kept := m.waiting[:0:0]
+	for _, c := range m.waiting {
+		if now.Sub(c.arrived) < or(m.MaxWait, DefaultMaxWait) {
+			kept = append(kept, c)
+			continue
+		}
+		detail := fmt.Sprintf("the next sequence is %d", m.state.Next())
+		out = append(out, m.tellAll(c, problemEvent(problem.New(problem.PredecessorMissing, detail)), true)...)
+	}
+	m.waiting = kept
+	return out
+}
+
+func (m *Machine) left(id CallID) {
+	for _, c := range append(slices.Clone(m.waiting), m.open) {
+		if c == nil {
+			continue
+		}
+		c.listeners = slices.DeleteFunc(c.listeners, func(o CallID) bool { return o == id })
+	}
+}
+
+func (m *Machine) tellAll(c *call, e *peerpb.DoEvent, done bool) []Action {
+	out := make([]Action, 0, len(c.listeners))
+	for _, id := range c.listeners {
+		out = append(out, Tell{ID: id, Event: e, Done: done})
+	}
+	if done {
+		c.listeners = nil
+	}
+	return out
+}
--- /dev/null
+++ b/rockbarrow/program/view.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+
+package program
+
+import (
+	"rockbarrow.dev/schema/peerpb"
+)
+
+// View returns the run for a reader: the turns after a sequence, at most limit
+// of them; limit 0 leaves the turns out.
+func (s *State) View(owner string, after uint64, limit uint32) *peerpb.RunView {
+	c := s.created
+	v := &peerpb.RunView{
+		Run:            c.GetRun(),
+		Program:        c.GetProgram(),
+		State:          s.phase(),
+		NextSequence:   s.Next(),
+		BudgetTokens:   c.GetBudgetTokens(),
+		SpentTokens:    s.spent,
+		ReservedTokens: s.reserved,
+		Owner:          owner,
+		ConfigVersion:  c.GetConfigVersion(),
+		Parent:         c.GetParent(),
+	}
+	for i := after; i < uint64(len(s.turns)) && uint32(len(v.Turns)) < limit; i++ {
+		v.Turns = append(v.Turns, s.turns[i].view())
+	}
+	v.More = limit > 0 && after+uint64(len(v.Turns)) < uint64(len(s.turns))
+	return v
+}
+
+func (s *State) phase() string {
+	switch {
+	case s.ended != "":
+		return "ended:" + s.ended
+	case s.Open() != nil:
+		return "calling"
+	}
+	return "idle"
+}
+
+func (t *Turn) view() *peerpb.TurnView {
+	in := t.intent
+	return &peerpb.TurnView{
+		Sequence:      in.GetSequence(),
+		RequestId:     in.GetRequestId(),
+		State:         t.state.String(),
+		Messages:      t.messages,
+		Answer:        t.answered.GetContent(),
+		Attempt:       in.GetAttempt(),
+		Endpoint:      in.GetEndpoint(),
+		Domain:        in.GetDomain(),
+		ConfigVersion: in.GetConfigVersion(),
+		Reason:        t.Reason(),
+		PromptTokens:  t.answered.GetPromptTokens(),
+		CachedTokens:  t.answered.GetCachedTokens(),
+		AnswerTokens:  t.answered.GetAnswerTokens(),
+	}
+}
