--- /dev/null
+++ b/rockbarrow/placement/baseline.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import "sync/atomic"
+
+// turn counts round-robin choices.
+type turn struct{ n atomic.Uint64 }
+
+// inTurn takes the next open candidate.
+func (f *Fleet) inTurn(now int64, list []*Endpoint, req Request) (Choice, bool) {
+	start := f.turn.n.Add(1)
+	for i := range uint64(len(list)) {
+		e := list[(start+i)%uint64(len(list))]
+		if e.open(now) && !avoided(req, e.name) {
+			return Choice{endpoint: e, lacking: req.Prompt, policy: RoundRobin}, true
+		}
+	}
+	return Choice{}, false
+}
+
+// leastLoaded takes the open candidate with the fewest own calls, in turn among
+// equals.
+func (f *Fleet) leastLoaded(now int64, list []*Endpoint, req Request) (Choice, bool) {
+	start := f.turn.n.Add(1)
+	var best *Endpoint
+	for i := range uint64(len(list)) {
+		e := list[(start+i)%uint64(len(list))]
+		if !e.open(now) || avoided(req, e.name) {
+			continue
+		}
+		if best == nil || e.underway.Load() < best.underway.Load() {
+			best = e
+		}
+	}
+	return Choice{endpoint: best, lacking: req.Prompt, policy: LeastLoaded}, best != nil
+}
+
+// sticky stays with the run's last endpoint, or takes the least loaded.
+func (f *Fleet) sticky(now int64, list []*Endpoint, req Request) (Choice, bool) {
+	if e := f.endpoints[req.Last]; e != nil && e.open(now) && !avoided(req, e.name) {
+		for _, o := range list {
+			if o == e {
+				return Choice{endpoint: e, lacking: req.Prompt, policy: Sticky}, true
+			}
+		}
+	}
+	return f.leastLoaded(now, list, req)
+}
--- /dev/null
+++ b/rockbarrow/placement/endpoint.go
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"math"
+	"sync/atomic"
+	"time"
+
+	"rockbarrow.dev/schema/configpb"
+)
+
+const (
+	// defaultMaxCalls is the default of an endpoint's limit of calls.
+	defaultMaxCalls = 64
+	// defaultPrefill and defaultStep are the speeds assumed before any call:
+	// microseconds for a prompt token and for a step of the batch.
+	defaultPrefill = 150
+	defaultStep    = 15_000
+	// smoothing is the weight of a new measurement.
+	smoothing = 0.2
+	// reportLife is when a load report counts for nothing any more.
+	reportLife = 5 * time.Second
+	// failuresToEject in a row take an endpoint out for a while.
+	failuresToEject = 3
+	// firstEjection doubles with each further ejection up to maxEjection.
+	firstEjection = time.Second
+	maxEjection   = 30 * time.Second
+	// slowStart is how long a returned endpoint takes to get its full share.
+	slowStart = 5 * time.Second
+	// minLimit is the least that the adaptive limit falls to.
+	minLimit = 2
+	// slowFactor is how many times its best a first token may take before the
+	// limit shrinks.
+	slowFactor = 4.0
+)
+
+// Endpoint is one back end with what this instance knows of its load.
+type Endpoint struct {
+	name   string
+	domain string
+	config *configpb.Endpoint
+
+	// underway counts own calls there and never exceeds the limit.
+	underway atomic.Int64
+	// prompt is the uncached prompt tokens of own calls that wait for their
+	// first token.
+	prompt atomic.Int64
+	// limit is the adaptive limit of own calls, in thousandths.
+	limit atomic.Int64
+	// prefill and step are measured speeds in microseconds, as float bits.
+	prefill, step, best atomic.Uint64
+	report              atomic.Pointer[Report]
+	leaving             atomic.Bool
+	failures            atomic.Int64
+	ejections           atomic.Int64
+	// ejectedUntil and returned are nanoseconds since 1970.
+	ejectedUntil, returned atomic.Int64
+}
+
+// Report is an endpoint's own word on its load, which arrives with a lag.
+type Report struct {
+	running       int
+	waitingTokens int
+	cacheFree     int
+	own           int64
+	at            time.Time
+}
+
+// NewReport returns a report: calls running and prompt tokens waiting there
+// from all instances, and tokens of cache that are free.
+func NewReport(running, waitingTokens, cacheFree int, at time.Time) *Report {
+	return &Report{running: running, waitingTokens: waitingTokens, cacheFree: cacheFree, at: at}
+}
+
+func newEndpoint(c *configpb.Endpoint) *Endpoint {
+	e := &Endpoint{name: c.GetName(), domain: c.GetDomain(), config: c}
+	e.limit.Store(int64(e.maxCalls()) * 1000)
+	return e
+}
+
+// Name returns the endpoint's name.
+func (e *Endpoint) Name() string { return e.name }
+
+// Domain returns the endpoint's failure domain.
+func (e *Endpoint) Domain() string { return e.domain }
+
+// Config returns the endpoint as operators wrote it.
+func (e *Endpoint) Config() *configpb.Endpoint { return e.config }
+
+// Underway returns the number of own calls there.
+func (e *Endpoint) Underway() int64 { return e.underway.Load() }
+
+// Limit returns how many own calls may be there now.
+func (e *Endpoint) Limit() int64 { return max(1, e.limit.Load()/1000) }
+
+// Leave marks the endpoint as leaving, or back in a new life.
+func (e *Endpoint) Leave(leaving bool) { e.leaving.Store(leaving) }
+
+// Leaving reports whether the endpoint takes nothing new.
+func (e *Endpoint) Leaving() bool { return e.leaving.Load() || e.config.GetDraining() }
+
+// Heard stores a load report.
+func (e *Endpoint) Heard(r *Report) {
+	r.own = e.underway.Load()
+	e.report.Store(r)
+}
+
+func (e *Endpoint) maxCalls() uint32 {
+	if n := e.config.GetMaxCalls(); n > 0 {
+		return n
+	}
+	return defaultMaxCalls
+}
+
+// open reports whether the endpoint may get a call now.
+func (e *Endpoint) open(now int64) bool {
+	if e.Leaving() || now < e.ejectedUntil.Load() {
+		return false
+	}
+	return e.underway.Load() < e.share(now)
+}
+
+// share is the limit, less in the first seconds after an ejection.
+func (e *Endpoint) share(now int64) int64 {
+	limit := e.Limit()
+	if back := e.returned.Load(); back != 0 && now < back+int64(slowStart) {
+		return max(1, limit*(now-back)/int64(slowStart))
+	}
+	return limit
+}
+
+// enter takes a seat, or reports that the last one has gone.
+func (e *Endpoint) enter(now int64, prompt int64) bool {
+	for {
+		n := e.underway.Load()
+		if n >= e.share(now) {
+			return false
+		}
+		if e.underway.CompareAndSwap(n, n+1) {
+			e.prompt.Add(prompt)
+			return true
+		}
+	}
+}
+
+// Result is what a call tells of its endpoint.
+type Result struct {
+	// OK is false when the endpoint failed, not when it refused the request.
+	OK bool
+	// Prompt is the uncached prompt that the choice counted on.
+	Prompt int64
+	// Computed is how many prompt tokens were computed.
+	Computed int64
+	// First is the time to the first token, All to the last; zero if none came.
+	First, All time.Duration
+	// Answer is the number of answer tokens.
+	Answer int64
+}
+
+// FirstToken takes a call's prompt off the endpoint's account.
+func (e *Endpoint) FirstToken(prompt int64) { e.prompt.Add(-prompt) }
+
+// Done gives the seat back and learns from the call.
+func (e *Endpoint) Done(now time.Time, r Result) {
+	e.underway.Add(-1)
+	if !r.OK {
+		e.failed(now)
+		return
+	}
+	e.failures.Store(0)
+	e.ejections.Store(0)
+	if r.First > 0 && r.Computed > 16 {
+		smooth(&e.prefill, float64(r.First.Microseconds())/float64(r.Computed))
+	}
+	if r.Answer > 1 && r.All > r.First {
+		smooth(&e.step, float64((r.All-r.First).Microseconds())/float64(r.Answer-1))
+	}
+	e.adapt(r)
+}
+
+// adapt grows the limit by a little with each call and shrinks it when steps
+// take several times their best.
+func (e *Endpoint) adapt(r Result) {
+	if r.Answer <= 1 {
+		return
+	}
+	step := float64((r.All - r.First).Microseconds()) / float64(r.Answer-1)
+	best := math.Float64frombits(e.best.Load())
+	if best == 0 || step < best {
+		e.best.Store(math.Float64bits(step))
+		best = step
+	}
+	limit := e.limit.Load()
+	ceiling := int64(e.maxCalls()) * 1000
+	if step > best*slowFactor {
+		e.limit.Store(max(minLimit*1000, limit*95/100))
+		return
+	}
+	e.limit.Store(min(ceiling, limit+250))
+}
+
+func (e *Endpoint) failed(now time.Time) {
+	if e.failures.Add(1) < failuresToEject {
+		return
+	}
+	e.failures.Store(0)
+	n := min(e.ejections.Add(1), 6)
+	until := now.Add(min(firstEjection<<(n-1), maxEjection)).UnixNano()
+	e.ejectedUntil.Store(until)
+	e.returned.Store(until)
+}
+
+func smooth(at *atomic.Uint64, v float64) {
+	old := math.Float64frombits(at.Load())
+	if old != 0 {
+		v = old + smoothing*(v-old)
+	}
+	at.Store(math.Float64bits(v))
+}
+
+func speed(at *atomic.Uint64, fallback float64) float64 {
+	if v := math.Float64frombits(at.Load()); v != 0 {
+		return v
+	}
+	return fallback
+}
--- /dev/null
+++ b/rockbarrow/placement/fleet.go
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/schema/configpb"
+)
+
+// Policy is how endpoints are chosen. All but Cost are baselines to measure
+// against.
+type Policy int
+
+// The policies.
+const (
+	// Cost chooses the least expected cost.
+	Cost Policy = iota
+	// RoundRobin takes the candidates in turn.
+	RoundRobin
+	// LeastLoaded takes the one with the fewest own calls.
+	LeastLoaded
+	// Sticky stays with the run's last endpoint while it is open.
+	Sticky
+)
+
+// Weights say what time and waste are worth against each other.
+type Weights struct {
+	// Latency multiplies the expected time to finish.
+	Latency float64
+	// Cache multiplies the time of computing again what some candidate holds.
+	Cache float64
+}
+
+// Class is a set of candidates: a model or service within a binding.
+type Class struct {
+	Model   string
+	Service string
+	Binding string
+}
+
+// Request is a call to be placed.
+type Request struct {
+	Class Class
+	// Prompt and Answer are expected tokens.
+	Prompt, Answer int64
+	// Prefixes are what endpoints hold of the prompt, the longest for each.
+	Prefixes []Held
+	// Last is the endpoint of the run's last answer, or "".
+	Last string
+	// Avoid names endpoints that failed the call.
+	Avoid []string
+}
+
+// Held says how many tokens of a prompt an endpoint's cache holds.
+type Held struct {
+	Endpoint string
+	Tokens   int64
+}
+
+// Choice is an endpoint whose seat is taken.
+type Choice struct {
+	endpoint *Endpoint
+	lacking  int64
+	cached   int64
+	cost     float64
+	policy   Policy
+}
+
+// Endpoint returns the chosen endpoint.
+func (c Choice) Endpoint() *Endpoint { return c.endpoint }
+
+// Lacking returns the prompt tokens that the endpoint has to compute.
+func (c Choice) Lacking() int64 { return c.lacking }
+
+// Cached returns the prompt tokens that the endpoint is believed to hold.
+func (c Choice) Cached() int64 { return c.cached }
+
+// CostMS returns the expected cost in milliseconds.
+func (c Choice) CostMS() float64 { return c.cost }
+
+// Fleet is the endpoints of one configuration version.
+type Fleet struct {
+	weights   Weights
+	policy    Policy
+	endpoints map[string]*Endpoint
+	classes   map[Class][]*Endpoint
+	turn      *turn
+}
+
+// NewFleet indexes a snapshot. Endpoints that did not change since an earlier
+// fleet, which may be nil, keep what is known of them.
+func NewFleet(s *control.Snapshot, w Weights, p Policy, old *Fleet) *Fleet {
+	f := &Fleet{weights: w, policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}}
+	for _, c := range s.Document().GetEndpoints() {
+		f.endpoints[c.GetName()] = carry(c, old)
+	}
+	for _, b := range s.Document().GetBindings() {
+		f.index(s, b.GetName())
+	}
+	return f
+}
+
+// carry keeps an endpoint's knowledge over a change of its limits, but not of
+// its address, behind which another back end stands.
+func carry(c *configpb.Endpoint, old *Fleet) *Endpoint {
+	if old == nil {
+		return newEndpoint(c)
+	}
+	o := old.endpoints[c.GetName()]
+	if o == nil || o.config.GetAddress() != c.GetAddress() || o.domain != c.GetDomain() {
+		return newEndpoint(c)
+	}
+	if o.config.GetMaxCalls() == c.GetMaxCalls() && o.config.GetDraining() == c.GetDraining() {
+		return o
+	}
+	e := newEndpoint(c)
+	e.leaving.Store(o.leaving.Load())
+	e.prefill.Store(o.prefill.Load())
+	e.step.Store(o.step.Load())
+	e.best.Store(o.best.Load())
+	return e
+}
+
+func (f *Fleet) index(s *control.Snapshot, binding string) {
+	b, _ := s.Binding(binding)
+	for _, e := range f.endpoints {
+		if !b.Allows(e.domain) || fenced(s, e) {
+			continue
+		}
+		for _, m := range e.config.GetModels() {
+			f.add(Class{Model: m, Binding: binding}, e)
+		}
+		if v := e.config.GetService(); v != "" {
+			f.add(Class{Service: v, Binding: binding}, e)
+		}
+	}
+}
+
+func fenced(s *control.Snapshot, e *Endpoint) bool {
+	_, byDomain := s.Withdrawn(e.domain)
+	_, byName := s.Withdrawn(e.name)
+	return byDomain || byName
+}
+
+// add keeps a class ordered by name, so that no map order decides anything.
+func (f *Fleet) add(c Class, e *Endpoint) {
+	list := append(f.classes[c], e)
+	for i := len(list) - 1; i > 0 && list[i-1].name > list[i].name; i-- {
+		list[i-1], list[i] = list[i], list[i-1]
+	}
+	f.classes[c] = list
+}
+
+// Endpoint returns an endpoint by name, or nil.
+func (f *Fleet) Endpoint(name string) *Endpoint { return f.endpoints[name] }
+
+// Endpoints returns all endpoints in no order.
+func (f *Fleet) Endpoints() map[string]*Endpoint { return f.endpoints }
+
+// Candidates returns the allowed endpoints of a class, ordered by name.
+func (f *Fleet) Candidates(c Class) []*Endpoint { return f.classes[c] }
+
+// Choose takes a seat at the best endpoint. It reports false when no allowed
+// endpoint has room.
+func (f *Fleet) Choose(now time.Time, req Request, r *rand.Rand) (Choice, bool) {
+	list := f.classes[req.Class]
+	at := now.UnixNano()
+	// A lost race for the last seat is tried again, each time with one fewer.
+	for range len(list) {
+		c, ok := f.best(at, list, req, r)
+		if !ok {
+			return Choice{}, false
+		}
+		if c.endpoint.enter(at, c.lacking) {
+			return c, true
+		}
+	}
+	return Choice{}, false
+}
+
+func (f *Fleet) best(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
+	switch f.policy {
+	case RoundRobin:
+		return f.inTurn(now, list, req)
+	case LeastLoaded:
+		return f.leastLoaded(now, list, req)
+	case Sticky:
+		return f.sticky(now, list, req)
+	}
+	return f.leastCost(now, list, req, r)
+}
+
+// near is how close two costs are to count as equal.
+const near = 1.05
+
+// leastCost scans the candidates and draws among near equals, so that many
+// instances with the same old reports do not all choose the same endpoint.
+func (f *Fleet) leastCost(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
+	most := int64(0)
+	for _, h := range req.Prefixes {
+		most = max(most, h.Tokens)
+	}
+	first, second := Choice{cost: math.Inf(1)}, Choice{cost: math.Inf(1)}
+	for _, e := range list {
+		if !e.open(now) || avoided(req, e.name) {
+			continue
+		}
+		c := f.price(now, e, req, most)
+		switch {
+		case c.cost < first.cost:
+			first, second = c, first
+		case c.cost < second.cost:
+			second = c
+		}
+	}
+	if first.endpoint == nil {
+		return Choice{}, false
+	}
+	if second.endpoint != nil && second.cost <= first.cost*near && r.IntN(2) == 0 {
+		return second, true
+	}
+	return first, true
+}
+
+// price is the expected cost of a call at an endpoint, in milliseconds.
+func (f *Fleet) price(now int64, e *Endpoint, req Request, most int64) Choice {
+	held := int64(0)
+	for _, h := range req.Prefixes {
+		if h.Endpoint == e.name {
+			held = max(held, h.Tokens)
+		}
+	}
+	held = min(held, req.Prompt)
+	lacking := req.Prompt - held
+	running, waiting, free := e.load(now)
+	prefill := speed(&e.prefill, defaultPrefill)
+	step := speed(&e.step, defaultStep)
+	batch := 1 + running/float64(e.maxCalls())
+	time := (waiting+float64(lacking))*prefill + float64(req.Answer)*step*batch
+	again := math.Max(0, float64(min(most, req.Prompt)-held)) * prefill
+	thrown := math.Max(0, float64(lacking)-free) * prefill
+	cost := f.weights.Latency*time + f.weights.Cache*(again+thrown)
+	return Choice{endpoint: e, lacking: lacking, cached: held, cost: cost / 1000}
+}
+
+// load joins own calls, which are known, with the last report, which counts
+// less the older it is.
+func (e *Endpoint) load(now int64) (running, waiting, free float64) {
+	running = float64(e.underway.Load())
+	waiting = math.Max(0, float64(e.prompt.Load()))
+	free = math.Inf(1)
+	rep := e.report.Load()
+	if rep == nil {
+		return running, waiting, free
+	}
+	age := now - rep.at.UnixNano()
+	trust := 1 - float64(age)/float64(reportLife)
+	if trust <= 0 {
+		return running, waiting, free
+	}
+	others := math.Max(0, float64(int64(rep.running)-rep.own))
+	running += trust * others
+	waiting = math.Max(waiting, trust*float64(rep.waitingTokens))
+	return running, waiting, float64(rep.cacheFree)
+}
+
+func avoided(req Request, name string) bool {
+	for _, a := range req.Avoid {
+		if a == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rockbarrow/placement/fleet_test.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+var class = Class{Model: "m", Binding: "b"}
+
+func fleet(n int, w Weights, p Policy) *Fleet {
+	doc := &configpb.Document{
+		Models:   []*configpb.Model{{Name: "m"}},
+		Bindings: []*configpb.Binding{{Name: "b", Domains: []string{"d0", "d1"}}},
+	}
+	for i := range n {
+		doc.Endpoints = append(doc.Endpoints, &configpb.Endpoint{
+			Name: fmt.Sprintf("e%03d", i), Domain: fmt.Sprintf("d%d", i%3), Address: "http://x", Models: []string{"m"},
+		})
+	}
+	return NewFleet(control.NewSnapshot(doc), w, p, nil)
+}
+
+func TestOnlyAllowedPlaces(t *testing.T) {
+	for _, p := range []Policy{Cost, RoundRobin, LeastLoaded, Sticky} {
+		f := fleet(9, Weights{Latency: 1}, p)
+		r := rand.New(rand.NewPCG(1, 1))
+		now := time.Unix(1000, 0)
+		for range 200 {
+			c, ok := f.Choose(now, Request{Class: class, Prompt: 100, Answer: 10, Last: "e002", Prefixes: []Held{{Endpoint: "e002", Tokens: 100}}}, r)
+			if !ok {
+				break
+			}
+			if c.Endpoint().Domain() == "d2" {
+				t.Fatalf("policy %d chose %s in a forbidden place", p, c.Endpoint().Name())
+			}
+		}
+	}
+}
+
+func TestHeldPrefixWinsUntilTheQueueCostsMore(t *testing.T) {
+	f := fleet(3, Weights{Latency: 1}, Cost)
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	req := Request{Class: class, Prompt: 2000, Answer: 10, Prefixes: []Held{{Endpoint: "e001", Tokens: 1900}}}
+	c, _ := f.Choose(now, req, r)
+	if c.Endpoint().Name() != "e001" {
+		t.Fatalf("chose %s, want e001, which holds the prefix", c.Endpoint().Name())
+	}
+	f.Endpoint("e001").Heard(NewReport(40, 20_000, 0, now))
+	c, _ = f.Choose(now, req, r)
+	if c.Endpoint().Name() != "e000" {
+		t.Fatalf("chose %s behind 20000 waiting tokens, want e000", c.Endpoint().Name())
+	}
+}
+
+func TestCacheWeightWaitsForTheHolder(t *testing.T) {
+	f := fleet(3, Weights{Latency: 1, Cache: 20}, Cost)
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	f.Endpoint("e001").Heard(NewReport(40, 20_000, 0, now))
+	req := Request{Class: class, Prompt: 2000, Answer: 10, Prefixes: []Held{{Endpoint: "e001", Tokens: 1900}}}
+	c, _ := f.Choose(now, req, r)
+	if c.Endpoint().Name() != "e001" {
+		t.Fatalf("chose %s, want e001 when waste weighs more", c.Endpoint().Name())
+	}
+}
+
+func TestOldReportCountsLess(t *testing.T) {
+	f := fleet(3, Weights{Latency: 1}, Cost)
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	f.Endpoint("e000").Heard(NewReport(40, 20_000, 0, now.Add(-time.Minute)))
+	f.Endpoint("e001").Heard(NewReport(1, 500, 0, now))
+	c, _ := f.Choose(now, Request{Class: class, Prompt: 100, Answer: 10}, r)
+	if c.Endpoint().Name() != "e000" {
+		t.Fatalf("chose %s, want e000, whose report is too old to count", c.Endpoint().Name())
+	}
+}
+
+func TestFailingEndpointIsEjectedAndReturnsSlowly(t *testing.T) {
+	f := fleet(1, Weights{Latency: 1}, Cost)
+	r := rand.New(rand.NewPCG(1, 1))
+	now := time.Unix(1000, 0)
+	for range failuresToEject {
+		c, ok := f.Choose(now, Request{Class: class}, r)
+		if !ok {
+			t.Fatal("no seat before the ejection")
+		}
+		c.Endpoint().Done(now, Result{})
+	}
+	if _, ok := f.Choose(now, Request{Class: class}, r); ok {
+		t.Fatal("a failing endpoint got another call")
+	}
+	now = now.Add(firstEjection + 500*time.Millisecond)
+	n := 0
+	for {
+		if _, ok := f.Choose(now, Request{Class: class}, r); !ok {
+			break
+		}
+		n++
+	}
+	if n < 1 || n > defaultMaxCalls/4 {
+		t.Fatalf("%d seats half a second after the return, want 1 to %d", n, defaultMaxCalls/4)
+	}
+}
+
+func TestLimitShrinksWithSlowSteps(t *testing.T) {
+	f := fleet(1, Weights{Latency: 1}, Cost)
+	e := f.Endpoint("e000")
+	now := time.Unix(1000, 0)
+	e.underway.Add(61)
+	e.Done(now, Result{OK: true, First: time.Millisecond, All: 11 * time.Millisecond, Answer: 11})
+	for range 60 {
+		e.Done(now, Result{OK: true, First: time.Millisecond, All: 101 * time.Millisecond, Answer: 11})
+	}
+	if got := e.Limit(); got > 8 {
+		t.Fatalf("limit %d after sixty steps at ten times the best, want 8 or less", got)
+	}
+}
+
+func TestPrefixesFollowDispatchesAndEvents(t *testing.T) {
+	var p Prefixes
+	bounds := Boundaries([]*recordpb.Message{{Role: "system", Content: "rules of the club"}, {Role: "user", Content: "hello"}})
+	p.Add(bounds[0].Key, "e1")
+	p.Add(bounds[1].Key, "e2")
+	got := p.Find(bounds)
+	if len(got) != 2 || got[0].Endpoint != "e2" || got[1].Endpoint != "e1" || got[0].Tokens <= got[1].Tokens {
+		t.Fatalf("found %v, want e2 with more tokens than e1", got)
+	}
+	p.Drop(bounds[1].Key, "e2")
+	p.Forget("e1")
+	if got := p.Find(bounds); len(got) != 0 {
+		t.Fatalf("found %v after the drops, want none", got)
+	}
+}
+
+// BenchmarkChoose measures one choice among 900 engines of one class.
+func BenchmarkChoose(b *testing.B) {
+	f := fleet(1350, Weights{Latency: 1, Cache: 1}, Cost)
+	now := time.Unix(1000, 0)
+	for _, e := range f.Candidates(class) {
+		e.Heard(NewReport(3, 100, 50_000, now))
+	}
+	if n := len(f.Candidates(class)); n != 900 {
+		b.Fatalf("%d candidates, want 900", n)
+	}
+	req := Request{Class: class, Prompt: 2000, Answer: 100, Prefixes: []Held{{Endpoint: "e001", Tokens: 1900}, {Endpoint: "e007", Tokens: 300}}}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		r := rand.New(rand.NewPCG(1, 1))
+		for pb.Next() {
+			c, ok := f.Choose(now, req, r)
+			if !ok {
+				b.Fatal("no seat")
+			}
+			c.Endpoint().FirstToken(c.Lacking())
+			c.Endpoint().underway.Add(-1)
+		}
+	})
+}
