placement: bound the candidates that a choice prices

Change: prefix holders are resolved once and always priced; of the others at most 96 in a row from a random start.

A class of up to 96 engines is still priced whole.

--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -3,8 +3,10 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"rockbarrow.dev/rockbarrow/control"
@@ -194,22 +196,35 @@
 	return f.leastCost(now, list, req, r)
 }
 
-// near is how close two costs are to count as equal.
-const near = 1.05
+const (
+	// near is how close two costs are to count as equal.
+	near = 1.05
+	// sample is how many candidates are priced at most, besides those that hold
+	// a prefix: a draw of that many finds one near the best, in bounded time.
+	sample = 96
+)
+
+// held is what one candidate's cache has of a prompt.
+type held struct {
+	endpoint *Endpoint
+	tokens   int64
+}
 
-// leastCost scans the candidates and draws among near equals, so that many
+// leastCost prices the candidates and draws among near equals, so that many
 // instances with the same old reports do not all choose the same endpoint.
 func (f *Fleet) leastCost(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
+	var space [maxHolders]held
+	holding := f.resolve(space[:0], list, req)
 	most := int64(0)
-	for _, h := range req.Prefixes {
-		most = max(most, h.Tokens)
+	for _, h := range holding {
+		most = max(most, h.tokens)
 	}
 	first, second := Choice{cost: math.Inf(1)}, Choice{cost: math.Inf(1)}
-	for _, e := range list {
+	consider := func(e *Endpoint, has int64) {
 		if !e.open(now) || avoided(req, e.name) {
-			continue
+			return
 		}
-		c := f.price(now, e, req, most)
+		c := f.price(now, e, req, has, most)
 		switch {
 		case c.cost < first.cost:
 			first, second = c, first
@@ -217,8 +232,21 @@
 			second = c
 		}
 	}
+	for _, h := range holding {
+		consider(h.endpoint, h.tokens)
+	}
+	start := 0
+	if len(list) > sample {
+		start = r.IntN(len(list))
+	}
+	for i := range min(len(list), sample) {
+		e := list[(start+i)%len(list)]
+		if !holds(holding, e) {
+			consider(e, 0)
+		}
+	}
 	if first.endpoint == nil {
-		return Choice{}, false
+		return f.any(now, list, req)
 	}
 	if second.endpoint != nil && second.cost <= first.cost*near && r.IntN(2) == 0 {
 		return second, true
@@ -226,25 +254,60 @@
 	return first, true
 }
 
-// price is the expected cost of a call at an endpoint, in milliseconds.
-func (f *Fleet) price(now int64, e *Endpoint, req Request, most int64) Choice {
-	held := int64(0)
+// any takes the first open candidate, when none of a draw was open.
+func (f *Fleet) any(now int64, list []*Endpoint, req Request) (Choice, bool) {
+	if len(list) <= sample {
+		return Choice{}, false
+	}
+	for _, e := range list {
+		if e.open(now) && !avoided(req, e.name) {
+			return f.price(now, e, req, 0, 0), true
+		}
+	}
+	return Choice{}, false
+}
+
+// resolve finds the allowed candidates among those that hold a prefix.
+func (f *Fleet) resolve(out []held, list []*Endpoint, req Request) []held {
 	for _, h := range req.Prefixes {
-		if h.Endpoint == e.name {
-			held = max(held, h.Tokens)
+		e := f.endpoints[h.Endpoint]
+		if e == nil || !has(list, e) || holds(out, e) || len(out) == cap(out) {
+			continue
 		}
+		out = append(out, held{endpoint: e, tokens: min(h.Tokens, req.Prompt)})
 	}
-	held = min(held, req.Prompt)
-	lacking := req.Prompt - held
+	return out
+}
+
+func holds(list []held, e *Endpoint) bool {
+	for _, h := range list {
+		if h.endpoint == e {
+			return true
+		}
+	}
+	return false
+}
+
+// has searches a list that is ordered by name.
+func has(list []*Endpoint, e *Endpoint) bool {
+	i, ok := slices.BinarySearchFunc(list, e.name, func(o *Endpoint, name string) int {
+		return cmp.Compare(o.name, name)
+	})
+	return ok && list[i] == e
+}
+
+// price is the expected cost of a call at an endpoint, in milliseconds.
+func (f *Fleet) price(now int64, e *Endpoint, req Request, has, most int64) Choice {
+	lacking := req.Prompt - has
 	running, waiting, free := e.load(now)
 	prefill := speed(&e.prefill, defaultPrefill)
 	step := speed(&e.step, defaultStep)
 	batch := 1 + running/float64(e.maxCalls())
 	time := (waiting+float64(lacking))*prefill + float64(req.Answer)*step*batch
-	again := math.Max(0, float64(min(most, req.Prompt)-held)) * prefill
+	again := float64(max(0, most-has)) * prefill
 	thrown := math.Max(0, float64(lacking)-free) * prefill
 	cost := f.weights.Latency*time + f.weights.Cache*(again+thrown)
-	return Choice{endpoint: e, lacking: lacking, cached: held, cost: cost / 1000}
+	return Choice{endpoint: e, lacking: lacking, cached: has, cost: cost / 1000}
 }
 
 // load joins own calls, which are known, with the last report, which counts
