--- a/rockbarrow/control/leader.go
+++ b/rockbarrow/control/leader.go
@@ -101,7 +101,9 @@
 	// proposed waits for its entry to commit.
 	proposed *Asked
 	folded   uint64
-	replace  *Replacing
+	// published is true once the leader has told what it took over.
+	published bool
+	replace   *Replacing
 }
 
 // DefaultCompactAfter is the default of CompactAfter.
@@ -226,26 +228,35 @@
 	before := l.state.Document().GetVersion()
 	for _, e := range entries {
 		l.folded = e.Index()
-		if e.Payload() == nil {
-			continue
-		}
-		var r recordpb.ControlRecord
-		if err := proto.Unmarshal(e.Payload(), &r); err != nil {
-			continue
-		}
-		l.state.Apply(e.Index(), &r)
+		r := ApplyEntry(&l.state, e)
 		if p := l.proposed; p != nil && p.Apply.GetCommandId() == r.GetCommandId() {
 			out = append(out, Tell{ID: p.ID, Outcome: l.state.Outcome(r.GetCommandId())})
 			l.proposed = nil
 		}
 	}
-	if doc := l.state.Document(); doc.GetVersion() > before || before == 0 {
+	if doc := l.state.Document(); doc.GetVersion() > before || !l.published {
+		l.published = true
 		out = append([]Action{Publish{Document: doc}}, out...)
 	}
 	l.compact()
 	return append(out, l.proposeNext(now)...)
 }
 
+// ApplyEntry folds an entry of the control journal and returns its record; the
+// record is empty for a writer's own first entry.
+func ApplyEntry(s *State, e journal.Entry) *recordpb.ControlRecord {
+	r := &recordpb.ControlRecord{}
+	if e.Payload() == nil {
+		return r
+	}
+	if err := proto.Unmarshal(e.Payload(), r); err != nil {
+		// Only another build writes this; every voter skips it alike.
+		return &recordpb.ControlRecord{}
+	}
+	s.Apply(e.Index(), r)
+	return r
+}
+
 func (l *Leader) compact() {
 	after := l.CompactAfter
 	if after == 0 {
--- /dev/null
+++ b/rockbarrow/daemon/build.go
@@ -0,0 +1,236 @@
+// SPDX-License-Identifier: MIT
+
+package daemon
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	grpccreds "google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+
+	"rockbarrow.dev/rockbarrow/config"
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/disk"
+	"rockbarrow.dev/rockbarrow/dispatch"
+	"rockbarrow.dev/rockbarrow/gossip"
+	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/keys"
+	"rockbarrow.dev/rockbarrow/peer"
+	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/rockbarrow/roster"
+	"rockbarrow.dev/rockbarrow/settings"
+)
+
+// configurationKey is where the store keeps the newest configuration.
+const configurationKey = "configuration"
+
+// stopFlag is set once.
+type stopFlag struct{ v atomic.Bool }
+
+func (f *stopFlag) set()      { f.v.Store(true) }
+func (f *stopFlag) get() bool { return f.v.Load() }
+
+// credentials are those of peers and operators.
+type credentials struct {
+	server grpccreds.TransportCredentials
+	client grpccreds.TransportCredentials
+	secure bool
+}
+
+// build makes all parts, in the order in which they need each other.
+func (d *Daemon) build() error {
+	if err := d.buildMetrics(); err != nil {
+		return err
+	}
+	if err := d.buildCredentials(); err != nil {
+		return err
+	}
+	peers := d.Settings.Roster()
+	d.cut = &peer.Cut{}
+	d.client = &peer.Client{Instance: d.Settings.Instance, Peers: peers, Credentials: d.creds.client, Cut: d.cut}
+	d.cleanUps = append(d.cleanUps, d.client.Close)
+	d.buildRoster(peers)
+	d.buildDesk()
+	d.buildHost()
+	d.buildSource(peers)
+	return d.restore()
+}
+
+func (d *Daemon) buildMetrics() error {
+	reporter := prometheus.NewReporter(prometheus.Options{})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:          "rockbarrow",
+		Tags:            map[string]string{"instance_name": d.Settings.Instance, "failure_domain": d.Settings.Domain},
+		CachedReporter:  reporter,
+		Separator:       prometheus.DefaultSeparator,
+		SanitizeOptions: &prometheus.DefaultSanitizerOpts,
+	}, time.Second)
+	d.scope = scope
+	d.page = reporter.HTTPHandler()
+	d.cleanUps = append(d.cleanUps, func() { closer.Close() })
+	return nil
+}
+
+func (d *Daemon) buildCredentials() error {
+	t := d.Settings.TLS
+	if t.CA == "" {
+		d.creds = credentials{server: insecure.NewCredentials(), client: insecure.NewCredentials()}
+		return nil
+	}
+	files := &keys.Files{CA: t.CA, Cert: t.Cert, Key: t.Key}
+	if err := files.Load(); err != nil {
+		return err
+	}
+	d.creds = credentials{server: files.Server(), client: files.Client(), secure: true}
+	return nil
+}
+
+func (d *Daemon) buildRoster(peers []roster.Peer) {
+	var self roster.Peer
+	for _, p := range peers {
+		if p.Instance() == d.Settings.Instance {
+			self = p
+		}
+	}
+	d.node = &gossip.Node{
+		Table: &roster.Table{
+			Self: self, Peers: peers,
+			DeadAfter: settings.Milliseconds(d.Settings.Timing.DeadAfterMS),
+			Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+		Peers: d.client, Every: settings.Milliseconds(d.Settings.Timing.HeartbeatMS),
+		Own: d.own, Hint: d.hint, Metrics: d.scope,
+	}
+	d.node.Start()
+}
+
+func (d *Daemon) hint(instance string, version uint64) { d.source.Hint(instance, version) }
+
+func (d *Daemon) buildDesk() {
+	p := d.Settings.Placement
+	d.desk = &dispatch.Desk{
+		Weights:  placement.Weights{Latency: p.LatencyWeight, Cache: p.CacheWeight},
+		Policy:   policyOf(p.Policy),
+		MaxQueue: d.Settings.Limits.Queue,
+		MaxWait:  time.Duration(d.Settings.Limits.QueueSeconds) * time.Second,
+		Seed:     d.incarnation,
+	}
+}
+
+func policyOf(name string) placement.Policy {
+	switch name {
+	case "round_robin":
+		return placement.RoundRobin
+	case "least_loaded":
+		return placement.LeastLoaded
+	case "sticky":
+		return placement.Sticky
+	}
+	return placement.Cost
+}
+
+func (d *Daemon) buildHost() {
+	d.host = &host.Host{
+		Instance: d.Settings.Instance, Domain: d.Settings.Domain, Incarnation: d.incarnation,
+		Peers: d.client, Backends: backends(), Desk: d.desk,
+		View:        d.node.View,
+		Lease:       settings.Milliseconds(d.Settings.Timing.LeaseMS),
+		CallTimeout: time.Duration(d.Settings.Limits.CallSeconds) * time.Second,
+		Retention:   time.Duration(d.Settings.Timing.RetentionSeconds) * time.Second,
+		Log:         d.Log, Metrics: d.scope,
+	}
+}
+
+func (d *Daemon) buildSource(peers []roster.Peer) {
+	d.source = &config.Source{
+		Instance: d.Settings.Instance, Domain: d.Settings.Domain, Incarnation: d.incarnation,
+		Peers: d.client, Places: places(peers), View: d.node.View,
+		PullEvery:  settings.Milliseconds(d.Settings.Timing.PullMS),
+		PauseLimit: settings.Milliseconds(d.Settings.Timing.DeadAfterMS) / 2,
+		Changed:    func(s *control.Snapshot) { d.desk.Use(s) },
+		Log:        d.Log, Metrics: d.scope,
+	}
+	d.host.Config = d.source.Snapshot
+	d.host.Learned = d.source.Learned
+	d.host.ConfigAge = d.source.Age
+}
+
+// restore reads back what the disk kept, if there is one.
+func (d *Daemon) restore() error {
+	if d.Settings.DataDir == "" {
+		return d.source.Start(nil, nil)
+	}
+	store, closeStore, err := disk.Open(d.Settings.DataDir, d.incarnation)
+	if err != nil {
+		return err
+	}
+	d.cleanUps = append(d.cleanUps, func() {
+		if err := closeStore(); err != nil {
+			d.Log.WithError(err).Error("closing the store")
+		}
+	})
+	d.host.Store, d.host.Storage = store, store.Storage()
+	d.source.Store, d.source.Storage = store, store.Storage()
+	kept, err := store.Load()
+	if err != nil {
+		return err
+	}
+	var controlJournal *journal.Replica
+	for _, k := range kept {
+		if k.Name() == config.JournalName {
+			controlJournal = k.Replica()
+			continue
+		}
+		d.host.Restore(k.Name(), k.Replica())
+	}
+	document, err := store.Get(configurationKey)
+	if err != nil {
+		return err
+	}
+	d.Log.WithField("journals", len(kept)).Info("restored from the disk")
+	return d.source.Start(document, controlJournal)
+}
+
+// Check opens nothing but reports whether the data folder could be used.
+func Check(s *settings.Settings) error {
+	if s.DataDir == "" {
+		return nil
+	}
+	info, err := os.Stat(s.DataDir)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return &settings.FieldError{Key: "data_dir", Expected: err.Error()}
+	}
+	if !info.IsDir() {
+		return &settings.FieldError{Key: "data_dir", Expected: "must be a folder"}
+	}
+	return nil
+}
+
+// testPort lets a test close this instance's links: POST /cut with a JSON list
+// of instances.
+func testPort(cut *peer.Cut) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /cut", func(w http.ResponseWriter, r *http.Request) {
+		var instances []string
+		const most = 1 << 20
+		if err := json.NewDecoder(io.LimitReader(r.Body, most)).Decode(&instances); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		cut.Set(instances)
+	})
+	return mux
+}
--- /dev/null
+++ b/rockbarrow/daemon/daemon.go
@@ -0,0 +1,318 @@
+// SPDX-License-Identifier: MIT
+
+// Package daemon wires the parts of an instance together and runs them.
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+	"google.golang.org/grpc"
+
+	"rockbarrow.dev/rockbarrow/backend"
+	"rockbarrow.dev/rockbarrow/caller"
+	"rockbarrow.dev/rockbarrow/config"
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/dispatch"
+	"rockbarrow.dev/rockbarrow/engine"
+	"rockbarrow.dev/rockbarrow/gossip"
+	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/operator"
+	"rockbarrow.dev/rockbarrow/peer"
+	"rockbarrow.dev/rockbarrow/platform"
+	"rockbarrow.dev/rockbarrow/roster"
+	"rockbarrow.dev/rockbarrow/service"
+	"rockbarrow.dev/rockbarrow/settings"
+)
+
+const (
+	// maxAnswer bounds an answer in bytes.
+	maxAnswer = 8 << 20
+	// stall is how long an engine's stream may stand still.
+	stall = 20 * time.Second
+	// watchEvery is the period of polls of engines.
+	watchEvery = 500 * time.Millisecond
+	// lingerPeriod is how often a stopping instance looks for calls under way.
+	lingerPeriod = 50 * time.Millisecond
+	// noticePeriod lets the balancer see that the instance is not ready.
+	noticePeriod = 500 * time.Millisecond
+)
+
+// Daemon is one instance. Set the exported fields before Run.
+type Daemon struct {
+	Settings *settings.Settings
+	Log      *logrus.Entry
+
+	incarnation uint64
+	scope       tally.Scope
+	page        http.Handler
+	creds       credentials
+	cut         *peer.Cut
+	client      *peer.Client
+	node        *gossip.Node
+	source      *config.Source
+	desk        *dispatch.Desk
+	host        *host.Host
+	cleanUps    []func()
+	// stopping is set once, before the first refusal.
+	stopping stopFlag
+}
+
+// Run serves until ctx ends, and then stops without cutting a call under way.
+func (d *Daemon) Run(ctx context.Context) error {
+	defer d.cleanUp()
+	d.incarnation = uint64(time.Now().UnixNano())
+	if err := d.build(); err != nil {
+		return err
+	}
+	return d.serve(ctx)
+}
+
+func (d *Daemon) cleanUp() {
+	for i := len(d.cleanUps) - 1; i >= 0; i-- {
+		d.cleanUps[i]()
+	}
+}
+
+// servers are the listeners of an instance.
+type servers struct {
+	daemon    *Daemon
+	callers   *http.Server
+	peers     *grpc.Server
+	operators *grpc.Server
+	test      *http.Server
+	failed    chan error
+	wait      sync.WaitGroup
+}
+
+func (d *Daemon) serve(ctx context.Context) error {
+	s := &servers{daemon: d, failed: make(chan error, 4)}
+	if err := s.listen(); err != nil {
+		return err
+	}
+	loops, stopLoops := context.WithCancel(context.Background())
+	defer stopLoops()
+	for _, r := range d.runners() {
+		s.wait.Add(1)
+		go (&runner{run: r, ctx: loops, wait: &s.wait}).loop()
+	}
+	d.Log.Info("serving")
+	var err error
+	select {
+	case <-ctx.Done():
+		d.drain()
+	case err = <-s.failed:
+	}
+	s.close()
+	stopLoops()
+	s.wait.Wait()
+	d.Log.Info("stopped")
+	return err
+}
+
+// runner runs one part until its context ends.
+type runner struct {
+	run  func(context.Context)
+	ctx  context.Context
+	wait *sync.WaitGroup
+}
+
+func (r *runner) loop() {
+	defer r.wait.Done()
+	r.run(r.ctx)
+}
+
+func (d *Daemon) runners() []func(context.Context) {
+	out := []func(context.Context){d.node.Run, d.source.Run, d.desk.Run, d.host.Run}
+	quick := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	out = append(out, (&engine.Watcher{HTTP: quick, Desk: d.desk, Every: watchEvery, Near: d.Settings.Domain, Log: d.Log}).Run)
+	if p := d.Settings.Platform; p.ListURL != "" {
+		out = append(out, (&platform.Watcher{
+			HTTP: quick, URL: p.ListURL, Every: settings.Milliseconds(p.PollMS), Roster: d.node, Desk: d.desk, Log: d.Log,
+		}).Run)
+	}
+	return out
+}
+
+// drain takes nothing new, lets calls under way finish, and waits until the
+// runs that were replicated here have their copies elsewhere.
+func (d *Daemon) drain() {
+	d.stopping.set()
+	d.Log.Info("stopping: not ready, finishing calls under way")
+	deadline := time.Now().Add(settings.Milliseconds(d.Settings.Timing.DrainMS))
+	notBefore := time.Now().Add(noticePeriod)
+	for time.Now().Before(deadline) {
+		busy := d.host.Stop()
+		if busy == 0 && time.Now().After(notBefore) && !d.neighboursRepair() {
+			return
+		}
+		time.Sleep(lingerPeriod)
+	}
+	d.Log.WithField("busy", d.host.Stop()).Warn("the time to drain is over")
+}
+
+// neighboursRepair reports whether a live instance of the domain owns runs that
+// lack replicas, now that this one counts as leaving.
+func (d *Daemon) neighboursRepair() bool {
+	for _, i := range d.node.View().Instances() {
+		if i.Domain() == d.Settings.Domain && i.Instance() != d.Settings.Instance && i.State() == roster.Live && i.Beat().Repairing() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *servers) listen() error {
+	d := s.daemon
+	secure := d.creds.secure
+	s.callers = &http.Server{Handler: d.callerServer().Handler(), MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second}
+	s.peers = peer.New(&peer.Server{Host: d.host, Config: d.source, Roster: d.node, Cut: d.cut, Secure: secure}, d.creds.server)
+	s.operators = operator.New(&operator.Server{
+		Instance: d.Settings.Instance, Config: d.source, Host: d.host, View: d.node.View, Peers: d.client, Secure: secure,
+	}, d.creds.server)
+	for _, l := range []struct {
+		address string
+		serve   func(net.Listener) error
+	}{
+		{d.Settings.Listen.Callers, s.callers.Serve},
+		{d.Settings.Listen.Peers, s.peers.Serve},
+		{d.Settings.Listen.Operators, s.operators.Serve},
+	} {
+		if err := s.start(l.address, l.serve); err != nil {
+			return err
+		}
+	}
+	if d.Settings.TestPort == "" {
+		return nil
+	}
+	s.test = &http.Server{Handler: testPort(d.cut), ReadHeaderTimeout: time.Second}
+	return s.start(d.Settings.TestPort, s.test.Serve)
+}
+
+func (s *servers) start(address string, serve func(net.Listener) error) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "daemon: listen")
+	}
+	s.wait.Add(1)
+	go (&listening{servers: s, serve: serve, listener: l}).loop()
+	return nil
+}
+
+// listening serves one listener.
+type listening struct {
+	servers  *servers
+	serve    func(net.Listener) error
+	listener net.Listener
+}
+
+func (l *listening) loop() {
+	defer l.servers.wait.Done()
+	err := l.serve(l.listener)
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
+		l.servers.failed <- errors.Wrap(err, "daemon: serve")
+	}
+}
+
+// close ends the listeners; callers' answers still being written go out.
+func (s *servers) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	if err := s.callers.Shutdown(ctx); err != nil {
+		s.callers.Close()
+	}
+	s.operators.Stop()
+	s.peers.Stop()
+	if s.test != nil {
+		s.test.Close()
+	}
+}
+
+func (d *Daemon) callerServer() *caller.Server {
+	l := d.Settings.Limits
+	return &caller.Server{
+		Instance: d.Settings.Instance, Domain: d.Settings.Domain,
+		Router: d.host, Config: d.source.Snapshot, Ready: d.ready, Homes: d.host,
+		MaxBody: l.BodyBytes, MaxStreams: l.Streams,
+		Metrics: d.scope, MetricsPage: d.page, Log: d.Log,
+	}
+}
+
+// ready tells why the balancer should send nothing here, or "".
+func (d *Daemon) ready() string {
+	switch {
+	case d.stopping.get():
+		return "stopping"
+	case !d.source.Learned():
+		return "the newest configuration is not known yet"
+	case d.withdrawn():
+		return "drained by an operator"
+	}
+	return ""
+}
+
+func (d *Daemon) withdrawn() bool {
+	s := d.source.Snapshot()
+	_, instance := s.Withdrawn(d.Settings.Instance)
+	_, domain := s.Withdrawn(d.Settings.Domain)
+	return instance || domain
+}
+
+// own is the instance's word on itself.
+func (d *Daemon) own() roster.Beat {
+	owned, _, repairing := d.host.Counts()
+	b := roster.NewBeat(d.Settings.Instance, d.incarnation, d.host.Storage)
+	leaving := d.stopping.get() || d.withdrawn()
+	return b.With(leaving, d.source.Learned(), d.source.Snapshot().Version(), uint64(owned), uint64(repairing))
+}
+
+// places counts the instances and disks of each failure domain.
+func places(peers []roster.Peer) []control.Place {
+	var out []control.Place
+	for _, domain := range domains(peers) {
+		instances, disks := 0, 0
+		for _, p := range peers {
+			if p.Domain() != domain {
+				continue
+			}
+			instances++
+			if p.Disk() {
+				disks++
+			}
+		}
+		out = append(out, control.NewPlace(domain, instances, disks))
+	}
+	return out
+}
+
+func domains(peers []roster.Peer) []string {
+	var out []string
+	seen := map[string]bool{}
+	for _, p := range peers {
+		if !seen[p.Domain()] {
+			seen[p.Domain()] = true
+			out = append(out, p.Domain())
+		}
+	}
+	return out
+}
+
+// backends returns the adapters for endpoints.
+func backends() *backend.Set {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+		MaxIdleConnsPerHost: 256,
+		IdleConnTimeout:     time.Minute,
+	}
+	h := &http.Client{Transport: transport}
+	return &backend.Set{
+		Engine:  &engine.Client{HTTP: h, Stall: stall, MaxAnswer: maxAnswer},
+		Service: &service.Client{HTTP: h, MaxAnswer: maxAnswer},
+	}
+}
--- /dev/null
+++ b/rockbarrow/host/perform.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package host
+
+import (
+	"context"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/dispatch"
+	"rockbarrow.dev/rockbarrow/owner"
+	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/rockbarrow/problem"
+	"rockbarrow.dev/rockbarrow/program"
+	"rockbarrow.dev/schema/peerpb"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+// seated is the seat of an attempt.
+type seated struct {
+	seat    *dispatch.Seat
+	attempt uint32
+	// cancel stops the attempt once it was sent; sent is true from then on.
+	cancel context.CancelFunc
+	sent   bool
+}
+
+// giveBack returns a seat that was never used.
+func (s *seated) giveBack() { s.seat.Done(placement.Result{OK: true}) }
+
+// unusedSeat takes the seat away when its attempt came to nothing before it
+// was sent. Called with mu held.
+func (r *run) unusedSeat() *seated {
+	s := r.seat
+	if s == nil || s.sent || r.owner == nil || r.owner.Machine.Holds(s.attempt) {
+		return nil
+	}
+	r.seat = nil
+	return s
+}
+
+// do performs one action of the program.
+func (r *run) do(o *owner.Owner, a program.Action) {
+	switch a := a.(type) {
+	case program.Tell:
+		r.tell(a.ID, a.Event, a.Done)
+	case program.Place:
+		r.place(o, a)
+	case program.Dispatch:
+		r.dispatch(o, a)
+	case program.Abort:
+		r.abort(a)
+	case program.Release:
+		go (&release{run: r, endpoint: a.Endpoint}).loop()
+	case program.Return:
+		go (&credit{run: r, action: a, customer: o.Machine.State().Created().GetCustomer()}).loop()
+	}
+}
+
+// place submits a call to the desk.
+func (r *run) place(o *owner.Owner, a program.Place) {
+	created := o.Machine.State().Created()
+	s := r.host.Config()
+	if p := r.refusal(s, created, a.EntryDomain); p != nil {
+		r.post(owner.Asked{Event: program.Unplaced{Sequence: a.Sequence, Attempt: a.Attempt, Problem: p}})
+		return
+	}
+	bounds := placement.Boundaries(a.History)
+	customer, _ := s.Customer(created.GetCustomer())
+	job := &dispatch.Job{
+		Customer: created.GetCustomer(),
+		Weight:   customer.GetWeight(),
+		MaxCalls: customer.GetMaxCalls(),
+		Request: placement.Request{
+			Class:    classOf(created),
+			Prompt:   promptOf(bounds),
+			Answer:   int64(a.AnswerTokens),
+			Prefixes: r.host.Desk.Prefixes.Find(bounds),
+			Last:     a.Last,
+			Avoid:    a.Avoid,
+		},
+		Attained: a.Attained,
+		Started:  time.UnixMilli(o.Machine.State().MadeMS()),
+		Retry:    a.Attempt > 1,
+	}
+	job.Placed = func(seat *dispatch.Seat) { r.placed(a, seat, s.Version()) }
+	job.Refused = func(p *peerpb.Problem) {
+		r.post(owner.Asked{Event: program.Unplaced{Sequence: a.Sequence, Attempt: a.Attempt, Problem: p}})
+	}
+	r.host.Desk.Submit(job)
+}
+
+// refusal tells why a run may not call now, before any endpoint is looked for.
+func (r *run) refusal(s *control.Snapshot, created *recordpb.Created, entry string) *peerpb.Problem {
+	if !r.host.Learned() {
+		return problem.Retry(problem.NotServing, "this instance does not know the newest configuration yet", time.Second)
+	}
+	b, ok := s.Binding(created.GetBinding())
+	if !ok {
+		return problem.New(problem.NotServing, "the run's binding was removed")
+	}
+	if !b.Allows(r.host.Domain) {
+		return problem.New(problem.NotServing, "the run's home is no allowed place any more")
+	}
+	if b.Proto().GetForbidRelay() && entry != "" && !b.Allows(entry) {
+		return problem.New(problem.PlaceForbidden, "the binding forbids calls through failure domain "+entry)
+	}
+	if limit := b.Proto().GetMaxStaleSeconds(); limit > 0 && r.host.ConfigAge() > time.Duration(limit)*time.Second {
+		return problem.Retry(problem.Stale, "no control instance has confirmed the configuration in time", time.Second)
+	}
+	return nil
+}
+
+func classOf(c *recordpb.Created) placement.Class {
+	return placement.Class{Model: c.GetModel(), Service: c.GetService(), Binding: c.GetBinding()}
+}
+
+func promptOf(bounds []placement.Boundary) int64 {
+	if len(bounds) == 0 {
+		return 0
+	}
+	return bounds[len(bounds)-1].Tokens
+}
+
+func (r *run) placed(a program.Place, seat *dispatch.Seat, version uint64) {
+	s := &seated{seat: seat, attempt: a.Attempt}
+	r.mu.Lock()
+	old := r.seat
+	r.seat = s
+	r.mu.Unlock()
+	if old != nil && !old.sent {
+		old.giveBack()
+	}
+	e := seat.Choice().Endpoint()
+	r.post(owner.Asked{Event: program.Placed{
+		Sequence:      a.Sequence,
+		Attempt:       a.Attempt,
+		Endpoint:      e.Name(),
+		Domain:        e.Domain(),
+		ConfigVersion: version,
+		Reason:        reasonOf(seat.Choice()),
+		Hold:          len(e.Config().GetModels()) > 0,
+	}})
+}
+
+// dispatch sends an attempt whose intent has committed.
+func (r *run) dispatch(o *owner.Owner, a program.Dispatch) {
+	attempt := a.Intent.GetAttempt()
+	r.mu.Lock()
+	s := r.seat
+	if s == nil || s.attempt != attempt {
+		r.mu.Unlock()
+		r.post(owner.Asked{Event: program.Failed{Sequence: a.Intent.GetSequence(), Attempt: attempt, NotRun: true, Reason: "the seat was lost"}})
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), r.host.CallTimeout)
+	s.cancel = cancel
+	s.sent = true
+	r.mu.Unlock()
+	state := o.Machine.State()
+	w := &sending{
+		run: r, seat: s, ctx: ctx, version: a.Intent.GetConfigVersion(),
+		attempt: Attempt{
+			Run:      r.name,
+			Created:  state.Created(),
+			Intent:   a.Intent,
+			History:  a.History,
+			Endpoint: s.seat.Choice().Endpoint().Config(),
+			Bounds:   placement.Boundaries(a.History),
+			Priority: state.Spent(),
+			Deadline: a.ProposedAt.Add(r.host.Lease),
+		},
+	}
+	go w.loop()
+}
+
+func (r *run) abort(a program.Abort) {
+	r.mu.Lock()
+	s := r.seat
+	r.mu.Unlock()
+	if s != nil && s.attempt == a.Attempt && s.cancel != nil {
+		s.cancel()
+	}
+}
--- /dev/null
+++ b/rockbarrow/host/serve.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: MIT
+
+package host
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/owner"
+	"rockbarrow.dev/rockbarrow/problem"
+	"rockbarrow.dev/rockbarrow/program"
+	"rockbarrow.dev/schema/peerpb"
+)
+
+// HomeOf returns the failure domain that a run's id names.
+func HomeOf(run string) string {
+	home, _, _ := strings.Cut(run, ".")
+	return home
+}
+
+// Serve answers a request as the run's owner, or with a redirect to the owner.
+// A redirect without a name says that the run is not known here.
+func (h *Host) Serve(ctx context.Context, req *peerpb.DoRequest, emit func(*peerpb.DoEvent) error) error {
+	h.begin()
+	if !h.Learned() {
+		return emit(problem.Event(problem.Retry(problem.NotServing, "this instance does not know the newest configuration yet", time.Second)))
+	}
+	r, e := h.seize(req)
+	if e != nil {
+		return emit(e)
+	}
+	s := newStream()
+	id := program.CallID(h.calls.Add(1))
+	r.mu.Lock()
+	r.callers[id] = s
+	r.mu.Unlock()
+	defer r.forget(id)
+	r.post(owner.Asked{Event: eventOf(id, req)})
+	for {
+		events, done, err := s.next(ctx)
+		if err != nil {
+			r.post(owner.Asked{Event: program.Left{ID: id}})
+			return err
+		}
+		for _, e := range events {
+			if err := emit(e); err != nil {
+				r.post(owner.Asked{Event: program.Left{ID: id}})
+				return err
+			}
+		}
+		if done {
+			return nil
+		}
+	}
+}
+
+func (r *run) forget(id program.CallID) {
+	r.mu.Lock()
+	delete(r.callers, id)
+	r.mu.Unlock()
+}
+
+func eventOf(id program.CallID, req *peerpb.DoRequest) program.Event {
+	switch b := req.GetBody().(type) {
+	case *peerpb.DoRequest_Create:
+		return program.Creating{ID: id, Created: b.Create.GetCreated()}
+	case *peerpb.DoRequest_Turn:
+		return program.Called{ID: id, Customer: req.GetCustomer(), Turn: b.Turn}
+	case *peerpb.DoRequest_End:
+		return program.Ending{ID: id, Customer: req.GetCustomer(), Reason: b.End.GetReason()}
+	case *peerpb.DoRequest_Carve:
+		return program.Carving{ID: id, Customer: req.GetCustomer(), Child: b.Carve.GetChild(), Tokens: b.Carve.GetTokens()}
+	case *peerpb.DoRequest_Credit:
+		return program.Crediting{ID: id, Customer: req.GetCustomer(), Child: b.Credit.GetChild(), Tokens: b.Credit.GetTokens()}
+	}
+	return program.Reading{ID: id, Customer: req.GetCustomer(), After: req.GetRead().GetAfter(), Limit: req.GetRead().GetLimit()}
+}
+
+// seize returns the run if this instance owns it or takes it now; otherwise
+// the event that sends the caller on.
+func (h *Host) seize(req *peerpb.DoRequest) (*run, *peerpb.DoEvent) {
+	create := req.GetCreate() != nil
+	r := h.run(req.GetRun(), create)
+	if r == nil {
+		return nil, redirect("", false)
+	}
+	view := h.View()
+	if r.owned() {
+		return h.keep(r)
+	}
+	members, ballot, known := r.log()
+	if !known && !create {
+		return nil, redirect("", false)
+	}
+	if h.stopping.Load() {
+		return nil, redirect("", false)
+	}
+	if !known {
+		return h.take(r, claimed{view: view, create: true, keyed: req.GetCreate().GetKeyed()})
+	}
+	if !req.GetTakeOver() && ballot.Instance() != h.Instance && writes(view, ballot) {
+		return nil, redirect(ballot.Instance(), false)
+	}
+	m, ok := owner.Successor(members, view)
+	switch {
+	case !ok:
+		return nil, problem.Event(problem.Retry(problem.NotServing, "no instance that holds the run's history is known to live", time.Second))
+	case m.Is(h.self()), req.GetTakeOver() && members.Has(h.self()):
+		return h.take(r, claimed{view: view})
+	}
+	return nil, redirect(m.Instance(), false)
+}
+
+// keep serves an owned run, or hands it over when this instance stops and no
+// call is under way.
+func (h *Host) keep(r *run) (*run, *peerpb.DoEvent) {
+	if !h.stopping.Load() || r.busy() {
+		return r, nil
+	}
+	members, _, known := r.log()
+	if !known {
+		return r, nil
+	}
+	m, ok := owner.Successor(members.Without(h.self()), h.View())
+	if !ok {
+		return r, nil
+	}
+	return nil, redirect(m.Instance(), true)
+}
+
+func (h *Host) take(r *run, c claimed) (*run, *peerpb.DoEvent) {
+	if r.claim(c) {
+		return r, nil
+	}
+	return nil, problem.Event(problem.Retry(problem.NotServing, "the run changes its owner", campaignPause))
+}
+
+func redirect(instance string, takeOver bool) *peerpb.DoEvent {
+	return &peerpb.DoEvent{Body: &peerpb.DoEvent_Redirect{Redirect: &peerpb.Redirect{Instance: instance, TakeOver: takeOver}}}
+}
--- a/rockbarrow/journal/writer.go
+++ b/rockbarrow/journal/writer.go
@@ -316,10 +316,11 @@
 
 // promisedByMajority also holds an empty keyed journal to the rule that no
 // earlier promise can be lost: enough promises of replicas that are not fresh,
-// or all of them.
+// or all of them, or that of a disk, without which nothing ever committed.
 func (w *Writer) promisedByMajority() bool {
 	members := w.Members()
 	votes, settled, last := 0, 0, uint64(0)
+	disk := false
 	for _, m := range members {
 		p := w.peer(m)
 		if p == nil || p.promised == nil {
@@ -328,10 +329,11 @@
 		votes++
 		if !p.promised.Fresh {
 			settled++
+			disk = disk || m.disk
 		}
 		last = max(last, p.promised.LastIndex)
 	}
-	if last == 0 && w.Keyed {
+	if last == 0 && w.Keyed && !disk {
 		return settled >= members.Majority() || votes == len(members)
 	}
 	return votes >= members.Majority()
--- a/rockbarrow/owner/owner.go
+++ b/rockbarrow/owner/owner.go
@@ -8,11 +8,15 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/problem"
 	"rockbarrow.dev/rockbarrow/program"
 	"rockbarrow.dev/rockbarrow/roster"
 	"rockbarrow.dev/schema/recordpb"
 )
 
+// serveWait is how long callers wait for the journal to serve.
+const serveWait = 5 * time.Second
+
 // Event is what an [Owner] handles.
 type Event interface{ event() }
 
@@ -78,8 +82,10 @@
 	Machine program.Machine
 
 	writer journal.Writer
-	// early are program events that wait for the journal to serve.
-	early []program.Event
+	// early are program events that wait for the journal to serve, since the
+	// first of them came.
+	early      []program.Event
+	earlySince time.Time
 	// whole is false while the set of members should change.
 	whole bool
 }
@@ -120,6 +126,9 @@
 // ask holds events back until the journal serves.
 func (o *Owner) ask(now time.Time, e program.Event) []Action {
 	if !o.writer.Serves() && !o.writer.Deposed() {
+		if len(o.early) == 0 {
+			o.earlySince = now
+		}
 		o.early = append(o.early, e)
 		return nil
 	}
@@ -129,7 +138,7 @@
 func (o *Owner) tick(now time.Time, v *roster.View) []Action {
 	out := o.journal(now, journal.Resend{})
 	if !o.writer.Serves() {
-		return out
+		return append(out, o.turnAway(now)...)
 	}
 	out = append(out, o.do(now, o.Machine.Handle(now, program.Ticked{}))...)
 	if v == nil {
@@ -143,6 +152,26 @@
 	return out
 }
 
+// turnAway refuses what waited too long for the journal; nothing was proposed.
+func (o *Owner) turnAway(now time.Time) []Action {
+	if len(o.early) == 0 || now.Sub(o.earlySince) < serveWait {
+		return nil
+	}
+	p := problem.Retry(problem.NotServing, "too few replicas of the run answer", time.Second)
+	var out []Action
+	kept := o.early[:0:0]
+	for _, e := range o.early {
+		id, ok := program.AskedBy(e)
+		if !ok {
+			kept = append(kept, e)
+			continue
+		}
+		out = append(out, Do{Action: program.Tell{ID: id, Event: problem.Event(p), Done: true}})
+	}
+	o.early = kept
+	return out
+}
+
 // journal steps the writer and everything that follows from it.
 func (o *Owner) journal(now time.Time, e journal.Event) []Action {
 	var out []Action
--- a/rockbarrow/problem/problem.go
+++ b/rockbarrow/problem/problem.go
@@ -126,3 +126,8 @@
 	p.RetryAfterMs = uint32(after.Milliseconds())
 	return p
 }
+
+// Event returns the problem as the last event of a request.
+func Event(p *peerpb.Problem) *peerpb.DoEvent {
+	return &peerpb.DoEvent{Body: &peerpb.DoEvent_Problem{Problem: p}}
+}
--- a/rockbarrow/program/attempt.go
+++ b/rockbarrow/program/attempt.go
@@ -73,7 +73,7 @@
 func (m *Machine) withdraw(now time.Time, c *call, p *peerpb.Problem) []Action {
 	if c.attempt == 0 {
 		m.open = nil
-		out := m.tellAll(c, problemEvent(p), true)
+		out := m.tellAll(c, problem.Event(p), true)
 		return append(out, m.proceed(now)...)
 	}
 	if c.charged > 0 {
@@ -181,9 +181,9 @@
 	if m.open != nil && m.open.turn.GetRepeatable() {
 		p := problem.New(problem.EndpointFailed, u.GetReason())
 		p.RetryAfterMs = 1000
-		return problemEvent(p)
+		return problem.Event(p)
 	}
-	return problemEvent(unknownProblem(u.GetReason()))
+	return problem.Event(unknownProblem(u.GetReason()))
 }
 
 func unknownProblem(reason string) *peerpb.Problem {
@@ -192,7 +192,7 @@
 
 func (m *Machine) cancelledEvent(c *recordpb.Cancelled) *peerpb.DoEvent {
 	if m.open != nil && m.open.refusal != nil {
-		return problemEvent(m.open.refusal)
+		return problem.Event(m.open.refusal)
 	}
-	return problemEvent(problem.Retry(problem.NoEndpoint, c.GetReason(), time.Second))
+	return problem.Event(problem.Retry(problem.NoEndpoint, c.GetReason(), time.Second))
 }
--- a/rockbarrow/program/call.go
+++ b/rockbarrow/program/call.go
@@ -86,9 +86,6 @@
 }
 
 func (m *Machine) called(now time.Time, e Called) []Action {
-	if m.state.created == nil {
-		return refuse(e.ID, problem.New(problem.NotFound, "the run does not exist"))
-	}
 	c := &call{turn: e.Turn, digest: BodyDigest(e.Turn), listeners: []CallID{e.ID}, arrived: now}
 	if out, done := m.resent(e, c); done {
 		return out
@@ -205,6 +202,7 @@
 		MaxAnswerTokens: t.GetMaxAnswerTokens(),
 		Repeatable:      t.GetRepeatable(),
 		ServiceBody:     t.GetServiceBody(),
+		EntryDomain:     t.GetEntryDomain(),
 	}
 }
 
@@ -241,7 +239,7 @@
 	}
 	m.waiting = m.waiting[1:]
 	if p := m.affordable(c); p != nil {
-		out := m.tellAll(c, problemEvent(p), true)
+		out := m.tellAll(c, problem.Event(p), true)
 		return append(out, m.startNext(now)...)
 	}
 	m.open = c
@@ -312,6 +310,7 @@
 		Avoid:        slices.Clone(c.avoid),
 		Attained:     m.state.spent,
 		History:      history,
+		EntryDomain:  c.turn.GetEntryDomain(),
 	}
 	if n := len(m.state.turns); n > 0 {
 		p.Last = m.state.turns[n-1].answered.GetEndpoint()
@@ -338,7 +337,7 @@
 			continue
 		}
 		detail := fmt.Sprintf("the next sequence is %d", m.state.Next())
-		out = append(out, m.tellAll(c, problemEvent(problem.New(problem.PredecessorMissing, detail)), true)...)
+		out = append(out, m.tellAll(c, problem.Event(problem.New(problem.PredecessorMissing, detail)), true)...)
 	}
 	m.waiting = kept
 	return out
--- a/rockbarrow/program/ending.go
+++ b/rockbarrow/program/ending.go
@@ -15,10 +15,8 @@
 func (m *Machine) carving(now time.Time, e Carving) []Action {
 	s := &m.state
 	switch {
-	case s.created == nil:
-		return refuse(e.ID, problem.New(problem.NotFound, "the run does not exist"))
 	case s.slice(e.Child) != nil:
-		return []Action{m.tellView(e.ID)}
+		return []Action{m.tellView(e.ID, 0, 0)}
 	case s.ended != "" || m.ending != "":
 		return refuse(e.ID, problem.New(problem.RunEnded, "the run ended"))
 	case s.created.GetDepth() >= s.created.GetMaxDepth():
@@ -41,7 +39,7 @@
 		return refuse(e.ID, problem.New(problem.NotFound, "the run has no such child"))
 	}
 	if sl.returned {
-		return []Action{m.tellView(e.ID)}
+		return []Action{m.tellView(e.ID, 0, 0)}
 	}
 	again := slices.ContainsFunc(m.asked, func(a ask) bool { return !a.carve && a.child == e.Child })
 	m.asked = append(m.asked, ask{id: e.ID, child: e.Child})
@@ -56,7 +54,7 @@
 func (m *Machine) tellAsked(child string, carve bool) []Action {
 	var out []Action
 	for _, a := range m.takeAsked(child, carve) {
-		out = append(out, m.tellView(a.id))
+		out = append(out, m.tellView(a.id, 0, 0))
 	}
 	return out
 }
@@ -83,11 +81,8 @@
 }
 
 func (m *Machine) endAskedBy(now time.Time, e Ending) []Action {
-	if m.state.created == nil {
-		return refuse(e.ID, problem.New(problem.NotFound, "the run does not exist"))
-	}
 	if m.state.ended != "" {
-		return []Action{m.tellView(e.ID)}
+		return []Action{m.tellView(e.ID, 0, 0)}
 	}
 	m.enders = append(m.enders, e.ID)
 	return m.end(now, or(e.Reason, "asked"))
@@ -102,7 +97,7 @@
 	m.ending = or(m.ending, reason)
 	var out []Action
 	for _, c := range m.waiting {
-		out = append(out, m.tellAll(c, problemEvent(problem.New(problem.RunEnded, "the run ended: "+m.ending)), true)...)
+		out = append(out, m.tellAll(c, problem.Event(problem.New(problem.RunEnded, "the run ended: "+m.ending)), true)...)
 	}
 	m.waiting = nil
 	if c := m.open; c != nil {
@@ -119,7 +114,7 @@
 func (m *Machine) tellEnded() []Action {
 	var out []Action
 	for _, id := range m.enders {
-		out = append(out, m.tellView(id))
+		out = append(out, m.tellView(id, 0, 0))
 	}
 	m.enders = nil
 	return append(out, m.afterEnd()...)
--- a/rockbarrow/program/event.go
+++ b/rockbarrow/program/event.go
@@ -29,8 +29,17 @@
 
 // Called is a call that has arrived.
 type Called struct {
-	ID   CallID
-	Turn *peerpb.Turn
+	ID       CallID
+	Customer string
+	Turn     *peerpb.Turn
+}
+
+// Reading asks for a view: the turns after a sequence, at most Limit of them.
+type Reading struct {
+	ID       CallID
+	Customer string
+	After    uint64
+	Limit    uint32
 }
 
 // Left says that a caller no longer listens; its call goes on.
@@ -83,22 +92,25 @@
 
 // Carving asks for a slice of the budget for a child run.
 type Carving struct {
-	ID     CallID
-	Child  string
-	Tokens uint64
+	ID       CallID
+	Customer string
+	Child    string
+	Tokens   uint64
 }
 
 // Crediting brings back what an ended child left.
 type Crediting struct {
-	ID     CallID
-	Child  string
-	Tokens uint64
+	ID       CallID
+	Customer string
+	Child    string
+	Tokens   uint64
 }
 
 // Ending asks to end the run.
 type Ending struct {
-	ID     CallID
-	Reason string
+	ID       CallID
+	Customer string
+	Reason   string
 }
 
 // Freed says that an endpoint holds no memory for the run any more.
@@ -118,6 +130,7 @@
 func (Creating) event()  {}
 func (Called) event()    {}
 func (Left) event()      {}
+func (Reading) event()   {}
 func (Placed) event()    {}
 func (Unplaced) event()  {}
 func (Streamed) event()  {}
@@ -152,6 +165,8 @@
 	History []*recordpb.Message
 	// Last is the endpoint of the run's last answer, or "".
 	Last string
+	// EntryDomain is the failure domain that the caller's request came to.
+	EntryDomain string
 }
 
 // Dispatch sends an attempt whose intent has committed.
--- a/rockbarrow/program/machine.go
+++ b/rockbarrow/program/machine.go
@@ -17,8 +17,14 @@
 	DefaultMaxWait = 30 * time.Second
 	// DefaultMaxAttempts bounds how often one call is sent.
 	DefaultMaxAttempts = 4
+	// commitWait is how long callers wait for an intent to commit.
+	commitWait = 5 * time.Second
 )
 
+// AnyCustomer stands for operators, who may read all runs. No customer can have
+// this name.
+const AnyCustomer = "*"
+
 // Machine is the owner's side of a run. Set the exported fields before the
 // first event; zero takes the defaults.
 type Machine struct {
@@ -67,6 +73,15 @@
 	return m.open != nil || len(m.waiting) > 0 || len(m.creators) > 0 || len(m.asked) > 0
 }
 
+// Holds reports whether the open call still wants the seat of an attempt.
+func (m *Machine) Holds(attempt uint32) bool {
+	c := m.open
+	if c == nil {
+		return false
+	}
+	return c.stage == placing && c.attempt+1 == attempt || c.stage >= proposing && c.attempt == attempt
+}
+
 // Settled reports whether an ended run owes nothing to anyone.
 func (m *Machine) Settled() bool {
 	s := &m.state
@@ -78,6 +93,9 @@
 	if m.deposed {
 		return m.refuseAsDeposed(e)
 	}
+	if a, ok := askedBy(e); ok && m.strange(a.customer) {
+		return refuse(a.id, problem.New(problem.NotFound, "there is no such run"))
+	}
 	switch e := e.(type) {
 	case Loaded:
 		return m.load(now)
@@ -90,6 +108,8 @@
 	case Left:
 		m.left(e.ID)
 		return nil
+	case Reading:
+		return []Action{m.tellView(e.ID, e.After, e.Limit)}
 	case Placed:
 		return m.placed(now, e)
 	case Unplaced:
@@ -195,7 +215,7 @@
 		if c.GetProgram() != e.Created.GetProgram() || c.GetCustomer() != e.Created.GetCustomer() {
 			return refuse(e.ID, problem.New(problem.RequestReused, "the run was created with other values"))
 		}
-		return []Action{m.tellView(e.ID)}
+		return []Action{m.tellView(e.ID, 0, 0)}
 	}
 	m.creators = append(m.creators, e.ID)
 	if len(m.creators) > 1 {
@@ -207,18 +227,27 @@
 func (m *Machine) tellCreated() []Action {
 	var out []Action
 	for _, id := range m.creators {
-		out = append(out, m.tellView(id))
+		out = append(out, m.tellView(id, 0, 0))
 	}
 	m.creators = nil
 	return out
 }
 
-func (m *Machine) tellView(id CallID) Action {
-	return Tell{ID: id, Event: &peerpb.DoEvent{Body: &peerpb.DoEvent_View{View: m.state.View(m.Instance, 0, 0)}}, Done: true}
+func (m *Machine) tellView(id CallID, after uint64, limit uint32) Action {
+	view := m.state.View(m.Instance, after, limit)
+	return Tell{ID: id, Event: &peerpb.DoEvent{Body: &peerpb.DoEvent_View{View: view}}, Done: true}
+}
+
+// strange reports whether a customer may not know of the run.
+func (m *Machine) strange(customer string) bool {
+	if m.state.created == nil {
+		return true
+	}
+	return customer != AnyCustomer && m.state.created.GetCustomer() != customer
 }
 
 func (m *Machine) tick(now time.Time) []Action {
-	out := m.expireWaiting(now)
+	out := append(m.expireWaiting(now), m.undetermined(now)...)
 	if m.state.created == nil || !m.loaded {
 		return out
 	}
@@ -239,6 +268,17 @@
 	return out
 }
 
+// undetermined tells callers of an intent that finds no majority to come back;
+// the call stays, as the intent may still commit.
+func (m *Machine) undetermined(now time.Time) []Action {
+	c := m.open
+	if c == nil || c.stage != proposing || now.Sub(c.proposedAt) < commitWait {
+		return nil
+	}
+	p := problem.Retry(problem.Undetermined, "too few replicas of the run answer; resend under the same request id", time.Second)
+	return m.tellAll(c, problem.Event(p), true)
+}
+
 // depose sends every waiting caller on to the next owner, where a resend under
 // the same request id finds what became of the call.
 func (m *Machine) depose(e Deposed) []Action {
@@ -261,7 +301,7 @@
 
 // refuseAsDeposed answers callers that were late for the end of the ownership.
 func (m *Machine) refuseAsDeposed(e Event) []Action {
-	id, ok := callerOf(e)
+	id, ok := AskedBy(e)
 	if !ok {
 		return nil
 	}
@@ -269,20 +309,36 @@
 	return []Action{Tell{ID: id, Event: redirect, Done: true}}
 }
 
-func callerOf(e Event) (CallID, bool) {
+// AskedBy returns the caller that waits for an event's answer, if one does.
+func AskedBy(e Event) (CallID, bool) {
+	if c, ok := e.(Creating); ok {
+		return c.ID, true
+	}
+	a, ok := askedBy(e)
+	return a.id, ok
+}
+
+// asker is who waits for an event's answer.
+type asker struct {
+	id       CallID
+	customer string
+}
+
+// askedBy returns who asks about a run that should exist.
+func askedBy(e Event) (asker, bool) {
 	switch e := e.(type) {
-	case Creating:
-		return e.ID, true
 	case Called:
-		return e.ID, true
+		return asker{e.ID, e.Customer}, true
+	case Reading:
+		return asker{e.ID, e.Customer}, true
 	case Carving:
-		return e.ID, true
+		return asker{e.ID, e.Customer}, true
 	case Crediting:
-		return e.ID, true
+		return asker{e.ID, e.Customer}, true
 	case Ending:
-		return e.ID, true
+		return asker{e.ID, e.Customer}, true
 	}
-	return 0, false
+	return asker{}, false
 }
 
 func (m *Machine) listeners() []CallID {
@@ -309,11 +365,7 @@
 }
 
 func refuse(id CallID, p *peerpb.Problem) []Action {
-	return []Action{Tell{ID: id, Event: problemEvent(p), Done: true}}
-}
-
-func problemEvent(p *peerpb.Problem) *peerpb.DoEvent {
-	return &peerpb.DoEvent{Body: &peerpb.DoEvent_Problem{Problem: p}}
+	return []Action{Tell{ID: id, Event: problem.Event(p), Done: true}}
 }
 
 func finalEvent(a *recordpb.Answered, replayed bool) *peerpb.DoEvent {
--- a/rockbarrow/program/state.go
+++ b/rockbarrow/program/state.go
@@ -96,6 +96,9 @@
 // Ended returns why the run ended, or "".
 func (s *State) Ended() string { return s.ended }
 
+// MadeMS returns when the run was created, in milliseconds since 1970.
+func (s *State) MadeMS() int64 { return s.madeMS }
+
 // Held returns the endpoints that may hold memory for the run.
 func (s *State) Held() []string { return s.held }
 
@@ -244,7 +247,7 @@
 	s.spent += s.reserved
 	s.reserved = 0
 	if open.intent.GetRepeatable() {
-		s.turns = s.turns[:len(s.turns)-1]
+		s.dropOpen()
 		return nil
 	}
 	open.state = Unknowable
@@ -259,10 +262,16 @@
 		return &OrderError{Record: r, Reason: "no such call is open"}
 	}
 	s.reserved = 0
-	s.turns = s.turns[:len(s.turns)-1]
+	s.dropOpen()
 	return nil
 }
 
+// dropOpen takes the open turn out, so that its sequence is free again.
+func (s *State) dropOpen() {
+	s.turns = s.turns[:len(s.turns)-1]
+	s.calls--
+}
+
 func (s *State) applyCarved(r *recordpb.Record, c *recordpb.Carved) error {
 	if s.ended != "" || c.GetTokens() > s.Left() {
 		return &OrderError{Record: r, Reason: "the budget does not cover the slice"}
--- a/rockbarrow/program/view.go
+++ b/rockbarrow/program/view.go
@@ -21,6 +21,8 @@
 		Owner:          owner,
 		ConfigVersion:  c.GetConfigVersion(),
 		Parent:         c.GetParent(),
+		Depth:          c.GetDepth(),
+		MaxDepth:       c.GetMaxDepth(),
 	}
 	for i := after; i < uint64(len(s.turns)) && uint32(len(v.Turns)) < limit; i++ {
 		v.Turns = append(v.Turns, s.turns[i].view())
