rockbench: stand-ins, a fleet of daemons, and the demo

Cause: nothing had run the whole path.

Change: engines, services, a weight store and the platform's list as small stand-ins; eight daemon processes in three failure domains behind a balancer; agents that check each answer against the history they know; a demo that kills an owner half way and checks every promise.

Found by the first runs, and mended: (1) the bound on a prompt left out that an answer becomes part of the next prompt, so engines refused second calls; (2) an entry that lost the owner after a redirect called the run unknown, and said not_run of a call that had run; (3) a campaign kept naming members that had died meanwhile and never came to serve; it is abandoned now and started anew; (4) a keyed creation in a domain of two waited for its witness's memory, which holds no copies.

--- a/rockbarrow/host/route.go
+++ b/rockbarrow/host/route.go
@@ -96,7 +96,7 @@
 
 // unknown is the refusal of a run that no instance of its home knows.
 func (w *route) unknown() *peerpb.Problem {
-	if w.allAnswered() {
+	if !w.forwarded && w.allAnswered() {
 		return problem.New(problem.NotFound, "there is no such run")
 	}
 	return w.verdict()
@@ -159,7 +159,7 @@
 			return true, true
 		}
 		if next == nil {
-			return w.last != nil, false
+			return known || w.last != nil, false
 		}
 		if next.GetInstance() == "" || next.GetInstance() == instance {
 			return known, false
--- a/rockbarrow/host/run.go
+++ b/rockbarrow/host/run.go
@@ -248,11 +248,17 @@
 	case owner.Do:
 		r.do(o, a.Action)
 	case owner.Deposed:
-		r.deposed(o, a.By)
+		r.host.Metrics.Counter("deposed").Inc(1)
+		r.host.Log.WithField("run", r.name).WithField("by", a.By.String()).Info("another instance owns the run")
+		r.disown(o)
+	case owner.Abandoned:
+		r.host.Metrics.Counter("abandoned").Inc(1)
+		r.disown(o)
 	}
 }
 
-func (r *run) deposed(o *owner.Owner, by journal.Ballot) {
+// disown ends the ownership; an attempt under way goes on and is dropped.
+func (r *run) disown(o *owner.Owner) {
 	r.mu.Lock()
 	if r.owner == o {
 		r.owner = nil
@@ -268,6 +274,4 @@
 	if s != nil {
 		s.giveBack()
 	}
-	r.host.Metrics.Counter("deposed").Inc(1)
-	r.host.Log.WithField("run", r.name).WithField("by", by.String()).Info("another instance owns the run")
 }
--- a/rockbarrow/journal/writer.go
+++ b/rockbarrow/journal/writer.go
@@ -315,28 +315,47 @@
 }
 
 // promisedByMajority also holds an empty keyed journal to the rule that no
-// earlier promise can be lost: enough promises of replicas that are not fresh,
-// or all of them, or that of a disk, without which nothing ever committed.
+// earlier promise can be lost.
 func (w *Writer) promisedByMajority() bool {
 	members := w.Members()
-	votes, settled, last := 0, 0, uint64(0)
-	disk := false
+	votes, last := 0, uint64(0)
 	for _, m := range members {
+		if p := w.peer(m); p != nil && p.promised != nil {
+			votes++
+			last = max(last, p.promised.LastIndex)
+		}
+	}
+	if votes < members.Majority() {
+		return false
+	}
+	return last > 0 || !w.Keyed || w.surelyEmpty(members)
+}
+
+// surelyEmpty reports whether no entry can have committed that the promises do
+// not show: enough promises are of replicas that forgot nothing; or a disk's is,
+// without which nothing commits; or every member that holds copies promised, of
+// which two have each committed entry.
+func (w *Writer) surelyEmpty(members Members) bool {
+	settled, copies, promised := 0, 0, 0
+	for _, m := range members {
+		if !m.witness {
+			copies++
+		}
 		p := w.peer(m)
 		if p == nil || p.promised == nil {
 			continue
 		}
-		votes++
+		if !m.witness {
+			promised++
+		}
 		if !p.promised.Fresh {
 			settled++
-			disk = disk || m.disk
 		}
-		last = max(last, p.promised.LastIndex)
-	}
-	if last == 0 && w.Keyed && !disk {
-		return settled >= members.Majority() || votes == len(members)
+		if m.disk && !p.promised.Fresh {
+			return true
+		}
 	}
-	return votes >= members.Majority()
+	return settled >= members.Majority() || promised == copies
 }
 
 // bestPromise returns the member with the newest log that also holds payloads,
--- a/rockbarrow/owner/owner.go
+++ b/rockbarrow/owner/owner.go
@@ -59,9 +59,14 @@
 // Deposed says that another writer was met; the owner is of no more use.
 type Deposed struct{ By journal.Ballot }
 
-func (Send) action()    {}
-func (Do) action()      {}
-func (Deposed) action() {}
+// Abandoned says that too few members answered for long; the owner is of no more
+// use, and another one may start from what is known by then.
+type Abandoned struct{}
+
+func (Send) action()      {}
+func (Do) action()        {}
+func (Deposed) action()   {}
+func (Abandoned) action() {}
 
 // Owner owns one run. Set the exported fields before the first event.
 type Owner struct {
@@ -82,10 +87,10 @@
 	Machine program.Machine
 
 	writer journal.Writer
-	// early are program events that wait for the journal to serve, since the
-	// first of them came.
-	early      []program.Event
-	earlySince time.Time
+	// started is when the campaign began.
+	started time.Time
+	// early are program events that wait for the journal to serve.
+	early []program.Event
 	// whole is false while the set of members should change.
 	whole bool
 }
@@ -106,6 +111,7 @@
 func (o *Owner) Handle(now time.Time, e Event) []Action {
 	switch e := e.(type) {
 	case Start:
+		o.started = now
 		o.writer = journal.Writer{Self: o.Self, Incarnation: o.Incarnation, Initial: o.Initial, Keyed: o.Keyed}
 		if o.Replica != nil {
 			o.writer.Adopt(o.Replica)
@@ -126,9 +132,6 @@
 // ask holds events back until the journal serves.
 func (o *Owner) ask(now time.Time, e program.Event) []Action {
 	if !o.writer.Serves() && !o.writer.Deposed() {
-		if len(o.early) == 0 {
-			o.earlySince = now
-		}
 		o.early = append(o.early, e)
 		return nil
 	}
@@ -138,7 +141,11 @@
 func (o *Owner) tick(now time.Time, v *roster.View) []Action {
 	out := o.journal(now, journal.Resend{})
 	if !o.writer.Serves() {
-		return append(out, o.turnAway(now)...)
+		if now.Sub(o.started) < serveWait {
+			return out
+		}
+		out = append(out, o.turnAway(now)...)
+		return append(out, Abandoned{})
 	}
 	out = append(out, o.do(now, o.Machine.Handle(now, program.Ticked{}))...)
 	if v == nil {
@@ -152,23 +159,18 @@
 	return out
 }
 
-// turnAway refuses what waited too long for the journal; nothing was proposed.
+// turnAway refuses what waited for the journal; nothing was proposed.
 func (o *Owner) turnAway(now time.Time) []Action {
-	if len(o.early) == 0 || now.Sub(o.earlySince) < serveWait {
-		return nil
-	}
 	p := problem.Retry(problem.NotServing, "too few replicas of the run answer", time.Second)
 	var out []Action
-	kept := o.early[:0:0]
 	for _, e := range o.early {
 		id, ok := program.AskedBy(e)
 		if !ok {
-			kept = append(kept, e)
 			continue
 		}
 		out = append(out, Do{Action: program.Tell{ID: id, Event: problem.Event(p), Done: true}})
 	}
-	o.early = kept
+	o.early = nil
 	return out
 }
 
--- a/rockbarrow/placement/prefix.go
+++ b/rockbarrow/placement/prefix.go
@@ -26,9 +26,9 @@
 // Boundary is the end of a message within a prompt.
 type Boundary struct {
 	// Key chains over all messages up to here; engines name prefixes by it.
-	Key uint64
+	Key uint64 `json:"key"`
 	// Tokens is the estimated size up to here.
-	Tokens int64
+	Tokens int64 `json:"tokens"`
 }
 
 // Boundaries returns the boundaries of a prompt, shortest first. The key of a
@@ -37,21 +37,26 @@
 func Boundaries(messages []*recordpb.Message) []Boundary {
 	out := make([]Boundary, 0, len(messages))
 	var prev Boundary
-	h := xxhash.New()
 	for _, m := range messages {
-		var b [8]byte
-		binary.BigEndian.PutUint64(b[:], prev.Key)
-		h.Reset()
-		h.Write(b[:])
-		h.WriteString(m.GetRole())
-		h.Write([]byte{0})
-		h.WriteString(m.GetContent())
-		prev = Boundary{Key: h.Sum64(), Tokens: prev.Tokens + int64(len(m.GetContent()))/4 + 4}
+		prev = Append(prev, m)
 		out = append(out, prev)
 	}
 	return out
 }
 
+// Append returns the boundary after one more message.
+func Append(prev Boundary, m *recordpb.Message) Boundary {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], prev.Key)
+	var h xxhash.Digest
+	h.Reset()
+	h.Write(b[:])
+	h.WriteString(m.GetRole())
+	h.Write([]byte{0})
+	h.WriteString(m.GetContent())
+	return Boundary{Key: h.Sum64(), Tokens: prev.Tokens + int64(len(m.GetContent()))/4 + 4}
+}
+
 // Prefixes remembers which endpoints hold which prefixes. It is told by own
 // dispatches and by cache events; when events were lost the knowledge is
 // doubtful, which costs time and nothing else. The zero value is ready.
--- a/rockbarrow/program/call.go
+++ b/rockbarrow/program/call.go
@@ -269,14 +269,16 @@
 	return nil
 }
 
-// promptTokens bounds the prompt: the true size up to the last answer and an
-// estimate from above for what came since. Engines refuse a longer prompt.
+// promptTokens bounds the prompt: the true size up to the last answer, and an
+// estimate from above for that answer as a part of the next prompt and for what
+// came since. Engines refuse a longer prompt.
 func (m *Machine) promptTokens(c *call) uint64 {
 	tokens := uint64(0)
 	from := 0
 	for i, t := range m.state.turns {
 		if t.state == Answered {
-			tokens = t.answered.GetPromptTokens() + t.answered.GetAnswerTokens()
+			answer := []*recordpb.Message{{Role: "assistant", Content: t.answered.GetContent()}}
+			tokens = t.answered.GetPromptTokens() + max(t.answered.GetAnswerTokens(), EstimateTokens(answer))
 			from = i + 1
 		}
 	}
--- /dev/null
+++ b/rockbench/main.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: MIT
+
+// Command rockbench runs the product against its stand-ins: a demo, faults,
+// experiments and the slopes behind docs/CAPACITY.md.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/integrii/flaggy"
+)
+
+// version is the release that this build belongs to.
+const version = "0.1.0"
+
+func main() {
+	flaggy.SetName("rockbench")
+	flaggy.SetDescription("runs rockbarrow against stand-ins of the systems it serves")
+	flaggy.SetVersion(version)
+	demoCmd := flaggy.NewSubcommand("demo")
+	demoCmd.Description = "run agent programs through 8 daemons, kill an owner, check the promises"
+	flaggy.AttachSubcommand(demoCmd, 1)
+	flaggy.Parse()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var err error
+	switch {
+	case demoCmd.Used:
+		err = demo(ctx, os.Stdout)
+	default:
+		flaggy.ShowHelpAndExit("")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "rockbench:", err)
+		stop()
+		os.Exit(1)
+	}
+}
