--- a/rockbarrow/config/lead.go
+++ b/rockbarrow/config/lead.go
@@ -91,7 +91,7 @@
 		v.mu.Lock()
 		v.replica.Fail()
 		v.mu.Unlock()
-		v.source.Log.WithError(err).Error("the disk failed; this voter votes no more")
+		v.source.DiskFailed(err)
 		return journal.Silent{}
 	}
 	return reply
@@ -150,7 +150,7 @@
 	if s.voter.lastIndex() == 0 && !s.allHeard() {
 		return
 	}
-	if b := s.voter.promised(); b.Instance() != "" && s.writes(b) {
+	if b := s.voter.promised(); b.Instance() != "" && s.View().Writes(b) {
 		return
 	}
 	s.next = now.Add(campaignPause + time.Duration(rand.Int64N(int64(campaignPause))))
@@ -209,14 +209,6 @@
 	return s.leader != nil
 }
 
-func (s *Source) writes(b journal.Ballot) bool {
-	i, ok := s.View().Find(b.Instance())
-	if !ok || i.State() == roster.Dead {
-		return false
-	}
-	return i.State() == roster.Unheard || i.Beat().Incarnation() == b.Incarnation()
-}
-
 // first reports whether no control instance before this one lives.
 func (s *Source) first() bool {
 	for _, i := range s.View().Instances() {
--- a/rockbarrow/config/source.go
+++ b/rockbarrow/config/source.go
@@ -91,8 +91,10 @@
 	PauseLimit time.Duration
 	// Changed is told of each version as it comes into force.
 	Changed func(*control.Snapshot)
-	Log     *logrus.Entry
-	Metrics tally.Scope
+	// DiskFailed is told when a sync fails; the process must end then.
+	DiskFailed func(error)
+	Log        *logrus.Entry
+	Metrics    tally.Scope
 
 	current atomic.Pointer[held]
 	learned atomic.Bool
--- a/rockbarrow/daemon/build.go
+++ b/rockbarrow/daemon/build.go
@@ -163,6 +163,17 @@
 	d.host.Config = d.source.Snapshot
 	d.host.Learned = d.source.Learned
 	d.host.ConfigAge = d.source.Age
+	d.host.DiskFailed = d.diskFailed
+	d.source.DiskFailed = d.diskFailed
+}
+
+// diskFailed ends the process: what it promised from now on could not be kept,
+// and others take over what it owns.
+func (d *Daemon) diskFailed(err error) {
+	select {
+	case d.failed <- errors.Wrap(err, "daemon: the disk failed"):
+	default:
+	}
 }
 
 // restore reads back what the disk kept, if there is one.
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -40,8 +40,9 @@
 	watchEvery = 500 * time.Millisecond
 	// lingerPeriod is how often a stopping instance looks for calls under way.
 	lingerPeriod = 50 * time.Millisecond
-	// noticePeriod lets the balancer see that the instance is not ready.
-	noticePeriod = 500 * time.Millisecond
+	// noticePeriod lets the balancer see that the instance is not ready, and the
+	// owners of runs that are replicated here begin to replace it.
+	noticePeriod = 2500 * time.Millisecond
 )
 
 // Daemon is one instance. Set the exported fields before Run.
@@ -60,6 +61,8 @@
 	desk        *dispatch.Desk
 	host        *host.Host
 	cleanUps    []func()
+	// failed gets the first error that ends the instance.
+	failed chan error
 	// stopping is set once, before the first refusal.
 	stopping stopFlag
 }
@@ -68,6 +71,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.cleanUp()
 	d.incarnation = uint64(time.Now().UnixNano())
+	d.failed = make(chan error, 4)
 	if err := d.build(); err != nil {
 		return err
 	}
@@ -87,12 +91,11 @@
 	peers     *grpc.Server
 	operators *grpc.Server
 	test      *http.Server
-	failed    chan error
 	wait      sync.WaitGroup
 }
 
 func (d *Daemon) serve(ctx context.Context) error {
-	s := &servers{daemon: d, failed: make(chan error, 4)}
+	s := &servers{daemon: d}
 	if err := s.listen(); err != nil {
 		return err
 	}
@@ -107,7 +110,7 @@
 	select {
 	case <-ctx.Done():
 		d.drain()
-	case err = <-s.failed:
+	case err = <-d.failed:
 	}
 	s.close()
 	stopLoops()
@@ -216,7 +219,7 @@
 	defer l.servers.wait.Done()
 	err := l.serve(l.listener)
 	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
-		l.servers.failed <- errors.Wrap(err, "daemon: serve")
+		l.servers.daemon.failed <- errors.Wrap(err, "daemon: serve")
 	}
 }
 
--- a/rockbarrow/host/host.go
+++ b/rockbarrow/host/host.go
@@ -59,8 +59,10 @@
 	CallTimeout time.Duration
 	// Retention is how long an ended run's journal is kept.
 	Retention time.Duration
-	Log       *logrus.Entry
-	Metrics   tally.Scope
+	// DiskFailed is told once when a sync fails; the process must end then.
+	DiskFailed func(error)
+	Log        *logrus.Entry
+	Metrics    tally.Scope
 
 	shards [64]shard
 	rounds atomic.Uint64
--- a/rockbarrow/host/replica.go
+++ b/rockbarrow/host/replica.go
@@ -56,7 +56,7 @@
 		r.replicaMu.Lock()
 		r.replica.Fail()
 		r.replicaMu.Unlock()
-		r.host.Log.WithError(err).WithField("run", r.name).Error("the disk failed; this copy votes no more")
+		r.host.DiskFailed(err)
 		return journal.Silent{}
 	}
 	return reply
--- a/rockbarrow/host/run.go
+++ b/rockbarrow/host/run.go
@@ -33,6 +33,8 @@
 	seat *seated
 	// next is when a campaign may start again.
 	next time.Time
+	// rested is true when the last ownership ended because nothing was left to do.
+	rested bool
 
 	// replicaMu guards the own copy. It may be taken under mu, never around it.
 	replicaMu sync.Mutex
@@ -77,6 +79,7 @@
 	defer r.mu.Unlock()
 	if r.owner != nil && r.owner.Machine.Settled() {
 		r.owner = nil
+		r.rested = true
 	}
 }
 
@@ -93,20 +96,30 @@
 // orphaned reports whether the owner is dead and this instance is next.
 func (r *run) orphaned(v *roster.View) bool {
 	members, ballot, ok := r.log()
-	if !ok || writes(v, ballot) {
+	if !ok {
+		return false
+	}
+	if r.host.wrote(ballot) {
+		return r.unrested()
+	}
+	if v.Writes(ballot) {
 		return false
 	}
 	m, ok := owner.Successor(members, v)
 	return ok && m.Is(r.host.self())
 }
 
-// writes reports whether the writer of a ballot is believed to live.
-func writes(v *roster.View, b journal.Ballot) bool {
-	i, ok := v.Find(b.Instance())
-	if !ok || i.State() == roster.Dead {
-		return false
-	}
-	return i.State() == roster.Unheard || i.Beat().Incarnation() == b.Incarnation()
+// wrote reports whether a ballot is of this life of this instance.
+func (h *Host) wrote(b journal.Ballot) bool {
+	return b.Instance() == h.Instance && b.Incarnation() == h.Incarnation
+}
+
+// unrested reports whether an ownership ended otherwise than by a rest, so that
+// it has to be taken up again.
+func (r *run) unrested() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return !r.rested
 }
 
 // over reports whether the run ended, or a witness's journal stood still, for
@@ -160,6 +173,7 @@
 	o.Replica = r.replica
 	r.replicaMu.Unlock()
 	r.owner = o
+	r.rested = false
 	r.mu.Unlock()
 	h.Metrics.Counter("campaigns").Inc(1)
 	r.post(owner.Start{Round: h.rounds.Add(1)})
@@ -250,6 +264,7 @@
 	case owner.Deposed:
 		r.host.Metrics.Counter("deposed").Inc(1)
 		r.host.Log.WithField("run", r.name).WithField("by", a.By.String()).Info("another instance owns the run")
+		r.observe(a.By)
 		r.disown(o)
 	case owner.Abandoned:
 		r.host.Metrics.Counter("abandoned").Inc(1)
@@ -257,6 +272,15 @@
 	}
 }
 
+// observe notes a newer ballot, so that requests are sent on to its writer.
+func (r *run) observe(b journal.Ballot) {
+	r.replicaMu.Lock()
+	defer r.replicaMu.Unlock()
+	if r.replica != nil {
+		r.replica.Observe(b)
+	}
+}
+
 // disown ends the ownership; an attempt under way goes on and is dropped.
 func (r *run) disown(o *owner.Owner) {
 	r.mu.Lock()
--- a/rockbarrow/host/serve.go
+++ b/rockbarrow/host/serve.go
@@ -99,7 +99,10 @@
 	if !known {
 		return h.take(r, claimed{view: view, create: true, keyed: req.GetCreate().GetKeyed()})
 	}
-	if !req.GetTakeOver() && ballot.Instance() != h.Instance && writes(view, ballot) {
+	if h.wrote(ballot) && members.Has(h.self()) {
+		return h.take(r, claimed{view: view})
+	}
+	if !req.GetTakeOver() && view.Writes(ballot) {
 		return nil, redirect(ballot.Instance(), false)
 	}
 	m, ok := owner.Successor(members, view)
--- a/rockbarrow/journal/ballot.go
+++ b/rockbarrow/journal/ballot.go
@@ -79,22 +79,13 @@
 	return append(append(make(Members, 0, len(s)+1), s...), m)
 }
 
-// equal reports whether both sets hold the same members in the same order.
-func (s Members) equal(o Members) bool {
-	if len(s) != len(o) {
-		return false
-	}
-	for i := range s {
-		if s[i] != o[i] {
-			return false
-		}
-	}
-	return true
-}
-
-// durable reports whether acknowledgements satisfy the durability rule.
-func (s Members) durable(acked func(Member) bool) bool {
-	votes, copies, synced, disks := 0, 0, 0, 0
+// durable reports whether acknowledgements satisfy the durability rule. The
+// opening entry of a writer carries no payload: for it two copies stand in for
+// the sync of a disk that may be lost, as what it adopts is history already.
+// Copies of members that are just being dismissed, extra, count as copies but
+// not as votes.
+func (s Members) durable(acked func(Member) bool, opening bool, extra int) bool {
+	votes, copies, synced, disks := 0, extra, 0, 0
 	for _, m := range s {
 		if m.disk {
 			disks++
@@ -113,10 +104,10 @@
 	if votes < s.Majority() {
 		return false
 	}
-	if disks > 0 {
-		return synced > 0
+	if synced > 0 {
+		return true
 	}
-	return copies >= 2
+	return copies >= 2 && (disks == 0 || opening)
 }
 
 // Ballot orders writers totally. The zero ballot is older than every other.
--- a/rockbarrow/journal/log.go
+++ b/rockbarrow/journal/log.go
@@ -172,6 +172,16 @@
 	return l.base.members, l.base.index
 }
 
+// membersBefore returns the set in force before the entry at an index.
+func (l *Log) membersBefore(index uint64) Members {
+	for i := index - 1; i > l.base.index; i-- {
+		if e, ok := l.Entry(i); ok && e.members != nil {
+			return e.members
+		}
+	}
+	return l.base.members
+}
+
 // digestAt returns the digest of the log up to index.
 func (l *Log) digestAt(index uint64) (Digest, bool) {
 	if index == l.base.index {
--- a/rockbarrow/journal/message.go
+++ b/rockbarrow/journal/message.go
@@ -24,6 +24,8 @@
 	PrevDigest Digest
 	Entries    []Entry
 	Commit     uint64
+	// Nonce comes back in the reply, so that a late reply proves nothing new.
+	Nonce uint64
 }
 
 // Install replaces what the replica holds below the base by its snapshot.
@@ -66,6 +68,7 @@
 type Accepted struct {
 	Ballot Ballot
 	Index  uint64
+	Nonce  uint64
 }
 
 // Gap says that the log does not reach or match PrevIndex; Index is the newest
--- a/rockbarrow/journal/replica.go
+++ b/rockbarrow/journal/replica.go
@@ -59,6 +59,14 @@
 // Commit returns the newest index that the replica knows to be committed.
 func (r *Replica) Commit() uint64 { return r.commit }
 
+// Observe promises a ballot that was met elsewhere. No one relies on the promise,
+// so it needs no sync.
+func (r *Replica) Observe(b Ballot) {
+	if b.Compare(r.promised) > 0 {
+		r.promised = b
+	}
+}
+
 // Fail ends the replica's voting for good, after a failed sync.
 func (r *Replica) Fail() { r.failed = true }
 
@@ -169,7 +177,7 @@
 		}
 	}
 	r.commit = max(r.commit, min(m.Commit, held))
-	return Accepted{Ballot: m.Ballot, Index: held}, r.kept(change)
+	return Accepted{Ballot: m.Ballot, Index: held, Nonce: m.Nonce}, r.kept(change)
 }
 
 func (r *Replica) install(m Install) (Reply, Change) {
--- a/rockbarrow/journal/writer.go
+++ b/rockbarrow/journal/writer.go
@@ -11,7 +11,7 @@
 )
 
 // Event is what a writer handles: [Campaign], [Propose], [Admit], [Dismiss],
-// [Replied], [Lost] or [Resend].
+// [Replied], [Lost], [Resend] or [Confirm].
 type Event interface{ event() }
 
 // Campaign starts or restarts the writer under a ballot above all it has seen,
@@ -40,6 +40,10 @@
 // Resend sends again what members lack; it is due now and then.
 type Resend struct{}
 
+// Confirm asks whether the writer is still the writer; [Confirmed] answers it
+// once a majority has accepted a message that was sent after it.
+type Confirm struct{}
+
 func (Campaign) event() {}
 func (Propose) event()  {}
 func (Admit) event()    {}
@@ -47,9 +51,10 @@
 func (Replied) event()  {}
 func (Lost) event()     {}
 func (Resend) event()   {}
+func (Confirm) event()  {}
 
-// Action is what a writer wants done: [Send], [Serving], [Committed] or
-// [Deposed].
+// Action is what a writer wants done: [Send], [Serving], [Committed],
+// [Confirmed] or [Deposed].
 type Action interface{ action() }
 
 // Send carries a message to a member, the writer's own replica included.
@@ -65,12 +70,17 @@
 // with all entries above the base.
 type Committed struct{ Entries []Entry }
 
+// Confirmed says that no newer writer had a majority when the Confirm was
+// handled whose number this is; the first has number 1.
+type Confirmed struct{ Number uint64 }
+
 // Deposed says that a newer ballot is promised and the writer has stopped.
 type Deposed struct{ By Ballot }
 
 func (Send) action()      {}
 func (Serving) action()   {}
 func (Committed) action() {}
+func (Confirmed) action() {}
 func (Deposed) action()   {}
 
 type phase int
@@ -96,6 +106,8 @@
 	busy bool
 	// told is the commit index in the last message.
 	told uint64
+	// confirmed is the highest number that the member's replies prove.
+	confirmed uint64
 	// silent is true when the member never answers again in this life.
 	silent bool
 }
@@ -130,6 +142,8 @@
 	// learner gets the log before it is proposed as a member.
 	learner *progress
 	opened  uint64
+	// asked counts Confirm events; proven is the highest number confirmed.
+	asked, proven uint64
 }
 
 // Adopt gives the writer the log of its own replica, before a Campaign.
@@ -165,6 +179,12 @@
 	return w.Initial
 }
 
+// Silent reports whether a member has said that it never votes again.
+func (w *Writer) Silent(m Member) bool {
+	p := w.peer(m)
+	return p != nil && p.silent
+}
+
 // Changing reports whether a change of the set is under way.
 func (w *Writer) Changing() bool {
 	_, at := w.log.membersAt()
@@ -196,10 +216,16 @@
 		return nil
 	case Resend:
 		return w.resend()
+	case Confirm:
+		w.asked++
+		return w.replicateAll()
 	}
 	return nil
 }
 
+// Asked returns the number of the newest Confirm.
+func (w *Writer) Asked() uint64 { return w.asked }
+
 func (w *Writer) campaign(round uint64) []Action {
 	w.ballot = Ballot{
 		round:       max(w.seen.round+1, round),
@@ -211,6 +237,7 @@
 	w.handed = w.log.base.index
 	w.peers = nil
 	w.learner = nil
+	w.proven = w.asked
 	return w.prepareAll()
 }
 
@@ -263,7 +290,9 @@
 		p.busy = false
 		p.match = max(p.match, r.Index)
 		p.next = p.match + 1
-		return append(w.advance(), w.replicate(p)...)
+		p.confirmed = max(p.confirmed, r.Nonce)
+		out := append(w.advance(), w.prove()...)
+		return append(out, w.replicate(p)...)
 	case Gap:
 		if r.Ballot != w.ballot {
 			return nil
@@ -497,7 +526,7 @@
 
 func (w *Writer) replicateAll() []Action {
 	var out []Action
-	for _, m := range w.Members() {
+	for _, m := range append(w.leaving(), w.Members()...) {
 		p := w.peer(m)
 		if p == nil {
 			p = &progress{member: m, next: w.log.LastIndex()}
@@ -519,7 +548,7 @@
 	if p.busy || p.silent || p.member.incarnation == 0 {
 		return nil
 	}
-	if p.match >= w.log.LastIndex() && (p.told >= w.commit || !w.Eager) {
+	if p.match >= w.log.LastIndex() && p.confirmed >= w.asked && (p.told >= w.commit || !w.Eager) {
 		return nil
 	}
 	p.busy = true
@@ -537,7 +566,7 @@
 	if p.member.witness {
 		entries = withoutPayloads(entries)
 	}
-	msg := Append{Ballot: w.ballot, PrevIndex: next - 1, PrevDigest: digest, Entries: entries, Commit: w.commit}
+	msg := Append{Ballot: w.ballot, PrevIndex: next - 1, PrevDigest: digest, Entries: entries, Commit: w.commit, Nonce: w.asked}
 	return []Action{Send{To: p.member, Message: msg}}
 }
 
@@ -561,7 +590,8 @@
 		if e.ballot != w.ballot {
 			break
 		}
-		if w.Members().durable(func(m Member) bool { return w.holds(m, index) }) {
+		held := func(m Member) bool { return w.holds(m, index) }
+		if w.Members().durable(held, index == w.opened, w.leavingCopies(index)) {
 			w.commit = index
 			break
 		}
@@ -580,16 +610,72 @@
 	return append(out, w.seatLearner()...)
 }
 
+// leaving returns the members that an uncommitted change dismisses; they get
+// entries until it commits.
+func (w *Writer) leaving() Members {
+	now, at := w.log.membersAt()
+	if at <= w.commit || at <= w.log.base.index {
+		return nil
+	}
+	var out Members
+	for _, m := range w.log.membersBefore(at) {
+		if !now.Has(m) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// leavingCopies counts the copies that members about to be dismissed hold of an
+// entry up to the change.
+func (w *Writer) leavingCopies(index uint64) int {
+	if _, at := w.log.membersAt(); index > at {
+		return 0
+	}
+	n := 0
+	for _, m := range w.leaving() {
+		if !m.witness && w.holds(m, index) {
+			n++
+		}
+	}
+	return n
+}
+
 func (w *Writer) holds(m Member, index uint64) bool {
 	p := w.peer(m)
 	return p != nil && p.match >= index
 }
 
+// prove tells of the highest number that a majority has confirmed.
+func (w *Writer) prove() []Action {
+	if w.phase != serving {
+		return nil
+	}
+	members := w.Members()
+	for number := w.asked; number > w.proven; number-- {
+		votes := 0
+		for _, m := range members {
+			if p := w.peer(m); p != nil && p.confirmed >= number {
+				votes++
+			}
+		}
+		if votes >= members.Majority() {
+			w.proven = number
+			return []Action{Confirmed{Number: number}}
+		}
+	}
+	return nil
+}
+
 func (w *Writer) admit(m Member) []Action {
 	if w.phase != serving || w.Changing() || w.Members().Has(m) {
 		return nil
 	}
-	w.learner = &progress{member: m, next: w.log.LastIndex() + 1}
+	// A member that was dismissed and comes back keeps its progress.
+	if w.learner = w.peer(m); w.learner == nil {
+		w.learner = &progress{member: m, next: w.log.LastIndex() + 1}
+		w.peers = append(w.peers, w.learner)
+	}
 	return w.replicate(w.learner)
 }
 
@@ -603,7 +689,6 @@
 		return nil
 	}
 	w.learner = nil
-	w.peers = append(w.peers, l)
 	return w.write(Entry{members: w.Members().With(l.member)})
 }
 
@@ -640,8 +725,5 @@
 			return p
 		}
 	}
-	if w.learner != nil && w.learner.member.Is(m) {
-		return w.learner
-	}
 	return nil
 }
--- a/rockbarrow/owner/owner.go
+++ b/rockbarrow/owner/owner.go
@@ -11,6 +11,7 @@
 	"rockbarrow.dev/rockbarrow/problem"
 	"rockbarrow.dev/rockbarrow/program"
 	"rockbarrow.dev/rockbarrow/roster"
+	"rockbarrow.dev/schema/peerpb"
 	"rockbarrow.dev/schema/recordpb"
 )
 
@@ -91,10 +92,18 @@
 	started time.Time
 	// early are program events that wait for the journal to serve.
 	early []program.Event
+	// unproven are answers that are true only if this is still the owner.
+	unproven []unproven
 	// whole is false while the set of members should change.
 	whole bool
 }
 
+// unproven is an answer that waits for a confirmation of the ownership.
+type unproven struct {
+	number uint64
+	tell   program.Tell
+}
+
 // Serves reports whether the owner's journal serves.
 func (o *Owner) Serves() bool { return o.writer.Serves() }
 
@@ -151,7 +160,12 @@
 	if v == nil {
 		return out
 	}
-	step := plan(o.writer.Members(), v, o.Run, o.Domain, o.Self)
+	if blocked(o.writer.Members(), v, o.writer.Silent) && o.writer.Changing() {
+		out = append(out, o.do(now, o.Machine.Handle(now, program.Deposed{By: o.Self.Instance()}))...)
+		out = append(out, o.sendOn(o.Self.Instance())...)
+		return append(out, Abandoned{})
+	}
+	step := plan(o.writer.Members(), v, o.Run, o.Domain, o.Self, o.writer.Silent)
 	o.whole = step == nil && !o.writer.Changing()
 	if step != nil {
 		out = append(out, o.journal(now, step)...)
@@ -183,7 +197,10 @@
 			out = append(out, Send{To: a.To, Message: a.Message})
 		case journal.Committed:
 			out = append(out, o.committed(now, a.Entries)...)
+		case journal.Confirmed:
+			out = append(out, o.prove(a.Number)...)
 		case journal.Deposed:
+			out = append(out, o.sendOn(a.By.Instance())...)
 			out = append(out, o.do(now, o.Machine.Handle(now, program.Deposed{By: a.By.Instance()}))...)
 			out = append(out, o.release(now)...)
 			out = append(out, Deposed{By: a.By})
@@ -224,6 +241,10 @@
 func (o *Owner) do(now time.Time, actions []program.Action) []Action {
 	var out []Action
 	for _, a := range actions {
+		if t, ok := a.(program.Tell); ok && !o.writer.Deposed() && needsProof(t) {
+			out = append(out, o.confirm(now, t)...)
+			continue
+		}
 		c, ok := a.(program.Commit)
 		if !ok {
 			out = append(out, Do{Action: a})
@@ -239,6 +260,44 @@
 	return out
 }
 
+// needsProof reports whether an answer would be false if another instance had
+// become the owner: that a request did not run, or what the run looks like.
+func needsProof(t program.Tell) bool {
+	return t.Event.GetProblem().GetNotRun() || t.Event.GetView() != nil
+}
+
+// confirm keeps an answer back until a majority has confirmed the ownership.
+func (o *Owner) confirm(now time.Time, t program.Tell) []Action {
+	out := o.journal(now, journal.Confirm{})
+	o.unproven = append(o.unproven, unproven{number: o.writer.Asked(), tell: t})
+	return out
+}
+
+func (o *Owner) prove(number uint64) []Action {
+	var out []Action
+	kept := o.unproven[:0:0]
+	for _, u := range o.unproven {
+		if u.number > number {
+			kept = append(kept, u)
+			continue
+		}
+		out = append(out, Do{Action: u.tell})
+	}
+	o.unproven = kept
+	return out
+}
+
+// sendOn redirects those whose answer can no longer be proven.
+func (o *Owner) sendOn(instance string) []Action {
+	var out []Action
+	for _, u := range o.unproven {
+		e := &peerpb.DoEvent{Body: &peerpb.DoEvent_Redirect{Redirect: &peerpb.Redirect{Instance: instance}}}
+		out = append(out, Do{Action: program.Tell{ID: u.tell.ID, Event: e, Done: true}})
+	}
+	o.unproven = nil
+	return out
+}
+
 // Records decodes the payload of an entry; a payload that does not decode
 // holds no records.
 func Records(payload []byte) []*recordpb.Record {
--- a/rockbarrow/owner/plan.go
+++ b/rockbarrow/owner/plan.go
@@ -59,18 +59,23 @@
 
 // census sorts the members of a journal by what the view says of them.
 type census struct {
-	live, dead   journal.Members
-	copies       int
-	disk         bool
-	witnesses    journal.Members
-	spareCopies  []roster.Instance
-	spareWitness []roster.Instance
+	live, dead journal.Members
+	// copies counts live members that hold history, and present also those that
+	// are about to leave.
+	copies, present int
+	disk            bool
+	witnesses       journal.Members
+	spareCopies     []roster.Instance
+	spareWitness    []roster.Instance
 }
 
-func count(members journal.Members, v *roster.View, run, domain string) census {
+func count(members journal.Members, v *roster.View, run, domain string, silent func(journal.Member) bool) census {
 	var c census
 	for _, m := range members {
-		if !holds(v, m) {
+		if !m.Witness() && v.Holds(m) && !silent(m) {
+			c.present++
+		}
+		if !holds(v, m) || silent(m) {
 			c.dead = append(c.dead, m)
 			continue
 		}
@@ -119,12 +124,17 @@
 }
 
 // plan returns the next change of the members, or nil when they are as they
-// should be. A lost member is replaced before it is dismissed.
-func plan(members journal.Members, v *roster.View, run, domain string, self journal.Member) journal.Event {
+// should be. A lost member is replaced before it is dismissed. A member that
+// lives but never votes again, as its disk failed, is silent and counts as lost.
+func plan(members journal.Members, v *roster.View, run, domain string, self journal.Member, silent func(journal.Member) bool) journal.Event {
 	if i, ok := v.Find(self.Instance()); !ok || !i.Usable() {
 		return nil
 	}
-	c := count(members, v, run, domain)
+	c := count(members, v, run, domain, silent)
+	// Nothing else commits while the only disk of the set is lost.
+	if m, ok := c.lostDisk(v, silent); ok && !c.disk && c.present >= 2 {
+		return journal.Dismiss{Member: m}
+	}
 	if len(members) < maxMembers {
 		if e := admit(c); e != nil {
 			return e
@@ -142,6 +152,25 @@
 	return nil
 }
 
+// blocked reports whether the only disk of a set is lost, so that no entry but a
+// new writer's first commits: a change of the set under way cannot end then.
+func blocked(members journal.Members, v *roster.View, silent func(journal.Member) bool) bool {
+	disks, lost, present := 0, 0, 0
+	for _, m := range members {
+		gone := !v.Holds(m) || silent(m)
+		if m.Disk() {
+			disks++
+			if gone {
+				lost++
+			}
+		}
+		if !m.Witness() && !gone {
+			present++
+		}
+	}
+	return disks > 0 && lost == disks && present >= 2
+}
+
 func admit(c census) journal.Event {
 	if !c.disk {
 		for _, i := range c.spareCopies {
@@ -164,6 +193,15 @@
 	return len(c.live) >= 2 && (c.copies >= 2 || c.disk)
 }
 
+func (c census) lostDisk(v *roster.View, silent func(journal.Member) bool) (journal.Member, bool) {
+	for _, m := range c.dead {
+		if m.Disk() && (!v.Holds(m) || silent(m)) {
+			return m, true
+		}
+	}
+	return journal.Member{}, false
+}
+
 // surplus dismisses the last copy that is neither the owner nor the only disk.
 func surplus(c census, self journal.Member) journal.Event {
 	disks := 0
--- a/rockbarrow/peer/wire/wire.go
+++ b/rockbarrow/peer/wire/wire.go
@@ -138,7 +138,7 @@
 	case journal.Append:
 		out.Kind, out.Ballot = kindAppend, Ballot(m.Ballot)
 		out.Index, out.Digest = m.PrevIndex, m.PrevDigest[:]
-		out.Entries, out.Commit = entries(m.Entries), m.Commit
+		out.Entries, out.Commit, out.Nonce = entries(m.Entries), m.Commit, m.Nonce
 	case journal.Install:
 		out.Kind, out.Ballot = kindInstall, Ballot(m.Ballot)
 		out.Base = Base(m.Base)
@@ -156,7 +156,7 @@
 		const most = 1024
 		return journal.Fetch{Ballot: b, After: p.GetIndex(), Limit: int(min(p.GetLimit(), most))}
 	case kindAppend:
-		return journal.Append{Ballot: b, PrevIndex: p.GetIndex(), PrevDigest: toDigest(p.GetDigest()), Entries: toEntries(p.GetEntries()), Commit: p.GetCommit()}
+		return journal.Append{Ballot: b, PrevIndex: p.GetIndex(), PrevDigest: toDigest(p.GetDigest()), Entries: toEntries(p.GetEntries()), Commit: p.GetCommit(), Nonce: p.GetNonce()}
 	case kindInstall:
 		return journal.Install{Ballot: b, Base: ToBase(p.GetBase())}
 	}
@@ -178,7 +178,7 @@
 			out.Base = Base(*r.Base)
 		}
 	case journal.Accepted:
-		out.Kind, out.Ballot, out.Index = kindAccepted, Ballot(r.Ballot), r.Index
+		out.Kind, out.Ballot, out.Index, out.Nonce = kindAccepted, Ballot(r.Ballot), r.Index, r.Nonce
 	case journal.Gap:
 		out.Kind, out.Ballot, out.Index = kindGap, Ballot(r.Ballot), r.Index
 	case journal.Refused:
@@ -203,7 +203,7 @@
 		}
 		return out
 	case kindAccepted:
-		return journal.Accepted{Ballot: b, Index: p.GetIndex()}
+		return journal.Accepted{Ballot: b, Index: p.GetIndex(), Nonce: p.GetNonce()}
 	case kindGap:
 		return journal.Gap{Ballot: b, Index: p.GetIndex()}
 	case kindRefused:
--- a/rockbarrow/problem/problem.go
+++ b/rockbarrow/problem/problem.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockbarrow.dev/schema/peerpb"
 )
 
@@ -68,7 +70,9 @@
 	kind   Type
 	status int
 	title  string
-	// notRun is true where the type by itself proves that nothing ran.
+	// notRun is true where the type by itself proves that nothing ran. Types that
+	// an instance may give without the run's journal prove nothing: an earlier
+	// sending under the same request id may have run.
 	notRun bool
 }
 
@@ -85,14 +89,14 @@
 	{RequestReused, http.StatusUnprocessableEntity, "the request id was used with another body", true},
 	{BudgetExhausted, http.StatusPaymentRequired, "the budget does not cover the call", true},
 	{CallsExhausted, http.StatusPaymentRequired, "the run has made all its calls", true},
-	{Overloaded, http.StatusTooManyRequests, "too many calls", true},
+	{Overloaded, http.StatusTooManyRequests, "too many calls", false},
 	{PredecessorMissing, http.StatusConflict, "the call before it did not come", true},
 	{EndpointFailed, http.StatusBadGateway, "the endpoint failed", false},
-	{NoEndpoint, http.StatusServiceUnavailable, "no allowed endpoint can take the call", true},
-	{NotServing, http.StatusServiceUnavailable, "the run cannot be served now", true},
+	{NoEndpoint, http.StatusServiceUnavailable, "no allowed endpoint can take the call", false},
+	{NotServing, http.StatusServiceUnavailable, "the run cannot be served now", false},
 	{Undetermined, http.StatusServiceUnavailable, "the outcome is undetermined", false},
 	{OutcomeUnknown, http.StatusGatewayTimeout, "the call may have run", false},
-	{Stale, http.StatusServiceUnavailable, "the configuration may be too old", true},
+	{Stale, http.StatusServiceUnavailable, "the configuration may be too old", false},
 }
 
 // Types returns all types in the order of the table.
@@ -120,6 +124,14 @@
 	return &peerpb.Problem{Type: string(t), Title: "internal error", Detail: detail, Status: http.StatusInternalServerError}
 }
 
+// Certain returns the problem as one whose request certainly did not run. Only
+// the run's owner, which has its whole journal, may say so.
+func Certain(p *peerpb.Problem) *peerpb.Problem {
+	out := proto.CloneOf(p)
+	out.NotRun = true
+	return out
+}
+
 // Retry returns a problem that tells when to come back.
 func Retry(t Type, detail string, after time.Duration) *peerpb.Problem {
 	p := New(t, detail)
--- a/rockbarrow/program/attempt.go
+++ b/rockbarrow/program/attempt.go
@@ -71,6 +71,7 @@
 }
 
 func (m *Machine) withdraw(now time.Time, c *call, p *peerpb.Problem) []Action {
+	p = problem.Certain(p)
 	if c.attempt == 0 {
 		m.open = nil
 		out := m.tellAll(c, problem.Event(p), true)
@@ -194,5 +195,5 @@
 	if m.open != nil && m.open.refusal != nil {
 		return problem.Event(m.open.refusal)
 	}
-	return problem.Event(problem.Retry(problem.NoEndpoint, c.GetReason(), time.Second))
+	return problem.Event(problem.Certain(problem.Retry(problem.NoEndpoint, c.GetReason(), time.Second)))
 }
--- a/rockbarrow/program/call.go
+++ b/rockbarrow/program/call.go
@@ -94,7 +94,7 @@
 		return refuse(e.ID, problem.New(problem.RunEnded, "the run ended: "+or(m.state.ended, m.ending)))
 	}
 	if p := m.position(c); p != nil {
-		return refuse(e.ID, p)
+		return refuse(e.ID, problem.Certain(p))
 	}
 	return m.enqueue(now, c)
 }
--- a/rockbarrow/roster/view.go
+++ b/rockbarrow/roster/view.go
@@ -123,6 +123,16 @@
 	return i.state == Unheard || i.Member().Is(m)
 }
 
+// Writes reports whether the writer of a ballot is believed to live on in the
+// process that took it.
+func (v *View) Writes(b journal.Ballot) bool {
+	i, ok := v.Find(b.Instance())
+	if !ok || i.state == Dead {
+		return false
+	}
+	return i.state == Unheard || i.beat.incarnation == b.Incarnation()
+}
+
 // Ranked returns the instances of a failure domain, or of all others when
 // inside is false, in the rendezvous order of a key.
 func (v *View) Ranked(key, domain string, inside bool) []Instance {
