--- a/rockbarrow/journal/log.go
+++ b/rockbarrow/journal/log.go
@@ -207,7 +207,12 @@
 		return true, false
 	}
 	at := e.index - l.base.index - 1
-	l.entries = append(l.entries[:at:at], e)
+	if at < uint64(len(l.entries)) {
+		// Slices that were handed out keep what they show.
+		l.entries = append(l.entries[:at:at], e)
+		return true, true
+	}
+	l.entries = append(l.entries, e)
 	return true, true
 }
 
--- /dev/null
+++ b/rockbarrow/owner/bench_test.go
@@ -0,0 +1,197 @@
+// SPDX-License-Identifier: MIT
+
+package owner
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/peer/wire"
+	"rockbarrow.dev/rockbarrow/program"
+	"rockbarrow.dev/schema/peerpb"
+	"rockbarrow.dev/schema/recordpb"
+)
+
+// trio is an owner and three replicas in memory that answer at once.
+type trio struct {
+	o        Owner
+	replicas map[journal.Member]*journal.Replica
+	messages int
+	bytes    int
+	count    bool
+	answered int
+}
+
+func newTrio(count bool) *trio {
+	m := journal.Members{journal.NewMember("a", 1), journal.NewMember("b", 1), journal.NewMember("c", 1)}
+	t := &trio{replicas: map[journal.Member]*journal.Replica{}, count: count}
+	for _, one := range m {
+		t.replicas[one] = &journal.Replica{}
+	}
+	t.o = Owner{Run: "d.r", Domain: "d", Self: m[0], Incarnation: 1, Initial: m}
+	t.do(Start{Round: 1})
+	t.do(Asked{Event: program.Creating{ID: 1, Created: &recordpb.Created{Run: "d.r", Customer: "c", BudgetTokens: 1 << 40, MaxCalls: 1 << 30, MaxAnswerTokens: 1000}}})
+	return t
+}
+
+func (t *trio) do(e Event) {
+	queue := []Event{e}
+	now := time.Unix(1000, 0)
+	for len(queue) > 0 {
+		e := queue[0]
+		queue = queue[1:]
+		for _, a := range t.o.Handle(now, e) {
+			switch a := a.(type) {
+			case Send:
+				reply, _ := t.replicas[a.To].Handle(a.Message)
+				t.tally(a, reply)
+				queue = append(queue, Replied{From: a.To, Reply: reply})
+			case Do:
+				queue = append(queue, t.act(a.Action)...)
+			}
+		}
+	}
+}
+
+// tally counts what would cross the network.
+func (t *trio) tally(a Send, reply journal.Reply) {
+	if !t.count || a.To.Is(t.o.Self) {
+		return
+	}
+	t.messages += 2
+	t.bytes += proto.Size(wire.Request("d.0123456789abcdef01234567", a.To, a.Message)) + proto.Size(wire.Reply(a.To, reply))
+}
+
+func (t *trio) act(a program.Action) []Event {
+	switch a := a.(type) {
+	case program.Place:
+		return []Event{Asked{Event: program.Placed{Sequence: a.Sequence, Attempt: a.Attempt, Endpoint: "engine-1", Domain: "d", ConfigVersion: 7, Reason: "expected 12.0 ms, 900 prompt tokens held there, 40 to compute"}}}
+	case program.Dispatch:
+		in := a.Intent
+		return []Event{Asked{Event: program.Finished{Sequence: in.GetSequence(), Attempt: in.GetAttempt(), Answered: &recordpb.Answered{
+			Sequence: in.GetSequence(), Attempt: in.GetAttempt(), Content: words(300), PromptTokens: 100, AnswerTokens: 300, Endpoint: "engine-1",
+		}}}}
+	case program.Tell:
+		if a.Event.GetFinal() != nil {
+			t.answered++
+		}
+	}
+	return nil
+}
+
+// turn makes one call of about 100 new prompt tokens and 300 answer tokens.
+func (t *trio) turn(n int) {
+	t.do(Asked{Event: program.Called{ID: program.CallID(n + 10), Customer: "c", Turn: &peerpb.Turn{
+		Sequence: uint64(n), RequestId: fmt.Sprintf("d.0123456789abcdef01234567/%d", n), Repeatable: true,
+		Messages: []*recordpb.Message{{Role: "user", Content: words(100)}}, MaxAnswerTokens: 400,
+	}}})
+}
+
+// words returns text of about n tokens of four bytes.
+func words(n int) string { return strings.Repeat("abc ", n) }
+
+// BenchmarkTurn measures the stepped cost of one call with three copies, for
+// runs that already hold some calls: it must not grow with them. It reports the
+// messages and bytes that cross the network for one call.
+func BenchmarkTurn(b *testing.B) {
+	for _, before := range []int{0, 10, 57} {
+		b.Run(fmt.Sprintf("after=%d", before), func(b *testing.B) {
+			b.ReportAllocs()
+			var messages, bytes int
+			for b.Loop() {
+				b.StopTimer()
+				t := newTrio(true)
+				for n := 1; n <= before; n++ {
+					t.turn(n)
+				}
+				t.messages, t.bytes = 0, 0
+				b.StartTimer()
+				t.turn(before + 1)
+				messages, bytes = t.messages, t.bytes
+			}
+			b.ReportMetric(float64(messages), "messages/op")
+			b.ReportMetric(float64(bytes), "netbytes/op")
+		})
+	}
+}
+
+// BenchmarkRunMemory measures the memory of one run's copy, and of the owner
+// beside it, by the tokens of its history.
+func BenchmarkRunMemory(b *testing.B) {
+	for _, turns := range []int{3, 25, 250} {
+		b.Run(fmt.Sprintf("tokens=%d", turns*400), func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				const runs = 8
+				var kept []*trio
+				for range runs {
+					t := newTrio(false)
+					for n := 1; n <= turns; n++ {
+						t.turn(n)
+					}
+					if t.answered != turns {
+						b.Fatalf("%d of %d calls answered", t.answered, turns)
+					}
+					kept = append(kept, t)
+				}
+				b.ReportMetric(float64(heap()-before)/runs, "bytes/run")
+				runtime.KeepAlive(kept)
+			}
+		})
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+// BenchmarkReplicaMemory measures the memory of a copy at an instance that does
+// not own the run.
+func BenchmarkReplicaMemory(b *testing.B) {
+	for _, turns := range []int{3, 25, 250} {
+		b.Run(fmt.Sprintf("tokens=%d", turns*400), func(b *testing.B) {
+			t := newTrio(false)
+			for n := 1; n <= turns; n++ {
+				t.turn(n)
+			}
+			to := journal.NewMember("b", 1)
+			log := t.replicas[to].Log()
+			for b.Loop() {
+				before := heap()
+				const runs = 8
+				var kept []*journal.Replica
+				for range runs {
+					r := &journal.Replica{}
+					for _, e := range log.After(0, 1<<20) {
+						prev, _, digest := r.Log().Last()
+						raw, err := proto.Marshal(wire.Request("d.r", to, journal.Append{Ballot: e.Ballot(), PrevIndex: prev, PrevDigest: digest, Entries: []journal.Entry{e}}))
+						if err != nil {
+							b.Fatal(err)
+						}
+						var req peerpb.JournalRequest
+						if err := proto.Unmarshal(raw, &req); err != nil {
+							b.Fatal(err)
+						}
+						r.Handle(wire.ToMessage(&req))
+					}
+					if r.Log().LastIndex() != log.LastIndex() {
+						b.Fatal("the copy is not whole")
+					}
+					kept = append(kept, r)
+				}
+				b.ReportMetric(float64(heap()-before)/runs, "bytes/run")
+				runtime.KeepAlive(kept)
+			}
+		})
+	}
+}
--- a/rockbench/fleet/balancer.go
+++ b/rockbench/fleet/balancer.go
@@ -10,6 +10,9 @@
 	"time"
 )
 
+// lookEvery is how often the balancer looks for ready instances.
+const lookEvery = 200 * time.Millisecond
+
 // Balancer spreads connections over the instances that are ready, like the
 // platform's. Set the exported fields before Start.
 type Balancer struct {
@@ -47,7 +50,7 @@
 
 // loop looks for ready instances.
 func (b *Balancer) loop() {
-	t := time.NewTicker(pollEvery)
+	t := time.NewTicker(lookEvery)
 	defer t.Stop()
 	for {
 		select {
--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -23,7 +23,10 @@
 	flaggy.SetVersion(version)
 	demoCmd := flaggy.NewSubcommand("demo")
 	demoCmd.Description = "run agent programs through 8 daemons, kill an owner, check the promises"
+	slopesCmd := flaggy.NewSubcommand("slopes")
+	slopesCmd.Description = "measure the slopes behind docs/CAPACITY.md"
 	flaggy.AttachSubcommand(demoCmd, 1)
+	flaggy.AttachSubcommand(slopesCmd, 1)
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -31,6 +34,8 @@
 	switch {
 	case demoCmd.Used:
 		err = demo(ctx, os.Stdout)
+	case slopesCmd.Used:
+		err = slopes(ctx, os.Stdout)
 	default:
 		flaggy.ShowHelpAndExit("")
 	}
