host, owner, rockbench: planned stops under load, and what real processes showed

Cause: rockbench faults kills, freezes, cuts off and restarts real daemons; a rolling restart did not come to its end.

Found and mended: (1) a leaving instance waited for repairs that new runs always need; it waits now only while a loss would leave a run with fewer than two copies and another instance could hold one. (2) An instance is not ready before its neighbours have copied what needs it, so that a rolling restart never outruns the repair. (3) A store that closes answered as one that failed for good, and its owner never admitted it again. (4) Runs at rest are repaired too.

--- a/rockbarrow/config/lead.go
+++ b/rockbarrow/config/lead.go
@@ -92,7 +92,7 @@
 		v.replica.Fail()
 		v.mu.Unlock()
 		v.source.DiskFailed(err)
-		return journal.Silent{}
+		return nil
 	}
 	return reply
 }
@@ -314,7 +314,12 @@
 func (d *delivery) run() {
 	s := d.source
 	if d.to.Is(s.self()) {
-		s.box.Post(control.Replied{From: d.to, Reply: s.voter.message(d.message)})
+		reply := s.voter.message(d.message)
+		if reply == nil {
+			s.box.Post(control.Lost{To: d.to})
+			return
+		}
+		s.box.Post(control.Replied{From: d.to, Reply: reply})
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -51,6 +51,7 @@
 	Log      *logrus.Entry
 
 	incarnation uint64
+	started     time.Time
 	scope       tally.Scope
 	page        http.Handler
 	creds       credentials
@@ -71,6 +72,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	defer d.cleanUp()
 	d.incarnation = uint64(time.Now().UnixNano())
+	d.started = time.Now()
 	d.failed = make(chan error, 4)
 	if err := d.build(); err != nil {
 		return err
@@ -152,7 +154,8 @@
 	notBefore := time.Now().Add(noticePeriod)
 	for time.Now().Before(deadline) {
 		busy := d.host.Stop()
-		if busy == 0 && time.Now().After(notBefore) && !d.neighboursRepair() {
+		_, _, exposed := d.host.Counts()
+		if busy == 0 && exposed == 0 && time.Now().After(notBefore) && !d.neighboursRepair() {
 			return
 		}
 		time.Sleep(lingerPeriod)
@@ -160,8 +163,8 @@
 	d.Log.WithField("busy", d.host.Stop()).Warn("the time to drain is over")
 }
 
-// neighboursRepair reports whether a live instance of the domain owns runs that
-// lack replicas, now that this one counts as leaving.
+// neighboursRepair reports whether a live instance of the domain owns runs that a
+// loss would leave with too few copies.
 func (d *Daemon) neighboursRepair() bool {
 	for _, i := range d.node.View().Instances() {
 		if i.Domain() == d.Settings.Domain && i.Instance() != d.Settings.Instance && i.State() == roster.Live && i.Beat().Repairing() > 0 {
@@ -256,6 +259,8 @@
 		return "the newest configuration is not known yet"
 	case d.withdrawn():
 		return "drained by an operator"
+	case time.Since(d.started) < noticePeriod || d.neighboursRepair():
+		return "runs of the failure domain are being copied"
 	}
 	return ""
 }
--- a/rockbarrow/host/host.go
+++ b/rockbarrow/host/host.go
@@ -71,8 +71,8 @@
 	stopping atomic.Bool
 	started  time.Time
 	begun    sync.Once
-	// repairing counts owned runs whose replicas are not whole, as of the last
-	// tick; owned and held count runs.
+	// repairing counts owned runs that a loss would leave with too few copies, as
+	// of the last tick; owned and held count runs.
 	repairing, owned, held atomic.Int64
 	// hints remembers owners of runs that were asked for here.
 	hints hints
@@ -133,7 +133,7 @@
 	for _, r := range h.all() {
 		if r.owned() {
 			owned++
-			if !r.whole() {
+			if r.exposed() {
 				repairing++
 			}
 			r.tick(view)
--- a/rockbarrow/host/replica.go
+++ b/rockbarrow/host/replica.go
@@ -11,7 +11,8 @@
 )
 
 // Journal hands a peer's message to the own copy of a journal. The reply comes
-// once what it promises is as durable as this instance can make it.
+// once what it promises is as durable as this instance can make it; it is nil
+// when the disk failed or is being closed, which says nothing of a later life.
 func (h *Host) Journal(name string, to journal.Member, m journal.Message) journal.Reply {
 	h.begin()
 	if !h.addressed(to) {
@@ -57,7 +58,7 @@
 		r.replica.Fail()
 		r.replicaMu.Unlock()
 		r.host.DiskFailed(err)
-		return journal.Silent{}
+		return nil
 	}
 	return reply
 }
@@ -81,7 +82,12 @@
 
 // toOwn delivers to the own copy in memory, without another goroutine.
 func (d *delivery) toOwn() {
-	d.run.post(owner.Replied{From: d.to, Reply: d.run.message(d.to, d.message)})
+	reply := d.run.message(d.to, d.message)
+	if reply == nil {
+		d.run.post(owner.Lost{To: d.to})
+		return
+	}
+	d.run.post(owner.Replied{From: d.to, Reply: reply})
 }
 
 func (d *delivery) loop() {
--- a/rockbarrow/host/run.go
+++ b/rockbarrow/host/run.go
@@ -58,10 +58,10 @@
 	return r.owner != nil
 }
 
-func (r *run) whole() bool {
+func (r *run) exposed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.owner != nil && r.owner.Whole()
+	return r.owner != nil && r.owner.Exposed()
 }
 
 func (r *run) busy() bool {
@@ -100,7 +100,7 @@
 		return false
 	}
 	if r.host.wrote(ballot) {
-		return r.unrested()
+		return r.unrested() || owner.Damaged(members, v, r.name, HomeOf(r.name), r.host.self())
 	}
 	if v.Writes(ballot) {
 		return false
--- a/rockbarrow/owner/owner.go
+++ b/rockbarrow/owner/owner.go
@@ -94,8 +94,9 @@
 	early []program.Event
 	// unproven are answers that are true only if this is still the owner.
 	unproven []unproven
-	// whole is false while the set of members should change.
-	whole bool
+	// whole is false while the set of members should change; exposed is true
+	// while a loss could leave too few copies.
+	whole, exposed bool
 }
 
 // unproven is an answer that waits for a confirmation of the ownership.
@@ -110,6 +111,9 @@
 // Whole reports whether the journal's replicas are as they should be.
 func (o *Owner) Whole() bool { return o.whole }
 
+// Exposed reports whether a loss could leave too few copies, as of the last tick.
+func (o *Owner) Exposed() bool { return o.exposed }
+
 // Members returns the journal's members.
 func (o *Owner) Members() journal.Members { return o.writer.Members() }
 
@@ -149,6 +153,7 @@
 
 func (o *Owner) tick(now time.Time, v *roster.View) []Action {
 	out := o.journal(now, journal.Resend{})
+	o.exposed = !o.writer.Serves() || v != nil && Exposed(o.writer.Members(), v, o.Run, o.Domain)
 	if !o.writer.Serves() {
 		if now.Sub(o.started) < serveWait {
 			return out
--- a/rockbarrow/owner/plan.go
+++ b/rockbarrow/owner/plan.go
@@ -127,10 +127,9 @@
 // should be. A lost member is replaced before it is dismissed. A member that
 // lives but never votes again, as its disk failed, is silent and counts as lost.
 func plan(members journal.Members, v *roster.View, run, domain string, self journal.Member, silent func(journal.Member) bool) journal.Event {
-	if i, ok := v.Find(self.Instance()); !ok || !i.Usable() {
-		return nil
-	}
 	c := count(members, v, run, domain, silent)
+	// An owner that leaves keeps its seat and hands its copies on.
+	c.dead = c.dead.Without(self)
 	// Nothing else commits while the only disk of the set is lost.
 	if m, ok := c.lostDisk(v, silent); ok && !c.disk && c.present >= 2 {
 		return journal.Dismiss{Member: m}
@@ -152,6 +151,20 @@
 	return nil
 }
 
+// Exposed reports whether a loss now could leave a run with fewer copies than
+// commits need, while an instance is there that could hold another one.
+func Exposed(members journal.Members, v *roster.View, run, domain string) bool {
+	c := count(members, v, run, domain, never)
+	return c.copies < 2 && (len(c.spareCopies) > 0 || c.present > c.copies)
+}
+
+// Damaged reports whether an owner would change the members.
+func Damaged(members journal.Members, v *roster.View, run, domain string, self journal.Member) bool {
+	return plan(members, v, run, domain, self, never) != nil
+}
+
+func never(journal.Member) bool { return false }
+
 // blocked reports whether the only disk of a set is lost, so that no entry but a
 // new writer's first commits: a change of the set under way cannot end then.
 func blocked(members journal.Members, v *roster.View, silent func(journal.Member) bool) bool {
--- a/rockbarrow/peer/server.go
+++ b/rockbarrow/peer/server.go
@@ -14,6 +14,7 @@
 
 	"rockbarrow.dev/rockbarrow/config"
 	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/journal"
 	"rockbarrow.dev/rockbarrow/keys"
 	"rockbarrow.dev/rockbarrow/operator"
 	"rockbarrow.dev/rockbarrow/peer/wire"
@@ -110,13 +111,19 @@
 		return nil, status.Errorf(codes.InvalidArgument, "unknown kind %d", req.GetKind())
 	}
 	to := wire.ToMember(req.GetTo())
-	if req.GetJournal() == config.JournalName {
-		return wire.Reply(to, s.Config.Journal(to, m)), nil
-	}
-	if req.GetJournal() == "" {
+	var reply journal.Reply
+	switch req.GetJournal() {
+	case "":
 		return nil, status.Error(codes.InvalidArgument, "journal: must be named")
+	case config.JournalName:
+		reply = s.Config.Journal(to, m)
+	default:
+		reply = s.Host.Journal(req.GetJournal(), to, m)
+	}
+	if reply == nil {
+		return nil, status.Error(codes.Unavailable, "the disk is closed")
 	}
-	return wire.Reply(to, s.Host.Journal(req.GetJournal(), to, m)), nil
+	return wire.Reply(to, reply), nil
 }
 
 // Do implements the schema's call.
--- a/rockbench/fleet/fleet.go
+++ b/rockbench/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -183,7 +184,7 @@
 		for !in.Down() && !in.Ready() {
 			select {
 			case <-ctx.Done():
-				return errors.Wrap(ctx.Err(), "fleet: "+in.Instance+" is not ready")
+				return &NotReadyError{Instance: in.Instance, Exited: in.Exited(), LastLog: in.lastLog()}
 			case <-time.After(pollEvery):
 			}
 		}
@@ -191,6 +192,30 @@
 	return nil
 }
 
+// NotReadyError says that an instance did not get ready in time.
+type NotReadyError struct {
+	// Instance is its name.
+	Instance string
+	// Exited is true when its process has ended.
+	Exited bool
+	// LastLog is the end of its log.
+	LastLog string
+}
+
+// Error shows the end of the log.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("fleet: %s is not ready, exited %v, its log ends with:\n%s", e.Instance, e.Exited, e.LastLog)
+}
+
+func (in *Instance) lastLog() string {
+	b, err := os.ReadFile(in.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	const end = 1500
+	return string(b[max(0, len(b)-end):])
+}
+
 // Dial connects as an operator to an instance.
 func (f *Fleet) Dial(in *Instance) (*grpc.ClientConn, error) {
 	creds := insecure.NewCredentials()
--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -26,7 +26,12 @@
 	slopesCmd := flaggy.NewSubcommand("slopes")
 	slopesCmd.Description = "measure the slopes behind docs/CAPACITY.md"
 	flaggy.AttachSubcommand(demoCmd, 1)
+	faultsCmd := flaggy.NewSubcommand("faults")
+	faultsCmd.Description = "kill, freeze, cut off and restart daemons under load, check the promises"
+	var only string
+	faultsCmd.String(&only, "", "only", "run only trials whose name holds this")
 	flaggy.AttachSubcommand(slopesCmd, 1)
+	flaggy.AttachSubcommand(faultsCmd, 1)
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -34,6 +39,8 @@
 	switch {
 	case demoCmd.Used:
 		err = demo(ctx, os.Stdout)
+	case faultsCmd.Used:
+		err = faults(ctx, os.Stdout, only)
 	case slopesCmd.Used:
 		err = slopes(ctx, os.Stdout)
 	default:
