--- /dev/null
+++ b/rockbarrow/config/source_test.go
@@ -0,0 +1,118 @@
+// SPDX-License-Identifier: MIT
+
+package config
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/roster"
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/operatorpb"
+	"rockbarrow.dev/schema/peerpb"
+)
+
+// fakePeers answers pulls from a table; a missing instance cannot be reached.
+type fakePeers map[string]*peerpb.PullReply
+
+func (f fakePeers) Pull(_ context.Context, instance string, _ uint64) (*peerpb.PullReply, error) {
+	if r := f[instance]; r != nil {
+		return r, nil
+	}
+	return nil, errors.New("unreachable")
+}
+
+func (f fakePeers) Journal(context.Context, string, journal.Member, journal.Message) (journal.Reply, error) {
+	return nil, errors.New("unreachable")
+}
+
+func (f fakePeers) Push(context.Context, string, *peerpb.PullReply) error { return nil }
+
+func (f fakePeers) Command(context.Context, string, *peerpb.CommandRequest) (*operatorpb.ApplyReply, error) {
+	return nil, &UnavailableError{Reason: "test"}
+}
+
+// source is instance a2 of domain a; a1, b1 and c1 are the control instances.
+func source(t *testing.T, peers fakePeers) *Source {
+	t.Helper()
+	all := []roster.Peer{
+		roster.NewPeer("a1", "a", "", false, true), roster.NewPeer("a2", "a", "", false, false), roster.NewPeer("a3", "a", "", false, false),
+		roster.NewPeer("b1", "b", "", false, true), roster.NewPeer("c1", "c", "", false, true),
+	}
+	table := &roster.Table{Self: all[1], Peers: all, Rand: rand.New(rand.NewPCG(1, 1))}
+	table.Handle(time.Unix(1000, 0), roster.Heard{})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &Source{
+		Instance: "a2", Domain: "a", Peers: peers, View: table.View,
+		Changed: func(*control.Snapshot) {}, Log: logrus.NewEntry(log), Metrics: tally.NoopScope,
+	}
+	if err := s.Start(nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func reply(version, folded, index uint64, isControl, learned bool) *peerpb.PullReply {
+	return &peerpb.PullReply{
+		Version: version, FoldedIndex: folded, ControlIndex: index, Control: isControl, Learned: learned,
+		Document: &configpb.Document{Version: version},
+	}
+}
+
+func TestVersionsOnlyRise(t *testing.T) {
+	s := source(t, nil)
+	s.Advance(&configpb.Document{Version: 7}, 9)
+	if s.Advance(&configpb.Document{Version: 6}, 20) || s.Snapshot().Version() != 7 {
+		t.Fatalf("version %d after an older one came, want 7", s.Snapshot().Version())
+	}
+}
+
+func TestLearnsFromAControlMajority(t *testing.T) {
+	s := source(t, fakePeers{"a1": reply(3, 4, 4, true, true), "b1": reply(2, 3, 3, true, true)})
+	s.learn(context.Background())
+	if !s.Learned() || s.Snapshot().Version() != 3 || s.CutOff() {
+		t.Fatalf("learned %v version %d cut off %v, want true, 3, false", s.Learned(), s.Snapshot().Version(), s.CutOff())
+	}
+}
+
+func TestAnAcceptedEntryThatIsNotFoldedYetHoldsLearningBack(t *testing.T) {
+	s := source(t, fakePeers{"a1": reply(3, 4, 4, true, true), "b1": reply(3, 4, 5, true, true)})
+	s.learn(context.Background())
+	if s.Learned() {
+		t.Fatal("learned although a voter holds a newer entry")
+	}
+}
+
+func TestOneControlInstanceIsNotEnough(t *testing.T) {
+	s := source(t, fakePeers{"a1": reply(3, 4, 4, true, false)})
+	s.learn(context.Background())
+	if s.Learned() {
+		t.Fatal("learned from a minority")
+	}
+}
+
+func TestCutOffDomainServesOnItsNewest(t *testing.T) {
+	s := source(t, fakePeers{"a1": reply(3, 4, 4, true, true), "a3": reply(5, 6, 0, false, true)})
+	s.learn(context.Background())
+	if !s.Learned() || !s.CutOff() || s.Snapshot().Version() != 5 {
+		t.Fatalf("learned %v cut off %v version %d, want true, true, 5", s.Learned(), s.CutOff(), s.Snapshot().Version())
+	}
+}
+
+func TestUnlearnedNeighboursDoNotCount(t *testing.T) {
+	s := source(t, fakePeers{"a1": reply(3, 4, 4, true, false), "a3": reply(5, 6, 0, false, false)})
+	s.learn(context.Background())
+	if s.Learned() {
+		t.Fatal("learned from neighbours that know nothing for certain")
+	}
+}
--- a/rockbarrow/placement/fleet_test.go
+++ b/rockbarrow/placement/fleet_test.go
@@ -166,3 +166,17 @@
 		}
 	})
 }
+
+func TestLeavingEndpointGetsNothing(t *testing.T) {
+	for _, p := range []Policy{Cost, RoundRobin, LeastLoaded, Sticky} {
+		f := fleet(6, Weights{Latency: 1}, p)
+		r := rand.New(rand.NewPCG(1, 1))
+		f.Endpoint("e001").Leave(true)
+		for range 100 {
+			c, ok := f.Choose(time.Unix(1000, 0), Request{Class: class, Last: "e001", Prefixes: []Held{{Endpoint: "e001", Tokens: 9}}, Prompt: 9}, r)
+			if ok && c.Endpoint().Name() == "e001" {
+				t.Fatalf("policy %d chose a leaving endpoint", p)
+			}
+		}
+	}
+}
--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -31,7 +31,13 @@
 	var only string
 	faultsCmd.String(&only, "", "only", "run only trials whose name holds this")
 	flaggy.AttachSubcommand(slopesCmd, 1)
+	experimentCmd := flaggy.NewSubcommand("experiment")
+	experimentCmd.Description = "run a scenario file under several policies and write a report"
+	file, dir := "", "out"
+	experimentCmd.AddPositionalValue(&file, "FILE", 1, true, "the scenario, such as rockbench/scenarios/trakfelt.toml")
+	experimentCmd.String(&dir, "d", "dir", "the folder for the report")
 	flaggy.AttachSubcommand(faultsCmd, 1)
+	flaggy.AttachSubcommand(experimentCmd, 1)
 	flaggy.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -39,6 +45,8 @@
 	switch {
 	case demoCmd.Used:
 		err = demo(ctx, os.Stdout)
+	case experimentCmd.Used:
+		err = runExperiment(ctx, os.Stdout, file, dir)
 	case faultsCmd.Used:
 		err = faults(ctx, os.Stdout, only)
 	case slopesCmd.Used:
--- a/rockbench/scene/scene.go
+++ b/rockbench/scene/scene.go
@@ -58,7 +58,10 @@
 	Adjust func(*settings.Settings)
 	// EngineSpeed divides the times of the engines' steps; 0 means 1.
 	EngineSpeed float64
-	Seed        uint64
+	// PromptTokenUS and CacheTokens change the engines; 0 leaves their defaults.
+	PromptTokenUS int
+	CacheTokens   int
+	Seed          uint64
 
 	EngineList []*standin.Engine
 	Services   []*standin.Service
@@ -158,6 +161,12 @@
 				Batch: 8, Chunk: 512, CacheTokens: 40_000, EventLag: 100 * time.Millisecond, GapEvery: 17,
 				ChecksFencing: n%2 == 0, Seed: s.Seed + uint64(10*i+n), Ledger: s.Ledger,
 			}
+			if s.PromptTokenUS > 0 {
+				e.PerPrompt = pace(time.Duration(s.PromptTokenUS) * time.Microsecond)
+			}
+			if s.CacheTokens > 0 {
+				e.CacheTokens = s.CacheTokens
+			}
 			if err := e.Start(); err != nil {
 				return errors.Wrap(err, "scene: engine")
 			}
