--- a/rockbarrow/journal/journal_test.go
+++ b/rockbarrow/journal/journal_test.go
@@ -222,6 +222,24 @@
 	}
 }
 
+func TestMemberThatLacksNothingIsAdmittedAgain(t *testing.T) {
+	m1, m2, m3 := three()
+	m4 := NewMember("d", 1)
+	b := newBench(t, m1, m2, m3, m4)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Admit{Member: m4})
+	b.drain()
+	b.step(w, Dismiss{Member: m3})
+	b.drain()
+	b.step(w, Admit{Member: m3})
+	b.drain()
+	if got := b.writers[w].Members(); !got.Has(m3) || b.writers[w].Changing() {
+		t.Fatalf("members %v, changing %v, want c among them again", got, b.writers[w].Changing())
+	}
+}
+
 func TestFreshReplicaCannotHideAKeyedJournal(t *testing.T) {
 	m1, m2, m3 := three()
 	b := newBench(t, m1, m2, m3)
--- a/rockbarrow/journal/writer.go
+++ b/rockbarrow/journal/writer.go
@@ -676,7 +676,7 @@
 		w.learner = &progress{member: m, next: w.log.LastIndex() + 1}
 		w.peers = append(w.peers, w.learner)
 	}
-	return w.replicate(w.learner)
+	return append(w.replicate(w.learner), w.seatLearner()...)
 }
 
 // seatLearner proposes the new set once the learner holds the committed log.
@@ -708,7 +708,7 @@
 			return w.fetchMore(p)
 		}
 	case opening, serving:
-		return w.replicateAll()
+		return append(w.replicateAll(), w.seatLearner()...)
 	}
 	return nil
 }
--- a/rockbarrow/program/state.go
+++ b/rockbarrow/program/state.go
@@ -209,7 +209,7 @@
 		return &OrderError{Record: r, Reason: "the attempt is not newer"}
 	case open != nil && in.GetRequestId() != open.intent.GetRequestId():
 		return &OrderError{Record: r, Reason: "another request holds the sequence"}
-	case s.spent+in.GetChargedTokens()+in.GetReserveTokens() > s.created.GetBudgetTokens():
+	case !s.covers(in.GetChargedTokens(), in.GetReserveTokens()):
 		return &OrderError{Record: r, Reason: "the budget does not cover the reserve"}
 	}
 	if open == nil {
@@ -225,6 +225,16 @@
 	return nil
 }
 
+// covers reports whether the budget covers two amounts besides what is spent,
+// however large they are.
+func (s *State) covers(a, b uint64) bool {
+	budget := s.created.GetBudgetTokens()
+	if s.spent > budget || a > budget-s.spent {
+		return false
+	}
+	return b <= budget-s.spent-a
+}
+
 func (s *State) applyAnswered(r *recordpb.Record, a *recordpb.Answered) error {
 	open := s.Open()
 	if open == nil || open.intent.GetSequence() != a.GetSequence() || open.intent.GetAttempt() != a.GetAttempt() {
