config, owner: learning after a change of voters, and stops in a domain of two

Cause: after a voter was replaced, no instance could learn the configuration any more: a change of voters folds an entry without a new version, and nobody told the folded index. And a leaving instance of a domain of two waited its whole drain for copies that no instance could hold.

Change: the leader tells the newest folded entry with every step; exposed means that an instance is there to hold another copy.

Before: rolling restarts stopped at the last instance.

--- a/rockbarrow/config/lead.go
+++ b/rockbarrow/config/lead.go
@@ -251,7 +251,13 @@
 		s.voter.mu.Unlock()
 	}
 	folded := l.Folded()
+	doc, serves := l.State().Document(), l.Serves()
 	s.leadMu.Unlock()
+	if serves {
+		// Changes of the voters fold entries too, without a new version; those who
+		// learn wait for the newest entry.
+		s.Advance(doc, folded)
+	}
 	for _, a := range actions {
 		s.perform(l, a, folded)
 	}
--- /dev/null
+++ b/rockbarrow/config/lead_test.go
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: MIT
+
+package config
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/journal"
+	"rockbarrow.dev/rockbarrow/roster"
+)
+
+// TestChangeOfVotersIsFolded leads alone, changes its voters, and looks whether
+// another instance could learn afterwards.
+func TestChangeOfVotersIsFolded(t *testing.T) {
+	s := source(t, nil)
+	self := roster.NewPeer("a2", "a", "", false, true)
+	table := &roster.Table{Self: self, Peers: []roster.Peer{self, roster.NewPeer("a3", "a", "", false, true)}, Rand: rand.New(rand.NewPCG(1, 1))}
+	now := time.Unix(1000, 0)
+	table.Handle(now, roster.Ticked{Own: roster.NewBeat("a2", 1, 0)})
+	table.Handle(now, roster.Heard{Beats: []roster.Beat{roster.NewBeat("a3", 1, 0).At(1)}})
+	s.View = table.View
+	s.Incarnation = 1
+	other := &journal.Replica{}
+	l := &control.Leader{Self: s.self(), Incarnation: 1, Voters: s.voters()}
+	s.leader = l
+	// Messages are carried by hand: the own ones to the voter, the others to a
+	// replica in the test.
+	queue := []control.Event{control.Start{Round: 1}}
+	for n := 0; len(queue) > 0 && n < 200; n++ {
+		e := queue[0]
+		queue = queue[1:]
+		for _, a := range l.Handle(now, e) {
+			send, ok := a.(control.Send)
+			if !ok {
+				continue
+			}
+			reply, _ := other.Handle(send.Message)
+			if send.To.Is(s.self()) {
+				reply = s.voter.message(send.Message)
+			}
+			queue = append(queue, control.Replied{From: send.To, Reply: reply})
+		}
+		if n == 50 || len(queue) == 0 && n < 100 {
+			n = 100
+			queue = append(queue, control.Replacing{New: journal.NewMember("a4", 1), Old: journal.NewMember("a3", 1)})
+		}
+	}
+	s.step(control.Ticked{})
+	if got, want := s.Pull(0).GetFoldedIndex(), l.Folded(); got != want || want < 2 {
+		t.Fatalf("peers can learn up to entry %d, the leader folded %d", got, want)
+	}
+}
--- a/rockbarrow/owner/plan.go
+++ b/rockbarrow/owner/plan.go
@@ -155,7 +155,7 @@
 // commits need, while an instance is there that could hold another one.
 func Exposed(members journal.Members, v *roster.View, run, domain string) bool {
 	c := count(members, v, run, domain, never)
-	return c.copies < 2 && (len(c.spareCopies) > 0 || c.present > c.copies)
+	return c.copies < 2 && len(c.spareCopies) > 0
 }
 
 // Damaged reports whether an owner would change the members.
