--- a/rockbarrow/config/lead.go
+++ b/rockbarrow/config/lead.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -40,86 +39,6 @@
 	return fmt.Sprintf("control: the outcome of command %q is undetermined; resend it under the same id", e.CommandID)
 }
 
-// voter is the own copy of the control journal.
-type voter struct {
-	source *Source
-
-	mu      sync.Mutex
-	replica *journal.Replica
-	synced  func() error
-}
-
-func (v *voter) lastIndex() uint64 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.replica == nil {
-		return 0
-	}
-	return v.replica.Log().LastIndex()
-}
-
-// promised returns the newest ballot seen here.
-func (v *voter) promised() journal.Ballot {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.replica == nil {
-		return journal.Ballot{}
-	}
-	return v.replica.Promised()
-}
-
-func (v *voter) message(m journal.Message) journal.Reply {
-	v.mu.Lock()
-	if v.replica == nil {
-		v.replica = &journal.Replica{}
-	}
-	reply, change := v.replica.Handle(m)
-	v.fold()
-	if v.source.Store == nil {
-		v.mu.Unlock()
-		return reply
-	}
-	if change.Durable {
-		v.synced = v.source.Store.Enqueue(JournalName, change)
-	}
-	synced := v.synced
-	v.mu.Unlock()
-	if synced == nil {
-		return reply
-	}
-	if err := synced(); err != nil {
-		v.mu.Lock()
-		v.replica.Fail()
-		v.mu.Unlock()
-		v.source.DiskFailed(err)
-		return nil
-	}
-	return reply
-}
-
-// fold compacts the own copy as the leader does, once it is long. Called with
-// mu held.
-func (v *voter) fold() {
-	log := v.replica.Log()
-	if v.replica.Commit() < log.Base().Index()+2*control.DefaultCompactAfter {
-		return
-	}
-	var state control.State
-	if b := log.Base().State(); b != nil && state.Restore(b) != nil {
-		return
-	}
-	for _, e := range log.After(log.Base().Index(), int(v.replica.Commit()-log.Base().Index())) {
-		control.ApplyEntry(&state, e)
-	}
-	b, err := state.Snapshot()
-	if err != nil {
-		return
-	}
-	if change, ok := v.replica.Compact(v.replica.Commit(), b); ok && v.source.Store != nil {
-		v.synced = v.source.Store.Enqueue(JournalName, change)
-	}
-}
-
 // Journal hands a leader's message to the own copy of the control journal.
 func (s *Source) Journal(to journal.Member, m journal.Message) journal.Reply {
 	if !to.Is(s.self()) {
@@ -128,13 +47,6 @@
 	return s.voter.message(m)
 }
 
-func (s *Source) self() journal.Member {
-	if s.Storage != 0 {
-		return journal.NewMember(s.Instance, s.Storage).WithDisk()
-	}
-	return journal.NewMember(s.Instance, s.Incarnation)
-}
-
 // lead ticks the leader, or campaigns when the leader is dead and this is the
 // first control instance that lives.
 func (s *Source) lead(now time.Time) {
@@ -170,39 +82,6 @@
 	s.box.Post(control.Start{Round: s.rounds.Add(1)})
 }
 
-func (s *Source) allHeard() bool {
-	for _, m := range s.voters() {
-		if m.Incarnation() == 0 {
-			return false
-		}
-	}
-	return true
-}
-
-// reseat gives the seat of a voter that lost its storage to its next life,
-// which copies the journal before it counts.
-func (s *Source) reseat() {
-	s.leadMu.Lock()
-	l := s.leader
-	if l == nil || !l.Serves() || l.Writer().Changing() {
-		s.leadMu.Unlock()
-		return
-	}
-	members := l.Writer().Members()
-	s.leadMu.Unlock()
-	for _, i := range s.View().Instances() {
-		if !i.Control() || !i.Usable() || members.Has(i.Member()) {
-			continue
-		}
-		for _, m := range members {
-			if m.Instance() == i.Instance() {
-				s.box.Post(control.Replacing{New: i.Member(), Old: m})
-				return
-			}
-		}
-	}
-}
-
 func (s *Source) leading() bool {
 	s.leadMu.Lock()
 	defer s.leadMu.Unlock()
@@ -222,16 +101,6 @@
 	return false
 }
 
-func (s *Source) voters() journal.Members {
-	var out journal.Members
-	for _, i := range s.View().Instances() {
-		if i.Control() {
-			out = append(out, i.Member())
-		}
-	}
-	return out
-}
-
 // step handles one event of the leader.
 func (s *Source) step(e control.Event) {
 	s.leadMu.Lock()
--- a/rockbarrow/journal/writer.go
+++ b/rockbarrow/journal/writer.go
@@ -2,8 +2,6 @@
 
 package journal
 
-import "cmp"
-
 const (
 	// fetchLimit bounds the entries in one Fetch, and appendLimit in one Append.
 	fetchLimit  = 64
@@ -45,13 +43,20 @@
 type Confirm struct{}
 
 func (Campaign) event() {}
-func (Propose) event()  {}
-func (Admit) event()    {}
-func (Dismiss) event()  {}
-func (Replied) event()  {}
-func (Lost) event()     {}
-func (Resend) event()   {}
-func (Confirm) event()  {}
+
+func (Propose) event() {}
+
+func (Admit) event() {}
+
+func (Dismiss) event() {}
+
+func (Replied) event() {}
+
+func (Lost) event() {}
+
+func (Resend) event() {}
+
+func (Confirm) event() {}
 
 // Action is what a writer wants done: [Send], [Serving], [Committed],
 // [Confirmed] or [Deposed].
@@ -77,11 +82,15 @@
 // Deposed says that a newer ballot is promised and the writer has stopped.
 type Deposed struct{ By Ballot }
 
-func (Send) action()      {}
-func (Serving) action()   {}
+func (Send) action() {}
+
+func (Serving) action() {}
+
 func (Committed) action() {}
+
 func (Confirmed) action() {}
-func (Deposed) action()   {}
+
+func (Deposed) action() {}
 
 type phase int
 
@@ -226,38 +235,6 @@
 // Asked returns the number of the newest Confirm.
 func (w *Writer) Asked() uint64 { return w.asked }
 
-func (w *Writer) campaign(round uint64) []Action {
-	w.ballot = Ballot{
-		round:       max(w.seen.round+1, round),
-		instance:    w.Self.instance,
-		incarnation: w.Incarnation,
-	}
-	w.seen = w.ballot
-	w.phase = preparing
-	w.handed = w.log.base.index
-	w.peers = nil
-	w.learner = nil
-	w.proven = w.asked
-	return w.prepareAll()
-}
-
-// prepareAll sends Prepare to members that have neither promised nor been asked.
-func (w *Writer) prepareAll() []Action {
-	var out []Action
-	for _, m := range w.Members() {
-		p := w.peer(m)
-		if p == nil {
-			p = &progress{member: m}
-			w.peers = append(w.peers, p)
-		}
-		if p.promised == nil && !p.busy && !p.silent && m.incarnation != 0 {
-			p.busy = true
-			out = append(out, Send{To: m, Message: Prepare{Ballot: w.ballot}})
-		}
-	}
-	return out
-}
-
 func (w *Writer) replied(e Replied) []Action {
 	p := w.peer(e.From)
 	if p == nil {
@@ -314,405 +291,6 @@
 	return []Action{Deposed{By: r.Promised}}
 }
 
-func (w *Writer) giveUpLearner(p *progress) []Action {
-	if w.learner == p {
-		w.learner = nil
-	}
-	return nil
-}
-
-// adoptBest picks the newest promised log once a majority has promised.
-func (w *Writer) adoptBest() []Action {
-	if w.phase != preparing {
-		return nil
-	}
-	if !w.promisedByMajority() {
-		return w.prepareAll()
-	}
-	best := w.bestPromise()
-	if best == nil {
-		return w.prepareAll()
-	}
-	index, _, digest := w.log.Last()
-	if best.promised.LastIndex == index && best.promised.LastDigest == digest && !w.hasStripped() {
-		return w.open()
-	}
-	w.phase = fetching
-	w.source = best.member
-	w.sourceIndex = best.promised.LastIndex
-	return w.fetchMore(best)
-}
-
-// promisedByMajority also holds an empty keyed journal to the rule that no
-// earlier promise can be lost.
-func (w *Writer) promisedByMajority() bool {
-	members := w.Members()
-	votes, last := 0, uint64(0)
-	for _, m := range members {
-		if p := w.peer(m); p != nil && p.promised != nil {
-			votes++
-			last = max(last, p.promised.LastIndex)
-		}
-	}
-	if votes < members.Majority() {
-		return false
-	}
-	return last > 0 || !w.Keyed || w.surelyEmpty(members)
-}
-
-// surelyEmpty reports whether no entry can have committed that the promises do
-// not show: enough promises are of replicas that forgot nothing; or a disk's is,
-// without which nothing commits; or every member that holds copies promised, of
-// which two have each committed entry.
-func (w *Writer) surelyEmpty(members Members) bool {
-	settled, copies, promised := 0, 0, 0
-	for _, m := range members {
-		if !m.witness {
-			copies++
-		}
-		p := w.peer(m)
-		if p == nil || p.promised == nil {
-			continue
-		}
-		if !m.witness {
-			promised++
-		}
-		if !p.promised.Fresh {
-			settled++
-		}
-		if m.disk && !p.promised.Fresh {
-			return true
-		}
-	}
-	return settled >= members.Majority() || promised == copies
-}
-
-// bestPromise returns the member with the newest log that also holds payloads,
-// or nil when only witnesses hold the newest.
-func (w *Writer) bestPromise() *progress {
-	var best *progress
-	for _, p := range w.peers {
-		if p.promised == nil {
-			continue
-		}
-		if best == nil || newer(p, best) {
-			best = p
-		}
-	}
-	if best != nil && best.member.witness && best.promised.LastIndex > 0 {
-		return nil
-	}
-	return best
-}
-
-// newer prefers the higher last ballot, then the longer log, then payloads.
-func newer(p, o *progress) bool {
-	c := cmp.Or(
-		p.promised.LastBallot.Compare(o.promised.LastBallot),
-		cmp.Compare(p.promised.LastIndex, o.promised.LastIndex),
-	)
-	if c == 0 {
-		return o.member.witness && !p.member.witness
-	}
-	return c > 0
-}
-
-func (w *Writer) hasStripped() bool {
-	for _, e := range w.log.entries {
-		if e.stripped() {
-			return true
-		}
-	}
-	return false
-}
-
-// fetchMore asks for what follows the committed prefix, which is equal in
-// every log.
-func (w *Writer) fetchMore(p *progress) []Action {
-	p.busy = true
-	after := w.commit
-	if w.hasStripped() {
-		after = w.log.base.index
-	}
-	return []Action{Send{To: p.member, Message: Fetch{Ballot: w.ballot, After: after, Limit: fetchLimit}}}
-}
-
-func (w *Writer) fetched(p *progress, r Fetched) []Action {
-	if w.phase != fetching || !p.member.Is(w.source) {
-		return nil
-	}
-	if r.Base != nil && r.Base.index > w.log.base.index {
-		w.log = Log{base: *r.Base}
-		w.commit = max(w.commit, r.Base.index)
-		w.handed = r.Base.index
-	}
-	progressed := false
-	for _, e := range r.Entries {
-		ok, _ := w.putFetched(e)
-		if !ok {
-			break
-		}
-		progressed = true
-	}
-	reached := uint64(0)
-	if n := len(r.Entries); n > 0 && progressed {
-		reached = r.Entries[n-1].index
-	} else {
-		reached = max(r.After, w.log.base.index)
-	}
-	if reached < w.sourceIndex && progressed {
-		p.busy = true
-		return []Action{Send{To: p.member, Message: Fetch{Ballot: w.ballot, After: reached, Limit: fetchLimit}}}
-	}
-	if reached < w.sourceIndex {
-		w.phase = preparing
-		p.promised = nil
-		return w.prepareAll()
-	}
-	w.truncate(w.sourceIndex)
-	// The fetched log may name other members, and newer promises may have come
-	// meanwhile, so both are judged again.
-	w.phase = preparing
-	return w.adoptBest()
-}
-
-// putFetched also replaces an equal entry whose payload is missing here.
-func (w *Writer) putFetched(e Entry) (bool, bool) {
-	if old, ok := w.log.Entry(e.index); ok && old.digest == e.digest && old.stripped() && !e.stripped() {
-		w.log.entries[e.index-w.log.base.index-1] = e
-		return true, true
-	}
-	return w.log.put(e)
-}
-
-func (w *Writer) truncate(index uint64) {
-	index = max(index, w.commit)
-	if index < w.log.LastIndex() {
-		w.log.entries = w.log.entries[:index-w.log.base.index]
-	}
-}
-
-// open appends the writer's own first entry to the adopted log.
-func (w *Writer) open() []Action {
-	w.phase = opening
-	for _, p := range w.peers {
-		p.next = w.log.LastIndex() + 1
-		p.match = 0
-	}
-	e := Entry{}
-	if w.log.Members() == nil {
-		e.members = w.Initial
-	}
-	out := w.write(e)
-	w.opened = w.log.LastIndex()
-	return out
-}
-
-func (w *Writer) propose(e Entry) []Action {
-	if w.phase != serving {
-		return nil
-	}
-	return w.write(e)
-}
-
-// write appends an entry of the writer's own ballot and sends it out.
-func (w *Writer) write(e Entry) []Action {
-	index, _, digest := w.log.Last()
-	e.index = index + 1
-	e.ballot = w.ballot
-	w.log.put(e.sealed(digest))
-	return w.replicateAll()
-}
-
-func (w *Writer) replicateAll() []Action {
-	var out []Action
-	for _, m := range append(w.leaving(), w.Members()...) {
-		p := w.peer(m)
-		if p == nil {
-			p = &progress{member: m, next: w.log.LastIndex()}
-			w.peers = append(w.peers, p)
-		}
-		out = append(out, w.replicate(p)...)
-	}
-	if w.learner != nil {
-		out = append(out, w.replicate(w.learner)...)
-	}
-	return out
-}
-
-// replicate sends what a member lacks, one message at a time.
-func (w *Writer) replicate(p *progress) []Action {
-	if w.phase != opening && w.phase != serving {
-		return nil
-	}
-	if p.busy || p.silent || p.member.incarnation == 0 {
-		return nil
-	}
-	if p.match >= w.log.LastIndex() && p.confirmed >= w.asked && (p.told >= w.commit || !w.Eager) {
-		return nil
-	}
-	p.busy = true
-	p.told = w.commit
-	next := max(p.next, 1)
-	if next <= w.log.base.index {
-		base := w.log.base
-		if p.member.witness {
-			base.state = nil
-		}
-		return []Action{Send{To: p.member, Message: Install{Ballot: w.ballot, Base: base}}}
-	}
-	digest, _ := w.log.digestAt(next - 1)
-	entries := w.log.After(next-1, appendLimit)
-	if p.member.witness {
-		entries = withoutPayloads(entries)
-	}
-	msg := Append{Ballot: w.ballot, PrevIndex: next - 1, PrevDigest: digest, Entries: entries, Commit: w.commit, Nonce: w.asked}
-	return []Action{Send{To: p.member, Message: msg}}
-}
-
-func withoutPayloads(entries []Entry) []Entry {
-	out := make([]Entry, len(entries))
-	for i, e := range entries {
-		out[i] = e.withoutPayload()
-	}
-	return out
-}
-
-// advance commits what the durability rule allows, in entries of the writer's
-// own ballot only.
-func (w *Writer) advance() []Action {
-	var out []Action
-	if w.phase != opening && w.phase != serving {
-		return nil
-	}
-	for index := w.log.LastIndex(); index > w.commit; index-- {
-		e, _ := w.log.Entry(index)
-		if e.ballot != w.ballot {
-			break
-		}
-		held := func(m Member) bool { return w.holds(m, index) }
-		if w.Members().durable(held, index == w.opened, w.leavingCopies(index)) {
-			w.commit = index
-			break
-		}
-	}
-	if w.phase == opening && w.commit >= w.opened {
-		w.phase = serving
-		out = append(out, Serving{})
-	}
-	if w.phase == serving && w.handed < w.commit {
-		out = append(out, Committed{Entries: w.log.After(w.handed, int(w.commit-w.handed))})
-		w.handed = w.commit
-		if w.Eager {
-			out = append(out, w.replicateAll()...)
-		}
-	}
-	return append(out, w.seatLearner()...)
-}
-
-// leaving returns the members that an uncommitted change dismisses; they get
-// entries until it commits.
-func (w *Writer) leaving() Members {
-	now, at := w.log.membersAt()
-	if at <= w.commit || at <= w.log.base.index {
-		return nil
-	}
-	var out Members
-	for _, m := range w.log.membersBefore(at) {
-		if !now.Has(m) {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// leavingCopies counts the copies that members about to be dismissed hold of an
-// entry up to the change.
-func (w *Writer) leavingCopies(index uint64) int {
-	if _, at := w.log.membersAt(); index > at {
-		return 0
-	}
-	n := 0
-	for _, m := range w.leaving() {
-		if !m.witness && w.holds(m, index) {
-			n++
-		}
-	}
-	return n
-}
-
-func (w *Writer) holds(m Member, index uint64) bool {
-	p := w.peer(m)
-	return p != nil && p.match >= index
-}
-
-// prove tells of the highest number that a majority has confirmed.
-func (w *Writer) prove() []Action {
-	if w.phase != serving {
-		return nil
-	}
-	members := w.Members()
-	for number := w.asked; number > w.proven; number-- {
-		votes := 0
-		for _, m := range members {
-			if p := w.peer(m); p != nil && p.confirmed >= number {
-				votes++
-			}
-		}
-		if votes >= members.Majority() {
-			w.proven = number
-			return []Action{Confirmed{Number: number}}
-		}
-	}
-	return nil
-}
-
-func (w *Writer) admit(m Member) []Action {
-	if w.phase != serving || w.Changing() || w.Members().Has(m) {
-		return nil
-	}
-	// A member that was dismissed and comes back keeps its progress.
-	if w.learner = w.peer(m); w.learner == nil {
-		w.learner = &progress{member: m, next: w.log.LastIndex() + 1}
-		w.peers = append(w.peers, w.learner)
-	}
-	return append(w.replicate(w.learner), w.seatLearner()...)
-}
-
-// seatLearner proposes the new set once the learner holds the committed log.
-func (w *Writer) seatLearner() []Action {
-	l := w.learner
-	if w.phase != serving || l == nil || l.match < w.commit {
-		return nil
-	}
-	if _, at := w.log.membersAt(); at > w.commit {
-		return nil
-	}
-	w.learner = nil
-	return w.write(Entry{members: w.Members().With(l.member)})
-}
-
-func (w *Writer) dismiss(m Member) []Action {
-	if w.phase != serving || w.Changing() || !w.Members().Has(m) {
-		return nil
-	}
-	return w.write(Entry{members: w.Members().Without(m)})
-}
-
-func (w *Writer) resend() []Action {
-	switch w.phase {
-	case preparing:
-		return w.prepareAll()
-	case fetching:
-		if p := w.peer(w.source); p != nil && !p.busy {
-			return w.fetchMore(p)
-		}
-	case opening, serving:
-		return append(w.replicateAll(), w.seatLearner()...)
-	}
-	return nil
-}
-
 func (w *Writer) see(b Ballot) {
 	if b.Compare(w.seen) > 0 {
 		w.seen = b
