--- a/rockbarrow/host/host.go
+++ b/rockbarrow/host/host.go
@@ -144,6 +144,8 @@
 		}
 		held++
 		if h.Learned() && r.orphaned(view) {
+			// Until the run is owned nobody copies it anew.
+			repairing++
 			r.claim(claimed{view: view})
 		}
 		if sweep && r.over(h.Retention) {
--- a/rockbarrow/journal/ballot.go
+++ b/rockbarrow/journal/ballot.go
@@ -79,37 +79,46 @@
 	return append(append(make(Members, 0, len(s)+1), s...), m)
 }
 
-// durable reports whether acknowledgements satisfy the durability rule. The
-// opening entry of a writer carries no payload: for it two copies stand in for
-// the sync of a disk that may be lost, as what it adopts is history already.
-// Copies of members that are just being dismissed, extra, count as copies but
-// not as votes.
-func (s Members) durable(acked func(Member) bool, opening bool, extra int) bool {
-	votes, copies, synced, disks := 0, extra, 0, 0
+// tally counts the members that hold an entry.
+type tally struct {
+	votes, copies, synced, disks int
+}
+
+// count counts acknowledgements. Copies of members that are just being
+// dismissed, extra, count as copies but not as votes.
+func (s Members) count(acked func(Member) bool, extra int) tally {
+	t := tally{copies: extra}
 	for _, m := range s {
 		if m.disk {
-			disks++
+			t.disks++
 		}
 		if !acked(m) {
 			continue
 		}
-		votes++
+		t.votes++
 		if !m.witness {
-			copies++
+			t.copies++
 		}
 		if m.disk && !m.witness {
-			synced++
+			t.synced++
 		}
 	}
-	if votes < s.Majority() {
+	return t
+}
+
+// durable reports whether an entry satisfies the durability rule: a majority of
+// votes, and one synced copy where a member has a disk, or else two copies.
+func (t tally) durable(majority int) bool {
+	if t.votes < majority {
 		return false
 	}
-	if synced > 0 {
-		return true
-	}
-	return copies >= 2 && (disks == 0 || opening)
+	return t.synced > 0 || t.disks == 0 && t.copies >= 2
 }
 
+// kept reports whether what a writer adopted is safe to act on: one synced copy,
+// or two copies in memory also where the only disk was lost.
+func (t tally) kept() bool { return t.synced > 0 || t.copies >= 2 }
+
 // Ballot orders writers totally. The zero ballot is older than every other.
 type Ballot struct {
 	round       uint64
--- a/rockbarrow/journal/journal_test.go
+++ b/rockbarrow/journal/journal_test.go
@@ -222,6 +222,33 @@
 	}
 }
 
+func TestSingleCopyAdmitsAnotherBeforeItHandsOver(t *testing.T) {
+	m1, m2, _ := three()
+	m3 := NewMember("c", 1).WithWitness()
+	m4 := NewMember("b", 2)
+	b := newBench(t, m1, m2, m3, m4)
+	w := b.writer(m1, Members{m1, m2, m3})
+	b.step(w, Campaign{})
+	b.drain()
+	b.step(w, Propose{Payload: []byte("x")})
+	b.drain()
+	// The first writer and the only other copy's next life are gone one after the
+	// other, as in a rolling restart of a domain of two.
+	delete(b.replicas, m1)
+	next := b.writer(m2, nil)
+	told := len(b.history)
+	b.step(next, Campaign{})
+	b.drain()
+	if !b.writers[next].Serves() || b.writers[next].handed != 0 || len(b.history) != told {
+		t.Fatalf("serves %v and handed %d with a single copy, want true and 0", b.writers[next].Serves(), b.writers[next].handed)
+	}
+	b.step(next, Admit{Member: m4})
+	b.drain()
+	if b.writers[next].handed < 2 {
+		t.Fatalf("handed %d with two copies, want the payload", b.writers[next].handed)
+	}
+}
+
 func TestMemberThatLacksNothingIsAdmittedAgain(t *testing.T) {
 	m1, m2, m3 := three()
 	m4 := NewMember("d", 1)
--- a/rockbarrow/journal/replicate.go
+++ b/rockbarrow/journal/replicate.go
@@ -72,8 +72,15 @@
 	return out
 }
 
+// tally counts who holds the log up to an index.
+func (w *Writer) tally(index uint64) tally {
+	return w.Members().count(func(m Member) bool { return w.holds(m, index) }, w.leavingCopies(index))
+}
+
 // advance commits what the durability rule allows, in entries of the writer's
-// own ballot only.
+// own ballot only. The opening entry carries no payload and needs the votes
+// alone, so that a writer with a single copy can admit members; what it adopted
+// is handed over only once it is kept.
 func (w *Writer) advance() []Action {
 	var out []Action
 	if w.phase != opening && w.phase != serving {
@@ -84,8 +91,8 @@
 		if e.ballot != w.ballot {
 			break
 		}
-		held := func(m Member) bool { return w.holds(m, index) }
-		if w.Members().durable(held, index == w.opened, w.leavingCopies(index)) {
+		t := w.tally(index)
+		if t.durable(w.Members().Majority()) || index == w.opened && t.votes >= w.Members().Majority() {
 			w.commit = index
 			break
 		}
@@ -94,7 +101,7 @@
 		w.phase = serving
 		out = append(out, Serving{})
 	}
-	if w.phase == serving && w.handed < w.commit {
+	if w.phase == serving && w.handed < w.commit && w.tally(w.commit).kept() {
 		out = append(out, Committed{Entries: w.log.After(w.handed, int(w.commit-w.handed))})
 		w.handed = w.commit
 		if w.Eager {
--- a/rockbarrow/owner/owner.go
+++ b/rockbarrow/owner/owner.go
@@ -142,9 +142,9 @@
 	return nil
 }
 
-// ask holds events back until the journal serves.
+// ask holds events back until the program has its whole journal.
 func (o *Owner) ask(now time.Time, e program.Event) []Action {
-	if !o.writer.Serves() && !o.writer.Deposed() {
+	if !o.Machine.Loaded() && !o.writer.Deposed() {
 		o.early = append(o.early, e)
 		return nil
 	}
@@ -161,7 +161,11 @@
 		out = append(out, o.turnAway(now)...)
 		return append(out, Abandoned{})
 	}
-	out = append(out, o.do(now, o.Machine.Handle(now, program.Ticked{}))...)
+	if o.Machine.Loaded() {
+		out = append(out, o.do(now, o.Machine.Handle(now, program.Ticked{}))...)
+	} else if now.Sub(o.started) >= serveWait {
+		out = append(out, o.turnAway(now)...)
+	}
 	if v == nil {
 		return out
 	}
--- a/rockbench/agent/book.go
+++ b/rockbench/agent/book.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// settled forgets an earlier refusal of a request that was answered at last.
+func (b *Book) settled(key string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.notRun, key)
+}
+
 func (b *Book) lost() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -50,10 +57,9 @@
 }
 
 // Answered records an answered call.
-func (b *Book) Answered(key string, took time.Duration) {
+func (b *Book) Answered(took time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.notRun, key)
 	b.calls++
 	_ = b.turns.RecordValue(took.Microseconds())
 }
--- a/rockbench/agent/client.go
+++ b/rockbench/agent/client.go
@@ -124,7 +124,11 @@
 	deadline := time.Now().Add(c.Patience)
 	for {
 		err := c.send(ctx, method, path, key, body, out)
-		if err == nil || ctx.Err() != nil {
+		if err == nil {
+			c.Book.settled(key)
+			return nil
+		}
+		if ctx.Err() != nil {
 			return err
 		}
 		wait := 50 * time.Millisecond
--- a/rockbench/agent/program.go
+++ b/rockbench/agent/program.go
@@ -142,7 +142,7 @@
 	if err != nil {
 		return err
 	}
-	a.Client.Book.Answered(key, time.Since(start))
+	a.Client.Book.Answered(time.Since(start))
 	a.check(n, messages, answer)
 	return nil
 }
@@ -218,7 +218,7 @@
 		if err != nil {
 			return err
 		}
-		a.Client.Book.Answered(key, time.Since(start))
+		a.Client.Book.Answered(time.Since(start))
 		record.Messages = append(record.Messages, m)
 		record.Answers = append(record.Answers, answer.Content)
 	}
--- a/rockbench/faults.go
+++ b/rockbench/faults.go
@@ -18,7 +18,7 @@
 
 const (
 	faultAgents = 16
-	faultTime   = 4 * time.Minute
+	faultTime   = 7 * time.Minute
 	readyTime   = 40 * time.Second
 )
 
