engine: poll a bounded number of engines in a period

Cause: every instance polled every engine twice a second; at 900 engines that is 3,600 requests a second for each instance.

Change: at most 8 engines of the own failure domain and 2 others in a period of 0.5 s, in turn.

--- a/rockbarrow/engine/watch.go
+++ b/rockbarrow/engine/watch.go
@@ -3,11 +3,13 @@
 package engine
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,6 +23,13 @@
 // pollTimeout bounds one poll of an engine.
 const pollTimeout = time.Second
 
+const (
+	// nearPolls and farPolls bound the polls of one period, of engines in the own
+	// failure domain and elsewhere.
+	nearPolls = 8
+	farPolls  = 2
+)
+
 // maxReport bounds a report's body.
 const maxReport = 4 << 20
 
@@ -59,12 +68,13 @@
 	HTTP  *http.Client
 	Desk  *dispatch.Desk
 	Every time.Duration
-	// Near names the failure domain whose endpoints are polled.
+	// Near names the failure domain whose engines are polled most.
 	Near string
 	Log  *logrus.Entry
 
-	// states is used by loop alone.
+	// states and turn are used by loop alone.
 	states map[string]*polled
+	turn   int
 }
 
 // polled is what is known of one engine. Only its poll under way touches it.
@@ -94,26 +104,27 @@
 	}
 }
 
+// pollAll polls some engines in turn, so that the cost does not grow with their
+// number: those of the own failure domain often, the others now and then.
 func (w *Watcher) pollAll(ctx context.Context) {
 	f := w.Desk.Fleet()
 	if f == nil {
 		return
 	}
-	for name, e := range f.Endpoints() {
-		if len(e.Config().GetModels()) == 0 {
-			continue
-		}
-		p := w.states[name]
-		if p == nil || p.endpoint != e {
-			p = &polled{watcher: w, endpoint: e, busy: make(chan struct{}, 1)}
-			w.states[name] = p
-		}
-		select {
-		case p.busy <- struct{}{}:
-			go p.run(ctx)
+	var near, far []*placement.Endpoint
+	for _, e := range f.Endpoints() {
+		switch {
+		case len(e.Config().GetModels()) == 0:
+		case e.Domain() == w.Near:
+			near = append(near, e)
 		default:
+			far = append(far, e)
 		}
 	}
+	for _, e := range append(w.inTurn(near, nearPolls), w.inTurn(far, farPolls)...) {
+		w.poll(ctx, e)
+	}
+	w.turn++
 	for name := range w.states {
 		if f.Endpoint(name) == nil {
 			delete(w.states, name)
@@ -121,6 +132,33 @@
 	}
 }
 
+// inTurn returns the next few of a list, in the order of their names.
+func (w *Watcher) inTurn(list []*placement.Endpoint, most int) []*placement.Endpoint {
+	slices.SortFunc(list, func(a, b *placement.Endpoint) int { return cmp.Compare(a.Name(), b.Name()) })
+	if len(list) <= most {
+		return list
+	}
+	out := make([]*placement.Endpoint, 0, most)
+	for i := range most {
+		out = append(out, list[(w.turn*most+i)%len(list)])
+	}
+	return out
+}
+
+// poll starts a poll of an engine unless one is under way.
+func (w *Watcher) poll(ctx context.Context, e *placement.Endpoint) {
+	p := w.states[e.Name()]
+	if p == nil || p.endpoint != e {
+		p = &polled{watcher: w, endpoint: e, busy: make(chan struct{}, 1)}
+		w.states[e.Name()] = p
+	}
+	select {
+	case p.busy <- struct{}{}:
+		go p.run(ctx)
+	default:
+	}
+}
+
 func (p *polled) run(ctx context.Context) {
 	defer func() { <-p.busy }()
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
--- a/rockbarrow/placement/baseline.go
+++ b/rockbarrow/placement/baseline.go
@@ -13,7 +13,7 @@
 	for i := range uint64(len(list)) {
 		e := list[(start+i)%uint64(len(list))]
 		if e.open(now) && !avoided(req, e.name) {
-			return Choice{endpoint: e, lacking: req.Prompt, policy: RoundRobin}, true
+			return Choice{endpoint: e, lacking: req.Prompt}, true
 		}
 	}
 	return Choice{}, false
@@ -33,7 +33,7 @@
 			best = e
 		}
 	}
-	return Choice{endpoint: best, lacking: req.Prompt, policy: LeastLoaded}, best != nil
+	return Choice{endpoint: best, lacking: req.Prompt}, best != nil
 }
 
 // sticky stays with the run's last endpoint, or takes the least loaded.
@@ -41,7 +41,7 @@
 	if e := f.endpoints[req.Last]; e != nil && e.open(now) && !avoided(req, e.name) {
 		for _, o := range list {
 			if o == e {
-				return Choice{endpoint: e, lacking: req.Prompt, policy: Sticky}, true
+				return Choice{endpoint: e, lacking: req.Prompt}, true
 			}
 		}
 	}
--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -69,7 +69,6 @@
 	lacking  int64
 	cached   int64
 	cost     float64
-	policy   Policy
 }
 
 // Endpoint returns the chosen endpoint.
