--- a/rockbarrow/admission/gate_test.go
+++ b/rockbarrow/admission/gate_test.go
@@ -28,12 +28,12 @@
 		switch a := a.(type) {
 		case Try:
 			if d.seats == 0 {
-				actions = append(actions, d.g.Handle(d.now, NoRoom{ID: a.ID})...)
+				actions = append(actions, d.g.Handle(d.now, NoRoom(a))...)
 				continue
 			}
 			d.seats--
 			d.taken = append(d.taken, a.ID)
-			actions = append(actions, d.g.Handle(d.now, Taken{ID: a.ID})...)
+			actions = append(actions, d.g.Handle(d.now, Taken(a))...)
 		case Refuse:
 			d.refused[a.ID] = a.Problem.GetRetryAfterMs()
 		}
--- a/rockbarrow/disk/store.go
+++ b/rockbarrow/disk/store.go
@@ -21,6 +21,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	bolt "go.etcd.io/bbolt"
+	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/journal"
@@ -272,7 +273,7 @@
 		return tx.Bucket(metaBucket).Put([]byte(w.key), seal(w.value))
 	case w.drop:
 		err := journals.DeleteBucket([]byte(w.name))
-		if errors.Is(err, bolt.ErrBucketNotFound) {
+		if errors.Is(err, bolterrors.ErrBucketNotFound) {
 			return nil
 		}
 		return err
--- a/rockbarrow/program/machine_test.go
+++ b/rockbarrow/program/machine_test.go
@@ -40,7 +40,7 @@
 		actions = actions[1:]
 		switch a := a.(type) {
 		case Commit:
-			actions = append(actions, d.m.Handle(d.now, Recorded{Records: a.Records})...)
+			actions = append(actions, d.m.Handle(d.now, Recorded(a))...)
 		case Place:
 			if d.place {
 				actions = append(actions, d.m.Handle(d.now, Placed{Sequence: a.Sequence, Attempt: a.Attempt, Endpoint: "e", Domain: "d", Hold: true})...)
