--- a/rockbarrow/host/sending.go
+++ b/rockbarrow/host/sending.go
@@ -35,11 +35,14 @@
 	w.run.host.Metrics.Counter("attempts").Inc(1)
 	out := w.run.host.Backends.Call(w.ctx, w.attempt, w.emit)
 	w.seat.seat.Done(w.result(out))
+	log := w.run.host.Log.WithField("run", w.run.name).WithField("call", in.GetSequence()).WithField("attempt", in.GetAttempt()).WithField("endpoint", in.GetEndpoint())
 	if out.Answered == nil {
+		log.WithField("not_run", out.NotRun).WithField("reason", out.Reason).Info("an attempt failed")
 		w.run.host.Metrics.Counter("attempts_failed").Inc(1)
 		w.post(program.Failed{Sequence: in.GetSequence(), Attempt: in.GetAttempt(), NotRun: out.NotRun, Reason: out.Reason, Final: out.Final})
 		return
 	}
+	log.WithField("first_token_ms", out.First.Milliseconds()).Debug("an attempt was answered")
 	w.remember(out.Answered)
 	w.run.host.Metrics.Counter("prompt_tokens").Inc(int64(out.Answered.GetPromptTokens()))
 	w.run.host.Metrics.Counter("cached_tokens").Inc(int64(out.Answered.GetCachedTokens()))
