--- a/rockbench/demo.go
+++ b/rockbench/demo.go
@@ -165,8 +165,11 @@
 	fmt.Fprintf(w, "refusals\t%v\n", s.Book.Refusals())
 	for _, v := range verdicts {
 		state := "kept"
-		if len(v.Broken) > 0 {
+		switch {
+		case len(v.Broken) > 0:
 			state = "BROKEN"
+		case v.Checked == 0:
+			state = "not tried"
 		}
 		fmt.Fprintf(w, "%s\t%s, %d checked\n", v.Promise, state, v.Checked)
 	}
