owner: a planned stop waits for votes too, not only for copies

Cause looked for: the rolling restart of the domain of two was flaky. A run there has two copies and a witness elsewhere; its witness restarts, and if an instance of the domain stops before the witness's seat is filled anew, one vote of three is left and the run is stuck, so its neighbour never ends repairing.

Change: such a run counts as exposed, which holds the stop back.

Shown by TestStopWaitsForAVoteInTheLostWitnessesPlace, which fails without it.

--- a/rockbarrow/owner/plan.go
+++ b/rockbarrow/owner/plan.go
@@ -151,11 +151,16 @@
 	return nil
 }
 
-// Exposed reports whether a loss now could leave a run with fewer copies than
-// commits need, while an instance is there that could hold another one.
+// Exposed reports whether the members that stay are fewer copies than commits
+// need, or fewer votes than a majority, while an instance is there that could
+// take a seat. The lives of witnesses count too: in a domain of two, the loss of
+// the witness and of one instance leaves a single vote.
 func Exposed(members journal.Members, v *roster.View, run, domain string) bool {
 	c := count(members, v, run, domain, never)
-	return c.copies < 2 && len(c.spareCopies) > 0
+	if c.copies < 2 && len(c.spareCopies) > 0 {
+		return true
+	}
+	return len(c.live) < members.Majority() && len(c.spareCopies)+len(c.spareWitness) > 0
 }
 
 // Damaged reports whether an owner would change the members.
