--- /dev/null
+++ b/rockbarrow/controller/controller.go
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/durable"
+	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/rockbarrow/watch"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// List reads the list of endpoints, wherever it is kept.
+type List interface {
+	// Endpoints returns the whole list.
+	Endpoints(ctx context.Context) ([]*fleetpb.Endpoint, error)
+}
+
+// UnavailableError says that no majority of the voters answered in time. What
+// was proposed may come to be in force or not.
+type UnavailableError struct{ Cause error }
+
+// Error describes the failure.
+func (e *UnavailableError) Error() string {
+	return "controller: no majority of the voters: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Cause }
+
+// UnknownStoreError says that no store has a name.
+type UnknownStoreError struct{ Name string }
+
+// Error names the store.
+func (e *UnknownStoreError) Error() string { return "controller: no store is named " + e.Name }
+
+// TooFewStoresError says that a store can't be emptied.
+type TooFewStoresError struct{ Left, Needed int }
+
+// Error describes the shortage.
+func (e *TooFewStoresError) Error() string { return "controller: too few stores would be left" }
+
+// Controller is one control instance. Set the exported fields before Open.
+type Controller struct {
+	fleetpb.UnimplementedControlServer
+
+	Self *fleetpb.Member
+	// Incarnation names this life of the process.
+	Incarnation uint64
+	// Seeds are the addresses of the first control instances, this one perhaps
+	// included.
+	Seeds []string
+	// Founder is true on the very first start, on an empty disk.
+	Founder bool
+	// Losses is how many instances with disks may be lost at once.
+	Losses int
+	// DataDir holds the votes.
+	DataDir string
+	Pool    *dial.Pool
+	List    List
+	Log     *logrus.Entry
+
+	watch *watch.Client
+	cell  *durable.Cell
+	roll  roll
+
+	// voting serializes the acceptor and its disk, which may stall for seconds.
+	voting   sync.Mutex
+	acceptor register.Acceptor
+	// saved is the acceptor's record that is on the disk.
+	saved atomic.Pointer[fleetpb.AcceptorRecord]
+
+	// proposing lets one round of this instance run at a time.
+	proposing chan struct{}
+	// round is the newest round met.
+	round atomic.Uint64
+
+	// news is closed and replaced whenever something newer is known.
+	newsMu sync.Mutex
+	news   chan struct{}
+}
+
+// Open reads the disk. The instance votes once it is opened.
+func (c *Controller) Open() error {
+	cell, err := durable.OpenCell(c.DataDir, "register")
+	if err != nil {
+		return err
+	}
+	c.cell = cell
+	c.acceptor = register.Acceptor{Storage: c.Self.GetStorage(), Founder: c.Founder}
+	if b := cell.Value(); b != nil {
+		record := &fleetpb.AcceptorRecord{}
+		if err := proto.Unmarshal(b, record); err != nil {
+			return errors.Wrap(err, "controller: the votes on the disk")
+		}
+		c.acceptor.Restore(record)
+		c.saved.Store(record)
+		c.sawRound(record.GetPromised().GetRound())
+	}
+	c.proposing = make(chan struct{}, 1)
+	c.news = make(chan struct{})
+	c.watch = &watch.Client{
+		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL, Incarnation: c.Incarnation,
+		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
+	}
+	return nil
+}
+
+// Run does the instance's duties until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	go c.watch.Run(ctx)
+	reader := &reader{controller: c}
+	go reader.loop(ctx)
+	d := &duties{controller: c}
+	d.loop(ctx)
+}
+
+// State returns the newest state known to be chosen, or nil.
+func (c *Controller) State() *fleetpb.State { return c.watch.State() }
+
+// Watcher returns the client with which this instance watches the others.
+func (c *Controller) Watcher() *watch.Client { return c.watch }
+
+// Learned reports whether the instance knows a chosen state.
+func (c *Controller) Learned() bool { return c.State() != nil }
+
+// Endpoints returns the newest list and when it was read.
+func (c *Controller) Endpoints() *watch.Reading { return c.watch.List() }
+
+// tell wakes the calls that wait for news.
+func (c *Controller) tell() {
+	c.newsMu.Lock()
+	close(c.news)
+	c.news = make(chan struct{})
+	c.newsMu.Unlock()
+}
+
+func (c *Controller) newsChannel() <-chan struct{} {
+	c.newsMu.Lock()
+	defer c.newsMu.Unlock()
+	return c.news
+}
+
+// Put brings a configuration into force, unless one of the same or a higher
+// version is. It returns once a majority keeps the outcome.
+func (c *Controller) Put(ctx context.Context, version uint64, document []byte) error {
+	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
+		if s.GetNumber() == 0 || version <= s.GetConfiguration().GetVersion() {
+			return nil
+		}
+		s.Configuration = &fleetpb.Configuration{Version: version, Document: document}
+		return s
+	})
+	return err
+}
+
+// Read returns the newest state that a majority keeps.
+func (c *Controller) Read(ctx context.Context) (*fleetpb.State, error) {
+	return c.Change(ctx, nil)
+}
+
+// Change runs rounds until one has chosen a value, which it returns.
+func (c *Controller) Change(ctx context.Context, change register.Change) (*fleetpb.State, error) {
+	select {
+	case c.proposing <- struct{}{}:
+		defer func() { <-c.proposing }()
+	case <-ctx.Done():
+		return nil, &UnavailableError{Cause: ctx.Err()}
+	}
+	for {
+		s, err := c.runRound(ctx, change)
+		var lost *lostError
+		if errors.As(err, &lost) {
+			c.sawRound(lost.round)
+			if sleep(ctx, rand.N(roundPause)) {
+				continue
+			}
+			err = ctx.Err()
+		}
+		if err != nil {
+			return nil, &UnavailableError{Cause: err}
+		}
+		if s.GetNumber() == 0 {
+			return nil, &UnavailableError{Cause: errors.New("the voters have no value yet")}
+		}
+		c.watch.Offer(s)
+		return s, nil
+	}
+}
+
+// nextBallot returns a ballot that no round has used: its round is above all
+// that this storage has promised, also in earlier lives.
+func (c *Controller) nextBallot() *fleetpb.Ballot {
+	c.sawRound(c.saved.Load().GetPromised().GetRound())
+	return &fleetpb.Ballot{Round: c.round.Add(1), Proposer: c.Self.GetStorage()}
+}
+
+// sawRound raises the newest round met.
+func (c *Controller) sawRound(round uint64) {
+	for old := c.round.Load(); old < round; old = c.round.Load() {
+		if c.round.CompareAndSwap(old, round) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/rockbarrow/controller/duties.go
@@ -0,0 +1,227 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// dutyTick is how often the duties are looked at.
+	dutyTick = 250 * time.Millisecond
+	// stoodStill is a gap between ticks after which this process knows nothing
+	// of who is present.
+	stoodStill = time.Second
+	// leaderWithin is how lately a control instance must have asked to come
+	// before others in rank; it asks every peerHold.
+	leaderWithin = time.Second
+	// learnAfter is how long an accepted value may stay unconfirmed before this
+	// instance runs a round of its own to see whether it was chosen.
+	learnAfter = 250 * time.Millisecond
+	// dutyWithin bounds a change that a duty makes.
+	dutyWithin = 1500 * time.Millisecond
+)
+
+// duties are what one control instance does for all: forming the first view,
+// moving stores and voters, and finding out what was chosen.
+type duties struct {
+	controller *Controller
+	started    time.Time
+	ticked     time.Time
+	// unlearned is since when the own vote is newer than what is known.
+	unlearned time.Time
+	// lastJoin is when a store that was not known before was first heard.
+	lastJoin time.Time
+	known    int
+}
+
+func (d *duties) loop(ctx context.Context) {
+	d.started, d.ticked = time.Now(), time.Now()
+	for sleep(ctx, dutyTick) {
+		now := time.Now()
+		if now.Sub(d.ticked) > stoodStill {
+			d.controller.Log.WithField("gap_ms", now.Sub(d.ticked).Milliseconds()).Warn("this process stood still")
+			d.controller.roll.refresh(now)
+		}
+		d.ticked = now
+		d.tick(ctx, now)
+		d.controller.roll.forget(now)
+	}
+}
+
+func (d *duties) tick(ctx context.Context, now time.Time) {
+	d.learn(ctx, now)
+	c := d.controller
+	if c.rank(now) != 0 {
+		return
+	}
+	if c.State() == nil {
+		d.found(ctx)
+		return
+	}
+	d.reconcile(ctx, now)
+}
+
+// learn runs a round when the own vote holds a newer value than the one known
+// to be chosen: the proposer may have died before it told anyone.
+func (d *duties) learn(ctx context.Context, now time.Time) {
+	c := d.controller
+	if c.saved.Load().GetState().GetNumber() <= c.State().GetNumber() {
+		d.unlearned = time.Time{}
+		return
+	}
+	if d.unlearned.IsZero() {
+		d.unlearned = now.Add(rand.N(learnAfter))
+		return
+	}
+	if now.Sub(d.unlearned) < learnAfter {
+		return
+	}
+	d.unlearned = now.Add(rand.N(learnAfter))
+	ctx, cancel := context.WithTimeout(ctx, dutyWithin)
+	defer cancel()
+	if _, err := c.Read(ctx); err != nil {
+		c.Log.WithError(err).Warn("the newest state is not learned")
+	}
+}
+
+// found forms the first set of voters.
+func (d *duties) found(ctx context.Context) {
+	c := d.controller
+	_, initial := c.electorate()
+	if initial == nil {
+		return
+	}
+	d.change(ctx, "first voters", func(s *fleetpb.State) *fleetpb.State {
+		if s.GetNumber() > 0 {
+			return nil
+		}
+		s.Voters = initial
+		return s
+	})
+}
+
+// reconcile makes one step towards the view and the voters that should be.
+func (d *duties) reconcile(ctx context.Context, now time.Time) {
+	c := d.controller
+	p := plan{
+		now:     now,
+		stores:  c.roll.of(now, fleetpb.Role_ROLE_STORE, forgetAfter),
+		control: c.roll.of(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
+		copies:  2*c.Losses + 1,
+		settled: d.settled(now),
+		self:    c.Self,
+		calm:    now.Sub(d.started) > calmAfter,
+	}
+	if p.next(c.State()) == nil {
+		return
+	}
+	d.change(ctx, "members", p.next)
+}
+
+// settled reports whether no store has come for a while, so that the first view
+// holds them all.
+func (d *duties) settled(now time.Time) bool {
+	n := len(d.controller.roll.of(now, fleetpb.Role_ROLE_STORE, presentWithin))
+	if n != d.known {
+		d.known, d.lastJoin = n, now
+	}
+	return now.Sub(d.lastJoin) > settleFor
+}
+
+func (d *duties) change(ctx context.Context, what string, change func(*fleetpb.State) *fleetpb.State) {
+	c := d.controller
+	ctx, cancel := context.WithTimeout(ctx, dutyWithin)
+	defer cancel()
+	s, err := c.Change(ctx, change)
+	if err != nil {
+		c.Log.WithError(err).WithField("change", what).Warn("a change of the deployment failed")
+		return
+	}
+	c.Log.WithFields(logrus.Fields{
+		"change": what, "state": s.GetNumber(), "view": s.GetView().GetEpoch(),
+		"stores": names(s.GetView().GetMembers()), "prior": names(s.GetView().GetPrior()),
+		"voters": names(s.GetVoters()), "prior_voters": names(s.GetPriorVoters()),
+	}).Info("the deployment has changed")
+}
+
+func names(list []*fleetpb.Member) []string {
+	out := make([]string, 0, len(list))
+	for _, m := range list {
+		out = append(out, m.GetInstance())
+	}
+	return out
+}
+
+// Retire asks for a store to be emptied. Asking again changes nothing.
+func (c *Controller) Retire(ctx context.Context, name string) error {
+	var refused error
+	now := time.Now()
+	stores := c.roll.of(now, fleetpb.Role_ROLE_STORE, presentWithin)
+	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
+		refused = mayRetire(s, stores, name, 2*c.Losses+1)
+		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
+			return nil
+		}
+		s.View.Leaving = append(s.View.Leaving, name)
+		return s
+	})
+	if err != nil {
+		return err
+	}
+	return refused
+}
+
+// mayRetire returns why a store can't be emptied, or nil.
+func mayRetire(s *fleetpb.State, present []seat, name string, copies int) error {
+	if slices.Contains(s.GetRetired(), name) || slices.Contains(s.GetView().GetLeaving(), name) {
+		return nil
+	}
+	known, left := false, 0
+	count := func(m *fleetpb.Member) {
+		switch {
+		case m.GetInstance() == name:
+			known = true
+		case !slices.Contains(s.GetView().GetLeaving(), m.GetInstance()):
+			left++
+		}
+	}
+	for _, m := range s.GetView().GetMembers() {
+		count(m)
+	}
+	for _, p := range present {
+		if !hasInstance(s.GetView().GetMembers(), p.member.GetInstance()) {
+			count(p.member)
+		}
+	}
+	if !known {
+		return &UnknownStoreError{Name: name}
+	}
+	if left < ledger.Majority(copies) {
+		return &TooFewStoresError{Left: left, Needed: copies}
+	}
+	return nil
+}
+
+// Retirement reports whether a store has been emptied.
+func (c *Controller) Retirement(ctx context.Context, name string) (done bool, err error) {
+	s, err := c.Read(ctx)
+	if err != nil {
+		return false, err
+	}
+	if slices.Contains(s.GetRetired(), name) {
+		return true, nil
+	}
+	if slices.Contains(s.GetView().GetLeaving(), name) {
+		return false, nil
+	}
+	return false, &UnknownStoreError{Name: name}
+}
--- /dev/null
+++ b/rockbarrow/controller/plan.go
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// settleFor is how long no store may have come before the first view forms;
+	// all instances start within 0.3 s of each other.
+	settleFor = 1200 * time.Millisecond
+	// calmAfter is how long a control instance must have run before it takes
+	// another's silence for a loss.
+	calmAfter = 4 * time.Second
+	// lostAfter is how long a member stays silent before a spare one takes its
+	// place. Shorter would move records when a process restarts.
+	lostAfter = 3500 * time.Millisecond
+)
+
+// plan decides the next step of the members. It is made anew from what is known
+// at each tick.
+type plan struct {
+	now     time.Time
+	stores  []seat
+	control []seat
+	// copies is how many stores keep a program's records.
+	copies int
+	// settled is true when no store has come lately.
+	settled bool
+	self    *fleetpb.Member
+	// calm is true when silence may be taken for a loss.
+	calm bool
+}
+
+// next returns the state with one step made, or nil if there is none to make.
+func (p plan) next(s *fleetpb.State) *fleetpb.State {
+	s = register.Clone(s)
+	if p.nextView(s) || p.nextVoters(s) {
+		return s
+	}
+	return nil
+}
+
+func (p plan) nextView(s *fleetpb.State) bool {
+	v := s.GetView()
+	switch {
+	case v == nil:
+		return p.firstView(s)
+	case len(v.GetPrior()) > 0:
+		return p.finishView(s)
+	}
+	members := p.wantedStores(s)
+	if register.Same(members, v.GetMembers()) {
+		return false
+	}
+	v.Prior, v.Members = v.GetMembers(), members
+	v.Epoch++
+	return true
+}
+
+func (p plan) firstView(s *fleetpb.State) bool {
+	var members []*fleetpb.Member
+	for _, seat := range p.stores {
+		if p.present(seat) {
+			members = append(members, seat.member)
+		}
+	}
+	if !p.settled || len(members) == 0 {
+		return false
+	}
+	s.View = &fleetpb.View{Epoch: 1, Members: members, Copies: uint32(p.copies)}
+	return true
+}
+
+// finishView ends a move once the new members hold what they need. A few may be
+// missing: each group then still has a quorum that does.
+func (p plan) finishView(s *fleetpb.State) bool {
+	v := s.GetView()
+	missing := 0
+	for _, m := range v.GetMembers() {
+		seat, ok := find(p.stores, m.GetStorage())
+		if ok && seat.copied >= v.GetEpoch() {
+			continue
+		}
+		// One that is present will be done soon.
+		if ok && p.present(seat) {
+			return false
+		}
+		missing++
+	}
+	if missing > ledger.Missing(min(p.copies, len(v.GetMembers()))) {
+		return false
+	}
+	v.Prior = nil
+	v.Epoch++
+	for _, name := range v.GetLeaving() {
+		if !hasInstance(v.GetMembers(), name) && !slices.Contains(s.GetRetired(), name) {
+			s.Retired = append(s.Retired, name)
+		}
+	}
+	v.Leaving = slices.DeleteFunc(v.GetLeaving(), func(name string) bool { return slices.Contains(s.GetRetired(), name) })
+	return true
+}
+
+// wantedStores returns the members that should be: each at its place, with its
+// present storage, unless it leaves or is lost and a spare can stand in.
+func (p plan) wantedStores(s *fleetpb.State) []*fleetpb.Member {
+	v := s.GetView()
+	spares := p.spares(s)
+	var out []*fleetpb.Member
+	for _, m := range v.GetMembers() {
+		switch {
+		case slices.Contains(v.GetLeaving(), m.GetInstance()):
+			if len(spares) > 0 {
+				out, spares = append(out, spares[0]), spares[1:]
+			}
+		case p.reborn(m) != nil:
+			out = append(out, p.reborn(m))
+		case p.lost(p.stores, m) && len(spares) > 0:
+			out, spares = append(out, spares[0]), spares[1:]
+		default:
+			out = append(out, m)
+		}
+	}
+	for len(out) < p.copies && len(spares) > 0 {
+		out, spares = append(out, spares[0]), spares[1:]
+	}
+	return out
+}
+
+// spares are present stores that are not members, do not leave and have not been
+// emptied.
+func (p plan) spares(s *fleetpb.State) []*fleetpb.Member {
+	v := s.GetView()
+	var out []*fleetpb.Member
+	for _, seat := range p.stores {
+		name := seat.member.GetInstance()
+		if !p.present(seat) || hasInstance(v.GetMembers(), name) {
+			continue
+		}
+		if slices.Contains(v.GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
+			continue
+		}
+		out = append(out, seat.member)
+	}
+	return out
+}
+
+// reborn returns the present life of a member that came back with an empty disk
+// or at another address.
+func (p plan) reborn(m *fleetpb.Member) *fleetpb.Member {
+	for _, seat := range p.stores {
+		o := seat.member
+		if o.GetInstance() == m.GetInstance() && o.GetStorage() != m.GetStorage() && p.present(seat) {
+			return o
+		}
+	}
+	return nil
+}
+
+func (p plan) present(s seat) bool { return p.now.Sub(s.heard) < presentWithin }
+
+// lost reports whether a member has been silent for long.
+func (p plan) lost(seats []seat, m *fleetpb.Member) bool {
+	if !p.calm || m.GetStorage() == p.self.GetStorage() {
+		return false
+	}
+	seat, ok := find(seats, m.GetStorage())
+	return !ok || p.now.Sub(seat.heard) > lostAfter
+}
+
+// nextVoters moves one voter at a time; while two sets count, it ends the move.
+func (p plan) nextVoters(s *fleetpb.State) bool {
+	if len(s.GetPriorVoters()) > 0 {
+		s.PriorVoters = nil
+		return true
+	}
+	wanted := p.wantedVoters(s.GetVoters())
+	if register.Same(wanted, s.GetVoters()) {
+		return false
+	}
+	s.PriorVoters, s.Voters = s.GetVoters(), wanted
+	return true
+}
+
+func (p plan) wantedVoters(voters []*fleetpb.Member) []*fleetpb.Member {
+	spares := p.spareControl(voters)
+	for i, m := range voters {
+		for _, o := range spares {
+			if o.GetInstance() == m.GetInstance() {
+				return replaced(voters, i, o)
+			}
+		}
+		if p.lost(p.control, m) && len(spares) > 0 {
+			return replaced(voters, i, spares[0])
+		}
+	}
+	if len(voters) < p.copies && len(spares) > 0 {
+		return append(slices.Clone(voters), spares[0])
+	}
+	return voters
+}
+
+// spareControl returns control instances that have no vote.
+func (p plan) spareControl(voters []*fleetpb.Member) []*fleetpb.Member {
+	var out []*fleetpb.Member
+	if !register.Has(voters, p.self.GetStorage()) {
+		out = append(out, p.self)
+	}
+	for _, seat := range p.control {
+		if p.present(seat) && !register.Has(voters, seat.member.GetStorage()) {
+			out = append(out, seat.member)
+		}
+	}
+	return out
+}
+
+func replaced(list []*fleetpb.Member, i int, m *fleetpb.Member) []*fleetpb.Member {
+	out := slices.Clone(list)
+	out[i] = m
+	return out
+}
+
+func find(seats []seat, storage uint64) (seat, bool) {
+	for _, s := range seats {
+		if s.member.GetStorage() == storage {
+			return s, true
+		}
+	}
+	return seat{}, false
+}
+
+func hasInstance(list []*fleetpb.Member, name string) bool {
+	for _, m := range list {
+		if m.GetInstance() == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/rockbarrow/controller/roll.go
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// peerHold is how long control instances hold each other's calls, so that
+	// each hears the others several times a second.
+	peerHold = 300 * time.Millisecond
+	// foundersWithin is how lately a founder must have been heard.
+	foundersWithin = 2 * time.Second
+	// presentWithin is how lately an instance must have asked to count as
+	// present; it asks once a second.
+	presentWithin = 2500 * time.Millisecond
+	// forgetAfter drops an instance from the roll.
+	forgetAfter = time.Minute
+)
+
+// seat is what the roll knows of one instance.
+type seat struct {
+	member *fleetpb.Member
+	role   fleetpb.Role
+	heard  time.Time
+	copied uint64
+}
+
+// roll is who called this instance, and when. The zero value is ready.
+type roll struct {
+	mu    sync.Mutex
+	seats map[string]*seat
+}
+
+func (r *roll) heard(now time.Time, req *fleetpb.WatchRequest) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.seats == nil {
+		r.seats = map[string]*seat{}
+	}
+	r.seats[req.GetSender().GetInstance()] = &seat{
+		member: req.GetSender(), role: req.GetRole(), heard: now, copied: req.GetCopiedEpoch(),
+	}
+}
+
+// refresh counts all as heard now, after this process stood still.
+func (r *roll) refresh(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.seats {
+		s.heard = now
+	}
+}
+
+// forget drops instances that were not heard for long.
+func (r *roll) forget(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for name, s := range r.seats {
+		if now.Sub(s.heard) > forgetAfter {
+			delete(r.seats, name)
+		}
+	}
+}
+
+// of returns the instances of a role that were heard within a time, by name.
+func (r *roll) of(now time.Time, role fleetpb.Role, within time.Duration) []seat {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []seat
+	for _, s := range r.seats {
+		if s.role == role && now.Sub(s.heard) < within {
+			out = append(out, *s)
+		}
+	}
+	slices.SortFunc(out, func(a, b seat) int {
+		return strings.Compare(a.member.GetInstance(), b.member.GetInstance())
+	})
+	return out
+}
+
+// control returns the control instances that this one knows, itself included.
+func (c *Controller) control(now time.Time, within time.Duration) []*fleetpb.Member {
+	out := []*fleetpb.Member{c.Self}
+	for _, s := range c.roll.of(now, fleetpb.Role_ROLE_CONTROL, within) {
+		if s.member.GetInstance() != c.Self.GetInstance() {
+			out = append(out, s.member)
+		}
+	}
+	slices.SortFunc(out, func(a, b *fleetpb.Member) int {
+		return strings.Compare(a.GetInstance(), b.GetInstance())
+	})
+	return out
+}
+
+// rank is this instance's place among the control instances heard lately.
+func (c *Controller) rank(now time.Time) int {
+	for i, m := range c.control(now, leaderWithin) {
+		if m.GetInstance() == c.Self.GetInstance() {
+			return i
+		}
+	}
+	return 0
+}
+
+// Watch answers with what is newer than the sender knows, or waits for it.
+func (c *Controller) Watch(ctx context.Context, req *fleetpb.WatchRequest) (*fleetpb.WatchReply, error) {
+	c.roll.heard(time.Now(), req)
+	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		news := c.newsChannel()
+		if c.hasNews(req) {
+			return c.reply(req), nil
+		}
+		select {
+		case <-news:
+		case <-wait.C:
+			return c.reply(req), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *Controller) hasNews(req *fleetpb.WatchRequest) bool {
+	if c.State().GetNumber() > req.GetStateNumber() {
+		return true
+	}
+	l := c.watch.List()
+	return l != nil && l.List().GetNumber() > req.GetListNumber()
+}
+
+func (c *Controller) reply(req *fleetpb.WatchRequest) *fleetpb.WatchReply {
+	now := time.Now()
+	r := &fleetpb.WatchReply{
+		Responder: c.Self,
+		Control:   c.control(now, presentWithin),
+		Entries:   uint32(len(c.roll.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
+	}
+	if s := c.State(); s.GetNumber() > req.GetStateNumber() {
+		r.State = s
+	}
+	if l := c.watch.List(); l != nil {
+		r.ListKnown = true
+		r.ListAgeMs = uint64(max(0, now.Sub(l.At()).Milliseconds()))
+		if l.List().GetNumber() > req.GetListNumber() {
+			r.List = l.List()
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/rockbarrow/controller/rounds.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// roundPause is the most that a proposer waits after it lost a round, so that
+	// two do not keep losing to each other. A round takes some 10 ms.
+	roundPause = 40 * time.Millisecond
+	// voteWithin bounds one request to an acceptor; a disk's sync takes 1 ms and
+	// a stalled one seconds.
+	voteWithin = 1500 * time.Millisecond
+	// roundWithin bounds one round.
+	roundWithin = 2 * time.Second
+)
+
+// lostError says that a newer ballot was met.
+type lostError struct{ round uint64 }
+
+func (e *lostError) Error() string { return fmt.Sprintf("round %d was met", e.round) }
+
+// runRound carries the messages of one round.
+func (c *Controller) runRound(ctx context.Context, change register.Change) (*fleetpb.State, error) {
+	known, initial := c.electorate()
+	if known == nil && initial == nil {
+		return nil, errors.New("the voters are not known yet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, roundWithin)
+	defer cancel()
+	r := &register.Round{Ballot: c.nextBallot(), Known: known, Initial: initial, Change: change}
+	// Each acceptor answers at most twice in a round.
+	events := make(chan register.Event, 64)
+	actions := r.Handle(register.Begin{})
+	for {
+		for _, a := range actions {
+			switch a := a.(type) {
+			case register.Prepare:
+				go (&vote{controller: c, to: a.To, events: events}).runPrepare(ctx, a.Request)
+			case register.Accept:
+				go (&vote{controller: c, to: a.To, events: events}).runAccept(ctx, a.Request)
+			case register.Chosen:
+				return a.State, nil
+			case register.Lost:
+				return nil, &lostError{round: a.To.GetRound()}
+			}
+		}
+		select {
+		case e := <-events:
+			actions = r.Handle(e)
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// electorate returns a value whose voters to ask, or the first set of voters.
+func (c *Controller) electorate() (known *fleetpb.State, initial []*fleetpb.Member) {
+	if s := c.State(); s != nil {
+		return s, nil
+	}
+	record := c.saved.Load()
+	if record.GetState() != nil {
+		return record.GetState(), nil
+	}
+	if len(record.GetInitial()) > 0 {
+		return nil, record.GetInitial()
+	}
+	if !c.Founder {
+		return nil, nil
+	}
+	return nil, c.founders()
+}
+
+// founders returns the seeds once all of them were heard, this instance among
+// them.
+func (c *Controller) founders() []*fleetpb.Member {
+	var out []*fleetpb.Member
+	heard := c.watch.Control(foundersWithin)
+	for _, address := range c.Seeds {
+		if address == c.Self.GetAddress() {
+			out = append(out, c.Self)
+			continue
+		}
+		for _, m := range heard {
+			if m.GetAddress() == address {
+				out = append(out, m)
+			}
+		}
+	}
+	if len(out) < len(c.Seeds) || !register.Has(out, c.Self.GetStorage()) {
+		return nil
+	}
+	return out
+}
+
+// vote carries one acceptor's part of a round.
+type vote struct {
+	controller *Controller
+	to         *fleetpb.Member
+	events     chan<- register.Event
+}
+
+func (v *vote) runPrepare(ctx context.Context, req *fleetpb.PrepareRequest) {
+	ctx, cancel := context.WithTimeout(ctx, voteWithin)
+	defer cancel()
+	reply, err := v.prepare(ctx, req)
+	if err != nil {
+		v.controller.Log.WithError(err).WithField("control", v.to.GetInstance()).Debug("no promise")
+		return
+	}
+	v.post(ctx, register.Prepared{From: v.to.GetStorage(), Reply: reply})
+}
+
+func (v *vote) prepare(ctx context.Context, req *fleetpb.PrepareRequest) (*fleetpb.PrepareReply, error) {
+	if v.to.GetStorage() == v.controller.Self.GetStorage() {
+		return v.controller.Prepare(ctx, req)
+	}
+	conn, err := v.controller.Pool.Get(v.to.GetAddress())
+	if err != nil {
+		return nil, err
+	}
+	return fleetpb.NewControlClient(conn).Prepare(ctx, req)
+}
+
+func (v *vote) runAccept(ctx context.Context, req *fleetpb.AcceptRequest) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), voteWithin)
+	defer cancel()
+	reply, err := v.accept(ctx, req)
+	if err != nil {
+		v.controller.Log.WithError(err).WithField("control", v.to.GetInstance()).Debug("not accepted")
+		return
+	}
+	v.post(ctx, register.Accepted{From: v.to.GetStorage(), Reply: reply})
+}
+
+func (v *vote) accept(ctx context.Context, req *fleetpb.AcceptRequest) (*fleetpb.AcceptReply, error) {
+	if v.to.GetStorage() == v.controller.Self.GetStorage() {
+		return v.controller.Accept(ctx, req)
+	}
+	conn, err := v.controller.Pool.Get(v.to.GetAddress())
+	if err != nil {
+		return nil, err
+	}
+	return fleetpb.NewControlClient(conn).Accept(ctx, req)
+}
+
+// post hands over an event; a round that has ended leaves it in the channel.
+func (v *vote) post(ctx context.Context, e register.Event) {
+	select {
+	case v.events <- e:
+	case <-ctx.Done():
+	}
+}
+
+// Prepare answers a proposer once the promise is on the disk.
+func (c *Controller) Prepare(_ context.Context, req *fleetpb.PrepareRequest) (*fleetpb.PrepareReply, error) {
+	c.voting.Lock()
+	defer c.voting.Unlock()
+	before := c.acceptor.Record()
+	reply, changed := c.acceptor.Prepare(req)
+	if changed {
+		if err := c.save(before); err != nil {
+			return nil, err
+		}
+	}
+	return reply, nil
+}
+
+// Accept answers a proposer once the value is on the disk.
+func (c *Controller) Accept(_ context.Context, req *fleetpb.AcceptRequest) (*fleetpb.AcceptReply, error) {
+	c.voting.Lock()
+	defer c.voting.Unlock()
+	before := c.acceptor.Record()
+	reply, changed := c.acceptor.Accept(req)
+	if changed {
+		if err := c.save(before); err != nil {
+			return nil, err
+		}
+	}
+	return reply, nil
+}
+
+// save writes the record. A record that could not be written is taken back: no
+// reply tells of it, and the value before it is whole in the other file.
+func (c *Controller) save(before *fleetpb.AcceptorRecord) error {
+	b, err := proto.Marshal(c.acceptor.Record())
+	if err == nil {
+		err = c.cell.Save(b)
+	}
+	if err != nil {
+		c.acceptor.Restore(before)
+		c.Log.WithError(err).Error("a vote was not saved")
+		return errors.Wrap(err, "controller: save a vote")
+	}
+	c.saved.Store(c.acceptor.Record())
+	return nil
+}
--- /dev/null
+++ b/rockbarrow/dial/dial.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: MIT
+
+// Package dial keeps one gRPC connection to each peer instance.
+//
+// A peer that is cut off says nothing, so a connection ends by itself once bytes
+// stay unacknowledged for [deadAfter], and is made again with short pauses: the
+// peer is reached within about a second of its return.
+package dial
+
+import (
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+const (
+	// deadAfter is how long sent bytes may stay unacknowledged. It is some
+	// hundred times a round trip between failure domains (3 ms) and well under
+	// the seconds within which a change must be in force.
+	deadAfter = 900 * time.Millisecond
+	// connectWithin bounds one attempt to connect.
+	connectWithin = 500 * time.Millisecond
+	// firstPause and longestPause lie between attempts.
+	firstPause   = 50 * time.Millisecond
+	longestPause = 400 * time.Millisecond
+	// bufferSize in bytes fits most messages; more would cost memory for each
+	// connection.
+	bufferSize = 8 << 10
+	// maxMessage in bytes fits a configuration of some thousand routes.
+	maxMessage = 32 << 20
+)
+
+// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, which package syscall lacks.
+const tcpUserTimeout = 0x12
+
+// Pool holds the connections of one process. The zero value is ready.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn
+}
+
+// Get returns the connection to an address; it is made in the background.
+func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		return c, nil
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(connect),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstPause, Multiplier: 1.6, Jitter: 0.2, MaxDelay: longestPause},
+			MinConnectTimeout: connectWithin,
+		}),
+		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize), grpc.WithSharedWriteBuffer(true),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
+		grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0),
+	)
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial: %s", address)
+	}
+	if p.conns == nil {
+		p.conns = map[string]*grpc.ClientConn{}
+	}
+	p.conns[address] = c
+	return c, nil
+}
+
+// Drop closes the connection to an address that is no peer any more.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	c := p.conns[address]
+	delete(p.conns, address)
+	p.mu.Unlock()
+	if c != nil {
+		c.Close()
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+	p.conns = nil
+}
+
+// Server returns a gRPC server with the buffers that fit the pool's messages.
+func Server() *grpc.Server {
+	return grpc.NewServer(
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true),
+		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+	)
+}
+
+func connect(ctx context.Context, address string) (net.Conn, error) {
+	return Connect(ctx, address, deadAfter)
+}
+
+// Connect opens a TCP connection that ends once sent bytes stay unacknowledged
+// for a time.
+func Connect(ctx context.Context, address string, dead time.Duration) (net.Conn, error) {
+	d := net.Dialer{
+		Timeout:   connectWithin,
+		KeepAlive: -1,
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var set error
+			err := c.Control(func(fd uintptr) {
+				set = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(dead.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return set
+		},
+	}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/rockbarrow/durable/cell.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: MIT
+
+package durable
+
+import (
+	"encoding/binary"
+	"os"
+	"path/filepath"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Cell is one value on a disk. A [Cell.Save] that fails leaves the value before
+// it in force.
+type Cell struct {
+	// dir and name give the two files, name-0 and name-1.
+	dir, name string
+
+	mu sync.Mutex
+	// seq is the number of the newest whole value; its parity names its file.
+	seq   uint64
+	value []byte
+}
+
+// OpenCell reads the value that a folder holds under a name. The value of a new
+// cell is nil.
+func OpenCell(dir, name string) (*Cell, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, errors.Wrap(err, "durable: make the data folder")
+	}
+	c := &Cell{dir: dir, name: name}
+	for i := range uint64(2) {
+		b, err := os.ReadFile(c.path(i))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, errors.Wrap(err, "durable: read a cell")
+		}
+		c.adopt(b)
+	}
+	return c, nil
+}
+
+// adopt takes the value of a file if it is whole and newer.
+func (c *Cell) adopt(b []byte) {
+	payload, _, ok := nextFrame(b)
+	if !ok || len(payload) < 8 {
+		return
+	}
+	seq := binary.BigEndian.Uint64(payload)
+	if seq <= c.seq {
+		return
+	}
+	c.seq, c.value = seq, payload[8:]
+}
+
+func (c *Cell) path(seq uint64) string {
+	return filepath.Join(c.dir, c.name+"-"+string('0'+byte(seq%2)))
+}
+
+// Value returns the newest saved value; the caller must not change it.
+func (c *Cell) Value() []byte {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.value
+}
+
+// Save writes and syncs a new value.
+func (c *Cell) Save(value []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seq := c.seq + 1
+	payload := binary.BigEndian.AppendUint64(nil, seq)
+	payload = append(payload, value...)
+	if err := writeSynced(c.path(seq), appendFrame(nil, payload)); err != nil {
+		return err
+	}
+	c.seq, c.value = seq, value
+	return nil
+}
+
+// writeSynced replaces a file's content and syncs it.
+func writeSynced(path string, b []byte) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "durable: open a cell")
+	}
+	_, err = f.Write(b)
+	if err == nil {
+		err = f.Sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	return errors.Wrap(err, "durable: write a cell")
+}
--- /dev/null
+++ b/rockbarrow/entry/entry.go
@@ -0,0 +1,245 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/rockbarrow/routing"
+	"rockbarrow.dev/rockbarrow/stores"
+	"rockbarrow.dev/rockbarrow/watch"
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// soon is when a client is told to come back after a refusal that passes by
+	// itself within milliseconds, such as a start; later, after one that lasts.
+	soon  = 150 * time.Millisecond
+	later = 400 * time.Millisecond
+)
+
+// Entry is one entry instance. Set the exported fields before Run.
+type Entry struct {
+	// Domain is the own failure domain.
+	Domain  string
+	Watch   *watch.Client
+	Stores  *stores.Client
+	Sender  Sender
+	Decode  Decode
+	Log     *logrus.Entry
+	Metrics tally.Scope
+
+	table atomic.Pointer[routing.Table]
+	fleet atomic.Pointer[fleet]
+	// refreshing serializes the making of tables and fleets.
+	refreshing sync.Mutex
+	// gone holds the ids of endpoints that were seen leaving. An id never comes
+	// back, so that an older reading of the list changes nothing.
+	gone    map[string]bool
+	changed chan struct{}
+	stopped atomic.Bool
+	flying  atomic.Int64
+}
+
+// fleet is what requests need of the list of endpoints.
+type fleet struct {
+	*placement.Fleet
+	reading *watch.Reading
+}
+
+// Init makes the entry ready for Wake; call it before the watch client runs.
+func (e *Entry) Init() { e.changed = make(chan struct{}, 1) }
+
+// Wake takes over what is new; package watch calls it.
+func (e *Entry) Wake() {
+	select {
+	case e.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Run takes over new configurations and lists until ctx ends.
+func (e *Entry) Run(ctx context.Context) {
+	for {
+		select {
+		case <-e.changed:
+			e.refresh()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Ready reports whether requests can be served, or why not.
+func (e *Entry) Ready() (bool, string) {
+	switch {
+	case e.stopped.Load():
+		return false, "stopping"
+	case e.table.Load() == nil:
+		return false, "no configuration is known"
+	case e.fleet.Load() == nil:
+		return false, "no list of endpoints is known"
+	}
+	return true, ""
+}
+
+// Stop makes the entry say that it is not ready. It goes on to serve.
+func (e *Entry) Stop() { e.stopped.Store(true) }
+
+// Flying returns the number of requests under way.
+func (e *Entry) Flying() int64 { return e.flying.Load() }
+
+func (e *Entry) refresh() {
+	e.refreshing.Lock()
+	defer e.refreshing.Unlock()
+	e.refreshTable()
+	e.refreshFleet()
+}
+
+func (e *Entry) refreshTable() {
+	c := e.Watch.State().GetConfiguration()
+	old := e.table.Load()
+	if c == nil || old != nil && c.GetVersion() <= old.Version() {
+		return
+	}
+	d, err := e.Decode(c.GetDocument())
+	var t *routing.Table
+	if err == nil {
+		t, err = routing.New(d)
+	}
+	if err != nil {
+		e.Log.WithError(err).WithField("config_version", c.GetVersion()).Error("the configuration is not readable here")
+		return
+	}
+	e.table.Store(t)
+	e.Log.WithFields(logrus.Fields{"config_version": t.Version(), "routes": len(d.GetRoutes())}).
+		Info("a configuration is in force")
+}
+
+func (e *Entry) refreshFleet() {
+	reading := e.Watch.List()
+	if reading == nil {
+		return
+	}
+	old := e.fleet.Load()
+	if old != nil && old.reading.List() == reading.List() {
+		return
+	}
+	var before *placement.Fleet
+	if old != nil {
+		before = old.Fleet
+	}
+	f := placement.NewServiceFleet(e.endpoints(reading.List()), placement.Spread, before)
+	e.fleet.Store(&fleet{Fleet: f, reading: reading})
+}
+
+// endpoints returns the endpoints that may get new requests.
+func (e *Entry) endpoints(l *fleetpb.EndpointList) []*configpb.Endpoint {
+	if e.gone == nil {
+		e.gone = map[string]bool{}
+	}
+	var out []*configpb.Endpoint
+	for _, p := range l.GetEndpoints() {
+		if p.GetDraining() && !e.gone[p.GetId()] {
+			e.gone[p.GetId()] = true
+			e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": l.GetNumber()}).
+				Info("an endpoint is leaving and gets nothing new")
+		}
+		if e.gone[p.GetId()] {
+			continue
+		}
+		out = append(out, &configpb.Endpoint{
+			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
+			Service: p.GetService(), MaxCalls: p.GetSlots(),
+		})
+	}
+	return out
+}
+
+// Limits returns what clients may do, or nil before a configuration is known.
+func (e *Entry) Limits() *fleetpb.Limits {
+	t := e.table.Load()
+	if t == nil {
+		return nil
+	}
+	return t.Limits()
+}
+
+// Serve answers a request.
+func (e *Entry) Serve(ctx context.Context, req *Request, out Out) Outcome {
+	e.flying.Add(1)
+	defer e.flying.Add(-1)
+	t, f := e.table.Load(), e.fleet.Load()
+	if t == nil || f == nil {
+		return e.ended(&exchange{entry: e, request: req}, Refused{Status: http.StatusServiceUnavailable, RetryAfter: soon, Reason: "this instance has not learned what to serve yet"})
+	}
+	route, ok := t.Match(req.Host, req.Path)
+	if !ok {
+		return e.ended(&exchange{entry: e, request: req, table: t}, Refused{Status: http.StatusNotFound, Reason: "no route"})
+	}
+	x := &exchange{entry: e, request: req, table: t, route: route, out: out}
+	x.service = t.Service(routing.Split(route, x.splitKey()))
+	x.deadline = req.Arrived.Add(time.Duration(route.GetTimeoutMs()) * time.Millisecond)
+	if req.Wait > 0 && req.Arrived.Add(req.Wait).Before(x.deadline) {
+		x.deadline = req.Arrived.Add(req.Wait)
+	}
+	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	defer cancel()
+	if route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_STREAM && route.GetHistory() {
+		return e.ended(x, x.turn(ctx))
+	}
+	return e.ended(x, x.plain(ctx))
+}
+
+// ended writes the one log line of a request and counts it.
+func (e *Entry) ended(x *exchange, o Outcome) Outcome {
+	r := x.request
+	took := time.Since(r.Arrived)
+	status, reason, level := x.status, "", logrus.InfoLevel
+	switch o := o.(type) {
+	case Refused:
+		status, reason, level = o.Status, o.Reason, logrus.WarnLevel
+	case Cut:
+		status, reason, level = 0, o.Reason, logrus.WarnLevel
+	}
+	e.count(x, o, took)
+	if !e.Log.Logger.IsLevelEnabled(level) {
+		return o
+	}
+	e.Log.WithFields(logrus.Fields{
+		"request": r.ID, "program": r.Program, "previous": r.Previous, "route": x.route.GetName(),
+		"service": x.service.GetName(), "endpoint": x.endpoint, "offers": x.offers, "status": status,
+		"reason": reason, "config_version": x.table.Version(), "list": x.list, "list_age_ms": x.listAge,
+		"took_ms": took.Milliseconds(), "own_ms": x.own.Milliseconds(),
+	}).Log(level, "request ended")
+	return o
+}
+
+func (e *Entry) count(x *exchange, o Outcome, took time.Duration) {
+	kind := "answered"
+	switch o := o.(type) {
+	case Refused:
+		kind = "refused_" + http.StatusText(o.Status)
+	case Cut:
+		kind = "cut"
+	}
+	scope := e.Metrics.Tagged(map[string]string{"outcome": kind})
+	scope.Counter("requests").Inc(1)
+	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
+	if x.own > 0 {
+		e.Metrics.Histogram("own_seconds", latencyBuckets).RecordDuration(x.own)
+	}
+}
+
+// latencyBuckets reach from a round trip between instances to the longest
+// timeouts, each a half more than the one before.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 1.6, 20)
--- /dev/null
+++ b/rockbarrow/entry/ports.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Request is a client's request.
+type Request struct {
+	// ID is the client's name for this try.
+	ID string
+	// Method, Target, Host and Header are passed on as they are; Header lacks
+	// what concerns one connection only and what only the system may set.
+	Method, Target, Host string
+	Header               http.Header
+	// Path is the path of the target, for routing.
+	Path string
+	Body []byte
+	// Arrived is when the request was read; Wait is how long the client waits
+	// from then on, zero if it did not say.
+	Arrived time.Time
+	Wait    time.Duration
+	// Program, Line, Previous and Budget describe a turn: the program, the line of
+	// turns in it, the turn before and the tokens of all its turns.
+	Program, Line, Previous string
+	Budget                  uint64
+	// Prompt and Most are the tokens of the prompt, and of the longest answer.
+	Prompt, Most uint64
+	// Affinity names the object that the request is about, or is "".
+	Affinity string
+}
+
+// Offer is a request on its way to one endpoint.
+type Offer struct {
+	Request *Request
+	Body    []byte
+	// Endpoint is the life of a back end that must run it, and no other.
+	Endpoint *configpb.Endpoint
+	// Deadline is when the endpoint is to stop.
+	Deadline time.Time
+	// Priority 0 is the most urgent.
+	Priority uint32
+	// Connections bounds this instance's connections to the endpoint.
+	Connections int
+	// Stream is true if the answer comes in events.
+	Stream bool
+}
+
+// Answer is what an endpoint answered.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the length of the body, or -1.
+	Length int64
+	// Body ends with io.EOF only if the answer is whole. Closing it early ends
+	// the endpoint's work.
+	Body io.ReadCloser
+}
+
+// Sender carries offers to endpoints.
+type Sender interface {
+	// Send returns the beginning of the answer, a [NotRunError] or a
+	// [BrokenError].
+	Send(ctx context.Context, o Offer) (*Answer, error)
+}
+
+// Out takes the answer to a request.
+type Out interface {
+	// Start sends the head. Length is -1 if it is not known.
+	Start(status int, h http.Header, length int64)
+	// Write sends a part of the body at once.
+	Write(b []byte) error
+}
+
+// NotRunError says that an endpoint certainly did not run a request and never
+// will.
+type NotRunError struct {
+	Endpoint, Reason string
+	// Busy is true if the endpoint was full and not at fault.
+	Busy bool
+}
+
+// Error describes the refusal.
+func (e *NotRunError) Error() string {
+	return fmt.Sprintf("entry: endpoint %s did not run it: %s", e.Endpoint, e.Reason)
+}
+
+// BrokenError says that an endpoint may have run a request whose answer is lost.
+type BrokenError struct{ Endpoint, Reason string }
+
+// Error describes the loss.
+func (e *BrokenError) Error() string {
+	return fmt.Sprintf("entry: endpoint %s may have run it: %s", e.Endpoint, e.Reason)
+}
+
+// Outcome is how a request ended: [Answered], [Refused] or [Cut].
+type Outcome interface{ outcome() }
+
+// Answered says that the whole answer was written.
+type Answered struct{}
+
+// Refused says that nothing was written yet and what the client is to be told.
+type Refused struct {
+	Status int
+	// RetryAfter is when to come back; zero tells nothing.
+	RetryAfter time.Duration
+	Reason     string
+}
+
+// Cut says that the answer began and can't be ended: the connection must be
+// closed so that it does not look whole.
+type Cut struct{ Reason string }
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Cut) outcome()      {}
+
+// Decode reads a configuration as operators wrote it.
+type Decode func(document []byte) (*fleetpb.Document, error)
--- /dev/null
+++ b/rockbarrow/ledger/tally.go
@@ -0,0 +1,112 @@
+// SPDX-License-Identifier: MIT
+
+package ledger
+
+import "rockbarrow.dev/schema/fleetpb"
+
+// Tally counts the answers to one call that goes to a program's stores.
+type Tally struct {
+	epoch uint64
+	// present is the group under the view's members, prior the one under the
+	// members before a change under way, or empty.
+	present, prior []*fleetpb.Member
+	acked, whole   map[uint64]bool
+	refused        map[uint64]bool
+}
+
+// NewTally returns the tally of a program's stores under a view.
+func NewTally(v *fleetpb.View, program string) *Tally {
+	t := &Tally{epoch: v.GetEpoch(), acked: map[uint64]bool{}, whole: map[uint64]bool{}, refused: map[uint64]bool{}}
+	t.present = Group(v.GetMembers(), program, int(v.GetCopies()))
+	if len(v.GetPrior()) > 0 {
+		t.prior = Group(v.GetPrior(), program, int(v.GetCopies()))
+	}
+	return t
+}
+
+// Everywhere returns a tally of all stores of a view, for a question whose
+// program is not known.
+func Everywhere(v *fleetpb.View) *Tally {
+	t := NewTally(&fleetpb.View{Epoch: v.GetEpoch()}, "")
+	t.present, t.prior = v.GetMembers(), v.GetPrior()
+	return t
+}
+
+// Members returns the stores to call, each once.
+func (t *Tally) Members() []*fleetpb.Member {
+	out := append([]*fleetpb.Member(nil), t.present...)
+	for _, m := range t.prior {
+		if !hasStorage(out, m.GetStorage()) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// Ack counts a store that has synced the record. What it does not tell means
+// something only if it held all records of its groups under the view before this
+// one: while a move is under way the old group answers, and when it has ended
+// the members have what they copied.
+func (t *Tally) Ack(storage, wholeEpoch uint64) {
+	t.acked[storage] = true
+	t.whole[storage] = wholeEpoch+1 >= t.epoch
+}
+
+// Refuse counts a store that will not answer this call.
+func (t *Tally) Refuse(storage uint64) { t.refused[storage] = true }
+
+// Written reports whether the record is durable.
+func (t *Tally) Written() bool {
+	acked := func(id uint64) bool { return t.acked[id] }
+	return quorum(t.present, acked) && (len(t.prior) == 0 || quorum(t.prior, acked))
+}
+
+// Sure reports whether what no store has told is certainly not there.
+func (t *Tally) Sure() bool {
+	whole := func(id uint64) bool { return t.whole[id] }
+	if len(t.prior) > 0 {
+		return quorum(t.prior, whole)
+	}
+	return quorum(t.present, whole)
+}
+
+// SureEverywhere reports whether what no store has told is in no group at all:
+// each group has a quorum among the stores that answered.
+func (t *Tally) SureEverywhere(copies int) bool {
+	list := t.present
+	if len(t.prior) > 0 {
+		list = t.prior
+	}
+	unheard := 0
+	for _, m := range list {
+		if !t.whole[m.GetStorage()] {
+			unheard++
+		}
+	}
+	return unheard <= Missing(min(copies, len(list)))
+}
+
+// Lost reports whether a quorum can no longer be reached.
+func (t *Tally) Lost() bool {
+	open := func(id uint64) bool { return !t.refused[id] }
+	return !quorum(t.present, open) || len(t.prior) > 0 && !quorum(t.prior, open)
+}
+
+func quorum(group []*fleetpb.Member, has func(uint64) bool) bool {
+	n := 0
+	for _, m := range group {
+		if has(m.GetStorage()) {
+			n++
+		}
+	}
+	return len(group) > 0 && n >= Majority(len(group))
+}
+
+func hasStorage(list []*fleetpb.Member, storage uint64) bool {
+	for _, m := range list {
+		if m.GetStorage() == storage {
+			return true
+		}
+	}
+	return false
+}
--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -13,8 +13,8 @@
 	"rockbarrow.dev/schema/configpb"
 )
 
-// Policy is how endpoints are chosen. All but Cost are baselines to measure
-// against.
+// Policy is how endpoints are chosen. Cost and Spread are in use; the others are
+// baselines to measure against.
 type Policy int
 
 // The policies.
@@ -27,6 +27,9 @@
 	LeastLoaded
 	// Sticky stays with the run's last endpoint while it is open.
 	Sticky
+	// Spread stays with the run's last endpoint while it has room, and else
+	// spreads calls evenly. It needs no measured speeds.
+	Spread
 )
 
 // Weights say what time and waste are worth against each other.
@@ -55,6 +58,8 @@
 	Last string
 	// Avoid names endpoints that failed the call.
 	Avoid []string
+	// Domain is the own failure domain, for Spread.
+	Domain string
 }
 
 // Held says how many tokens of a prompt an endpoint's cache holds.
@@ -191,6 +196,8 @@
 		return f.leastLoaded(now, list, req)
 	case Sticky:
 		return f.sticky(now, list, req)
+	case Spread:
+		return f.spread(now, list, req, r)
 	}
 	return f.leastCost(now, list, req, r)
 }
--- /dev/null
+++ b/rockbarrow/register/ballot.go
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+
+package register
+
+import (
+	"cmp"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Compare orders ballots by round, then by proposer. A nil ballot is the oldest.
+func Compare(a, b *fleetpb.Ballot) int {
+	if c := cmp.Compare(a.GetRound(), b.GetRound()); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.GetProposer(), b.GetProposer())
+}
+
+// Same reports whether two lists name the same lives of storage.
+func Same(a, b []*fleetpb.Member) bool {
+	return len(a) == len(b) && containsAll(a, b) && containsAll(b, a)
+}
+
+// Has reports whether a list names a life of a storage.
+func Has(list []*fleetpb.Member, storage uint64) bool {
+	for _, m := range list {
+		if m.GetStorage() == storage {
+			return true
+		}
+	}
+	return false
+}
+
+func containsAll(list, part []*fleetpb.Member) bool {
+	for _, m := range part {
+		if !Has(list, m.GetStorage()) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/rockbarrow/stores/client.go
@@ -0,0 +1,230 @@
+// SPDX-License-Identifier: MIT
+
+package stores
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/rockbarrow/watch"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// overBudgetTries is how often a turn that does not fit is tried again: two
+	// that reserve at the same moment may each see the other and both step back.
+	overBudgetTries = 3
+	// overBudgetPause lies between these tries; a reservation takes some 5 ms.
+	overBudgetPause = 25 * time.Millisecond
+)
+
+// Client calls store instances. Set the exported fields before the first call.
+type Client struct {
+	Watch *watch.Client
+	Pool  *dial.Pool
+	// Domain is the own failure domain, whose stores are asked for histories.
+	Domain string
+	// Turns are those seen lately.
+	Turns *Cache
+}
+
+// Turn is a turn that wants to run.
+type Turn struct {
+	// ID names the turn, Program whose budget it spends.
+	ID, Program string
+	// reservation names what is set aside. One that was given back counts as
+	// settled for ever, so that another try needs another name.
+	reservation string
+	// Previous is the turn that it goes on from, or "".
+	Previous string
+	// Most is how many tokens it may generate.
+	Most uint64
+	// Budget bounds the tokens of all turns of the program; zero is no bound.
+	Budget uint64
+	// Retain is how long turns are kept.
+	Retain time.Duration
+}
+
+// Grant is what a turn may go on with.
+type Grant struct {
+	// turn is the turn with the reservation that was made for it.
+	turn Turn
+	// history are the turns before it, oldest first.
+	history []*fleetpb.Turn
+	home    string
+}
+
+// History returns the turns before, oldest first.
+func (g *Grant) History() []*fleetpb.Turn { return g.history }
+
+// Home returns the program whose stores keep the chain.
+func (g *Grant) Home() string { return g.home }
+
+// Reserve sets the turn's most tokens aside, durably, and returns its history.
+// After an error what was reserved is given back in the background.
+func (c *Client) Reserve(ctx context.Context, t Turn) (*Grant, error) {
+	for try := 1; ; try++ {
+		t.reservation = fmt.Sprintf("%s/%d", t.ID, try)
+		g, err := c.reserve(ctx, t)
+		var over *OverBudgetError
+		if !errors.As(err, &over) || try == overBudgetTries {
+			return g, err
+		}
+		wait := time.NewTimer(overBudgetPause)
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+			wait.Stop()
+			return nil, err
+		}
+	}
+}
+
+func (c *Client) reserve(ctx context.Context, t Turn) (*Grant, error) {
+	var used uint64
+	seen := newSeen(c.Turns)
+	if err := c.reserveTokens(ctx, t, seen, &used); err != nil {
+		c.void(ctx, t)
+		return nil, err
+	}
+	if t.Budget > 0 && used+t.Most > t.Budget {
+		c.void(ctx, t)
+		return nil, &OverBudgetError{Budget: t.Budget, Used: used, Most: t.Most}
+	}
+	g := &Grant{turn: t, home: t.Program}
+	if t.Previous == "" {
+		return g, nil
+	}
+	history, err := c.history(ctx, t, seen)
+	if err != nil {
+		c.void(ctx, t)
+		return nil, err
+	}
+	g.history, g.home = history, history[0].GetHome()
+	return g, nil
+}
+
+// reserveTokens writes the reservation on a majority and learns what the other
+// turns have used.
+func (c *Client) reserveTokens(ctx context.Context, t Turn, seen *seen, used *uint64) error {
+	for {
+		view := c.Watch.State().GetView()
+		tally := ledger.NewTally(view, t.Program)
+		var total ledger.Total
+		wanted := t.Previous != "" && seen.find(t.Previous) == nil
+		asked := c.nearest(tally.Members())
+		got, reason := gather(ctx, c, tally, func() bool { return tally.Written() && tally.Sure() },
+			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
+				r, err := s.Reserve(ctx, &fleetpb.ReserveRequest{
+					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: t.Program, Turn: t.reservation, Tokens: t.Most,
+					Previous: t.Previous, Chain: wanted && m == asked, RetainMs: uint64(t.Retain.Milliseconds()),
+				})
+				return r, r.GetStatus(), err
+			},
+			func(r *fleetpb.ReserveReply) {
+				total.Add(r.GetReservations())
+				seen.add(r.GetChain())
+			})
+		if got == reached {
+			*used = total.Others(t.reservation)
+			return nil
+		}
+		if got == expired || !again(ctx) {
+			return &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
+		}
+	}
+}
+
+// nearest prefers a store of the own failure domain.
+func (c *Client) nearest(members []*fleetpb.Member) *fleetpb.Member {
+	for _, m := range members {
+		if m.GetFailureDomain() == c.Domain {
+			return m
+		}
+	}
+	if len(members) == 0 {
+		return nil
+	}
+	return members[0]
+}
+
+// Void gives a reservation back whose turn certainly did not run. It works in
+// the background: until it is done, the program's budget is a little smaller.
+func (c *Client) Void(ctx context.Context, g *Grant) { c.void(ctx, g.turn) }
+
+func (c *Client) void(ctx context.Context, t Turn) {
+	v := &voiding{client: c, turn: t}
+	go v.run(context.WithoutCancel(ctx))
+}
+
+type voiding struct {
+	client *Client
+	turn   Turn
+}
+
+func (v *voiding) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	err := v.client.write(ctx, v.turn.Program, &fleetpb.SettleRequest{
+		Program: v.turn.Program, Reservation: &fleetpb.Reservation{Turn: v.turn.reservation, Settled: true},
+		RetainMs: uint64(v.turn.Retain.Milliseconds()),
+	})
+	if err != nil {
+		v.client.Watch.Log.WithError(err).WithField("request", v.turn.ID).
+			Warn("a reservation was not given back")
+	}
+}
+
+// Settle stores what a turn has spent and, if it was answered whole, the turn
+// itself, durably.
+func (c *Client) Settle(ctx context.Context, g *Grant, spent uint64, done *fleetpb.Turn) error {
+	t := g.turn
+	req := &fleetpb.SettleRequest{
+		Program:     t.Program,
+		Reservation: &fleetpb.Reservation{Turn: t.reservation, Tokens: spent, Settled: true},
+		RetainMs:    uint64(t.Retain.Milliseconds()),
+	}
+	if done != nil && done.GetHome() != t.Program {
+		// The chain belongs to an earlier program, whose stores keep it.
+		if err := c.write(ctx, done.GetHome(), &fleetpb.SettleRequest{Turn: done}); err != nil {
+			return err
+		}
+	} else {
+		req.Turn = done
+	}
+	if err := c.write(ctx, t.Program, req); err != nil {
+		return err
+	}
+	if done != nil {
+		c.Turns.Add(done)
+	}
+	return nil
+}
+
+// write stores a record on a majority of a program's group.
+func (c *Client) write(ctx context.Context, program string, req *fleetpb.SettleRequest) error {
+	for {
+		view := c.Watch.State().GetView()
+		tally := ledger.NewTally(view, program)
+		got, reason := gather(ctx, c, tally, tally.Written,
+			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
+				r, err := s.Settle(ctx, &fleetpb.SettleRequest{
+					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: req.GetProgram(),
+					Reservation: req.GetReservation(), Turn: req.GetTurn(), RetainMs: req.GetRetainMs(),
+				})
+				return r, r.GetStatus(), err
+			},
+			func(*fleetpb.SettleReply) {})
+		if got == reached {
+			return nil
+		}
+		if got == expired || !again(ctx) {
+			return &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
+		}
+	}
+}
--- /dev/null
+++ b/rockbarrow/stores/quorum.go
@@ -0,0 +1,121 @@
+// SPDX-License-Identifier: MIT
+
+package stores
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// callWithin bounds one call to one store: a round trip between failure
+	// domains (3 ms), a sync (1 ms) and queueing under bursts.
+	callWithin = 800 * time.Millisecond
+	// retryPause lies between two tries with a quorum, under another view or when
+	// stores were still copying.
+	retryPause = 15 * time.Millisecond
+)
+
+// answer is one store's reply.
+type answer[R any] struct {
+	member *fleetpb.Member
+	reply  R
+	status *fleetpb.StoreStatus
+	err    error
+}
+
+// caller calls one store.
+type caller[R any] struct {
+	client *Client
+	member *fleetpb.Member
+	call   func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
+	out    chan<- answer[R]
+}
+
+// run calls the store and goes on after a majority has answered without it, so
+// that it gets the record too.
+func (c *caller[R]) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+	defer cancel()
+	a := answer[R]{member: c.member}
+	conn, err := c.client.Pool.Get(c.member.GetAddress())
+	if err == nil {
+		a.reply, a.status, err = c.call(ctx, fleetpb.NewStoreClient(conn), c.member)
+	}
+	a.err = err
+	c.out <- a
+}
+
+// outcome is how a try with a quorum ended.
+type outcome int
+
+const (
+	// reached: enough stores answered.
+	reached outcome = iota
+	// short: too few did; another try may do better.
+	short
+	// expired: the time is over.
+	expired
+)
+
+// gather calls all members of a tally until enough reports true. Each reply that
+// counts goes to take first.
+func gather[R any](
+	ctx context.Context, c *Client, t *ledger.Tally, enough func() bool,
+	call func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error),
+	take func(R),
+) (outcome, string) {
+	members := t.Members()
+	answers := make(chan answer[R], len(members))
+	for _, m := range members {
+		go (&caller[R]{client: c, member: m, call: call, out: answers}).run(ctx)
+	}
+	reason := "no store answered"
+	for range members {
+		select {
+		case a := <-answers:
+			if why := refusedBy(a.status, a.err); why != "" {
+				t.Refuse(a.member.GetStorage())
+				reason = a.member.GetInstance() + ": " + why
+				continue
+			}
+			t.Ack(a.member.GetStorage(), a.status.GetWholeEpoch())
+			take(a.reply)
+			if enough() {
+				return reached, ""
+			}
+		case <-ctx.Done():
+			return expired, reason
+		}
+		if t.Lost() {
+			return short, reason
+		}
+	}
+	return short, reason
+}
+
+func refusedBy(s *fleetpb.StoreStatus, err error) string {
+	if err != nil {
+		return err.Error()
+	}
+	if s.GetRefused() != fleetpb.StoreStatus_REFUSED_NONE {
+		return fmt.Sprintf("%v, view %d", s.GetRefused(), s.GetEpoch())
+	}
+	return ""
+}
+
+// again waits before another try. It reports false once the time is over.
+func again(ctx context.Context) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/rockbarrow/watch/watch.go
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: MIT
+
+// Package watch is the client of control instances: it learns the state of the
+// deployment and the list of endpoints, and tells control that the sender lives.
+//
+// A [Client] holds one long call to each control instance that it knows. What
+// is newer comes back at once from whichever instance has it first, so that no
+// single one has to be reached. What is in force never goes back to an older
+// state within the life of a process.
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// hold is how long a call waits for news. Shorter costs calls: each is about
+	// 0.1 ms of processor time on both sides.
+	hold = time.Second
+	// reply is how much longer than hold an answer may take.
+	reply = 500 * time.Millisecond
+	// pause lies between calls to an instance that fails.
+	pause = 150 * time.Millisecond
+	// silentAfter is when a control instance counts as lost.
+	silentAfter = 2*hold + reply
+)
+
+// Client watches control instances. Set the exported fields before Run.
+type Client struct {
+	// Self is the sender; Role and Incarnation describe it.
+	Self        *fleetpb.Member
+	Role        fleetpb.Role
+	Incarnation uint64
+	// Seeds are addresses of control instances to begin with.
+	Seeds []string
+	Pool  *dial.Pool
+	Log   *logrus.Entry
+	// Hold bounds one call; zero means a second.
+	Hold time.Duration
+	// Copied returns the newest view whose records the sender holds; may be nil.
+	Copied func() uint64
+	// Changed is told of each newer state or list, if set. It must not block.
+	Changed func()
+
+	state   atomic.Pointer[fleetpb.State]
+	list    atomic.Pointer[Reading]
+	entries atomic.Uint32
+
+	mu sync.Mutex
+	// targets are the addresses that a loop watches.
+	targets map[string]*target
+	ctx     context.Context
+}
+
+// Reading is the list of endpoints with the time of its newest confirmation.
+type Reading struct {
+	list *fleetpb.EndpointList
+	at   time.Time
+}
+
+// List returns the list, or nil if there is no reading.
+func (r *Reading) List() *fleetpb.EndpointList {
+	if r == nil {
+		return nil
+	}
+	return r.list
+}
+
+// At returns when the list was last known to be current.
+func (r *Reading) At() time.Time { return r.at }
+
+// target is one control instance that is watched.
+type target struct {
+	client  *Client
+	address string
+	member  *fleetpb.Member
+	heard   time.Time
+	lost    bool
+}
+
+// Run watches until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	c.mu.Lock()
+	c.ctx = ctx
+	c.mu.Unlock()
+	for _, a := range c.Seeds {
+		c.add(a, nil)
+	}
+	<-ctx.Done()
+}
+
+// State returns the newest state, or nil before any is known.
+func (c *Client) State() *fleetpb.State { return c.state.Load() }
+
+// List returns the newest list, or nil before any is known.
+func (c *Client) List() *Reading { return c.list.Load() }
+
+// Entries returns how many entry instances there are, at least one.
+func (c *Client) Entries() int { return max(1, int(c.entries.Load())) }
+
+// Control returns the control instances that were heard within a time.
+func (c *Client) Control(within time.Duration) []*fleetpb.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var out []*fleetpb.Member
+	for _, t := range c.targets {
+		if t.member != nil && time.Since(t.heard) < within {
+			out = append(out, t.member)
+		}
+	}
+	return out
+}
+
+// Reached reports whether any control instance was heard lately.
+func (c *Client) Reached() bool { return len(c.Control(silentAfter)) > 0 }
+
+// Offer takes a state learned elsewhere. Older ones change nothing.
+func (c *Client) Offer(s *fleetpb.State) bool {
+	for {
+		old := c.state.Load()
+		if old != nil && s.GetNumber() <= old.GetNumber() {
+			return false
+		}
+		if c.state.CompareAndSwap(old, s) {
+			c.Log.WithFields(logrus.Fields{
+				"state": s.GetNumber(), "config_version": s.GetConfiguration().GetVersion(),
+				"view": s.GetView().GetEpoch(), "stores": len(s.GetView().GetMembers()),
+			}).Info("a newer state is in force")
+			c.changed()
+			return true
+		}
+	}
+}
+
+// OfferList takes a reading of the list. Older ones change nothing but the time
+// of a list already known.
+func (c *Client) OfferList(l *fleetpb.EndpointList, at time.Time) {
+	for {
+		old := c.list.Load()
+		next := &Reading{list: l, at: at}
+		if old != nil && l.GetNumber() <= old.list.GetNumber() {
+			if l.GetNumber() < old.list.GetNumber() || !at.After(old.at) {
+				return
+			}
+			next.list = old.list
+		}
+		if !c.list.CompareAndSwap(old, next) {
+			continue
+		}
+		if old == nil || next.list != old.list {
+			c.Log.WithFields(logrus.Fields{"list": l.GetNumber(), "endpoints": len(l.GetEndpoints())}).
+				Info("a newer list of endpoints is in force")
+			c.changed()
+		}
+		return
+	}
+}
+
+func (c *Client) changed() {
+	if c.Changed != nil {
+		c.Changed()
+	}
+}
+
+// Add starts to watch the control instance at an address, if it is a new one.
+func (c *Client) Add(address string) { c.add(address, nil) }
+
+// add starts to watch an address.
+func (c *Client) add(address string, m *fleetpb.Member) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if address == c.Self.GetAddress() || c.ctx == nil {
+		return
+	}
+	if c.targets == nil {
+		c.targets = map[string]*target{}
+	}
+	if c.targets[address] != nil {
+		return
+	}
+	t := &target{client: c, address: address, member: m}
+	c.targets[address] = t
+	go t.loop(c.ctx)
+}
+
+// heard takes what a control instance answered.
+func (c *Client) heard(t *target, r *fleetpb.WatchReply, asked time.Time) {
+	c.mu.Lock()
+	t.member, t.heard = r.GetResponder(), time.Now()
+	back := t.lost
+	t.lost = false
+	c.mu.Unlock()
+	if back {
+		c.Log.WithField("control", t.address).Info("control instance is reached again")
+	}
+	c.entries.Store(max(r.GetEntries(), 1))
+	if r.GetState() != nil {
+		c.Offer(r.GetState())
+	}
+	c.hearList(r, asked)
+	for _, m := range r.GetControl() {
+		c.add(m.GetAddress(), m)
+	}
+}
+
+// hearList takes the list or the news that the known one was read again.
+func (c *Client) hearList(r *fleetpb.WatchReply, asked time.Time) {
+	if !r.GetListKnown() {
+		return
+	}
+	list := r.GetList()
+	if list == nil {
+		known := c.list.Load()
+		if known == nil {
+			return
+		}
+		list = known.list
+	}
+	c.OfferList(list, asked.Add(-time.Duration(r.GetListAgeMs())*time.Millisecond))
+}
+
+// loop watches one control instance.
+func (t *target) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := t.watch(ctx); err != nil {
+			t.failed(err)
+			wait(ctx, pause+rand.N(pause))
+		}
+	}
+}
+
+// failed logs the loss of an instance once.
+func (t *target) failed(err error) {
+	c := t.client
+	c.mu.Lock()
+	news := !t.lost && time.Since(t.heard) > silentAfter
+	if news {
+		t.lost = true
+	}
+	c.mu.Unlock()
+	if news {
+		c.Log.WithError(err).WithField("control", t.address).Warn("control instance is not reached")
+	}
+}
+
+func (t *target) watch(ctx context.Context) error {
+	c := t.client
+	conn, err := c.Pool.Get(t.address)
+	if err != nil {
+		return err
+	}
+	held := c.Hold
+	if held == 0 {
+		held = hold
+	}
+	ctx, cancel := context.WithTimeout(ctx, held+reply)
+	defer cancel()
+	asked := time.Now()
+	r, err := fleetpb.NewControlClient(conn).Watch(ctx, c.request(held))
+	if err != nil {
+		return err
+	}
+	// The age of the list counts from when the answer was given; for a call that
+	// was held that is about now, and a little late is safe.
+	if time.Since(asked) >= held {
+		asked = asked.Add(held)
+	}
+	c.heard(t, r, asked)
+	return nil
+}
+
+func (c *Client) request(held time.Duration) *fleetpb.WatchRequest {
+	req := &fleetpb.WatchRequest{
+		Sender: c.Self, Role: c.Role, Incarnation: c.Incarnation,
+		StateNumber: c.State().GetNumber(), WaitMs: uint32(held.Milliseconds()),
+	}
+	if l := c.List(); l != nil {
+		req.ListNumber = l.list.GetNumber()
+	}
+	if c.Copied != nil {
+		req.CopiedEpoch = c.Copied()
+	}
+	return req
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/schema/generate.sh
+++ b/schema/generate.sh
@@ -6,4 +6,4 @@
 cd "$(dirname "$0")"
 protoc --go_out=. --go_opt=module=rockbarrow.dev/schema \
   --go-grpc_out=. --go-grpc_opt=module=rockbarrow.dev/schema \
-  config.proto record.proto peer.proto operator.proto
+  config.proto record.proto peer.proto operator.proto fleet.proto
