--- /dev/null
+++ b/rockbarrow/controller/plan_test.go
@@ -0,0 +1,150 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+func member(name string, storage uint64) *fleetpb.Member {
+	return &fleetpb.Member{Instance: name, Storage: storage}
+}
+
+// scene is a plan with stores that were just heard.
+func scene(stores ...*fleetpb.Member) plan {
+	now := time.Unix(100, 0)
+	p := plan{now: now, copies: 3, settled: true, calm: true, self: member("control-0", 100)}
+	for _, m := range stores {
+		p.stores = append(p.stores, seat{member: m, role: fleetpb.Role_ROLE_STORE, heard: now})
+	}
+	return p
+}
+
+func names3(s *fleetpb.State) string { return fmt.Sprint(names(s.GetView().GetMembers())) }
+
+func steady(members ...*fleetpb.Member) *fleetpb.State {
+	return &fleetpb.State{
+		Number: 1, Voters: []*fleetpb.Member{member("control-0", 100)},
+		View: &fleetpb.View{Epoch: 1, Members: members, Copies: 3},
+	}
+}
+
+func TestPlanOfStores(t *testing.T) {
+	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
+	again := member("a", 9)
+	tests := []struct {
+		name  string
+		plan  plan
+		state *fleetpb.State
+		// want is the members after the step, "" for no step.
+		want string
+	}{
+		{"first view", scene(a, b, c, d), &fleetpb.State{Number: 1, Voters: steady().Voters}, "[a b c d]"},
+		{"nothing to do", scene(a, b, c), steady(a, b, c), ""},
+		{"a spare waits", scene(a, b, c, d), steady(a, b, c), ""},
+		{"an emptied disk", scene(again, b, c), steady(a, b, c), "[a b c]"},
+		{"a lost store and a spare", scene(b, c, d), steady(a, b, c), "[d b c]"},
+		{"a lost store and no spare", scene(b, c), steady(a, b, c), ""},
+		{"too few stores and a spare", scene(a, b, c), steady(a, b), "[a b c]"},
+	}
+	for _, test := range tests {
+		next := test.plan.next(test.state)
+		got := ""
+		if next != nil {
+			got = names3(next)
+		}
+		if got != test.want {
+			t.Errorf("%s: members %s, want %s", test.name, got, test.want)
+		}
+		if next != nil && test.state.GetView() != nil && len(next.GetView().GetPrior()) == 0 {
+			t.Errorf("%s: the old members do not count while records are copied", test.name)
+		}
+	}
+}
+
+func TestSilenceIsNoLossWhileThisProcessKnowsTooLittle(t *testing.T) {
+	p := scene(member("b", 2), member("c", 3), member("d", 4))
+	p.calm = false
+	if next := p.next(steady(member("a", 1), member("b", 2), member("c", 3))); next != nil {
+		t.Errorf("members %s", names3(next))
+	}
+}
+
+func TestAMoveEndsOnceRecordsAreCopied(t *testing.T) {
+	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
+	s := steady(d, b, c)
+	s.View.Epoch, s.View.Prior, s.View.Leaving = 2, []*fleetpb.Member{a, b, c}, []string{"a"}
+	p := scene(a, b, c, d)
+	if p.next(s) != nil {
+		t.Fatal("the move ended before anything was copied")
+	}
+	for i := range p.stores[1:] {
+		p.stores[i+1].copied = 2
+	}
+	next := p.next(s)
+	if next == nil || len(next.GetView().GetPrior()) != 0 || next.GetView().GetEpoch() != 3 {
+		t.Fatalf("state %v", next)
+	}
+	if len(next.GetRetired()) != 1 || len(next.GetView().GetLeaving()) != 0 {
+		t.Errorf("retired %v, leaving %v", next.GetRetired(), next.GetView().GetLeaving())
+	}
+	// The emptied store is still there for a moment and is no spare.
+	p.stores = p.stores[:3]
+	if more := p.next(next); more != nil {
+		t.Errorf("members %s after the move", names3(more))
+	}
+}
+
+func TestWhichStoresMayBeEmptied(t *testing.T) {
+	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
+	var few *TooFewStoresError
+	var unknown *UnknownStoreError
+	s := steady(a, b, c)
+	if err := mayRetire(s, scene(a, b, c).stores, "x", 3); !errors.As(err, &unknown) {
+		t.Errorf("%v for a store that is not known", err)
+	}
+	if err := mayRetire(s, scene(a, b, c, d).stores, "a", 3); err != nil {
+		t.Errorf("%v with a spare", err)
+	}
+	s.View.Leaving = []string{"b"}
+	if err := mayRetire(s, scene(a, b, c).stores, "a", 3); !errors.As(err, &few) {
+		t.Errorf("%v when one store would be left", err)
+	}
+	if err := mayRetire(s, scene(a, b, c).stores, "b", 3); err != nil {
+		t.Errorf("%v for a repeated order", err)
+	}
+}
+
+func TestPlanOfVoters(t *testing.T) {
+	now := time.Unix(100, 0)
+	heard := func(m *fleetpb.Member, ago time.Duration) seat {
+		return seat{member: m, role: fleetpb.Role_ROLE_CONTROL, heard: now.Add(-ago)}
+	}
+	own, b, c, d := member("control-0", 100), member("control-1", 101), member("control-2", 102), member("control-3", 103)
+	base := plan{now: now, copies: 3, calm: true, self: own}
+	voters := []*fleetpb.Member{own, b, c}
+	tests := []struct {
+		name    string
+		control []seat
+		want    string
+	}{
+		{"all there", []seat{heard(b, 0), heard(c, 0)}, "[control-0 control-1 control-2]"},
+		{"a spare waits", []seat{heard(b, 0), heard(c, 0), heard(d, 0)}, "[control-0 control-1 control-2]"},
+		{"a short silence", []seat{heard(b, 0), heard(c, time.Second), heard(d, 0)}, "[control-0 control-1 control-2]"},
+		{"a lost voter", []seat{heard(b, 0), heard(c, time.Minute), heard(d, 0)}, "[control-0 control-1 control-3]"},
+		{"an emptied disk", []seat{heard(b, 0), heard(member("control-2", 200), 0)}, "[control-0 control-1 control-2]"},
+	}
+	for _, test := range tests {
+		p := base
+		p.control = test.control
+		if got := fmt.Sprint(names(p.wantedVoters(voters))); got != test.want {
+			t.Errorf("%s: voters %s, want %s", test.name, got, test.want)
+		}
+	}
+}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -25,6 +25,9 @@
 	// itself within milliseconds, such as a start; later, after one that lasts.
 	soon  = 150 * time.Millisecond
 	later = 400 * time.Millisecond
+	// elsewhere is when to come back to an instance that is cut off: by then the
+	// balancer, which asks twice a second apart, has taken it out.
+	elsewhere = 1200 * time.Millisecond
 )
 
 // Entry is one entry instance. Set the exported fields before Run.
@@ -88,10 +91,17 @@
 		return false, "no configuration is known"
 	case e.fleet.Load() == nil:
 		return false, "no list of endpoints is known"
+	case e.apart():
+		return false, "cut off from most stores and control instances"
 	}
 	return true, ""
 }
 
+// apart reports whether this instance is cut off from the rest. It then serves
+// what it can, but new connections are better off elsewhere. When most stores are
+// lost for everyone, no instance is better than another, and all stay ready.
+func (e *Entry) apart() bool { return !e.Stores.Reachable() && e.Watch.CutOff() }
+
 // Stop makes the entry say that it is not ready. It goes on to serve.
 func (e *Entry) Stop() { e.stopped.Store(true) }
 
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -65,6 +65,9 @@
 func (x *exchange) reserve(ctx context.Context, t stores.Turn) (*stores.Grant, Outcome) {
 	start := time.Now()
 	defer func() { x.own += time.Since(start) }()
+	if !x.entry.Stores.Reachable() {
+		return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: elsewhere, Reason: "most stores are out of reach"}
+	}
 	ctx, cancel := context.WithTimeout(ctx, reserveWithin)
 	defer cancel()
 	grant, err := x.entry.Stores.Reserve(ctx, t)
--- a/rockbarrow/ledger/group.go
+++ b/rockbarrow/ledger/group.go
@@ -64,4 +64,4 @@
 
 // Missing returns how many of n stores may stay unheard when records are copied
 // from the rest: each quorum then still has a member among those heard.
-func Missing(n int) int { return n - Majority(n) }
+func Missing(n int) int { return max(0, n-Majority(n)) }
--- /dev/null
+++ b/rockbarrow/register/model_test.go
@@ -0,0 +1,262 @@
+// SPDX-License-Identifier: MIT
+
+package register
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// model runs rounds of several proposers against acceptors under lost, late and
+// reordered messages, and checks that the chosen values form one line.
+type model struct {
+	t         testing.TB
+	r         *rand.Rand
+	acceptors map[uint64]*Acceptor
+	// wire holds messages that are under way.
+	wire []func()
+	// chosen holds the value of each number that was chosen.
+	chosen map[uint64]string
+	known  map[uint64]*fleetpb.State
+	rounds uint64
+	// initial are the first voters.
+	initial []*fleetpb.Member
+}
+
+func member(storage uint64) *fleetpb.Member {
+	return &fleetpb.Member{Instance: fmt.Sprint("control-", storage), Storage: storage}
+}
+
+func newModel(t testing.TB, seed uint64, n int) *model {
+	m := &model{t: t, r: rand.New(rand.NewPCG(seed, 1)), acceptors: map[uint64]*Acceptor{}, chosen: map[uint64]string{}, known: map[uint64]*fleetpb.State{}}
+	for i := range uint64(n) {
+		m.acceptors[i+1] = &Acceptor{Storage: i + 1, Founder: i < 3}
+		if i < 3 {
+			m.initial = append(m.initial, member(i+1))
+		}
+	}
+	return m
+}
+
+// propose starts a round whose messages go over the wire.
+func (m *model) propose(by uint64, change Change) {
+	m.rounds++
+	r := &Round{Ballot: &fleetpb.Ballot{Round: m.rounds, Proposer: by}, Known: m.known[by], Initial: m.initial, Change: change}
+	m.perform(by, r, r.Handle(Begin{}))
+}
+
+func (m *model) perform(by uint64, r *Round, actions []Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Prepare:
+			m.send(func() {
+				reply, _ := m.acceptors[a.To.GetStorage()].Prepare(a.Request)
+				m.send(func() { m.perform(by, r, r.Handle(Prepared{From: a.To.GetStorage(), Reply: reply})) })
+			})
+		case Accept:
+			m.send(func() {
+				reply, _ := m.acceptors[a.To.GetStorage()].Accept(a.Request)
+				m.send(func() { m.perform(by, r, r.Handle(Accepted{From: a.To.GetStorage(), Reply: reply})) })
+			})
+		case Chosen:
+			m.check(a.State)
+			if a.State.GetNumber() > m.known[by].GetNumber() {
+				m.known[by] = a.State
+			}
+		}
+	}
+}
+
+// send puts a message on the wire; one in eight is lost.
+func (m *model) send(deliver func()) {
+	if m.r.IntN(8) > 0 {
+		m.wire = append(m.wire, deliver)
+	}
+}
+
+// deliver hands over a message drawn from those under way.
+func (m *model) deliver() {
+	if len(m.wire) == 0 {
+		return
+	}
+	i := m.r.IntN(len(m.wire))
+	f := m.wire[i]
+	m.wire[i] = m.wire[len(m.wire)-1]
+	m.wire = m.wire[:len(m.wire)-1]
+	f()
+}
+
+func (m *model) check(s *fleetpb.State) {
+	if s.GetNumber() == 0 {
+		return
+	}
+	v := fmt.Sprintf("%d %s", s.GetConfiguration().GetVersion(), s.GetConfiguration().GetDocument())
+	if old, ok := m.chosen[s.GetNumber()]; ok && old != v {
+		m.t.Fatalf("number %d was chosen as %q and as %q", s.GetNumber(), old, v)
+	}
+	m.chosen[s.GetNumber()] = v
+}
+
+// form writes the first value.
+func form(initial []*fleetpb.Member) Change {
+	return func(s *fleetpb.State) *fleetpb.State {
+		if s.GetNumber() > 0 {
+			return nil
+		}
+		s.Voters = initial
+		return s
+	}
+}
+
+func put(version uint64, document string) Change {
+	return func(s *fleetpb.State) *fleetpb.State {
+		if s.GetNumber() == 0 || version <= s.GetConfiguration().GetVersion() {
+			return nil
+		}
+		s.Configuration = &fleetpb.Configuration{Version: version, Document: []byte(document)}
+		return s
+	}
+}
+
+// swap replaces a voter in two steps.
+func swap(old, new uint64) Change {
+	return func(s *fleetpb.State) *fleetpb.State {
+		if len(s.GetPriorVoters()) > 0 {
+			s.PriorVoters = nil
+			return s
+		}
+		if s.GetNumber() == 0 || !Has(s.GetVoters(), old) || Has(s.GetVoters(), new) {
+			return nil
+		}
+		s.PriorVoters = s.GetVoters()
+		var voters []*fleetpb.Member
+		for _, v := range s.GetVoters() {
+			if v.GetStorage() != old {
+				voters = append(voters, v)
+			}
+		}
+		s.Voters = append(voters, member(new))
+		return s
+	}
+}
+
+func TestChosenValuesFormOneLine(t *testing.T) {
+	for seed := range uint64(1500) {
+		m := newModel(t, seed, 5)
+		m.known[4], m.known[5] = nil, nil
+		for range 400 {
+			switch by := 1 + m.r.Uint64N(3); m.r.IntN(30) {
+			case 0:
+				m.propose(by, form(m.initial))
+			case 1, 2:
+				version := 1 + m.r.Uint64N(6)
+				m.propose(by, put(version, fmt.Sprint("by ", by, " ", m.rounds)))
+			case 3:
+				m.propose(by, swap(1+m.r.Uint64N(5), 1+m.r.Uint64N(5)))
+			case 4:
+				m.propose(by, nil)
+			default:
+				m.deliver()
+			}
+		}
+	}
+}
+
+func TestTwoContentsOfOneVersionHaveOneWinner(t *testing.T) {
+	m := newModel(t, 7, 3)
+	m.r = rand.New(rand.NewPCG(3, 3))
+	settle := func() {
+		for len(m.wire) > 0 {
+			m.deliver()
+		}
+	}
+	for range 10 {
+		m.propose(1, form(m.initial))
+		settle()
+	}
+	for i := range 20 {
+		m.propose(1, put(7, "first"))
+		m.propose(2, put(7, "second"))
+		settle()
+		m.propose(uint64(i%3+1), nil)
+		settle()
+	}
+	winner := ""
+	for _, s := range m.known {
+		if v := string(s.GetConfiguration().GetDocument()); v != "" {
+			if winner != "" && v != winner {
+				t.Errorf("%q and %q are both in force", winner, v)
+			}
+			winner = v
+		}
+	}
+	if winner == "" {
+		t.Error("no content came into force")
+	}
+}
+
+func TestAnotherLifeOfAStorageNeverVotes(t *testing.T) {
+	a := &Acceptor{Storage: 9}
+	reply, changed := a.Prepare(&fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: 1}, Acceptor: 1})
+	if !reply.GetSilent() || changed {
+		t.Error("a storage voted for the one before it")
+	}
+	founding := &fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: 1}, Acceptor: 9, Initial: []*fleetpb.Member{member(9)}}
+	if reply, _ := a.Prepare(founding); !reply.GetSilent() {
+		t.Error("a storage that was emptied later formed a first set of voters")
+	}
+}
+
+func TestAFounderAgreesToOneFirstSet(t *testing.T) {
+	a := &Acceptor{Storage: 1, Founder: true}
+	ask := func(round uint64, set ...*fleetpb.Member) bool {
+		reply, _ := a.Prepare(&fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: round}, Acceptor: 1, Initial: set})
+		return reply.GetGranted()
+	}
+	if !ask(1, member(1), member(2), member(3)) {
+		t.Fatal("the first set was refused")
+	}
+	if ask(2, member(1), member(2), member(4)) {
+		t.Error("a second set was agreed to")
+	}
+	if !ask(3, member(3), member(2), member(1)) {
+		t.Error("the first set was refused the second time")
+	}
+}
+
+// TestAChangeOfVotersNeedsBothSets delivers a change of voters to a majority of
+// the new set alone: others, who know the old set, could choose without it.
+func TestAChangeOfVotersNeedsBothSets(t *testing.T) {
+	m := newModel(t, 1, 4)
+	base := &fleetpb.State{Number: 1, Voters: m.initial}
+	first := &fleetpb.Ballot{Round: 1, Proposer: 1}
+	for _, v := range m.initial {
+		m.acceptors[v.GetStorage()].Accept(&fleetpb.AcceptRequest{Ballot: first, Acceptor: v.GetStorage(), State: base})
+	}
+	r := &Round{Ballot: &fleetpb.Ballot{Round: 2, Proposer: 1}, Known: base, Change: swap(3, 4)}
+	var accepts []Accept
+	for _, a := range r.Handle(Begin{}) {
+		p := a.(Prepare)
+		reply, _ := m.acceptors[p.To.GetStorage()].Prepare(p.Request)
+		for _, next := range r.Handle(Prepared{From: p.To.GetStorage(), Reply: reply}) {
+			accepts = append(accepts, next.(Accept))
+		}
+	}
+	asked := map[uint64]bool{}
+	for _, a := range accepts {
+		asked[a.To.GetStorage()] = true
+		if s := a.To.GetStorage(); s != 2 && s != 4 {
+			continue
+		}
+		reply, _ := m.acceptors[a.To.GetStorage()].Accept(a.Request)
+		if out := r.Handle(Accepted{From: a.To.GetStorage(), Reply: reply}); len(out) > 0 {
+			t.Errorf("chosen by a majority of the new set alone: %v", out)
+		}
+	}
+	if len(asked) != 4 {
+		t.Errorf("%d acceptors were asked, want those of both sets", len(asked))
+	}
+}
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -31,6 +31,8 @@
 	Domain string
 	// Turns are those seen lately.
 	Turns *Cache
+
+	health health
 }
 
 // Turn is a turn that wants to run.
--- /dev/null
+++ b/rockbarrow/stores/health.go
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: MIT
+
+package stores
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// suspectAfter is how long a call may stay unanswered before its store counts
+	// as out of reach. A call takes some 5 ms, and 50 under a burst.
+	suspectAfter = 250 * time.Millisecond
+	// probeEvery is how often a store out of reach is asked again, probeWithin
+	// how long it may take to answer.
+	probeEvery  = 200 * time.Millisecond
+	probeWithin = 300 * time.Millisecond
+)
+
+// health is which stores answer. Calls tell it; only stores out of reach are
+// probed, so that it costs nothing on a calm day. The zero value is ready.
+type health struct {
+	mu sync.Mutex
+	// out holds the storages that did not answer their last call.
+	out map[uint64]bool
+}
+
+func (h *health) set(storage uint64, out bool) (changed bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.out[storage] == out {
+		return false
+	}
+	if h.out == nil {
+		h.out = map[uint64]bool{}
+	}
+	if out {
+		h.out[storage] = true
+	} else {
+		delete(h.out, storage)
+	}
+	return true
+}
+
+func (h *health) isOut(storage uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.out[storage]
+}
+
+// Reachable reports whether a majority of every group of stores answers.
+func (c *Client) Reachable() bool {
+	v := c.Watch.State().GetView()
+	return v != nil && c.reachable(v, v.GetMembers()) && c.reachable(v, v.GetPrior())
+}
+
+func (c *Client) reachable(v *fleetpb.View, members []*fleetpb.Member) bool {
+	out := 0
+	for _, m := range members {
+		if c.health.isOut(m.GetStorage()) {
+			out++
+		}
+	}
+	return out <= ledger.Missing(min(int(v.GetCopies()), len(members)))
+}
+
+// observe tells how a store took a call.
+func (c *Client) observe(m *fleetpb.Member, err error) {
+	if !c.health.set(m.GetStorage(), err != nil) {
+		return
+	}
+	l := c.Watch.Log.WithField("store", m.GetInstance())
+	if err != nil {
+		l.WithError(err).Warn("store is out of reach")
+		return
+	}
+	l.Info("store is reached again")
+}
+
+// suspectError says that a call has no answer yet.
+type suspectError struct{}
+
+func (e *suspectError) Error() string { return "no answer within " + suspectAfter.String() }
+
+// suspicion marks a store as out of reach while its call has no answer.
+type suspicion struct {
+	client *Client
+	member *fleetpb.Member
+}
+
+func (s *suspicion) run() { s.client.observe(s.member, &suspectError{}) }
+
+// Run probes the stores that are out of reach, until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	t := time.NewTicker(probeEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			c.probe(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Client) probe(ctx context.Context) {
+	v := c.Watch.State().GetView()
+	for _, list := range [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()} {
+		for _, m := range list {
+			if c.health.isOut(m.GetStorage()) {
+				go (&prober{client: c, member: m, epoch: v.GetEpoch()}).run(ctx)
+			}
+		}
+	}
+}
+
+// prober asks one store whether it is there.
+type prober struct {
+	client *Client
+	member *fleetpb.Member
+	epoch  uint64
+}
+
+func (p *prober) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, probeWithin)
+	defer cancel()
+	conn, err := p.client.Pool.Get(p.member.GetAddress())
+	if err == nil {
+		_, err = fleetpb.NewStoreClient(conn).Lookup(ctx, &fleetpb.LookupRequest{Epoch: p.epoch, Storage: p.member.GetStorage()})
+	}
+	if err == nil {
+		p.client.observe(p.member, nil)
+	}
+}
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -41,11 +41,15 @@
 func (c *caller[R]) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
 	defer cancel()
+	slow := &suspicion{client: c.client, member: c.member}
+	timer := time.AfterFunc(suspectAfter, slow.run)
 	a := answer[R]{member: c.member}
 	conn, err := c.client.Pool.Get(c.member.GetAddress())
 	if err == nil {
 		a.reply, a.status, err = c.call(ctx, fleetpb.NewStoreClient(conn), c.member)
 	}
+	timer.Stop()
+	c.client.observe(c.member, err)
 	a.err = err
 	c.out <- a
 }
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -25,9 +25,9 @@
 const (
 	// hold is how long a call waits for news. Shorter costs calls: each is about
 	// 0.1 ms of processor time on both sides.
-	hold = time.Second
+	hold = 500 * time.Millisecond
 	// reply is how much longer than hold an answer may take.
-	reply = 500 * time.Millisecond
+	reply = 300 * time.Millisecond
 	// pause lies between calls to an instance that fails.
 	pause = 150 * time.Millisecond
 	// silentAfter is when a control instance counts as lost.
@@ -44,7 +44,7 @@
 	Seeds []string
 	Pool  *dial.Pool
 	Log   *logrus.Entry
-	// Hold bounds one call; zero means a second.
+	// Hold bounds one call; zero means half a second.
 	Hold time.Duration
 	// Copied returns the newest view whose records the sender holds; may be nil.
 	Copied func() uint64
@@ -120,8 +120,24 @@
 	return out
 }
 
-// Reached reports whether any control instance was heard lately.
-func (c *Client) Reached() bool { return len(c.Control(silentAfter)) > 0 }
+// reachedWithin is how lately a control instance must have answered to count as
+// reached: a call's length and a little more.
+const reachedWithin = hold + reply + 100*time.Millisecond
+
+// CutOff reports whether most of the voters are out of reach: this instance is
+// then likely to be apart from the rest.
+func (c *Client) CutOff() bool {
+	voters := c.State().GetVoters()
+	reached := 0
+	for _, m := range c.Control(reachedWithin) {
+		for _, v := range voters {
+			if v.GetInstance() == m.GetInstance() {
+				reached++
+			}
+		}
+	}
+	return 2*reached <= len(voters)
+}
 
 // Offer takes a state learned elsewhere. Older ones change nothing.
 func (c *Client) Offer(s *fleetpb.State) bool {
