--- /dev/null
+++ b/rockbarrow/entry/entry_test.go
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
+	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/stores"
+	"rockbarrow.dev/rockbarrow/watch"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// fakeSender answers offers from a list, the last one for ever.
+type fakeSender struct {
+	answers []func(o Offer) (*Answer, error)
+	offers  []Offer
+}
+
+func (s *fakeSender) Send(_ context.Context, o Offer) (*Answer, error) {
+	f := s.answers[min(len(s.offers), len(s.answers)-1)]
+	s.offers = append(s.offers, o)
+	return f(o)
+}
+
+func answers(status int, body string) func(Offer) (*Answer, error) {
+	return func(Offer) (*Answer, error) {
+		return &Answer{Status: status, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}, nil
+	}
+}
+
+func notRun(o Offer) (*Answer, error) {
+	return nil, &NotRunError{Endpoint: o.Endpoint.GetName(), Reason: "full", Busy: true}
+}
+
+func broken(o Offer) (*Answer, error) {
+	return nil, &BrokenError{Endpoint: o.Endpoint.GetName(), Reason: "reset"}
+}
+
+// brokenReader fails after its text.
+type brokenReader struct{ io.Reader }
+
+func (r brokenReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err == io.EOF {
+		err = errors.New("reset")
+	}
+	return n, err
+}
+
+func cutOff(body string) func(Offer) (*Answer, error) {
+	return func(Offer) (*Answer, error) {
+		return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(brokenReader{strings.NewReader(body)})}, nil
+	}
+}
+
+// fakeOut keeps what the client sees.
+type fakeOut struct {
+	status int
+	body   bytes.Buffer
+}
+
+func (o *fakeOut) Start(status int, _ http.Header, _ int64) { o.status = status }
+func (o *fakeOut) Write(b []byte) error                     { _, err := o.body.Write(b); return err }
+
+// newEntry returns an entry with one service of three endpoints and a route of
+// each kind.
+func newEntry(t *testing.T, sender Sender) *Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &watch.Client{Self: &fleetpb.Member{Instance: "entry"}, Log: logrus.NewEntry(log)}
+	pool := &dial.Pool{}
+	t.Cleanup(pool.Close)
+	e := &Entry{
+		Domain: "a", Watch: w, Sender: sender, Log: w.Log, Metrics: tally.NoopScope,
+		Stores: &stores.Client{Watch: w, Pool: pool, Turns: &stores.Cache{Bytes: 1 << 16}},
+		Decode: func([]byte) (*fleetpb.Document, error) { return document(), nil },
+	}
+	e.Init()
+	w.Offer(&fleetpb.State{Number: 1, Configuration: &fleetpb.Configuration{Version: 1}, View: &fleetpb.View{Epoch: 1, Copies: 3}})
+	w.OfferList(list(1), time.Now())
+	e.refresh()
+	return e
+}
+
+func list(number uint64, draining ...string) *fleetpb.EndpointList {
+	l := &fleetpb.EndpointList{Number: number}
+	for _, id := range []string{"x", "y", "z"} {
+		p := &fleetpb.Endpoint{Id: id, Service: "s", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 4}
+		for _, d := range draining {
+			p.Draining = p.Draining || d == id
+		}
+		l.Endpoints = append(l.Endpoints, p)
+	}
+	return l
+}
+
+func document() *fleetpb.Document {
+	route := func(name string, kind fleetpb.RouteKind) *fleetpb.Route {
+		return &fleetpb.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 1000, MaxAttempts: 2,
+			Shares: []*fleetpb.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	turn := route("turn", fleetpb.RouteKind_ROUTE_KIND_STREAM)
+	turn.History, turn.RetainMs = true, 1000
+	return &fleetpb.Document{Version: 1, Services: []*fleetpb.Service{{Name: "s", MaxConnections: 10, TokensPerEvent: 3}}, Routes: []*fleetpb.Route{
+		route("repeat", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE), route("once", fleetpb.RouteKind_ROUTE_KIND_ONCE), turn,
+	}}
+}
+
+func ask(path string) *Request {
+	return &Request{ID: "r", Method: "GET", Host: "h", Path: path, Target: path, Header: http.Header{}, Arrived: time.Now()}
+}
+
+func TestWhatMayBeTriedAgain(t *testing.T) {
+	tests := []struct {
+		name    string
+		path    string
+		answers []func(Offer) (*Answer, error)
+		// status is what the client sees, offers how many endpoints were asked.
+		status, offers int
+	}{
+		{"served", "/repeat/1", []func(Offer) (*Answer, error){answers(200, "ok")}, 200, 1},
+		{"no route", "/none/1", nil, 404, 0},
+		{"a repeatable one is tried again", "/repeat/1", []func(Offer) (*Answer, error){broken, answers(200, "ok")}, 200, 2},
+		{"and again after a lost answer", "/repeat/1", []func(Offer) (*Answer, error){cutOff("half"), answers(200, "ok")}, 200, 2},
+		{"but not for ever", "/repeat/1", []func(Offer) (*Answer, error){broken}, 502, 2},
+		{"an unrepeatable one is not", "/once/1", []func(Offer) (*Answer, error){broken, answers(200, "ok")}, 502, 1},
+		{"nor after a lost answer", "/once/1", []func(Offer) (*Answer, error){cutOff("half"), answers(200, "ok")}, 502, 1},
+		{"unless it did not run", "/once/1", []func(Offer) (*Answer, error){notRun, answers(200, "ok")}, 200, 2},
+		{"all are full", "/once/1", []func(Offer) (*Answer, error){notRun}, 503, 3},
+		{"one may have run, the others are full", "/repeat/1", []func(Offer) (*Answer, error){broken, notRun}, 502, 3},
+		{"the endpoint's own failure", "/once/1", []func(Offer) (*Answer, error){answers(500, "bad")}, 500, 1},
+	}
+	for _, test := range tests {
+		s := &fakeSender{answers: test.answers}
+		out := &fakeOut{}
+		o := newEntry(t, s).Serve(t.Context(), ask(test.path), out)
+		status := out.status
+		if r, ok := o.(Refused); ok {
+			status = r.Status
+		}
+		if status != test.status || len(s.offers) != test.offers {
+			t.Errorf("%s: status %d after %d offers, want %d after %d (%v)", test.name, status, len(s.offers), test.status, test.offers, o)
+		}
+		for i, offer := range s.offers {
+			for _, o := range s.offers[:i] {
+				if o.Endpoint.GetName() == offer.Endpoint.GetName() {
+					t.Errorf("%s: endpoint %s was asked twice", test.name, o.Endpoint.GetName())
+				}
+			}
+		}
+	}
+}
+
+func TestLeavingEndpointsGetNothingAlsoAfterAnOlderList(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
+	e := newEntry(t, s)
+	e.Watch.OfferList(list(2, "x", "y"), time.Now())
+	e.refresh()
+	e.Watch.OfferList(list(3), time.Now())
+	e.refresh()
+	for range 20 {
+		e.Serve(t.Context(), ask("/once/1"), &fakeOut{})
+	}
+	for _, o := range s.offers {
+		if o.Endpoint.GetName() != "z" {
+			t.Fatalf("%s is leaving and got a request", o.Endpoint.GetName())
+		}
+	}
+}
+
+func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	e.table.Store(nil)
+	o, ok := e.Serve(t.Context(), ask("/none/1"), &fakeOut{}).(Refused)
+	if !ok || o.Status != http.StatusServiceUnavailable || o.RetryAfter == 0 {
+		t.Errorf("%+v, want 503 with a time to come back", o)
+	}
+	if ready, _ := e.Ready(); ready {
+		t.Error("ready without a configuration")
+	}
+}
+
+func TestATurnIsNotSentBeforeItIsReserved(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "data: x\n\n")}}
+	e := newEntry(t, s)
+	// The view has no stores, so that no reservation can be made.
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	o, ok := e.Serve(ctx, ask("/turn/1"), &fakeOut{}).(Refused)
+	if !ok || o.Status != http.StatusServiceUnavailable || o.RetryAfter == 0 {
+		t.Errorf("%+v", o)
+	}
+	if len(s.offers) > 0 {
+		t.Error("an endpoint heard of a turn that is not reserved")
+	}
+}
+
+func TestScannerReadsEventsOverAnyCut(t *testing.T) {
+	text := "id: 1\ndata: one\n\nid: 2\r\ndata:two\r\n\r\n: comment\n\ndata: a\ndata: b\n\n"
+	for cut := range text {
+		var s scanner
+		s.scan([]byte(text[:cut]))
+		s.scan([]byte(text[cut:]))
+		if string(s.output) != "one\ntwo\na\nb\n" || s.count != 3 || !s.whole() {
+			t.Fatalf("cut at %d: %q, %d events", cut, s.output, s.count)
+		}
+	}
+	var s scanner
+	s.scan([]byte("data: one\n\ndata: tw"))
+	if s.whole() {
+		t.Error("a stream that ends inside an event counts as whole")
+	}
+}
