entry, placement, stores: notice cut failure domains and stay out of them

Change: domains whose stores and control are silent are avoided; tools stay in the own domain while it has room; settlement may take the rest of the request's time; a late timer proves nothing about a peer; a start waits up to 400 ms.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -50,6 +50,7 @@
 	gone    map[string]bool
 	changed chan struct{}
 	stopped atomic.Bool
+	domains domains
 	flying  atomic.Int64
 }
 
@@ -72,6 +73,7 @@
 
 // Run takes over new configurations and lists until ctx ends.
 func (e *Entry) Run(ctx context.Context) {
+	go e.watchDomains(ctx)
 	for {
 		select {
 		case <-e.changed:
@@ -188,6 +190,7 @@
 func (e *Entry) Serve(ctx context.Context, req *Request, out Out) Outcome {
 	e.flying.Add(1)
 	defer e.flying.Add(-1)
+	e.awaitLearned(ctx)
 	t, f := e.table.Load(), e.fleet.Load()
 	if t == nil || f == nil {
 		return e.ended(&exchange{entry: e, request: req}, Refused{Status: http.StatusServiceUnavailable, RetryAfter: soon, Reason: "this instance has not learned what to serve yet"})
@@ -210,6 +213,30 @@
 	return e.ended(x, x.plain(ctx))
 }
 
+// learnWithin is how long a request waits for an instance that has just started
+// to learn what it serves, which takes some 100 ms; learnTick is how often it
+// looks.
+const (
+	learnWithin = 400 * time.Millisecond
+	learnTick   = 20 * time.Millisecond
+)
+
+// awaitLearned waits a little for the first configuration and list.
+func (e *Entry) awaitLearned(ctx context.Context) {
+	for end := time.Now().Add(learnWithin); e.table.Load() == nil || e.fleet.Load() == nil; {
+		t := time.NewTimer(learnTick)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		if time.Now().After(end) {
+			return
+		}
+	}
+}
+
 // ended writes the one log line of a request and counts it.
 func (e *Entry) ended(x *exchange, o Outcome) Outcome {
 	r := x.request
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -70,7 +70,7 @@
 	return f.Choose(now, placement.Request{
 		Class:  placement.Class{Service: x.service.GetName()},
 		Prompt: int64(x.request.Prompt), Answer: int64(x.request.Most),
-		Last: x.last, Avoid: x.avoid, Domain: x.entry.Domain,
+		Last: x.last, Avoid: x.avoid, Domain: x.entry.Domain, AvoidDomains: x.entry.domains.avoid(now),
 	}, source())
 }
 
@@ -92,6 +92,7 @@
 		Stream: x.route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_STREAM,
 	})
 	done := func(r placement.Result) { p.Done(time.Now(), r) }
+	x.tell(p, err)
 	if err != nil {
 		var notRun *NotRunError
 		// A full endpoint is not at fault; nor is one whose client left.
@@ -102,6 +103,19 @@
 	return answer, done, nil
 }
 
+// tell notes what an offer says of the network to the endpoint's domain.
+func (x *exchange) tell(p *placement.Endpoint, err error) {
+	if err == nil {
+		x.entry.domains.clear(p.Domain())
+		return
+	}
+	var notRun *NotRunError
+	var lost *BrokenError
+	if errors.As(err, &notRun) && notRun.Silent || errors.As(err, &lost) && lost.Silent {
+		x.entry.domains.suspect(p.Domain(), time.Now())
+	}
+}
+
 // connections is this instance's part of the connections to one endpoint.
 func (x *exchange) connections() int {
 	return max(1, int(x.service.GetMaxConnections())/x.entry.Watch.Entries())
@@ -168,6 +182,7 @@
 	whole, err := io.ReadAll(io.LimitReader(a.Body, wholeBody+1))
 	if err != nil {
 		done(placement.Result{})
+		x.avoid = append(x.avoid, x.endpoint)
 		return nil, &BrokenError{Endpoint: x.endpoint, Reason: err.Error()}
 	}
 	failed := a.Status >= http.StatusInternalServerError
--- a/rockbarrow/entry/ports.go
+++ b/rockbarrow/entry/ports.go
@@ -86,6 +86,8 @@
 	Endpoint, Reason string
 	// Busy is true if the endpoint was full and not at fault.
 	Busy bool
+	// Silent is true if nothing at all came back on the network.
+	Silent bool
 }
 
 // Error describes the refusal.
@@ -94,7 +96,11 @@
 }
 
 // BrokenError says that an endpoint may have run a request whose answer is lost.
-type BrokenError struct{ Endpoint, Reason string }
+type BrokenError struct {
+	Endpoint, Reason string
+	// Silent is true if nothing at all came back on the network.
+	Silent bool
+}
 
 // Error describes the loss.
 func (e *BrokenError) Error() string {
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -19,9 +19,10 @@
 	// reserveWithin bounds the reservation of a turn. It takes some 6 ms; a
 	// change of the stores' view takes up to a few hundred.
 	reserveWithin = time.Second
-	// settleWithin bounds the settlement, which has nothing to fall back on: an
-	// answer whose turn is not stored is cut off.
-	settleWithin = 2 * time.Second
+	// settleAtLeast bounds the settlement for a turn whose time is nearly over.
+	// Else it may take what is left: an answer whose turn is not stored has
+	// nothing to fall back on and is cut off.
+	settleAtLeast = time.Second
 	// readSize in bytes holds some events of a stream.
 	readSize = 4 << 10
 )
@@ -141,7 +142,7 @@
 	start := time.Now()
 	defer func() { x.own += time.Since(start) }()
 	// The client may leave now; the turn has run all the same.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleWithin)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(settleAtLeast, time.Until(x.deadline)))
 	defer cancel()
 	err := x.entry.Stores.Settle(ctx, g, x.spent(t, events), &fleetpb.Turn{
 		Id: t.ID, Previous: t.Previous, Home: g.Home(), Input: x.request.Body, Output: events.output,
--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -58,8 +58,10 @@
 	Last string
 	// Avoid names endpoints that failed the call.
 	Avoid []string
-	// Domain is the own failure domain, for Spread.
-	Domain string
+	// Domain is the own failure domain, and AvoidDomains those that are likely to
+	// be out of reach, for Spread.
+	Domain       string
+	AvoidDomains []string
 }
 
 // Held says how many tokens of a prompt an endpoint's cache holds.
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -16,8 +16,14 @@
 	// than a full batch.
 	crowded = 0.9
 	// farther is what another failure domain adds to a load, as a share of an
-	// endpoint's places. A round trip there is some 3 ms, a call some 100.
-	farther = 0.05
+	// endpoint's places, for calls without a prompt: their time does not depend on
+	// the load while places are free, and what stays inside is not lost in a cut.
+	farther = 0.34
+	// fartherPrompt is the same for calls with a prompt, which batch: each call
+	// more slows the others down by some hundredths.
+	fartherPrompt = 0.1
+	// outOfReach is what a domain to be avoided adds: more than any load.
+	outOfReach = 2
 )
 
 // NewServiceFleet indexes endpoints by their service alone, where every
@@ -43,7 +49,7 @@
 // idle endpoints do not all choose the same one.
 func (f *Fleet) spread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
 	if last := f.endpoints[req.Last]; last != nil && has(list, last) && !avoided(req, last.name) &&
-		last.open(now) && last.taken() < crowded {
+		last.open(now) && last.taken() < crowded && !slices.Contains(req.AvoidDomains, last.domain) {
 		return Choice{endpoint: last, cached: req.Prompt}, true
 	}
 	var best *Endpoint
@@ -57,10 +63,7 @@
 		if !e.open(now) || avoided(req, e.name) {
 			continue
 		}
-		load := e.taken()
-		if e.domain != req.Domain {
-			load += farther
-		}
+		load := e.taken() + distance(e, req)
 		if best == nil || load < least {
 			best, least = e, load
 		}
@@ -71,6 +74,19 @@
 	return Choice{endpoint: best, lacking: req.Prompt}, true
 }
 
+// distance is what an endpoint's failure domain adds to its load.
+func distance(e *Endpoint, req Request) float64 {
+	switch {
+	case slices.Contains(req.AvoidDomains, e.domain):
+		return outOfReach
+	case e.domain == req.Domain:
+		return 0
+	case req.Prompt > 0:
+		return fartherPrompt
+	}
+	return farther
+}
+
 // taken is the share of the endpoint's places that own calls have taken.
 func (e *Endpoint) taken() float64 {
 	return float64(e.underway.Load()) / float64(e.maxCalls())
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -68,6 +68,24 @@
 	return out <= ledger.Missing(min(int(v.GetCopies()), len(members)))
 }
 
+// DomainsOut returns the failure domains none of whose stores answers.
+func (c *Client) DomainsOut() []string {
+	reached, out := map[string]bool{}, []string{}
+	members := c.Watch.State().GetView().GetMembers()
+	for _, m := range members {
+		if !c.health.isOut(m.GetStorage()) {
+			reached[m.GetFailureDomain()] = true
+		}
+	}
+	for _, m := range members {
+		if d := m.GetFailureDomain(); !reached[d] {
+			reached[d] = true
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
 // observe tells how a store took a call.
 func (c *Client) observe(m *fleetpb.Member, err error) {
 	if !c.health.set(m.GetStorage(), err != nil) {
@@ -90,9 +108,24 @@
 type suspicion struct {
 	client *Client
 	member *fleetpb.Member
+	asked  time.Time
+}
+
+func (s *suspicion) run() {
+	if !stoodStill(s.asked, suspectAfter) {
+		s.client.observe(s.member, &suspectError{})
+	}
 }
 
-func (s *suspicion) run() { s.client.observe(s.member, &suspectError{}) }
+// stillFor is how late a timer may be before this process, and not the peer, is
+// taken for the one that stood still.
+const stillFor = 150 * time.Millisecond
+
+// stoodStill reports whether a timer that was set for a time fired much later:
+// what came in meanwhile has not been read yet, so that silence means nothing.
+func stoodStill(set time.Time, wait time.Duration) bool {
+	return time.Since(set) > wait+stillFor
+}
 
 // Run probes the stores that are out of reach, until ctx ends.
 func (c *Client) Run(ctx context.Context) {
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -41,7 +41,7 @@
 func (c *caller[R]) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
 	defer cancel()
-	slow := &suspicion{client: c.client, member: c.member}
+	slow := &suspicion{client: c.client, member: c.member, asked: time.Now()}
 	timer := time.AfterFunc(suspectAfter, slow.run)
 	a := answer[R]{member: c.member}
 	conn, err := c.client.Pool.Get(c.member.GetAddress())
@@ -49,7 +49,9 @@
 		a.reply, a.status, err = c.call(ctx, fleetpb.NewStoreClient(conn), c.member)
 	}
 	timer.Stop()
-	c.client.observe(c.member, err)
+	if err == nil || !stoodStill(slow.asked, callWithin) {
+		c.client.observe(c.member, err)
+	}
 	a.err = err
 	c.out <- a
 }
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -25,9 +25,9 @@
 const (
 	// hold is how long a call waits for news. Shorter costs calls: each is about
 	// 0.1 ms of processor time on both sides.
-	hold = 500 * time.Millisecond
+	hold = 300 * time.Millisecond
 	// reply is how much longer than hold an answer may take.
-	reply = 300 * time.Millisecond
+	reply = 250 * time.Millisecond
 	// pause lies between calls to an instance that fails.
 	pause = 150 * time.Millisecond
 	// silentAfter is when a control instance counts as lost.
@@ -44,7 +44,7 @@
 	Seeds []string
 	Pool  *dial.Pool
 	Log   *logrus.Entry
-	// Hold bounds one call; zero means half a second.
+	// Hold bounds one call; zero means the default.
 	Hold time.Duration
 	// Copied returns the newest view whose records the sender holds; may be nil.
 	Copied func() uint64
@@ -139,6 +139,16 @@
 	return 2*reached <= len(voters)
 }
 
+// ReachesDomain reports whether a control instance of a failure domain answers.
+func (c *Client) ReachesDomain(domain string) bool {
+	for _, m := range c.Control(reachedWithin) {
+		if m.GetFailureDomain() == domain {
+			return true
+		}
+	}
+	return false
+}
+
 // Offer takes a state learned elsewhere. Older ones change nothing.
 func (c *Client) Offer(s *fleetpb.State) bool {
 	for {
