ledger: two stores go on from the copy that is left

Change: a read quorum is what meets every write quorum, one of two; while a view changes, writes need the new group and reads the old one; and a store is not emptied when fewer than the wanted copies would be left (409). Tests failed first: TestOneOfTwoStoresIsWiped, TestWhichStoresMayBeEmptied.

--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"rockbarrow.dev/rockbarrow/ledger"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -205,7 +204,7 @@
 	if !known {
 		return &UnknownStoreError{Name: name}
 	}
-	if left < ledger.Majority(copies) {
+	if left < copies {
 		return &TooFewStoresError{Left: left, Needed: copies}
 	}
 	return nil
--- a/rockbarrow/controller/plan.go
+++ b/rockbarrow/controller/plan.go
@@ -94,7 +94,7 @@
 		}
 		missing++
 	}
-	if missing > ledger.Missing(min(p.copies, len(v.GetMembers()))) {
+	if missing > ledger.Unheard(min(p.copies, len(v.GetMembers()))) {
 		return false
 	}
 	v.Prior = nil
--- a/rockbarrow/controller/plan_test.go
+++ b/rockbarrow/controller/plan_test.go
@@ -112,9 +112,12 @@
 	if err := mayRetire(s, scene(a, b, c, d).stores, "a", 3); err != nil {
 		t.Errorf("%v with a spare", err)
 	}
-	s.View.Leaving = []string{"b"}
 	if err := mayRetire(s, scene(a, b, c).stores, "a", 3); !errors.As(err, &few) {
-		t.Errorf("%v when one store would be left", err)
+		t.Errorf("%v when two stores would be left for three copies", err)
+	}
+	s.View.Leaving = []string{"b"}
+	if err := mayRetire(s, scene(a, b, c, d).stores, "a", 3); !errors.As(err, &few) {
+		t.Errorf("%v when two stores would be left for three copies", err)
 	}
 	if err := mayRetire(s, scene(a, b, c).stores, "b", 3); err != nil {
 		t.Errorf("%v for a repeated order", err)
--- a/rockbarrow/ledger/copying.go
+++ b/rockbarrow/ledger/copying.go
@@ -24,7 +24,7 @@
 // silent.
 func Sources(v *fleetpb.View, storage uint64) (from []*fleetpb.Member, missing int) {
 	all := counting(v)
-	missing = Missing(min(int(v.GetCopies()), len(all)))
+	missing = Unheard(min(int(v.GetCopies()), len(all)))
 	for _, m := range all {
 		if m.GetStorage() != storage {
 			from = append(from, m)
--- a/rockbarrow/ledger/doc.go
+++ b/rockbarrow/ledger/doc.go
@@ -5,8 +5,8 @@
 // All records are facts that never change: a turn that was answered whole, a
 // reservation of tokens, its settlement. So no store leads and none has to be
 // asked first: a record counts once a majority of its group of stores has synced
-// it, and a question has a sure answer once a majority has answered it, since
-// any two majorities meet in a store. Reserving is both at once: of two turns
+// it, and a question has a sure answer once so many have answered it that one of
+// them is in every majority. Reserving is both at once: of two turns
 // that reserve at the same time, at least one sees the other.
 //
 // [Group] names the stores of a program. [Tally] counts their answers, in the
--- a/rockbarrow/ledger/group.go
+++ b/rockbarrow/ledger/group.go
@@ -59,9 +59,17 @@
 	return (copies + len(domains) - 1) / len(domains)
 }
 
-// Majority returns how many of n stores make a quorum.
-func Majority(n int) int { return n/2 + 1 }
+// WriteQuorum returns how many of n stores make a record durable.
+func WriteQuorum(n int) int { return n/2 + 1 }
 
-// Missing returns how many of n stores may stay unheard when records are copied
-// from the rest: each quorum then still has a member among those heard.
-func Missing(n int) int { return max(0, n-Majority(n)) }
+// ReadQuorum returns how many of n stores meet every write quorum. Of two stores
+// one is enough, as both hold every record: a deployment of two goes on from the
+// copy that is left.
+func ReadQuorum(n int) int { return n - WriteQuorum(n) + 1 }
+
+// Unheard returns how many of n stores may stay silent when the others are read.
+func Unheard(n int) int { return max(0, n-ReadQuorum(n)) }
+
+// Losable returns how many of n stores may be out of reach while records are
+// written.
+func Losable(n int) int { return max(0, n-WriteQuorum(n)) }
--- a/rockbarrow/ledger/ledger_test.go
+++ b/rockbarrow/ledger/ledger_test.go
@@ -171,3 +171,14 @@
 		t.Error("the wrong stores copy")
 	}
 }
+
+func TestReadAndWriteQuorumsMeet(t *testing.T) {
+	for n := 1; n <= 9; n++ {
+		if WriteQuorum(n)+ReadQuorum(n) <= n || 2*WriteQuorum(n) <= n {
+			t.Errorf("of %d stores, %d and %d need not meet", n, WriteQuorum(n), ReadQuorum(n))
+		}
+	}
+	if Unheard(2) != 1 || Losable(2) != 0 || Unheard(0) != 0 || Losable(0) != 0 {
+		t.Error("of two stores, either holds all and both must write")
+	}
+}
--- a/rockbarrow/ledger/tally.go
+++ b/rockbarrow/ledger/tally.go
@@ -55,51 +55,54 @@
 // Refuse counts a store that will not answer this call.
 func (t *Tally) Refuse(storage uint64) { t.refused[storage] = true }
 
-// Written reports whether the record is durable.
+// Written reports whether the record is durable. While a move is under way it is
+// so in the new group, where it stays; whoever reads asks both groups.
 func (t *Tally) Written() bool {
-	acked := func(id uint64) bool { return t.acked[id] }
-	return quorum(t.present, acked) && (len(t.prior) == 0 || quorum(t.prior, acked))
+	return count(t.present, t.acked) >= WriteQuorum(len(t.present))
 }
 
 // Sure reports whether what no store has told is certainly not there.
 func (t *Tally) Sure() bool {
-	whole := func(id uint64) bool { return t.whole[id] }
+	group := t.authority()
+	return len(group) > 0 && count(group, t.whole) >= ReadQuorum(len(group))
+}
+
+// authority is the group that holds all records from before this view.
+func (t *Tally) authority() []*fleetpb.Member {
 	if len(t.prior) > 0 {
-		return quorum(t.prior, whole)
+		return t.prior
 	}
-	return quorum(t.present, whole)
+	return t.present
 }
 
 // SureEverywhere reports whether what no store has told is in no group at all:
 // each group has a quorum among the stores that answered.
 func (t *Tally) SureEverywhere(copies int) bool {
-	list := t.present
-	if len(t.prior) > 0 {
-		list = t.prior
-	}
+	list := t.authority()
 	unheard := 0
 	for _, m := range list {
 		if !t.whole[m.GetStorage()] {
 			unheard++
 		}
 	}
-	return unheard <= Missing(min(copies, len(list)))
+	return unheard <= Unheard(min(copies, len(list)))
 }
 
 // Lost reports whether a quorum can no longer be reached.
 func (t *Tally) Lost() bool {
-	open := func(id uint64) bool { return !t.refused[id] }
-	return !quorum(t.present, open) || len(t.prior) > 0 && !quorum(t.prior, open)
+	group := t.authority()
+	return count(t.present, t.refused) > Losable(len(t.present)) || count(group, t.refused) > Unheard(len(group))
 }
 
-func quorum(group []*fleetpb.Member, has func(uint64) bool) bool {
+// count returns how many members of a group are in a set.
+func count(group []*fleetpb.Member, set map[uint64]bool) int {
 	n := 0
 	for _, m := range group {
-		if has(m.GetStorage()) {
+		if set[m.GetStorage()] {
 			n++
 		}
 	}
-	return len(group) > 0 && n >= Majority(len(group))
+	return n
 }
 
 func hasStorage(list []*fleetpb.Member, storage uint64) bool {
--- a/rockbarrow/stores/fleet_test.go
+++ b/rockbarrow/stores/fleet_test.go
@@ -320,3 +320,27 @@
 	old.Watch.Offer(g.state)
 	g.must(g.run(old, stores.Turn{ID: "2", Program: "p", Most: 10}, 5))
 }
+
+// TestOneOfTwoStoresIsWiped: the copy that is left is read, and the emptied store
+// takes it over before both write again.
+func TestOneOfTwoStoresIsWiped(t *testing.T) {
+	g := newGroup(t)
+	two := g.state.GetView().GetMembers()[:2]
+	g.change(func(v *fleetpb.View) { v.Prior, v.Members = v.GetMembers(), two })
+	g.await(2, g.places[:2]...)
+	g.change(func(v *fleetpb.View) { v.Prior = nil })
+	g.await(3, g.places[:2]...)
+	g.places[2].stop()
+	g.must(g.run(g.client, stores.Turn{ID: "1", Program: "p", Most: 10}, 5))
+	g.places[0].stop()
+	wiped := &place{t: t, dir: t.TempDir(), member: &fleetpb.Member{
+		Instance: "store-0", Storage: 77, FailureDomain: "domain-0", Address: g.places[0].member.GetAddress(),
+	}}
+	wiped.start()
+	g.places = []*place{wiped, g.places[1]}
+	g.change(func(v *fleetpb.View) {
+		v.Prior, v.Members = v.GetMembers(), []*fleetpb.Member{wiped.member, g.places[1].member}
+	})
+	g.must(g.run(g.newClient(), stores.Turn{ID: "2", Program: "p", Previous: "1", Most: 10}, 5))
+	g.await(2, g.places...)
+}
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -55,17 +55,17 @@
 // Reachable reports whether a majority of every group of stores answers.
 func (c *Client) Reachable() bool {
 	v := c.Watch.State().GetView()
-	return v != nil && c.reachable(v, v.GetMembers()) && c.reachable(v, v.GetPrior())
+	return v != nil && c.reachable(v, v.GetMembers(), ledger.Losable) && c.reachable(v, v.GetPrior(), ledger.Unheard)
 }
 
-func (c *Client) reachable(v *fleetpb.View, members []*fleetpb.Member) bool {
+func (c *Client) reachable(v *fleetpb.View, members []*fleetpb.Member, lost func(int) int) bool {
 	out := 0
 	for _, m := range members {
 		if c.health.isOut(m.GetStorage()) {
 			out++
 		}
 	}
-	return out <= ledger.Missing(min(int(v.GetCopies()), len(members)))
+	return out <= lost(min(int(v.GetCopies()), len(members)))
 }
 
 // DomainsOut returns the failure domains none of whose stores answers.
