--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -166,7 +166,7 @@
 	now := time.Now()
 	stores := c.roll.of(now, fleetpb.Role_ROLE_STORE, presentWithin)
 	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
-		refused = mayRetire(s, stores, name, 2*c.Losses+1)
+		refused = mayRetire(s, stores, name, c.Losses+1)
 		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			return nil
 		}
@@ -179,8 +179,9 @@
 	return refused
 }
 
-// mayRetire returns why a store can't be emptied, or nil.
-func mayRetire(s *fleetpb.State, present []seat, name string, copies int) error {
+// mayRetire returns why a store can't be emptied, or nil. So many must be left
+// that the tolerated losses leave one.
+func mayRetire(s *fleetpb.State, present []seat, name string, needed int) error {
 	if slices.Contains(s.GetRetired(), name) || slices.Contains(s.GetView().GetLeaving(), name) {
 		return nil
 	}
@@ -204,8 +205,8 @@
 	if !known {
 		return &UnknownStoreError{Name: name}
 	}
-	if left < copies {
-		return &TooFewStoresError{Left: left, Needed: copies}
+	if left < needed {
+		return &TooFewStoresError{Left: left, Needed: needed}
 	}
 	return nil
 }
--- a/rockbarrow/controller/plan.go
+++ b/rockbarrow/controller/plan.go
@@ -131,7 +131,24 @@
 	for len(out) < p.copies && len(spares) > 0 {
 		out, spares = append(out, spares[0]), spares[1:]
 	}
-	return out
+	return p.withoutLost(out)
+}
+
+// withoutLost leaves out lost members once too few are there to write but enough
+// to read: of two stores, the one that is left goes on alone, as it holds every
+// record. The other comes back as a spare and copies.
+func (p plan) withoutLost(members []*fleetpb.Member) []*fleetpb.Member {
+	var there []*fleetpb.Member
+	for _, m := range members {
+		if !p.lost(p.stores, m) {
+			there = append(there, m)
+		}
+	}
+	n := min(p.copies, len(members))
+	if lost := len(members) - len(there); lost > ledger.Losable(n) && lost <= ledger.Unheard(n) {
+		return there
+	}
+	return members
 }
 
 // spares are present stores that are not members, do not leave and have not been
