entry: the last instances of a failure domain step back

Change: control counts the serving entry instances of each domain; where fewer than half serve and another domain has half of its own, the rest say not ready, so that the balancer uses other domains; what an instance tells of itself is not changed by that, or all would keep each other back. Test first: TestTheLastInstancesOfADomainStepBack.

--- a/rockbarrow/controller/roll.go
+++ b/rockbarrow/controller/roll.go
@@ -21,6 +21,12 @@
 	// presentWithin is how lately an instance must have asked to count as
 	// present; it asks once a second.
 	presentWithin = 2500 * time.Millisecond
+	// servingWithin is how lately an entry instance must have asked to count as
+	// serving: three of its calls.
+	servingWithin = time.Second
+	// knownWithin is how lately one must have asked to count at all. Those that
+	// were taken away count for this long.
+	knownWithin = 15 * time.Second
 	// forgetAfter drops an instance from the roll.
 	forgetAfter = time.Minute
 )
@@ -31,6 +37,8 @@
 	role   fleetpb.Role
 	heard  time.Time
 	copied uint64
+	// serves is true if an entry instance takes requests.
+	serves bool
 }
 
 // roll is who called this instance, and when. The zero value is ready.
@@ -46,7 +54,8 @@
 		r.seats = map[string]*seat{}
 	}
 	r.seats[req.GetSender().GetInstance()] = &seat{
-		member: req.GetSender(), role: req.GetRole(), heard: now, copied: req.GetCopiedEpoch(),
+		member: req.GetSender(), role: req.GetRole(), heard: now,
+		copied: req.GetCopiedEpoch(), serves: req.GetServes(),
 	}
 }
 
@@ -86,6 +95,24 @@
 	return out
 }
 
+// entryDomains counts the entry instances of each failure domain, by name.
+func (r *roll) entryDomains(now time.Time) []*fleetpb.EntryDomain {
+	var out []*fleetpb.EntryDomain
+	at := map[string]*fleetpb.EntryDomain{}
+	for _, s := range r.of(now, fleetpb.Role_ROLE_ENTRY, knownWithin) {
+		name := s.member.GetFailureDomain()
+		if at[name] == nil {
+			at[name] = &fleetpb.EntryDomain{FailureDomain: name}
+			out = append(out, at[name])
+		}
+		at[name].Known++
+		if s.serves && now.Sub(s.heard) < servingWithin {
+			at[name].Serving++
+		}
+	}
+	return out
+}
+
 // control returns the control instances that this one knows, itself included.
 func (c *Controller) control(now time.Time, within time.Duration) []*fleetpb.Member {
 	out := []*fleetpb.Member{c.Self}
@@ -145,6 +172,9 @@
 		Control:   c.control(now, presentWithin),
 		Entries:   uint32(len(c.roll.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
 	}
+	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
+		r.EntryDomains = c.roll.entryDomains(now)
+	}
 	if s := c.State(); s.GetNumber() > req.GetStateNumber() {
 		r.State = s
 	}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -84,8 +84,19 @@
 	}
 }
 
-// Ready reports whether requests can be served, or why not.
+// Ready reports whether the balancer should send connections here, or why not.
 func (e *Entry) Ready() (bool, string) {
+	if serves, why := e.Serves(); !serves {
+		return false, why
+	}
+	if e.deserted() {
+		return false, "most entry instances of this failure domain are lost"
+	}
+	return true, ""
+}
+
+// Serves reports whether this instance can serve requests, or why not.
+func (e *Entry) Serves() (bool, string) {
 	switch {
 	case e.stopped.Load():
 		return false, "stopping"
@@ -99,6 +110,23 @@
 	return true, ""
 }
 
+// deserted reports whether most entry instances of the own failure domain are
+// lost while another domain has most of its own. The balancer goes on to use all
+// instances of a domain, the lost ones too, while fewer than half of them are
+// ready, but none of them once none is.
+func (e *Entry) deserted() bool {
+	own, elsewhere := false, false
+	for _, d := range e.Watch.EntryDomains() {
+		most := 2*d.GetServing() >= d.GetKnown()
+		if d.GetFailureDomain() == e.Domain {
+			own = !most
+		} else {
+			elsewhere = elsewhere || most && d.GetServing() > 0
+		}
+	}
+	return own && elsewhere
+}
+
 // apart reports whether this instance is cut off from the rest. It then serves
 // what it can, but new connections are better off elsewhere. When most stores are
 // lost for everyone, no instance is better than another, and all stay ready.
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -224,3 +224,32 @@
 		t.Error("a stream that ends inside an event counts as whole")
 	}
 }
+
+func TestTheLastInstancesOfADomainStepBack(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	counts := func(serving, known, elsewhere uint32) []*fleetpb.EntryDomain {
+		return []*fleetpb.EntryDomain{
+			{FailureDomain: "a", Known: known, Serving: serving}, {FailureDomain: "b", Known: 2, Serving: elsewhere},
+		}
+	}
+	tests := []struct {
+		name   string
+		counts []*fleetpb.EntryDomain
+		ready  bool
+	}{
+		{"nothing is known", nil, true},
+		{"all serve", counts(3, 3, 2), true},
+		{"half of them are enough", counts(1, 2, 2), true},
+		{"one of three is left", counts(1, 3, 2), false},
+		{"the others are no better off", counts(1, 3, 0), true},
+	}
+	for _, test := range tests {
+		e.Watch.Hear(&fleetpb.WatchReply{EntryDomains: test.counts})
+		if ready, why := e.Ready(); ready != test.ready {
+			t.Errorf("%s: ready %v %s", test.name, ready, why)
+		}
+		if serves, _ := e.Serves(); !serves {
+			t.Errorf("%s: the instance says that it does not serve, and so keeps others back too", test.name)
+		}
+	}
+}
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -48,12 +48,15 @@
 	Hold time.Duration
 	// Copied returns the newest view whose records the sender holds; may be nil.
 	Copied func() uint64
+	// Serves reports whether an entry instance takes requests; may be nil.
+	Serves func() bool
 	// Changed is told of each newer state or list, if set. It must not block.
 	Changed func()
 
 	state   atomic.Pointer[fleetpb.State]
 	list    atomic.Pointer[Reading]
 	entries atomic.Uint32
+	domains atomic.Pointer[[]*fleetpb.EntryDomain]
 
 	mu sync.Mutex
 	// targets are the addresses that a loop watches.
@@ -107,6 +110,15 @@
 // Entries returns how many entry instances there are, at least one.
 func (c *Client) Entries() int { return max(1, int(c.entries.Load())) }
 
+// EntryDomains returns the entry instances of each failure domain, as a control
+// instance counted them last.
+func (c *Client) EntryDomains() []*fleetpb.EntryDomain {
+	if d := c.domains.Load(); d != nil {
+		return *d
+	}
+	return nil
+}
+
 // Control returns the control instances that were heard within a time.
 func (c *Client) Control(within time.Duration) []*fleetpb.Member {
 	c.mu.Lock()
@@ -228,16 +240,24 @@
 	if back {
 		c.Log.WithField("control", t.address).Info("control instance is reached again")
 	}
-	c.entries.Store(max(r.GetEntries(), 1))
-	if r.GetState() != nil {
-		c.Offer(r.GetState())
-	}
+	c.Hear(r)
 	c.hearList(r, asked)
 	for _, m := range r.GetControl() {
 		c.add(m.GetAddress(), m)
 	}
 }
 
+// Hear takes what a control instance tells of the state and of entry instances.
+func (c *Client) Hear(r *fleetpb.WatchReply) {
+	c.entries.Store(max(r.GetEntries(), 1))
+	if counts := r.GetEntryDomains(); len(counts) > 0 {
+		c.domains.Store(&counts)
+	}
+	if r.GetState() != nil {
+		c.Offer(r.GetState())
+	}
+}
+
 // hearList takes the list or the news that the known one was read again.
 func (c *Client) hearList(r *fleetpb.WatchReply, asked time.Time) {
 	if !r.GetListKnown() {
@@ -315,6 +335,9 @@
 	if c.Copied != nil {
 		req.CopiedEpoch = c.Copied()
 	}
+	if c.Serves != nil {
+		req.Serves = c.Serves()
+	}
 	return req
 }
 
