--- a/rockbarrow/controller/plan.go
+++ b/rockbarrow/controller/plan.go
@@ -57,7 +57,7 @@
 	}
 	members := p.wantedStores(s)
 	if register.Same(members, v.GetMembers()) {
-		return false
+		return retireOthers(s)
 	}
 	v.Prior, v.Members = v.GetMembers(), members
 	v.Epoch++
@@ -99,13 +99,25 @@
 	}
 	v.Prior = nil
 	v.Epoch++
-	for _, name := range v.GetLeaving() {
-		if !hasInstance(v.GetMembers(), name) && !slices.Contains(s.GetRetired(), name) {
+	retireOthers(s)
+	return true
+}
+
+// retireOthers calls the leaving stores emptied that are no members, spare ones
+// included, which hold nothing. It reports whether there were any.
+func retireOthers(s *fleetpb.State) bool {
+	v := s.GetView()
+	before := len(v.GetLeaving())
+	v.Leaving = slices.DeleteFunc(v.GetLeaving(), func(name string) bool {
+		if hasInstance(v.GetMembers(), name) {
+			return false
+		}
+		if !slices.Contains(s.GetRetired(), name) {
 			s.Retired = append(s.Retired, name)
 		}
-	}
-	v.Leaving = slices.DeleteFunc(v.GetLeaving(), func(name string) bool { return slices.Contains(s.GetRetired(), name) })
-	return true
+		return true
+	})
+	return len(v.GetLeaving()) < before
 }
 
 // wantedStores returns the members that should be: each at its place, with its
--- a/rockbarrow/controller/plan_test.go
+++ b/rockbarrow/controller/plan_test.go
@@ -103,6 +103,16 @@
 	}
 }
 
+func TestASpareIsEmptiedAtOnce(t *testing.T) {
+	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
+	s := steady(a, b, c)
+	s.View.Leaving = []string{"d"}
+	next := scene(a, b, c, d).next(s)
+	if next == nil || fmt.Sprint(next.GetRetired()) != "[d]" || len(next.GetView().GetLeaving()) > 0 || next.GetView().GetEpoch() != 1 {
+		t.Errorf("state %v", next)
+	}
+}
+
 func TestWhichStoresMayBeEmptied(t *testing.T) {
 	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
 	var few *TooFewStoresError
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -25,7 +25,7 @@
 	"rockbarrow.dev/rockbarrow/host"
 	"rockbarrow.dev/rockbarrow/operator"
 	"rockbarrow.dev/rockbarrow/peer"
-	"rockbarrow.dev/rockbarrow/platform"
+	"rockbarrow.dev/rockbarrow/endpointlist"
 	"rockbarrow.dev/rockbarrow/roster"
 	"rockbarrow.dev/rockbarrow/service"
 	"rockbarrow.dev/rockbarrow/settings"
@@ -138,7 +138,7 @@
 	quick := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 	out = append(out, (&engine.Watcher{HTTP: quick, Desk: d.desk, Every: watchEvery, Near: d.Settings.Domain, Log: d.Log}).Run)
 	if p := d.Settings.Platform; p.ListURL != "" {
-		out = append(out, (&platform.Watcher{
+		out = append(out, (&endpointlist.Watcher{
 			HTTP: quick, URL: p.ListURL, Every: settings.Milliseconds(p.PollMS), Roster: d.node, Desk: d.desk, Log: d.Log,
 		}).Run)
 	}
--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -60,7 +60,7 @@
 			Backoff:           backoff.Config{BaseDelay: firstPause, Multiplier: 1.6, Jitter: 0.2, MaxDelay: longestPause},
 			MinConnectTimeout: connectWithin,
 		}),
-		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize), grpc.WithSharedWriteBuffer(true),
+		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0),
 	)
@@ -98,7 +98,7 @@
 // Server returns a gRPC server with the buffers that fit the pool's messages.
 func Server() *grpc.Server {
 	return grpc.NewServer(
-		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize), grpc.SharedWriteBuffer(true),
+		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
 	)
 }
--- a/rockbarrow/platform/list.go
+++ b/rockbarrow/endpointlist/list.go
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: MIT
 
-// Package platform reads the platform's lagging list of live and leaving
+// Package endpointlist reads the own interface's lagging list of live and leaving
 // instances and endpoints.
-package platform
+package endpointlist
 
 import (
 	"context"
--- a/rockbench/standin/service.go
+++ b/rockbench/standin/service.go
@@ -12,8 +12,8 @@
 	"sync"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/endpointlist"
 	"rockbarrow.dev/rockbarrow/engine"
-	"rockbarrow.dev/rockbarrow/platform"
 )
 
 // ServiceFaults are what a service does wrong.
@@ -129,7 +129,7 @@
 
 type listState struct {
 	at   time.Time
-	list platform.List
+	list endpointlist.List
 }
 
 // Start serves on a free port of the loopback address.
@@ -151,7 +151,7 @@
 func (p *Platform) URL() string { return "http://" + p.addr + "/list" }
 
 // Set changes the list; readers see it after the lag.
-func (p *Platform) Set(l platform.List) {
+func (p *Platform) Set(l endpointlist.List) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.states = append(p.states, listState{time.Now(), l})
@@ -160,7 +160,7 @@
 func (p *Platform) serve(w http.ResponseWriter, _ *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var out platform.List
+	var out endpointlist.List
 	until := time.Now().Add(-p.Lag)
 	for _, s := range p.states {
 		if !s.at.After(until) {
