--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -36,6 +36,11 @@
 	file, dir := "", "out"
 	experimentCmd.AddPositionalValue(&file, "FILE", 1, true, "the scenario, such as rockbench/scenarios/trakfelt.toml")
 	experimentCmd.String(&dir, "d", "dir", "the folder for the report")
+	soakCmd := flaggy.NewSubcommand("soak")
+	soakCmd.Description = "run real processes of the platform's program under random faults, check the promises"
+	soakRun := soakOptions{seed: 1, seeds: 1, seconds: 20, programs: 8, entries: 2}
+	soakRun.add(soakCmd)
+	flaggy.AttachSubcommand(soakCmd, 1)
 	flaggy.AttachSubcommand(faultsCmd, 1)
 	flaggy.AttachSubcommand(experimentCmd, 1)
 	flaggy.Parse()
@@ -49,6 +54,8 @@
 		err = runExperiment(ctx, os.Stdout, file, dir)
 	case faultsCmd.Used:
 		err = faults(ctx, os.Stdout, only)
+	case soakCmd.Used:
+		err = runSoak(ctx, os.Stdout, soakRun)
 	case slopesCmd.Used:
 		err = slopes(ctx, os.Stdout)
 	default:
--- /dev/null
+++ b/rockbench/soak.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: MIT
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sort"
+	"time"
+
+	"github.com/integrii/flaggy"
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/rockbench/soak"
+)
+
+// soakOptions are those of the command line.
+type soakOptions struct {
+	seed, seeds, seconds, programs, entries int
+}
+
+func (o *soakOptions) add(c *flaggy.Subcommand) {
+	c.Int(&o.seed, "", "seed", "the first seed")
+	c.Int(&o.seeds, "", "seeds", "how many seeds, one after another")
+	c.Int(&o.seconds, "", "seconds", "how long faults come under each seed")
+	c.Int(&o.programs, "", "programs", "how many programs run at a time")
+	c.Int(&o.entries, "", "entries", "entry instances in each of three failure domains")
+}
+
+// runSoak plays seeds and keeps the folder of each that broke a promise.
+func runSoak(ctx context.Context, out io.Writer, o soakOptions) error {
+	failed := 0
+	for i := range o.seeds {
+		broken, err := soakOnce(ctx, out, o, uint64(o.seed+i))
+		if err != nil {
+			return err
+		}
+		failed += broken
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+	fmt.Fprintf(out, "%d seeds, %d with a broken promise\n", o.seeds, failed)
+	if failed > 0 {
+		return errors.Errorf("%d seeds broke a promise", failed)
+	}
+	return nil
+}
+
+func soakOnce(ctx context.Context, out io.Writer, o soakOptions, seed uint64) (broken int, err error) {
+	dir, err := os.MkdirTemp("", "rockbarrow-soak-")
+	if err != nil {
+		return 0, errors.Wrap(err, "soak: folder")
+	}
+	report, err := soak.Run(ctx, soak.Config{
+		Seed: seed, Last: time.Duration(o.seconds) * time.Second, Programs: o.programs, EntriesEach: o.entries, Dir: dir, Out: out,
+	})
+	if err != nil {
+		return 0, errors.Wrapf(err, "soak: seed %d, logs in %s", seed, dir)
+	}
+	fmt.Fprintf(out, "seed %d:", seed)
+	var names []string
+	for name := range report.Counts {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(out, " %d %s,", report.Counts[name], name)
+	}
+	fmt.Fprintf(out, " %d promises broken\n", len(report.Broken))
+	if len(report.Broken) == 0 {
+		return 0, os.RemoveAll(dir)
+	}
+	for _, b := range report.Broken {
+		fmt.Fprintln(out, "  ", b)
+	}
+	fmt.Fprintln(out, "  logs and disks in", dir)
+	return 1, nil
+}
--- /dev/null
+++ b/rockbench/soak/fleet.go
@@ -0,0 +1,295 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/platform/settings"
+	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// domains is the number of failure domains.
+	domains = 3
+	// portSpan is how many internal ports an instance has.
+	portSpan = 6
+	// grace is the time from the stop signal to the kill.
+	grace = 8
+	// readyWithin bounds the start of the fleet.
+	readyWithin = 60 * time.Second
+	// host is the host of all routes.
+	host = "soak.example"
+)
+
+// fleet is all processes and stand-ins of one soak.
+type fleet struct {
+	dir     string
+	control []*instance
+	stores  []*instance
+	entries []*instance
+	// mu guards endpoints and lives.
+	mu        sync.Mutex
+	endpoints []*standin.Endpoint
+	list      *standin.List
+	listens   net.Listener
+	ledger    *standin.Ledger
+	operator  *standin.Operator
+	version   uint64
+	// lives counts the endpoints made, so that ids never come back.
+	lives int
+}
+
+// build compiles the product into a folder.
+func build(ctx context.Context, dir string) (string, error) {
+	out := filepath.Join(dir, "rockbarrow")
+	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "rockbarrow.dev/platform")
+	if b, err := cmd.CombinedOutput(); err != nil {
+		return "", errors.Wrapf(err, "soak: build: %s", b)
+	}
+	return out, nil
+}
+
+// newFleet starts everything and waits until it serves. The returned function
+// ends it.
+func newFleet(ctx context.Context, dir string, entriesEach int) (*fleet, func(), error) {
+	f := &fleet{dir: dir, ledger: &standin.Ledger{}, list: &standin.List{}}
+	binary, err := build(ctx, dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	stop := f.stop
+	if err := f.startStandIns(); err != nil {
+		return nil, stop, err
+	}
+	if err := f.plan(binary, entriesEach); err != nil {
+		return nil, stop, err
+	}
+	for _, in := range f.all() {
+		if err := in.start(); err != nil {
+			return nil, stop, err
+		}
+	}
+	return f, stop, f.await(ctx)
+}
+
+func (f *fleet) all() []*instance {
+	return append(append(append([]*instance(nil), f.control...), f.stores...), f.entries...)
+}
+
+func (f *fleet) startStandIns() error {
+	var err error
+	if f.listens, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return errors.Wrap(err, "soak: list")
+	}
+	go f.serveList()
+	for range domains {
+		for _, service := range []string{"model", "tool"} {
+			if _, err := f.addEndpoint(service, fmt.Sprint("domain-", len(f.endpoints)/2%domains)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// serveList ends with the listener.
+func (f *fleet) serveList() {
+	if err := http.Serve(f.listens, f.list); err != nil {
+		return
+	}
+}
+
+// addEndpoint starts another life of an endpoint.
+func (f *fleet) addEndpoint(service, domain string) (*standin.Endpoint, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lives++
+	e := &standin.Endpoint{
+		ID: fmt.Sprintf("%s-%d", service, f.lives), Service: service, Domain: domain, Slots: 64,
+		Work: 4 * time.Millisecond, Stream: service == "model", Ledger: f.ledger,
+	}
+	if err := e.Start("127.0.0.1"); err != nil {
+		return nil, errors.Wrap(err, "soak: endpoint")
+	}
+	f.endpoints = append(f.endpoints, e)
+	f.list.Set(f.endpoints...)
+	return e, nil
+}
+
+// endpoint draws one.
+func (f *fleet) endpoint(r *rand.Rand) *standin.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.endpoints[r.IntN(len(f.endpoints))]
+}
+
+// removeEndpoint takes one off the list.
+func (f *fleet) removeEndpoint(old *standin.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endpoints = slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return e == old })
+	f.list.Set(f.endpoints...)
+}
+
+// plan gives each instance its address, folder and proxy.
+func (f *fleet) plan(binary string, entriesEach int) error {
+	first, err := freePorts()
+	if err != nil {
+		return err
+	}
+	var seeds []string
+	for d := range domains {
+		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(d, 1), first+portSpan))
+	}
+	add := func(role string, d, n int) (*instance, error) {
+		in := &instance{role: role, binary: binary, plan: settings.Plan{
+			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), Domain: fmt.Sprint("domain-", d), IP: ip(d, n),
+			FirstPort: first, LastPort: first + portSpan - 1, Control: seeds, First: true,
+			List: f.listens.Addr().String(), Losses: 1, MemoryMB: 256, GraceSeconds: grace,
+		}}
+		in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
+		if err := in.open(f.dir); err != nil {
+			return nil, err
+		}
+		in.proxy, err = newProxy(in.plan.PeerAddress(), in.plan.PeerListen())
+		return in, errors.Wrap(err, "soak: proxy")
+	}
+	for d := range domains {
+		c, err := add("control", d, 1)
+		if err != nil {
+			return err
+		}
+		c.plan.Operators = fmt.Sprintf("%s:%d", c.plan.IP, first+portSpan)
+		f.control = append(f.control, c)
+		s, err := add("store", d, 2)
+		if err != nil {
+			return err
+		}
+		f.stores = append(f.stores, s)
+		for i := range entriesEach {
+			e, err := add("entry", d, 3+i)
+			if err != nil {
+				return err
+			}
+			e.plan.DataDir = ""
+			e.plan.Consumers = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan)
+			e.plan.Ready = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan+1)
+			f.entries = append(f.entries, e)
+		}
+	}
+	f.operator = &standin.Operator{Addresses: f.operators(), Ledger: f.ledger}
+	return nil
+}
+
+func (f *fleet) operators() []string {
+	var out []string
+	for _, c := range f.control {
+		out = append(out, c.plan.Operators)
+	}
+	return out
+}
+
+// ip is the loopback address of an instance.
+func ip(domain, n int) string { return fmt.Sprintf("127.%d.0.%d", 10+domain, n) }
+
+// freePorts returns the first of some ports that were free a moment ago.
+func freePorts() (int, error) {
+	l, err := net.Listen("tcp", ip(0, 1)+":0")
+	if err != nil {
+		return 0, errors.Wrap(err, "soak: ports")
+	}
+	defer l.Close()
+	const highest = 60_000
+	return min(l.Addr().(*net.TCPAddr).Port, highest), nil
+}
+
+// await sends the first configuration and waits until all entries are ready.
+func (f *fleet) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyWithin)
+	defer cancel()
+	if err := f.deploy(ctx); err != nil {
+		return errors.Wrap(err, "soak: first configuration")
+	}
+	for _, e := range f.entries {
+		for !e.ready() {
+			if ctx.Err() != nil {
+				return errors.Errorf("soak: %s is not ready", e.plan.Instance)
+			}
+			time.Sleep(holdTick)
+		}
+	}
+	return nil
+}
+
+// deploy sends the next version of the configuration.
+func (f *fleet) deploy(ctx context.Context) error {
+	f.version++
+	route := func(name, service string, kind fleetpb.RouteKind) *fleetpb.Route {
+		return &fleetpb.Route{
+			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 5000, ObjectiveMs: 200, MaxAttempts: 2,
+			Shares: []*fleetpb.Share{{Service: service, Weight: 1}},
+		}
+	}
+	turn := route("turn", "model", fleetpb.RouteKind_ROUTE_KIND_STREAM)
+	turn.History, turn.RetainMs = true, 60_000
+	return f.operator.Deploy(ctx, &fleetpb.Document{
+		Version: f.version,
+		Limits:  &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+		Services: []*fleetpb.Service{
+			{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
+			{Name: "tool", MaxConnections: 300},
+		},
+		Routes: []*fleetpb.Route{
+			turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE),
+		},
+	})
+}
+
+// stop ends all processes that were started, and the stand-ins.
+func (f *fleet) stop() {
+	for _, in := range f.all() {
+		in.signal(syscall.SIGCONT)
+		in.stop(syscall.SIGKILL)
+		if in.proxy != nil {
+			in.proxy.close()
+		}
+		in.log.Close()
+	}
+	for _, e := range f.endpoints {
+		e.Close()
+	}
+	if f.listens != nil {
+		f.listens.Close()
+	}
+}
+
+// failures names the processes that ended by themselves.
+func (f *fleet) failures() []string {
+	var out []string
+	for _, in := range f.all() {
+		if in.failed() {
+			b, err := os.ReadFile(in.log.Name())
+			if err != nil {
+				b = []byte(err.Error())
+			}
+			const end = 600
+			out = append(out, in.plan.Instance+" ended by itself: "+string(b[max(0, len(b)-end):]))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/rockbench/soak/soak.go
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/platform/standin"
+)
+
+const (
+	// mostLasting is how long a fault lasts at the most.
+	mostLasting = 2500 * time.Millisecond
+	// between is the longest pause between faults.
+	between = 800 * time.Millisecond
+	// finishWithin bounds what programs need once the faults are over.
+	finishWithin = 60 * time.Second
+	// checkEvery is how often the operator reads the configuration.
+	checkEvery = 400 * time.Millisecond
+)
+
+// Config is one soak.
+type Config struct {
+	// Seed draws the faults and programs.
+	Seed uint64
+	// Last is how long faults come.
+	Last time.Duration
+	// Programs run at a time, EntriesEach entry instances in each of three domains.
+	Programs, EntriesEach int
+	// Dir holds settings, disks and logs.
+	Dir string
+	// Out gets a line for each fault.
+	Out io.Writer
+}
+
+// Report is what a soak found.
+type Report struct {
+	Seed   uint64
+	Counts map[string]int
+	Broken []string
+}
+
+// Run plays a soak.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	f, stop, err := newFleet(ctx, cfg.Dir, cfg.EntriesEach)
+	if stop != nil {
+		defer stop()
+	}
+	if err != nil {
+		return nil, err
+	}
+	s := &soak{cfg: cfg, fleet: f, start: time.Now()}
+	s.play(ctx)
+	return &Report{Seed: cfg.Seed, Counts: f.ledger.Counts(), Broken: append(f.ledger.Broken(), f.failures()...)}, nil
+}
+
+type soak struct {
+	cfg   Config
+	fleet *fleet
+	start time.Time
+}
+
+func (s *soak) play(ctx context.Context) {
+	faulty, over := context.WithTimeout(ctx, s.cfg.Last)
+	defer over()
+	var running sync.WaitGroup
+	// New programs begin while faults come; those under way come to their end.
+	finish, cancel := context.WithTimeout(ctx, s.cfg.Last+finishWithin)
+	defer cancel()
+	for i := range s.cfg.Programs {
+		w := &worker{soak: s, number: i, r: rand.New(rand.NewPCG(s.cfg.Seed, uint64(100+i)))}
+		running.Go(func() { w.loop(faulty, finish) })
+	}
+	running.Go(func() { s.operate(faulty) })
+	lanes := [][]fault{append(slices.Clone(faults), diskFaults...), faults}
+	for i, lane := range lanes {
+		d := &disturber{soak: s, faults: lane, r: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i)))}
+		running.Go(func() { d.loop(faulty) })
+	}
+	running.Wait()
+	if !s.fleet.operator.Check(finish) {
+		s.fleet.ledger.Break("no control instance is sure of the configuration after the faults")
+	}
+}
+
+// disturber brings one fault after another. Two of them run at a time, so that
+// faults overlap.
+type disturber struct {
+	soak   *soak
+	faults []fault
+	r      *rand.Rand
+}
+
+func (d *disturber) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		f := d.faults[d.r.IntN(len(d.faults))]
+		last := time.Duration(d.r.Int64N(int64(mostLasting)))
+		fmt.Fprintf(d.soak.cfg.Out, "%6.2f s  %s for %d ms\n", time.Since(d.soak.start).Seconds(), f, last.Milliseconds())
+		f.run(ctx, d.soak.fleet, d.r, last)
+		sleep(ctx, time.Duration(d.r.Int64N(int64(between))))
+	}
+}
+
+// operate changes the configuration now and then and reads it all the time.
+func (s *soak) operate(ctx context.Context) {
+	for i := 1; ctx.Err() == nil; i++ {
+		s.fleet.operator.Check(ctx)
+		if i%4 == 0 {
+			if err := s.fleet.deploy(ctx); err != nil && ctx.Err() == nil {
+				s.fleet.ledger.Break("a configuration was not taken: %v", err)
+			}
+		}
+		sleep(ctx, checkEvery)
+	}
+}
+
+// worker runs one program after another.
+type worker struct {
+	soak   *soak
+	number int
+	r      *rand.Rand
+}
+
+func (w *worker) loop(begin, finish context.Context) {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, MaxIdleConnsPerHost: 4,
+	}}
+	defer client.CloseIdleConnections()
+	for n := 0; begin.Err() == nil; n++ {
+		p := &standin.Program{
+			Name: fmt.Sprintf("p%d-%d-%d", w.soak.cfg.Seed, w.number, n), Turns: 2 + w.r.IntN(6), Entries: w.soak.entries(),
+			Host: host, TurnPath: "/turn/", OncePath: "/once/", RepeatPath: "/repeat/",
+			Rand: w.r, Ledger: w.soak.fleet.ledger, Client: client,
+		}
+		const tight, budget = 4, 45
+		if w.r.IntN(tight) == 0 {
+			p.Budget = budget
+		}
+		if !p.Run(finish) {
+			w.soak.fleet.ledger.Break("program %s did not come to its end", p.Name)
+		}
+	}
+}
+
+func (s *soak) entries() []string {
+	var out []string
+	for _, e := range s.fleet.entries {
+		out = append(out, e.plan.Consumers)
+	}
+	return out
+}
+
+// Err returns an error if a promise was broken.
+func (r *Report) Err() error {
+	if len(r.Broken) == 0 {
+		return nil
+	}
+	return errors.Errorf("soak: seed %d: %d promises broken, the first: %s", r.Seed, len(r.Broken), r.Broken[0])
+}
