--- a/rockbarrow/settings/docs_test.go
+++ b/rockbarrow/settings/docs_test.go
@@ -28,13 +28,13 @@
 }
 
 func TestEveryKeyIsDocumented(t *testing.T) {
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, key := range keysOf(reflect.TypeFor[Settings](), "") {
 		if !strings.Contains(string(page), "`"+key+"`") {
-			t.Errorf("docs/OPERATING.md lacks the key %s", key)
+			t.Errorf("docs/OPERATIONS.md lacks the key %s", key)
 		}
 	}
 }
--- a/rockbarrow/settings/settings.go
+++ b/rockbarrow/settings/settings.go
@@ -159,7 +159,7 @@
 		return nil, &FieldError{Key: "file", Expected: err.Error()}
 	}
 	if extra := md.Undecoded(); len(extra) > 0 {
-		return nil, &FieldError{Key: extra[0].String(), Expected: "is not a known key; see docs/OPERATING.md for the keys"}
+		return nil, &FieldError{Key: extra[0].String(), Expected: "is not a known key; see docs/OPERATIONS.md for the keys"}
 	}
 	if err := s.check(); err != nil {
 		return nil, err
