entry: a time to come back that fits the age of a cut

Change: the time told is what is left of those 2 s, then 0.25 s; control counts as silent after 400 ms instead of 650 where stores are silent too.

--- a/rockbarrow/entry/domains.go
+++ b/rockbarrow/entry/domains.go
@@ -86,6 +86,11 @@
 // lookAround takes a domain for cut off if neither a store nor a control instance
 // there is reached.
 func (e *Entry) lookAround() {
+	if e.Stores.Reachable() {
+		e.lostSince.Store(0)
+	} else {
+		e.lostSince.CompareAndSwap(0, time.Now().UnixNano())
+	}
 	out := e.Stores.DomainsOut()
 	out = slices.DeleteFunc(out, func(domain string) bool { return domain == e.Domain || e.Watch.ReachesDomain(domain) })
 	if e.domains.set(out) {
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -25,9 +25,12 @@
 	// itself within milliseconds, such as a start; later, after one that lasts.
 	soon  = 150 * time.Millisecond
 	later = 400 * time.Millisecond
-	// elsewhere is when to come back to an instance that is cut off: by then the
-	// balancer, which asks twice a second apart, has taken it out.
-	elsewhere = 1200 * time.Millisecond
+	// balancerTakes is how long after a cut the balancer, which asks twice a second
+	// apart, has taken the instances out that are cut off.
+	balancerTakes = 2 * time.Second
+	// elsewhereAtLeast is when to come back after that: on a new connection, which
+	// leads elsewhere.
+	elsewhereAtLeast = 250 * time.Millisecond
 )
 
 // Entry is one entry instance. Set the exported fields before Run.
@@ -51,6 +54,9 @@
 	changed chan struct{}
 	stopped atomic.Bool
 	domains domains
+	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
+	// zero while they are reached.
+	lostSince atomic.Int64
 	flying  atomic.Int64
 }
 
@@ -132,6 +138,16 @@
 // lost for everyone, no instance is better than another, and all stay ready.
 func (e *Entry) apart() bool { return !e.Stores.Reachable() && e.Watch.CutOff() }
 
+// elsewhere is when a client that is refused for want of stores had better come
+// back.
+func (e *Entry) elsewhere(now time.Time) time.Duration {
+	since := e.lostSince.Load()
+	if since == 0 {
+		return balancerTakes
+	}
+	return max(elsewhereAtLeast, balancerTakes-now.Sub(time.Unix(0, since)))
+}
+
 // Stop makes the entry say that it is not ready. It goes on to serve.
 func (e *Entry) Stop() { e.stopped.Store(true) }
 
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -136,12 +136,16 @@
 // reached: a call's length and a little more.
 const reachedWithin = hold + reply + 100*time.Millisecond
 
-// CutOff reports whether most of the voters are out of reach: this instance is
-// then likely to be apart from the rest.
+// freshWithin is how lately one must have answered where another sign of a cut is
+// there already: a call's length and some round trips.
+const freshWithin = hold + 100*time.Millisecond
+
+// CutOff reports whether most of the voters have not answered just now: an
+// instance that reaches few stores either is then likely to be apart from the rest.
 func (c *Client) CutOff() bool {
 	voters := c.State().GetVoters()
 	reached := 0
-	for _, m := range c.Control(reachedWithin) {
+	for _, m := range c.Control(freshWithin) {
 		for _, v := range voters {
 			if v.GetInstance() == m.GetInstance() {
 				reached++
