--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -55,8 +55,6 @@
 	fleetpb.UnimplementedControlServer
 
 	Self *fleetpb.Member
-	// Incarnation names this life of the process.
-	Incarnation uint64
 	// Seeds are the addresses of the first control instances, this one perhaps
 	// included.
 	Seeds []string
@@ -110,7 +108,7 @@
 	c.proposing = make(chan struct{}, 1)
 	c.news = make(chan struct{})
 	c.watch = &watch.Client{
-		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL, Incarnation: c.Incarnation,
+		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
 		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
 	}
 	return nil
--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -43,15 +43,26 @@
 // Pool holds the connections of one process. The zero value is ready.
 type Pool struct {
 	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	conns map[string]*pooled
 }
 
+// pooled is a connection with the time of its last use.
+type pooled struct {
+	*grpc.ClientConn
+	used time.Time
+}
+
+// unusedFor is how long a connection is kept that nobody asks for: its peer was
+// taken away or moved.
+const unusedFor = time.Minute
+
 // Get returns the connection to an address; it is made in the background.
 func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c := p.conns[address]; c != nil {
-		return c, nil
+		c.used = time.Now()
+		return c.ClientConn, nil
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -68,20 +79,21 @@
 		return nil, errors.Wrapf(err, "dial: %s", address)
 	}
 	if p.conns == nil {
-		p.conns = map[string]*grpc.ClientConn{}
+		p.conns = map[string]*pooled{}
 	}
-	p.conns[address] = c
+	p.conns[address] = &pooled{ClientConn: c, used: time.Now()}
 	return c, nil
 }
 
-// Drop closes the connection to an address that is no peer any more.
-func (p *Pool) Drop(address string) {
+// Sweep closes connections that were not used for long.
+func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
-	c := p.conns[address]
-	delete(p.conns, address)
-	p.mu.Unlock()
-	if c != nil {
-		c.Close()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		if now.Sub(c.used) > unusedFor {
+			c.Close()
+			delete(p.conns, address)
+		}
 	}
 }
 
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -57,7 +57,7 @@
 	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
 	// zero while they are reached.
 	lostSince atomic.Int64
-	flying  atomic.Int64
+	flying    atomic.Int64
 }
 
 // fleet is what requests need of the list of endpoints.
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -20,8 +20,9 @@
 	// the load while places are free, and what stays inside is not lost in a cut.
 	farther = 0.34
 	// fartherPrompt is the same for calls with a prompt, which batch: each call
-	// more slows the others down by some hundredths.
-	fartherPrompt = 0.1
+	// more slows the others down by some hundredths. Measured against 0.1 in
+	// docs/ROUNDS.md.
+	fartherPrompt = 0.03
 	// outOfReach is what a domain to be avoided adds: more than any load.
 	outOfReach = 2
 )
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -12,6 +12,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,10 +37,9 @@
 
 // Client watches control instances. Set the exported fields before Run.
 type Client struct {
-	// Self is the sender; Role and Incarnation describe it.
-	Self        *fleetpb.Member
-	Role        fleetpb.Role
-	Incarnation uint64
+	// Self is the sender, Role its job.
+	Self *fleetpb.Member
+	Role fleetpb.Role
 	// Seeds are addresses of control instances to begin with.
 	Seeds []string
 	Pool  *dial.Pool
@@ -86,8 +86,10 @@
 	client  *Client
 	address string
 	member  *fleetpb.Member
-	heard   time.Time
-	lost    bool
+	// heard is when it answered last, or when the watch began.
+	heard    time.Time
+	answered bool
+	lost     bool
 }
 
 // Run watches until ctx ends.
@@ -98,9 +100,26 @@
 	for _, a := range c.Seeds {
 		c.add(a, nil)
 	}
-	<-ctx.Done()
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			c.Pool.Sweep(now)
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
+const (
+	// sweepEvery is how often unused connections are looked for.
+	sweepEvery = 10 * time.Second
+	// forgetAfter is how long a control instance that is no seed is watched while
+	// it does not answer.
+	forgetAfter = time.Minute
+)
+
 // State returns the newest state, or nil before any is known.
 func (c *Client) State() *fleetpb.State { return c.state.Load() }
 
@@ -125,7 +144,7 @@
 	defer c.mu.Unlock()
 	var out []*fleetpb.Member
 	for _, t := range c.targets {
-		if t.member != nil && time.Since(t.heard) < within {
+		if t.member != nil && t.answered && time.Since(t.heard) < within {
 			out = append(out, t.member)
 		}
 	}
@@ -229,7 +248,7 @@
 	if c.targets[address] != nil {
 		return
 	}
-	t := &target{client: c, address: address, member: m}
+	t := &target{client: c, address: address, member: m, heard: time.Now()}
 	c.targets[address] = t
 	go t.loop(c.ctx)
 }
@@ -237,7 +256,7 @@
 // heard takes what a control instance answered.
 func (c *Client) heard(t *target, r *fleetpb.WatchReply, asked time.Time) {
 	c.mu.Lock()
-	t.member, t.heard = r.GetResponder(), time.Now()
+	t.member, t.heard, t.answered = r.GetResponder(), time.Now(), true
 	back := t.lost
 	t.lost = false
 	c.mu.Unlock()
@@ -283,11 +302,27 @@
 	for ctx.Err() == nil {
 		if err := t.watch(ctx); err != nil {
 			t.failed(err)
+			if t.forgotten() {
+				return
+			}
 			wait(ctx, pause+rand.N(pause))
 		}
 	}
 }
 
+// forgotten gives up an instance that was taken away. Others tell of it again
+// should it come back.
+func (t *target) forgotten() bool {
+	c := t.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.Seeds, t.address) || time.Since(t.heard) < forgetAfter {
+		return false
+	}
+	delete(c.targets, t.address)
+	return true
+}
+
 // failed logs the loss of an instance once.
 func (t *target) failed(err error) {
 	c := t.client
@@ -330,7 +365,7 @@
 
 func (c *Client) request(held time.Duration) *fleetpb.WatchRequest {
 	req := &fleetpb.WatchRequest{
-		Sender: c.Self, Role: c.Role, Incarnation: c.Incarnation,
+		Sender: c.Self, Role: c.Role,
 		StateNumber: c.State().GetNumber(), WaitMs: uint32(held.Milliseconds()),
 	}
 	if l := c.List(); l != nil {
