placement: endpoints that answer nothing are avoided

Change: an endpoint with calls and no answer for 1.2 s gets calls only when nobody else has room, until it answers; leaving after 1.6 s without a first byte counts as its failure. Ruled out: answering early for a silent endpoint, which breaks off work that may go on.

--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -23,6 +23,9 @@
 	// wholeBody in bytes is the largest answer that is read whole before its
 	// first byte is passed on, so that a lost one can be asked for again.
 	wholeBody = 256 << 10
+	// hungAfter is how long a client must have waited for the first byte before its
+	// leaving is held against the endpoint: more than the longest plain calls take.
+	hungAfter = 1600 * time.Millisecond
 )
 
 // exchange is one request on its way.
@@ -86,6 +89,7 @@
 	p := choice.Endpoint()
 	x.endpoint = p.Name()
 	x.offers++
+	sent := time.Now()
 	answer, err := x.entry.Sender.Send(ctx, Offer{
 		Request: x.request, Body: body, Endpoint: p.Config(), Deadline: x.deadline,
 		Priority: x.route.GetPriority(), Connections: x.connections(),
@@ -95,11 +99,13 @@
 	x.tell(p, err)
 	if err != nil {
 		var notRun *NotRunError
-		// A full endpoint is not at fault; nor is one whose client left.
-		done(placement.Result{OK: errors.As(err, &notRun) && notRun.Busy || ctx.Err() != nil})
+		// A full endpoint is not at fault; nor is one whose client left soon.
+		left := ctx.Err() != nil && time.Since(sent) < hungAfter
+		done(placement.Result{OK: errors.As(err, &notRun) && notRun.Busy || left})
 		x.avoid = append(x.avoid, p.Name())
 		return nil, nil, err
 	}
+	p.Answered(time.Now())
 	return answer, done, nil
 }
 
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -56,6 +56,23 @@
 	ejections           atomic.Int64
 	// ejectedUntil and returned are nanoseconds since 1970.
 	ejectedUntil, returned atomic.Int64
+	// sign is when the endpoint last answered anything, or got its first call after
+	// it had none, in nanoseconds since 1970.
+	sign atomic.Int64
+}
+
+// silentAfter is how long an endpoint with calls may answer none of them before
+// others are better: model engines answer in some 100 ms, the longest plain calls
+// take 1.5 s.
+const silentAfter = 1200 * time.Millisecond
+
+// Answered notes that the endpoint has begun to answer a call.
+func (e *Endpoint) Answered(now time.Time) { e.sign.Store(now.UnixNano()) }
+
+// silent reports whether the endpoint has calls and has answered none for long: it
+// hangs or is cut off, whatever its health says.
+func (e *Endpoint) silent(now int64) bool {
+	return e.underway.Load() > 0 && now-e.sign.Load() > int64(silentAfter)
 }
 
 // Report is an endpoint's own word on its load, which arrives with a lag.
@@ -138,6 +155,9 @@
 			return false
 		}
 		if e.underway.CompareAndSwap(n, n+1) {
+			if n == 0 {
+				e.sign.Store(now)
+			}
 			e.prompt.Add(prompt)
 			return true
 		}
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -23,7 +23,8 @@
 	// more slows the others down by some hundredths. Measured against 0.1 in
 	// docs/ROUNDS.md.
 	fartherPrompt = 0.03
-	// outOfReach is what a domain to be avoided adds: more than any load.
+	// outOfReach is what a domain to be avoided or a silent endpoint adds: more than
+	// any load.
 	outOfReach = 2
 )
 
@@ -50,7 +51,7 @@
 // idle endpoints do not all choose the same one.
 func (f *Fleet) spread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
 	if last := f.endpoints[req.Last]; last != nil && has(list, last) && !avoided(req, last.name) &&
-		last.open(now) && last.taken() < crowded && !slices.Contains(req.AvoidDomains, last.domain) {
+		last.open(now) && last.taken() < crowded && !last.silent(now) && !slices.Contains(req.AvoidDomains, last.domain) {
 		return Choice{endpoint: last, cached: req.Prompt}, true
 	}
 	var best *Endpoint
@@ -65,6 +66,9 @@
 			continue
 		}
 		load := e.taken() + distance(e, req)
+		if e.silent(now) {
+			load += outOfReach
+		}
 		if best == nil || load < least {
 			best, least = e, load
 		}
