--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -96,12 +96,12 @@
 		Stream: x.route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_STREAM,
 	})
 	done := func(r placement.Result) { p.Done(time.Now(), r) }
-	x.tell(p, err)
+	unreached := x.tell(p, err)
 	if err != nil {
 		var notRun *NotRunError
 		// A full endpoint is not at fault; nor is one whose client left soon.
 		left := ctx.Err() != nil && time.Since(sent) < hungAfter
-		done(placement.Result{OK: errors.As(err, &notRun) && notRun.Busy || left})
+		done(placement.Result{OK: errors.As(err, &notRun) && notRun.Busy || left, Unreached: unreached})
 		x.avoid = append(x.avoid, p.Name())
 		return nil, nil, err
 	}
@@ -109,17 +109,20 @@
 	return answer, done, nil
 }
 
-// tell notes what an offer says of the network to the endpoint's domain.
-func (x *exchange) tell(p *placement.Endpoint, err error) {
+// tell notes what an offer says of the network to the endpoint's domain, and
+// reports whether nothing came back at all.
+func (x *exchange) tell(p *placement.Endpoint, err error) (unreached bool) {
 	if err == nil {
 		x.entry.domains.clear(p.Domain())
-		return
+		return false
 	}
 	var notRun *NotRunError
 	var lost *BrokenError
 	if errors.As(err, &notRun) && notRun.Silent || errors.As(err, &lost) && lost.Silent {
 		x.entry.domains.suspect(p.Domain(), time.Now())
+		return true
 	}
+	return false
 }
 
 // connections is this instance's part of the connections to one endpoint.
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -168,6 +168,9 @@
 type Result struct {
 	// OK is false when the endpoint failed, not when it refused the request.
 	OK bool
+	// Unreached is true if the network said nothing at all, so that the next calls
+	// would fail in the same way.
+	Unreached bool
 	// Prompt is the uncached prompt that the choice counted on.
 	Prompt int64
 	// Computed is how many prompt tokens were computed.
@@ -185,7 +188,7 @@
 func (e *Endpoint) Done(now time.Time, r Result) {
 	e.underway.Add(-1)
 	if !r.OK {
-		e.failed(now)
+		e.failed(now, r.Unreached)
 		return
 	}
 	e.failures.Store(0)
@@ -220,8 +223,12 @@
 	e.limit.Store(min(ceiling, limit+250))
 }
 
-func (e *Endpoint) failed(now time.Time) {
-	if e.failures.Add(1) < failuresToEject {
+func (e *Endpoint) failed(now time.Time, atOnce bool) {
+	if e.failures.Add(1) < failuresToEject && !atOnce {
+		return
+	}
+	if now.UnixNano() < e.ejectedUntil.Load() {
+		// Calls that were under way when it was taken out tell nothing new.
 		return
 	}
 	e.failures.Store(0)
--- a/rockbarrow/placement/spread_test.go
+++ b/rockbarrow/placement/spread_test.go
@@ -88,3 +88,24 @@
 		t.Error("an idle endpoint counts as silent")
 	}
 }
+
+func TestAnUnreachedEndpointIsTakenOutAtOnceAndOnce(t *testing.T) {
+	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(1, 0)
+	req := spreadRequest()
+	req.Last = "b1"
+	var under []Choice
+	for range 5 {
+		c, _ := f.Choose(now, req, r)
+		under = append(under, c)
+	}
+	for _, c := range under {
+		c.Endpoint().Done(now, Result{Unreached: true})
+	}
+	if c, _ := f.Choose(now, req, r); c.Endpoint().Name() == "b1" {
+		t.Error("an endpoint that is not reached got another call")
+	}
+	// Five calls that failed together count as one failure.
+	if c, _ := f.Choose(now.Add(firstEjection+slowStart), req, r); c.Endpoint().Name() != "b1" {
+		t.Error("the endpoint is out for longer than after one failure")
+	}
+}
