stores: a lost failure domain leaves each group its quorum

Change: the reach is judged for each program's group, readiness by a sample of groups. Also: a duty of control that takes long is no standstill of the process.

--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -50,9 +50,10 @@
 			d.controller.Log.WithField("gap_ms", now.Sub(d.ticked).Milliseconds()).Warn("this process stood still")
 			d.controller.roll.refresh(now)
 		}
-		d.ticked = now
 		d.tick(ctx, now)
 		d.controller.roll.forget(now)
+		// A duty may take its time; only the pause after it tells of a standstill.
+		d.ticked = time.Now()
 	}
 }
 
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -66,7 +66,7 @@
 func (x *exchange) reserve(ctx context.Context, t stores.Turn) (*stores.Grant, Outcome) {
 	start := time.Now()
 	defer func() { x.own += time.Since(start) }()
-	if !x.entry.Stores.Reachable() {
+	if !x.entry.Stores.Reaches(t.Program) {
 		return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.elsewhere(time.Now()), Reason: "most stores are out of reach"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveWithin)
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -46,26 +47,61 @@
 	return true
 }
 
+func (h *health) allThere() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.out) == 0
+}
+
 func (h *health) isOut(storage uint64) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return h.out[storage]
 }
 
-// Reachable reports whether a majority of every group of stores answers.
+// sampled is how many groups tell whether stores are reached in general.
+const sampled = 16
+
+// Reachable reports whether half of the groups of stores or more can be written.
+// Groups are spread over failure domains, so that more stores than a group may
+// lose can be out of reach while every group has its quorum.
 func (c *Client) Reachable() bool {
 	v := c.Watch.State().GetView()
-	return v != nil && c.reachable(v, v.GetMembers(), ledger.Losable) && c.reachable(v, v.GetPrior(), ledger.Unheard)
+	if v == nil {
+		return false
+	}
+	if c.health.allThere() {
+		return true
+	}
+	reached := 0
+	for i := range sampled {
+		if c.reaches(v, strconv.Itoa(i)) {
+			reached++
+		}
+	}
+	return 2*reached >= sampled
+}
+
+// Reaches reports whether a program's records can be read and written.
+func (c *Client) Reaches(program string) bool {
+	v := c.Watch.State().GetView()
+	return v != nil && (c.health.allThere() || c.reaches(v, program))
 }
 
-func (c *Client) reachable(v *fleetpb.View, members []*fleetpb.Member, lost func(int) int) bool {
+func (c *Client) reaches(v *fleetpb.View, program string) bool {
+	copies := int(v.GetCopies())
+	present, prior := ledger.Group(v.GetMembers(), program, copies), ledger.Group(v.GetPrior(), program, copies)
+	return c.outOf(present) <= ledger.Losable(len(present)) && c.outOf(prior) <= ledger.Unheard(len(prior))
+}
+
+func (c *Client) outOf(group []*fleetpb.Member) int {
 	out := 0
-	for _, m := range members {
+	for _, m := range group {
 		if c.health.isOut(m.GetStorage()) {
 			out++
 		}
 	}
-	return out <= lost(min(int(v.GetCopies()), len(members)))
+	return out
 }
 
 // DomainsOut returns the failure domains none of whose stores answers.
