--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -7,7 +7,6 @@
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -16,6 +15,7 @@
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/durable"
 	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -180,7 +180,7 @@
 		var lost *lostError
 		if errors.As(err, &lost) {
 			c.sawRound(lost.round)
-			if sleep(ctx, rand.N(roundPause)) {
+			if wait.For(ctx, rand.N(roundPause)) {
 				continue
 			}
 			err = ctx.Err()
@@ -211,14 +211,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -44,7 +45,7 @@
 
 func (d *duties) loop(ctx context.Context) {
 	d.started, d.ticked = time.Now(), time.Now()
-	for sleep(ctx, dutyTick) {
+	for wait.For(ctx, dutyTick) {
 		now := time.Now()
 		if now.Sub(d.ticked) > stoodStill {
 			d.controller.Log.WithField("gap_ms", now.Sub(d.ticked).Milliseconds()).Warn("this process stood still")
--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -31,7 +32,7 @@
 }
 
 func (r *reader) loop(ctx context.Context) {
-	for sleep(ctx, readerTick) {
+	for wait.For(ctx, readerTick) {
 		if r.due(time.Now()) {
 			r.read(ctx)
 		}
@@ -58,7 +59,7 @@
 			c.Log.WithError(err).Warn("the list of endpoints is not read")
 		}
 		r.failing = true
-		sleep(ctx, 2*readerTick)
+		wait.For(ctx, 2*readerTick)
 		return
 	}
 	if r.failing {
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -15,6 +15,7 @@
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/stores"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/fleetpb"
@@ -268,14 +269,7 @@
 // awaitLearned waits a little for the first configuration and list.
 func (e *Entry) awaitLearned(ctx context.Context) {
 	for end := time.Now().Add(learnWithin); e.table.Load() == nil || e.fleet.Load() == nil; {
-		t := time.NewTimer(learnTick)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return
-		}
-		if time.Now().After(end) {
+		if !wait.For(ctx, learnTick) || time.Now().After(end) {
 			return
 		}
 	}
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -11,6 +11,7 @@
 
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -77,11 +78,7 @@
 		if !errors.As(err, &over) || try == overBudgetTries {
 			return g, err
 		}
-		wait := time.NewTimer(overBudgetPause)
-		select {
-		case <-wait.C:
-		case <-ctx.Done():
-			wait.Stop()
+		if !wait.For(ctx, overBudgetPause) {
 			return nil, err
 		}
 	}
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -115,13 +116,4 @@
 }
 
 // again waits before another try. It reports false once the time is over.
-func again(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
+func again(ctx context.Context) bool { return wait.For(ctx, retryPause) }
--- /dev/null
+++ b/rockbarrow/watch/knowledge.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: MIT
+
+package watch
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Reading is the list of endpoints with the time of its newest confirmation.
+type Reading struct {
+	list *fleetpb.EndpointList
+	at   time.Time
+}
+
+// List returns the list, or nil if there is no reading.
+func (r *Reading) List() *fleetpb.EndpointList {
+	if r == nil {
+		return nil
+	}
+	return r.list
+}
+
+// At returns when the list was last known to be current.
+func (r *Reading) At() time.Time { return r.at }
+
+// Offer takes a state learned elsewhere. Older ones change nothing.
+func (c *Client) Offer(s *fleetpb.State) bool {
+	for {
+		old := c.state.Load()
+		if old != nil && s.GetNumber() <= old.GetNumber() {
+			return false
+		}
+		if c.state.CompareAndSwap(old, s) {
+			c.Log.WithFields(logrus.Fields{
+				"state": s.GetNumber(), "config_version": s.GetConfiguration().GetVersion(),
+				"view": s.GetView().GetEpoch(), "stores": len(s.GetView().GetMembers()),
+			}).Info("a newer state is in force")
+			c.changed()
+			return true
+		}
+	}
+}
+
+// OfferList takes a reading of the list. Older ones change nothing but the time
+// of a list already known.
+func (c *Client) OfferList(l *fleetpb.EndpointList, at time.Time) {
+	for {
+		old := c.list.Load()
+		next := &Reading{list: l, at: at}
+		if old != nil && l.GetNumber() <= old.list.GetNumber() {
+			if l.GetNumber() < old.list.GetNumber() || !at.After(old.at) {
+				return
+			}
+			next.list = old.list
+		}
+		if !c.list.CompareAndSwap(old, next) {
+			continue
+		}
+		if old == nil || next.list != old.list {
+			c.Log.WithFields(logrus.Fields{"list": l.GetNumber(), "endpoints": len(l.GetEndpoints())}).
+				Info("a newer list of endpoints is in force")
+			c.changed()
+		}
+		return
+	}
+}
+
+func (c *Client) changed() {
+	if c.Changed != nil {
+		c.Changed()
+	}
+}
+
+// Hear takes what a control instance tells of the state and of entry instances.
+func (c *Client) Hear(r *fleetpb.WatchReply) {
+	c.entries.Store(max(r.GetEntries(), 1))
+	if counts := r.GetEntryDomains(); len(counts) > 0 {
+		c.domains.Store(&counts)
+	}
+	if r.GetState() != nil {
+		c.Offer(r.GetState())
+	}
+}
+
+// hearList takes the list or the news that the known one was read again.
+func (c *Client) hearList(r *fleetpb.WatchReply, asked time.Time) {
+	if !r.GetListKnown() {
+		return
+	}
+	list := r.GetList()
+	if list == nil {
+		known := c.list.Load()
+		if known == nil {
+			return
+		}
+		list = known.list
+	}
+	c.OfferList(list, asked.Add(-time.Duration(r.GetListAgeMs())*time.Millisecond))
+}
--- /dev/null
+++ b/rockbarrow/watch/target.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+
+package watch
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// target is one control instance that is watched.
+type target struct {
+	client  *Client
+	address string
+	member  *fleetpb.Member
+	// heard is when it answered last, or when the watch began.
+	heard    time.Time
+	answered bool
+	lost     bool
+}
+
+// loop watches one control instance.
+func (t *target) loop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := t.watch(ctx); err != nil {
+			t.failed(err)
+			if t.forgotten() {
+				return
+			}
+			wait.For(ctx, pause+rand.N(pause))
+		}
+	}
+}
+
+// forgotten gives up an instance that was taken away. Others tell of it again
+// should it come back.
+func (t *target) forgotten() bool {
+	c := t.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(c.Seeds, t.address) || time.Since(t.heard) < forgetAfter {
+		return false
+	}
+	delete(c.targets, t.address)
+	return true
+}
+
+// failed logs the loss of an instance once.
+func (t *target) failed(err error) {
+	c := t.client
+	c.mu.Lock()
+	news := !t.lost && time.Since(t.heard) > silentAfter
+	if news {
+		t.lost = true
+	}
+	c.mu.Unlock()
+	if news {
+		c.Log.WithError(err).WithField("control", t.address).Warn("control instance is not reached")
+	}
+}
+
+func (t *target) watch(ctx context.Context) error {
+	c := t.client
+	conn, err := c.Pool.Get(t.address)
+	if err != nil {
+		return err
+	}
+	held := c.Hold
+	if held == 0 {
+		held = hold
+	}
+	ctx, cancel := context.WithTimeout(ctx, held+reply)
+	defer cancel()
+	asked := time.Now()
+	r, err := fleetpb.NewControlClient(conn).Watch(ctx, c.request(held))
+	if err != nil {
+		return err
+	}
+	// The age of the list counts from when the answer was given; for a call that
+	// was held that is about now, and a little late is safe.
+	if time.Since(asked) >= held {
+		asked = asked.Add(held)
+	}
+	c.heard(t, r, asked)
+	return nil
+}
+
+func (c *Client) request(held time.Duration) *fleetpb.WatchRequest {
+	req := &fleetpb.WatchRequest{
+		Sender: c.Self, Role: c.Role,
+		StateNumber: c.State().GetNumber(), WaitMs: uint32(held.Milliseconds()),
+	}
+	if l := c.List(); l != nil {
+		req.ListNumber = l.list.GetNumber()
+	}
+	if c.Copied != nil {
+		req.CopiedEpoch = c.Copied()
+	}
+	if c.Serves != nil {
+		req.Serves = c.Serves()
+	}
+	return req
+}
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -11,8 +11,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,34 +62,6 @@
 	ctx     context.Context
 }
 
-// Reading is the list of endpoints with the time of its newest confirmation.
-type Reading struct {
-	list *fleetpb.EndpointList
-	at   time.Time
-}
-
-// List returns the list, or nil if there is no reading.
-func (r *Reading) List() *fleetpb.EndpointList {
-	if r == nil {
-		return nil
-	}
-	return r.list
-}
-
-// At returns when the list was last known to be current.
-func (r *Reading) At() time.Time { return r.at }
-
-// target is one control instance that is watched.
-type target struct {
-	client  *Client
-	address string
-	member  *fleetpb.Member
-	// heard is when it answered last, or when the watch began.
-	heard    time.Time
-	answered bool
-	lost     bool
-}
-
 // Run watches until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	c.mu.Lock()
@@ -184,54 +154,6 @@
 	return false
 }
 
-// Offer takes a state learned elsewhere. Older ones change nothing.
-func (c *Client) Offer(s *fleetpb.State) bool {
-	for {
-		old := c.state.Load()
-		if old != nil && s.GetNumber() <= old.GetNumber() {
-			return false
-		}
-		if c.state.CompareAndSwap(old, s) {
-			c.Log.WithFields(logrus.Fields{
-				"state": s.GetNumber(), "config_version": s.GetConfiguration().GetVersion(),
-				"view": s.GetView().GetEpoch(), "stores": len(s.GetView().GetMembers()),
-			}).Info("a newer state is in force")
-			c.changed()
-			return true
-		}
-	}
-}
-
-// OfferList takes a reading of the list. Older ones change nothing but the time
-// of a list already known.
-func (c *Client) OfferList(l *fleetpb.EndpointList, at time.Time) {
-	for {
-		old := c.list.Load()
-		next := &Reading{list: l, at: at}
-		if old != nil && l.GetNumber() <= old.list.GetNumber() {
-			if l.GetNumber() < old.list.GetNumber() || !at.After(old.at) {
-				return
-			}
-			next.list = old.list
-		}
-		if !c.list.CompareAndSwap(old, next) {
-			continue
-		}
-		if old == nil || next.list != old.list {
-			c.Log.WithFields(logrus.Fields{"list": l.GetNumber(), "endpoints": len(l.GetEndpoints())}).
-				Info("a newer list of endpoints is in force")
-			c.changed()
-		}
-		return
-	}
-}
-
-func (c *Client) changed() {
-	if c.Changed != nil {
-		c.Changed()
-	}
-}
-
 // Add starts to watch the control instance at an address, if it is a new one.
 func (c *Client) Add(address string) { c.add(address, nil) }
 
@@ -269,122 +191,3 @@
 		c.add(m.GetAddress(), m)
 	}
 }
-
-// Hear takes what a control instance tells of the state and of entry instances.
-func (c *Client) Hear(r *fleetpb.WatchReply) {
-	c.entries.Store(max(r.GetEntries(), 1))
-	if counts := r.GetEntryDomains(); len(counts) > 0 {
-		c.domains.Store(&counts)
-	}
-	if r.GetState() != nil {
-		c.Offer(r.GetState())
-	}
-}
-
-// hearList takes the list or the news that the known one was read again.
-func (c *Client) hearList(r *fleetpb.WatchReply, asked time.Time) {
-	if !r.GetListKnown() {
-		return
-	}
-	list := r.GetList()
-	if list == nil {
-		known := c.list.Load()
-		if known == nil {
-			return
-		}
-		list = known.list
-	}
-	c.OfferList(list, asked.Add(-time.Duration(r.GetListAgeMs())*time.Millisecond))
-}
-
-// loop watches one control instance.
-func (t *target) loop(ctx context.Context) {
-	for ctx.Err() == nil {
-		if err := t.watch(ctx); err != nil {
-			t.failed(err)
-			if t.forgotten() {
-				return
-			}
-			wait(ctx, pause+rand.N(pause))
-		}
-	}
-}
-
-// forgotten gives up an instance that was taken away. Others tell of it again
-// should it come back.
-func (t *target) forgotten() bool {
-	c := t.client
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if slices.Contains(c.Seeds, t.address) || time.Since(t.heard) < forgetAfter {
-		return false
-	}
-	delete(c.targets, t.address)
-	return true
-}
-
-// failed logs the loss of an instance once.
-func (t *target) failed(err error) {
-	c := t.client
-	c.mu.Lock()
-	news := !t.lost && time.Since(t.heard) > silentAfter
-	if news {
-		t.lost = true
-	}
-	c.mu.Unlock()
-	if news {
-		c.Log.WithError(err).WithField("control", t.address).Warn("control instance is not reached")
-	}
-}
-
-func (t *target) watch(ctx context.Context) error {
-	c := t.client
-	conn, err := c.Pool.Get(t.address)
-	if err != nil {
-		return err
-	}
-	held := c.Hold
-	if held == 0 {
-		held = hold
-	}
-	ctx, cancel := context.WithTimeout(ctx, held+reply)
-	defer cancel()
-	asked := time.Now()
-	r, err := fleetpb.NewControlClient(conn).Watch(ctx, c.request(held))
-	if err != nil {
-		return err
-	}
-	// The age of the list counts from when the answer was given; for a call that
-	// was held that is about now, and a little late is safe.
-	if time.Since(asked) >= held {
-		asked = asked.Add(held)
-	}
-	c.heard(t, r, asked)
-	return nil
-}
-
-func (c *Client) request(held time.Duration) *fleetpb.WatchRequest {
-	req := &fleetpb.WatchRequest{
-		Sender: c.Self, Role: c.Role,
-		StateNumber: c.State().GetNumber(), WaitMs: uint32(held.Milliseconds()),
-	}
-	if l := c.List(); l != nil {
-		req.ListNumber = l.list.GetNumber()
-	}
-	if c.Copied != nil {
-		req.CopiedEpoch = c.Copied()
-	}
-	if c.Serves != nil {
-		req.Serves = c.Serves()
-	}
-	return req
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"rockbarrow.dev/rockbarrow/wait"
 )
 
 // fault is one disturbance: it begins, lasts and ends.
@@ -65,7 +67,7 @@
 		}
 		defer in.claimed.Unlock()
 		in.signal(syscall.SIGSTOP)
-		sleep(ctx, last)
+		wait.For(ctx, last)
 		in.signal(syscall.SIGCONT)
 	}
 }
@@ -78,7 +80,7 @@
 		}
 		defer in.claimed.Unlock()
 		in.stop(s)
-		sleep(ctx, last)
+		wait.For(ctx, last)
 		f.restart(in)
 	}
 }
@@ -94,9 +96,9 @@
 		if err := in.wipe(); err != nil {
 			f.ledger.Break("%v", err)
 		}
-		sleep(ctx, last)
+		wait.For(ctx, last)
 		f.restart(in)
-		sleep(context.WithoutCancel(ctx), lossWait)
+		wait.For(context.WithoutCancel(ctx), lossWait)
 	}
 }
 
@@ -109,7 +111,7 @@
 		}
 		defer in.claimed.Unlock()
 		in.proxy.set(m)
-		sleep(ctx, last)
+		wait.For(ctx, last)
 		in.proxy.set(pass)
 	}
 }
@@ -118,7 +120,7 @@
 	const perThousand = 60
 	e := f.endpoint(r)
 	e.LoseAnswers.Store(perThousand)
-	sleep(ctx, last)
+	wait.For(ctx, last)
 	e.LoseAnswers.Store(0)
 }
 
@@ -130,7 +132,7 @@
 		return
 	}
 	old.Draining.Store(true)
-	sleep(ctx, last+2*time.Second)
+	wait.For(ctx, last+2*time.Second)
 	f.removeEndpoint(old)
 	old.Close()
 }
@@ -139,7 +141,7 @@
 	for _, in := range f.all() {
 		in.signal(syscall.SIGHUP)
 	}
-	sleep(ctx, last)
+	wait.For(ctx, last)
 }
 
 func (f *fleet) restart(in *instance) {
@@ -148,14 +150,5 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // String names a fault in reports.
 func (f fault) String() string { return fmt.Sprintf("%q", f.name) }
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbarrow/wait"
 )
 
 const (
@@ -107,7 +108,7 @@
 		last := time.Duration(d.r.Int64N(int64(mostLasting)))
 		fmt.Fprintf(d.soak.cfg.Out, "%6.2f s  %s for %d ms\n", time.Since(d.soak.start).Seconds(), f, last.Milliseconds())
 		f.run(ctx, d.soak.fleet, d.r, last)
-		sleep(ctx, time.Duration(d.r.Int64N(int64(between))))
+		wait.For(ctx, time.Duration(d.r.Int64N(int64(between))))
 	}
 }
 
@@ -120,7 +121,7 @@
 				s.fleet.ledger.Break("a configuration was not taken: %v", err)
 			}
 		}
-		sleep(ctx, checkEvery)
+		wait.For(ctx, checkEvery)
 	}
 }
 
