--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -68,9 +68,9 @@
 	List    List
 	Log     *logrus.Entry
 
-	watch *watch.Client
-	cell  *durable.Cell
-	roll  roll
+	watch    *watch.Client
+	cell     *durable.Cell
+	presence presence
 
 	// voting serializes the acceptor and its disk, which may stall for seconds.
 	voting   sync.Mutex
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -49,10 +49,10 @@
 		now := time.Now()
 		if now.Sub(d.ticked) > stoodStill {
 			d.controller.Log.WithField("gap_ms", now.Sub(d.ticked).Milliseconds()).Warn("this process stood still")
-			d.controller.roll.refresh(now)
+			d.controller.presence.refresh(now)
 		}
 		d.tick(ctx, now)
-		d.controller.roll.forget(now)
+		d.controller.presence.forget(now)
 		// A duty may take its time; only the pause after it tells of a standstill.
 		d.ticked = time.Now()
 	}
@@ -115,8 +115,8 @@
 	c := d.controller
 	p := plan{
 		now:     now,
-		stores:  c.roll.of(now, fleetpb.Role_ROLE_STORE, forgetAfter),
-		control: c.roll.of(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
+		stores:  c.presence.of(now, fleetpb.Role_ROLE_STORE, forgetAfter),
+		control: c.presence.of(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
 		copies:  2*c.Losses + 1,
 		settled: d.settled(now),
 		self:    c.Self,
@@ -131,7 +131,7 @@
 // settled reports whether no store has come for a while, so that the first view
 // holds them all.
 func (d *duties) settled(now time.Time) bool {
-	n := len(d.controller.roll.of(now, fleetpb.Role_ROLE_STORE, presentWithin))
+	n := len(d.controller.presence.of(now, fleetpb.Role_ROLE_STORE, presentWithin))
 	if n != d.known {
 		d.known, d.lastJoin = n, now
 	}
@@ -166,7 +166,7 @@
 func (c *Controller) Retire(ctx context.Context, name string) error {
 	var refused error
 	now := time.Now()
-	stores := c.roll.of(now, fleetpb.Role_ROLE_STORE, presentWithin)
+	stores := c.presence.of(now, fleetpb.Role_ROLE_STORE, presentWithin)
 	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
 		refused = mayRetire(s, stores, name, c.Losses+1)
 		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
@@ -183,7 +183,7 @@
 
 // mayRetire returns why a store can't be emptied, or nil. So many must be left
 // that the tolerated losses leave one.
-func mayRetire(s *fleetpb.State, present []seat, name string, needed int) error {
+func mayRetire(s *fleetpb.State, present []peer, name string, needed int) error {
 	if slices.Contains(s.GetRetired(), name) || slices.Contains(s.GetView().GetLeaving(), name) {
 		return nil
 	}
--- a/rockbarrow/controller/plan.go
+++ b/rockbarrow/controller/plan.go
@@ -27,8 +27,8 @@
 // at each tick.
 type plan struct {
 	now     time.Time
-	stores  []seat
-	control []seat
+	stores  []peer
+	control []peer
 	// copies is how many stores keep a program's records.
 	copies int
 	// settled is true when no store has come lately.
@@ -66,9 +66,9 @@
 
 func (p plan) firstView(s *fleetpb.State) bool {
 	var members []*fleetpb.Member
-	for _, seat := range p.stores {
-		if p.present(seat) {
-			members = append(members, seat.member)
+	for _, peer := range p.stores {
+		if p.present(peer) {
+			members = append(members, peer.member)
 		}
 	}
 	if !p.settled || len(members) == 0 {
@@ -84,12 +84,12 @@
 	v := s.GetView()
 	missing := 0
 	for _, m := range v.GetMembers() {
-		seat, ok := find(p.stores, m.GetStorage())
-		if ok && seat.copied >= v.GetEpoch() {
+		peer, ok := find(p.stores, m.GetStorage())
+		if ok && peer.copied >= v.GetEpoch() {
 			continue
 		}
 		// One that is present will be done soon.
-		if ok && p.present(seat) {
+		if ok && p.present(peer) {
 			return false
 		}
 		missing++
@@ -168,15 +168,15 @@
 func (p plan) spares(s *fleetpb.State) []*fleetpb.Member {
 	v := s.GetView()
 	var out []*fleetpb.Member
-	for _, seat := range p.stores {
-		name := seat.member.GetInstance()
-		if !p.present(seat) || hasInstance(v.GetMembers(), name) {
+	for _, peer := range p.stores {
+		name := peer.member.GetInstance()
+		if !p.present(peer) || hasInstance(v.GetMembers(), name) {
 			continue
 		}
 		if slices.Contains(v.GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			continue
 		}
-		out = append(out, seat.member)
+		out = append(out, peer.member)
 	}
 	return out
 }
@@ -184,24 +184,24 @@
 // reborn returns the present life of a member that came back with an empty disk
 // or at another address.
 func (p plan) reborn(m *fleetpb.Member) *fleetpb.Member {
-	for _, seat := range p.stores {
-		o := seat.member
-		if o.GetInstance() == m.GetInstance() && o.GetStorage() != m.GetStorage() && p.present(seat) {
+	for _, peer := range p.stores {
+		o := peer.member
+		if o.GetInstance() == m.GetInstance() && o.GetStorage() != m.GetStorage() && p.present(peer) {
 			return o
 		}
 	}
 	return nil
 }
 
-func (p plan) present(s seat) bool { return p.now.Sub(s.heard) < presentWithin }
+func (p plan) present(s peer) bool { return p.now.Sub(s.heard) < presentWithin }
 
 // lost reports whether a member has been silent for long.
-func (p plan) lost(seats []seat, m *fleetpb.Member) bool {
+func (p plan) lost(peers []peer, m *fleetpb.Member) bool {
 	if !p.calm || m.GetStorage() == p.self.GetStorage() {
 		return false
 	}
-	seat, ok := find(seats, m.GetStorage())
-	return !ok || p.now.Sub(seat.heard) > lostAfter
+	peer, ok := find(peers, m.GetStorage())
+	return !ok || p.now.Sub(peer.heard) > lostAfter
 }
 
 // nextVoters moves one voter at a time; while two sets count, it ends the move.
@@ -242,9 +242,9 @@
 	if !register.Has(voters, p.self.GetStorage()) {
 		out = append(out, p.self)
 	}
-	for _, seat := range p.control {
-		if p.present(seat) && !register.Has(voters, seat.member.GetStorage()) {
-			out = append(out, seat.member)
+	for _, peer := range p.control {
+		if p.present(peer) && !register.Has(voters, peer.member.GetStorage()) {
+			out = append(out, peer.member)
 		}
 	}
 	return out
@@ -256,13 +256,13 @@
 	return out
 }
 
-func find(seats []seat, storage uint64) (seat, bool) {
-	for _, s := range seats {
+func find(peers []peer, storage uint64) (peer, bool) {
+	for _, s := range peers {
 		if s.member.GetStorage() == storage {
 			return s, true
 		}
 	}
-	return seat{}, false
+	return peer{}, false
 }
 
 func hasInstance(list []*fleetpb.Member, name string) bool {
--- a/rockbarrow/controller/plan_test.go
+++ b/rockbarrow/controller/plan_test.go
@@ -21,7 +21,7 @@
 	now := time.Unix(100, 0)
 	p := plan{now: now, copies: 3, settled: true, calm: true, self: member("control-0", 100)}
 	for _, m := range stores {
-		p.stores = append(p.stores, seat{member: m, role: fleetpb.Role_ROLE_STORE, heard: now})
+		p.stores = append(p.stores, peer{member: m, role: fleetpb.Role_ROLE_STORE, heard: now})
 	}
 	return p
 }
@@ -138,22 +138,22 @@
 
 func TestPlanOfVoters(t *testing.T) {
 	now := time.Unix(100, 0)
-	heard := func(m *fleetpb.Member, ago time.Duration) seat {
-		return seat{member: m, role: fleetpb.Role_ROLE_CONTROL, heard: now.Add(-ago)}
+	heard := func(m *fleetpb.Member, ago time.Duration) peer {
+		return peer{member: m, role: fleetpb.Role_ROLE_CONTROL, heard: now.Add(-ago)}
 	}
 	own, b, c, d := member("control-0", 100), member("control-1", 101), member("control-2", 102), member("control-3", 103)
 	base := plan{now: now, copies: 3, calm: true, self: own}
 	voters := []*fleetpb.Member{own, b, c}
 	tests := []struct {
 		name    string
-		control []seat
+		control []peer
 		want    string
 	}{
-		{"all there", []seat{heard(b, 0), heard(c, 0)}, "[control-0 control-1 control-2]"},
-		{"a spare waits", []seat{heard(b, 0), heard(c, 0), heard(d, 0)}, "[control-0 control-1 control-2]"},
-		{"a short silence", []seat{heard(b, 0), heard(c, time.Second), heard(d, 0)}, "[control-0 control-1 control-2]"},
-		{"a lost voter", []seat{heard(b, 0), heard(c, time.Minute), heard(d, 0)}, "[control-0 control-1 control-3]"},
-		{"an emptied disk", []seat{heard(b, 0), heard(member("control-2", 200), 0)}, "[control-0 control-1 control-2]"},
+		{"all there", []peer{heard(b, 0), heard(c, 0)}, "[control-0 control-1 control-2]"},
+		{"a spare waits", []peer{heard(b, 0), heard(c, 0), heard(d, 0)}, "[control-0 control-1 control-2]"},
+		{"a short silence", []peer{heard(b, 0), heard(c, time.Second), heard(d, 0)}, "[control-0 control-1 control-2]"},
+		{"a lost voter", []peer{heard(b, 0), heard(c, time.Minute), heard(d, 0)}, "[control-0 control-1 control-3]"},
+		{"an emptied disk", []peer{heard(b, 0), heard(member("control-2", 200), 0)}, "[control-0 control-1 control-2]"},
 	}
 	for _, test := range tests {
 		p := base
--- a/rockbarrow/controller/roll.go
+++ b/rockbarrow/controller/presence.go
@@ -27,12 +27,12 @@
 	// knownWithin is how lately one must have asked to count at all. Those that
 	// were taken away count for this long.
 	knownWithin = 15 * time.Second
-	// forgetAfter drops an instance from the roll.
+	// forgetAfter drops an instance that is gone for good.
 	forgetAfter = time.Minute
 )
 
-// seat is what the roll knows of one instance.
-type seat struct {
+// peer is what is known of one instance.
+type peer struct {
 	member *fleetpb.Member
 	role   fleetpb.Role
 	heard  time.Time
@@ -41,62 +41,62 @@
 	serves bool
 }
 
-// roll is who called this instance, and when. The zero value is ready.
-type roll struct {
+// presence is who called this instance, and when. The zero value is ready.
+type presence struct {
 	mu    sync.Mutex
-	seats map[string]*seat
+	peers map[string]*peer
 }
 
-func (r *roll) heard(now time.Time, req *fleetpb.WatchRequest) {
+func (r *presence) heard(now time.Time, req *fleetpb.WatchRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.seats == nil {
-		r.seats = map[string]*seat{}
+	if r.peers == nil {
+		r.peers = map[string]*peer{}
 	}
-	r.seats[req.GetSender().GetInstance()] = &seat{
+	r.peers[req.GetSender().GetInstance()] = &peer{
 		member: req.GetSender(), role: req.GetRole(), heard: now,
 		copied: req.GetCopiedEpoch(), serves: req.GetServes(),
 	}
 }
 
 // refresh counts all as heard now, after this process stood still.
-func (r *roll) refresh(now time.Time) {
+func (r *presence) refresh(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, s := range r.seats {
+	for _, s := range r.peers {
 		s.heard = now
 	}
 }
 
 // forget drops instances that were not heard for long.
-func (r *roll) forget(now time.Time) {
+func (r *presence) forget(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, s := range r.seats {
+	for name, s := range r.peers {
 		if now.Sub(s.heard) > forgetAfter {
-			delete(r.seats, name)
+			delete(r.peers, name)
 		}
 	}
 }
 
 // of returns the instances of a role that were heard within a time, by name.
-func (r *roll) of(now time.Time, role fleetpb.Role, within time.Duration) []seat {
+func (r *presence) of(now time.Time, role fleetpb.Role, within time.Duration) []peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []seat
-	for _, s := range r.seats {
+	var out []peer
+	for _, s := range r.peers {
 		if s.role == role && now.Sub(s.heard) < within {
 			out = append(out, *s)
 		}
 	}
-	slices.SortFunc(out, func(a, b seat) int {
+	slices.SortFunc(out, func(a, b peer) int {
 		return strings.Compare(a.member.GetInstance(), b.member.GetInstance())
 	})
 	return out
 }
 
 // entryDomains counts the entry instances of each failure domain, by name.
-func (r *roll) entryDomains(now time.Time) []*fleetpb.EntryDomain {
+func (r *presence) entryDomains(now time.Time) []*fleetpb.EntryDomain {
 	var out []*fleetpb.EntryDomain
 	at := map[string]*fleetpb.EntryDomain{}
 	for _, s := range r.of(now, fleetpb.Role_ROLE_ENTRY, knownWithin) {
@@ -116,7 +116,7 @@
 // control returns the control instances that this one knows, itself included.
 func (c *Controller) control(now time.Time, within time.Duration) []*fleetpb.Member {
 	out := []*fleetpb.Member{c.Self}
-	for _, s := range c.roll.of(now, fleetpb.Role_ROLE_CONTROL, within) {
+	for _, s := range c.presence.of(now, fleetpb.Role_ROLE_CONTROL, within) {
 		if s.member.GetInstance() != c.Self.GetInstance() {
 			out = append(out, s.member)
 		}
@@ -139,7 +139,7 @@
 
 // Watch answers with what is newer than the sender knows, or waits for it.
 func (c *Controller) Watch(ctx context.Context, req *fleetpb.WatchRequest) (*fleetpb.WatchReply, error) {
-	c.roll.heard(time.Now(), req)
+	c.presence.heard(time.Now(), req)
 	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer wait.Stop()
 	for {
@@ -170,10 +170,10 @@
 	r := &fleetpb.WatchReply{
 		Responder: c.Self,
 		Control:   c.control(now, presentWithin),
-		Entries:   uint32(len(c.roll.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
+		Entries:   uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
 	}
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
-		r.EntryDomains = c.roll.entryDomains(now)
+		r.EntryDomains = c.presence.entryDomains(now)
 	}
 	if s := c.State(); s.GetNumber() > req.GetStateNumber() {
 		r.State = s
