ledger, rockbench: a test that could not fail, and shared clients

TestARecordOfAMajorityIsInEveryCopy computed its answer from constants. In its place every write quorum of 2 to 7 stores is tried against every set of sources; with a read quorum of one store too few it fails. slopes and a test of callers use clients of their own; a figure that is not recorded is an error.

--- a/rockbarrow/caller/server_test.go
+++ b/rockbarrow/caller/server_test.go
@@ -73,7 +73,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := srv.Client().Do(req)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/rockbarrow/ledger/ledger_test.go
+++ b/rockbarrow/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math/bits"
 	"testing"
 	"time"
 
@@ -144,32 +145,38 @@
 	}
 }
 
-// TestARecordOfAMajorityIsInEveryCopy tries all losses: a record that two of
-// three stores hold is met by whoever copies from all but one of them.
-func TestARecordOfAMajorityIsInEveryCopy(t *testing.T) {
-	all := stores("a", "b", "c")
-	v := &fleetpb.View{Epoch: 2, Members: append(stores("a", "b"), &fleetpb.Member{Instance: "store-2", Storage: 9}), Prior: all, Copies: 3}
-	from, missing := Sources(v, 9)
-	if len(from) != 3 || missing != 1 {
-		t.Fatalf("%d sources, %d may be missing", len(from), missing)
-	}
-	for lost := range 3 {
-		for holder := range 3 {
-			// The record is on all but holder; one source stays silent.
-			met := 0
-			for i := range 3 {
-				if i != lost && i != holder {
-					met++
-				}
+// TestADurableRecordIsInEveryCopy tries every write quorum against every set of
+// sources that a copy may come from: they share a store.
+func TestADurableRecordIsInEveryCopy(t *testing.T) {
+	for n := 2; n <= 7; n++ {
+		prior := stores("a", "b", "c", "d", "e", "f", "g")[:n]
+		v := &fleetpb.View{Epoch: 2, Members: prior, Prior: prior, Copies: uint32(n)}
+		from, missing := Sources(v, 99)
+		if len(from) != n {
+			t.Fatalf("%d sources of %d stores", len(from), n)
+		}
+		for written := range 1 << n {
+			if bits.OnesCount(uint(written)) != WriteQuorum(n) {
+				continue
 			}
-			if met == 0 {
-				t.Errorf("lost %d: the record is not met", lost)
+			for heard := range 1 << n {
+				if bits.OnesCount(uint(heard)) >= len(from)-missing && written&heard == 0 {
+					t.Fatalf("of %d stores, %b wrote and %b were copied from", n, written, heard)
+				}
 			}
 		}
 	}
+}
+
+func TestWhoCopies(t *testing.T) {
+	all := stores("a", "b", "c")
+	v := &fleetpb.View{Epoch: 2, Members: append(stores("a", "b"), &fleetpb.Member{Instance: "store-2", Storage: 9}), Prior: all, Copies: 3}
 	if !Needs(v, 9, "p", true) || Needs(v, 1, "p", false) {
 		t.Error("the wrong stores copy")
 	}
+	if Counts(v, 9) || !Counts(v, 1) {
+		t.Error("the wrong stores count while records are copied")
+	}
 }
 
 func TestReadAndWriteQuorumsMeet(t *testing.T) {
--- a/rockbench/slopes.go
+++ b/rockbench/slopes.go
@@ -114,7 +114,7 @@
 	}
 	start := time.Now()
 	for n := range pairs / turns {
-		p := &pair{scene: s, client: client, name: fmt.Sprintf("pair-%d", n), through: through, direct: direct}
+		p := &pair{scene: s, client: client, straight: &http.Client{}, name: fmt.Sprintf("pair-%d", n), through: through, direct: direct}
 		if err := p.run(ctx, turns); err != nil {
 			return err
 		}
@@ -136,9 +136,11 @@
 
 // pair makes the calls of one run twice.
 type pair struct {
-	scene           *scene.Scene
-	client          *agent.Client
-	name            string
+	scene  *scene.Scene
+	client *agent.Client
+	name   string
+	// straight calls an engine without the product.
+	straight        *http.Client
 	through, direct *hdrhistogram.Histogram
 }
 
@@ -179,7 +181,7 @@
 	}
 	req.Header.Set(engine.HeaderAttempt, p.name+"/0/0")
 	start := time.Now()
-	resp, err := http.DefaultClient.Do(req)
+	resp, err := p.straight.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "slopes: straight")
 	}
@@ -187,7 +189,9 @@
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return errors.Wrap(err, "slopes: straight")
 	}
-	_ = p.direct.RecordValue(time.Since(start).Microseconds())
+	if err := p.direct.RecordValue(time.Since(start).Microseconds()); err != nil {
+		return errors.Wrap(err, "slopes: straight")
+	}
 	return nil
 }
 
