--- a/rockbench/slopes.go
+++ b/rockbench/slopes.go
@@ -114,7 +114,7 @@
 	}
 	start := time.Now()
 	for n := range pairs / turns {
-		p := &pair{scene: s, client: client, straight: &http.Client{}, name: fmt.Sprintf("pair-%d", n), through: through, direct: direct}
+		p := &pair{scene: s, client: client, engines: &http.Client{}, name: fmt.Sprintf("pair-%d", n), through: through, direct: direct}
 		if err := p.run(ctx, turns); err != nil {
 			return err
 		}
@@ -139,8 +139,8 @@
 	scene  *scene.Scene
 	client *agent.Client
 	name   string
-	// straight calls an engine without the product.
-	straight        *http.Client
+	// engines calls an engine without the product.
+	engines         *http.Client
 	through, direct *hdrhistogram.Histogram
 }
 
@@ -181,7 +181,7 @@
 	}
 	req.Header.Set(engine.HeaderAttempt, p.name+"/0/0")
 	start := time.Now()
-	resp, err := p.straight.Do(req)
+	resp, err := p.engines.Do(req)
 	if err != nil {
 		return errors.Wrap(err, "slopes: straight")
 	}
