stores, entry: an idle or new instance behind a cut is not ready

One ready instance keeps a whole domain in the balancer.

Change: a store counts as reached for readiness once it has answered; a process probes all stores when it starts and while most voters are silent. A time to come back covers half a second more of the balancer's delay. A line when readiness changes.

The last check of TestOneLostStoreCostsNothingTwoAreToldAsUnavailable said that stores never called count as reached; it now says so of single programs, where it holds, and the new test demands an answer first for readiness.

--- a/rockbarrow/entry/domains.go
+++ b/rockbarrow/entry/domains.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/sirupsen/logrus"
 )
 
 const (
@@ -73,10 +75,12 @@
 func (e *Entry) watchDomains(ctx context.Context) {
 	t := time.NewTicker(domainTick)
 	defer t.Stop()
+	wasReady := false
 	for {
 		select {
 		case <-t.C:
 			e.lookAround()
+			wasReady = e.logReady(wasReady)
 		case <-ctx.Done():
 			return
 		}
@@ -97,3 +101,12 @@
 		e.Log.WithField("failure_domains", out).Info("failure domains out of reach have changed")
 	}
 }
+
+// logReady writes a line when the instance begins or ceases to be ready.
+func (e *Entry) logReady(before bool) (now bool) {
+	now, why := e.Ready()
+	if now != before {
+		e.Log.WithFields(logrus.Fields{"ready": now, "reason": why}).Info("readiness has changed")
+	}
+	return now
+}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -26,9 +26,10 @@
 	// itself within milliseconds, such as a start; later, after one that lasts.
 	soon  = 150 * time.Millisecond
 	later = 400 * time.Millisecond
-	// balancerTakes is how long after a cut the balancer, which asks twice a second
-	// apart, has taken the instances out that are cut off.
-	balancerTakes = 2 * time.Second
+	// balancerTakes is how long after a cut was noticed the balancer, which asks twice
+	// a second apart, has taken the instances out that are cut off: 2 s, and half a
+	// second for the instances that notice last.
+	balancerTakes = 2500 * time.Millisecond
 	// elsewhereAtLeast is when to come back after that: on a new connection, which
 	// leads elsewhere.
 	elsewhereAtLeast = 250 * time.Millisecond
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -253,3 +253,19 @@
 		}
 	}
 }
+
+// TestAnInstanceThatStartsBehindACutIsNotReady: it has learned a state from the
+// control instance beside it, but neither most voters nor most stores answer. One
+// instance that calls itself ready keeps a whole failure domain in the balancer.
+func TestAnInstanceThatStartsBehindACutIsNotReady(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	var members []*fleetpb.Member
+	for _, name := range []string{"1", "2", "3"} {
+		members = append(members, &fleetpb.Member{Instance: name, Storage: uint64(len(members) + 1), FailureDomain: "b"})
+	}
+	e.Watch.Offer(&fleetpb.State{Number: 2, Configuration: &fleetpb.Configuration{Version: 1},
+		Voters: members, View: &fleetpb.View{Epoch: 1, Copies: 3, Members: members}})
+	if ready, _ := e.Ready(); ready {
+		t.Error("ready although no store and no voter has ever answered")
+	}
+}
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -28,17 +29,22 @@
 	mu sync.Mutex
 	// out holds the storages that did not answer their last call.
 	out map[uint64]bool
+	// met holds the storages that have answered this process at least once.
+	met map[uint64]bool
 }
 
 func (h *health) set(storage uint64, out bool) (changed bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.out == nil {
+		h.out, h.met = map[uint64]bool{}, map[uint64]bool{}
+	}
+	if !out {
+		h.met[storage] = true
+	}
 	if h.out[storage] == out {
 		return false
 	}
-	if h.out == nil {
-		h.out = map[uint64]bool{}
-	}
 	if out {
 		h.out[storage] = true
 	} else {
@@ -59,49 +65,59 @@
 	return h.out[storage]
 }
 
+// proven reports whether a store has answered, also its last call.
+func (h *health) proven(storage uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.met[storage] && !h.out[storage]
+}
+
 // sampled is how many groups tell whether stores are reached in general.
 const sampled = 16
 
 // Reachable reports whether half of the groups of stores or more can be written.
 // Groups are spread over failure domains, so that more stores than a group may
-// lose can be out of reach while every group has its quorum.
+// lose can be out of reach while every group has its quorum. A store that has not
+// answered yet counts as out of reach: a process that starts behind a cut must not
+// draw clients there.
 func (c *Client) Reachable() bool {
 	v := c.Watch.State().GetView()
 	if v == nil {
 		return false
 	}
-	if c.health.allThere() {
-		return true
-	}
 	reached := 0
 	for i := range sampled {
-		if c.reaches(v, strconv.Itoa(i)) {
+		if reaches(v, strconv.Itoa(i), c.unproven) {
 			reached++
 		}
 	}
 	return 2*reached >= sampled
 }
 
-// Reaches reports whether a program's records can be read and written.
+// Reaches reports whether a program's records can be read and written, as far as
+// calls have told: a store that was not called yet may be there.
 func (c *Client) Reaches(program string) bool {
 	v := c.Watch.State().GetView()
-	return v != nil && (c.health.allThere() || c.reaches(v, program))
+	return v != nil && (c.health.allThere() || reaches(v, program, c.health.isOut))
 }
 
-func (c *Client) reaches(v *fleetpb.View, program string) bool {
+func (c *Client) unproven(storage uint64) bool { return !c.health.proven(storage) }
+
+// reaches reports whether few enough stores of a program's groups are out.
+func reaches(v *fleetpb.View, program string, out func(storage uint64) bool) bool {
 	copies := int(v.GetCopies())
 	present, prior := ledger.Group(v.GetMembers(), program, copies), ledger.Group(v.GetPrior(), program, copies)
-	return c.outOf(present) <= ledger.Losable(len(present)) && c.outOf(prior) <= ledger.Unheard(len(prior))
+	return countOut(present, out) <= ledger.Losable(len(present)) && countOut(prior, out) <= ledger.Unheard(len(prior))
 }
 
-func (c *Client) outOf(group []*fleetpb.Member) int {
-	out := 0
+func countOut(group []*fleetpb.Member, out func(storage uint64) bool) int {
+	n := 0
 	for _, m := range group {
-		if c.health.isOut(m.GetStorage()) {
-			out++
+		if out(m.GetStorage()) {
+			n++
 		}
 	}
-	return out
+	return n
 }
 
 // DomainsOut returns the failure domains none of whose stores answers.
@@ -163,8 +179,18 @@
 	return time.Since(set) > wait+stillFor
 }
 
-// Run probes the stores that are out of reach, until ctx ends.
+// viewTick is how often a process that has just started looks for the first view.
+const viewTick = 5 * time.Millisecond
+
+// Run probes stores that are out of reach or have not answered yet, and all of them
+// while most voters are silent, until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	for c.Watch.State().GetView() == nil {
+		if !wait.For(ctx, viewTick) {
+			return
+		}
+	}
+	c.probe(ctx)
 	t := time.NewTicker(probeEvery)
 	defer t.Stop()
 	for {
@@ -177,11 +203,15 @@
 	}
 }
 
+// probe asks stores whether they are there. An instance that serves few turns would
+// not notice by itself that it is cut off; the silence of most voters is the sign to
+// look.
 func (c *Client) probe(ctx context.Context) {
 	v := c.Watch.State().GetView()
+	cutOff := c.Watch.CutOff()
 	for _, list := range [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()} {
 		for _, m := range list {
-			if c.health.isOut(m.GetStorage()) {
+			if cutOff || c.unproven(m.GetStorage()) {
 				go (&prober{client: c, member: m, epoch: v.GetEpoch()}).run(ctx)
 			}
 		}
@@ -196,13 +226,14 @@
 }
 
 func (p *prober) run(ctx context.Context) {
+	asked := time.Now()
 	ctx, cancel := context.WithTimeout(ctx, probeWithin)
 	defer cancel()
 	conn, err := p.client.Pool.Get(p.member.GetAddress())
 	if err == nil {
 		_, err = fleetpb.NewStoreClient(conn).Lookup(ctx, &fleetpb.LookupRequest{Epoch: p.epoch, Storage: p.member.GetStorage()})
 	}
-	if err == nil {
-		p.client.observe(p.member, nil)
+	if err == nil || !stoodStill(asked, probeWithin) {
+		p.client.observe(p.member, err)
 	}
 }
--- a/rockbarrow/stores/health_test.go
+++ b/rockbarrow/stores/health_test.go
@@ -30,6 +30,9 @@
 			c.observe(m, errors.New("silent"))
 		}
 	}
+	for _, m := range members {
+		c.observe(m, nil)
+	}
 	lose(3, 6)
 	for i := range 100 {
 		if !c.Reaches(fmt.Sprint("program-", i)) {
