controller: a stop waits for the votes under way

Cause: TestAllRestartAndKnowWhatWasAccepted failed once in its clean-up, since a vote of its own instance, which outlives its round, wrote to the disk after Run had returned. Change: Run ends when no vote is under way.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -78,6 +78,10 @@
 	// saved is the acceptor's record that is on the disk.
 	saved atomic.Pointer[fleetpb.AcceptorRecord]
 
+	// votes are the requests of rounds under way. They may outlive their round, and
+	// the own ones write to the disk.
+	votes sync.WaitGroup
+
 	// proposing lets one round of this instance run at a time.
 	proposing chan struct{}
 	// round is the newest round met.
@@ -114,13 +118,14 @@
 	return nil
 }
 
-// Run does the instance's duties until ctx ends.
+// Run does the instance's duties until ctx ends and no vote is under way any more.
 func (c *Controller) Run(ctx context.Context) {
 	go c.watch.Run(ctx)
 	reader := &reader{controller: c}
 	go reader.loop(ctx)
 	d := &duties{controller: c}
 	d.loop(ctx)
+	c.votes.Wait()
 }
 
 // State returns the newest state known to be chosen, or nil.
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -46,9 +46,11 @@
 		for _, a := range actions {
 			switch a := a.(type) {
 			case register.Prepare:
-				go (&vote{controller: c, to: a.To, events: events}).runPrepare(ctx, a.Request)
+				v := &vote{controller: c, to: a.To, events: events}
+				c.votes.Go(func() { v.runPrepare(ctx, a.Request) })
 			case register.Accept:
-				go (&vote{controller: c, to: a.To, events: events}).runAccept(ctx, a.Request)
+				v := &vote{controller: c, to: a.To, events: events}
+				c.votes.Go(func() { v.runAccept(ctx, a.Request) })
 			case register.Chosen:
 				return a.State, nil
 			case register.Lost:
