dial, entry: after a loss of power of all instances, connect and learn sooner

Change: an attempt to connect ends after 200 ms in place of 500, as a lost first packet is sent again only after a second; a request waits up to 0.9 s for its instance to learn.

--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -25,8 +25,10 @@
 	// hundred times a round trip between failure domains (3 ms) and well under
 	// the seconds within which a change must be in force.
 	deadAfter = 900 * time.Millisecond
-	// connectWithin bounds one attempt to connect.
-	connectWithin = 500 * time.Millisecond
+	// connectWithin bounds one attempt to connect, which takes a round trip (3 ms) and
+	// some scheduling. A lost first packet is sent again by the system only after a
+	// second, so that a new attempt is sooner there.
+	connectWithin = 200 * time.Millisecond
 	// firstPause and longestPause lie between attempts.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -260,10 +260,10 @@
 }
 
 // learnWithin is how long a request waits for an instance that has just started
-// to learn what it serves, which takes some 100 ms; learnTick is how often it
-// looks.
+// to learn what it serves: some 100 ms, and up to 700 ms after all instances have
+// lost power at once. learnTick is how often it looks.
 const (
-	learnWithin = 400 * time.Millisecond
+	learnWithin = 900 * time.Millisecond
 	learnTick   = 20 * time.Millisecond
 )
 
