watch, controller, placement: entry instances share their calls and failures

Cause: at 55 entry instances and 166 endpoints each instance sends a call to a given endpoint about every ten seconds, so that it learns neither its load nor that it fails.

Change: with each call to control, an entry instance tells its calls under way at endpoints and how calls ended since. The control instance in its own failure domain tells it back, in the order of the list (two bytes an endpoint), the calls of all others and the share of failed calls with a half-life of 2 s. Placement adds both to its own knowledge and compares a few drawn endpoints, half of them in the own domain, since news of 0.3 s ago would lead all instances to the same one. A program leaves an engine that fails a fifth of its calls.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -71,6 +71,7 @@
 	watch    *watch.Client
 	cell     *durable.Cell
 	presence presence
+	loads    loads
 
 	// voting serializes the acceptor and its disk, which may stall for seconds.
 	voting   sync.Mutex
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -53,6 +53,7 @@
 		}
 		d.tick(ctx, now)
 		d.controller.presence.forget(now)
+		d.controller.loads.forget(now)
 		// A duty may take its time; only the pause after it tells of a standstill.
 		d.ticked = time.Now()
 	}
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -140,6 +140,9 @@
 // Watch answers with what is newer than the sender knows, or waits for it.
 func (c *Controller) Watch(ctx context.Context, req *fleetpb.WatchRequest) (*fleetpb.WatchReply, error) {
 	c.presence.heard(time.Now(), req)
+	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
+		c.loads.heard(time.Now(), req.GetSender().GetInstance(), req.GetUses())
+	}
 	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer wait.Stop()
 	for {
@@ -184,6 +187,9 @@
 		if l.List().GetNumber() > req.GetListNumber() {
 			r.List = l.List()
 		}
+		if req.GetWantsLoads() {
+			r.Loads = c.loads.of(now, req.GetSender().GetInstance(), l.List())
+		}
 	}
 	return r
 }
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -269,3 +269,24 @@
 		t.Error("ready although no store and no voter has ever answered")
 	}
 }
+
+// TestLoadsOfAnotherListAreNotTaken: loads go by the order of a list.
+func TestLoadsOfAnotherListAreNotTaken(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
+	e := newEntry(t, s)
+	e.HearLoads(&fleetpb.EndpointLoads{ListNumber: 99, Running: []uint32{9, 9, 9}, Failing: []uint32{90, 90, 90}})
+	e.HearLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{9}, Failing: []uint32{90}})
+	number := e.fleet.Load().reading.List().GetNumber()
+	e.HearLoads(&fleetpb.EndpointLoads{ListNumber: number, Running: []uint32{0, 0, 0}, Failing: []uint32{90, 90, 0}})
+	for range 6 {
+		e.Serve(t.Context(), ask("/once/1"), &fakeOut{})
+	}
+	for _, o := range s.offers {
+		if o.Endpoint.GetName() != "z" {
+			t.Errorf("%s fails for others and got a request", o.Endpoint.GetName())
+		}
+	}
+	if uses := e.Uses(); len(uses) != 1 || uses[0].Endpoint != "z" || uses[0].Answered != 6 {
+		t.Errorf("%v, want six answered calls at z", uses)
+	}
+}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -101,7 +101,8 @@
 		var notRun *NotRunError
 		// A full endpoint is not at fault; nor is one whose client left soon.
 		left := ctx.Err() != nil && time.Since(sent) < hungAfter
-		done(placement.Result{OK: errors.As(err, &notRun) && notRun.Busy || left, Unreached: unreached})
+		busy := errors.As(err, &notRun) && notRun.Busy
+		done(placement.Result{OK: busy || left, Refused: busy || left, Unreached: unreached})
 		x.avoid = append(x.avoid, p.Name())
 		return nil, nil, err
 	}
--- /dev/null
+++ b/rockbarrow/entry/loads.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"time"
+
+	"rockbarrow.dev/rockbarrow/watch"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Uses returns the own calls at endpoints, for other entry instances.
+func (e *Entry) Uses() []watch.Use {
+	f := e.fleet.Load()
+	if f == nil {
+		return nil
+	}
+	var out []watch.Use
+	for name, p := range f.Endpoints() {
+		u := p.Use()
+		if u.Running == 0 && u.Answered == 0 && u.Failed == 0 {
+			continue
+		}
+		out = append(out, watch.Use{Endpoint: name, Running: u.Running, Answered: u.Answered, Failed: u.Failed})
+	}
+	return out
+}
+
+// HearLoads takes what other entry instances know of endpoints. It counts only if
+// it speaks of the list that is in force here.
+func (e *Entry) HearLoads(l *fleetpb.EndpointLoads) {
+	f := e.fleet.Load()
+	if f == nil || f.reading.List().GetNumber() != l.GetListNumber() {
+		return
+	}
+	list := f.reading.List().GetEndpoints()
+	if len(l.GetRunning()) != len(list) || len(l.GetFailing()) != len(list) {
+		e.Log.WithField("list", l.GetListNumber()).Warn("loads of another list were sent")
+		return
+	}
+	now := time.Now()
+	for i, p := range list {
+		if known := f.Endpoint(p.GetId()); known != nil {
+			known.HeardOthers(now, l.GetRunning()[i], l.GetFailing()[i])
+		}
+	}
+}
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -59,6 +59,10 @@
 	// sign is when the endpoint last answered anything, or got its first call after
 	// it had none, in nanoseconds since 1970.
 	sign atomic.Int64
+	// answered and failed count own calls that have ended.
+	answered, failed atomic.Uint64
+	// others is what other instances know.
+	others others
 }
 
 // silentAfter is how long an endpoint with calls may answer none of them before
@@ -168,6 +172,9 @@
 type Result struct {
 	// OK is false when the endpoint failed, not when it refused the request.
 	OK bool
+	// Refused is true if the endpoint did not run the call, which says nothing of how
+	// well it runs others.
+	Refused bool
 	// Unreached is true if the network said nothing at all, so that the next calls
 	// would fail in the same way.
 	Unreached bool
@@ -188,9 +195,13 @@
 func (e *Endpoint) Done(now time.Time, r Result) {
 	e.underway.Add(-1)
 	if !r.OK {
-		e.failed(now, r.Unreached)
+		e.failed.Add(1)
+		e.eject(now, r.Unreached)
 		return
 	}
+	if !r.Refused {
+		e.answered.Add(1)
+	}
 	e.failures.Store(0)
 	e.ejections.Store(0)
 	if r.First > 0 && r.Computed > 16 {
@@ -223,7 +234,8 @@
 	e.limit.Store(min(ceiling, limit+250))
 }
 
-func (e *Endpoint) failed(now time.Time, atOnce bool) {
+// eject takes the endpoint out for a while after several failures in a row.
+func (e *Endpoint) eject(now time.Time, atOnce bool) {
 	if e.failures.Add(1) < failuresToEject && !atOnce {
 		return
 	}
--- /dev/null
+++ b/rockbarrow/placement/others_test.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: MIT
+
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"rockbarrow.dev/schema/configpb"
+)
+
+// TestWhatOthersTellCounts: an endpoint that is full of others' calls, or that fails
+// them, is left alone; what they told long ago counts for nothing.
+func TestWhatOthersTellCounts(t *testing.T) {
+	tests := []struct {
+		name             string
+		running, failing uint32
+	}{{"full", 6, 0}, {"failing", 0, 60}}
+	for _, test := range tests {
+		f, r, now := spreadFleet(6), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
+		f.Endpoint("a1").HeardOthers(now, test.running, test.failing)
+		for range 4 {
+			if c, _ := f.Choose(now, spreadRequest(), r); c.Endpoint().Name() == "a1" {
+				t.Errorf("%s: a1 got a call", test.name)
+			}
+		}
+		later, count := now.Add(othersLife), 0
+		for range 20 {
+			c, ok := f.Choose(later, spreadRequest(), r)
+			if ok && c.Endpoint().Name() == "a1" {
+				count++
+			}
+		}
+		if count == 0 {
+			t.Errorf("%s: a1 gets no calls on account of old news", test.name)
+		}
+	}
+}
+
+func TestAProgramLeavesAFailingEndpoint(t *testing.T) {
+	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
+	req := spreadRequest()
+	req.Last = "b1"
+	f.Endpoint("b1").HeardOthers(now, 0, 10)
+	if c, _ := f.Choose(now, req, r); c.Endpoint().Name() != "b1" {
+		t.Error("a program left its endpoint on account of a few failures")
+	}
+	f.Endpoint("b1").HeardOthers(now, 0, 40)
+	if c, _ := f.Choose(now, req, r); c.Endpoint().Name() == "b1" {
+		t.Error("a program stays with an endpoint that fails")
+	}
+}
+
+// TestOldNewsCausesNoCrowd: fifty instances hear the same and choose before they hear
+// of each other. The endpoint that looks best must not get all of their calls.
+func TestOldNewsCausesNoCrowd(t *testing.T) {
+	now := time.Unix(100, 0)
+	count, most := map[string]int{}, 0
+	for i := range 50 {
+		var list []*configpb.Endpoint
+		for k := range 24 {
+			name := fmt.Sprintf("e%02d", k)
+			list = append(list, &configpb.Endpoint{Name: name, Domain: "a", Service: "s", MaxCalls: 6, Address: name})
+		}
+		f := NewServiceFleet(list, Spread, nil)
+		for name := range f.Endpoints() {
+			f.Endpoint(name).HeardOthers(now, 2, 0)
+		}
+		f.Endpoint("e00").HeardOthers(now, 0, 0)
+		c, _ := f.Choose(now, spreadRequest(), rand.New(rand.NewPCG(uint64(i), 1)))
+		count[c.Endpoint().Name()]++
+		most = max(most, count[c.Endpoint().Name()])
+	}
+	if count["e00"] == 0 || most > 20 {
+		t.Errorf("%v", count)
+	}
+}
+
+func TestUseCountsHowCallsEnded(t *testing.T) {
+	f, r, now := spreadFleet(6), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
+	req := spreadRequest()
+	req.Last = "a1"
+	for _, result := range []Result{{OK: true}, {}, {OK: true, Refused: true}} {
+		c, _ := f.Choose(now, req, r)
+		c.Endpoint().Done(now, result)
+	}
+	f.Choose(now, req, r)
+	if got, want := f.Endpoint("a1").Use(), (Use{Running: 1, Answered: 1, Failed: 1}); got != want {
+		t.Errorf("%+v, want %+v", got, want)
+	}
+}
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -45,38 +45,74 @@
 	return f
 }
 
-// spread stays with the run's last endpoint while it has room, and else takes
-// the one with the smallest share of its places taken, the own failure domain
-// first among near equals. Ties are drawn, so that instances which see the same
-// idle endpoints do not all choose the same one.
+// spread stays with the run's last endpoint while it has room, and else takes the
+// one with the smallest load of a few that are drawn, half of them in the own failure
+// domain. What others told is some 0.3 s old: were all endpoints compared, all
+// instances would choose the same one until they hear of each other.
 func (f *Fleet) spread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
-	if last := f.endpoints[req.Last]; last != nil && has(list, last) && !avoided(req, last.name) &&
-		last.open(now) && last.taken() < crowded && !last.silent(now) && !slices.Contains(req.AvoidDomains, last.domain) {
+	if last := f.endpoints[req.Last]; last != nil && has(list, last) && f.mayStay(now, last, req) {
 		return Choice{endpoint: last, cached: req.Prompt}, true
 	}
-	var best *Endpoint
-	least := 0.0
-	start := 0
-	if len(list) > 0 {
-		start = r.IntN(len(list))
+	if len(list) == 0 {
+		return Choice{}, false
 	}
+	d := draw{now: now, req: req, near: draws, any: draws}
+	start := r.IntN(len(list))
 	for i := range list {
-		e := list[(start+i)%len(list)]
-		if !e.open(now) || avoided(req, e.name) {
-			continue
-		}
-		load := e.taken() + distance(e, req)
-		if e.silent(now) {
-			load += outOfReach
-		}
-		if best == nil || load < least {
-			best, least = e, load
+		d.consider(list[(start+i)%len(list)])
+		if d.near == 0 && d.any == 0 {
+			break
 		}
 	}
-	if best == nil {
+	if d.best == nil {
 		return Choice{}, false
 	}
-	return Choice{endpoint: best, lacking: req.Prompt}, true
+	return Choice{endpoint: d.best, lacking: req.Prompt}, true
+}
+
+// mayStay reports whether the run's last endpoint is good enough to spare the
+// reading of the prompt at another one.
+func (f *Fleet) mayStay(now int64, last *Endpoint, req Request) bool {
+	return !avoided(req, last.name) && last.open(now) && last.taken(now) < crowded && !last.silent(now) &&
+		last.others.failingAt(now) < failingLeave && !slices.Contains(req.AvoidDomains, last.domain)
+}
+
+// draws is how many open endpoints of the own domain, and how many of all, are
+// compared. More find a better one in what was told, fewer spread better what was
+// not told yet; 2 and 4 did no better (docs/ROUNDS.md).
+const draws = 3
+
+// draw compares endpoints in the order in which they are considered.
+type draw struct {
+	now int64
+	req Request
+	// near and any are how many endpoints of the own domain and of all domains are
+	// still wanted. Those that are silent, failing or likely out of reach do not count.
+	near, any int
+	best      *Endpoint
+	least     float64
+}
+
+func (d *draw) consider(e *Endpoint) {
+	own := e.domain == d.req.Domain
+	if d.any == 0 && !own || !e.open(d.now) || avoided(d.req, e.name) {
+		return
+	}
+	load := e.taken(d.now) + distance(e, d.req) + failingWeight*e.others.failingAt(d.now)
+	if e.silent(d.now) {
+		load += outOfReach
+	}
+	if d.best == nil || load < d.least {
+		d.best, d.least = e, load
+	}
+	if load >= 1 {
+		return
+	}
+	if own && d.near > 0 {
+		d.near--
+	} else if d.any > 0 {
+		d.any--
+	}
 }
 
 // distance is what an endpoint's failure domain adds to its load.
@@ -92,7 +128,7 @@
 	return farther
 }
 
-// taken is the share of the endpoint's places that own calls have taken.
-func (e *Endpoint) taken() float64 {
-	return float64(e.underway.Load()) / float64(e.maxCalls())
+// taken is the share of the endpoint's places that are known to be taken.
+func (e *Endpoint) taken(now int64) float64 {
+	return float64(e.underway.Load()+e.others.runningAt(now)) / float64(e.maxCalls())
 }
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -21,6 +21,8 @@
 	heard    time.Time
 	answered bool
 	lost     bool
+	// told is what it has heard of the sender's calls at endpoints.
+	told reported
 }
 
 // loop watches one control instance.
@@ -76,10 +78,17 @@
 	ctx, cancel := context.WithTimeout(ctx, held+reply)
 	defer cancel()
 	asked := time.Now()
-	r, err := fleetpb.NewControlClient(conn).Watch(ctx, c.request(held))
+	req := c.request(held)
+	told := t.told
+	if c.Uses != nil {
+		req.Uses, told = t.told.since(c.Uses())
+		req.WantsLoads = c.teller(asked) == t
+	}
+	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req)
 	if err != nil {
 		return err
 	}
+	t.told = told
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
 	if time.Since(asked) >= held {
--- /dev/null
+++ b/rockbarrow/watch/uses.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+
+package watch
+
+import (
+	"time"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Use is the sender's calls at one endpoint since the sender knows it.
+type Use struct {
+	Endpoint string
+	// Running are under way; Answered and Failed have ended.
+	Running, Answered, Failed uint64
+}
+
+// reported is what one control instance has been told: each hears of every call once.
+type reported map[string]Use
+
+// since returns what is new about uses, and what will have been reported with it.
+func (r reported) since(uses []Use) ([]*fleetpb.EndpointUse, reported) {
+	var out []*fleetpb.EndpointUse
+	next := make(reported, len(uses))
+	for _, u := range uses {
+		next[u.Endpoint] = u
+		before := r[u.Endpoint]
+		if before.Answered > u.Answered || before.Failed > u.Failed {
+			// The endpoint's counts began anew.
+			before = Use{}
+		}
+		n := &fleetpb.EndpointUse{
+			Endpoint: u.Endpoint, Running: uint32(u.Running),
+			Answered: uint32(u.Answered - before.Answered), Failed: uint32(u.Failed - before.Failed),
+		}
+		if n.Running > 0 || n.Answered > 0 || n.Failed > 0 {
+			out = append(out, n)
+		}
+	}
+	return out, next
+}
+
+// teller is the control instance that is asked for the calls of other entry
+// instances: one that answers, in the own failure domain if there is one, since
+// bytes between domains have a price.
+func (c *Client) teller(now time.Time) *target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var best *target
+	for _, t := range c.targets {
+		if t.answered && now.Sub(t.heard) < silentAfter && (best == nil || c.tellsBetter(t, best)) {
+			best = t
+		}
+	}
+	return best
+}
+
+func (c *Client) tellsBetter(t, o *target) bool {
+	own, others := t.member.GetFailureDomain() == c.Self.GetFailureDomain(), o.member.GetFailureDomain() == c.Self.GetFailureDomain()
+	if own != others {
+		return own
+	}
+	return t.address < o.address
+}
--- /dev/null
+++ b/rockbarrow/watch/uses_test.go
@@ -0,0 +1,55 @@
+// SPDX-License-Identifier: MIT
+
+package watch
+
+import (
+	"testing"
+	"time"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+func TestEachCallIsReportedOnce(t *testing.T) {
+	var told reported
+	report := func(uses ...Use) []*fleetpb.EndpointUse {
+		var out []*fleetpb.EndpointUse
+		out, told = told.since(uses)
+		return out
+	}
+	steps := []struct {
+		name string
+		now  Use
+		want *fleetpb.EndpointUse
+	}{
+		{"first calls", Use{"e", 1, 3, 1}, &fleetpb.EndpointUse{Running: 1, Answered: 3, Failed: 1}},
+		{"one more", Use{"e", 0, 4, 1}, &fleetpb.EndpointUse{Answered: 1}},
+		{"nothing new", Use{"e", 0, 4, 1}, nil},
+		{"the counts began anew", Use{"e", 0, 2, 0}, &fleetpb.EndpointUse{Answered: 2}},
+	}
+	for _, s := range steps {
+		got := report(s.now)
+		if s.want == nil {
+			if len(got) > 0 {
+				t.Errorf("%s: %v", s.name, got)
+			}
+			continue
+		}
+		if len(got) != 1 || got[0].GetRunning() != s.want.GetRunning() || got[0].GetAnswered() != s.want.GetAnswered() || got[0].GetFailed() != s.want.GetFailed() {
+			t.Errorf("%s: %v, want %v", s.name, got, s.want)
+		}
+	}
+}
+
+func TestLoadsAreAskedOfANearInstanceThatAnswers(t *testing.T) {
+	now := time.Now()
+	near := &target{address: "9", member: &fleetpb.Member{FailureDomain: "a"}, answered: true, heard: now}
+	far := &target{address: "1", member: &fleetpb.Member{FailureDomain: "b"}, answered: true, heard: now}
+	c := &Client{Self: &fleetpb.Member{FailureDomain: "a"}, targets: map[string]*target{"9": near, "1": far}}
+	if c.teller(now) != near {
+		t.Error("the instance in the own failure domain is not asked")
+	}
+	near.heard = now.Add(-silentAfter)
+	if c.teller(now) != far {
+		t.Error("an instance that is silent is still asked")
+	}
+}
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -50,6 +50,10 @@
 	Serves func() bool
 	// Changed is told of each newer state or list, if set. It must not block.
 	Changed func()
+	// Uses returns the sender's calls at endpoints, and Loads is told of those of
+	// other instances; both are nil where the sender has none.
+	Uses  func() []Use
+	Loads func(*fleetpb.EndpointLoads)
 
 	state   atomic.Pointer[fleetpb.State]
 	list    atomic.Pointer[Reading]
@@ -187,6 +191,9 @@
 	}
 	c.Hear(r)
 	c.hearList(r, asked)
+	if r.GetLoads() != nil && c.Loads != nil {
+		c.Loads(r.GetLoads())
+	}
 	for _, m := range r.GetControl() {
 		c.add(m.GetAddress(), m)
 	}
