controller: lists go on after a restart of all control instances

Cause: control instances that all restart begin to number lists at one; entry instances that live on keep their own list until the numbers have caught up.

Change: control hears the number that each caller holds and numbers above it; the low bits of a number are drawn by each process, so that two lists never share one. TestListsGoOnAfterARestartOfAllControl did not end before (stopped after 100 s).

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -88,6 +88,11 @@
 	// round is the newest round met.
 	round atomic.Uint64
 
+	// listFloor is the highest number of a list that any instance has told of, and
+	// listTag the low bits of the numbers given here.
+	listFloor atomic.Uint64
+	listTag   uint64
+
 	// news is closed and replaced whenever something newer is known.
 	newsMu sync.Mutex
 	news   chan struct{}
@@ -111,6 +116,7 @@
 		c.sawRound(record.GetPromised().GetRound())
 	}
 	c.proposing = make(chan struct{}, 1)
+	c.listTag = rand.Uint64N(1 << tagBits)
 	c.news = make(chan struct{})
 	c.watch = &watch.Client{
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -246,3 +246,19 @@
 		t.Error("a promise that was not given is remembered")
 	}
 }
+
+// TestListsGoOnAfterARestartOfAllControl: an entry instance that lives on holds a list
+// with a high number. Control instances that begin anew must number above it, or the
+// leaving of endpoints would not be noticed.
+func TestListsGoOnAfterARestartOfAllControl(t *testing.T) {
+	core := newCore(t)
+	const held = 50<<tagBits | 7
+	req := &fleetpb.WatchRequest{
+		Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY, StateNumber: 1 << 40, ListNumber: held,
+	}
+	core[0].list.set(&fleetpb.Endpoint{Id: "a", Draining: true})
+	await(t, func() bool {
+		r, err := core[1].controller.Watch(t.Context(), req)
+		return err == nil && r.GetList().GetNumber() > held && len(r.GetList().GetEndpoints()) == 1
+	})
+}
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -140,6 +140,7 @@
 // Watch answers with what is newer than the sender knows, or waits for it.
 func (c *Controller) Watch(ctx context.Context, req *fleetpb.WatchRequest) (*fleetpb.WatchReply, error) {
 	c.presence.heard(time.Now(), req)
+	c.sawList(req.GetListNumber())
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
 		c.loads.heard(time.Now(), req.GetSender().GetInstance(), req.GetUses())
 	}
--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -41,7 +41,7 @@
 
 func (r *reader) due(now time.Time) bool {
 	l := r.controller.watch.List()
-	if l == nil {
+	if l == nil || l.List().GetNumber() < r.controller.listFloor.Load() {
 		return true
 	}
 	return now.Sub(l.At()) > readEvery+time.Duration(r.controller.rank(now))*rankDelay
@@ -66,16 +66,32 @@
 		c.Log.Info("the list of endpoints is read again")
 	}
 	r.failing = false
-	c.watch.OfferList(next(c.watch.List().List(), endpoints, c.Self.GetStorage()), asked)
+	c.watch.OfferList(c.numberList(c.watch.List().List(), endpoints), asked)
 }
 
-// next numbers a reading: the known number if nothing changed. The low bits tell
-// apart the numbers of two instances that read at the same time.
-func next(known *fleetpb.EndpointList, endpoints []*fleetpb.Endpoint, storage uint64) *fleetpb.EndpointList {
+// numberList numbers a reading: the known number if nothing changed, else one above
+// all that this instance has heard of. Other instances keep their newest list over a
+// restart of all control instances, which begin with no list at all, and would take
+// no list under a lower number. The low bits are drawn by each process, so that no
+// two lists share a number.
+func (c *Controller) numberList(known *fleetpb.EndpointList, endpoints []*fleetpb.Endpoint) *fleetpb.EndpointList {
+	floor := c.listFloor.Load()
 	l := &fleetpb.EndpointList{Number: known.GetNumber(), Endpoints: endpoints}
-	if known != nil && proto.Equal(known, l) {
+	if known != nil && known.GetNumber() >= floor && proto.Equal(known, l) {
 		return known
 	}
-	l.Number = (known.GetNumber()>>16+1)<<16 | storage&0xffff
+	l.Number = (max(known.GetNumber(), floor)>>tagBits+1)<<tagBits | c.listTag
 	return l
 }
+
+// tagBits are the low bits of a list's number that its reader draws.
+const tagBits = 16
+
+// sawList raises the newest list number met.
+func (c *Controller) sawList(number uint64) {
+	for old := c.listFloor.Load(); old < number; old = c.listFloor.Load() {
+		if c.listFloor.CompareAndSwap(old, number) {
+			return
+		}
+	}
+}
