--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -97,6 +97,9 @@
 	endpoints map[string]*Endpoint
 	classes   map[Class][]*Endpoint
 	turn      *turn
+	// first is where this instance's window begins in each list of endpoints, for
+	// Spread.
+	first uint64
 }
 
 // NewFleet indexes a snapshot. Endpoints that did not change since an earlier
--- a/rockbarrow/placement/others_test.go
+++ b/rockbarrow/placement/others_test.go
@@ -91,3 +91,33 @@
 		t.Errorf("%+v, want %+v", got, want)
 	}
 }
+
+// TestAnInstanceGoesBackToFewEndpoints: each instance uses few of many endpoints, and
+// all instances together use them all.
+func TestAnInstanceGoesBackToFewEndpoints(t *testing.T) {
+	now := time.Unix(100, 0)
+	used := map[string]bool{}
+	for i := range 40 {
+		var list []*configpb.Endpoint
+		for k := range 200 {
+			name := fmt.Sprintf("e%03d", k)
+			list = append(list, &configpb.Endpoint{Name: name, Domain: "a", Service: "s", MaxCalls: 6, Address: name})
+		}
+		f, own := NewServiceFleet(list, Spread, nil), map[string]bool{}
+		r := rand.New(rand.NewPCG(uint64(i), 1))
+		for range 400 {
+			c, _ := f.Choose(now, spreadRequest(), r)
+			c.Endpoint().Done(now, Result{OK: true})
+			own[c.Endpoint().Name()], used[c.Endpoint().Name()] = true, true
+		}
+		if len(own) > window+draws {
+			t.Fatalf("an instance uses %d endpoints", len(own))
+		}
+		if again := NewServiceFleet(list, Spread, f); again.first != f.first {
+			t.Fatal("a new list moves the window")
+		}
+	}
+	if len(used) < 150 {
+		t.Errorf("all instances use %d of 200 endpoints", len(used))
+	}
+}
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -32,7 +32,10 @@
 // configured endpoint is allowed. Endpoints that did not change since an earlier
 // fleet, which may be nil, keep what is known of them.
 func NewServiceFleet(endpoints []*configpb.Endpoint, p Policy, old *Fleet) *Fleet {
-	f := &Fleet{policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}}
+	f := &Fleet{policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}, first: rand.Uint64()}
+	if old != nil {
+		f.first = old.first
+	}
 	for _, c := range endpoints {
 		e := carry(c, old)
 		f.endpoints[c.GetName()] = e
@@ -57,7 +60,7 @@
 		return Choice{}, false
 	}
 	d := draw{now: now, req: req, near: draws, any: draws}
-	start := r.IntN(len(list))
+	start := int(f.first%uint64(len(list))) + r.IntN(min(len(list), window))
 	for i := range list {
 		d.consider(list[(start+i)%len(list)])
 		if d.near == 0 && d.any == 0 {
@@ -82,6 +85,11 @@
 // not told yet; 2 and 4 did no better (docs/ROUNDS.md).
 const draws = 3
 
+// window is how many endpoints in a row an instance draws from first. Where there are
+// many, each instance so goes back to the same few, over connections that it has;
+// instances begin at different places, so that all endpoints are used evenly.
+const window = 24
+
 // draw compares endpoints in the order in which they are considered.
 type draw struct {
 	now int64
