watch, controller: one control instance pushes news, the others tell how new theirs is

Each instance watched all control instances and each of them sent it each new state and list whole, stores included, which have no use for the list.

Change: an instance asks for news of one control instance (its own failure domain first, spread by hash); the replies of the others carry the numbers of their state and list, and the next call asks them for what is newer. The age of a list counts only for that list. Tests: TestNewsGoOnlyToThoseWhoWantThem, TestWhatTheTellerLacksIsAskedOfOthers.

--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -254,7 +254,7 @@
 	core := newCore(t)
 	const held = 50<<tagBits | 7
 	req := &fleetpb.WatchRequest{
-		Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY, StateNumber: 1 << 40, ListNumber: held,
+		Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY, StateNumber: 1 << 40, ListNumber: held, WantsNews: true,
 	}
 	core[0].list.set(&fleetpb.Endpoint{Id: "a", Draining: true})
 	await(t, func() bool {
@@ -262,3 +262,32 @@
 		return err == nil && r.GetList().GetNumber() > held && len(r.GetList().GetEndpoints()) == 1
 	})
 }
+
+// TestNewsGoOnlyToThoseWhoWantThem: hundreds of instances watch all control instances,
+// and each needs a state or list once. One that asks for no news hears of their numbers.
+func TestNewsGoOnlyToThoseWhoWantThem(t *testing.T) {
+	core := newCore(t)
+	core[0].list.set(&fleetpb.Endpoint{Id: "a"})
+	c := core[0].controller
+	await(t, func() bool { return len(c.Endpoints().List().GetEndpoints()) == 1 })
+	watch := func(role fleetpb.Role, news bool) *fleetpb.WatchReply {
+		t.Helper()
+		r, err := c.Watch(t.Context(), &fleetpb.WatchRequest{Sender: &fleetpb.Member{Instance: "x"}, Role: role, WantsNews: news})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.GetStateNumber() == 0 || r.GetListNumber() == 0 {
+			t.Errorf("%v, want the newest numbers", r)
+		}
+		return r
+	}
+	if r := watch(fleetpb.Role_ROLE_ENTRY, false); r.GetState() != nil || r.GetList() != nil {
+		t.Error("state or list went to an instance that did not ask for news")
+	}
+	if r := watch(fleetpb.Role_ROLE_ENTRY, true); r.GetState() == nil || r.GetList() == nil {
+		t.Error("state or list did not come")
+	}
+	if r := watch(fleetpb.Role_ROLE_STORE, true); r.GetState() == nil || r.GetList() != nil {
+		t.Error("a store gets the state, and no list of endpoints")
+	}
+}
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -162,11 +162,12 @@
 }
 
 func (c *Controller) hasNews(req *fleetpb.WatchRequest) bool {
-	if c.State().GetNumber() > req.GetStateNumber() {
-		return true
-	}
-	l := c.watch.List()
-	return l != nil && l.List().GetNumber() > req.GetListNumber()
+	return req.GetWantsNews() && (c.State().GetNumber() > req.GetStateNumber() || c.hasList(req))
+}
+
+// hasList reports whether the sender lacks a list that it has a use for.
+func (c *Controller) hasList(req *fleetpb.WatchRequest) bool {
+	return req.GetRole() != fleetpb.Role_ROLE_STORE && c.watch.List().List().GetNumber() > req.GetListNumber()
 }
 
 func (c *Controller) reply(req *fleetpb.WatchRequest) *fleetpb.WatchReply {
@@ -179,13 +180,15 @@
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
 		r.EntryDomains = c.presence.entryDomains(now)
 	}
-	if s := c.State(); s.GetNumber() > req.GetStateNumber() {
+	s := c.State()
+	r.StateNumber = s.GetNumber()
+	if req.GetWantsNews() && s.GetNumber() > req.GetStateNumber() {
 		r.State = s
 	}
 	if l := c.watch.List(); l != nil {
-		r.ListKnown = true
+		r.ListKnown, r.ListNumber = true, l.List().GetNumber()
 		r.ListAgeMs = uint64(max(0, now.Sub(l.At()).Milliseconds()))
-		if l.List().GetNumber() > req.GetListNumber() {
+		if req.GetWantsNews() && c.hasList(req) {
 			r.List = l.List()
 		}
 		if req.GetWantsLoads() {
--- a/rockbarrow/watch/knowledge.go
+++ b/rockbarrow/watch/knowledge.go
@@ -94,7 +94,8 @@
 	list := r.GetList()
 	if list == nil {
 		known := c.list.Load()
-		if known == nil {
+		if known == nil || known.list.GetNumber() != r.GetListNumber() {
+			// The age is that of another list.
 			return
 		}
 		list = known.list
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -23,6 +23,8 @@
 	lost     bool
 	// told is what it has heard of the sender's calls at endpoints.
 	told reported
+	// state and list are the newest numbers that it has told of.
+	state, list uint64
 }
 
 // loop watches one control instance.
@@ -79,16 +81,17 @@
 	defer cancel()
 	asked := time.Now()
 	req := c.request(held)
-	told := t.told
+	teller, told := c.teller(asked), t.told
+	req.WantsNews = teller == nil || teller == t || c.Role == fleetpb.Role_ROLE_CONTROL || t.knowsMore(req)
 	if c.Uses != nil {
 		req.Uses, told = t.told.since(c.Uses())
-		req.WantsLoads = c.teller(asked) == t
+		req.WantsLoads = teller == t
 	}
 	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req)
 	if err != nil {
 		return err
 	}
-	t.told = told
+	t.told, t.state, t.list = told, r.GetStateNumber(), r.GetListNumber()
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
 	if time.Since(asked) >= held {
@@ -98,6 +101,12 @@
 	return nil
 }
 
+// knowsMore reports whether the instance has told of something newer than what the
+// teller has brought.
+func (t *target) knowsMore(req *fleetpb.WatchRequest) bool {
+	return t.state > req.GetStateNumber() || t.client.Role != fleetpb.Role_ROLE_STORE && t.list > req.GetListNumber()
+}
+
 func (c *Client) request(held time.Duration) *fleetpb.WatchRequest {
 	req := &fleetpb.WatchRequest{
 		Sender: c.Self, Role: c.Role,
--- a/rockbarrow/watch/uses.go
+++ b/rockbarrow/watch/uses.go
@@ -5,6 +5,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -40,9 +42,10 @@
 	return out, next
 }
 
-// teller is the control instance that is asked for the calls of other entry
-// instances: one that answers, in the own failure domain if there is one, since
-// bytes between domains have a price.
+// teller is the control instance that tells news at once, and of the calls of other
+// entry instances: one that answers, in the own failure domain if there is one, since
+// bytes between domains have a price. The others only tell how new their knowledge is,
+// and are asked for what the teller lacks. Instances that have the choice spread.
 func (c *Client) teller(now time.Time) *target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -60,5 +63,10 @@
 	if own != others {
 		return own
 	}
-	return t.address < o.address
+	return c.drawn(t) < c.drawn(o)
+}
+
+// drawn gives each instance an order of its own of the control instances.
+func (c *Client) drawn(t *target) uint64 {
+	return xxhash.Sum64String(c.Self.GetInstance() + "\x00" + t.address)
 }
--- a/rockbarrow/watch/uses_test.go
+++ b/rockbarrow/watch/uses_test.go
@@ -53,3 +53,20 @@
 		t.Error("an instance that is silent is still asked")
 	}
 }
+
+// TestWhatTheTellerLacksIsAskedOfOthers: the teller may be behind or frozen.
+func TestWhatTheTellerLacksIsAskedOfOthers(t *testing.T) {
+	entry, store := &Client{Role: fleetpb.Role_ROLE_ENTRY}, &Client{Role: fleetpb.Role_ROLE_STORE}
+	known := &fleetpb.WatchRequest{StateNumber: 5, ListNumber: 7}
+	tests := []struct {
+		client      *Client
+		state, list uint64
+		want        bool
+	}{{entry, 5, 7, false}, {entry, 6, 7, true}, {entry, 5, 8, true}, {store, 5, 8, false}, {store, 6, 0, true}}
+	for _, test := range tests {
+		o := &target{client: test.client, state: test.state, list: test.list}
+		if got := o.knowsMore(known); got != test.want {
+			t.Errorf("state %d, list %d: %v", test.state, test.list, got)
+		}
+	}
+}
