controller: count who is present ten times a second

Cause: each reply to a watching instance counted and sorted all instances three times, so that control's work grows with the square of their number: 299 instances call 990 times a second. Change: replies share a count that is at most 100 ms old.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -72,6 +72,7 @@
 	cell     *durable.Cell
 	presence presence
 	loads    loads
+	counted  atomic.Pointer[headcount]
 
 	// voting serializes the acceptor and its disk, which may stall for seconds.
 	voting   sync.Mutex
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -170,15 +170,39 @@
 	return req.GetRole() != fleetpb.Role_ROLE_STORE && c.watch.List().List().GetNumber() > req.GetListNumber()
 }
 
+// headcountFor is how long a headcount is used: a third of the time between two calls
+// of one instance. Counting for each of hundreds of instances' calls would cost control
+// a third of its processor.
+const headcountFor = 100 * time.Millisecond
+
+// headcount is who is present, as replies tell it. It does not change.
+type headcount struct {
+	at           time.Time
+	control      []*fleetpb.Member
+	entries      uint32
+	entryDomains []*fleetpb.EntryDomain
+}
+
+// headcount returns a recent count. Two calls may count at once; either is as good.
+func (c *Controller) headcount(now time.Time) *headcount {
+	if h := c.counted.Load(); h != nil && now.Sub(h.at) < headcountFor {
+		return h
+	}
+	h := &headcount{
+		at: now, control: c.control(now, presentWithin),
+		entries:      uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
+		entryDomains: c.presence.entryDomains(now),
+	}
+	c.counted.Store(h)
+	return h
+}
+
 func (c *Controller) reply(req *fleetpb.WatchRequest) *fleetpb.WatchReply {
 	now := time.Now()
-	r := &fleetpb.WatchReply{
-		Responder: c.Self,
-		Control:   c.control(now, presentWithin),
-		Entries:   uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
-	}
+	h := c.headcount(now)
+	r := &fleetpb.WatchReply{Responder: c.Self, Control: h.control, Entries: h.entries}
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
-		r.EntryDomains = c.presence.entryDomains(now)
+		r.EntryDomains = h.entryDomains
 	}
 	s := c.State()
 	r.StateNumber = s.GetNumber()
