stores: a store that has not answered yet may be starting

Change: a failed probe takes only a store out that has answered before. An instance that starts still is not ready until stores answer. Failed first: TestAProcessThatStartsBeforeItsStoresWaitsForThem. Its fixture wrote a store's address on each start, which a client may read; it writes it once now.

--- a/rockbarrow/stores/fleet_test.go
+++ b/rockbarrow/stores/fleet_test.go
@@ -42,15 +42,18 @@
 
 // start runs a store on a folder. Its address stays the same over restarts.
 func (p *place) start() {
-	address := "127.0.0.1:0"
-	if p.member.GetAddress() != "" {
-		address = p.member.GetAddress()
+	address := p.member.GetAddress()
+	if address == "" {
+		address = "127.0.0.1:0"
 	}
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	p.member.Address = l.Addr().String()
+	if p.member.GetAddress() == "" {
+		// Clients may read it from now on.
+		p.member.Address = l.Addr().String()
+	}
 	p.watch = &watch.Client{Self: p.member, Log: quiet()}
 	pool := &dial.Pool{}
 	s := &store.Store{Self: p.member, DataDir: p.dir, Watch: p.watch, Pool: pool, Log: quiet(), Metrics: tally.NoopScope}
@@ -388,3 +391,30 @@
 	g.places[1].stop()
 	until(false)
 }
+
+// TestAProcessThatStartsBeforeItsStoresWaitsForThem: after a loss of power of all
+// instances an entry may come up first; its turns wait for the stores.
+func TestAProcessThatStartsBeforeItsStoresWaitsForThem(t *testing.T) {
+	g := newGroup(t)
+	for _, p := range g.places {
+		p.stop()
+	}
+	c := g.newClient()
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go c.Run(ctx)
+	// Its probes have failed by the time they have had their longest.
+	pause := time.NewTimer(2 * probesFail)
+	<-pause.C
+	if !c.Reaches("p") {
+		t.Fatal("turns are refused at once for stores that may be starting")
+	}
+	for _, p := range g.places {
+		p.start()
+	}
+	g.spread()
+	g.must(g.run(c, stores.Turn{ID: "1", Program: "p", Most: 10}, 5))
+}
+
+// probesFail is more than a probe takes to fail at an address where nobody listens.
+const probesFail = 300 * time.Millisecond
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -233,7 +233,12 @@
 	if err == nil {
 		_, err = fleetpb.NewStoreClient(conn).Lookup(ctx, &fleetpb.LookupRequest{Epoch: p.epoch, Storage: p.member.GetStorage()})
 	}
-	if err == nil || !stoodStill(asked, probeWithin) {
+	switch {
+	case err == nil:
+		p.client.observe(p.member, nil)
+	case p.client.unproven(p.member.GetStorage()):
+		// It may be starting too. Requests try it, and wait for it a little.
+	case !stoodStill(asked, probeWithin):
 		p.client.observe(p.member, err)
 	}
 }
