--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -82,7 +82,8 @@
 
 // draws is how many open endpoints of the own domain, and how many of all, are
 // compared. More find a better one in what was told, fewer spread better what was
-// not told yet; 2 and 4 did no better (docs/ROUNDS.md).
+// not told yet. Comparing all of them was no better on the one day where it was tried
+// (docs/ROUNDS.md, 9); other numbers were not.
 const draws = 3
 
 // window is how many endpoints in a row an instance draws from first. Where there are
