--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -53,7 +53,7 @@
 // domain. What others told is some 0.3 s old: were all endpoints compared, all
 // instances would choose the same one until they hear of each other.
 func (f *Fleet) spread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
-	if last := f.endpoints[req.Last]; last != nil && has(list, last) && f.mayStay(now, last, req) {
+	if last := f.endpoints[req.Last]; last != nil && has(list, last) && last.mayKeep(now, req) {
 		return Choice{endpoint: last, cached: req.Prompt}, true
 	}
 	if len(list) == 0 {
@@ -73,11 +73,16 @@
 	return Choice{endpoint: d.best, lacking: req.Prompt}, true
 }
 
-// mayStay reports whether the run's last endpoint is good enough to spare the
-// reading of the prompt at another one.
-func (f *Fleet) mayStay(now int64, last *Endpoint, req Request) bool {
-	return !avoided(req, last.name) && last.open(now) && last.taken(now) < crowded && !last.silent(now) &&
-		last.others.failingAt(now) < failingLeave && !slices.Contains(req.AvoidDomains, last.domain)
+// mayKeep reports whether a run's last endpoint is good enough to keep the run, so that
+// no other one has to read its prompt.
+func (e *Endpoint) mayKeep(now int64, req Request) bool {
+	switch {
+	case avoided(req, e.name), slices.Contains(req.AvoidDomains, e.domain):
+		return false
+	case !e.open(now), e.silent(now):
+		return false
+	}
+	return e.taken(now) < crowded && e.others.failingAt(now) < failingLeave
 }
 
 // draws is how many open endpoints of the own domain, and how many of all, are
