entry: one way for all requests, made of independent facts

Change: whether a request is streamed, reserved for, kept, repeatable or resumable are five facts, and one path takes the steps that each asks for. Streams are passed on event by event; one that breaks off and may be resumed goes on at another endpoint after the last whole event, within the route's attempts, under the first one's head. What is not kept is settled in the background. Reservations remember the endpoint, so that a line stays with it at any instance.

TestBudgetHoldsOverEveryWay failed with the reservation left to kept turns only.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -56,6 +56,7 @@
 	changed chan struct{}
 	stopped atomic.Bool
 	domains domains
+	lines   lines
 	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
 	// zero while they are reached.
 	lostSince atomic.Int64
@@ -253,10 +254,11 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
-	if route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_STREAM && route.GetHistory() {
-		return e.ended(x, x.turn(ctx))
+	x.way = wayOf(route, req)
+	if o := x.resumption(); o != nil {
+		return e.ended(x, o)
 	}
-	return e.ended(x, x.plain(ctx))
+	return e.ended(x, x.serve(ctx))
 }
 
 // learnWithin is how long a request waits for an instance that has just started
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -73,12 +73,17 @@
 func (o *fakeOut) Start(status int, _ http.Header, _ int64) { o.status = status }
 func (o *fakeOut) Write(b []byte) error                     { _, err := o.body.Write(b); return err }
 
+// quiet drops all log lines.
+func quiet() *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return logrus.NewEntry(log)
+}
+
 // newEntry returns an entry with one service of three endpoints and a route of
 // each kind.
 func newEntry(t *testing.T, sender Sender) *Entry {
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	w := &watch.Client{Self: &fleetpb.Member{Instance: "entry"}, Log: logrus.NewEntry(log)}
+	w := &watch.Client{Self: &fleetpb.Member{Instance: "entry"}, Log: quiet()}
 	pool := &dial.Pool{}
 	t.Cleanup(pool.Close)
 	e := &Entry{
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -13,6 +12,7 @@
 
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/routing"
+	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -20,9 +20,6 @@
 	// maxOffers bounds the endpoints that one request is offered to, whether they
 	// run it or not. Where all are full, more offers only add load.
 	maxOffers = 5
-	// wholeBody in bytes is the largest answer that is read whole before its
-	// first byte is passed on, so that a lost one can be asked for again.
-	wholeBody = 256 << 10
 	// hungAfter is how long a client must have waited for the first byte before its
 	// leaving is held against the endpoint: more than the longest plain calls take.
 	hungAfter = 1600 * time.Millisecond
@@ -35,10 +32,23 @@
 	table    *routing.Table
 	route    *fleetpb.Route
 	service  *fleetpb.Service
+	way      way
 	out      Out
 	deadline time.Time
 
-	// offers counts the endpoints asked, runs those that may have run it.
+	// grant is what the stores have set aside, or nil.
+	grant *stores.Grant
+	// body is what endpoints get.
+	body []byte
+	// events are those of the answer, over all endpoints that had a part in it.
+	events scanner
+	// started is true once the head of an answer was passed on.
+	started bool
+
+	// ran is true once an endpoint has or may have run it.
+	ran bool
+	// offers counts the endpoints asked, runs those that may have run it and whose
+	// answer did not become the client's whole answer.
 	offers, runs int
 	avoid        []string
 	// last is the endpoint that served the turn before.
@@ -62,6 +72,41 @@
 	return r.ID
 }
 
+// serve takes the steps of a request: reserve, offer, pass on, settle. A step that the
+// request's way does not need does nothing.
+func (x *exchange) serve(ctx context.Context) Outcome {
+	if x.way.outlives() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
+		defer cancel()
+	}
+	if o := x.prepare(ctx); o != nil {
+		return o
+	}
+	for {
+		o, err := x.attempt(ctx)
+		if err != nil {
+			o = x.stop(ctx, err)
+		}
+		if o != nil {
+			return x.settle(ctx, o)
+		}
+	}
+}
+
+// attempt offers the request to one endpoint and passes its answer on. It returns an
+// error if the client has no whole answer yet.
+func (x *exchange) attempt(ctx context.Context) (Outcome, error) {
+	answer, done, err := x.offer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if x.way.streamed && answer.Status == http.StatusOK {
+		return x.passEvents(ctx, answer, done)
+	}
+	return x.passWhole(answer, done)
+}
+
 // choose takes a place at an endpoint.
 func (x *exchange) choose() (placement.Choice, bool) {
 	f := x.entry.fleet.Load()
@@ -81,7 +126,7 @@
 func source() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 // offer sends the request to the best endpoint. The place is given back by done.
-func (x *exchange) offer(ctx context.Context, body []byte) (*Answer, func(placement.Result), error) {
+func (x *exchange) offer(ctx context.Context) (*Answer, func(placement.Result), error) {
 	choice, ok := x.choose()
 	if !ok {
 		return nil, nil, &NotRunError{Endpoint: "none", Reason: "no endpoint has room", Busy: true}
@@ -91,9 +136,9 @@
 	x.offers++
 	sent := time.Now()
 	answer, err := x.entry.Sender.Send(ctx, Offer{
-		Request: x.request, Body: body, Endpoint: p.Config(), Deadline: x.deadline,
+		Request: x.request, Body: x.body, Endpoint: p.Config(), Deadline: x.deadline,
 		Priority: x.route.GetPriority(), Connections: x.connections(),
-		Stream: x.route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_STREAM,
+		Stream: x.way.streamed, After: x.events.last,
 	})
 	done := func(r placement.Result) { p.Done(time.Now(), r) }
 	unreached := x.tell(p, err)
@@ -106,6 +151,7 @@
 		x.avoid = append(x.avoid, p.Name())
 		return nil, nil, err
 	}
+	x.ran = true
 	p.Answered(time.Now())
 	return answer, done, nil
 }
@@ -131,116 +177,45 @@
 	return max(1, int(x.service.GetMaxConnections())/x.entry.Watch.Entries())
 }
 
-// plain serves a request that belongs to no history.
-func (x *exchange) plain(ctx context.Context) Outcome {
-	if x.route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_ONCE {
-		// What may not be repeated runs to its end, also for a client that left.
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
-		defer cancel()
-	}
-	for {
-		answer, done, err := x.offer(ctx, x.request.Body)
-		if err == nil {
-			var o Outcome
-			if o, err = x.pass(answer, done); o != nil {
-				return o
-			}
-		}
-		if o := x.stop(ctx, err); o != nil {
-			return o
-		}
-	}
-}
-
-// stop says how a request ends after a failed offer, or nil if it may be offered
+// stop says how a request ends after a failed attempt, or nil if it may be offered
 // again.
 func (x *exchange) stop(ctx context.Context, err error) Outcome {
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		return x.stopNotRun(ctx, notRun)
 	}
+	x.ran = true
 	x.runs++
-	if ctx.Err() != nil {
-		return Refused{Status: http.StatusGatewayTimeout, Reason: err.Error()}
-	}
-	repeatable := x.route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_REPEATABLE
-	if repeatable && x.runs < int(x.route.GetMaxAttempts()) && x.offers < maxOffers {
+	switch {
+	case ctx.Err() == nil && x.mayRunAgain():
 		return nil
+	case x.started:
+		return Cut{Reason: err.Error()}
+	case ctx.Err() != nil:
+		return Refused{Status: http.StatusGatewayTimeout, Reason: err.Error()}
 	}
 	return Refused{Status: http.StatusBadGateway, Reason: err.Error()}
 }
 
+// stopNotRun is stop for an offer that the endpoint certainly did not run.
 func (x *exchange) stopNotRun(ctx context.Context, err *NotRunError) Outcome {
 	switch {
+	case ctx.Err() == nil && x.offers < maxOffers && err.Endpoint != "none":
+		return nil
+	case x.started:
+		return Cut{Reason: err.Error()}
 	case x.runs > 0 && ctx.Err() != nil:
 		return Refused{Status: http.StatusGatewayTimeout, Reason: err.Error()}
-	case ctx.Err() != nil:
-		return Refused{Status: http.StatusServiceUnavailable, Reason: err.Error()}
-	case x.offers < maxOffers && err.Endpoint != "none":
-		return nil
 	case x.runs > 0:
 		return Refused{Status: http.StatusBadGateway, Reason: err.Error()}
+	case ctx.Err() != nil:
+		return Refused{Status: http.StatusServiceUnavailable, Reason: err.Error()}
 	}
 	return Refused{Status: http.StatusServiceUnavailable, RetryAfter: later, Reason: err.Error()}
 }
 
-// pass hands an answer on. It returns no outcome if the answer was lost before
-// its first byte was passed on.
-func (x *exchange) pass(a *Answer, done func(placement.Result)) (Outcome, error) {
-	defer a.Body.Close()
-	whole, err := io.ReadAll(io.LimitReader(a.Body, wholeBody+1))
-	if err != nil {
-		done(placement.Result{})
-		x.avoid = append(x.avoid, x.endpoint)
-		return nil, &BrokenError{Endpoint: x.endpoint, Reason: err.Error()}
-	}
-	failed := a.Status >= http.StatusInternalServerError
-	if failed && x.mayRepeat() {
-		done(placement.Result{})
-		x.avoid = append(x.avoid, x.endpoint)
-		return nil, &BrokenError{Endpoint: x.endpoint, Reason: http.StatusText(a.Status)}
-	}
-	x.status = a.Status
-	if len(whole) <= wholeBody {
-		done(placement.Result{OK: !failed})
-		x.out.Start(a.Status, a.Header, int64(len(whole)))
-		return x.write(whole), nil
-	}
-	x.out.Start(a.Status, a.Header, a.Length)
-	if o := x.write(whole); o != (Answered{}) {
-		done(placement.Result{OK: true})
-		return o, nil
-	}
-	_, err = io.Copy(writerOf(x.out), a.Body)
-	done(placement.Result{OK: err == nil})
-	if err != nil {
-		return Cut{Reason: err.Error()}, nil
-	}
-	return Answered{}, nil
-}
-
-func (x *exchange) mayRepeat() bool {
-	return x.route.GetKind() == fleetpb.RouteKind_ROUTE_KIND_REPEATABLE &&
-		x.runs+1 < int(x.route.GetMaxAttempts()) && x.offers < maxOffers
-}
-
-func (x *exchange) write(b []byte) Outcome {
-	if err := x.out.Write(b); err != nil {
-		return Cut{Reason: "the client left: " + err.Error()}
-	}
-	return Answered{}
-}
-
-// outWriter makes an Out a writer.
-type outWriter struct{ out Out }
-
-func writerOf(out Out) io.Writer { return outWriter{out: out} }
-
-// Write passes a part on.
-func (w outWriter) Write(b []byte) (int, error) {
-	if err := w.out.Write(b); err != nil {
-		return 0, err
-	}
-	return len(b), nil
+// mayRunAgain reports whether a request that may have run may be offered again.
+func (x *exchange) mayRunAgain() bool {
+	may := x.way.resumable || x.way.repeatable && !x.started
+	return may && x.runs < int(x.route.GetMaxAttempts()) && x.offers < maxOffers
 }
--- a/rockbarrow/entry/ports.go
+++ b/rockbarrow/entry/ports.go
@@ -34,6 +34,13 @@
 	Budget                  uint64
 	// Prompt and Most are the tokens of the prompt, and of the longest answer.
 	Prompt, Most uint64
+	// LastEvent is the id of the last event that the client has of an earlier answer to
+	// the same request, or "".
+	LastEvent string
+	// Finish is the time left on arrival until the program should be over, where
+	// HasFinish says that the client told it.
+	Finish    time.Duration
+	HasFinish bool
 	// Affinity names the object that the request is about, or is "".
 	Affinity string
 }
@@ -52,6 +59,8 @@
 	Connections int
 	// Stream is true if the answer comes in events.
 	Stream bool
+	// After is the id of the event after which the answer is to go on, or "".
+	After string
 }
 
 // Answer is what an endpoint answered.
--- a/rockbarrow/entry/scanner.go
+++ b/rockbarrow/entry/scanner.go
@@ -2,18 +2,37 @@
 
 package entry
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+)
 
-// scanner reads the data of server-sent events as their bytes pass by.
+// scanner reads server-sent events as their bytes pass by, and gives them out whole.
+// An answer may come from several endpoints one after another: what an earlier one has
+// given is not given again. The zero value is ready.
 type scanner struct {
 	// output is the data of all events, each with a line feed behind it.
 	output []byte
 	// count is the number of whole events.
 	count int
+	// last is the id of the last event that the client has, or "".
+	last string
 
-	line []byte
-	// data is true if the present event has data.
-	data bool
+	// ready are the bytes of whole events that were not taken yet; block are those of
+	// the event under way.
+	ready, block []byte
+	line         []byte
+	// id and data belong to the event under way; hasData is true if it has data.
+	id      string
+	data    []byte
+	hasData bool
+}
+
+// begin is called before the bytes of each endpoint. The event that the one before
+// stopped in is forgotten.
+func (s *scanner) begin() {
+	s.block, s.line, s.data = s.block[:0], s.line[:0], s.data[:0]
+	s.id, s.hasData = "", false
 }
 
 // scan takes the next bytes.
@@ -22,32 +41,68 @@
 		i := bytes.IndexByte(b, '\n')
 		if i < 0 {
 			s.line = append(s.line, b...)
+			s.block = append(s.block, b...)
 			return
 		}
 		s.line = append(s.line, b[:i]...)
+		s.block = append(s.block, b[:i+1]...)
 		s.endLine(bytes.TrimSuffix(s.line, []byte("\r")))
 		s.line = s.line[:0]
 		b = b[i+1:]
 	}
 }
 
+// take returns the bytes of the events that have become whole since the last call.
+// They are valid until the next scan.
+func (s *scanner) take() []byte {
+	out := s.ready
+	s.ready = s.ready[:0]
+	return out
+}
+
 func (s *scanner) endLine(line []byte) {
 	if len(line) == 0 {
-		if s.data {
-			s.count++
-		}
-		s.data = false
+		s.endEvent()
+		return
+	}
+	if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
+		s.id = string(bytes.TrimSpace(value))
 		return
 	}
 	value, ok := bytes.CutPrefix(line, []byte("data:"))
 	if !ok {
 		return
 	}
-	s.data = true
-	s.output = append(s.output, bytes.TrimPrefix(value, []byte(" "))...)
-	s.output = append(s.output, '\n')
+	s.hasData = true
+	s.data = append(s.data, bytes.TrimPrefix(value, []byte(" "))...)
+	s.data = append(s.data, '\n')
+}
+
+func (s *scanner) endEvent() {
+	if !s.hasData || !given(s.id, s.last) {
+		s.ready = append(s.ready, s.block...)
+		if s.hasData {
+			s.count++
+			s.output = append(s.output, s.data...)
+		}
+		if s.id != "" {
+			s.last = s.id
+		}
+	}
+	s.block, s.data = s.block[:0], s.data[:0]
+	s.id, s.hasData = "", false
+}
+
+// given reports whether an event was given before: ids of events rise.
+func given(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 63)
+	if err != nil {
+		return false
+	}
+	m, err := strconv.ParseUint(last, 10, 63)
+	return err == nil && n <= m
 }
 
-// whole reports whether the bytes end between two events, of which there is one
+// whole reports whether the bytes end between two events, of which the client has one
 // at least.
-func (s *scanner) whole() bool { return s.count > 0 && !s.data && len(s.line) == 0 }
+func (s *scanner) whole() bool { return (s.count > 0 || s.last != "") && len(s.block) == 0 }
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -4,13 +4,11 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -23,30 +21,25 @@
 	// Else it may take what is left: an answer whose turn is not stored has
 	// nothing to fall back on and is cut off.
 	settleAtLeast = time.Second
-	// readSize in bytes holds some events of a stream.
-	readSize = 4 << 10
 )
 
-// turn serves one turn of a program.
-func (x *exchange) turn(ctx context.Context) Outcome {
-	t := x.reservation()
-	grant, o := x.reserve(ctx, t)
+// prepare makes ready what is offered: tokens are reserved, and the prompt is made.
+func (x *exchange) prepare(ctx context.Context) Outcome {
+	x.body = x.request.Body
+	if !x.way.reserved {
+		return nil
+	}
+	grant, o := x.reserve(ctx, x.reservation())
 	if o != nil {
 		return o
 	}
-	body := x.prompt(grant)
-	for {
-		answer, done, err := x.offer(ctx, body)
-		if err == nil {
-			return x.stream(ctx, t, grant, answer, done)
-		}
-		if o := x.stop(ctx, err); o != nil {
-			if x.runs == 0 {
-				x.entry.Stores.Void(ctx, grant)
-			}
-			return o
-		}
+	x.grant = grant
+	if x.way.history {
+		x.body = x.prompt(grant)
+	} else {
+		x.last = x.entry.lines.find(x.request.Program, x.request.Line, grant.Endpoint())
 	}
+	return nil
 }
 
 func (x *exchange) reservation() stores.Turn {
@@ -59,6 +52,9 @@
 		// A turn outside any program is a program of its own.
 		t.Program = r.ID
 	}
+	if !x.way.history {
+		t.Previous = ""
+	}
 	return t
 }
 
@@ -100,52 +96,35 @@
 	return append(body, x.request.Body...)
 }
 
-// stream passes the events on and stores the turn before the answer ends.
-func (x *exchange) stream(ctx context.Context, t stores.Turn, g *stores.Grant, a *Answer, done func(placement.Result)) Outcome {
-	defer a.Body.Close()
-	x.status = a.Status
-	x.out.Start(a.Status, a.Header, -1)
-	var events scanner
-	buf := make([]byte, readSize)
-	for {
-		n, err := a.Body.Read(buf)
-		events.scan(buf[:n])
-		if n > 0 {
-			if failed := x.out.Write(buf[:n]); failed != nil {
-				done(placement.Result{OK: true})
-				return Cut{Reason: "the client left: " + failed.Error()}
-			}
-		}
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			done(placement.Result{OK: ctx.Err() != nil})
-			return Cut{Reason: "the endpoint's stream broke off: " + err.Error()}
-		}
+// settle ends a reservation as the request has ended. A turn whose history is kept is
+// stored before its answer ends; what only counts tokens is settled in the background,
+// since a reservation that is not settled counts at its most.
+func (x *exchange) settle(ctx context.Context, o Outcome) Outcome {
+	if x.grant == nil {
+		return o
+	}
+	_, answered := o.(Answered)
+	switch {
+	case !x.ran:
+		x.entry.Stores.Void(ctx, x.grant)
+	case x.started && answered && x.way.history:
+		return x.keep(ctx)
+	case x.started || answered:
+		x.entry.lines.add(x.request.Program, x.request.Line, x.endpoint)
+		x.entry.Stores.SettleLater(ctx, x.grant, x.spent(answered), x.endpoint)
 	}
-	done(placement.Result{OK: a.Status < http.StatusInternalServerError})
-	return x.settle(ctx, t, g, a, &events)
+	return o
 }
 
-// settle stores the outcome of a stream that ended.
-func (x *exchange) settle(ctx context.Context, t stores.Turn, g *stores.Grant, a *Answer, events *scanner) Outcome {
-	if a.Status != http.StatusOK {
-		if a.Status < http.StatusInternalServerError {
-			x.entry.Stores.Void(ctx, g)
-		}
-		return Answered{}
-	}
-	if !events.whole() {
-		return Cut{Reason: "the endpoint's stream ended inside an event"}
-	}
+// keep stores a turn that was answered whole.
+func (x *exchange) keep(ctx context.Context) Outcome {
 	start := time.Now()
 	defer func() { x.own += time.Since(start) }()
 	// The client may leave now; the turn has run all the same.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(settleAtLeast, time.Until(x.deadline)))
 	defer cancel()
-	err := x.entry.Stores.Settle(ctx, g, x.spent(t, events), &fleetpb.Turn{
-		Id: t.ID, Previous: t.Previous, Home: g.Home(), Input: x.request.Body, Output: events.output,
+	err := x.entry.Stores.Settle(ctx, x.grant, x.spent(true), &fleetpb.Turn{
+		Id: x.request.ID, Previous: x.request.Previous, Home: x.grant.Home(), Input: x.request.Body, Output: x.events.output,
 		Endpoint: x.endpoint, RetainMs: x.route.GetRetainMs(),
 	})
 	if err != nil {
@@ -154,11 +133,19 @@
 	return Answered{}
 }
 
-// spent is the true count of tokens.
-func (x *exchange) spent(t stores.Turn, events *scanner) uint64 {
+// spent is the count of tokens: those of the events that came, and of one more that was
+// under way where a stream broke off. An answer that is not events has none unless it
+// is a success, of which only the most is known.
+func (x *exchange) spent(whole bool) uint64 {
+	most := x.request.Most
 	each := uint64(x.service.GetTokensPerEvent())
-	if each == 0 {
-		return t.Most
+	switch {
+	case !x.started && x.status >= http.StatusBadRequest:
+		return 0
+	case !x.started || each == 0:
+		return most
+	case whole:
+		return each * uint64(x.events.count)
 	}
-	return each * uint64(events.count)
+	return min(most, each*uint64(x.events.count+1))
 }
--- a/rockbarrow/ledger/book.go
+++ b/rockbarrow/ledger/book.go
@@ -29,9 +29,11 @@
 // it is.
 type program struct {
 	reservations map[string]*fleetpb.Reservation
-	turns        []*fleetpb.Turn
-	retain       time.Duration
-	touched      time.Time
+	// endpoint served the turn that was settled last, or is "".
+	endpoint string
+	turns    []*fleetpb.Turn
+	retain   time.Duration
+	touched  time.Time
 }
 
 // Apply takes a record and reports whether it told anything new.
@@ -51,6 +53,9 @@
 	old := p.reservations[own.GetTurn()]
 	joined := join(old, own)
 	p.reservations[own.GetTurn()] = joined
+	if own.GetEndpoint() != "" {
+		p.endpoint = own.GetEndpoint()
+	}
 	return old == nil || joined != old
 }
 
@@ -96,6 +101,16 @@
 	return out
 }
 
+// Endpoint returns the endpoint that served a program's turn that was settled last, or
+// "".
+func (b *Book) Endpoint(name string) string {
+	p := b.programs[name]
+	if p == nil {
+		return ""
+	}
+	return p.endpoint
+}
+
 // Has reports whether a turn is held.
 func (b *Book) Has(turn string) bool { return b.turns[turn] != nil }
 
--- a/rockbarrow/store/calls.go
+++ b/rockbarrow/store/calls.go
@@ -25,6 +25,7 @@
 	reply := &fleetpb.ReserveReply{
 		Status:       st,
 		Reservations: s.book.Reservations(req.GetProgram()),
+		Endpoint:     s.book.Endpoint(req.GetProgram()),
 		Found:        req.GetPrevious() != "" && s.book.Has(req.GetPrevious()),
 	}
 	if req.GetChain() && reply.Found {
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -60,11 +60,16 @@
 	// history are the turns before it, oldest first.
 	history []*fleetpb.Turn
 	home    string
+	// endpoint served a turn of the program lately, or is "".
+	endpoint string
 }
 
 // History returns the turns before, oldest first.
 func (g *Grant) History() []*fleetpb.Turn { return g.history }
 
+// Endpoint returns the endpoint that served the program lately, or "".
+func (g *Grant) Endpoint() string { return g.endpoint }
+
 // Home returns the program whose stores keep the chain.
 func (g *Grant) Home() string { return g.home }
 
@@ -85,9 +90,10 @@
 }
 
 func (c *Client) reserve(ctx context.Context, t Turn) (*Grant, error) {
-	var used uint64
+	g := &Grant{turn: t, home: t.Program}
 	seen := newSeen(c.Turns)
-	if err := c.reserveTokens(ctx, t, seen, &used); err != nil {
+	used, err := c.reserveTokens(ctx, g, seen)
+	if err != nil {
 		c.void(ctx, t)
 		return nil, err
 	}
@@ -95,7 +101,6 @@
 		c.void(ctx, t)
 		return nil, &OverBudgetError{Budget: t.Budget, Used: used, Most: t.Most}
 	}
-	g := &Grant{turn: t, home: t.Program}
 	if t.Previous == "" {
 		return g, nil
 	}
@@ -110,7 +115,8 @@
 
 // reserveTokens writes the reservation on a majority and learns what the other
 // turns have used.
-func (c *Client) reserveTokens(ctx context.Context, t Turn, seen *seen, used *uint64) error {
+func (c *Client) reserveTokens(ctx context.Context, g *Grant, seen *seen) (used uint64, err error) {
+	t := g.turn
 	for {
 		view := c.Watch.State().GetView()
 		tally := ledger.NewTally(view, t.Program)
@@ -128,13 +134,15 @@
 			func(r *fleetpb.ReserveReply) {
 				total.Add(r.GetReservations())
 				seen.add(r.GetChain())
+				if r.GetEndpoint() != "" {
+					g.endpoint = r.GetEndpoint()
+				}
 			})
 		if got == reached {
-			*used = total.Others(t.reservation)
-			return nil
+			return total.Others(t.reservation), nil
 		}
 		if got == expired || !again(ctx) {
-			return &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
+			return 0, &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
 		}
 	}
 }
@@ -156,26 +164,43 @@
 // the background: until it is done, the program's budget is a little smaller.
 func (c *Client) Void(ctx context.Context, g *Grant) { c.void(ctx, g.turn) }
 
-func (c *Client) void(ctx context.Context, t Turn) {
-	v := &voiding{client: c, turn: t}
-	go v.run(context.WithoutCancel(ctx))
+func (c *Client) void(ctx context.Context, t Turn) { c.settleLater(ctx, t, 0, "") }
+
+// SettleLater stores in the background what a turn has spent that is not kept itself,
+// and which endpoint served it. Until it is done, the reservation counts at its most.
+func (c *Client) SettleLater(ctx context.Context, g *Grant, spent uint64, endpoint string) {
+	c.settleLater(ctx, g.turn, spent, endpoint)
+}
+
+func (c *Client) settleLater(ctx context.Context, t Turn, spent uint64, endpoint string) {
+	s := &settling{client: c, turn: t, spent: spent, endpoint: endpoint}
+	go s.run(context.WithoutCancel(ctx))
 }
 
-type voiding struct {
-	client *Client
-	turn   Turn
+// settling is a settlement in the background.
+type settling struct {
+	client   *Client
+	turn     Turn
+	spent    uint64
+	endpoint string
 }
 
-func (v *voiding) run(ctx context.Context) {
+func (s *settling) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
-	err := v.client.write(ctx, v.turn.Program, &fleetpb.SettleRequest{
-		Program: v.turn.Program, Reservation: &fleetpb.Reservation{Turn: v.turn.reservation, Settled: true},
-		RetainMs: uint64(v.turn.Retain.Milliseconds()),
-	})
+	err := s.client.write(ctx, s.turn.Program, s.turn.settled(s.spent, s.endpoint))
 	if err != nil {
-		v.client.Watch.Log.WithError(err).WithField("request", v.turn.ID).
-			Warn("a reservation was not given back")
+		s.client.Watch.Log.WithError(err).WithField("request", s.turn.ID).
+			Warn("a reservation was not settled and counts at its most")
+	}
+}
+
+// settled is the record that ends a turn's reservation.
+func (t Turn) settled(spent uint64, endpoint string) *fleetpb.SettleRequest {
+	return &fleetpb.SettleRequest{
+		Program:     t.Program,
+		Reservation: &fleetpb.Reservation{Turn: t.reservation, Tokens: spent, Settled: true, Endpoint: endpoint},
+		RetainMs:    uint64(t.Retain.Milliseconds()),
 	}
 }
 
@@ -183,11 +208,7 @@
 // itself, durably.
 func (c *Client) Settle(ctx context.Context, g *Grant, spent uint64, done *fleetpb.Turn) error {
 	t := g.turn
-	req := &fleetpb.SettleRequest{
-		Program:     t.Program,
-		Reservation: &fleetpb.Reservation{Turn: t.reservation, Tokens: spent, Settled: true},
-		RetainMs:    uint64(t.Retain.Milliseconds()),
-	}
+	req := t.settled(spent, done.GetEndpoint())
 	if done != nil && done.GetHome() != t.Program {
 		// The chain belongs to an earlier program, whose stores keep it.
 		if err := c.write(ctx, done.GetHome(), &fleetpb.SettleRequest{Turn: done}); err != nil {
