placement: a run does not leave its endpoint for its load

Cause: a run left its endpoint once nine tenths of the places were taken.

Change: load is no reason to leave; failures, silence and cuts are, and an endpoint that refuses the call.

--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -11,10 +11,6 @@
 )
 
 const (
-	// crowded is the share of its places that the run's last endpoint may have
-	// taken before another one is better: reading the prompt again costs less
-	// than a full batch.
-	crowded = 0.9
 	// farther is what another failure domain adds to a load, as a share of an
 	// endpoint's places, for calls without a prompt: their time does not depend on
 	// the load while places are free, and what stays inside is not lost in a cut.
@@ -74,7 +70,9 @@
 }
 
 // mayKeep reports whether a run's last endpoint is good enough to keep the run, so that
-// no other one has to read its prompt.
+// no other one has to read its prompt. Its load is no reason to leave: a prompt that is
+// read elsewhere holds up every call of the batch there, and the cache that it fills
+// belonged to another run, which then moves too (docs/POLICY.md).
 func (e *Endpoint) mayKeep(now int64, req Request) bool {
 	switch {
 	case avoided(req, e.name), slices.Contains(req.AvoidDomains, e.domain):
@@ -82,7 +80,7 @@
 	case !e.open(now), e.silent(now):
 		return false
 	}
-	return e.taken(now) < crowded && e.others.failingAt(now) < failingLeave
+	return e.others.failingAt(now) < failingLeave
 }
 
 // draws is how many open endpoints of the own domain, and how many of all, are
