limiter, entry: programs are admitted, not calls

Change: a limiter for each service of model engines at each entry instance, stepped and without I/O. Turns of programs under way go first, the least time left before others; new programs start while the root of the places is free for these turns, and are refused at once, before they are held, when new ones have begun too seldom lately; late programs come last. Places are what other instances leave of slots and their root, at least an even share. Refused clients are told to come back one after another.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -57,6 +57,7 @@
 	stopped atomic.Bool
 	domains domains
 	lines   lines
+	gates   gates
 	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
 	// zero while they are reached.
 	lostSince atomic.Int64
@@ -297,7 +298,7 @@
 		"request": r.ID, "program": r.Program, "previous": r.Previous, "route": x.route.GetName(),
 		"service": x.service.GetName(), "endpoint": x.endpoint, "offers": x.offers, "status": status,
 		"reason": reason, "config_version": x.table.Version(), "list": x.list, "list_age_ms": x.listAge,
-		"took_ms": took.Milliseconds(), "own_ms": x.own.Milliseconds(),
+		"took_ms": took.Milliseconds(), "own_ms": x.own.Milliseconds(), "waited_ms": x.waited.Milliseconds(), "left_ms": r.Finish.Milliseconds(),
 	}).Log(level, "request ended")
 	return o
 }
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -59,6 +59,8 @@
 	listAge  int64
 	// own is the time spent here and on the stores, without the endpoints.
 	own time.Duration
+	// waited is the time spent waiting for a place.
+	waited time.Duration
 }
 
 // splitKey keeps a program's turns on one service while the weights stay.
@@ -83,6 +85,13 @@
 	if o := x.prepare(ctx); o != nil {
 		return o
 	}
+	begun := time.Now()
+	leave, o := x.admit(ctx)
+	x.waited = time.Since(begun)
+	if o != nil {
+		return x.settle(ctx, o)
+	}
+	defer leave()
 	for {
 		o, err := x.attempt(ctx)
 		if err != nil {
--- /dev/null
+++ b/rockbarrow/entry/gate.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/limiter"
+	"rockbarrow.dev/rockbarrow/placement"
+)
+
+// resizeEvery is how often the places of a service are counted anew: a few times for
+// each word of other instances, which comes each 0.3 s.
+const resizeEvery = 50 * time.Millisecond
+
+// gates holds the limiter of each service of model engines. The zero value is ready.
+type gates struct {
+	mu        sync.Mutex
+	byService map[string]*gate
+}
+
+func (s *gates) of(service string) *gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.byService == nil {
+		s.byService = map[string]*gate{}
+	}
+	if s.byService[service] == nil {
+		s.byService[service] = &gate{waiting: map[limiter.ID]chan limiter.Action{}}
+	}
+	return s.byService[service]
+}
+
+// gate is the limiter of one service, with the requests that wait at it.
+type gate struct {
+	mu   sync.Mutex
+	core limiter.Limiter
+	next limiter.ID
+	// waiting holds a channel with room for the one action that a request gets.
+	waiting map[limiter.ID]chan limiter.Action
+	resized time.Time
+}
+
+// enter waits for a place. The returned function gives it back; it is nil if there is
+// none, and the action then says why: [limiter.Reject], or nil once ctx has ended.
+func (g *gate) enter(ctx context.Context, places func() int, a limiter.Arrived) (func(), limiter.Action) {
+	answer := make(chan limiter.Action, 1)
+	g.mu.Lock()
+	g.next++
+	a.ID = g.next
+	g.waiting[a.ID] = answer
+	now := time.Now()
+	if now.Sub(g.resized) > resizeEvery {
+		g.resized = now
+		g.handle(now, limiter.Resized{Places: places()})
+	}
+	g.handle(now, a)
+	g.mu.Unlock()
+	leave := func() { g.event(limiter.Finished{ID: a.ID}) }
+	select {
+	case act := <-answer:
+		if _, ok := act.(limiter.Start); ok {
+			return leave, act
+		}
+		return nil, act
+	case <-ctx.Done():
+	}
+	g.event(limiter.Withdrawn{ID: a.ID})
+	select {
+	case act := <-answer:
+		// It came in the same moment.
+		if _, ok := act.(limiter.Start); ok {
+			leave()
+		}
+	default:
+	}
+	return nil, nil
+}
+
+func (g *gate) event(e limiter.Event) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if w, ok := e.(limiter.Withdrawn); ok {
+		delete(g.waiting, w.ID)
+	}
+	g.handle(time.Now(), e)
+}
+
+// handle passes actions on; the caller holds mu.
+func (g *gate) handle(now time.Time, e limiter.Event) {
+	for _, act := range g.core.Handle(now, e) {
+		var id limiter.ID
+		switch act := act.(type) {
+		case limiter.Start:
+			id = act.ID
+		case limiter.Reject:
+			id = act.ID
+		}
+		if answer := g.waiting[id]; answer != nil {
+			answer <- act
+			delete(g.waiting, id)
+		}
+	}
+}
+
+// admit waits until the request may be at an endpoint. The returned function gives its
+// place back; without one the outcome says what the client hears.
+func (x *exchange) admit(ctx context.Context) (func(), Outcome) {
+	if !x.way.streamed || x.service.GetSlots() == 0 {
+		return func() {}, nil
+	}
+	r := x.request
+	spent := time.Since(r.Arrived)
+	leave, act := x.entry.gates.of(x.service.GetName()).enter(ctx, x.places, limiter.Arrived{
+		Underway: r.Previous != "" || x.last != "" || r.LastEvent != "",
+		Left:     r.Finish - spent, Timed: r.HasFinish,
+		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent,
+		Priority: x.route.GetPriority(),
+	})
+	if leave != nil {
+		return leave, nil
+	}
+	if reject, ok := act.(limiter.Reject); ok {
+		return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: reject.RetryAfter, Reason: "all places at endpoints are taken by programs under way"}
+	}
+	return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: later, Reason: "no place at an endpoint within its time"}
+}
+
+// places is how many requests this instance may have at the service's endpoints.
+func (x *exchange) places() int {
+	f := x.entry.fleet.Load()
+	return f.Places(time.Now(), placement.Class{Service: x.service.GetName()}, x.entry.Watch.Entries())
+}
--- /dev/null
+++ b/rockbarrow/entry/gate_test.go
@@ -0,0 +1,81 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// TestABusyServiceTakesTurnsBeforeNewPrograms: while all places are taken, a new program
+// is told at once when to come back and costs nothing, and a turn of a program under way
+// waits and goes first.
+func TestABusyServiceTakesTurnsBeforeNewPrograms(t *testing.T) {
+	view := startStores(t)
+	asked, release := make(chan string, 100), make(chan struct{})
+	e := newStreamEntry(t, view, senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
+		asked <- o.Request.Program
+		select {
+		case <-release:
+		case <-ctx.Done():
+		}
+		return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(events(1, 3)))}, nil
+	}))
+	e.Decode = func([]byte) (*fleetpb.Document, error) {
+		d := streams()
+		d.Version, d.Services[0].Slots = 2, 1
+		return d, nil
+	}
+	e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
+	e.refresh()
+	ended := make(chan Outcome, 100)
+	ask := func(n int, program string) {
+		go func() {
+			ended <- e.Serve(t.Context(), turnOf("r", fmt.Sprint("gate", n), program, 10_000), &fakeOut{})
+		}()
+	}
+	// Three endpoints of four places.
+	e.lines.add("known", "", "x")
+	const places = 12
+	for n := range places {
+		ask(n, "known")
+		<-asked
+	}
+	ask(places, "known")
+	awaitWaiting(t, e)
+	ask(1000, "new")
+	o, ok := (<-ended).(Refused)
+	if !ok || o.Status != http.StatusServiceUnavailable || o.RetryAfter <= 0 {
+		t.Fatalf("%#v, want a refusal with a time to come back", o)
+	}
+	release <- struct{}{}
+	if got := <-asked; got != "known" {
+		t.Errorf("%s went on", got)
+	}
+	close(release)
+	for range places + 1 {
+		if o := <-ended; o != (Answered{}) {
+			t.Errorf("%#v", o)
+		}
+	}
+}
+
+// awaitWaiting returns once a request waits for a place.
+func awaitWaiting(t *testing.T, e *Entry) {
+	g := e.gates.of("s")
+	for t.Context().Err() == nil {
+		g.mu.Lock()
+		n := g.core.Waiting()
+		g.mu.Unlock()
+		if n > 0 {
+			return
+		}
+		pauseBriefly()
+	}
+}
--- a/rockbarrow/entry/way_test.go
+++ b/rockbarrow/entry/way_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/uber-go/tally/v4"
 
@@ -297,3 +298,6 @@
 		awaitSettled(t, e, "void", 0)
 	}
 }
+
+// pauseBriefly lets other goroutines go on.
+func pauseBriefly() { <-time.After(time.Millisecond) }
--- /dev/null
+++ b/rockbarrow/limiter/event.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: MIT
+
+package limiter
+
+import "time"
+
+// ID is the caller's name for a request.
+type ID uint64
+
+// Event is what a [Limiter] handles: [Arrived], [Finished], [Withdrawn] or [Resized].
+type Event interface{ event() }
+
+// Arrived is a request that wants a place.
+type Arrived struct {
+	ID ID
+	// Underway is true if a turn of its program was served before.
+	Underway bool
+	// Left is the time until its program should be over, where Timed says that it is
+	// known.
+	Left  time.Duration
+	Timed bool
+	// Patience is how long a new program may wait and still be worth it.
+	Patience time.Duration
+	// Priority 0 is the most urgent.
+	Priority uint32
+}
+
+// Finished is a request that has given its place back.
+type Finished struct{ ID ID }
+
+// Withdrawn is a request that no longer waits: its client left or its time is over.
+type Withdrawn struct{ ID ID }
+
+// Resized tells how many places there are for this instance.
+type Resized struct{ Places int }
+
+func (Arrived) event()   {}
+func (Finished) event()  {}
+func (Withdrawn) event() {}
+func (Resized) event()   {}
+
+// Action is what a [Limiter] wants done: [Start] or [Reject].
+type Action interface{ action() }
+
+// Start gives a request its place.
+type Start struct{ ID ID }
+
+// Reject tells a client that its request did not run.
+type Reject struct {
+	ID ID
+	// RetryAfter is when there is likely to be a place.
+	RetryAfter time.Duration
+}
+
+func (Start) action()  {}
+func (Reject) action() {}
--- /dev/null
+++ b/rockbarrow/limiter/limiter.go
@@ -0,0 +1,173 @@
+// SPDX-License-Identifier: MIT
+
+package limiter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Limiter admits requests to the places of one service. The zero value has no places
+// until it is [Resized].
+type Limiter struct {
+	places  int
+	running map[ID]bool
+	// waiting is ordered by before: the one that starts next is the first.
+	waiting []*waiter
+	// arrivals numbers the requests, so that equal ones keep their order.
+	arrivals uint64
+	// begun are the starts of new programs.
+	begun rate
+	// due is when the last client that was rejected is to come back.
+	due time.Time
+}
+
+// group is the first part of the order in which requests start.
+type group int
+
+const (
+	// underway are turns of programs that can still be in time.
+	underway group = iota
+	// fresh are first turns.
+	fresh
+	// late are turns of programs whose time is over. They start when nobody else waits.
+	late
+)
+
+type waiter struct {
+	id       ID
+	group    group
+	priority uint32
+	// due is when the program should be over; programs that did not say have none.
+	due     time.Time
+	arrival uint64
+}
+
+// before orders waiting requests.
+func before(a, b *waiter) int {
+	if c := cmp.Compare(a.group, b.group); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(a.priority, b.priority); c != 0 && a.group == fresh {
+		return c
+	}
+	if c := a.due.Compare(b.due); c != 0 && a.group == underway {
+		return c
+	}
+	return cmp.Compare(a.arrival, b.arrival)
+}
+
+// Handle takes an event and returns what is to be done about it.
+func (l *Limiter) Handle(now time.Time, e Event) []Action {
+	switch e := e.(type) {
+	case Arrived:
+		return l.arrive(now, e)
+	case Finished:
+		delete(l.running, e.ID)
+		return l.fill(now)
+	case Withdrawn:
+		l.drop(e.ID)
+		return nil
+	case Resized:
+		l.places = e.Places
+		return l.fill(now)
+	}
+	return nil
+}
+
+// Running returns the number of requests that have places, Waiting of those that wait.
+func (l *Limiter) Running() int { return len(l.running) }
+
+// Waiting returns the number of requests that wait.
+func (l *Limiter) Waiting() int { return len(l.waiting) }
+
+func (l *Limiter) arrive(now time.Time, e Arrived) []Action {
+	l.arrivals++
+	w := &waiter{id: e.ID, group: groupOf(e), priority: e.Priority, arrival: l.arrivals}
+	if e.Timed {
+		w.due = now.Add(e.Left)
+	}
+	at, _ := slices.BinarySearchFunc(l.waiting, w, before)
+	if w.group == fresh && (at > 0 || !l.room(fresh)) {
+		if wait := l.expect(now, at); wait > e.Patience {
+			return []Action{Reject{ID: e.ID, RetryAfter: l.comeBack(now, wait)}}
+		}
+	}
+	l.waiting = slices.Insert(l.waiting, at, w)
+	return l.fill(now)
+}
+
+func groupOf(e Arrived) group {
+	switch {
+	case e.Timed && e.Left <= 0:
+		return late
+	case e.Underway:
+		return underway
+	}
+	return fresh
+}
+
+// fill starts waiting requests while there are places.
+func (l *Limiter) fill(now time.Time) []Action {
+	var out []Action
+	for len(l.waiting) > 0 && l.room(l.waiting[0].group) {
+		w := l.waiting[0]
+		l.waiting = l.waiting[1:]
+		if l.running == nil {
+			l.running = map[ID]bool{}
+		}
+		l.running[w.id] = true
+		if w.group == fresh {
+			l.begun.add(now)
+		}
+		out = append(out, Start{ID: w.id})
+	}
+	return out
+}
+
+// room reports whether a request may start now. All but turns of programs that can be
+// in time leave some places free: these turns come back from their pauses by chance, and
+// while n places are busy on average the number that wants one varies by the root of n.
+func (l *Limiter) room(g group) bool {
+	most := l.places
+	if g != underway {
+		most = max(min(1, most), most-int(math.Sqrt(float64(most))))
+	}
+	return len(l.running) < most
+}
+
+func (l *Limiter) drop(id ID) {
+	l.waiting = slices.DeleteFunc(l.waiting, func(w *waiter) bool { return w.id == id })
+}
+
+// longest bounds what a client is told to wait when nothing is known of how fast new
+// programs begin.
+const longest = 2 * time.Second
+
+// expect returns how long a new program would wait behind so many others. Turns of
+// programs under way go before it all the time, so that what counts is how often new
+// ones have begun lately.
+func (l *Limiter) expect(now time.Time, ahead int) time.Duration {
+	perSecond := l.begun.perSecond(now)
+	if perSecond == 0 {
+		return longest
+	}
+	return min(longest, time.Duration(float64(ahead+1)/perSecond*float64(time.Second)))
+}
+
+// comeBack spreads the clients that are rejected over the time to come, in the order in
+// which they were, as fast as new programs begin.
+func (l *Limiter) comeBack(now time.Time, wait time.Duration) time.Duration {
+	step := l.expect(now, 0)
+	next := now.Add(wait)
+	if after := l.due.Add(step); after.After(next) {
+		next = after
+	}
+	if next.After(now.Add(longest)) {
+		next = now.Add(longest)
+	}
+	l.due = next
+	return next.Sub(now)
+}
--- /dev/null
+++ b/rockbarrow/limiter/limiter_test.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: MIT
+
+package limiter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+// ids returns the requests that are started, and the rejection if there is one.
+func ids(actions []Action) (started []ID, rejected *Reject) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Start:
+			started = append(started, a.ID)
+		case Reject:
+			rejected = &a
+		}
+	}
+	return started, rejected
+}
+
+func fresh1(id ID, patience time.Duration) Arrived { return Arrived{ID: id, Patience: patience} }
+
+func underway1(id ID, left time.Duration) Arrived {
+	return Arrived{ID: id, Underway: true, Timed: true, Left: left}
+}
+
+func TestTurnsOfProgramsUnderWayGoFirst(t *testing.T) {
+	var l Limiter
+	l.Handle(start, Resized{Places: 1})
+	l.Handle(start, fresh1(1, time.Second))
+	for _, a := range []Arrived{
+		{ID: 2, Timed: true, Left: time.Minute, Patience: time.Hour, Priority: 1},
+		{ID: 3, Timed: true, Left: time.Minute, Patience: time.Hour},
+		{ID: 4, Timed: true, Underway: true},
+		underway1(5, 2*time.Second), underway1(6, time.Second),
+	} {
+		if started, rejected := ids(l.Handle(start, a)); started != nil || rejected != nil {
+			t.Fatalf("%d: started %v, rejected %v", a.ID, started, rejected)
+		}
+	}
+	// The least time left first, then new programs by priority, then those that are late.
+	running := ID(1)
+	for _, want := range []ID{6, 5, 3, 2, 4} {
+		started, _ := ids(l.Handle(start, Finished{ID: running}))
+		if len(started) != 1 || started[0] != want {
+			t.Fatalf("started %v, want %d", started, want)
+		}
+		running = want
+	}
+}
+
+func TestANewProgramIsRejectedOnceItWouldWaitTooLong(t *testing.T) {
+	var l Limiter
+	l.Handle(start, Resized{Places: 9})
+	// Six new programs a second begin: three of nine places are kept for turns.
+	for id := range ID(6) {
+		if started, _ := ids(l.Handle(start, fresh1(id, 400*time.Millisecond))); len(started) != 1 {
+			t.Fatalf("%d did not start", id)
+		}
+	}
+	var told []time.Duration
+	for id := ID(6); id < 12; id++ {
+		started, rejected := ids(l.Handle(start, fresh1(id, 400*time.Millisecond)))
+		if started != nil {
+			t.Fatalf("%d started", id)
+		}
+		if rejected != nil {
+			told = append(told, rejected.RetryAfter.Round(time.Millisecond))
+		}
+	}
+	if l.Waiting() != 2 || len(told) != 4 {
+		t.Fatalf("%d wait, told %v", l.Waiting(), told)
+	}
+	for i := 1; i < len(told); i++ {
+		if told[i] < told[i-1] || told[i] > longest {
+			t.Errorf("told %v, want them to come back one after another", told)
+		}
+	}
+	if started, _ := ids(l.Handle(start, underway1(12, time.Second))); len(started) != 1 {
+		t.Error("a turn found no place among those that are kept for it")
+	}
+}
+
+func TestMorePlacesStartThoseWhoWait(t *testing.T) {
+	var l Limiter
+	l.Handle(start, underway1(1, time.Second))
+	l.Handle(start, underway1(2, time.Second))
+	l.Handle(start, Withdrawn{ID: 1})
+	started, _ := ids(l.Handle(start, Resized{Places: 4}))
+	if len(started) != 1 || started[0] != 2 {
+		t.Errorf("started %v", started)
+	}
+}
+
+// TestRandomRequests checks over random schedules that no more than the places are
+// taken, that nobody waits while there is room, that nobody is rejected while there is
+// room, that turns are never rejected, and that all end.
+func TestRandomRequests(t *testing.T) {
+	for seed := range uint64(200) {
+		runSchedule(t, rand.New(rand.NewPCG(seed, 7)))
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+// FuzzSchedules runs the same checks over schedules that the fuzzer draws.
+func FuzzSchedules(f *testing.F) {
+	f.Add(uint64(1), uint64(2))
+	f.Fuzz(func(t *testing.T, a, b uint64) { runSchedule(t, rand.New(rand.NewPCG(a, b))) })
+}
+
+// schedule is a limiter under a random sequence of events.
+type schedule struct {
+	t       *testing.T
+	l       Limiter
+	now     time.Time
+	places  int
+	running map[ID]bool
+	waiting map[ID]Arrived
+}
+
+func runSchedule(t *testing.T, r *rand.Rand) {
+	s := &schedule{t: t, now: start, running: map[ID]bool{}, waiting: map[ID]Arrived{}}
+	for id := ID(1); id < 120; id++ {
+		s.now = s.now.Add(time.Duration(r.IntN(20)) * time.Millisecond)
+		switch r.IntN(8) {
+		case 0:
+			s.places = r.IntN(12)
+			s.step(Resized{Places: s.places})
+		case 1, 2, 3:
+			s.finish(r)
+		case 4:
+			for id := range s.waiting {
+				delete(s.waiting, id)
+				s.step(Withdrawn{ID: id})
+				break
+			}
+		default:
+			a := Arrived{
+				ID: id, Underway: r.IntN(2) == 0, Timed: r.IntN(4) > 0, Left: time.Duration(r.IntN(2000)-200) * time.Millisecond,
+				Patience: time.Duration(r.IntN(500)) * time.Millisecond, Priority: uint32(r.IntN(3)),
+			}
+			s.waiting[id] = a
+			s.step(a)
+		}
+	}
+	s.places = 4
+	s.step(Resized{Places: 4})
+	for range 400 {
+		s.finish(r)
+	}
+	if len(s.waiting) > 0 || s.l.Waiting() > 0 {
+		t.Errorf("%d wait for ever", len(s.waiting))
+	}
+}
+
+func (s *schedule) finish(r *rand.Rand) {
+	n := r.IntN(len(s.running) + 1)
+	for id := range s.running {
+		if n--; n < 0 {
+			delete(s.running, id)
+			s.step(Finished{ID: id})
+			return
+		}
+	}
+}
+
+func (s *schedule) step(e Event) {
+	room := len(s.running) < s.places
+	for _, a := range s.l.Handle(s.now, e) {
+		switch a := a.(type) {
+		case Start:
+			if _, ok := s.waiting[a.ID]; !ok {
+				s.t.Errorf("%d was started and did not wait", a.ID)
+			}
+			delete(s.waiting, a.ID)
+			s.running[a.ID] = true
+			if len(s.running) > s.places {
+				s.t.Errorf("%d run in %d places", len(s.running), s.places)
+			}
+		case Reject:
+			w := s.waiting[a.ID]
+			if groupOf(w) == underway {
+				s.t.Error("a turn of a program under way was rejected")
+			}
+			if room && s.l.room(groupOf(w)) && len(s.waiting) == 1 {
+				s.t.Error("rejected while there was room and nobody waited")
+			}
+			delete(s.waiting, a.ID)
+		}
+	}
+	if s.l.Running() != len(s.running) || s.l.Waiting() != len(s.waiting) {
+		s.t.Errorf("%d run and %d wait, want %d and %d", s.l.Running(), s.l.Waiting(), len(s.running), len(s.waiting))
+	}
+	for id, w := range s.waiting {
+		if s.l.room(groupOf(w)) {
+			s.t.Errorf("%d waits while there is room", id)
+		}
+	}
+}
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -3,9 +3,11 @@
 package placement
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"time"
 
 	"rockbarrow.dev/schema/configpb"
 )
@@ -144,3 +146,26 @@
 func (e *Endpoint) taken(now int64) float64 {
 	return float64(e.underway.Load()+e.others.runningAt(now)) / float64(e.maxCalls())
 }
+
+// Places returns how many calls this instance may have at the usable endpoints of a
+// class, of which there are so many instances: what others leave, and at least an even
+// share, since others may not have heard of this instance's need.
+func (f *Fleet) Places(now time.Time, c Class, instances int) int {
+	at := now.UnixNano()
+	var all, slots, others int
+	for _, e := range f.classes[c] {
+		if e.Leaving() || at < e.ejectedUntil.Load() || e.silent(at) {
+			continue
+		}
+		n := int(e.maxCalls())
+		slots += n
+		all += n + queued(n)
+		others += int(e.others.runningAt(at))
+	}
+	return min(slots, max(1, all/instances, all-others))
+}
+
+// queued is how many calls may wait at an endpoint beside those that it runs. Calls are
+// not spread evenly: while endpoints have n each on average, that varies by the root of
+// n, and those with fewer would stand idle while others queue.
+func queued(n int) int { return int(math.Sqrt(float64(n))) }
