dial, entry: connections that fall silent without a reset are left

Cause: an open connection may fall silent for good while new ones work. Own processes kept such a connection, since gRPC pings no sooner than each 10 s: every call over it ran into its deadline, for ever where the other side still acknowledges bytes. To endpoints, an attempt of a repeatable call could take all of its time, and a stream that stood still was left to its client.

Change: a call that had no answer in its time on a connection that is up, and on which no other answer came since, makes the next call take a new one. All connections are probed each second while at rest, which ends those whose bytes nobody acknowledges. A repeatable plain call gives each attempt an even part of its time; a stream that may be resumed and stands still for a second goes on elsewhere.

Shown by TestASilentConnectionIsReplaced (a proxy that swallows, three times; without the change the fourth check ends with its deadline), TestARequestLeavesAnEndpointThatFallsSilent and TestAStreamThatStandsStillIsResumed.

--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -18,6 +18,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
 )
 
 const (
@@ -32,6 +33,16 @@
 	// firstPause and longestPause lie between attempts.
 	firstPause   = 50 * time.Millisecond
 	longestPause = 400 * time.Millisecond
+	// probeEvery is how often a connection at rest is probed, the shortest that the
+	// system allows. A connection may fall silent for good while new ones work.
+	probeEvery = time.Second
+	// pingEvery and pingWithin are how a server notices that a client's connection has
+	// fallen silent; the client notices sooner, by its calls.
+	pingEvery  = 10 * time.Second
+	pingWithin = 3 * time.Second
+	// lastCalls is how long calls under way on a silent connection may still end: longer
+	// than the time that any of them has.
+	lastCalls = time.Second
 	// bufferSize in bytes fits most messages; more would cost memory for each
 	// connection.
 	bufferSize = 8 << 10
@@ -76,6 +87,7 @@
 		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 		grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0),
+		grpc.WithUnaryInterceptor((&listener{pool: p, address: address}).call),
 	)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial: %s", address)
@@ -87,6 +99,18 @@
 	return c, nil
 }
 
+// replace makes the next call to an address go over a new connection. Calls under way on
+// the old one may still end.
+func (p *Pool) replace(address string, c *grpc.ClientConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == nil || p.conns[address].ClientConn != c {
+		return
+	}
+	delete(p.conns, address)
+	time.AfterFunc(lastCalls, func() { c.Close() })
+}
+
 // Sweep closes connections that were not used for long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
@@ -114,6 +138,7 @@
 	return grpc.NewServer(
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingWithin}),
 	)
 }
 
@@ -122,11 +147,11 @@
 }
 
 // Connect opens a TCP connection that ends once sent bytes stay unacknowledged
-// for a time.
+// for a time, or probes of a connection at rest do.
 func Connect(ctx context.Context, address string, dead time.Duration) (net.Conn, error) {
 	d := net.Dialer{
-		Timeout:   connectWithin,
-		KeepAlive: -1,
+		Timeout:         connectWithin,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: 1},
 		Control: func(_, _ string, c syscall.RawConn) error {
 			var set error
 			err := c.Control(func(fd uintptr) {
--- /dev/null
+++ b/rockbarrow/dial/silence_test.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+
+package dial
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/health"
+	"google.golang.org/grpc/health/grpc_health_v1"
+)
+
+// swallower is a proxy that passes bytes on until it is told to swallow those of the
+// connections that are open then. It goes on to acknowledge them, and new connections
+// work.
+type swallower struct {
+	net.Listener
+	to string
+	// generation counts how often it was told to swallow.
+	generation atomic.Int64
+}
+
+func (s *swallower) loop() {
+	for {
+		c, err := s.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", s.to)
+		if err != nil {
+			c.Close()
+			continue
+		}
+		go s.pass(out, c, s.generation.Load())
+		go s.pass(c, out, s.generation.Load())
+	}
+}
+
+func (s *swallower) pass(to, from net.Conn, generation int64) {
+	defer to.Close()
+	buf := make([]byte, 4096)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if s.generation.Load() != generation {
+			io.Copy(io.Discard, from)
+			return
+		}
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// TestASilentConnectionIsReplaced: one call is lost with the connection, the next one
+// is answered over a new one.
+func TestASilentConnectionIsReplaced(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := Server()
+	grpc_health_v1.RegisterHealthServer(g, health.NewServer())
+	go g.Serve(l)
+	t.Cleanup(g.Stop)
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &swallower{Listener: front, to: l.Addr().String()}
+	t.Cleanup(func() { s.Close() })
+	go s.loop()
+	pool := &Pool{}
+	t.Cleanup(pool.Close)
+	check := func(within time.Duration) error {
+		c, err := pool.Get(front.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), within)
+		defer cancel()
+		_, err = grpc_health_v1.NewHealthClient(c).Check(ctx, &grpc_health_v1.HealthCheckRequest{}, grpc.WaitForReady(true))
+		return err
+	}
+	for range 3 {
+		if err := check(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		s.generation.Add(1)
+		if err := check(50 * time.Millisecond); err == nil {
+			t.Fatal("a call was answered over a silent connection")
+		}
+	}
+	if err := check(10 * time.Second); err != nil {
+		t.Errorf("the silent connection was not replaced: %v", err)
+	}
+}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -106,16 +106,31 @@
 // attempt offers the request to one endpoint and passes its answer on. It returns an
 // error if the client has no whole answer yet.
 func (x *exchange) attempt(ctx context.Context) (Outcome, error) {
-	answer, done, err := x.offer(ctx)
+	try, cancel := x.within(ctx)
+	defer cancel()
+	answer, done, err := x.offer(ctx, try)
 	if err != nil {
 		return nil, err
 	}
 	if x.way.streamed && answer.Status == http.StatusOK {
-		return x.passEvents(ctx, answer, done)
+		stalls := x.watchPauses(cancel)
+		defer stalls.Stop()
+		return x.passEvents(ctx, answer, done, stalls)
 	}
 	return x.passWhole(answer, done)
 }
 
+// within bounds an attempt of a request that may run again: each of those that are left
+// gets an even part of the time, so that an endpoint or a connection that has fallen
+// silent does not take all of it. Streams show by their pauses that they stand still.
+func (x *exchange) within(ctx context.Context) (context.Context, context.CancelFunc) {
+	left := int(x.route.GetMaxAttempts()) - x.runs
+	if x.way.streamed || !x.way.repeatable || left < 2 {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(x.deadline)/time.Duration(left))
+}
+
 // choose takes a place at an endpoint.
 func (x *exchange) choose() (placement.Choice, bool) {
 	f := x.entry.fleet.Load()
@@ -134,8 +149,9 @@
 // source returns a generator of its own for each choice: a choice draws twice.
 func source() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// offer sends the request to the best endpoint. The place is given back by done.
-func (x *exchange) offer(ctx context.Context) (*Answer, func(placement.Result), error) {
+// offer sends the request to the best endpoint, which has until the end of try. The
+// place is given back by done.
+func (x *exchange) offer(ctx, try context.Context) (*Answer, func(placement.Result), error) {
 	choice, ok := x.choose()
 	if !ok {
 		return nil, nil, &NotRunError{Endpoint: "none", Reason: "no endpoint has room", Busy: true}
@@ -144,7 +160,7 @@
 	x.endpoint = p.Name()
 	x.offers++
 	sent := time.Now()
-	answer, err := x.entry.Sender.Send(ctx, Offer{
+	answer, err := x.entry.Sender.Send(try, Offer{
 		Request: x.request, Body: x.body, Endpoint: p.Config(), Deadline: x.deadline,
 		Priority: x.route.GetPriority(), Connections: x.connections(),
 		Stream: x.way.streamed, After: x.events.last,
--- a/rockbarrow/entry/way_test.go
+++ b/rockbarrow/entry/way_test.go
@@ -301,3 +301,45 @@
 
 // pauseBriefly lets other goroutines go on.
 func pauseBriefly() { <-time.After(time.Millisecond) }
+
+// TestARequestLeavesAnEndpointThatFallsSilent: one that may run again gets its answer
+// elsewhere, the other one ends with its time and is not told that it did not run.
+func TestARequestLeavesAnEndpointThatFallsSilent(t *testing.T) {
+	for path, want := range map[string]int{"/repeat/1": 200, "/once/1": 504} {
+		n := 0
+		e := newEntry(t, senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
+			if n++; n > 1 {
+				return answers(200, "ok")(o)
+			}
+			<-ctx.Done()
+			return broken(o)
+		}))
+		r := ask(path)
+		r.Wait = 200 * time.Millisecond
+		out := &fakeOut{}
+		if o, ok := e.Serve(t.Context(), r, out).(Refused); ok {
+			out.status = o.Status
+		}
+		if out.status != want {
+			t.Errorf("%s: status %d, want %d", path, out.status, want)
+		}
+	}
+}
+
+// TestAStreamThatStandsStillIsResumed: also without a sign from the network.
+func TestAStreamThatStandsStillIsResumed(t *testing.T) {
+	n := 0
+	e := newStreamEntry(t, startStores(t), senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
+		if n++; n > 1 {
+			return answers(200, events(2, 3))(o)
+		}
+		read, write := io.Pipe()
+		go io.WriteString(write, event(1))
+		context.AfterFunc(ctx, func() { read.CloseWithError(ctx.Err()) })
+		return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: read}, nil
+	}))
+	out := &fakeOut{}
+	if o := e.Serve(t.Context(), turnOf("r", "1", "p", 0), out); o != (Answered{}) || out.body.String() != events(1, 3) {
+		t.Errorf("%#v %q", o, out.body.String())
+	}
+}
