stores: a reservation under way is given up once its stores have gone out of reach

Change: a call to a quorum looks again when stores go out of reach. Stores that have never answered may be starting and are waited for as before.

TestAReservationIsGivenUpOnceItsStoresAreOutOfReach hung without the change.

--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -124,6 +124,7 @@
 		wanted := t.Previous != "" && seen.find(t.Previous) == nil
 		asked := c.nearest(tally.Members())
 		got, reason := gather(ctx, c, tally, func() bool { return tally.Written() && tally.Sure() },
+			func() bool { return c.hopeless(t.Program) },
 			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Reserve(ctx, &fleetpb.ReserveRequest{
 					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: t.Program, Turn: t.reservation, Tokens: t.Most,
@@ -231,7 +232,7 @@
 	for {
 		view := c.Watch.State().GetView()
 		tally := ledger.NewTally(view, program)
-		got, reason := gather(ctx, c, tally, tally.Written,
+		got, reason := gather(ctx, c, tally, tally.Written, nil,
 			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Settle(ctx, &fleetpb.SettleRequest{
 					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: req.GetProgram(),
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -31,6 +31,18 @@
 	out map[uint64]bool
 	// met holds the storages that have answered this process at least once.
 	met map[uint64]bool
+	// changed is closed when a storage goes out of reach or comes back.
+	changed chan struct{}
+}
+
+// change returns a channel that is closed at the next change.
+func (h *health) change() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(chan struct{})
+	}
+	return h.changed
 }
 
 func (h *health) set(storage uint64, out bool) (changed bool) {
@@ -45,6 +57,10 @@
 	if h.out[storage] == out {
 		return false
 	}
+	if h.changed != nil {
+		close(h.changed)
+		h.changed = nil
+	}
 	if out {
 		h.out[storage] = true
 	} else {
@@ -72,6 +88,14 @@
 	return h.met[storage] && !h.out[storage]
 }
 
+// gone reports whether a store has answered once and no longer does. One that has never
+// answered may be starting.
+func (h *health) gone(storage uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.met[storage] && h.out[storage]
+}
+
 // sampled is how many groups tell whether stores are reached in general.
 const sampled = 16
 
@@ -101,6 +125,13 @@
 	return v != nil && (c.health.allThere() || reaches(v, program, c.health.isOut))
 }
 
+// hopeless reports whether so many stores of a program have gone out of reach that a
+// call under way to them will find no quorum.
+func (c *Client) hopeless(program string) bool {
+	v := c.Watch.State().GetView()
+	return v == nil || !reaches(v, program, c.health.gone)
+}
+
 func (c *Client) unproven(storage uint64) bool { return !c.health.proven(storage) }
 
 // reaches reports whether few enough stores of a program's groups are out.
--- a/rockbarrow/stores/health_test.go
+++ b/rockbarrow/stores/health_test.go
@@ -5,11 +5,14 @@
 import (
 	"fmt"
 	"io"
+	"net"
+	"strconv"
 	"testing"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -47,3 +50,38 @@
 		t.Error("stores count as reached without two failure domains")
 	}
 }
+
+// TestAReservationIsGivenUpOnceItsStoresAreOutOfReach: it does not wait until its time is
+// over for stores that have been found silent meanwhile.
+func TestAReservationIsGivenUpOnceItsStoresAreOutOfReach(t *testing.T) {
+	var members []*fleetpb.Member
+	for i := range 3 {
+		// They take connections and never answer.
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		members = append(members, &fleetpb.Member{Instance: strconv.Itoa(i), Storage: uint64(i + 1), FailureDomain: strconv.Itoa(i), Address: l.Addr().String()})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &watch.Client{Self: &fleetpb.Member{Instance: "entry"}, Log: logrus.NewEntry(log)}
+	w.Offer(&fleetpb.State{Number: 1, View: &fleetpb.View{Epoch: 1, Copies: 3, Members: members}})
+	pool := &dial.Pool{}
+	t.Cleanup(pool.Close)
+	c := &Client{Watch: w, Pool: pool, Turns: &Cache{Bytes: 1}}
+	given := make(chan error, 1)
+	go func() {
+		_, err := c.Reserve(t.Context(), Turn{ID: "1", Program: "p", Most: 1})
+		given <- err
+	}()
+	for _, m := range members[:2] {
+		c.observe(m, nil)
+		c.observe(m, &suspectError{})
+	}
+	// The context has no end: only the loss of the stores ends it.
+	if err := <-given; err == nil {
+		t.Error("a reservation without its stores")
+	}
+}
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -70,9 +70,10 @@
 )
 
 // gather calls all members of a tally until enough reports true. Each reply that
-// counts goes to take first.
+// counts goes to take first. It gives up once hopeless reports true, which it asks when
+// stores go out of reach; without it, it waits for all answers.
 func gather[R any](
-	ctx context.Context, c *Client, t *ledger.Tally, enough func() bool,
+	ctx context.Context, c *Client, t *ledger.Tally, enough, hopeless func() bool,
 	call func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error),
 	take func(R),
 ) (outcome, string) {
@@ -82,9 +83,16 @@
 		go (&caller[R]{client: c, member: m, call: call, out: answers}).run(ctx)
 	}
 	reason := "no store answered"
-	for range members {
+	for heard := 0; heard < len(members); {
+		change := c.health.change()
+		if hopeless != nil && hopeless() {
+			return expired, "most stores have gone out of reach"
+		}
 		select {
+		case <-change:
+			continue
 		case a := <-answers:
+			heard++
 			if why := refusedBy(a.status, a.err); why != "" {
 				t.Refuse(a.member.GetStorage())
 				reason = a.member.GetInstance() + ": " + why
