limiter: who will not be served in time is rejected at once

A turn whose client will be gone before it can be answered is rejected, on arrival if the rate at which turns start says so, and else as soon as its time is over. Late programs have the patience of new ones. How long clients wait for an event is decoded with the route.

--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -117,7 +117,7 @@
 	leave, act := x.entry.gates.of(x.service.GetName()).enter(ctx, x.places, limiter.Arrived{
 		Underway: r.Previous != "" || x.last != "" || r.LastEvent != "",
 		Left:     r.Finish - spent, Timed: r.HasFinish,
-		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent,
+		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientWaits() - spent,
 		Priority: x.route.GetPriority(),
 	})
 	if leave != nil {
@@ -129,6 +129,15 @@
 	return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: later, Reason: "no place at an endpoint within its time"}
 }
 
+// clientWaits is how long the client waits for the first event, from its arrival on.
+func (x *exchange) clientWaits() time.Duration {
+	whole := x.deadline.Sub(x.request.Arrived)
+	if first := x.route.GetPauseMs(); first > 0 {
+		return min(whole, time.Duration(first)*time.Millisecond)
+	}
+	return whole
+}
+
 // places is how many requests this instance may have at the service's endpoints.
 func (x *exchange) places() int {
 	f := x.entry.fleet.Load()
--- a/rockbarrow/limiter/event.go
+++ b/rockbarrow/limiter/event.go
@@ -19,8 +19,11 @@
 	// known.
 	Left  time.Duration
 	Timed bool
-	// Patience is how long a new program may wait and still be worth it.
+	// Patience is how long it may wait if it is the first turn of a new program, or a
+	// turn of a program that is late.
 	Patience time.Duration
+	// Wait is how long its client waits for an answer; zero is no bound.
+	Wait time.Duration
 	// Priority 0 is the most urgent.
 	Priority uint32
 }
