--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -41,6 +41,11 @@
 	soakRun := soakOptions{seed: 1, seeds: 1, seconds: 20, programs: 8, entries: 2}
 	soakRun.add(soakCmd)
 	flaggy.AttachSubcommand(soakCmd, 1)
+	requestsCmd := flaggy.NewSubcommand("requests")
+	requestsCmd.Description = "tell from logs of entry instances how requests ended, why, and where their time went"
+	logFile := ""
+	requestsCmd.AddPositionalValue(&logFile, "FILE", 1, true, "the log lines, or - for standard input")
+	flaggy.AttachSubcommand(requestsCmd, 1)
 	flaggy.AttachSubcommand(faultsCmd, 1)
 	flaggy.AttachSubcommand(experimentCmd, 1)
 	flaggy.Parse()
@@ -54,6 +59,8 @@
 		err = runExperiment(ctx, os.Stdout, file, dir)
 	case faultsCmd.Used:
 		err = faults(ctx, os.Stdout, only)
+	case requestsCmd.Used:
+		err = runRequests(os.Stdout, logFile)
 	case soakCmd.Used:
 		err = runSoak(ctx, os.Stdout, soakRun)
 	case slopesCmd.Used:
--- /dev/null
+++ b/rockbench/requestlog/read.go
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: MIT
+
+package requestlog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+// ended is the message of the lines that this package reads.
+const ended = "request ended"
+
+// maxLine bounds a line in bytes; longer ones are an error.
+const maxLine = 1 << 20
+
+// Line is one request as its instance logged it. Times are in milliseconds.
+type Line struct {
+	Instance string `json:"instance"`
+	Request  string `json:"request"`
+	Service  string `json:"service"`
+	Status   int    `json:"status"`
+	Reason   string `json:"reason"`
+	Offers   int    `json:"offers"`
+	Took     int64  `json:"took_ms"`
+	// Own was spent on stores, Waited on a place at an endpoint.
+	Own    int64 `json:"own_ms"`
+	Waited int64 `json:"waited_ms"`
+	// Left was left of the program's time when the request came.
+	Left    int64  `json:"left_ms"`
+	Message string `json:"msg"`
+}
+
+// Read calls yield with each ended request. What stands before the JSON of a line, such
+// as a time and an instance, is passed over, and so are lines without JSON and other
+// messages. A line that begins like JSON and is none is an error that names it.
+func Read(r io.Reader, yield func(Line)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), maxLine)
+	for n := 1; s.Scan(); n++ {
+		b := s.Bytes()
+		at := bytes.IndexByte(b, '{')
+		if at < 0 || !bytes.Contains(b[at:], []byte(ended)) {
+			continue
+		}
+		var l Line
+		if err := json.Unmarshal(b[at:], &l); err != nil {
+			return errors.Wrapf(err, "requestlog: line %d", n)
+		}
+		if l.Message == ended {
+			yield(l)
+		}
+	}
+	return errors.Wrap(s.Err(), "requestlog")
+}
