placement: half of the slots more may queue at endpoints

Places were the slots and their root, news of others' calls are 0.3 s old, and endpoints stood idle while turns waited.

Change: half of the slots may queue at an endpoint.

--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -3,7 +3,6 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -165,7 +164,11 @@
 	return min(slots, max(1, all/instances, all-others))
 }
 
-// queued is how many calls may wait at an endpoint beside those that it runs. Calls are
-// not spread evenly: while endpoints have n each on average, that varies by the root of
-// n, and those with fewer would stand idle while others queue.
-func queued(n int) int { return int(math.Sqrt(float64(n))) }
+// queuedShare is how many calls may wait at an endpoint, as a share of those that it
+// runs. Without any, endpoints stand idle whose calls have ended, as news of others' calls
+// is 0.3 s old; with as many as it runs, programs wait there that should have been
+// refused. Measured against the root of the slots and all of them in docs/POLICY.md.
+const queuedShare = 0.5
+
+// queued is how many calls may wait at an endpoint that runs n.
+func queued(n int) int { return int(queuedShare * float64(n)) }
