rockbench: an emulator that steps the product's limiter and placement

Engines with batches, prompts read in pieces and kept prefixes, entry instances that hear of each other late, clients that come back; seeded and exactly repeatable. Placement takes where its draws begin from outside, so that runs repeat.

--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -45,6 +45,10 @@
 	return f
 }
 
+// DrawFrom sets where draws begin in each list of endpoints, which is else drawn by lot: for
+// runs that repeat.
+func (f *Fleet) DrawFrom(first uint64) { f.first = first }
+
 // spread stays with the run's last endpoint while it has room, and else takes the
 // one with the smallest load of a few that are drawn, half of them in the own failure
 // domain. What others told is some 0.3 s old: were all endpoints compared, all
--- /dev/null
+++ b/rockbench/emulator/entry.go
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: MIT
+
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/limiter"
+	"rockbarrow.dev/rockbarrow/placement"
+)
+
+const (
+	// service is the name of the only service.
+	service = "engines"
+	// clientWaits is how long a client waits for the first token.
+	clientWaits = 2 * time.Second
+)
+
+// entry is one entry instance: the product's limiter and placement.
+type entry struct {
+	world   *world
+	limiter limiter.Limiter
+	fleet   *placement.Fleet
+	rand    *rand.Rand
+	next    limiter.ID
+	waiting map[limiter.ID]*attempt
+}
+
+// attempt is one try of a turn at an entry.
+type attempt struct {
+	id     limiter.ID
+	entry  *entry
+	turn   *turn
+	place  *placement.Endpoint
+	engine *engine
+	call   *call
+	over   bool
+}
+
+// serve takes a turn.
+func (e *entry) serve(t *turn) {
+	e.next++
+	a := &attempt{id: e.next, entry: e, turn: t}
+	t.program.world.clock.after(clientWaits, a.expired)
+	if !e.world.limited {
+		a.send()
+		return
+	}
+	e.waiting[a.id] = a
+	now := e.world.clock.time()
+	places := e.fleet.Places(now, placement.Class{Service: service}, len(e.world.entries))
+	e.handle(limiter.Resized{Places: places})
+	e.handle(limiter.Arrived{
+		ID: a.id, Underway: t.line.last != "", Left: t.program.due - e.world.clock.now, Timed: true,
+		Patience: ms(t.program.kind.ObjectiveMS), Wait: clientWaits, Priority: t.program.kind.Priority,
+	})
+}
+
+func (e *entry) handle(event limiter.Event) {
+	for _, act := range e.limiter.Handle(e.world.clock.time(), event) {
+		switch act := act.(type) {
+		case limiter.Start:
+			a := e.waiting[act.ID]
+			delete(e.waiting, act.ID)
+			a.send()
+		case limiter.Reject:
+			a := e.waiting[act.ID]
+			delete(e.waiting, act.ID)
+			a.over = true
+			e.world.result.Refused++
+			a.turn.refused(act.RetryAfter)
+		}
+	}
+}
+
+// send offers the turn to an engine.
+func (a *attempt) send() {
+	e, t := a.entry, a.turn
+	now := e.world.clock.time()
+	var avoid []string
+	for range len(e.world.engines) {
+		choice, ok := e.fleet.Choose(now, placement.Request{
+			Class: placement.Class{Service: service}, Prompt: int64(t.prompt), Answer: int64(t.output), Last: t.line.last, Avoid: avoid,
+		}, e.rand)
+		if !ok {
+			break
+		}
+		a.place = choice.Endpoint()
+		a.engine = e.world.engines[a.place.Name()]
+		a.call = &call{line: t.line, prompt: t.prompt, output: t.output, first: a.first, ended: a.ended}
+		if a.engine.offer(a.call) {
+			return
+		}
+		a.place.Done(now, placement.Result{OK: true, Refused: true})
+		avoid = append(avoid, a.place.Name())
+	}
+	a.place, a.over = nil, true
+	a.leave()
+	e.world.result.Refused++
+	t.refused(defaultRetry)
+}
+
+// first is called with the first token: the client waits on from now.
+func (a *attempt) first() {
+	a.place.Answered(a.entry.world.clock.time())
+	a.call.first = nil
+}
+
+func (a *attempt) ended() {
+	a.over = true
+	a.turn.line.last = a.place.Name()
+	a.done(placement.Result{OK: true})
+	a.turn.answered()
+}
+
+// expired ends an attempt whose client has seen nothing for too long.
+func (a *attempt) expired() {
+	switch {
+	case a.over, a.call != nil && a.call.made > 0:
+		return
+	case a.call != nil:
+		a.engine.drop(a.call)
+		a.done(placement.Result{OK: true, Refused: true})
+	default:
+		delete(a.entry.waiting, a.id)
+		a.entry.handle(limiter.Withdrawn{ID: a.id})
+	}
+	a.over = true
+	a.turn.failed()
+}
+
+func (a *attempt) done(r placement.Result) {
+	a.place.Done(a.entry.world.clock.time(), r)
+	a.leave()
+}
+
+func (a *attempt) leave() {
+	if a.entry.world.limited {
+		a.entry.handle(limiter.Finished{ID: a.id})
+	}
+}
--- /dev/null
+++ b/rockbench/emulator/world.go
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: MIT
+
+package emulator
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"rockbarrow.dev/rockbarrow/limiter"
+	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/schema/configpb"
+)
+
+// Run is one play of a deployment.
+type Run struct {
+	Deployment *Deployment
+	Seed       uint64
+	// Limited is true if entries have a limiter.
+	Limited bool
+	// Policy places turns.
+	Policy placement.Policy
+}
+
+// Result is what a run came to.
+type Result struct {
+	// Share is the worth earned of all that could be.
+	Share float64 `json:"share"`
+	// Programs arrived, InTime and Late ended, Failed did not.
+	Programs int `json:"programs"`
+	InTime   int `json:"in_time"`
+	Late     int `json:"late"`
+	Failed   int `json:"failed"`
+	// Turns were sent and Refused of them not run.
+	Turns   int `json:"turns"`
+	Refused int `json:"refused"`
+	// Read is the prompt tokens that engines read.
+	Read int `json:"read_tokens"`
+	// TurnP50 and TurnP99 are the times of answered turns in milliseconds.
+	TurnP50 int64 `json:"turn_p50_ms"`
+	TurnP99 int64 `json:"turn_p99_ms"`
+}
+
+// drain is how long programs may go on after the last arrival.
+const drain = 30 * time.Second
+
+// world is a run under way.
+type world struct {
+	deployment *Deployment
+	clock      clock
+	rand       *rand.Rand
+	limited    bool
+	entries    []*entry
+	engines    map[string]*engine
+	names      []string
+	result     Result
+	times      *hdrhistogram.Histogram
+	owed, had  float64
+	// peak bounds the rate of arrivals.
+	peak  float64
+	lines int
+}
+
+// Play runs a deployment.
+func (r Run) Play() Result {
+	w := &world{
+		deployment: r.Deployment, limited: r.Limited, engines: map[string]*engine{},
+		peak:  r.Deployment.peak(),
+		rand:  rand.New(rand.NewPCG(r.Seed, 1)),
+		times: hdrhistogram.New(1, 120_000, 3),
+	}
+	var list []*configpb.Endpoint
+	for i := range r.Deployment.Engine.Count {
+		name := fmt.Sprintf("engine-%03d", i)
+		w.names = append(w.names, name)
+		w.engines[name] = &engine{deployment: &r.Deployment.Engine, clock: &w.clock, name: name}
+		list = append(list, &configpb.Endpoint{Name: name, Service: service, MaxCalls: uint32(r.Deployment.Engine.Slots), Domain: "domain", Address: name})
+	}
+	for i := range r.Deployment.Entries {
+		e := &entry{world: w, rand: rand.New(rand.NewPCG(r.Seed, uint64(i+2))), waiting: map[limiter.ID]*attempt{}}
+		e.fleet = placement.NewServiceFleet(list, r.Policy, nil)
+		e.fleet.DrawFrom(w.rand.Uint64())
+		w.entries = append(w.entries, e)
+	}
+	w.clock.after(0, w.arrive)
+	w.clock.after(0, w.news)
+	w.clock.run(ms(1000*r.Deployment.Seconds) + drain)
+	return w.sum()
+}
+
+func (w *world) sum() Result {
+	r := w.result
+	for _, e := range w.engines {
+		r.Read += e.tokens
+	}
+	if w.owed > 0 {
+		r.Share = w.had / w.owed
+	}
+	r.TurnP50, r.TurnP99 = w.times.ValueAtQuantile(50), w.times.ValueAtQuantile(99)
+	return r
+}
+
+// arrive draws the next arrival from a process of the highest rate, and thins it to the
+// rates of the moment.
+func (w *world) arrive() {
+	s := w.clock.now.Seconds()
+	if s >= w.deployment.Seconds {
+		return
+	}
+	at := w.rand.Float64() * w.peak
+	for i, r := range w.deployment.rates(s) {
+		if at -= r; at < 0 && s > 0 {
+			w.begin(&w.deployment.Kinds[i])
+			break
+		}
+	}
+	gap := distuv.Exponential{Rate: w.peak, Src: w.rand}.Rand()
+	w.clock.after(ms(1000*gap), w.arrive)
+}
+
+// news tells each entry the calls of the others.
+func (w *world) news() {
+	for _, e := range w.entries {
+		for _, name := range w.names {
+			var others int64
+			for _, o := range w.entries {
+				if o != e {
+					others += o.fleet.Endpoint(name).Underway()
+				}
+			}
+			// It arrives later, as it stood now.
+			p := e.fleet.Endpoint(name)
+			w.clock.after(ms(w.deployment.NewsMS), func() { p.HeardOthers(w.clock.time(), uint32(others), 0) })
+		}
+	}
+	if w.clock.now < ms(1000*w.deployment.Seconds)+drain {
+		w.clock.after(ms(max(10, w.deployment.NewsMS)), w.news)
+	}
+}
+
+// begin draws a program.
+func (w *world) begin(k *Kind) {
+	p := &program{
+		world: w, kind: k, entry: w.entries[w.rand.IntN(len(w.entries))], began: w.clock.now,
+		runaway: w.rand.Float64() < k.Runaway,
+	}
+	l, idle := w.drawLine(p, w.drawTurns(p), true)
+	l.done = p.ended
+	aim := time.Duration(k.Aim*float64(idle)) + ms(k.ObjectiveMS)
+	p.due, p.late = p.began+aim, p.began+2*aim
+	w.result.Programs++
+	if !p.runaway {
+		w.owed += k.Worth
+	}
+	l.next()
+}
+
+func (w *world) drawTurns(p *program) int {
+	if p.runaway {
+		return max(1, p.kind.RunawayTurns)
+	}
+	return max(1, int(w.around(p.kind.Turns, 0.4)+0.5))
+}
+
+// around draws a positive value with a mean and a spread of its logarithm.
+func (w *world) around(mean, spread float64) float64 {
+	return mean * distuv.LogNormal{Mu: -spread * spread / 2, Sigma: spread, Src: w.rand}.Rand()
+}
+
+// drawLine draws the turns of a line, and its time on idle engines.
+func (w *world) drawLine(p *program, turns int, main bool) (*line, time.Duration) {
+	k := p.kind
+	w.lines++
+	l := &line{program: p, id: w.lines, prefix: w.rand.IntN(k.Prefixes)*len(w.deployment.Kinds) + w.kindIndex(k), shared: k.SharedTokens}
+	if main {
+		l.context = k.SharedTokens
+	}
+	var idle time.Duration
+	for i := range turns {
+		s := step{
+			input: max(1, int(w.around(k.InputTokens, 0.7))), output: max(1, int(w.around(k.OutputTokens, 0.8))),
+			pause: ms(w.around(max(1, k.PauseMS), 0.6)),
+		}
+		if main && i < turns-1 && w.rand.Float64() < k.Fan {
+			var longest time.Duration
+			for range k.Width {
+				b, took := w.drawLine(p, lineTurns, false)
+				s.beside = append(s.beside, b)
+				longest = max(longest, took)
+			}
+			idle += longest
+		}
+		l.left = append(l.left, s)
+		idle += w.deployment.Engine.idle(s.input, s.output) + s.pause + ms(w.deployment.WayMS)
+	}
+	return l, idle
+}
+
+func (w *world) kindIndex(k *Kind) int {
+	for i := range w.deployment.Kinds {
+		if k == &w.deployment.Kinds[i] {
+			return i
+		}
+	}
+	return 0
+}
+
+func (w *world) earn(worth float64) { w.had += worth }
+
+func (w *world) took(d time.Duration) {
+	// The histogram holds up to two minutes, longer than a run goes on.
+	_ = w.times.RecordValue(max(1, d.Milliseconds()))
+}
--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -41,6 +41,11 @@
 	soakRun := soakOptions{seed: 1, seeds: 1, seconds: 20, programs: 8, entries: 2}
 	soakRun.add(soakCmd)
 	flaggy.AttachSubcommand(soakCmd, 1)
+	emulateCmd := flaggy.NewSubcommand("emulate")
+	emulateCmd.Description = "play a deployment of model engines in simulated time, with and without parts of the policy"
+	emulateRun := emulateOptions{seed: 1, seeds: 1}
+	emulateRun.add(emulateCmd)
+	flaggy.AttachSubcommand(emulateCmd, 1)
 	requestsCmd := flaggy.NewSubcommand("requests")
 	requestsCmd.Description = "tell from logs of entry instances how requests ended, why, and where their time went"
 	logFile := ""
@@ -59,6 +64,8 @@
 		err = runExperiment(ctx, os.Stdout, file, dir)
 	case faultsCmd.Used:
 		err = faults(ctx, os.Stdout, only)
+	case emulateCmd.Used:
+		err = runEmulate(os.Stdout, emulateRun)
 	case requestsCmd.Used:
 		err = runRequests(os.Stdout, logFile)
 	case soakCmd.Used:
