--- a/rockbench/emulator/emulator_test.go
+++ b/rockbench/emulator/emulator_test.go
@@ -110,7 +110,7 @@
 	tests := map[string]string{
 		"engine.slots":   strings.Replace(string(good), "slots = 16", "slots = 0", 1),
 		"speed":          "speed = 3\n" + string(good),
-		"kinds[0]":       strings.Replace(string(good), "turns = 3.0", "turns = 0.5", 1),
+		"kinds[0]":       strings.Replace(string(good), "turns = 2.5", "turns = 0.5", 1),
 		"bursts[1].kind": strings.Replace(string(good), `kind = "check"`, `kind = "none"`, 1),
 	}
 	for key, text := range tests {
