--- a/rockbarrow/entry/lines.go
+++ b/rockbarrow/entry/lines.go
@@ -48,6 +48,3 @@
 	}
 	return told
 }
-
-// knows reports whether a turn of the program was served here.
-func (l *lines) knows(program string) bool { return l.find(program, "", "") != "" }
--- a/rockbarrow/limiter/limiter.go
+++ b/rockbarrow/limiter/limiter.go
@@ -23,8 +23,8 @@
 	begun [groups]rate
 	// taken is how long requests keep their places, smoothed.
 	taken time.Duration
-	// due is when the last client that was rejected is to come back.
-	due time.Time
+	// promised is when the client that was rejected last is to come back.
+	promised time.Time
 }
 
 // group is the first part of the order in which requests start.
@@ -45,7 +45,8 @@
 	id       ID
 	group    group
 	priority uint32
-	// due is when the program should be over; programs that did not say have none.
+	// due is when the program should be over. Programs that did not say have none, and go
+	// first in their group in the order of their arrival.
 	due time.Time
 	// latest is when it must start to be answered while its client waits; zero if the
 	// client did not say how long that is.
@@ -219,12 +220,12 @@
 func (l *Limiter) comeBack(now time.Time, wait time.Duration) time.Duration {
 	step := l.expect(now, fresh, 0)
 	next := now.Add(wait)
-	if after := l.due.Add(step); after.After(next) {
+	if after := l.promised.Add(step); after.After(next) {
 		next = after
 	}
 	if next.After(now.Add(longest)) {
 		next = now.Add(longest)
 	}
-	l.due = next
+	l.promised = next
 	return next.Sub(now)
 }
--- a/rockbarrow/limiter/limiter_test.go
+++ b/rockbarrow/limiter/limiter_test.go
@@ -23,21 +23,21 @@
 	return started, rejected
 }
 
-func fresh1(id ID, patience time.Duration) Arrived { return Arrived{ID: id, Patience: patience} }
+func newProgram(id ID, patience time.Duration) Arrived { return Arrived{ID: id, Patience: patience} }
 
-func underway1(id ID, left time.Duration) Arrived {
+func laterTurn(id ID, left time.Duration) Arrived {
 	return Arrived{ID: id, Underway: true, Timed: true, Left: left}
 }
 
 func TestTurnsOfProgramsUnderWayGoFirst(t *testing.T) {
 	var l Limiter
 	l.Handle(start, Resized{Places: 1})
-	l.Handle(start, fresh1(1, time.Second))
+	l.Handle(start, newProgram(1, time.Second))
 	for _, a := range []Arrived{
 		{ID: 2, Timed: true, Left: time.Minute, Patience: time.Hour, Priority: 1},
 		{ID: 3, Timed: true, Left: time.Minute, Patience: time.Hour},
 		{ID: 4, Timed: true, Underway: true, Patience: time.Hour},
-		underway1(5, 2*time.Second), underway1(6, time.Second),
+		laterTurn(5, 2*time.Second), laterTurn(6, time.Second),
 	} {
 		if started, rejected := ids(l.Handle(start, a)); started != nil || rejected != nil {
 			t.Fatalf("%d: started %v, rejected %v", a.ID, started, rejected)
@@ -59,13 +59,13 @@
 	l.Handle(start, Resized{Places: 9})
 	// Six new programs a second begin: three of nine places are kept for turns.
 	for id := range ID(6) {
-		if started, _ := ids(l.Handle(start, fresh1(id, 400*time.Millisecond))); len(started) != 1 {
+		if started, _ := ids(l.Handle(start, newProgram(id, 400*time.Millisecond))); len(started) != 1 {
 			t.Fatalf("%d did not start", id)
 		}
 	}
 	var told []time.Duration
 	for id := ID(6); id < 12; id++ {
-		started, rejected := ids(l.Handle(start, fresh1(id, 400*time.Millisecond)))
+		started, rejected := ids(l.Handle(start, newProgram(id, 400*time.Millisecond)))
 		if started != nil {
 			t.Fatalf("%d started", id)
 		}
@@ -81,7 +81,7 @@
 			t.Errorf("told %v, want them to come back one after another", told)
 		}
 	}
-	if started, _ := ids(l.Handle(start, underway1(12, time.Second))); len(started) != 1 {
+	if started, _ := ids(l.Handle(start, laterTurn(12, time.Second))); len(started) != 1 {
 		t.Error("a turn found no place among those that are kept for it")
 	}
 }
@@ -114,8 +114,8 @@
 
 func TestMorePlacesStartThoseWhoWait(t *testing.T) {
 	var l Limiter
-	l.Handle(start, underway1(1, time.Second))
-	l.Handle(start, underway1(2, time.Second))
+	l.Handle(start, laterTurn(1, time.Second))
+	l.Handle(start, laterTurn(2, time.Second))
 	l.Handle(start, Withdrawn{ID: 1})
 	started, _ := ids(l.Handle(start, Resized{Places: 4}))
 	if len(started) != 1 || started[0] != 2 {
