entry: waiting requests see new places also while nothing arrives

Cause: places were counted anew only when a request arrived. A turn that waited while all endpoints were out started only with the next arrival, or never. Found on reading.

TestAWaitingTurnStartsOnceThereAreEndpoints failed with 503 after its 5 s.

--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -47,37 +47,64 @@
 // enter waits for a place. The returned function gives it back; it is nil if there is
 // none, and the action then says why: [limiter.Reject], or nil once ctx has ended.
 func (g *gate) enter(ctx context.Context, places func() int, a limiter.Arrived) (func(), limiter.Action) {
+	answer := g.arrive(&a, places)
+	// Places also change while nothing arrives and nothing ends.
+	tick := time.NewTicker(resizeEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case act := <-answer:
+			return g.leaving(act), act
+		case <-tick.C:
+			g.resize(places)
+		case <-ctx.Done():
+			g.event(limiter.Withdrawn{ID: a.ID})
+			select {
+			case act := <-answer:
+				// It came in the same moment.
+				if leave := g.leaving(act); leave != nil {
+					leave()
+				}
+			default:
+			}
+			return nil, nil
+		}
+	}
+}
+
+// arrive names a request and hands it to the limiter. The channel delivers its action.
+func (g *gate) arrive(a *limiter.Arrived, places func() int) <-chan limiter.Action {
+	g.resize(places)
 	answer := make(chan limiter.Action, 1)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.next++
 	a.ID = g.next
 	g.waiting[a.ID] = answer
-	now := time.Now()
-	if now.Sub(g.resized) > resizeEvery {
-		g.resized = now
-		g.handle(now, limiter.Resized{Places: places()})
-	}
-	g.handle(now, a)
-	g.mu.Unlock()
-	leave := func() { g.event(limiter.Finished{ID: a.ID}) }
-	select {
-	case act := <-answer:
-		if _, ok := act.(limiter.Start); ok {
-			return leave, act
-		}
-		return nil, act
-	case <-ctx.Done():
+	g.handle(time.Now(), *a)
+	return answer
+}
+
+// leaving returns the function that gives the place of an action back, or nil if the
+// action gave none.
+func (g *gate) leaving(act limiter.Action) func() {
+	start, ok := act.(limiter.Start)
+	if !ok {
+		return nil
 	}
-	g.event(limiter.Withdrawn{ID: a.ID})
-	select {
-	case act := <-answer:
-		// It came in the same moment.
-		if _, ok := act.(limiter.Start); ok {
-			leave()
-		}
-	default:
+	return func() { g.event(limiter.Finished{ID: start.ID}) }
+}
+
+// resize counts the places anew, unless that was done just now.
+func (g *gate) resize(places func() int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if now.Sub(g.resized) < resizeEvery {
+		return
 	}
-	return nil, nil
+	g.resized = now
+	g.handle(now, limiter.Resized{Places: places()})
 }
 
 func (g *gate) event(e limiter.Event) {
--- a/rockbarrow/entry/gate_test.go
+++ b/rockbarrow/entry/gate_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -79,3 +80,30 @@
 		pauseBriefly()
 	}
 }
+
+// TestAWaitingTurnStartsOnceThereAreEndpoints: also if nothing else arrives or ends.
+func TestAWaitingTurnStartsOnceThereAreEndpoints(t *testing.T) {
+	view := startStores(t)
+	e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}})
+	e.Decode = func([]byte) (*fleetpb.Document, error) {
+		d := streams()
+		d.Version, d.Services[0].Slots = 2, 1
+		return d, nil
+	}
+	e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
+	e.Watch.OfferList(list(2, "x", "y", "z"), time.Now())
+	e.refresh()
+	e.lines.add("known", "", "x")
+	ended := make(chan Outcome, 1)
+	go func() { ended <- e.Serve(t.Context(), turnOf("r", "1", "known", 100), &fakeOut{}) }()
+	awaitWaiting(t, e)
+	fresh := list(3)
+	for i, p := range fresh.GetEndpoints() {
+		p.Id = fmt.Sprint("new-", i)
+	}
+	e.Watch.OfferList(fresh, time.Now())
+	e.refresh()
+	if o := <-ended; o != (Answered{}) {
+		t.Errorf("%#v", o)
+	}
+}
