--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -92,7 +92,8 @@
 	if !ok {
 		return nil
 	}
-	return func() { g.event(limiter.Finished{ID: start.ID}) }
+	id := start.ID
+	return func() { g.event(limiter.Finished{ID: id}) }
 }
 
 // resize counts the places anew, unless that was done just now.
