--- a/rockbarrow/entry/way_test.go
+++ b/rockbarrow/entry/way_test.go
@@ -122,9 +122,15 @@
 
 // awaitSettled waits until a program has spent so much.
 func awaitSettled(t *testing.T, e *Entry, program string, spent int) {
+	t.Helper()
+	awaitRoom(t, e, program, 0, uint64(spent))
+}
+
+// awaitRoom waits until a turn of so many tokens fits into a program's budget.
+func awaitRoom(t *testing.T, e *Entry, program string, most, budget uint64) {
 	t.Helper()
 	for n := 0; ; n++ {
-		g, err := e.Stores.Reserve(t.Context(), stores.Turn{ID: fmt.Sprint("look-", spent, "-", n), Program: program, Budget: uint64(spent)})
+		g, err := e.Stores.Reserve(t.Context(), stores.Turn{ID: fmt.Sprint("look-", budget, "-", n), Program: program, Most: most, Budget: budget})
 		if err == nil {
 			e.Stores.Void(t.Context(), g)
 			return
@@ -291,11 +297,12 @@
 	view := startStores(t)
 	e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){notRun}})
 	for n := range 3 {
-		o := e.Serve(t.Context(), turnOf("r", fmt.Sprint("void", n), "void", 9), &fakeOut{})
+		o := e.Serve(t.Context(), turnOf("r", fmt.Sprint("void", n), "void", 1000), &fakeOut{})
 		if r, ok := o.(Refused); !ok || r.Status != http.StatusServiceUnavailable {
 			t.Fatalf("%#v", o)
 		}
-		awaitSettled(t, e, "void", 0)
+		// Only if nothing of the turn before counts.
+		awaitRoom(t, e, "void", 9, 9)
 	}
 }
 
