document: documents travel and are voted on as differences

Receivers tell what they hold; senders leave a held document out, or send a Zstandard frame against one that both hold. A wrong base or digest is noticed, logged, and the whole asked for; a value that can't be made whole is not accepted. Ruled out: differences of one's own making (a library does it); a digest of the document in every call (32 bytes, only where news are asked for).

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/rockbarrow/durable"
 	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/rockbarrow/wait"
@@ -20,6 +21,11 @@
 	"rockbarrow.dev/schema/fleetpb"
 )
 
+// keptDocuments is how many documents a control instance keeps to make differences
+// against: some seconds of changes in quick succession. Each is some 250 KB at a
+// thousand routes.
+const keptDocuments = 8
+
 // List reads the list of endpoints, wherever it is kept.
 type List interface {
 	// Endpoints returns the whole list.
@@ -83,6 +89,9 @@
 	// votes are the requests of rounds under way. They may outlive their round, and
 	// the own ones write to the disk.
 	votes sync.WaitGroup
+	// distrusted holds the storages of acceptors whose last value could not be made
+	// whole: they are asked for it whole.
+	distrusted sync.Map
 
 	// proposing lets one round of this instance run at a time.
 	proposing chan struct{}
@@ -106,12 +115,18 @@
 		return err
 	}
 	c.cell = cell
+	c.watch = &watch.Client{
+		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
+		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
+		Documents: document.Shelf{Keep: keptDocuments, Log: c.Log},
+	}
 	c.acceptor = register.Acceptor{Storage: c.Self.GetStorage(), Founder: c.Founder}
 	if b := cell.Value(); b != nil {
 		record := &fleetpb.AcceptorRecord{}
 		if err := proto.Unmarshal(b, record); err != nil {
 			return errors.Wrap(err, "controller: the votes on the disk")
 		}
+		c.watch.Documents.Add(record.GetState())
 		c.acceptor.Restore(record)
 		c.saved.Store(record)
 		c.sawRound(record.GetPromised().GetRound())
@@ -119,10 +134,6 @@
 	c.proposing = make(chan struct{}, 1)
 	c.listTag = rand.Uint64N(1 << tagBits)
 	c.news = make(chan struct{})
-	c.watch = &watch.Client{
-		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
-		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
-	}
 	return nil
 }
 
@@ -164,12 +175,13 @@
 
 // Put brings a configuration into force, unless one of the same or a higher
 // version is. It returns once a majority keeps the outcome.
-func (c *Controller) Put(ctx context.Context, version uint64, document []byte) error {
+func (c *Controller) Put(ctx context.Context, version uint64, doc []byte) error {
+	digest := document.Digest(doc)
 	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
 		if s.GetNumber() == 0 || version <= s.GetConfiguration().GetVersion() {
 			return nil
 		}
-		s.Configuration = &fleetpb.Configuration{Version: version, Document: document}
+		s.Configuration = &fleetpb.Configuration{Version: version, Document: doc, Digest: digest}
 		return s
 	})
 	return err
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -207,7 +207,7 @@
 	s := c.State()
 	r.StateNumber = s.GetNumber()
 	if req.GetWantsNews() && s.GetNumber() > req.GetStateNumber() {
-		r.State = s
+		r.State = c.watch.Documents.Pack(s, req.GetHeld())
 	}
 	if l := c.watch.List(); l != nil {
 		r.ListKnown, r.ListNumber = true, l.List().GetNumber()
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -41,6 +41,7 @@
 	r := &register.Round{Ballot: c.nextBallot(), Known: known, Initial: initial, Change: change}
 	// Each acceptor answers at most twice in a round.
 	events := make(chan register.Event, 64)
+	held := map[uint64]*fleetpb.Held{}
 	actions := r.Handle(register.Begin{})
 	for {
 		for _, a := range actions {
@@ -49,7 +50,7 @@
 				v := &vote{controller: c, to: a.To, events: events}
 				c.votes.Go(func() { v.runPrepare(ctx, a.Request) })
 			case register.Accept:
-				v := &vote{controller: c, to: a.To, events: events}
+				v := &vote{controller: c, to: a.To, events: events, held: held[a.To.GetStorage()]}
 				c.votes.Go(func() { v.runAccept(ctx, a.Request) })
 			case register.Chosen:
 				return a.State, nil
@@ -59,6 +60,9 @@
 		}
 		select {
 		case e := <-events:
+			if p, ok := e.(register.Prepared); ok {
+				held[p.From] = p.Reply.GetHeld()
+			}
 			actions = r.Handle(e)
 		case <-ctx.Done():
 			return nil, ctx.Err()
@@ -111,6 +115,8 @@
 	controller *Controller
 	to         *fleetpb.Member
 	events     chan<- register.Event
+	// held is what the acceptor has told that it holds, nil if it has told nothing.
+	held *fleetpb.Held
 }
 
 func (v *vote) runPrepare(ctx context.Context, req *fleetpb.PrepareRequest) {
@@ -132,7 +138,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return fleetpb.NewControlClient(conn).Prepare(ctx, req)
+	shelf := &v.controller.watch.Documents
+	if _, whole := v.controller.distrusted.LoadAndDelete(v.to.GetStorage()); !whole {
+		req.Held = shelf.Held()
+	}
+	reply, err := fleetpb.NewControlClient(conn).Prepare(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	if reply.State, err = shelf.Unpack(reply.GetState()); err != nil {
+		v.controller.distrusted.Store(v.to.GetStorage(), true)
+		return nil, err
+	}
+	return reply, nil
 }
 
 func (v *vote) runAccept(ctx context.Context, req *fleetpb.AcceptRequest) {
@@ -154,7 +172,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return fleetpb.NewControlClient(conn).Accept(ctx, req)
+	packed := &fleetpb.AcceptRequest{
+		Ballot: req.GetBallot(), Acceptor: req.GetAcceptor(), State: v.controller.watch.Documents.Pack(req.GetState(), v.held),
+	}
+	reply, err := fleetpb.NewControlClient(conn).Accept(ctx, packed)
+	if err == nil && reply.GetLacksBase() {
+		reply, err = fleetpb.NewControlClient(conn).Accept(ctx, req)
+	}
+	if err == nil && reply.GetLacksBase() {
+		err = errors.New("controller: the acceptor can't read the value")
+	}
+	return reply, err
 }
 
 // post hands over an event; a round that has ended leaves it in the channel.
@@ -176,11 +204,18 @@
 			return nil, err
 		}
 	}
+	reply.State, reply.Held = c.watch.Documents.Pack(reply.GetState(), req.GetHeld()), c.watch.Documents.Held()
 	return reply, nil
 }
 
 // Accept answers a proposer once the value is on the disk.
 func (c *Controller) Accept(_ context.Context, req *fleetpb.AcceptRequest) (*fleetpb.AcceptReply, error) {
+	s, err := c.watch.Documents.Unpack(req.GetState())
+	if err != nil {
+		c.Log.WithError(err).Warn("a value is not readable and is asked for whole")
+		return &fleetpb.AcceptReply{LacksBase: true}, nil
+	}
+	req.State = s
 	c.voting.Lock()
 	defer c.voting.Unlock()
 	before := c.acceptor.Record()
--- /dev/null
+++ b/rockbarrow/document/doc.go
@@ -0,0 +1,16 @@
+// SPDX-License-Identifier: MIT
+
+// Package document sends configuration documents between processes as differences.
+//
+// A document of a thousand routes is some 250 KB, and most of its successors differ in
+// one line. Every process holds the document in force, so what has to travel is what
+// changed. Documents are named by their digest: a receiver tells which it holds
+// ([Shelf.Held]), the sender leaves out a document that is held, makes a difference
+// against one that is held, or sends it whole ([Shelf.Pack]), and the receiver makes it
+// whole again and checks its digest ([Shelf.Unpack]). A receiver that tells nothing, such
+// as a process of version 0.2.0, gets every document whole.
+//
+// The invariant: a [fleetpb.State] in memory or on a disk holds its document whole, with
+// its digest. Only messages hold anything else, and nothing of a message that can't be
+// made whole is taken over.
+package document
--- /dev/null
+++ b/rockbarrow/document/shelf.go
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: MIT
+
+package document
+
+import (
+	"bytes"
+	"encoding/hex"
+	"slices"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// kept is how many documents a shelf keeps by default, and tells of: the one in
+	// force and the one accepted or met before it. Senders keep more, for receivers
+	// that lag.
+	kept = 2
+	// keptDifferences is how many differences a shelf keeps. All receivers that hold
+	// the same document want the same one, within one round trip.
+	keptDifferences = 8
+)
+
+// BaseError says that a document can't be made whole, because its base is not held.
+type BaseError struct{ base, document []byte }
+
+// Error names the two documents.
+func (e *BaseError) Error() string {
+	return "document: " + short(e.document) + " needs " + short(e.base) + ", which is not held"
+}
+
+// DigestError says that a document is not the one that was named.
+type DigestError struct{ want, got []byte }
+
+// Error names the two documents.
+func (e *DigestError) Error() string {
+	return "document: " + short(e.got) + " came where " + short(e.want) + " was named"
+}
+
+func short(digest []byte) string {
+	if len(digest) == 0 {
+		return "none"
+	}
+	return hex.EncodeToString(digest[:min(4, len(digest))])
+}
+
+// Shelf is the documents that a process has met lately. The zero value is ready and
+// keeps two. It is safe for concurrent use.
+type Shelf struct {
+	// Keep is how many documents it keeps; zero means two.
+	Keep int
+	// Log is told of differences that can't be made; nil is nobody.
+	Log *logrus.Entry
+
+	mu sync.Mutex
+	// documents are whole, the newest last.
+	documents []named
+	// differences were made lately, the newest last.
+	differences []made
+}
+
+type named struct{ digest, document []byte }
+
+type made struct{ base, digest, frame []byte }
+
+// Add keeps the document of a state, which may be nil, and sees to its digest. It
+// changes the state; call it before others have it.
+func (s *Shelf) Add(st *fleetpb.State) {
+	c := st.GetConfiguration()
+	if len(c.GetDocument()) == 0 {
+		return
+	}
+	if len(c.GetDigest()) == 0 {
+		c.Digest = Digest(c.GetDocument())
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(c)
+}
+
+// add keeps a whole document; the caller holds mu.
+func (s *Shelf) add(c *fleetpb.Configuration) {
+	if i := s.index(c.GetDigest()); i >= 0 {
+		n := s.documents[i]
+		s.documents = append(slices.Delete(s.documents, i, i+1), n)
+		return
+	}
+	s.documents = append(s.documents, named{digest: c.GetDigest(), document: c.GetDocument()})
+	keep := s.Keep
+	if keep == 0 {
+		keep = kept
+	}
+	if len(s.documents) > keep {
+		s.documents = slices.Delete(s.documents, 0, 1)
+	}
+}
+
+func (s *Shelf) index(digest []byte) int {
+	return slices.IndexFunc(s.documents, func(n named) bool { return bytes.Equal(n.digest, digest) })
+}
+
+// Held tells a sender what this shelf holds.
+func (s *Shelf) Held() *fleetpb.Held {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	h := &fleetpb.Held{}
+	for _, n := range s.documents[max(0, len(s.documents)-kept):] {
+		h.Digests = append(h.Digests, n.digest)
+	}
+	return h
+}
+
+// Pack returns a state as a receiver needs it that has told what it holds: nil if it
+// understands whole documents only. The state itself stays as it is.
+func (s *Shelf) Pack(st *fleetpb.State, held *fleetpb.Held) *fleetpb.State {
+	c := st.GetConfiguration()
+	if held == nil || len(c.GetDocument()) == 0 || len(c.GetDigest()) == 0 {
+		return st
+	}
+	packed := &fleetpb.Configuration{Version: c.GetVersion(), Digest: c.GetDigest()}
+	if !holds(held, c.GetDigest()) {
+		base, frame, err := s.frame(c, held)
+		if err != nil {
+			if s.Log != nil {
+				s.Log.WithError(err).Warn("a document is sent whole")
+			}
+			return st
+		}
+		packed.Base, packed.Difference = base, frame
+	}
+	return &fleetpb.State{
+		Number: st.GetNumber(), Configuration: packed, Voters: st.GetVoters(), PriorVoters: st.GetPriorVoters(),
+		View: st.GetView(), Retired: st.GetRetired(),
+	}
+}
+
+func holds(h *fleetpb.Held, digest []byte) bool {
+	return slices.ContainsFunc(h.GetDigests(), func(d []byte) bool { return bytes.Equal(d, digest) })
+}
+
+// frame returns a difference against a document that is held on both sides, the newest
+// first, or against nothing.
+func (s *Shelf) frame(c *fleetpb.Configuration, held *fleetpb.Held) (base, frame []byte, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var common named
+	for _, n := range slices.Backward(s.documents) {
+		if holds(held, n.digest) {
+			common = n
+			break
+		}
+	}
+	for _, m := range s.differences {
+		if bytes.Equal(m.base, common.digest) && bytes.Equal(m.digest, c.GetDigest()) {
+			return m.base, m.frame, nil
+		}
+	}
+	frame, err = difference(common.document, c.GetDocument())
+	if err != nil {
+		return nil, nil, err
+	}
+	s.differences = append(s.differences, made{base: common.digest, digest: c.GetDigest(), frame: frame})
+	if len(s.differences) > keptDifferences {
+		s.differences = slices.Delete(s.differences, 0, 1)
+	}
+	return common.digest, frame, nil
+}
+
+// Unpack makes the state of a message whole and keeps its document. After an error
+// nothing of the state may be used; the sender has to be asked for it whole.
+func (s *Shelf) Unpack(st *fleetpb.State) (*fleetpb.State, error) {
+	c := st.GetConfiguration()
+	if c == nil {
+		return st, nil
+	}
+	if err := s.makeWhole(c); err != nil {
+		return nil, err
+	}
+	if got := Digest(c.GetDocument()); len(c.GetDigest()) > 0 && !bytes.Equal(got, c.GetDigest()) {
+		return nil, &DigestError{want: c.GetDigest(), got: got}
+	}
+	s.Add(st)
+	return st, nil
+}
+
+// makeWhole sets the document of a configuration.
+func (s *Shelf) makeWhole(c *fleetpb.Configuration) error {
+	if len(c.GetDocument()) > 0 || len(c.GetDigest()) == 0 {
+		return nil
+	}
+	// It may have come from elsewhere since the sender was told what is held.
+	if d, ok := s.get(c.GetDigest()); ok {
+		c.Document, c.Base, c.Difference = d, nil, nil
+		return nil
+	}
+	if len(c.GetDifference()) == 0 {
+		return &BaseError{base: c.GetDigest(), document: c.GetDigest()}
+	}
+	base, ok := s.get(c.GetBase())
+	if !ok {
+		return &BaseError{base: c.GetBase(), document: c.GetDigest()}
+	}
+	d, err := unfold(base, c.GetDifference())
+	if err != nil {
+		return err
+	}
+	c.Document, c.Base, c.Difference = d, nil, nil
+	return nil
+}
+
+// get returns a document that is held; no digest names the empty one.
+func (s *Shelf) get(digest []byte) ([]byte, bool) {
+	if len(digest) == 0 {
+		return nil, true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := s.index(digest); i >= 0 {
+		return s.documents[i].document, true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/rockbarrow/document/shelf_test.go
@@ -0,0 +1,248 @@
+// SPDX-License-Identifier: MIT
+
+package document
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// routes is a document of so many routes, as operators write them: each has names and
+// numbers of its own.
+func routes(version uint64, n int) *fleetpb.State {
+	var b strings.Builder
+	fmt.Fprintf(&b, `{"version":%d,"routes":[`, version)
+	for i := range n {
+		fmt.Fprintf(&b, `{"name":"route-%x","host":"h%x.example","prefix":"/%x/","objective_ms":400},`, i*7919, i*104729, i*1299709)
+	}
+	b.WriteString("{}]}")
+	doc := []byte(b.String())
+	return &fleetpb.State{
+		Number: version, Configuration: &fleetpb.Configuration{Version: version, Document: doc, Digest: Digest(doc)},
+		View: &fleetpb.View{Epoch: 3},
+	}
+}
+
+// received is a state as it comes out of a message.
+func received(t *testing.T, st *fleetpb.State) *fleetpb.State {
+	t.Helper()
+	b, err := proto.Marshal(st)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := &fleetpb.State{}
+	if err := proto.Unmarshal(b, out); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestAChangeTravelsAsItsDifference: an operator adds routes one after another to a
+// thousand others; what is sent grows with the change and not with the document.
+func TestAChangeTravelsAsItsDifference(t *testing.T) {
+	const n = 1000
+	sender, receiver := &Shelf{Keep: 8}, &Shelf{}
+	before := routes(1, n)
+	sender.Add(before)
+	whole, err := receiver.Unpack(received(t, before))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !proto.Equal(whole, before) {
+		t.Fatal("a state that was sent whole has changed")
+	}
+	for v := uint64(2); v < 6; v++ {
+		next := routes(v, n+int(v))
+		sender.Add(next)
+		message := sender.Pack(next, receiver.Held())
+		if size := proto.Size(message); size > 1000 {
+			t.Errorf("%d bytes were sent for one route of a document of %d", size, len(next.GetConfiguration().GetDocument()))
+		}
+		got, err := receiver.Unpack(received(t, message))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !proto.Equal(got, next) {
+			t.Error("another state came out")
+		}
+	}
+}
+
+// TestADocumentThatIsHeldIsLeftOut: a change of the view sends no routes.
+func TestADocumentThatIsHeldIsLeftOut(t *testing.T) {
+	sender, receiver := &Shelf{}, &Shelf{}
+	st := routes(1, 100)
+	sender.Add(st)
+	if _, err := receiver.Unpack(received(t, st)); err != nil {
+		t.Fatal(err)
+	}
+	moved := proto.Clone(st).(*fleetpb.State)
+	moved.Number, moved.View.Epoch = 2, 4
+	message := sender.Pack(moved, receiver.Held())
+	if len(message.GetConfiguration().GetDocument())+len(message.GetConfiguration().GetDifference()) > 0 {
+		t.Error("a document was sent that the receiver holds")
+	}
+	got, err := receiver.Unpack(received(t, message))
+	if err != nil || !proto.Equal(got, moved) {
+		t.Errorf("%v, %v", got, err)
+	}
+}
+
+// TestWhoTellsNothingGetsTheWhole: a process of version 0.2.0 tells nothing.
+func TestWhoTellsNothingGetsTheWhole(t *testing.T) {
+	s := &Shelf{}
+	st := routes(1, 10)
+	s.Add(st)
+	if s.Pack(st, nil) != st {
+		t.Error("a state was packed for a receiver that can't read it")
+	}
+	old := routes(2, 10)
+	old.Configuration.Digest = nil
+	got, err := s.Unpack(received(t, old))
+	if err != nil || !bytes.Equal(got.GetConfiguration().GetDigest(), Digest(old.GetConfiguration().GetDocument())) {
+		t.Errorf("a state without a digest: %v", err)
+	}
+}
+
+// TestWhoHoldsNothingGetsItCompressed: a process that has just started.
+func TestWhoHoldsNothingGetsItCompressed(t *testing.T) {
+	sender, receiver := &Shelf{}, &Shelf{}
+	st := routes(1, 1000)
+	sender.Add(st)
+	message := sender.Pack(st, receiver.Held())
+	if proto.Size(message) > len(st.GetConfiguration().GetDocument())/3 {
+		t.Error("the document was not compressed")
+	}
+	if got, err := receiver.Unpack(received(t, message)); err != nil || !proto.Equal(got, st) {
+		t.Errorf("another state came out: %v", err)
+	}
+}
+
+func TestAnUnreadableDocumentIsNoticed(t *testing.T) {
+	sender := &Shelf{Keep: 8}
+	one, two, three := routes(1, 50), routes(2, 51), routes(3, 52)
+	for _, st := range []*fleetpb.State{one, two, three} {
+		sender.Add(st)
+	}
+	at := func(held *fleetpb.State) *fleetpb.State {
+		return received(t, sender.Pack(three, &fleetpb.Held{Digests: [][]byte{held.GetConfiguration().GetDigest()}}))
+	}
+	receiver := &Shelf{}
+	receiver.Add(one)
+
+	t.Run("the base is not held", func(t *testing.T) {
+		_, err := receiver.Unpack(at(two))
+		var base *BaseError
+		if !errors.As(err, &base) {
+			t.Errorf("%v, want a BaseError", err)
+		}
+	})
+	t.Run("it was left out and is not held", func(t *testing.T) {
+		_, err := receiver.Unpack(at(three))
+		var base *BaseError
+		if !errors.As(err, &base) {
+			t.Errorf("%v, want a BaseError", err)
+		}
+	})
+	t.Run("the base is another document", func(t *testing.T) {
+		m := at(two)
+		m.Configuration.Base = one.GetConfiguration().GetDigest()
+		if got, err := receiver.Unpack(m); err == nil {
+			t.Errorf("taken: %v", got)
+		}
+	})
+	t.Run("the difference is cut short", func(t *testing.T) {
+		m := at(one)
+		d := m.GetConfiguration().GetDifference()
+		m.Configuration.Difference = d[:len(d)-1]
+		if got, err := receiver.Unpack(m); err == nil {
+			t.Errorf("taken: %v", got)
+		}
+	})
+	t.Run("the whole is another document", func(t *testing.T) {
+		m := received(t, three)
+		m.Configuration.Document = m.Configuration.Document[1:]
+		_, err := receiver.Unpack(m)
+		var digest *DigestError
+		if !errors.As(err, &digest) {
+			t.Errorf("%v, want a DigestError", err)
+		}
+	})
+	if got := receiver.Held().GetDigests(); len(got) != 1 || !bytes.Equal(got[0], one.GetConfiguration().GetDigest()) {
+		t.Error("something of an unreadable state was kept")
+	}
+}
+
+// TestTwoSendersTellTheSame: two control instances answer with differences against a
+// base that the first answer has replaced.
+func TestTwoSendersTellTheSame(t *testing.T) {
+	sender, receiver := &Shelf{Keep: 8}, &Shelf{Keep: 1}
+	one, two := routes(1, 50), routes(2, 51)
+	sender.Add(one)
+	sender.Add(two)
+	receiver.Add(one)
+	m := sender.Pack(two, receiver.Held())
+	for range 2 {
+		if got, err := receiver.Unpack(received(t, m)); err != nil || !proto.Equal(got, two) {
+			t.Errorf("another state came out: %v", err)
+		}
+	}
+}
+
+func FuzzUnpack(f *testing.F) {
+	base, next := routes(1, 20), routes(2, 21)
+	frame, err := difference(base.GetConfiguration().GetDocument(), next.GetConfiguration().GetDocument())
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(frame, base.GetConfiguration().GetDigest(), next.GetConfiguration().GetDigest(), []byte(nil))
+	f.Add(frame[:9], []byte(nil), next.GetConfiguration().GetDigest(), []byte("x"))
+	f.Fuzz(func(t *testing.T, frame, baseDigest, digest, doc []byte) {
+		s := &Shelf{}
+		s.Add(base)
+		st := &fleetpb.State{Configuration: &fleetpb.Configuration{Digest: digest, Base: baseDigest, Difference: frame, Document: doc}}
+		got, err := s.Unpack(st)
+		if err != nil {
+			return
+		}
+		c := got.GetConfiguration()
+		if len(c.GetDigest()) > 0 && !bytes.Equal(Digest(c.GetDocument()), c.GetDigest()) {
+			t.Error("a document was taken that has another digest")
+		}
+	})
+}
+
+// BenchmarkPack is a sender's work for each new version of a thousand routes, whatever
+// the number of receivers.
+func BenchmarkPack(b *testing.B) {
+	before, next := routes(1, 1000), routes(2, 1001)
+	b.ReportAllocs()
+	for b.Loop() {
+		s := &Shelf{}
+		s.Add(before)
+		s.Pack(next, s.Held())
+	}
+}
+
+// BenchmarkUnpack is a receiver's.
+func BenchmarkUnpack(b *testing.B) {
+	before, next := routes(1, 1000), routes(2, 1001)
+	sender := &Shelf{}
+	sender.Add(before)
+	packed := sender.Pack(next, sender.Held())
+	b.ReportAllocs()
+	for b.Loop() {
+		s := &Shelf{}
+		s.Add(before)
+		if _, err := s.Unpack(proto.Clone(packed).(*fleetpb.State)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/rockbarrow/watch/knowledge.go
+++ b/rockbarrow/watch/knowledge.go
@@ -35,6 +35,7 @@
 			return false
 		}
 		if c.state.CompareAndSwap(old, s) {
+			c.Documents.Add(s)
 			c.Log.WithFields(logrus.Fields{
 				"state": s.GetNumber(), "config_version": s.GetConfiguration().GetVersion(),
 				"view": s.GetView().GetEpoch(), "stores": len(s.GetView().GetMembers()),
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -25,6 +25,9 @@
 	told reported
 	// state and list are the newest numbers that it has told of.
 	state, list uint64
+	// whole is true after a state from it could not be made whole: the next one is to
+	// come whole.
+	whole bool
 }
 
 // loop watches one control instance.
@@ -87,11 +90,20 @@
 		req.Uses, told = t.told.since(c.Uses())
 		req.WantsLoads = teller == t
 	}
+	if req.GetWantsNews() && !t.whole {
+		req.Held = c.Documents.Held()
+	}
 	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req)
 	if err != nil {
 		return err
 	}
 	t.told, t.state, t.list = told, r.GetStateNumber(), r.GetListNumber()
+	if r.State, err = c.Documents.Unpack(r.GetState()); err != nil {
+		c.Log.WithError(err).WithField("control", t.address).Warn("a state is not readable and is asked for whole")
+		t.whole = true
+		return err
+	}
+	t.whole = false
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
 	if time.Since(asked) >= held {
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -54,6 +55,9 @@
 	// other instances; both are nil where the sender has none.
 	Uses  func() []Use
 	Loads func(*fleetpb.EndpointLoads)
+	// Documents holds the documents that were met lately, so that news of them come as
+	// differences.
+	Documents document.Shelf
 
 	state   atomic.Pointer[fleetpb.State]
 	list    atomic.Pointer[Reading]
