controller, entry, watch: what is chosen is learned as soon as a majority is up

Change: rounds begin at once after a start and end with their answers; calls to control wait for the connection; pauses between attempts to connect are 150 ms at the most; entry instances that are heard count as there, whether they serve or not. Ruled out: taking an accepted state for chosen (a version could go back); resetting the pauses of connections by who calls (no more than 0.1 s left to win).

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -140,6 +140,7 @@
 // Run does the instance's duties until ctx ends and no vote is under way any more.
 func (c *Controller) Run(ctx context.Context) {
 	go c.watch.Run(ctx)
+	go c.runLearning(ctx)
 	reader := &reader{controller: c}
 	go reader.loop(ctx)
 	d := &duties{controller: c}
@@ -202,13 +203,8 @@
 	}
 	for {
 		s, err := c.runRound(ctx, change)
-		var lost *lostError
-		if errors.As(err, &lost) {
-			c.sawRound(lost.round)
-			if wait.For(ctx, rand.N(roundPause)) {
-				continue
-			}
-			err = ctx.Err()
+		if c.mayRepeat(err) && wait.For(ctx, rand.N(roundPause)) {
+			continue
 		}
 		if err != nil {
 			return nil, &UnavailableError{Cause: err}
@@ -221,6 +217,18 @@
 	}
 }
 
+// mayRepeat reports whether another round may do better: one under a higher ballot, or
+// one that finds voters which were not there.
+func (c *Controller) mayRepeat(err error) bool {
+	var lost *lostError
+	var unanswered *unansweredError
+	if errors.As(err, &lost) {
+		c.sawRound(lost.round)
+		return true
+	}
+	return errors.As(err, &unanswered)
+}
+
 // nextBallot returns a ballot that no round has used: its round is above all
 // that this storage has promised, also in earlier lives.
 func (c *Controller) nextBallot() *fleetpb.Ballot {
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
@@ -186,6 +187,29 @@
 	}
 }
 
+// TestARoundEndsWithItsAnswers: while a majority is down a round must not wait for
+// answers that nobody will give, or it is still waiting when the majority is back.
+func TestARoundEndsWithItsAnswers(t *testing.T) {
+	core := newCore(t)
+	put(t, core[0], 1, "one")
+	core[1].stop()
+	core[2].stop()
+	var unanswered *unansweredError
+	for !errors.As(roundError(t, core[0]), &unanswered) {
+		// A vote that was on its way when the others stopped.
+		continue
+	}
+}
+
+func roundError(t *testing.T, p *place) error {
+	t.Helper()
+	_, err := p.controller.runRound(t.Context(), nil)
+	if errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal("the round waited for answers that nobody gives")
+	}
+	return err
+}
+
 func TestAllRestartAndKnowWhatWasAccepted(t *testing.T) {
 	core := newCore(t)
 	put(t, core[0], 3, "three")
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -106,8 +106,11 @@
 			out = append(out, at[name])
 		}
 		at[name].Known++
-		if s.serves && now.Sub(s.heard) < servingWithin {
-			at[name].Serving++
+		if now.Sub(s.heard) < servingWithin {
+			at[name].Heard++
+			if s.serves {
+				at[name].Serving++
+			}
 		}
 	}
 	return out
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -30,7 +30,13 @@
 
 func (e *lostError) Error() string { return fmt.Sprintf("round %d was met", e.round) }
 
-// runRound carries the messages of one round.
+// unansweredError says that so many voters did not answer that a round found no majority.
+type unansweredError struct{}
+
+func (e *unansweredError) Error() string { return "too few voters answered" }
+
+// runRound carries the messages of one round. It ends once the round has, or no answer is
+// outstanding any more.
 func (c *Controller) runRound(ctx context.Context, change register.Change) (*fleetpb.State, error) {
 	known, initial := c.electorate()
 	if known == nil && initial == nil {
@@ -42,15 +48,18 @@
 	// Each acceptor answers at most twice in a round.
 	events := make(chan register.Event, 64)
 	held := map[uint64]*fleetpb.Held{}
+	outstanding := 0
 	actions := r.Handle(register.Begin{})
 	for {
 		for _, a := range actions {
 			switch a := a.(type) {
 			case register.Prepare:
 				v := &vote{controller: c, to: a.To, events: events}
+				outstanding++
 				c.votes.Go(func() { v.runPrepare(ctx, a.Request) })
 			case register.Accept:
 				v := &vote{controller: c, to: a.To, events: events, held: held[a.To.GetStorage()]}
+				outstanding++
 				c.votes.Go(func() { v.runAccept(ctx, a.Request) })
 			case register.Chosen:
 				return a.State, nil
@@ -58,8 +67,12 @@
 				return nil, &lostError{round: a.To.GetRound()}
 			}
 		}
+		if outstanding == 0 {
+			return nil, &unansweredError{}
+		}
 		select {
 		case e := <-events:
+			outstanding--
 			if p, ok := e.(register.Prepared); ok {
 				held[p.From] = p.Reply.GetHeld()
 			}
@@ -114,7 +127,8 @@
 type vote struct {
 	controller *Controller
 	to         *fleetpb.Member
-	events     chan<- register.Event
+	// events gets the answer, or nil if there is none.
+	events chan<- register.Event
 	// held is what the acceptor has told that it holds, nil if it has told nothing.
 	held *fleetpb.Held
 }
@@ -125,6 +139,7 @@
 	reply, err := v.prepare(ctx, req)
 	if err != nil {
 		v.controller.Log.WithError(err).WithField("control", v.to.GetInstance()).Debug("no promise")
+		v.post(ctx, nil)
 		return
 	}
 	v.post(ctx, register.Prepared{From: v.to.GetStorage(), Reply: reply})
@@ -159,6 +174,7 @@
 	reply, err := v.accept(ctx, req)
 	if err != nil {
 		v.controller.Log.WithError(err).WithField("control", v.to.GetInstance()).Debug("not accepted")
+		v.post(ctx, nil)
 		return
 	}
 	v.post(ctx, register.Accepted{From: v.to.GetStorage(), Reply: reply})
--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -30,9 +30,11 @@
 	// some scheduling. A lost first packet is sent again by the system only after a
 	// second, so that a new attempt is sooner there.
 	connectWithin = 200 * time.Millisecond
-	// firstPause and longestPause lie between attempts.
+	// firstPause and longestPause lie between attempts. After a loss of power of all, a
+	// client's turn has some 0.6 s of pauses between its tries, of which a process's start
+	// takes part; an attempt to connect costs both sides some 0.1 ms.
 	firstPause   = 50 * time.Millisecond
-	longestPause = 400 * time.Millisecond
+	longestPause = 150 * time.Millisecond
 	// probeEvery is how often a connection at rest is probed, the shortest that the
 	// system allows. A connection may fall silent for good while new ones work.
 	probeEvery = time.Second
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -123,15 +123,15 @@
 // deserted reports whether most entry instances of the own failure domain are
 // lost while another domain has most of its own. The balancer goes on to use all
 // instances of a domain, the lost ones too, while fewer than half of them are
-// ready, but none of them once none is.
+// ready, but none of them once none is. Instances that are heard and do not serve yet or
+// any more are not lost: they say so to the balancer themselves.
 func (e *Entry) deserted() bool {
 	own, elsewhere := false, false
 	for _, d := range e.Watch.EntryDomains() {
-		most := 2*d.GetServing() >= d.GetKnown()
 		if d.GetFailureDomain() == e.Domain {
-			own = !most
+			own = 2*max(d.GetHeard(), d.GetServing()) < d.GetKnown()
 		} else {
-			elsewhere = elsewhere || most && d.GetServing() > 0
+			elsewhere = elsewhere || d.GetServing() > 0 && 2*d.GetServing() >= d.GetKnown()
 		}
 	}
 	return own && elsewhere
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -247,6 +247,12 @@
 		{"half of them are enough", counts(1, 2, 2), true},
 		{"one of three is left", counts(1, 3, 2), false},
 		{"the others are no better off", counts(1, 3, 0), true},
+		{"the others are heard and begin to serve after a loss of power", []*fleetpb.EntryDomain{
+			{FailureDomain: "a", Known: 3, Heard: 3, Serving: 1}, {FailureDomain: "b", Known: 2, Heard: 2, Serving: 2},
+		}, true},
+		{"the others are silent", []*fleetpb.EntryDomain{
+			{FailureDomain: "a", Known: 3, Heard: 1, Serving: 1}, {FailureDomain: "b", Known: 2, Heard: 2, Serving: 2},
+		}, false},
 	}
 	for _, test := range tests {
 		e.Watch.Hear(&fleetpb.WatchReply{EntryDomains: test.counts})
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -33,12 +35,13 @@
 // loop watches one control instance.
 func (t *target) loop(ctx context.Context) {
 	for ctx.Err() == nil {
+		asked := time.Now()
 		if err := t.watch(ctx); err != nil {
 			t.failed(err)
 			if t.forgotten() {
 				return
 			}
-			wait.For(ctx, pause+rand.N(pause))
+			wait.For(ctx, pause+rand.N(pause)-time.Since(asked))
 		}
 	}
 }
@@ -93,7 +96,8 @@
 	if req.GetWantsNews() && !t.whole {
 		req.Held = c.Documents.Held()
 	}
-	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req)
+	// The call goes out in the moment in which there is a connection.
+	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req, grpc.WaitForReady(true))
 	if err != nil {
 		return err
 	}
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -28,7 +28,8 @@
 	hold = 300 * time.Millisecond
 	// reply is how much longer than hold an answer may take.
 	reply = 250 * time.Millisecond
-	// pause lies between calls to an instance that fails.
+	// pause lies between the beginnings of calls to an instance that fails, twice that at
+	// the most.
 	pause = 150 * time.Millisecond
 	// silentAfter is when a control instance counts as lost.
 	silentAfter = 2*hold + reply
