requestlog: programs by cause, and how instances started

What a recovery waits for could be seen only with scripts of one's own. rockbench requests now also counts programs by the gravest thing that happened to one of their requests, and tells for each wave of starts how long each role took to the state, the list and to be ready. Log lines carry fractions of a second.

--- a/rockbench/requestlog/doc.go
+++ b/rockbench/requestlog/doc.go
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-// Package requestlog reads the log lines with which entry instances end requests, and
-// tells how the requests ended, why, and where their time went.
+// Package requestlog reads the logs of a deployment and tells how requests ended, why, and
+// where their time went ([Table]), what went wrong with programs ([Programs]), and how
+// long instances took from their starts until they served ([Lives]).
 package requestlog
--- /dev/null
+++ b/rockbench/requestlog/lives.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: MIT
+
+package requestlog
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Step is what an instance reaches after its start, by the message that it logs.
+type Step string
+
+// The steps, in the order of the table.
+const (
+	StepState Step = "a newer state is in force"
+	StepList  Step = "a newer list of endpoints is in force"
+	StepReady Step = "readiness has changed"
+)
+
+// start is the message of a process that begins.
+const start = "starting"
+
+// waveGap is the longest pause between two starts of one wave. Processes that lose power
+// together start within 0.3 s; a rolling restart takes them seconds apart.
+const waveGap = 700 * time.Millisecond
+
+// Event is one line of an instance about itself.
+type Event struct {
+	// At is the time of the line, by the collector's stamp before the line or else by
+	// the instance's own.
+	At             time.Duration
+	Instance, Role string
+	Message        string
+	// Ready goes with StepReady.
+	Ready bool
+}
+
+// Lives tells how long instances took from their starts to each step. Add events in the
+// order of their times. The zero value is ready.
+type Lives struct {
+	waves []*wave
+	// current is each instance's newest life.
+	current map[string]*life
+}
+
+// wave is instances that started together.
+type wave struct {
+	last  time.Duration
+	lives []*life
+}
+
+type life struct {
+	role    string
+	begun   time.Duration
+	reached map[Step]time.Duration
+}
+
+// Add takes an event.
+func (t *Lives) Add(e Event) {
+	switch s := Step(e.Message); {
+	case e.Message == start:
+		t.begin(e)
+	case s == StepState, s == StepList, s == StepReady && e.Ready:
+		l := t.current[e.Instance]
+		if l == nil {
+			return
+		}
+		if _, ok := l.reached[s]; !ok {
+			l.reached[s] = e.At - l.begun
+		}
+	}
+}
+
+func (t *Lives) begin(e Event) {
+	if t.current == nil {
+		t.current = map[string]*life{}
+	}
+	l := &life{role: e.Role, begun: e.At, reached: map[Step]time.Duration{}}
+	t.current[e.Instance] = l
+	if n := len(t.waves); n == 0 || e.At-t.waves[n-1].last > waveGap {
+		t.waves = append(t.waves, &wave{})
+	}
+	w := t.waves[len(t.waves)-1]
+	w.last = e.At
+	w.lives = append(w.lives, l)
+}
+
+// Write prints a row for each role in each wave of starts.
+func (t *Lives) Write(w io.Writer) error {
+	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(out, "starts\trole\tfirst at\tlast\tstate p50\tlast\tlist p50\tlast\tready p50\tlast")
+	for _, wave := range t.waves {
+		byRole := map[string][]*life{}
+		var roles []string
+		for _, l := range wave.lives {
+			if byRole[l.role] == nil {
+				roles = append(roles, l.role)
+			}
+			byRole[l.role] = append(byRole[l.role], l)
+		}
+		slices.Sort(roles)
+		for _, role := range roles {
+			lives := byRole[role]
+			fmt.Fprintf(out, "%d\t%s\t%v\t%v\t%s\t%s\t%s\n", len(lives), role, round(lives[0].begun), round(lives[len(lives)-1].begun),
+				middleAndLast(lives, StepState), middleAndLast(lives, StepList), middleAndLast(lives, StepReady))
+		}
+	}
+	return out.Flush()
+}
+
+// middleAndLast returns two cells of the table.
+func middleAndLast(lives []*life, s Step) string {
+	var took []time.Duration
+	for _, l := range lives {
+		if d, ok := l.reached[s]; ok {
+			took = append(took, d)
+		}
+	}
+	if len(took) == 0 {
+		return "-\t-"
+	}
+	slices.SortFunc(took, cmp.Compare[time.Duration])
+	return fmt.Sprintf("%v\t%v", round(took[len(took)/2]), round(took[len(took)-1]))
+}
+
+func round(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
--- a/rockbench/requestlog/read.go
+++ b/rockbench/requestlog/read.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,6 +23,7 @@
 type Line struct {
 	Instance string `json:"instance"`
 	Request  string `json:"request"`
+	Program  string `json:"program"`
 	Service  string `json:"service"`
 	Status   int    `json:"status"`
 	Reason   string `json:"reason"`
@@ -34,6 +37,46 @@
 	Message string `json:"msg"`
 }
 
+// event is what a line about an instance holds.
+type event struct {
+	Instance string    `json:"instance"`
+	Role     string    `json:"role"`
+	Message  string    `json:"msg"`
+	Ready    bool      `json:"ready"`
+	Time     time.Time `json:"time"`
+}
+
+// ReadEvents calls yield with each line of an instance about itself, and passes over what
+// Read passes over or reads.
+func ReadEvents(r io.Reader, yield func(Event)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), maxLine)
+	for n := 1; s.Scan(); n++ {
+		b := s.Bytes()
+		at := bytes.IndexByte(b, '{')
+		if at < 0 || !bytes.Contains(b[at:], []byte(`"role"`)) || bytes.Contains(b[at:], []byte(ended)) {
+			continue
+		}
+		var e event
+		if err := json.Unmarshal(b[at:], &e); err != nil {
+			return errors.Wrapf(err, "requestlog: line %d", n)
+		}
+		yield(Event{At: stamp(b[:at], e.Time), Instance: e.Instance, Role: e.Role, Message: e.Message, Ready: e.Ready})
+	}
+	return errors.Wrap(s.Err(), "requestlog")
+}
+
+// stamp is the time of a line: seconds that stand before it, or else its own.
+func stamp(before []byte, own time.Time) time.Duration {
+	fields := bytes.Fields(before)
+	if len(fields) > 0 {
+		if seconds, err := strconv.ParseFloat(string(fields[0]), 64); err == nil {
+			return time.Duration(seconds * float64(time.Second))
+		}
+	}
+	return time.Duration(own.UnixNano())
+}
+
 // Read calls yield with each ended request. What stands before the JSON of a line, such
 // as a time and an instance, is passed over, and so are lines without JSON and other
 // messages. A line that begins like JSON and is none is an error that names it.
--- a/rockbench/requestlog/requestlog_test.go
+++ b/rockbench/requestlog/requestlog_test.go
@@ -37,6 +37,52 @@
 	}
 }
 
+// TestProgramsCountByTheGravest: a program that waited and then lost an answer counts as
+// one that lost an answer.
+func TestProgramsCountByTheGravest(t *testing.T) {
+	var programs Programs
+	for _, l := range []Line{
+		{Program: "1", Status: 200, Waited: 200}, {Program: "1", Status: 0}, {Program: "1", Status: 200},
+		{Program: "2", Status: 200}, {Program: "3", Status: 503}, {Status: 502},
+	} {
+		programs.Add(l)
+	}
+	var out strings.Builder
+	if err := programs.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"1         0.3333  answer cut", "1         0.3333  refused", "0         0.0000  waited for a place", "1         0.3333  nothing of these"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("%s\nlacks %q", out.String(), want)
+		}
+	}
+}
+
+// TestWavesOfStarts: two instances lose power together, and one restarts later.
+func TestWavesOfStarts(t *testing.T) {
+	const log = `  1.000 a {"msg":"starting","role":"entry","instance":"a"}
+  1.200 b {"msg":"starting","role":"entry","instance":"b"}
+  1.300 c {"msg":"starting","role":"control","instance":"c"}
+  1.500 a {"msg":"a newer state is in force","role":"entry","instance":"a"}
+  1.600 b {"msg":"a newer state is in force","role":"entry","instance":"b"}
+  1.700 a {"msg":"readiness has changed","role":"entry","instance":"a","ready":true}
+  9.000 a {"msg":"starting","role":"entry","instance":"a"}
+{"msg":"readiness has changed","role":"entry","instance":"other","ready":true,"time":"2026-01-25T17:24:14.5Z"}
+`
+	var lives Lives
+	if err := ReadEvents(strings.NewReader(log), lives.Add); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := lives.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(rows) != 4 || strings.Join(strings.Fields(rows[2]), " ") != "2 entry 1s 1.2s 500ms 500ms - - 700ms 700ms" {
+		t.Errorf("%s", out.String())
+	}
+}
+
 // FuzzRead feeds lines of any kind.
 func FuzzRead(f *testing.F) {
 	f.Add(text)
@@ -44,5 +90,7 @@
 		var table Table
 		// An error is a proper answer to lines that are none.
 		_ = Read(strings.NewReader(s), table.Add)
+		var lives Lives
+		_ = ReadEvents(strings.NewReader(s), lives.Add)
 	})
 }
--- a/rockbench/requests.go
+++ b/rockbench/requests.go
@@ -3,6 +3,8 @@
 package main
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"os"
 
@@ -11,20 +13,38 @@
 	"rockbarrow.dev/rockbench/requestlog"
 )
 
-// runRequests prints how the requests in a log ended; "-" is standard input.
+// runRequests prints how the requests in a log ended, what went wrong with programs, and
+// how instances started; "-" is standard input.
 func runRequests(out io.Writer, file string) error {
-	in := os.Stdin
-	if file != "-" {
-		f, err := os.Open(file)
-		if err != nil {
-			return errors.Wrap(err, "requests")
-		}
-		defer f.Close()
-		in = f
+	b, err := readLog(file)
+	if err != nil {
+		return errors.Wrap(err, "requests")
 	}
 	var table requestlog.Table
-	if err := requestlog.Read(in, table.Add); err != nil {
+	var programs requestlog.Programs
+	var lives requestlog.Lives
+	err = requestlog.Read(bytes.NewReader(b), func(l requestlog.Line) {
+		table.Add(l)
+		programs.Add(l)
+	})
+	if err != nil {
+		return err
+	}
+	if err := requestlog.ReadEvents(bytes.NewReader(b), lives.Add); err != nil {
 		return err
 	}
-	return table.Write(out)
+	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives} {
+		if err := t.Write(out); err != nil {
+			return err
+		}
+		fmt.Fprintln(out)
+	}
+	return nil
+}
+
+func readLog(file string) ([]byte, error) {
+	if file == "-" {
+		return io.ReadAll(os.Stdin)
+	}
+	return os.ReadFile(file)
 }
