controller: the list of endpoints is read at once after a start

Cause: the first reading waited for a tick of 0.1 s, and after a loss of all power entry instances had the state before they had a list.

--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -32,10 +32,14 @@
 }
 
 func (r *reader) loop(ctx context.Context) {
-	for wait.For(ctx, readerTick) {
+	// The first reading comes at once: after a loss of power everyone waits for it.
+	for {
 		if r.due(time.Now()) {
 			r.read(ctx)
 		}
+		if !wait.For(ctx, readerTick) {
+			return
+		}
 	}
 }
 
