ledger, store, controller: a failure domain that is cut off is not moved away

Change: what is covered is counted by group and failure domain, not over all stores; a try to copy asks only for what is missing; stores of a domain of which nothing at all is heard are replaced after 15 s, as cuts end after 8 s at the most. The test of copied sources now tries every set that the code takes for enough, which is stricter than the number it had. Ruled out: keeping the short time where two stores are all there are (one goes on alone, as before).

--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -146,10 +146,12 @@
 		now:     now,
 		stores:  c.presence.of(now, fleetpb.Role_ROLE_STORE, forgetAfter),
 		control: c.presence.of(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
+		domains: c.presence.domains(now),
 		copies:  2*c.Losses + 1,
 		settled: d.settled(now),
 		self:    c.Self,
 		calm:    now.Sub(d.started) > calmAfter,
+		ran:     now.Sub(d.started),
 	}
 	if p.next(c.State()) == nil {
 		return
--- a/rockbarrow/controller/plan.go
+++ b/rockbarrow/controller/plan.go
@@ -21,6 +21,12 @@
 	// lostAfter is how long a member stays silent before a spare one takes its
 	// place. Shorter would move records when a process restarts.
 	lostAfter = 3500 * time.Millisecond
+	// cutAtMost is how long a failure domain may be silent as a whole before its stores
+	// count as lost. Cuts end by themselves, after 8 s at the most by the platform's
+	// bound, and each group holds few stores of one domain; to replace some of them
+	// meanwhile moves records twice and slows every turn. Some seconds more, for what
+	// comes back after a cut.
+	cutAtMost = 15 * time.Second
 )
 
 // plan decides the next step of the members. It is made anew from what is known
@@ -29,6 +35,8 @@
 	now     time.Time
 	stores  []peer
 	control []peer
+	// domains are the failure domains of which any instance was heard lately.
+	domains map[string]bool
 	// copies is how many stores keep a program's records.
 	copies int
 	// settled is true when no store has come lately.
@@ -36,6 +44,8 @@
 	self    *fleetpb.Member
 	// calm is true when silence may be taken for a loss.
 	calm bool
+	// ran is how long this instance has run: nobody's silence is known to be longer.
+	ran time.Duration
 }
 
 // next returns the state with one step made, or nil if there is none to make.
@@ -94,7 +104,7 @@
 		}
 		missing++
 	}
-	if missing > ledger.Unheard(min(p.copies, len(v.GetMembers()))) {
+	if missing > 0 && !ledger.Covers(v.GetMembers(), p.copies, p.copiedFor(v.GetEpoch())) {
 		return false
 	}
 	v.Prior = nil
@@ -103,6 +113,14 @@
 	return true
 }
 
+// copiedFor returns a function that reports whether a store holds what a view needs.
+func (p plan) copiedFor(epoch uint64) func(storage uint64) bool {
+	return func(storage uint64) bool {
+		peer, ok := find(p.stores, storage)
+		return ok && peer.copied >= epoch
+	}
+}
+
 // retireOthers calls the leaving stores emptied that are no members, spare ones
 // included, which hold nothing. It reports whether there were any.
 func retireOthers(s *fleetpb.State) bool {
@@ -134,7 +152,7 @@
 			}
 		case p.reborn(m) != nil:
 			out = append(out, p.reborn(m))
-		case p.lost(p.stores, m) && len(spares) > 0:
+		case p.storeLost(m) && len(spares) > 0:
 			out, spares = append(out, spares[0]), spares[1:]
 		default:
 			out = append(out, m)
@@ -204,6 +222,22 @@
 	return !ok || p.now.Sub(peer.heard) > lostAfter
 }
 
+// storeLost reports whether a store has been silent for so long that another takes its
+// place, longer where its whole failure domain is.
+func (p plan) storeLost(m *fleetpb.Member) bool {
+	if !p.lost(p.stores, m) {
+		return false
+	}
+	if p.domains[m.GetFailureDomain()] {
+		return true
+	}
+	silent := p.ran
+	if peer, ok := find(p.stores, m.GetStorage()); ok {
+		silent = p.now.Sub(peer.heard)
+	}
+	return silent > cutAtMost
+}
+
 // nextVoters moves one voter at a time; while two sets count, it ends the move.
 func (p plan) nextVoters(s *fleetpb.State) bool {
 	if len(s.GetPriorVoters()) > 0 {
--- a/rockbarrow/controller/plan_test.go
+++ b/rockbarrow/controller/plan_test.go
@@ -19,8 +19,9 @@
 // scene is a plan with stores that were just heard.
 func scene(stores ...*fleetpb.Member) plan {
 	now := time.Unix(100, 0)
-	p := plan{now: now, copies: 3, settled: true, calm: true, self: member("control-0", 100)}
+	p := plan{now: now, copies: 3, settled: true, calm: true, self: member("control-0", 100), domains: map[string]bool{}}
 	for _, m := range stores {
+		p.domains[m.GetFailureDomain()] = true
 		p.stores = append(p.stores, peer{member: m, role: fleetpb.Role_ROLE_STORE, heard: now})
 	}
 	return p
@@ -78,6 +79,74 @@
 	}
 }
 
+// five are stores in failure domains of their own, "f" is a spare in the first.
+func five() (members []*fleetpb.Member, spare *fleetpb.Member) {
+	for i, name := range []string{"a", "b", "c", "d", "e", "f"} {
+		members = append(members, &fleetpb.Member{Instance: name, Storage: uint64(i + 1), FailureDomain: name})
+	}
+	spare = members[5]
+	spare.FailureDomain = "a"
+	return members[:5], spare
+}
+
+// TestACutDomainIsNotReplaced: its stores come back, and moving their records meanwhile
+// slows every turn. One that stays away is replaced in the end, and a store that is lost
+// alone at once.
+func TestACutDomainIsNotReplaced(t *testing.T) {
+	members, spare := five()
+	s := steady(members...)
+	s.View.Copies = 5
+	tests := []struct {
+		name   string
+		silent time.Duration
+		// other is true if another instance of the domain is heard.
+		other bool
+		known bool
+		ran   time.Duration
+		want  string
+	}{
+		{"a cut", 8 * time.Second, false, true, time.Minute, ""},
+		{"a cut that lasts", cutAtMost + time.Second, false, true, time.Minute, "[a b c d f]"},
+		{"a store alone", lostAfter + time.Second, true, true, time.Minute, "[a b c d f]"},
+		{"a cut from before this instance's start", 0, false, false, calmAfter + time.Second, ""},
+		{"a domain that was never heard", 0, false, false, cutAtMost + time.Second, "[a b c d f]"},
+	}
+	for _, test := range tests {
+		p := scene(append(members[:4:4], spare)...)
+		p.copies, p.ran = 5, test.ran
+		p.domains = map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": test.other}
+		if test.known {
+			p.stores = append(p.stores, peer{member: members[4], role: fleetpb.Role_ROLE_STORE, heard: p.now.Add(-test.silent)})
+		}
+		got := ""
+		if next := p.next(s); next != nil {
+			got = names3(next)
+		}
+		if got != test.want {
+			t.Errorf("%s: members %s, want %s", test.name, got, test.want)
+		}
+	}
+}
+
+// TestAMoveEndsWithoutALostDomain: three stores are silent, but no group holds more than
+// one of them.
+func TestAMoveEndsWithoutALostDomain(t *testing.T) {
+	var members []*fleetpb.Member
+	for i, domain := range []string{"a", "a", "b", "b", "b", "c", "c", "d", "e"} {
+		members = append(members, &fleetpb.Member{Instance: fmt.Sprint("store-", i), Storage: uint64(i + 1), FailureDomain: domain})
+	}
+	s := steady(members...)
+	s.View.Epoch, s.View.Prior, s.View.Copies = 2, members, 5
+	p := scene(append(members[:2:2], members[5:]...)...)
+	p.copies = 5
+	for i := range p.stores {
+		p.stores[i].copied = 2
+	}
+	if next := p.next(s); next == nil || len(next.GetView().GetPrior()) > 0 {
+		t.Errorf("the move goes on: %v", next)
+	}
+}
+
 func TestAMoveEndsOnceRecordsAreCopied(t *testing.T) {
 	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
 	s := steady(d, b, c)
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -95,6 +95,19 @@
 	return out
 }
 
+// domains returns the failure domains of which any instance was heard lately.
+func (r *presence) domains(now time.Time) map[string]bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]bool{}
+	for _, s := range r.peers {
+		if now.Sub(s.heard) < presentWithin {
+			out[s.member.GetFailureDomain()] = true
+		}
+	}
+	return out
+}
+
 // entryDomains counts the entry instances of each failure domain, by name.
 func (r *presence) entryDomains(now time.Time) []*fleetpb.EntryDomain {
 	var out []*fleetpb.EntryDomain
--- a/rockbarrow/ledger/copying.go
+++ b/rockbarrow/ledger/copying.go
@@ -20,23 +20,19 @@
 	return !hasStorage(prior, storage) || len(present) < len(prior)
 }
 
-// Sources returns the members to copy from, and how many of them may stay
-// silent.
-func Sources(v *fleetpb.View, storage uint64) (from []*fleetpb.Member, missing int) {
-	all := counting(v)
-	missing = Unheard(min(int(v.GetCopies()), len(all)))
-	for _, m := range all {
+// Sources returns the members to copy from.
+func Sources(v *fleetpb.View, storage uint64) []*fleetpb.Member {
+	var from []*fleetpb.Member
+	for _, m := range counting(v) {
 		if m.GetStorage() != storage {
 			from = append(from, m)
 		}
 	}
-	return from, missing
+	return from
 }
 
-// Counts reports whether a store is among those whose records count: the members
-// before a move under way, or else the members.
-func Counts(v *fleetpb.View, storage uint64) bool { return hasStorage(counting(v), storage) }
-
+// counting returns the stores whose records count: the members before a move under way,
+// or else the members.
 func counting(v *fleetpb.View) []*fleetpb.Member {
 	if len(v.GetPrior()) > 0 {
 		return v.GetPrior()
--- a/rockbarrow/ledger/ledger_test.go
+++ b/rockbarrow/ledger/ledger_test.go
@@ -151,8 +151,7 @@
 	for n := 2; n <= 7; n++ {
 		prior := stores("a", "b", "c", "d", "e", "f", "g")[:n]
 		v := &fleetpb.View{Epoch: 2, Members: prior, Prior: prior, Copies: uint32(n)}
-		from, missing := Sources(v, 99)
-		if len(from) != n {
+		if from := Sources(v, 99); len(from) != n {
 			t.Fatalf("%d sources of %d stores", len(from), n)
 		}
 		for written := range 1 << n {
@@ -160,9 +159,13 @@
 				continue
 			}
 			for heard := range 1 << n {
-				if bits.OnesCount(uint(heard)) >= len(from)-missing && written&heard == 0 {
+				covers := CoversMove(v, func(storage uint64) bool { return heard&(1<<(storage-1)) != 0 })
+				if covers && written&heard == 0 {
 					t.Fatalf("of %d stores, %b wrote and %b were copied from", n, written, heard)
 				}
+				if !covers && bits.OnesCount(uint(heard)) >= ReadQuorum(n) {
+					t.Fatalf("of %d stores, %b were heard and are not enough", n, heard)
+				}
 			}
 		}
 	}
@@ -174,7 +177,12 @@
 	if !Needs(v, 9, "p", true) || Needs(v, 1, "p", false) {
 		t.Error("the wrong stores copy")
 	}
-	if Counts(v, 9) || !Counts(v, 1) {
+	for _, m := range Sources(v, 99) {
+		if !hasStorage(all, m.GetStorage()) {
+			t.Errorf("store %d counts while records are copied to it", m.GetStorage())
+		}
+	}
+	if len(Sources(v, 9)) != 3 || len(Sources(v, 1)) != 2 {
 		t.Error("the wrong stores count while records are copied")
 	}
 }
--- a/rockbarrow/ledger/tally.go
+++ b/rockbarrow/ledger/tally.go
@@ -78,14 +78,7 @@
 // SureEverywhere reports whether what no store has told is in no group at all:
 // each group has a quorum among the stores that answered.
 func (t *Tally) SureEverywhere(copies int) bool {
-	list := t.authority()
-	unheard := 0
-	for _, m := range list {
-		if !t.whole[m.GetStorage()] {
-			unheard++
-		}
-	}
-	return unheard <= Unheard(min(copies, len(list)))
+	return Covers(t.authority(), copies, func(storage uint64) bool { return t.whole[storage] })
 }
 
 // Lost reports whether a quorum can no longer be reached.
--- a/rockbarrow/store/copier.go
+++ b/rockbarrow/store/copier.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,10 @@
 // copier brings this store's records up to each new view.
 type copier struct {
 	store *Store
+	// copied are the stores whose records are here, for the view of epoch: a try that
+	// fails at one store does not ask the others again.
+	copied map[uint64]bool
+	epoch  uint64
 }
 
 func (c *copier) loop(ctx context.Context) {
@@ -89,47 +94,65 @@
 	return whole > 0 && whole+1 == v.GetEpoch()
 }
 
-// copyAll copies from all members that count but the few that may be missing.
+// copyAll copies from members that count until they cover all groups; a few may be
+// missing.
 func (c *copier) copyAll(ctx context.Context, v *fleetpb.View) error {
 	s := c.store
 	all := !c.follows(v)
-	from, missing := ledger.Sources(v, s.Self.GetStorage())
-	need := len(from) - missing
-	if all && ledger.Counts(v, s.Self.GetStorage()) {
-		// This store is itself one of those that are missing.
-		need++
+	if c.epoch != v.GetEpoch() {
+		c.epoch, c.copied = v.GetEpoch(), map[uint64]bool{}
 	}
-	results := make(chan error, len(from))
+	covered := func() bool {
+		return ledger.CoversMove(v, func(storage uint64) bool {
+			// What this store missed itself it has only from others.
+			return c.copied[storage] || storage == s.Self.GetStorage() && !all
+		})
+	}
+	from := c.left(ledger.Sources(v, s.Self.GetStorage()))
+	results := make(chan transferred, len(from))
 	for _, m := range from {
 		go (&transfer{store: s, from: m, results: results}).run(ctx, &fleetpb.CopyRequest{
 			Epoch: v.GetEpoch(), Storage: m.GetStorage(), View: v, Requester: s.Self, All: all,
 		})
 	}
-	done, failed := 0, error(nil)
+	failed := errors.New("store: nobody to copy from")
 	for range from {
-		if err := <-results; err != nil {
-			failed = err
-			continue
-		}
-		if done++; done >= need {
+		if covered() {
 			return nil
 		}
+		r := <-results
+		if r.err != nil {
+			failed = r.err
+			continue
+		}
+		c.copied[r.storage] = true
 	}
-	if done >= need {
+	if covered() {
 		return nil
 	}
-	return errors.Wrapf(failed, "store: %d of %d copies came", done, need)
+	return errors.Wrapf(failed, "store: %d copies came and do not cover all groups", len(c.copied))
+}
+
+// left returns the members whose records are not here yet.
+func (c *copier) left(from []*fleetpb.Member) []*fleetpb.Member {
+	return slices.DeleteFunc(from, func(m *fleetpb.Member) bool { return c.copied[m.GetStorage()] })
 }
 
 // transfer copies from one member.
 type transfer struct {
 	store   *Store
 	from    *fleetpb.Member
-	results chan<- error
+	results chan<- transferred
+}
+
+// transferred is how the copy from a storage ended.
+type transferred struct {
+	storage uint64
+	err     error
 }
 
 func (t *transfer) run(ctx context.Context, req *fleetpb.CopyRequest) {
-	t.results <- t.copy(ctx, req)
+	t.results <- transferred{storage: t.from.GetStorage(), err: t.copy(ctx, req)}
 }
 
 func (t *transfer) copy(ctx context.Context, req *fleetpb.CopyRequest) error {
