entry: an endpoint behind a cut is not waited for

Change: an attempt that may be ended (a stream, or a call that may run again) ends after 0.4 s of silence once its endpoint's domain is known to be out of reach; calls that run once wait on. The watch of pauses is a type of its own, with the rule for streams that another endpoint can go on with. Ruled out: giving a settlement up while stores are out of reach; clients leave after 2.4 s without an event, when the turn may still be stored for them to go on from.

--- a/rockbarrow/entry/domains.go
+++ b/rockbarrow/entry/domains.go
@@ -53,6 +53,13 @@
 	return changed
 }
 
+// isCut reports whether a domain's stores and control instances are out of reach.
+func (d *domains) isCut(domain string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Contains(d.cut, domain)
+}
+
 // avoid returns the domains to avoid now.
 func (d *domains) avoid(now time.Time) []string {
 	d.mu.Lock()
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -108,14 +108,14 @@
 func (x *exchange) attempt(ctx context.Context) (Outcome, error) {
 	try, cancel := x.within(ctx)
 	defer cancel()
-	answer, done, err := x.offer(ctx, try)
+	pauses, stop := x.watchPauses(cancel)
+	defer stop()
+	answer, done, err := x.offer(ctx, try, pauses)
 	if err != nil {
 		return nil, err
 	}
 	if x.way.streamed && answer.Status == http.StatusOK {
-		stalls := x.watchPauses(cancel)
-		defer stalls.Stop()
-		return x.passEvents(ctx, answer, done, stalls)
+		return x.passEvents(ctx, answer, done, pauses)
 	}
 	return x.passWhole(answer, done)
 }
@@ -151,12 +151,13 @@
 
 // offer sends the request to the best endpoint, which has until the end of try. The
 // place is given back by done.
-func (x *exchange) offer(ctx, try context.Context) (*Answer, func(placement.Result), error) {
+func (x *exchange) offer(ctx, try context.Context, pauses *pauses) (*Answer, func(placement.Result), error) {
 	choice, ok := x.choose()
 	if !ok {
 		return nil, nil, &NotRunError{Endpoint: "none", Reason: "no endpoint has room", Busy: true}
 	}
 	p := choice.Endpoint()
+	pauses.at(p.Domain())
 	x.endpoint = p.Name()
 	x.offers++
 	sent := time.Now()
--- a/rockbarrow/entry/pass.go
+++ b/rockbarrow/entry/pass.go
@@ -6,7 +6,6 @@
 	"context"
 	"io"
 	"net/http"
-	"time"
 
 	"rockbarrow.dev/rockbarrow/placement"
 )
@@ -17,32 +16,8 @@
 	wholeBody = 256 << 10
 	// readSize in bytes holds some events of a stream.
 	readSize = 4 << 10
-	// stalledAfter is the pause inside a stream after which it is resumed elsewhere, if
-	// it may be: some ten times the pauses under load, and half of the shortest after
-	// which clients give a stream up.
-	stalledAfter = time.Second
-	// never is a pause that no stream reaches.
-	never = 24 * time.Hour
 )
 
-// watchPauses ends an attempt whose stream stands still, where another endpoint can go
-// on with it. The timer runs from the first event on: before it the endpoint may have a
-// queue, which is no better elsewhere.
-func (x *exchange) watchPauses(end func()) *time.Timer {
-	t := time.AfterFunc(never, end)
-	if x.started {
-		x.moved(t)
-	}
-	return t
-}
-
-// moved notes that a stream has moved on.
-func (x *exchange) moved(stalls *time.Timer) {
-	if x.way.resumable && x.runs+1 < int(x.route.GetMaxAttempts()) {
-		stalls.Reset(stalledAfter)
-	}
-}
-
 // broken gives a place back whose answer was lost on its way, and says so.
 func (x *exchange) broken(done func(placement.Result), r placement.Result, reason string) error {
 	done(r)
@@ -94,7 +69,7 @@
 // passEvents hands events on as they come, each one whole: an endpoint may stop inside
 // an event, and another one then begins with the event that the client lacks. It
 // returns an error if the stream broke off.
-func (x *exchange) passEvents(ctx context.Context, a *Answer, done func(placement.Result), stalls *time.Timer) (Outcome, error) {
+func (x *exchange) passEvents(ctx context.Context, a *Answer, done func(placement.Result), p *pauses) (Outcome, error) {
 	defer a.Body.Close()
 	x.startEvents(a)
 	buf := make([]byte, readSize)
@@ -102,7 +77,7 @@
 		n, err := a.Body.Read(buf)
 		x.events.scan(buf[:n])
 		if whole := x.events.take(); len(whole) > 0 {
-			x.moved(stalls)
+			p.event()
 			if failed := x.out.Write(whole); failed != nil {
 				done(placement.Result{OK: true})
 				return Cut{Reason: "the client left: " + failed.Error()}, nil
--- /dev/null
+++ b/rockbarrow/entry/pauses_test.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// hang is an endpoint behind a cut: the connection stays, and nothing comes any more.
+// Some events may have come before.
+func hang(before string) func(ctx context.Context, o Offer) (*Answer, error) {
+	return func(ctx context.Context, o Offer) (*Answer, error) {
+		if before == "" {
+			<-ctx.Done()
+			return broken(o)
+		}
+		read, write := io.Pipe()
+		go io.WriteString(write, before)
+		context.AfterFunc(ctx, func() { read.CloseWithError(ctx.Err()) })
+		return &Answer{Status: http.StatusOK, Header: http.Header{}, Length: -1, Body: read}, nil
+	}
+}
+
+// patient is the document of streams with a timeout that no test reaches.
+func patient() *fleetpb.Document {
+	d := streams()
+	for _, r := range d.GetRoutes() {
+		r.TimeoutMs = uint32((10 * time.Minute).Milliseconds())
+	}
+	return d
+}
+
+// TestAnEndpointBehindACutIsNotWaitedFor: a client that hears at once tries elsewhere
+// while there is time left. The requests have minutes, so that this hangs if they wait.
+func TestAnEndpointBehindACutIsNotWaitedFor(t *testing.T) {
+	tests := []struct {
+		name, route, before string
+		want                Outcome
+	}{
+		{"a stream before its first event", "plain", "", Refused{Status: http.StatusBadGateway}},
+		{"a stream in its middle", "plain", event(1), Cut{}},
+		{"a turn that is kept", "k", event(1), Cut{}},
+	}
+	view := startStores(t)
+	for _, test := range tests {
+		e := newStreamEntry(t, view, senderFunc(hang(test.before)))
+		e.domains.set([]string{"a", "b"})
+		e.Decode = func([]byte) (*fleetpb.Document, error) { return patient(), nil }
+		e.table.Store(nil)
+		e.refresh()
+		switch o := e.Serve(t.Context(), turnOf(test.route, test.name, "p "+test.name, 0), &fakeOut{}).(type) {
+		case Refused:
+			if want, ok := test.want.(Refused); !ok || want.Status != o.Status {
+				t.Errorf("%s: %#v", test.name, o)
+			}
+		case Cut:
+			if _, ok := test.want.(Cut); !ok {
+				t.Errorf("%s: %#v", test.name, o)
+			}
+		default:
+			t.Errorf("%s: %#v", test.name, o)
+		}
+	}
+}
+
+// TestPausesInsideAreNotCuts: an endpoint that is reached may take its time.
+func TestPausesInsideAreNotCuts(t *testing.T) {
+	d := &domains{}
+	d.set([]string{"far"})
+	tests := []struct {
+		name   string
+		p      *pauses
+		pause  time.Duration
+		wanted bool
+	}{
+		{"a domain that is reached", &pauses{domains: d, domain: "near", flowing: true}, time.Minute, false},
+		{"no endpoint yet", &pauses{domains: d}, time.Minute, false},
+		{"a short pause in a cut", &pauses{domains: d, domain: "far", flowing: true}, cutAfter - 1, false},
+		{"a pause in a cut", &pauses{domains: d, domain: "far"}, cutAfter, true},
+		{"a queue elsewhere", &pauses{domains: d, domain: "near", resumes: true}, time.Minute, false},
+		{"a stream that another can go on with", &pauses{domains: d, domain: "near", resumes: true, flowing: true}, stalledAfter, true},
+	}
+	for _, test := range tests {
+		if got := test.p.hopeless(test.pause); got != test.wanted {
+			t.Errorf("%s: %v", test.name, got)
+		}
+	}
+}
