--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -44,18 +44,6 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
-// UnknownStoreError says that no store has a name.
-type UnknownStoreError struct{ Name string }
-
-// Error names the store.
-func (e *UnknownStoreError) Error() string { return "controller: no store is named " + e.Name }
-
-// TooFewStoresError says that a store can't be emptied.
-type TooFewStoresError struct{ Left, Needed int }
-
-// Error describes the shortage.
-func (e *TooFewStoresError) Error() string { return "controller: too few stores would be left" }
-
 // Controller is one control instance. Set the exported fields before Open.
 type Controller struct {
 	fleetpb.UnimplementedControlServer
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -252,7 +252,7 @@
 }
 
 func TestAVoteThatWasNotSavedIsNotGiven(t *testing.T) {
-	c := &Controller{Self: member("control", 1), DataDir: t.TempDir(), Log: logrus.NewEntry(logrus.New())}
+	c := &Controller{Self: &fleetpb.Member{Instance: "control", Storage: 1}, DataDir: t.TempDir(), Log: logrus.NewEntry(logrus.New())}
 	c.Log.Logger.SetOutput(io.Discard)
 	if err := c.Open(); err != nil {
 		t.Fatal(err)
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/membership"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -20,6 +21,9 @@
 	// stoodStill is a gap between ticks after which this process knows nothing
 	// of who is present.
 	stoodStill = time.Second
+	// settleFor is how long no store may have come before the first view forms;
+	// all instances start within 0.3 s of each other.
+	settleFor = 1200 * time.Millisecond
 	// leaderWithin is how lately a control instance must have asked to come
 	// before others in rank; it asks every peerHold.
 	leaderWithin = time.Second
@@ -142,27 +146,26 @@
 // reconcile makes one step towards the view and the voters that should be.
 func (d *duties) reconcile(ctx context.Context, now time.Time) {
 	c := d.controller
-	p := plan{
-		now:     now,
-		stores:  c.presence.of(now, fleetpb.Role_ROLE_STORE, forgetAfter),
-		control: c.presence.of(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
-		domains: c.presence.domains(now),
-		copies:  2*c.Losses + 1,
-		settled: d.settled(now),
-		self:    c.Self,
-		calm:    now.Sub(d.started) > calmAfter,
-		ran:     now.Sub(d.started),
-	}
-	if p.next(c.State()) == nil {
+	p := membership.Plan{
+		Now:     now,
+		Stores:  c.presence.members(now, fleetpb.Role_ROLE_STORE, forgetAfter),
+		Control: c.presence.members(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
+		Domains: c.presence.domains(now),
+		Copies:  2*c.Losses + 1,
+		Settled: d.settled(now),
+		Self:    c.Self,
+		Ran:     now.Sub(d.started),
+	}
+	if p.Next(c.State()) == nil {
 		return
 	}
-	d.change(ctx, "members", p.next)
+	d.change(ctx, "members", p.Next)
 }
 
 // settled reports whether no store has come for a while, so that the first view
 // holds them all.
 func (d *duties) settled(now time.Time) bool {
-	n := len(d.controller.presence.of(now, fleetpb.Role_ROLE_STORE, presentWithin))
+	n := len(d.controller.presence.of(now, fleetpb.Role_ROLE_STORE, membership.PresentWithin))
 	if n != d.known {
 		d.known, d.lastJoin = n, now
 	}
@@ -197,9 +200,9 @@
 func (c *Controller) Retire(ctx context.Context, name string) error {
 	var refused error
 	now := time.Now()
-	stores := c.presence.of(now, fleetpb.Role_ROLE_STORE, presentWithin)
+	stores := c.presence.members(now, fleetpb.Role_ROLE_STORE, membership.PresentWithin)
 	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
-		refused = mayRetire(s, stores, name, c.Losses+1)
+		refused = membership.MayRetire(s, stores, name, c.Losses+1)
 		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			return nil
 		}
@@ -212,38 +215,6 @@
 	return refused
 }
 
-// mayRetire returns why a store can't be emptied, or nil. So many must be left
-// that the tolerated losses leave one.
-func mayRetire(s *fleetpb.State, present []peer, name string, needed int) error {
-	if slices.Contains(s.GetRetired(), name) || slices.Contains(s.GetView().GetLeaving(), name) {
-		return nil
-	}
-	known, left := false, 0
-	count := func(m *fleetpb.Member) {
-		switch {
-		case m.GetInstance() == name:
-			known = true
-		case !slices.Contains(s.GetView().GetLeaving(), m.GetInstance()):
-			left++
-		}
-	}
-	for _, m := range s.GetView().GetMembers() {
-		count(m)
-	}
-	for _, p := range present {
-		if !hasInstance(s.GetView().GetMembers(), p.member.GetInstance()) {
-			count(p.member)
-		}
-	}
-	if !known {
-		return &UnknownStoreError{Name: name}
-	}
-	if left < needed {
-		return &TooFewStoresError{Left: left, Needed: needed}
-	}
-	return nil
-}
-
 // Retirement reports whether a store has been emptied.
 func (c *Controller) Retirement(ctx context.Context, name string) (done bool, err error) {
 	s, err := c.Read(ctx)
@@ -256,5 +227,5 @@
 	if slices.Contains(s.GetView().GetLeaving(), name) {
 		return false, nil
 	}
-	return false, &UnknownStoreError{Name: name}
+	return false, &membership.UnknownStoreError{Name: name}
 }
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/membership"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -18,9 +19,6 @@
 	peerHold = 300 * time.Millisecond
 	// foundersWithin is how lately a founder must have been heard.
 	foundersWithin = 2 * time.Second
-	// presentWithin is how lately an instance must have asked to count as
-	// present; it asks once a second.
-	presentWithin = 2500 * time.Millisecond
 	// servingWithin is how lately an entry instance must have asked to count as
 	// serving: three of its calls.
 	servingWithin = time.Second
@@ -95,13 +93,22 @@
 	return out
 }
 
+// members returns the instances of a role as package membership needs them.
+func (r *presence) members(now time.Time, role fleetpb.Role, within time.Duration) []membership.Peer {
+	var out []membership.Peer
+	for _, s := range r.of(now, role, within) {
+		out = append(out, membership.Peer{Member: s.member, Heard: s.heard, Copied: s.copied})
+	}
+	return out
+}
+
 // domains returns the failure domains of which any instance was heard lately.
 func (r *presence) domains(now time.Time) map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := map[string]bool{}
 	for _, s := range r.peers {
-		if now.Sub(s.heard) < presentWithin {
+		if now.Sub(s.heard) < membership.PresentWithin {
 			out[s.member.GetFailureDomain()] = true
 		}
 	}
@@ -205,8 +212,8 @@
 		return h
 	}
 	h := &headcount{
-		at: now, control: c.control(now, presentWithin),
-		entries:      uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, presentWithin))),
+		at: now, control: c.control(now, membership.PresentWithin),
+		entries:      uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, membership.PresentWithin))),
 		entryDomains: c.presence.entryDomains(now),
 	}
 	c.counted.Store(h)
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package controller
+package membership
 
 import (
 	"slices"
@@ -12,9 +12,6 @@
 )
 
 const (
-	// settleFor is how long no store may have come before the first view forms;
-	// all instances start within 0.3 s of each other.
-	settleFor = 1200 * time.Millisecond
 	// calmAfter is how long a control instance must have run before it takes
 	// another's silence for a loss.
 	calmAfter = 4 * time.Second
@@ -29,27 +26,25 @@
 	cutAtMost = 15 * time.Second
 )
 
-// plan decides the next step of the members. It is made anew from what is known
-// at each tick.
-type plan struct {
-	now     time.Time
-	stores  []peer
-	control []peer
-	// domains are the failure domains of which any instance was heard lately.
-	domains map[string]bool
-	// copies is how many stores keep a program's records.
-	copies int
-	// settled is true when no store has come lately.
-	settled bool
-	self    *fleetpb.Member
-	// calm is true when silence may be taken for a loss.
-	calm bool
-	// ran is how long this instance has run: nobody's silence is known to be longer.
-	ran time.Duration
+// Plan decides the next step of the members. It is made anew from what is known at each
+// tick. Set the exported fields before the call of [Plan.Next].
+type Plan struct {
+	Now     time.Time
+	Stores  []Peer
+	Control []Peer
+	// Domains are the failure domains of which any instance was heard lately.
+	Domains map[string]bool
+	// Copies is how many stores keep a program's records.
+	Copies int
+	// Settled is true when no store has come lately.
+	Settled bool
+	Self    *fleetpb.Member
+	// Ran is how long this instance has run: nobody's silence is known to be longer.
+	Ran time.Duration
 }
 
-// next returns the state with one step made, or nil if there is none to make.
-func (p plan) next(s *fleetpb.State) *fleetpb.State {
+// Next returns the state with one step made, or nil if there is none to make.
+func (p Plan) Next(s *fleetpb.State) *fleetpb.State {
 	s = register.Clone(s)
 	if p.nextView(s) || p.nextVoters(s) {
 		return s
@@ -57,7 +52,7 @@
 	return nil
 }
 
-func (p plan) nextView(s *fleetpb.State) bool {
+func (p Plan) nextView(s *fleetpb.State) bool {
 	v := s.GetView()
 	switch {
 	case v == nil:
@@ -74,28 +69,28 @@
 	return true
 }
 
-func (p plan) firstView(s *fleetpb.State) bool {
+func (p Plan) firstView(s *fleetpb.State) bool {
 	var members []*fleetpb.Member
-	for _, peer := range p.stores {
+	for _, peer := range p.Stores {
 		if p.present(peer) {
-			members = append(members, peer.member)
+			members = append(members, peer.Member)
 		}
 	}
-	if !p.settled || len(members) == 0 {
+	if !p.Settled || len(members) == 0 {
 		return false
 	}
-	s.View = &fleetpb.View{Epoch: 1, Members: members, Copies: uint32(p.copies)}
+	s.View = &fleetpb.View{Epoch: 1, Members: members, Copies: uint32(p.Copies)}
 	return true
 }
 
 // finishView ends a move once the new members hold what they need. A few may be
 // missing: each group then still has a quorum that does.
-func (p plan) finishView(s *fleetpb.State) bool {
+func (p Plan) finishView(s *fleetpb.State) bool {
 	v := s.GetView()
 	missing := 0
 	for _, m := range v.GetMembers() {
-		peer, ok := find(p.stores, m.GetStorage())
-		if ok && peer.copied >= v.GetEpoch() {
+		peer, ok := find(p.Stores, m.GetStorage())
+		if ok && peer.Copied >= v.GetEpoch() {
 			continue
 		}
 		// One that is present will be done soon.
@@ -104,7 +99,7 @@
 		}
 		missing++
 	}
-	if missing > 0 && !ledger.Covers(v.GetMembers(), p.copies, p.copiedFor(v.GetEpoch())) {
+	if missing > 0 && !ledger.Covers(v.GetMembers(), p.Copies, p.copiedFor(v.GetEpoch())) {
 		return false
 	}
 	v.Prior = nil
@@ -114,10 +109,10 @@
 }
 
 // copiedFor returns a function that reports whether a store holds what a view needs.
-func (p plan) copiedFor(epoch uint64) func(storage uint64) bool {
+func (p Plan) copiedFor(epoch uint64) func(storage uint64) bool {
 	return func(storage uint64) bool {
-		peer, ok := find(p.stores, storage)
-		return ok && peer.copied >= epoch
+		peer, ok := find(p.Stores, storage)
+		return ok && peer.Copied >= epoch
 	}
 }
 
@@ -140,7 +135,7 @@
 
 // wantedStores returns the members that should be: each at its place, with its
 // present storage, unless it leaves or is lost and a spare can stand in.
-func (p plan) wantedStores(s *fleetpb.State) []*fleetpb.Member {
+func (p Plan) wantedStores(s *fleetpb.State) []*fleetpb.Member {
 	v := s.GetView()
 	spares := p.spares(s)
 	var out []*fleetpb.Member
@@ -158,7 +153,7 @@
 			out = append(out, m)
 		}
 	}
-	for len(out) < p.copies && len(spares) > 0 {
+	for len(out) < p.Copies && len(spares) > 0 {
 		out, spares = append(out, spares[0]), spares[1:]
 	}
 	return p.withoutLost(out)
@@ -167,14 +162,14 @@
 // withoutLost leaves out lost members once too few are there to write but enough
 // to read: of two stores, the one that is left goes on alone, as it holds every
 // record. The other comes back as a spare and copies.
-func (p plan) withoutLost(members []*fleetpb.Member) []*fleetpb.Member {
+func (p Plan) withoutLost(members []*fleetpb.Member) []*fleetpb.Member {
 	var there []*fleetpb.Member
 	for _, m := range members {
-		if !p.lost(p.stores, m) {
+		if !p.lost(p.Stores, m) {
 			there = append(there, m)
 		}
 	}
-	n := min(p.copies, len(members))
+	n := min(p.Copies, len(members))
 	if lost := len(members) - len(there); lost > ledger.Losable(n) && lost <= ledger.Unheard(n) {
 		return there
 	}
@@ -183,27 +178,27 @@
 
 // spares are present stores that are not members, do not leave and have not been
 // emptied.
-func (p plan) spares(s *fleetpb.State) []*fleetpb.Member {
+func (p Plan) spares(s *fleetpb.State) []*fleetpb.Member {
 	v := s.GetView()
 	var out []*fleetpb.Member
-	for _, peer := range p.stores {
-		name := peer.member.GetInstance()
+	for _, peer := range p.Stores {
+		name := peer.Member.GetInstance()
 		if !p.present(peer) || hasInstance(v.GetMembers(), name) {
 			continue
 		}
 		if slices.Contains(v.GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			continue
 		}
-		out = append(out, peer.member)
+		out = append(out, peer.Member)
 	}
 	return out
 }
 
 // reborn returns the present life of a member that came back with an empty disk
 // or at another address.
-func (p plan) reborn(m *fleetpb.Member) *fleetpb.Member {
-	for _, peer := range p.stores {
-		o := peer.member
+func (p Plan) reborn(m *fleetpb.Member) *fleetpb.Member {
+	for _, peer := range p.Stores {
+		o := peer.Member
 		if o.GetInstance() == m.GetInstance() && o.GetStorage() != m.GetStorage() && p.present(peer) {
 			return o
 		}
@@ -211,35 +206,35 @@
 	return nil
 }
 
-func (p plan) present(s peer) bool { return p.now.Sub(s.heard) < presentWithin }
+func (p Plan) present(s Peer) bool { return p.Now.Sub(s.Heard) < PresentWithin }
 
 // lost reports whether a member has been silent for long.
-func (p plan) lost(peers []peer, m *fleetpb.Member) bool {
-	if !p.calm || m.GetStorage() == p.self.GetStorage() {
+func (p Plan) lost(peers []Peer, m *fleetpb.Member) bool {
+	if p.Ran <= calmAfter || m.GetStorage() == p.Self.GetStorage() {
 		return false
 	}
 	peer, ok := find(peers, m.GetStorage())
-	return !ok || p.now.Sub(peer.heard) > lostAfter
+	return !ok || p.Now.Sub(peer.Heard) > lostAfter
 }
 
 // storeLost reports whether a store has been silent for so long that another takes its
 // place, longer where its whole failure domain is.
-func (p plan) storeLost(m *fleetpb.Member) bool {
-	if !p.lost(p.stores, m) {
+func (p Plan) storeLost(m *fleetpb.Member) bool {
+	if !p.lost(p.Stores, m) {
 		return false
 	}
-	if p.domains[m.GetFailureDomain()] {
+	if p.Domains[m.GetFailureDomain()] {
 		return true
 	}
-	silent := p.ran
-	if peer, ok := find(p.stores, m.GetStorage()); ok {
-		silent = p.now.Sub(peer.heard)
+	silent := p.Ran
+	if peer, ok := find(p.Stores, m.GetStorage()); ok {
+		silent = p.Now.Sub(peer.Heard)
 	}
 	return silent > cutAtMost
 }
 
 // nextVoters moves one voter at a time; while two sets count, it ends the move.
-func (p plan) nextVoters(s *fleetpb.State) bool {
+func (p Plan) nextVoters(s *fleetpb.State) bool {
 	if len(s.GetPriorVoters()) > 0 {
 		s.PriorVoters = nil
 		return true
@@ -252,7 +247,7 @@
 	return true
 }
 
-func (p plan) wantedVoters(voters []*fleetpb.Member) []*fleetpb.Member {
+func (p Plan) wantedVoters(voters []*fleetpb.Member) []*fleetpb.Member {
 	spares := p.spareControl(voters)
 	for i, m := range voters {
 		for _, o := range spares {
@@ -260,25 +255,25 @@
 				return replaced(voters, i, o)
 			}
 		}
-		if p.lost(p.control, m) && len(spares) > 0 {
+		if p.lost(p.Control, m) && len(spares) > 0 {
 			return replaced(voters, i, spares[0])
 		}
 	}
-	if len(voters) < p.copies && len(spares) > 0 {
+	if len(voters) < p.Copies && len(spares) > 0 {
 		return append(slices.Clone(voters), spares[0])
 	}
 	return voters
 }
 
 // spareControl returns control instances that have no vote.
-func (p plan) spareControl(voters []*fleetpb.Member) []*fleetpb.Member {
+func (p Plan) spareControl(voters []*fleetpb.Member) []*fleetpb.Member {
 	var out []*fleetpb.Member
-	if !register.Has(voters, p.self.GetStorage()) {
-		out = append(out, p.self)
+	if !register.Has(voters, p.Self.GetStorage()) {
+		out = append(out, p.Self)
 	}
-	for _, peer := range p.control {
-		if p.present(peer) && !register.Has(voters, peer.member.GetStorage()) {
-			out = append(out, peer.member)
+	for _, peer := range p.Control {
+		if p.present(peer) && !register.Has(voters, peer.Member.GetStorage()) {
+			out = append(out, peer.Member)
 		}
 	}
 	return out
@@ -290,13 +285,13 @@
 	return out
 }
 
-func find(peers []peer, storage uint64) (peer, bool) {
+func find(peers []Peer, storage uint64) (Peer, bool) {
 	for _, s := range peers {
-		if s.member.GetStorage() == storage {
+		if s.Member.GetStorage() == storage {
 			return s, true
 		}
 	}
-	return peer{}, false
+	return Peer{}, false
 }
 
 func hasInstance(list []*fleetpb.Member, name string) bool {
--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package controller
+package membership
 
 import (
 	"fmt"
@@ -16,13 +16,22 @@
 	return &fleetpb.Member{Instance: name, Storage: storage}
 }
 
+// names lists instances as the tests compare them.
+func names(list []*fleetpb.Member) []string {
+	out := make([]string, 0, len(list))
+	for _, m := range list {
+		out = append(out, m.GetInstance())
+	}
+	return out
+}
+
 // scene is a plan with stores that were just heard.
-func scene(stores ...*fleetpb.Member) plan {
+func scene(stores ...*fleetpb.Member) Plan {
 	now := time.Unix(100, 0)
-	p := plan{now: now, copies: 3, settled: true, calm: true, self: member("control-0", 100), domains: map[string]bool{}}
+	p := Plan{Now: now, Copies: 3, Settled: true, Ran: time.Minute, Self: member("control-0", 100), Domains: map[string]bool{}}
 	for _, m := range stores {
-		p.domains[m.GetFailureDomain()] = true
-		p.stores = append(p.stores, peer{member: m, role: fleetpb.Role_ROLE_STORE, heard: now})
+		p.Domains[m.GetFailureDomain()] = true
+		p.Stores = append(p.Stores, Peer{Member: m, Heard: now})
 	}
 	return p
 }
@@ -41,7 +50,7 @@
 	again := member("a", 9)
 	tests := []struct {
 		name  string
-		plan  plan
+		plan  Plan
 		state *fleetpb.State
 		// want is the members after the step, "" for no step.
 		want string
@@ -57,7 +66,7 @@
 		{"too few stores and a spare", scene(a, b, c), steady(a, b), "[a b c]"},
 	}
 	for _, test := range tests {
-		next := test.plan.next(test.state)
+		next := test.plan.Next(test.state)
 		got := ""
 		if next != nil {
 			got = names3(next)
@@ -73,8 +82,8 @@
 
 func TestSilenceIsNoLossWhileThisProcessKnowsTooLittle(t *testing.T) {
 	p := scene(member("b", 2), member("c", 3), member("d", 4))
-	p.calm = false
-	if next := p.next(steady(member("a", 1), member("b", 2), member("c", 3))); next != nil {
+	p.Ran = 0
+	if next := p.Next(steady(member("a", 1), member("b", 2), member("c", 3))); next != nil {
 		t.Errorf("members %s", names3(next))
 	}
 }
@@ -113,13 +122,13 @@
 	}
 	for _, test := range tests {
 		p := scene(append(members[:4:4], spare)...)
-		p.copies, p.ran = 5, test.ran
-		p.domains = map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": test.other}
+		p.Copies, p.Ran = 5, test.ran
+		p.Domains = map[string]bool{"a": true, "b": true, "c": true, "d": true, "e": test.other}
 		if test.known {
-			p.stores = append(p.stores, peer{member: members[4], role: fleetpb.Role_ROLE_STORE, heard: p.now.Add(-test.silent)})
+			p.Stores = append(p.Stores, Peer{Member: members[4], Heard: p.Now.Add(-test.silent)})
 		}
 		got := ""
-		if next := p.next(s); next != nil {
+		if next := p.Next(s); next != nil {
 			got = names3(next)
 		}
 		if got != test.want {
@@ -138,11 +147,11 @@
 	s := steady(members...)
 	s.View.Epoch, s.View.Prior, s.View.Copies = 2, members, 5
 	p := scene(append(members[:2:2], members[5:]...)...)
-	p.copies = 5
-	for i := range p.stores {
-		p.stores[i].copied = 2
+	p.Copies = 5
+	for i := range p.Stores {
+		p.Stores[i].Copied = 2
 	}
-	if next := p.next(s); next == nil || len(next.GetView().GetPrior()) > 0 {
+	if next := p.Next(s); next == nil || len(next.GetView().GetPrior()) > 0 {
 		t.Errorf("the move goes on: %v", next)
 	}
 }
@@ -152,13 +161,13 @@
 	s := steady(d, b, c)
 	s.View.Epoch, s.View.Prior, s.View.Leaving = 2, []*fleetpb.Member{a, b, c}, []string{"a"}
 	p := scene(a, b, c, d)
-	if p.next(s) != nil {
+	if p.Next(s) != nil {
 		t.Fatal("the move ended before anything was copied")
 	}
-	for i := range p.stores[1:] {
-		p.stores[i+1].copied = 2
+	for i := range p.Stores[1:] {
+		p.Stores[i+1].Copied = 2
 	}
-	next := p.next(s)
+	next := p.Next(s)
 	if next == nil || len(next.GetView().GetPrior()) != 0 || next.GetView().GetEpoch() != 3 {
 		t.Fatalf("state %v", next)
 	}
@@ -166,8 +175,8 @@
 		t.Errorf("retired %v, leaving %v", next.GetRetired(), next.GetView().GetLeaving())
 	}
 	// The emptied store is still there for a moment and is no spare.
-	p.stores = p.stores[:3]
-	if more := p.next(next); more != nil {
+	p.Stores = p.Stores[:3]
+	if more := p.Next(next); more != nil {
 		t.Errorf("members %s after the move", names3(more))
 	}
 }
@@ -176,7 +185,7 @@
 	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
 	s := steady(a, b, c)
 	s.View.Leaving = []string{"d"}
-	next := scene(a, b, c, d).next(s)
+	next := scene(a, b, c, d).Next(s)
 	if next == nil || fmt.Sprint(next.GetRetired()) != "[d]" || len(next.GetView().GetLeaving()) > 0 || next.GetView().GetEpoch() != 1 {
 		t.Errorf("state %v", next)
 	}
@@ -187,46 +196,46 @@
 	var few *TooFewStoresError
 	var unknown *UnknownStoreError
 	s := steady(a, b, c)
-	if err := mayRetire(s, scene(a, b, c).stores, "x", 2); !errors.As(err, &unknown) {
+	if err := MayRetire(s, scene(a, b, c).Stores, "x", 2); !errors.As(err, &unknown) {
 		t.Errorf("%v for a store that is not known", err)
 	}
-	if err := mayRetire(s, scene(a, b, c, d).stores, "a", 2); err != nil {
+	if err := MayRetire(s, scene(a, b, c, d).Stores, "a", 2); err != nil {
 		t.Errorf("%v with a spare", err)
 	}
-	if err := mayRetire(s, scene(a, b, c).stores, "a", 2); err != nil {
+	if err := MayRetire(s, scene(a, b, c).Stores, "a", 2); err != nil {
 		t.Errorf("%v when two would be left", err)
 	}
 	s.View.Leaving = []string{"b"}
-	if err := mayRetire(s, scene(a, b, c).stores, "a", 2); !errors.As(err, &few) || few.Left != 1 {
+	if err := MayRetire(s, scene(a, b, c).Stores, "a", 2); !errors.As(err, &few) || few.Left != 1 {
 		t.Errorf("%v when one store would be left", err)
 	}
-	if err := mayRetire(s, scene(a, b, c).stores, "b", 2); err != nil {
+	if err := MayRetire(s, scene(a, b, c).Stores, "b", 2); err != nil {
 		t.Errorf("%v for a repeated order", err)
 	}
 }
 
 func TestPlanOfVoters(t *testing.T) {
 	now := time.Unix(100, 0)
-	heard := func(m *fleetpb.Member, ago time.Duration) peer {
-		return peer{member: m, role: fleetpb.Role_ROLE_CONTROL, heard: now.Add(-ago)}
+	heard := func(m *fleetpb.Member, ago time.Duration) Peer {
+		return Peer{Member: m, Heard: now.Add(-ago)}
 	}
 	own, b, c, d := member("control-0", 100), member("control-1", 101), member("control-2", 102), member("control-3", 103)
-	base := plan{now: now, copies: 3, calm: true, self: own}
+	base := Plan{Now: now, Copies: 3, Ran: time.Minute, Self: own}
 	voters := []*fleetpb.Member{own, b, c}
 	tests := []struct {
 		name    string
-		control []peer
+		control []Peer
 		want    string
 	}{
-		{"all there", []peer{heard(b, 0), heard(c, 0)}, "[control-0 control-1 control-2]"},
-		{"a spare waits", []peer{heard(b, 0), heard(c, 0), heard(d, 0)}, "[control-0 control-1 control-2]"},
-		{"a short silence", []peer{heard(b, 0), heard(c, time.Second), heard(d, 0)}, "[control-0 control-1 control-2]"},
-		{"a lost voter", []peer{heard(b, 0), heard(c, time.Minute), heard(d, 0)}, "[control-0 control-1 control-3]"},
-		{"an emptied disk", []peer{heard(b, 0), heard(member("control-2", 200), 0)}, "[control-0 control-1 control-2]"},
+		{"all there", []Peer{heard(b, 0), heard(c, 0)}, "[control-0 control-1 control-2]"},
+		{"a spare waits", []Peer{heard(b, 0), heard(c, 0), heard(d, 0)}, "[control-0 control-1 control-2]"},
+		{"a short silence", []Peer{heard(b, 0), heard(c, time.Second), heard(d, 0)}, "[control-0 control-1 control-2]"},
+		{"a lost voter", []Peer{heard(b, 0), heard(c, time.Minute), heard(d, 0)}, "[control-0 control-1 control-3]"},
+		{"an emptied disk", []Peer{heard(b, 0), heard(member("control-2", 200), 0)}, "[control-0 control-1 control-2]"},
 	}
 	for _, test := range tests {
 		p := base
-		p.control = test.control
+		p.Control = test.control
 		if got := fmt.Sprint(names(p.wantedVoters(voters))); got != test.want {
 			t.Errorf("%s: voters %s, want %s", test.name, got, test.want)
 		}
