--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -22,8 +22,8 @@
 )
 
 // keptDocuments is how many documents a control instance keeps to make differences
-// against: some seconds of changes in quick succession. Each is some 250 KB at a
-// thousand routes.
+// against, of configurations and of lists: some seconds of changes in quick succession.
+// Each is some 250 KB at a thousand routes or three thousand endpoints.
 const keptDocuments = 8
 
 // List reads the list of endpoints, wherever it is kept.
@@ -67,6 +67,8 @@
 	presence presence
 	loads    loads
 	counted  atomic.Pointer[headcount]
+	// listed is the newest list that was told to anyone.
+	listed atomic.Pointer[document.List]
 
 	// voting serializes the acceptor and its disk, which may stall for seconds.
 	voting   sync.Mutex
@@ -107,6 +109,7 @@
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
 		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
 		Documents: document.Shelf{Keep: keptDocuments, Log: c.Log},
+		Lists:     document.Shelf{Keep: keptDocuments, Log: c.Log},
 	}
 	c.acceptor = register.Acceptor{Storage: c.Self.GetStorage(), Founder: c.Founder}
 	if b := cell.Value(); b != nil {
--- a/rockbarrow/controller/packed_test.go
+++ b/rockbarrow/controller/packed_test.go
@@ -60,6 +60,16 @@
 	if err != nil || string(reply.GetState().GetConfiguration().GetDocument()) != large("one") {
 		t.Errorf("news are not whole: %v", err)
 	}
+	core[0].list.set(&fleetpb.Endpoint{Id: "a"})
+	await(t, func() bool { return len(c.Endpoints().List().GetEndpoints()) == 1 })
+	for _, held := range []*fleetpb.Held{nil, {}} {
+		reply, err := c.Watch(t.Context(), &fleetpb.WatchRequest{
+			Sender: &fleetpb.Member{Instance: "x"}, Role: fleetpb.Role_ROLE_ENTRY, WantsNews: true, HeldLists: held,
+		})
+		if err != nil || (reply.GetList() == nil) != (held != nil) || (reply.GetPackedList() == nil) != (held == nil) {
+			t.Errorf("list %v, packed %v, %v", reply.GetList(), reply.GetPackedList(), err)
+		}
+	}
 	promise, err := c.Prepare(t.Context(), &fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: 1 << 40}, Acceptor: c.Self.GetStorage()})
 	if err != nil || string(promise.GetState().GetConfiguration().GetDocument()) != large("one") {
 		t.Errorf("a promise is not whole: %v", err)
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/rockbarrow/membership"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -230,13 +231,13 @@
 	s := c.State()
 	r.StateNumber = s.GetNumber()
 	if req.GetWantsNews() && s.GetNumber() > req.GetStateNumber() {
-		r.State = c.watch.Documents.Pack(s, req.GetHeld())
+		r.State = c.watch.Documents.PackState(s, req.GetHeld())
 	}
 	if l := c.watch.List(); l != nil {
 		r.ListKnown, r.ListNumber = true, l.List().GetNumber()
 		r.ListAgeMs = uint64(max(0, now.Sub(l.At()).Milliseconds()))
 		if req.GetWantsNews() && c.hasList(req) {
-			r.List = l.List()
+			c.tellList(r, l.List(), req.GetHeldLists())
 		}
 		if req.GetWantsLoads() {
 			r.Loads = c.loads.of(now, req.GetSender().GetInstance(), l.List())
@@ -244,3 +245,23 @@
 	}
 	return r
 }
+
+// tellList puts a list into a reply, whole for who understands nothing else.
+func (c *Controller) tellList(r *fleetpb.WatchReply, l *fleetpb.EndpointList, held *fleetpb.Held) {
+	if held == nil {
+		r.List = l
+		return
+	}
+	known := c.listed.Load()
+	if known.List() != l {
+		made, err := document.NewList(l)
+		if err != nil {
+			c.Log.WithError(err).Error("a list of endpoints is told whole")
+			r.List = l
+			return
+		}
+		known = made
+		c.listed.Store(made)
+	}
+	r.PackedList = c.watch.Lists.PackList(known, held)
+}
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -161,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if reply.State, err = shelf.Unpack(reply.GetState()); err != nil {
+	if reply.State, err = shelf.UnpackState(reply.GetState()); err != nil {
 		v.controller.distrusted.Store(v.to.GetStorage(), true)
 		return nil, err
 	}
@@ -189,7 +189,7 @@
 		return nil, err
 	}
 	packed := &fleetpb.AcceptRequest{
-		Ballot: req.GetBallot(), Acceptor: req.GetAcceptor(), State: v.controller.watch.Documents.Pack(req.GetState(), v.held),
+		Ballot: req.GetBallot(), Acceptor: req.GetAcceptor(), State: v.controller.watch.Documents.PackState(req.GetState(), v.held),
 	}
 	reply, err := fleetpb.NewControlClient(conn).Accept(ctx, packed)
 	if err == nil && reply.GetLacksBase() {
@@ -220,13 +220,13 @@
 			return nil, err
 		}
 	}
-	reply.State, reply.Held = c.watch.Documents.Pack(reply.GetState(), req.GetHeld()), c.watch.Documents.Held()
+	reply.State, reply.Held = c.watch.Documents.PackState(reply.GetState(), req.GetHeld()), c.watch.Documents.Held()
 	return reply, nil
 }
 
 // Accept answers a proposer once the value is on the disk.
 func (c *Controller) Accept(_ context.Context, req *fleetpb.AcceptRequest) (*fleetpb.AcceptReply, error) {
-	s, err := c.watch.Documents.Unpack(req.GetState())
+	s, err := c.watch.Documents.UnpackState(req.GetState())
 	if err != nil {
 		c.Log.WithError(err).Warn("a value is not readable and is asked for whole")
 		return &fleetpb.AcceptReply{LacksBase: true}, nil
--- a/rockbarrow/document/shelf.go
+++ b/rockbarrow/document/shelf.go
@@ -75,19 +75,19 @@
 	if len(c.GetDigest()) == 0 {
 		c.Digest = Digest(c.GetDocument())
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.add(c)
+	s.Put(c.GetDocument(), c.GetDigest())
 }
 
-// add keeps a whole document; the caller holds mu.
-func (s *Shelf) add(c *fleetpb.Configuration) {
-	if i := s.index(c.GetDigest()); i >= 0 {
+// Put keeps a document.
+func (s *Shelf) Put(document, digest []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if i := s.index(digest); i >= 0 {
 		n := s.documents[i]
 		s.documents = append(slices.Delete(s.documents, i, i+1), n)
 		return
 	}
-	s.documents = append(s.documents, named{digest: c.GetDigest(), document: c.GetDocument()})
+	s.documents = append(s.documents, named{digest: digest, document: document})
 	keep := s.Keep
 	if keep == 0 {
 		keep = kept
@@ -112,28 +112,24 @@
 	return h
 }
 
-// Pack returns a state as a receiver needs it that has told what it holds: nil if it
-// understands whole documents only. The state itself stays as it is.
-func (s *Shelf) Pack(st *fleetpb.State, held *fleetpb.Held) *fleetpb.State {
-	c := st.GetConfiguration()
-	if held == nil || len(c.GetDocument()) == 0 || len(c.GetDigest()) == 0 {
-		return st
-	}
-	packed := &fleetpb.Configuration{Version: c.GetVersion(), Digest: c.GetDigest()}
-	if !holds(held, c.GetDigest()) {
-		base, frame, err := s.frame(c, held)
-		if err != nil {
-			if s.Log != nil {
-				s.Log.WithError(err).Warn("a document is sent whole")
-			}
-			return st
-		}
-		packed.Base, packed.Difference = base, frame
+// Pack returns a document as a receiver needs it that has told what it holds: nil if it
+// understands whole documents only.
+func (s *Shelf) Pack(document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
+	whole := &fleetpb.Packed{Document: document, Digest: digest}
+	if held == nil || len(document) == 0 || len(digest) == 0 {
+		return whole
+	}
+	if holds(held, digest) {
+		return &fleetpb.Packed{Digest: digest}
 	}
-	return &fleetpb.State{
-		Number: st.GetNumber(), Configuration: packed, Voters: st.GetVoters(), PriorVoters: st.GetPriorVoters(),
-		View: st.GetView(), Retired: st.GetRetired(),
+	base, frame, err := s.frame(document, digest, held)
+	if err != nil {
+		if s.Log != nil {
+			s.Log.WithError(err).Warn("a document is sent whole")
+		}
+		return whole
 	}
+	return &fleetpb.Packed{Digest: digest, Base: base, Difference: frame}
 }
 
 func holds(h *fleetpb.Held, digest []byte) bool {
@@ -142,7 +138,7 @@
 
 // frame returns a difference against a document that is held on both sides, the newest
 // first, or against nothing.
-func (s *Shelf) frame(c *fleetpb.Configuration, held *fleetpb.Held) (base, frame []byte, err error) {
+func (s *Shelf) frame(document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var common named
@@ -153,61 +149,55 @@
 		}
 	}
 	for _, m := range s.differences {
-		if bytes.Equal(m.base, common.digest) && bytes.Equal(m.digest, c.GetDigest()) {
+		if bytes.Equal(m.base, common.digest) && bytes.Equal(m.digest, digest) {
 			return m.base, m.frame, nil
 		}
 	}
-	frame, err = difference(common.document, c.GetDocument())
+	frame, err = difference(common.document, document)
 	if err != nil {
 		return nil, nil, err
 	}
-	s.differences = append(s.differences, made{base: common.digest, digest: c.GetDigest(), frame: frame})
+	s.differences = append(s.differences, made{base: common.digest, digest: digest, frame: frame})
 	if len(s.differences) > keptDifferences {
 		s.differences = slices.Delete(s.differences, 0, 1)
 	}
 	return common.digest, frame, nil
 }
 
-// Unpack makes the state of a message whole and keeps its document. After an error
-// nothing of the state may be used; the sender has to be asked for it whole.
-func (s *Shelf) Unpack(st *fleetpb.State) (*fleetpb.State, error) {
-	c := st.GetConfiguration()
-	if c == nil {
-		return st, nil
-	}
-	if err := s.makeWhole(c); err != nil {
+// Unpack makes a document whole and keeps it. After an error the sender has to be asked
+// for it whole.
+func (s *Shelf) Unpack(p *fleetpb.Packed) ([]byte, error) {
+	document, err := s.whole(p)
+	if err != nil {
 		return nil, err
 	}
-	if got := Digest(c.GetDocument()); len(c.GetDigest()) > 0 && !bytes.Equal(got, c.GetDigest()) {
-		return nil, &DigestError{want: c.GetDigest(), got: got}
+	digest := Digest(document)
+	if len(p.GetDigest()) > 0 && !bytes.Equal(digest, p.GetDigest()) {
+		return nil, &DigestError{want: p.GetDigest(), got: digest}
 	}
-	s.Add(st)
-	return st, nil
+	s.Put(document, digest)
+	return document, nil
 }
 
-// makeWhole sets the document of a configuration.
-func (s *Shelf) makeWhole(c *fleetpb.Configuration) error {
-	if len(c.GetDocument()) > 0 || len(c.GetDigest()) == 0 {
-		return nil
+func (s *Shelf) whole(p *fleetpb.Packed) ([]byte, error) {
+	if len(p.GetDocument()) > 0 {
+		return p.GetDocument(), nil
+	}
+	if len(p.GetDigest()) == 0 {
+		return nil, &BaseError{}
 	}
 	// It may have come from elsewhere since the sender was told what is held.
-	if d, ok := s.get(c.GetDigest()); ok {
-		c.Document, c.Base, c.Difference = d, nil, nil
-		return nil
+	if d, ok := s.get(p.GetDigest()); ok {
+		return d, nil
 	}
-	if len(c.GetDifference()) == 0 {
-		return &BaseError{base: c.GetDigest(), document: c.GetDigest()}
+	if len(p.GetDifference()) == 0 {
+		return nil, &BaseError{base: p.GetDigest(), document: p.GetDigest()}
 	}
-	base, ok := s.get(c.GetBase())
+	base, ok := s.get(p.GetBase())
 	if !ok {
-		return &BaseError{base: c.GetBase(), document: c.GetDigest()}
-	}
-	d, err := unfold(base, c.GetDifference())
-	if err != nil {
-		return err
+		return nil, &BaseError{base: p.GetBase(), document: p.GetDigest()}
 	}
-	c.Document, c.Base, c.Difference = d, nil, nil
-	return nil
+	return unfold(base, p.GetDifference())
 }
 
 // get returns a document that is held; no digest names the empty one.
--- a/rockbarrow/document/shelf_test.go
+++ b/rockbarrow/document/shelf_test.go
@@ -51,7 +51,7 @@
 	sender, receiver := &Shelf{Keep: 8}, &Shelf{}
 	before := routes(1, n)
 	sender.Add(before)
-	whole, err := receiver.Unpack(received(t, before))
+	whole, err := receiver.UnpackState(received(t, before))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -61,11 +61,11 @@
 	for v := uint64(2); v < 6; v++ {
 		next := routes(v, n+int(v))
 		sender.Add(next)
-		message := sender.Pack(next, receiver.Held())
+		message := sender.PackState(next, receiver.Held())
 		if size := proto.Size(message); size > 1000 {
 			t.Errorf("%d bytes were sent for one route of a document of %d", size, len(next.GetConfiguration().GetDocument()))
 		}
-		got, err := receiver.Unpack(received(t, message))
+		got, err := receiver.UnpackState(received(t, message))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -80,16 +80,16 @@
 	sender, receiver := &Shelf{}, &Shelf{}
 	st := routes(1, 100)
 	sender.Add(st)
-	if _, err := receiver.Unpack(received(t, st)); err != nil {
+	if _, err := receiver.UnpackState(received(t, st)); err != nil {
 		t.Fatal(err)
 	}
 	moved := proto.Clone(st).(*fleetpb.State)
 	moved.Number, moved.View.Epoch = 2, 4
-	message := sender.Pack(moved, receiver.Held())
+	message := sender.PackState(moved, receiver.Held())
 	if len(message.GetConfiguration().GetDocument())+len(message.GetConfiguration().GetDifference()) > 0 {
 		t.Error("a document was sent that the receiver holds")
 	}
-	got, err := receiver.Unpack(received(t, message))
+	got, err := receiver.UnpackState(received(t, message))
 	if err != nil || !proto.Equal(got, moved) {
 		t.Errorf("%v, %v", got, err)
 	}
@@ -100,12 +100,12 @@
 	s := &Shelf{}
 	st := routes(1, 10)
 	s.Add(st)
-	if s.Pack(st, nil) != st {
+	if s.PackState(st, nil) != st {
 		t.Error("a state was packed for a receiver that can't read it")
 	}
 	old := routes(2, 10)
 	old.Configuration.Digest = nil
-	got, err := s.Unpack(received(t, old))
+	got, err := s.UnpackState(received(t, old))
 	if err != nil || !bytes.Equal(got.GetConfiguration().GetDigest(), Digest(old.GetConfiguration().GetDocument())) {
 		t.Errorf("a state without a digest: %v", err)
 	}
@@ -116,11 +116,11 @@
 	sender, receiver := &Shelf{}, &Shelf{}
 	st := routes(1, 1000)
 	sender.Add(st)
-	message := sender.Pack(st, receiver.Held())
+	message := sender.PackState(st, receiver.Held())
 	if proto.Size(message) > len(st.GetConfiguration().GetDocument())/3 {
 		t.Error("the document was not compressed")
 	}
-	if got, err := receiver.Unpack(received(t, message)); err != nil || !proto.Equal(got, st) {
+	if got, err := receiver.UnpackState(received(t, message)); err != nil || !proto.Equal(got, st) {
 		t.Errorf("another state came out: %v", err)
 	}
 }
@@ -132,20 +132,20 @@
 		sender.Add(st)
 	}
 	at := func(held *fleetpb.State) *fleetpb.State {
-		return received(t, sender.Pack(three, &fleetpb.Held{Digests: [][]byte{held.GetConfiguration().GetDigest()}}))
+		return received(t, sender.PackState(three, &fleetpb.Held{Digests: [][]byte{held.GetConfiguration().GetDigest()}}))
 	}
 	receiver := &Shelf{}
 	receiver.Add(one)
 
 	t.Run("the base is not held", func(t *testing.T) {
-		_, err := receiver.Unpack(at(two))
+		_, err := receiver.UnpackState(at(two))
 		var base *BaseError
 		if !errors.As(err, &base) {
 			t.Errorf("%v, want a BaseError", err)
 		}
 	})
 	t.Run("it was left out and is not held", func(t *testing.T) {
-		_, err := receiver.Unpack(at(three))
+		_, err := receiver.UnpackState(at(three))
 		var base *BaseError
 		if !errors.As(err, &base) {
 			t.Errorf("%v, want a BaseError", err)
@@ -154,7 +154,7 @@
 	t.Run("the base is another document", func(t *testing.T) {
 		m := at(two)
 		m.Configuration.Base = one.GetConfiguration().GetDigest()
-		if got, err := receiver.Unpack(m); err == nil {
+		if got, err := receiver.UnpackState(m); err == nil {
 			t.Errorf("taken: %v", got)
 		}
 	})
@@ -162,14 +162,14 @@
 		m := at(one)
 		d := m.GetConfiguration().GetDifference()
 		m.Configuration.Difference = d[:len(d)-1]
-		if got, err := receiver.Unpack(m); err == nil {
+		if got, err := receiver.UnpackState(m); err == nil {
 			t.Errorf("taken: %v", got)
 		}
 	})
 	t.Run("the whole is another document", func(t *testing.T) {
 		m := received(t, three)
 		m.Configuration.Document = m.Configuration.Document[1:]
-		_, err := receiver.Unpack(m)
+		_, err := receiver.UnpackState(m)
 		var digest *DigestError
 		if !errors.As(err, &digest) {
 			t.Errorf("%v, want a DigestError", err)
@@ -188,14 +188,45 @@
 	sender.Add(one)
 	sender.Add(two)
 	receiver.Add(one)
-	m := sender.Pack(two, receiver.Held())
+	m := sender.PackState(two, receiver.Held())
 	for range 2 {
-		if got, err := receiver.Unpack(received(t, m)); err != nil || !proto.Equal(got, two) {
+		if got, err := receiver.UnpackState(received(t, m)); err != nil || !proto.Equal(got, two) {
 			t.Errorf("another state came out: %v", err)
 		}
 	}
 }
 
+// TestAListTravelsAsItsDifference: of three thousand endpoints one begins to drain.
+func TestAListTravelsAsItsDifference(t *testing.T) {
+	l := &fleetpb.EndpointList{Number: 1}
+	for i := range 3000 {
+		l.Endpoints = append(l.Endpoints, &fleetpb.Endpoint{Id: fmt.Sprintf("i-%x", i*1299709), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Slots: 6})
+	}
+	sender, receiver := &Shelf{Keep: 8}, &Shelf{}
+	tell := func(l *fleetpb.EndpointList) int {
+		t.Helper()
+		made, err := NewList(l)
+		if err != nil {
+			t.Fatal(err)
+		}
+		packed := sender.PackList(made, receiver.Held())
+		got, err := receiver.UnpackList(packed)
+		if err != nil || !proto.Equal(got, l) {
+			t.Fatalf("another list came out: %v", err)
+		}
+		return proto.Size(packed)
+	}
+	first := tell(l)
+	next := proto.Clone(l).(*fleetpb.EndpointList)
+	next.Number, next.Endpoints[1500].Draining = 2, true
+	if second := tell(next); second > 1000 || second*20 > first {
+		t.Errorf("%d bytes for one endpoint, %d for the first list", second, first)
+	}
+	if _, err := receiver.UnpackList(&fleetpb.Packed{Difference: []byte("x")}); err == nil {
+		t.Error("a list without a digest was taken")
+	}
+}
+
 func FuzzUnpack(f *testing.F) {
 	base, next := routes(1, 20), routes(2, 21)
 	frame, err := difference(base.GetConfiguration().GetDocument(), next.GetConfiguration().GetDocument())
@@ -208,7 +239,7 @@
 		s := &Shelf{}
 		s.Add(base)
 		st := &fleetpb.State{Configuration: &fleetpb.Configuration{Digest: digest, Base: baseDigest, Difference: frame, Document: doc}}
-		got, err := s.Unpack(st)
+		got, err := s.UnpackState(st)
 		if err != nil {
 			return
 		}
@@ -227,7 +258,7 @@
 	for b.Loop() {
 		s := &Shelf{}
 		s.Add(before)
-		s.Pack(next, s.Held())
+		s.PackState(next, s.Held())
 	}
 }
 
@@ -236,12 +267,12 @@
 	before, next := routes(1, 1000), routes(2, 1001)
 	sender := &Shelf{}
 	sender.Add(before)
-	packed := sender.Pack(next, sender.Held())
+	packed := sender.PackState(next, sender.Held())
 	b.ReportAllocs()
 	for b.Loop() {
 		s := &Shelf{}
 		s.Add(before)
-		if _, err := s.Unpack(proto.Clone(packed).(*fleetpb.State)); err != nil {
+		if _, err := s.UnpackState(proto.Clone(packed).(*fleetpb.State)); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -27,7 +27,7 @@
 	told reported
 	// state and list are the newest numbers that it has told of.
 	state, list uint64
-	// whole is true after a state from it could not be made whole: the next one is to
+	// whole is true after news from it could not be made whole: the next ones are to
 	// come whole.
 	whole bool
 }
@@ -95,6 +95,9 @@
 	}
 	if req.GetWantsNews() && !t.whole {
 		req.Held = c.Documents.Held()
+		if c.Role != fleetpb.Role_ROLE_STORE {
+			req.HeldLists = c.Lists.Held()
+		}
 	}
 	// The call goes out in the moment in which there is a connection.
 	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req, grpc.WaitForReady(true))
@@ -102,8 +105,8 @@
 		return err
 	}
 	t.told, t.state, t.list = told, r.GetStateNumber(), r.GetListNumber()
-	if r.State, err = c.Documents.Unpack(r.GetState()); err != nil {
-		c.Log.WithError(err).WithField("control", t.address).Warn("a state is not readable and is asked for whole")
+	if err := c.unpack(r); err != nil {
+		c.Log.WithError(err).WithField("control", t.address).Warn("news are not readable and are asked for whole")
 		t.whole = true
 		return err
 	}
@@ -117,6 +120,17 @@
 	return nil
 }
 
+// unpack makes the state and the list of a reply whole.
+func (c *Client) unpack(r *fleetpb.WatchReply) (err error) {
+	if r.State, err = c.Documents.UnpackState(r.GetState()); err != nil {
+		return err
+	}
+	if r.GetPackedList() != nil {
+		r.List, err = c.Lists.UnpackList(r.GetPackedList())
+	}
+	return err
+}
+
 // knowsMore reports whether the instance has told of something newer than what the
 // teller has brought.
 func (t *target) knowsMore(req *fleetpb.WatchRequest) bool {
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -59,6 +59,8 @@
 	// Documents holds the documents that were met lately, so that news of them come as
 	// differences.
 	Documents document.Shelf
+	// Lists is the same for lists of endpoints.
+	Lists document.Shelf
 
 	state   atomic.Pointer[fleetpb.State]
 	list    atomic.Pointer[Reading]
