controller: a vote's end always reaches its round; the own domain is never cut off

A vote that ran out of its time could lose its notice, so that the round waited for the rest of its own; and a control instance that hears nobody of its own failure domain took the domain for cut off, itself in it, and left a lost store there in its place for 15 s.

--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -150,7 +150,7 @@
 		Now:     now,
 		Stores:  c.presence.members(now, fleetpb.Role_ROLE_STORE, forgetAfter),
 		Control: c.presence.members(now, fleetpb.Role_ROLE_CONTROL, forgetAfter),
-		Domains: c.presence.domains(now),
+		Domains: c.presence.domains(now, c.Self.GetFailureDomain()),
 		Copies:  2*c.Losses + 1,
 		Settled: d.settled(now),
 		Self:    c.Self,
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -103,11 +103,12 @@
 	return out
 }
 
-// domains returns the failure domains of which any instance was heard lately.
-func (r *presence) domains(now time.Time) map[string]bool {
+// domains returns the failure domains of which any instance was heard lately, and the
+// own one.
+func (r *presence) domains(now time.Time, own string) map[string]bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	out := map[string]bool{}
+	out := map[string]bool{own: true}
 	for _, s := range r.peers {
 		if now.Sub(s.heard) < membership.PresentWithin {
 			out[s.member.GetFailureDomain()] = true
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -21,6 +21,10 @@
 	// voteWithin bounds one request to an acceptor; a disk's sync takes 1 ms and
 	// a stalled one seconds.
 	voteWithin = 1500 * time.Millisecond
+	// mostAnswers is more than all acceptors give in a round, two each, so that none of
+	// them ever waits for the round: two sets of voters of at most nine, as operators
+	// tolerate four losses at the very most.
+	mostAnswers = 64
 	// roundWithin bounds one round.
 	roundWithin = 2 * time.Second
 )
@@ -45,8 +49,7 @@
 	ctx, cancel := context.WithTimeout(ctx, roundWithin)
 	defer cancel()
 	r := &register.Round{Ballot: c.nextBallot(), Known: known, Initial: initial, Change: change}
-	// Each acceptor answers at most twice in a round.
-	events := make(chan register.Event, 64)
+	events := make(chan register.Event, mostAnswers)
 	held := map[uint64]*fleetpb.Held{}
 	outstanding := 0
 	actions := r.Handle(register.Begin{})
@@ -139,10 +142,10 @@
 	reply, err := v.prepare(ctx, req)
 	if err != nil {
 		v.controller.Log.WithError(err).WithField("control", v.to.GetInstance()).Debug("no promise")
-		v.post(ctx, nil)
+		v.post(nil)
 		return
 	}
-	v.post(ctx, register.Prepared{From: v.to.GetStorage(), Reply: reply})
+	v.post(register.Prepared{From: v.to.GetStorage(), Reply: reply})
 }
 
 func (v *vote) prepare(ctx context.Context, req *fleetpb.PrepareRequest) (*fleetpb.PrepareReply, error) {
@@ -174,10 +177,10 @@
 	reply, err := v.accept(ctx, req)
 	if err != nil {
 		v.controller.Log.WithError(err).WithField("control", v.to.GetInstance()).Debug("not accepted")
-		v.post(ctx, nil)
+		v.post(nil)
 		return
 	}
-	v.post(ctx, register.Accepted{From: v.to.GetStorage(), Reply: reply})
+	v.post(register.Accepted{From: v.to.GetStorage(), Reply: reply})
 }
 
 func (v *vote) accept(ctx context.Context, req *fleetpb.AcceptRequest) (*fleetpb.AcceptReply, error) {
@@ -202,12 +205,7 @@
 }
 
 // post hands over an event; a round that has ended leaves it in the channel.
-func (v *vote) post(ctx context.Context, e register.Event) {
-	select {
-	case v.events <- e:
-	case <-ctx.Done():
-	}
-}
+func (v *vote) post(e register.Event) { v.events <- e }
 
 // Prepare answers a proposer once the promise is on the disk.
 func (c *Controller) Prepare(_ context.Context, req *fleetpb.PrepareRequest) (*fleetpb.PrepareReply, error) {
