--- a/rockbarrow/document/doc.go
+++ b/rockbarrow/document/doc.go
@@ -1,10 +1,11 @@
 // SPDX-License-Identifier: MIT
 
-// Package document sends configuration documents between processes as differences.
+// Package document sends documents between processes as differences: configurations as
+// operators wrote them ([Shelf.PackState]) and lists of endpoints ([Shelf.PackList]).
 //
-// A document of a thousand routes is some 250 KB, and most of its successors differ in
-// one line. Every process holds the document in force, so what has to travel is what
-// changed. Documents are named by their digest: a receiver tells which it holds
+// A configuration of a thousand routes is some 250 KB, as is a list of three thousand
+// endpoints, and most of their successors differ in one line. Every process holds the
+// document in force, so what has to travel is what changed. Documents are named by their digest: a receiver tells which it holds
 // ([Shelf.Held]), the sender leaves out a document that is held, makes a difference
 // against one that is held, or sends it whole ([Shelf.Pack]), and the receiver makes it
 // whole again and checks its digest ([Shelf.Unpack]). A receiver that tells nothing, such
--- a/rockbarrow/document/shelf.go
+++ b/rockbarrow/document/shelf.go
@@ -65,8 +65,8 @@
 
 type made struct{ base, digest, frame []byte }
 
-// Add keeps the document of a state, which may be nil, and sees to its digest. It
-// changes the state; call it before others have it.
+// Add keeps the document of a state, which may be nil. To a state of version 0.2.0, which
+// has no digest, it gives one; no one else may have such a state yet.
 func (s *Shelf) Add(st *fleetpb.State) {
 	c := st.GetConfiguration()
 	if len(c.GetDocument()) == 0 {
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -129,6 +129,7 @@
 	own, elsewhere := false, false
 	for _, d := range e.Watch.EntryDomains() {
 		if d.GetFailureDomain() == e.Domain {
+			// Control of version 0.2.0 tells only who serves.
 			own = 2*max(d.GetHeard(), d.GetServing()) < d.GetKnown()
 		} else {
 			elsewhere = elsewhere || d.GetServing() > 0 && 2*d.GetServing() >= d.GetKnown()
