--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -108,8 +108,8 @@
 	c.watch = &watch.Client{
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
 		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
-		Documents: document.Shelf{Keep: keptDocuments, Log: c.Log},
-		Lists:     document.Shelf{Keep: keptDocuments, Log: c.Log},
+		Documents: document.Cache{Keep: keptDocuments, Log: c.Log},
+		Lists:     document.Cache{Keep: keptDocuments, Log: c.Log},
 	}
 	c.acceptor = register.Acceptor{Storage: c.Self.GetStorage(), Founder: c.Founder}
 	if b := cell.Value(); b != nil {
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -156,15 +156,15 @@
 	if err != nil {
 		return nil, err
 	}
-	shelf := &v.controller.watch.Documents
+	docs := &v.controller.watch.Documents
 	if _, whole := v.controller.distrusted.LoadAndDelete(v.to.GetStorage()); !whole {
-		req.Held = shelf.Held()
+		req.Held = docs.Held()
 	}
 	reply, err := fleetpb.NewControlClient(conn).Prepare(ctx, req)
 	if err != nil {
 		return nil, err
 	}
-	if reply.State, err = shelf.UnpackState(reply.GetState()); err != nil {
+	if reply.State, err = docs.UnpackState(reply.GetState()); err != nil {
 		v.controller.distrusted.Store(v.to.GetStorage(), true)
 		return nil, err
 	}
--- a/rockbarrow/document/shelf.go
+++ b/rockbarrow/document/cache.go
@@ -14,11 +14,11 @@
 )
 
 const (
-	// kept is how many documents a shelf keeps by default, and tells of: the one in
+	// kept is how many documents a cache keeps by default, and tells of: the one in
 	// force and the one accepted or met before it. Senders keep more, for receivers
 	// that lag.
 	kept = 2
-	// keptDifferences is how many differences a shelf keeps. All receivers that hold
+	// keptDifferences is how many differences a cache keeps. All receivers that hold
 	// the same document want the same one, within one round trip.
 	keptDifferences = 8
 )
@@ -46,9 +46,9 @@
 	return hex.EncodeToString(digest[:min(4, len(digest))])
 }
 
-// Shelf is the documents that a process has met lately. The zero value is ready and
+// Cache is the documents that a process has met lately. The zero value is ready and
 // keeps two. It is safe for concurrent use.
-type Shelf struct {
+type Cache struct {
 	// Keep is how many documents it keeps; zero means two.
 	Keep int
 	// Log is told of differences that can't be made; nil is nobody.
@@ -67,7 +67,7 @@
 
 // Add keeps the document of a state, which may be nil. To a state of version 0.2.0, which
 // has no digest, it gives one; no one else may have such a state yet.
-func (s *Shelf) Add(st *fleetpb.State) {
+func (s *Cache) Add(st *fleetpb.State) {
 	c := st.GetConfiguration()
 	if len(c.GetDocument()) == 0 {
 		return
@@ -79,7 +79,7 @@
 }
 
 // Put keeps a document.
-func (s *Shelf) Put(document, digest []byte) {
+func (s *Cache) Put(document, digest []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if i := s.index(digest); i >= 0 {
@@ -97,12 +97,12 @@
 	}
 }
 
-func (s *Shelf) index(digest []byte) int {
+func (s *Cache) index(digest []byte) int {
 	return slices.IndexFunc(s.documents, func(n named) bool { return bytes.Equal(n.digest, digest) })
 }
 
-// Held tells a sender what this shelf holds.
-func (s *Shelf) Held() *fleetpb.Held {
+// Held tells a sender what this cache holds.
+func (s *Cache) Held() *fleetpb.Held {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := &fleetpb.Held{}
@@ -114,7 +114,7 @@
 
 // Pack returns a document as a receiver needs it that has told what it holds: nil if it
 // understands whole documents only.
-func (s *Shelf) Pack(document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
+func (s *Cache) Pack(document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
 	whole := &fleetpb.Packed{Document: document, Digest: digest}
 	if held == nil || len(document) == 0 || len(digest) == 0 {
 		return whole
@@ -138,7 +138,7 @@
 
 // frame returns a difference against a document that is held on both sides, the newest
 // first, or against nothing.
-func (s *Shelf) frame(document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
+func (s *Cache) frame(document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var common named
@@ -166,7 +166,7 @@
 
 // Unpack makes a document whole and keeps it. After an error the sender has to be asked
 // for it whole.
-func (s *Shelf) Unpack(p *fleetpb.Packed) ([]byte, error) {
+func (s *Cache) Unpack(p *fleetpb.Packed) ([]byte, error) {
 	document, err := s.whole(p)
 	if err != nil {
 		return nil, err
@@ -179,7 +179,7 @@
 	return document, nil
 }
 
-func (s *Shelf) whole(p *fleetpb.Packed) ([]byte, error) {
+func (s *Cache) whole(p *fleetpb.Packed) ([]byte, error) {
 	if len(p.GetDocument()) > 0 {
 		return p.GetDocument(), nil
 	}
@@ -201,7 +201,7 @@
 }
 
 // get returns a document that is held; no digest names the empty one.
-func (s *Shelf) get(digest []byte) ([]byte, bool) {
+func (s *Cache) get(digest []byte) ([]byte, bool) {
 	if len(digest) == 0 {
 		return nil, true
 	}
--- a/rockbarrow/document/shelf_test.go
+++ b/rockbarrow/document/cache_test.go
@@ -48,7 +48,7 @@
 // thousand others; what is sent grows with the change and not with the document.
 func TestAChangeTravelsAsItsDifference(t *testing.T) {
 	const n = 1000
-	sender, receiver := &Shelf{Keep: 8}, &Shelf{}
+	sender, receiver := &Cache{Keep: 8}, &Cache{}
 	before := routes(1, n)
 	sender.Add(before)
 	whole, err := receiver.UnpackState(received(t, before))
@@ -77,7 +77,7 @@
 
 // TestADocumentThatIsHeldIsLeftOut: a change of the view sends no routes.
 func TestADocumentThatIsHeldIsLeftOut(t *testing.T) {
-	sender, receiver := &Shelf{}, &Shelf{}
+	sender, receiver := &Cache{}, &Cache{}
 	st := routes(1, 100)
 	sender.Add(st)
 	if _, err := receiver.UnpackState(received(t, st)); err != nil {
@@ -97,7 +97,7 @@
 
 // TestWhoTellsNothingGetsTheWhole: a process of version 0.2.0 tells nothing.
 func TestWhoTellsNothingGetsTheWhole(t *testing.T) {
-	s := &Shelf{}
+	s := &Cache{}
 	st := routes(1, 10)
 	s.Add(st)
 	if s.PackState(st, nil) != st {
@@ -113,7 +113,7 @@
 
 // TestWhoHoldsNothingGetsItCompressed: a process that has just started.
 func TestWhoHoldsNothingGetsItCompressed(t *testing.T) {
-	sender, receiver := &Shelf{}, &Shelf{}
+	sender, receiver := &Cache{}, &Cache{}
 	st := routes(1, 1000)
 	sender.Add(st)
 	message := sender.PackState(st, receiver.Held())
@@ -126,7 +126,7 @@
 }
 
 func TestAnUnreadableDocumentIsNoticed(t *testing.T) {
-	sender := &Shelf{Keep: 8}
+	sender := &Cache{Keep: 8}
 	one, two, three := routes(1, 50), routes(2, 51), routes(3, 52)
 	for _, st := range []*fleetpb.State{one, two, three} {
 		sender.Add(st)
@@ -134,7 +134,7 @@
 	at := func(held *fleetpb.State) *fleetpb.State {
 		return received(t, sender.PackState(three, &fleetpb.Held{Digests: [][]byte{held.GetConfiguration().GetDigest()}}))
 	}
-	receiver := &Shelf{}
+	receiver := &Cache{}
 	receiver.Add(one)
 
 	t.Run("the base is not held", func(t *testing.T) {
@@ -183,7 +183,7 @@
 // TestTwoSendersTellTheSame: two control instances answer with differences against a
 // base that the first answer has replaced.
 func TestTwoSendersTellTheSame(t *testing.T) {
-	sender, receiver := &Shelf{Keep: 8}, &Shelf{Keep: 1}
+	sender, receiver := &Cache{Keep: 8}, &Cache{Keep: 1}
 	one, two := routes(1, 50), routes(2, 51)
 	sender.Add(one)
 	sender.Add(two)
@@ -202,7 +202,7 @@
 	for i := range 3000 {
 		l.Endpoints = append(l.Endpoints, &fleetpb.Endpoint{Id: fmt.Sprintf("i-%x", i*1299709), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), Slots: 6})
 	}
-	sender, receiver := &Shelf{Keep: 8}, &Shelf{}
+	sender, receiver := &Cache{Keep: 8}, &Cache{}
 	tell := func(l *fleetpb.EndpointList) int {
 		t.Helper()
 		made, err := NewList(l)
@@ -236,7 +236,7 @@
 	f.Add(frame, base.GetConfiguration().GetDigest(), next.GetConfiguration().GetDigest(), []byte(nil))
 	f.Add(frame[:9], []byte(nil), next.GetConfiguration().GetDigest(), []byte("x"))
 	f.Fuzz(func(t *testing.T, frame, baseDigest, digest, doc []byte) {
-		s := &Shelf{}
+		s := &Cache{}
 		s.Add(base)
 		st := &fleetpb.State{Configuration: &fleetpb.Configuration{Digest: digest, Base: baseDigest, Difference: frame, Document: doc}}
 		got, err := s.UnpackState(st)
@@ -256,7 +256,7 @@
 	before, next := routes(1, 1000), routes(2, 1001)
 	b.ReportAllocs()
 	for b.Loop() {
-		s := &Shelf{}
+		s := &Cache{}
 		s.Add(before)
 		s.PackState(next, s.Held())
 	}
@@ -265,12 +265,12 @@
 // BenchmarkUnpack is a receiver's.
 func BenchmarkUnpack(b *testing.B) {
 	before, next := routes(1, 1000), routes(2, 1001)
-	sender := &Shelf{}
+	sender := &Cache{}
 	sender.Add(before)
 	packed := sender.PackState(next, sender.Held())
 	b.ReportAllocs()
 	for b.Loop() {
-		s := &Shelf{}
+		s := &Cache{}
 		s.Add(before)
 		if _, err := s.UnpackState(proto.Clone(packed).(*fleetpb.State)); err != nil {
 			b.Fatal(err)
--- a/rockbarrow/document/doc.go
+++ b/rockbarrow/document/doc.go
@@ -1,14 +1,14 @@
 // SPDX-License-Identifier: MIT
 
 // Package document sends documents between processes as differences: configurations as
-// operators wrote them ([Shelf.PackState]) and lists of endpoints ([Shelf.PackList]).
+// operators wrote them ([Cache.PackState]) and lists of endpoints ([Cache.PackList]).
 //
 // A configuration of a thousand routes is some 250 KB, as is a list of three thousand
 // endpoints, and most of their successors differ in one line. Every process holds the
 // document in force, so what has to travel is what changed. Documents are named by their digest: a receiver tells which it holds
-// ([Shelf.Held]), the sender leaves out a document that is held, makes a difference
-// against one that is held, or sends it whole ([Shelf.Pack]), and the receiver makes it
-// whole again and checks its digest ([Shelf.Unpack]). A receiver that tells nothing, such
+// ([Cache.Held]), the sender leaves out a document that is held, makes a difference
+// against one that is held, or sends it whole ([Cache.Pack]), and the receiver makes it
+// whole again and checks its digest ([Cache.Unpack]). A receiver that tells nothing, such
 // as a process of version 0.2.0, gets every document whole.
 //
 // The invariant: a [fleetpb.State] in memory or on a disk holds its document whole, with
--- a/rockbarrow/document/state.go
+++ b/rockbarrow/document/state.go
@@ -6,7 +6,7 @@
 
 // PackState returns a state as a receiver needs it that has told what it holds. The state
 // itself stays as it is.
-func (s *Shelf) PackState(st *fleetpb.State, held *fleetpb.Held) *fleetpb.State {
+func (s *Cache) PackState(st *fleetpb.State, held *fleetpb.Held) *fleetpb.State {
 	c := st.GetConfiguration()
 	p := s.Pack(c.GetDocument(), c.GetDigest(), held)
 	if len(p.GetDocument()) > 0 || len(p.GetDigest()) == 0 {
@@ -23,7 +23,7 @@
 
 // UnpackState makes the state of a message whole and keeps its document. After an error
 // nothing of the state may be used; the sender has to be asked for it whole.
-func (s *Shelf) UnpackState(st *fleetpb.State) (*fleetpb.State, error) {
+func (s *Cache) UnpackState(st *fleetpb.State) (*fleetpb.State, error) {
 	c := st.GetConfiguration()
 	if len(c.GetDocument())+len(c.GetDigest()) == 0 {
 		// No configuration was accepted yet.
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -58,9 +58,9 @@
 	Loads func(*fleetpb.EndpointLoads)
 	// Documents holds the documents that were met lately, so that news of them come as
 	// differences.
-	Documents document.Shelf
+	Documents document.Cache
 	// Lists is the same for lists of endpoints.
-	Lists document.Shelf
+	Lists document.Cache
 
 	state   atomic.Pointer[fleetpb.State]
 	list    atomic.Pointer[Reading]
