--- /dev/null
+++ b/rockbarrow/controller/news.go
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/document"
+	"rockbarrow.dev/rockbarrow/membership"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Watch answers with what is newer than the sender knows, or waits for it.
+func (c *Controller) Watch(ctx context.Context, req *fleetpb.WatchRequest) (*fleetpb.WatchReply, error) {
+	c.presence.heard(time.Now(), req)
+	c.sawList(req.GetListNumber())
+	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
+		c.loads.heard(time.Now(), req.GetSender().GetInstance(), req.GetUses())
+	}
+	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
+	defer wait.Stop()
+	for {
+		news := c.newsChannel()
+		if c.hasNews(req) {
+			return c.reply(req), nil
+		}
+		select {
+		case <-news:
+		case <-wait.C:
+			return c.reply(req), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *Controller) hasNews(req *fleetpb.WatchRequest) bool {
+	return req.GetWantsNews() && (c.State().GetNumber() > req.GetStateNumber() || c.hasList(req))
+}
+
+// hasList reports whether the sender lacks a list that it has a use for.
+func (c *Controller) hasList(req *fleetpb.WatchRequest) bool {
+	return req.GetRole() != fleetpb.Role_ROLE_STORE && c.watch.List().List().GetNumber() > req.GetListNumber()
+}
+
+// headcountFor is how long a headcount is used: a third of the time between two calls
+// of one instance. Counting for each call would make control's work grow with the square
+// of the number of instances; what that costs was not measured by itself.
+const headcountFor = 100 * time.Millisecond
+
+// headcount is who is present, as replies tell it. It does not change.
+type headcount struct {
+	at           time.Time
+	control      []*fleetpb.Member
+	entries      uint32
+	entryDomains []*fleetpb.EntryDomain
+}
+
+// headcount returns a recent count. Two calls may count at once; either is as good.
+func (c *Controller) headcount(now time.Time) *headcount {
+	if h := c.counted.Load(); h != nil && now.Sub(h.at) < headcountFor {
+		return h
+	}
+	h := &headcount{
+		at: now, control: c.control(now, membership.PresentWithin),
+		entries:      uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, membership.PresentWithin))),
+		entryDomains: c.presence.entryDomains(now),
+	}
+	c.counted.Store(h)
+	return h
+}
+
+func (c *Controller) reply(req *fleetpb.WatchRequest) *fleetpb.WatchReply {
+	now := time.Now()
+	h := c.headcount(now)
+	r := &fleetpb.WatchReply{Responder: c.Self, Control: h.control, Entries: h.entries}
+	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
+		r.EntryDomains = h.entryDomains
+	}
+	s := c.State()
+	r.StateNumber = s.GetNumber()
+	if req.GetWantsNews() && s.GetNumber() > req.GetStateNumber() {
+		r.State = c.watch.Documents.PackState(s, req.GetHeld())
+	}
+	if l := c.watch.List(); l != nil {
+		r.ListKnown, r.ListNumber = true, l.List().GetNumber()
+		r.ListAgeMs = uint64(max(0, now.Sub(l.At()).Milliseconds()))
+		if req.GetWantsNews() && c.hasList(req) {
+			c.tellList(r, l.List(), req.GetHeldLists())
+		}
+		if req.GetWantsLoads() {
+			r.Loads = c.loads.of(now, req.GetSender().GetInstance(), l.List())
+		}
+	}
+	return r
+}
+
+// tellList puts a list into a reply, whole for who understands nothing else.
+func (c *Controller) tellList(r *fleetpb.WatchReply, l *fleetpb.EndpointList, held *fleetpb.Held) {
+	if held == nil {
+		r.List = l
+		return
+	}
+	known := c.listed.Load()
+	if known.List() != l {
+		made, err := document.NewList(l)
+		if err != nil {
+			c.Log.WithError(err).Error("a list of endpoints is told whole")
+			r.List = l
+			return
+		}
+		known = made
+		c.listed.Store(made)
+	}
+	r.PackedList = c.watch.Lists.PackList(known, held)
+}
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -233,58 +233,6 @@
 	return silent > cutAtMost
 }
 
-// nextVoters moves one voter at a time; while two sets count, it ends the move.
-func (p Plan) nextVoters(s *fleetpb.State) bool {
-	if len(s.GetPriorVoters()) > 0 {
-		s.PriorVoters = nil
-		return true
-	}
-	wanted := p.wantedVoters(s.GetVoters())
-	if register.Same(wanted, s.GetVoters()) {
-		return false
-	}
-	s.PriorVoters, s.Voters = s.GetVoters(), wanted
-	return true
-}
-
-func (p Plan) wantedVoters(voters []*fleetpb.Member) []*fleetpb.Member {
-	spares := p.spareControl(voters)
-	for i, m := range voters {
-		for _, o := range spares {
-			if o.GetInstance() == m.GetInstance() {
-				return replaced(voters, i, o)
-			}
-		}
-		if p.lost(p.Control, m) && len(spares) > 0 {
-			return replaced(voters, i, spares[0])
-		}
-	}
-	if len(voters) < p.Copies && len(spares) > 0 {
-		return append(slices.Clone(voters), spares[0])
-	}
-	return voters
-}
-
-// spareControl returns control instances that have no vote.
-func (p Plan) spareControl(voters []*fleetpb.Member) []*fleetpb.Member {
-	var out []*fleetpb.Member
-	if !register.Has(voters, p.Self.GetStorage()) {
-		out = append(out, p.Self)
-	}
-	for _, peer := range p.Control {
-		if p.present(peer) && !register.Has(voters, peer.Member.GetStorage()) {
-			out = append(out, peer.Member)
-		}
-	}
-	return out
-}
-
-func replaced(list []*fleetpb.Member, i int, m *fleetpb.Member) []*fleetpb.Member {
-	out := slices.Clone(list)
-	out[i] = m
-	return out
-}
-
 func find(peers []Peer, storage uint64) (Peer, bool) {
 	for _, s := range peers {
 		if s.Member.GetStorage() == storage {
