--- a/rockbarrow/document/cache.go
+++ b/rockbarrow/document/cache.go
@@ -67,46 +67,46 @@
 
 // Add keeps the document of a state, which may be nil. To a state of version 0.2.0, which
 // has no digest, it gives one; no one else may have such a state yet.
-func (s *Cache) Add(st *fleetpb.State) {
-	c := st.GetConfiguration()
-	if len(c.GetDocument()) == 0 {
+func (c *Cache) Add(st *fleetpb.State) {
+	cfg := st.GetConfiguration()
+	if len(cfg.GetDocument()) == 0 {
 		return
 	}
-	if len(c.GetDigest()) == 0 {
-		c.Digest = Digest(c.GetDocument())
+	if len(cfg.GetDigest()) == 0 {
+		cfg.Digest = Digest(cfg.GetDocument())
 	}
-	s.Put(c.GetDocument(), c.GetDigest())
+	c.Put(cfg.GetDocument(), cfg.GetDigest())
 }
 
 // Put keeps a document.
-func (s *Cache) Put(document, digest []byte) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if i := s.index(digest); i >= 0 {
-		n := s.documents[i]
-		s.documents = append(slices.Delete(s.documents, i, i+1), n)
+func (c *Cache) Put(document, digest []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := c.index(digest); i >= 0 {
+		n := c.documents[i]
+		c.documents = append(slices.Delete(c.documents, i, i+1), n)
 		return
 	}
-	s.documents = append(s.documents, named{digest: digest, document: document})
-	keep := s.Keep
+	c.documents = append(c.documents, named{digest: digest, document: document})
+	keep := c.Keep
 	if keep == 0 {
 		keep = kept
 	}
-	if len(s.documents) > keep {
-		s.documents = slices.Delete(s.documents, 0, 1)
+	if len(c.documents) > keep {
+		c.documents = slices.Delete(c.documents, 0, 1)
 	}
 }
 
-func (s *Cache) index(digest []byte) int {
-	return slices.IndexFunc(s.documents, func(n named) bool { return bytes.Equal(n.digest, digest) })
+func (c *Cache) index(digest []byte) int {
+	return slices.IndexFunc(c.documents, func(n named) bool { return bytes.Equal(n.digest, digest) })
 }
 
 // Held tells a sender what this cache holds.
-func (s *Cache) Held() *fleetpb.Held {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *Cache) Held() *fleetpb.Held {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	h := &fleetpb.Held{}
-	for _, n := range s.documents[max(0, len(s.documents)-kept):] {
+	for _, n := range c.documents[max(0, len(c.documents)-kept):] {
 		h.Digests = append(h.Digests, n.digest)
 	}
 	return h
@@ -114,7 +114,7 @@
 
 // Pack returns a document as a receiver needs it that has told what it holds: nil if it
 // understands whole documents only.
-func (s *Cache) Pack(document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
+func (c *Cache) Pack(document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
 	whole := &fleetpb.Packed{Document: document, Digest: digest}
 	if held == nil || len(document) == 0 || len(digest) == 0 {
 		return whole
@@ -122,10 +122,10 @@
 	if holds(held, digest) {
 		return &fleetpb.Packed{Digest: digest}
 	}
-	base, frame, err := s.frame(document, digest, held)
+	base, frame, err := c.frame(document, digest, held)
 	if err != nil {
-		if s.Log != nil {
-			s.Log.WithError(err).Warn("a document is sent whole")
+		if c.Log != nil {
+			c.Log.WithError(err).Warn("a document is sent whole")
 		}
 		return whole
 	}
@@ -138,17 +138,17 @@
 
 // frame returns a difference against a document that is held on both sides, the newest
 // first, or against nothing.
-func (s *Cache) frame(document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+func (c *Cache) frame(document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var common named
-	for _, n := range slices.Backward(s.documents) {
+	for _, n := range slices.Backward(c.documents) {
 		if holds(held, n.digest) {
 			common = n
 			break
 		}
 	}
-	for _, m := range s.differences {
+	for _, m := range c.differences {
 		if bytes.Equal(m.base, common.digest) && bytes.Equal(m.digest, digest) {
 			return m.base, m.frame, nil
 		}
@@ -157,17 +157,17 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	s.differences = append(s.differences, made{base: common.digest, digest: digest, frame: frame})
-	if len(s.differences) > keptDifferences {
-		s.differences = slices.Delete(s.differences, 0, 1)
+	c.differences = append(c.differences, made{base: common.digest, digest: digest, frame: frame})
+	if len(c.differences) > keptDifferences {
+		c.differences = slices.Delete(c.differences, 0, 1)
 	}
 	return common.digest, frame, nil
 }
 
 // Unpack makes a document whole and keeps it. After an error the sender has to be asked
 // for it whole.
-func (s *Cache) Unpack(p *fleetpb.Packed) ([]byte, error) {
-	document, err := s.whole(p)
+func (c *Cache) Unpack(p *fleetpb.Packed) ([]byte, error) {
+	document, err := c.whole(p)
 	if err != nil {
 		return nil, err
 	}
@@ -175,11 +175,11 @@
 	if len(p.GetDigest()) > 0 && !bytes.Equal(digest, p.GetDigest()) {
 		return nil, &DigestError{want: p.GetDigest(), got: digest}
 	}
-	s.Put(document, digest)
+	c.Put(document, digest)
 	return document, nil
 }
 
-func (s *Cache) whole(p *fleetpb.Packed) ([]byte, error) {
+func (c *Cache) whole(p *fleetpb.Packed) ([]byte, error) {
 	if len(p.GetDocument()) > 0 {
 		return p.GetDocument(), nil
 	}
@@ -187,13 +187,13 @@
 		return nil, &BaseError{}
 	}
 	// It may have come from elsewhere since the sender was told what is held.
-	if d, ok := s.get(p.GetDigest()); ok {
+	if d, ok := c.get(p.GetDigest()); ok {
 		return d, nil
 	}
 	if len(p.GetDifference()) == 0 {
 		return nil, &BaseError{base: p.GetDigest(), document: p.GetDigest()}
 	}
-	base, ok := s.get(p.GetBase())
+	base, ok := c.get(p.GetBase())
 	if !ok {
 		return nil, &BaseError{base: p.GetBase(), document: p.GetDigest()}
 	}
@@ -201,14 +201,14 @@
 }
 
 // get returns a document that is held; no digest names the empty one.
-func (s *Cache) get(digest []byte) ([]byte, bool) {
+func (c *Cache) get(digest []byte) ([]byte, bool) {
 	if len(digest) == 0 {
 		return nil, true
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if i := s.index(digest); i >= 0 {
-		return s.documents[i].document, true
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i := c.index(digest); i >= 0 {
+		return c.documents[i].document, true
 	}
 	return nil, false
 }
--- a/rockbarrow/document/list.go
+++ b/rockbarrow/document/list.go
@@ -33,14 +33,14 @@
 }
 
 // PackList keeps a list and returns it as a receiver needs it.
-func (s *Cache) PackList(l *List, held *fleetpb.Held) *fleetpb.Packed {
-	s.Put(l.document, l.digest)
-	return s.Pack(l.document, l.digest, held)
+func (c *Cache) PackList(l *List, held *fleetpb.Held) *fleetpb.Packed {
+	c.Put(l.document, l.digest)
+	return c.Pack(l.document, l.digest, held)
 }
 
 // UnpackList makes a list of a message whole and keeps its document.
-func (s *Cache) UnpackList(p *fleetpb.Packed) (*fleetpb.EndpointList, error) {
-	b, err := s.Unpack(p)
+func (c *Cache) UnpackList(p *fleetpb.Packed) (*fleetpb.EndpointList, error) {
+	b, err := c.Unpack(p)
 	if err != nil {
 		return nil, err
 	}
