--- a/rockbench/soak/recovery_test.go
+++ b/rockbench/soak/recovery_test.go
@@ -12,9 +12,9 @@
 	"sync"
 	"syscall"
 	"testing"
-	"time"
 
 	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbench/requestlog"
 )
 
@@ -53,7 +53,7 @@
 		})
 	}
 	for f.ledger.Counts()["turns"] < turnsBefore {
-		time.Sleep(holdTick)
+		wait.For(t.Context(), holdTick)
 	}
 	for _, in := range f.all() {
 		in.signal(syscall.SIGKILL)
