--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -54,6 +54,9 @@
 	// back, so that an older reading of the list changes nothing.
 	gone    map[string]bool
 	changed chan struct{}
+	// woken is when news came that are not in force yet, in nanoseconds since 1970, zero
+	// if there are none.
+	woken   atomic.Int64
 	stopped atomic.Bool
 	domains domains
 	lines   lines
@@ -75,6 +78,7 @@
 
 // Wake takes over what is new; package watch calls it.
 func (e *Entry) Wake() {
+	e.woken.CompareAndSwap(0, time.Now().UnixNano())
 	select {
 	case e.changed <- struct{}{}:
 	default:
@@ -162,17 +166,23 @@
 func (e *Entry) refresh() {
 	e.refreshing.Lock()
 	defer e.refreshing.Unlock()
-	e.refreshTable()
-	e.refreshFleet()
+	came := time.Now()
+	if woken := e.woken.Swap(0); woken > 0 {
+		came = time.Unix(0, woken)
+	}
+	e.refreshTable(came)
+	e.refreshFleet(came)
 }
 
-func (e *Entry) refreshTable() {
+func (e *Entry) refreshTable(came time.Time) {
 	c := e.Watch.State().GetConfiguration()
 	old := e.table.Load()
 	if c == nil || old != nil && c.GetVersion() <= old.Version() {
 		return
 	}
+	begun := time.Now()
 	d, err := e.Decode(c.GetDocument())
+	decoded := time.Now()
 	var t *routing.Table
 	if err == nil {
 		t, err = routing.New(d)
@@ -182,11 +192,13 @@
 		return
 	}
 	e.table.Store(t)
-	e.Log.WithFields(logrus.Fields{"config_version": t.Version(), "routes": len(d.GetRoutes())}).
-		Info("a configuration is in force")
+	e.Log.WithFields(logrus.Fields{
+		"config_version": t.Version(), "routes": len(d.GetRoutes()), "since_news_ms": time.Since(came).Milliseconds(),
+		"decode_ms": decoded.Sub(begun).Milliseconds(), "index_ms": time.Since(decoded).Milliseconds(),
+	}).Info("a configuration is in force")
 }
 
-func (e *Entry) refreshFleet() {
+func (e *Entry) refreshFleet(came time.Time) {
 	reading := e.Watch.List()
 	if reading == nil {
 		return
@@ -201,6 +213,10 @@
 	}
 	f := placement.NewServiceFleet(e.endpoints(reading.List()), placement.Spread, before)
 	e.fleet.Store(&fleet{Fleet: f, reading: reading})
+	e.Log.WithFields(logrus.Fields{
+		"list": reading.List().GetNumber(), "age_ms": time.Since(reading.At()).Milliseconds(),
+		"since_news_ms": time.Since(came).Milliseconds(),
+	}).Info("a list of endpoints is in force")
 }
 
 // endpoints returns the endpoints that may get new requests.
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -8,7 +8,9 @@
 	"slices"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
@@ -102,15 +104,18 @@
 	// The call goes out in the moment in which there is a connection.
 	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req, grpc.WaitForReady(true))
 	if err != nil {
+		t.missed(req, err, time.Since(asked))
 		return err
 	}
 	t.told, t.state, t.list = told, r.GetStateNumber(), r.GetListNumber()
+	size, arrived := proto.Size(r), time.Now()
 	if err := c.unpack(r); err != nil {
 		c.Log.WithError(err).WithField("control", t.address).Warn("news are not readable and are asked for whole")
 		t.whole = true
 		return err
 	}
 	t.whole = false
+	t.logNews(r, size, arrived.Sub(asked), time.Since(arrived))
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
 	if time.Since(asked) >= held {
@@ -120,6 +125,29 @@
 	return nil
 }
 
+// missed logs a call that had no answer in its time although news were wanted: the step
+// at which news are late is then the way here, not what is done with them.
+func (t *target) missed(req *fleetpb.WatchRequest, err error, took time.Duration) {
+	if !req.GetWantsNews() || !t.answered {
+		return
+	}
+	t.client.Log.WithError(err).WithFields(logrus.Fields{
+		"control": t.address, "took_ms": took.Milliseconds(), "state": req.GetStateNumber(), "list": req.GetListNumber(),
+	}).Info("no news in time")
+}
+
+// logNews logs what the steps of news took until they were whole. Calls are held until
+// there are news, so that call_ms is an upper bound of their way here.
+func (t *target) logNews(r *fleetpb.WatchReply, size int, call, unpacked time.Duration) {
+	if r.GetState() == nil && r.GetList() == nil {
+		return
+	}
+	t.client.Log.WithFields(logrus.Fields{
+		"control": t.address, "state": r.GetStateNumber(), "list": r.GetListNumber(), "bytes": size,
+		"call_ms": call.Milliseconds(), "unpack_ms": unpacked.Milliseconds(),
+	}).Info("news have come")
+}
+
 // unpack makes the state and the list of a reply whole.
 func (c *Client) unpack(r *fleetpb.WatchReply) (err error) {
 	if r.State, err = c.Documents.UnpackState(r.GetState()); err != nil {
