--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"rockbarrow.dev/rockbarrow/control"
@@ -112,6 +113,7 @@
 	for _, b := range s.Document().GetBindings() {
 		f.index(s, b.GetName())
 	}
+	f.sortClasses()
 	return f
 }
 
@@ -143,10 +145,12 @@
 			continue
 		}
 		for _, m := range e.config.GetModels() {
-			f.add(Class{Model: m, Binding: binding}, e)
+			class := Class{Model: m, Binding: binding}
+			f.classes[class] = append(f.classes[class], e)
 		}
 		if v := e.config.GetService(); v != "" {
-			f.add(Class{Service: v, Binding: binding}, e)
+			class := Class{Service: v, Binding: binding}
+			f.classes[class] = append(f.classes[class], e)
 		}
 	}
 }
@@ -157,13 +161,11 @@
 	return byDomain || byName
 }
 
-// add keeps a class ordered by name, so that no map order decides anything.
-func (f *Fleet) add(c Class, e *Endpoint) {
-	list := append(f.classes[c], e)
-	for i := len(list) - 1; i > 0 && list[i-1].name > list[i].name; i-- {
-		list[i-1], list[i] = list[i], list[i-1]
+// sortClasses orders each class by name, so that no map order decides anything.
+func (f *Fleet) sortClasses() {
+	for _, list := range f.classes {
+		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.name, b.name) })
 	}
-	f.classes[c] = list
 }
 
 // Endpoint returns an endpoint by name, or nil.
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"time"
 
 	"rockbarrow.dev/schema/configpb"
@@ -39,9 +38,7 @@
 		class := Class{Service: c.GetService()}
 		f.classes[class] = append(f.classes[class], e)
 	}
-	for _, list := range f.classes {
-		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.name, b.name) })
-	}
+	f.sortClasses()
 	return f
 }
 
