entry, dial: tests of reservations run under a clock that stands still while anything works

The known red test waited for ever where its reservation was refused: on a machine with sixteen copies of the tests a call to a store took longer than its bound. Found by it: a pool that was closed went on to make connections for calls in the background.

--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -57,10 +57,22 @@
 
 // Pool holds the connections of one process. The zero value is ready.
 type Pool struct {
+	// Dial makes connections; nil is [Connect]. Set it before the first call.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	mu    sync.Mutex
 	conns map[string]*pooled
+	// closed is true once Close was called. A call in the background may come later, and
+	// would make a connection that nobody closes.
+	closed bool
 }
 
+// ClosedError says that a connection was asked for after the pool was closed.
+type ClosedError struct{ Address string }
+
+// Error names the peer.
+func (e *ClosedError) Error() string { return "dial: " + e.Address + ": the pool is closed" }
+
 // pooled is a connection with the time of its last use.
 type pooled struct {
 	*grpc.ClientConn
@@ -75,13 +87,20 @@
 func (p *Pool) Get(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.closed {
+		return nil, &ClosedError{Address: address}
+	}
 	if c := p.conns[address]; c != nil {
 		c.used = time.Now()
 		return c.ClientConn, nil
 	}
+	dialer := p.Dial
+	if dialer == nil {
+		dialer = connect
+	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
-		grpc.WithContextDialer(connect),
+		grpc.WithContextDialer(dialer),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstPause, Multiplier: 1.6, Jitter: 0.2, MaxDelay: longestPause},
 			MinConnectTimeout: connectWithin,
@@ -132,7 +151,7 @@
 	for _, c := range p.conns {
 		c.Close()
 	}
-	p.conns = nil
+	p.conns, p.closed = nil, true
 }
 
 // Server returns a gRPC server with the buffers that fit the pool's messages.
--- a/rockbarrow/entry/gate_test.go
+++ b/rockbarrow/entry/gate_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rockbarrow.dev/schema/fleetpb"
@@ -18,53 +19,55 @@
 // is told at once when to come back and costs nothing, and a turn of a program under way
 // waits and goes first.
 func TestABusyServiceTakesTurnsBeforeNewPrograms(t *testing.T) {
-	view := startStores(t)
-	asked, release := make(chan string, 100), make(chan struct{})
-	e := newStreamEntry(t, view, senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
-		asked <- o.Request.Program
-		select {
-		case <-release:
-		case <-ctx.Done():
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		asked, release := make(chan string, 100), make(chan struct{})
+		e := newStreamEntry(t, view, senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
+			asked <- o.Request.Program
+			select {
+			case <-release:
+			case <-ctx.Done():
+			}
+			return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(events(1, 3)))}, nil
+		}))
+		e.Decode = func([]byte) (*fleetpb.Document, error) {
+			d := streams()
+			d.Version, d.Services[0].Slots = 2, 1
+			return d, nil
 		}
-		return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(events(1, 3)))}, nil
-	}))
-	e.Decode = func([]byte) (*fleetpb.Document, error) {
-		d := streams()
-		d.Version, d.Services[0].Slots = 2, 1
-		return d, nil
-	}
-	e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
-	e.refresh()
-	ended := make(chan Outcome, 100)
-	ask := func(n int, program string) {
-		go func() {
-			ended <- e.Serve(t.Context(), turnOf("r", fmt.Sprint("gate", n), program, 10_000), &fakeOut{})
-		}()
-	}
-	// Three endpoints of four places.
-	e.lines.add("known", "", "x")
-	const places = 12
-	for n := range places {
-		ask(n, "known")
-		<-asked
-	}
-	ask(places, "known")
-	awaitWaiting(t, e)
-	ask(1000, "new")
-	o, ok := (<-ended).(Refused)
-	if !ok || o.Status != http.StatusServiceUnavailable || o.RetryAfter <= 0 {
-		t.Fatalf("%#v, want a refusal with a time to come back", o)
-	}
-	release <- struct{}{}
-	if got := <-asked; got != "known" {
-		t.Errorf("%s went on", got)
-	}
-	close(release)
-	for range places + 1 {
-		if o := <-ended; o != (Answered{}) {
-			t.Errorf("%#v", o)
+		e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
+		e.refresh()
+		ended := make(chan Outcome, 100)
+		ask := func(n int, program string) {
+			go func() {
+				ended <- e.Serve(t.Context(), turnOf("r", fmt.Sprint("gate", n), program, 10_000), &fakeOut{})
+			}()
 		}
-	}
+		// Three endpoints of four places.
+		e.lines.add("known", "", "x")
+		const places = 12
+		for n := range places {
+			ask(n, "known")
+			<-asked
+		}
+		ask(places, "known")
+		awaitWaiting(t, e)
+		ask(1000, "new")
+		o, ok := (<-ended).(Refused)
+		if !ok || o.Status != http.StatusServiceUnavailable || o.RetryAfter <= 0 {
+			t.Fatalf("%#v, want a refusal with a time to come back", o)
+		}
+		release <- struct{}{}
+		if got := <-asked; got != "known" {
+			t.Errorf("%s went on", got)
+		}
+		close(release)
+		for range places + 1 {
+			if o := <-ended; o != (Answered{}) {
+				t.Errorf("%#v", o)
+			}
+		}
+	})
 }
 
 // awaitWaiting returns once a request waits for a place.
@@ -83,27 +86,29 @@
 
 // TestAWaitingTurnStartsOnceThereAreEndpoints: also if nothing else arrives or ends.
 func TestAWaitingTurnStartsOnceThereAreEndpoints(t *testing.T) {
-	view := startStores(t)
-	e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}})
-	e.Decode = func([]byte) (*fleetpb.Document, error) {
-		d := streams()
-		d.Version, d.Services[0].Slots = 2, 1
-		return d, nil
-	}
-	e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
-	e.Watch.OfferList(list(2, "x", "y", "z"), time.Now())
-	e.refresh()
-	e.lines.add("known", "", "x")
-	ended := make(chan Outcome, 1)
-	go func() { ended <- e.Serve(t.Context(), turnOf("r", "1", "known", 100), &fakeOut{}) }()
-	awaitWaiting(t, e)
-	fresh := list(3)
-	for i, p := range fresh.GetEndpoints() {
-		p.Id = fmt.Sprint("new-", i)
-	}
-	e.Watch.OfferList(fresh, time.Now())
-	e.refresh()
-	if o := <-ended; o != (Answered{}) {
-		t.Errorf("%#v", o)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}})
+		e.Decode = func([]byte) (*fleetpb.Document, error) {
+			d := streams()
+			d.Version, d.Services[0].Slots = 2, 1
+			return d, nil
+		}
+		e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
+		e.Watch.OfferList(list(2, "x", "y", "z"), time.Now())
+		e.refresh()
+		e.lines.add("known", "", "x")
+		ended := make(chan Outcome, 1)
+		go func() { ended <- e.Serve(t.Context(), turnOf("r", "1", "known", 100), &fakeOut{}) }()
+		awaitWaiting(t, e)
+		fresh := list(3)
+		for i, p := range fresh.GetEndpoints() {
+			p.Id = fmt.Sprint("new-", i)
+		}
+		e.Watch.OfferList(fresh, time.Now())
+		e.refresh()
+		if o := <-ended; o != (Answered{}) {
+			t.Errorf("%#v", o)
+		}
+	})
 }
--- a/rockbarrow/entry/pauses_test.go
+++ b/rockbarrow/entry/pauses_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"rockbarrow.dev/schema/fleetpb"
@@ -39,34 +40,36 @@
 // TestAnEndpointBehindACutIsNotWaitedFor: a client that hears at once tries elsewhere
 // while there is time left. The requests have minutes, so that this hangs if they wait.
 func TestAnEndpointBehindACutIsNotWaitedFor(t *testing.T) {
-	tests := []struct {
-		name, route, before string
-		want                Outcome
-	}{
-		{"a stream before its first event", "plain", "", Refused{Status: http.StatusBadGateway}},
-		{"a stream in its middle", "plain", event(1), Cut{}},
-		{"a turn that is kept", "k", event(1), Cut{}},
-	}
-	view := startStores(t)
-	for _, test := range tests {
-		e := newStreamEntry(t, view, senderFunc(hang(test.before)))
-		e.domains.set([]string{"a", "b"})
-		e.Decode = func([]byte) (*fleetpb.Document, error) { return patient(), nil }
-		e.table.Store(nil)
-		e.refresh()
-		switch o := e.Serve(t.Context(), turnOf(test.route, test.name, "p "+test.name, 0), &fakeOut{}).(type) {
-		case Refused:
-			if want, ok := test.want.(Refused); !ok || want.Status != o.Status {
-				t.Errorf("%s: %#v", test.name, o)
-			}
-		case Cut:
-			if _, ok := test.want.(Cut); !ok {
+	synctest.Test(t, func(t *testing.T) {
+		tests := []struct {
+			name, route, before string
+			want                Outcome
+		}{
+			{"a stream before its first event", "plain", "", Refused{Status: http.StatusBadGateway}},
+			{"a stream in its middle", "plain", event(1), Cut{}},
+			{"a turn that is kept", "k", event(1), Cut{}},
+		}
+		view := startStores(t)
+		for _, test := range tests {
+			e := newStreamEntry(t, view, senderFunc(hang(test.before)))
+			e.domains.set([]string{"a", "b"})
+			e.Decode = func([]byte) (*fleetpb.Document, error) { return patient(), nil }
+			e.table.Store(nil)
+			e.refresh()
+			switch o := e.Serve(t.Context(), turnOf(test.route, test.name, "p "+test.name, 0), &fakeOut{}).(type) {
+			case Refused:
+				if want, ok := test.want.(Refused); !ok || want.Status != o.Status {
+					t.Errorf("%s: %#v", test.name, o)
+				}
+			case Cut:
+				if _, ok := test.want.(Cut); !ok {
+					t.Errorf("%s: %#v", test.name, o)
+				}
+			default:
 				t.Errorf("%s: %#v", test.name, o)
 			}
-		default:
-			t.Errorf("%s: %#v", test.name, o)
 		}
-	}
+	})
 }
 
 // TestPausesInsideAreNotCuts: an endpoint that is reached may take its time.
--- a/rockbarrow/entry/way_test.go
+++ b/rockbarrow/entry/way_test.go
@@ -6,54 +6,16 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
-	"rockbarrow.dev/rockbarrow/dial"
-	"rockbarrow.dev/rockbarrow/store"
 	"rockbarrow.dev/rockbarrow/stores"
-	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
-// startStores runs three stores, each with a disk of its own, and returns a view of
-// them.
-func startStores(t *testing.T) *fleetpb.View {
-	view := &fleetpb.View{Epoch: 1, Copies: 3}
-	var watches []*watch.Client
-	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		m := &fleetpb.Member{Instance: fmt.Sprint("store-", i), Storage: uint64(i + 1), FailureDomain: fmt.Sprint(i), Address: l.Addr().String()}
-		view.Members = append(view.Members, m)
-		w := &watch.Client{Self: m, Log: quiet()}
-		s := &store.Store{Self: m, DataDir: t.TempDir(), Watch: w, Pool: &dial.Pool{}, Log: quiet(), Metrics: tally.NoopScope}
-		closeLog, err := s.Open()
-		if err != nil {
-			t.Fatal(err)
-		}
-		w.Changed = s.Wake
-		g := dial.Server()
-		fleetpb.RegisterStoreServer(g, s)
-		ctx, cancel := context.WithCancel(context.Background())
-		go s.Run(ctx)
-		go g.Serve(l)
-		t.Cleanup(func() { cancel(); g.Stop(); closeLog() })
-		watches = append(watches, w)
-	}
-	for _, w := range watches {
-		w.Offer(&fleetpb.State{Number: 1, View: view})
-	}
-	return view
-}
-
 // streams returns a document with a route for each kind of stream: the name tells
 // whether history is kept (k) and whether it may be resumed (r).
 func streams() *fleetpb.Document {
@@ -71,6 +33,7 @@
 // newStreamEntry returns an entry on running stores, as another process would be.
 func newStreamEntry(t *testing.T, view *fleetpb.View, s Sender) *Entry {
 	e := newEntry(t, s)
+	e.Stores.Pool.Dial = inMemory.dial
 	e.Decode = func([]byte) (*fleetpb.Document, error) { return streams(), nil }
 	e.table.Store(nil)
 	e.Watch.Offer(&fleetpb.State{Number: 2, Configuration: &fleetpb.Configuration{Version: 1}, View: view})
@@ -99,25 +62,27 @@
 // budget of 20 has room for two turns and not for the most of a third, whichever
 // instance is asked and however its routes are served.
 func TestBudgetHoldsOverEveryWay(t *testing.T) {
-	view := startStores(t)
-	for _, path := range []string{"plain", "k", "r", "kr"} {
-		s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
-		var statuses []int
-		for n := range 4 {
-			// Each turn comes to an instance that has never seen the program.
-			e := newStreamEntry(t, view, s)
-			out := &fakeOut{}
-			o := e.Serve(t.Context(), turnOf(path, fmt.Sprint(path, n), path, 20), out)
-			if r, ok := o.(Refused); ok {
-				out.status = r.Status
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		for _, path := range []string{"plain", "k", "r", "kr"} {
+			s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
+			var statuses []int
+			for n := range 4 {
+				// Each turn comes to an instance that has never seen the program.
+				e := newStreamEntry(t, view, s)
+				out := &fakeOut{}
+				o := e.Serve(t.Context(), turnOf(path, fmt.Sprint(path, n), path, 20), out)
+				if r, ok := o.(Refused); ok {
+					out.status = r.Status
+				}
+				statuses = append(statuses, out.status)
+				awaitSettled(t, e, path, 9*min(n+1, 2))
+			}
+			if fmt.Sprint(statuses) != "[200 200 402 402]" || len(s.offers) != 2 {
+				t.Errorf("%s: %v after %d offers", path, statuses, len(s.offers))
 			}
-			statuses = append(statuses, out.status)
-			awaitSettled(t, e, path, 9*min(n+1, 2))
-		}
-		if fmt.Sprint(statuses) != "[200 200 402 402]" || len(s.offers) != 2 {
-			t.Errorf("%s: %v after %d offers", path, statuses, len(s.offers))
 		}
-	}
+	})
 }
 
 // awaitSettled waits until a program has spent so much.
@@ -148,107 +113,115 @@
 const lookEvery = 50 * time.Millisecond
 
 func TestWhatAStreamThatBreaksOffBecomes(t *testing.T) {
-	view := startStores(t)
-	tests := []struct {
-		name, path string
-		budget     uint64
-		answers    []func(Offer) (*Answer, error)
-		// whole is true if the client gets all three events; offers counts endpoints.
-		whole  bool
-		offers int
-		status int
-	}{
-		{"resumed inside an event", "r", 100, []func(Offer) (*Answer, error){cutOff(event(1) + "id: 2\nda"), answers(200, events(2, 3))}, true, 2, 200},
-		{"resumed without a budget", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, true, 2, 200},
-		{"an endpoint that ends inside an event", "r", 0, []func(Offer) (*Answer, error){answers(200, event(1)+"id: 2\n"), answers(200, events(2, 3))}, true, 2, 200},
-		{"nothing is given twice", "r", 0, []func(Offer) (*Answer, error){cutOff(events(1, 2)), answers(200, events(1, 3))}, true, 2, 200},
-		{"asked again from its start", "r", 0, []func(Offer) (*Answer, error){broken, answers(200, events(1, 3))}, true, 2, 200},
-		{"resumed past one that is full", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), notRun, answers(200, events(2, 3))}, true, 3, 200},
-		{"within the attempts", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), cutOff(event(2)), answers(200, event(3))}, false, 2, 200},
-		{"its own failure is asked again elsewhere", "r", 0, []func(Offer) (*Answer, error){answers(500, "x"), answers(200, events(1, 3))}, true, 2, 200},
-		{"a failure after the head ends it", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), answers(500, "x")}, false, 2, 200},
-		{"not resumable: cut", "plain", 100, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, false, 1, 200},
-		{"not resumable: not asked again", "plain", 0, []func(Offer) (*Answer, error){broken, answers(200, events(1, 3))}, false, 1, 502},
-		{"history kept: cut", "k", 100, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, false, 1, 200},
-		{"history kept and resumable", "kr", 100, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, true, 2, 200},
-	}
-	for i, test := range tests {
-		s := &fakeSender{answers: test.answers}
-		out := &fakeOut{}
-		id := fmt.Sprint("break", i)
-		e := newStreamEntry(t, view, s)
-		o := e.Serve(t.Context(), turnOf(test.path, id, id, test.budget), out)
-		status := out.status
-		if r, ok := o.(Refused); ok {
-			status = r.Status
-		}
-		whole := o == (Answered{}) && out.body.String() == events(1, 3)
-		if whole != test.whole || len(s.offers) != test.offers || status != test.status {
-			t.Errorf("%s: %#v, status %d, %d offers, body %q", test.name, o, status, len(s.offers), out.body.String())
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		tests := []struct {
+			name, path string
+			budget     uint64
+			answers    []func(Offer) (*Answer, error)
+			// whole is true if the client gets all three events; offers counts endpoints.
+			whole  bool
+			offers int
+			status int
+		}{
+			{"resumed inside an event", "r", 100, []func(Offer) (*Answer, error){cutOff(event(1) + "id: 2\nda"), answers(200, events(2, 3))}, true, 2, 200},
+			{"resumed without a budget", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, true, 2, 200},
+			{"an endpoint that ends inside an event", "r", 0, []func(Offer) (*Answer, error){answers(200, event(1)+"id: 2\n"), answers(200, events(2, 3))}, true, 2, 200},
+			{"nothing is given twice", "r", 0, []func(Offer) (*Answer, error){cutOff(events(1, 2)), answers(200, events(1, 3))}, true, 2, 200},
+			{"asked again from its start", "r", 0, []func(Offer) (*Answer, error){broken, answers(200, events(1, 3))}, true, 2, 200},
+			{"resumed past one that is full", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), notRun, answers(200, events(2, 3))}, true, 3, 200},
+			{"within the attempts", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), cutOff(event(2)), answers(200, event(3))}, false, 2, 200},
+			{"its own failure is asked again elsewhere", "r", 0, []func(Offer) (*Answer, error){answers(500, "x"), answers(200, events(1, 3))}, true, 2, 200},
+			{"a failure after the head ends it", "r", 0, []func(Offer) (*Answer, error){cutOff(event(1)), answers(500, "x")}, false, 2, 200},
+			{"not resumable: cut", "plain", 100, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, false, 1, 200},
+			{"not resumable: not asked again", "plain", 0, []func(Offer) (*Answer, error){broken, answers(200, events(1, 3))}, false, 1, 502},
+			{"history kept: cut", "k", 100, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, false, 1, 200},
+			{"history kept and resumable", "kr", 100, []func(Offer) (*Answer, error){cutOff(event(1)), answers(200, events(2, 3))}, true, 2, 200},
 		}
-		if test.whole && test.path == "kr" {
-			g, err := e.Stores.Reserve(t.Context(), stores.Turn{ID: "next", Program: id, Previous: id, Most: 1})
-			if err != nil || string(g.History()[0].GetOutput()) != "d1\nd2\nd3\n" {
-				t.Errorf("%s: %v, kept %q", test.name, err, g.History()[0].GetOutput())
+		for i, test := range tests {
+			s := &fakeSender{answers: test.answers}
+			out := &fakeOut{}
+			id := fmt.Sprint("break", i)
+			e := newStreamEntry(t, view, s)
+			o := e.Serve(t.Context(), turnOf(test.path, id, id, test.budget), out)
+			status := out.status
+			if r, ok := o.(Refused); ok {
+				status = r.Status
+			}
+			whole := o == (Answered{}) && out.body.String() == events(1, 3)
+			if whole != test.whole || len(s.offers) != test.offers || status != test.status {
+				t.Errorf("%s: %#v, status %d, %d offers, body %q", test.name, o, status, len(s.offers), out.body.String())
+			}
+			if test.whole && test.path == "kr" {
+				g, err := e.Stores.Reserve(t.Context(), stores.Turn{ID: "next", Program: id, Previous: id, Most: 1})
+				if err != nil || string(g.History()[0].GetOutput()) != "d1\nd2\nd3\n" {
+					t.Errorf("%s: %v, kept %q", test.name, err, g.History()[0].GetOutput())
+				}
 			}
 		}
-	}
+	})
 }
 
 // TestAResumedStreamGoesOnAfterTheLastWholeEvent looks at what endpoints are asked.
 func TestAResumedStreamGoesOnAfterTheLastWholeEvent(t *testing.T) {
-	s := &fakeSender{answers: []func(Offer) (*Answer, error){cutOff(event(6) + "id: 7"), answers(200, event(7))}}
-	e := newStreamEntry(t, startStores(t), s)
-	r := turnOf("r", "1", "p", 0)
-	r.LastEvent = "5"
-	out := &fakeOut{}
-	if o := e.Serve(t.Context(), r, out); o != (Answered{}) || out.body.String() != events(6, 7) {
-		t.Errorf("%#v %q", o, out.body.String())
-	}
-	if s.offers[0].After != "5" || s.offers[1].After != "6" {
-		t.Errorf("asked to go on after %q and %q", s.offers[0].After, s.offers[1].After)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSender{answers: []func(Offer) (*Answer, error){cutOff(event(6) + "id: 7"), answers(200, event(7))}}
+		e := newStreamEntry(t, startStores(t), s)
+		r := turnOf("r", "1", "p", 0)
+		r.LastEvent = "5"
+		out := &fakeOut{}
+		if o := e.Serve(t.Context(), r, out); o != (Answered{}) || out.body.String() != events(6, 7) {
+			t.Errorf("%#v %q", o, out.body.String())
+		}
+		if s.offers[0].After != "5" || s.offers[1].After != "6" {
+			t.Errorf("asked to go on after %q and %q", s.offers[0].After, s.offers[1].After)
+		}
+	})
 }
 
 func TestWrongResumptionsAreToldAtOnce(t *testing.T) {
-	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
-	e := newStreamEntry(t, startStores(t), s)
-	for path, after := range map[string]string{"r": "x", "kr": "2", "k": "2", "plain": "-1"} {
-		r := turnOf(path, path, path, 0)
-		r.LastEvent = after
-		o, ok := e.Serve(t.Context(), r, &fakeOut{}).(Refused)
-		if !ok || o.Status != http.StatusBadRequest {
-			t.Errorf("%s after %q: %#v", path, after, o)
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
+		e := newStreamEntry(t, startStores(t), s)
+		for path, after := range map[string]string{"r": "x", "kr": "2", "k": "2", "plain": "-1"} {
+			r := turnOf(path, path, path, 0)
+			r.LastEvent = after
+			o, ok := e.Serve(t.Context(), r, &fakeOut{}).(Refused)
+			if !ok || o.Status != http.StatusBadRequest {
+				t.Errorf("%s after %q: %#v", path, after, o)
+			}
 		}
-	}
-	if len(s.offers) > 0 {
-		t.Error("an endpoint was asked")
-	}
+		if len(s.offers) > 0 {
+			t.Error("an endpoint was asked")
+		}
+	})
 }
 
 // TestEventsArePassedOnAsTheyCome: the endpoint writes an event only after the client
 // has the one before.
 func TestEventsArePassedOnAsTheyCome(t *testing.T) {
-	view := startStores(t)
-	for _, path := range []string{"plain", "k", "r", "kr"} {
-		read, write := io.Pipe()
-		out := &stepOut{seen: make(chan string)}
-		e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){func(Offer) (*Answer, error) {
-			return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: read}, nil
-		}}})
-		ended := make(chan Outcome, 1)
-		go func() { ended <- e.Serve(t.Context(), turnOf(path, "step-"+path, "step-"+path, 50), out) }()
-		for n := 1; n <= 3; n++ {
-			go io.WriteString(write, event(n))
-			if got := <-out.seen; got != event(n) {
-				t.Fatalf("%s: event %d came as %q", path, n, got)
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		for _, path := range []string{"plain", "k", "r", "kr"} {
+			read, write := io.Pipe()
+			out := &stepOut{seen: make(chan string)}
+			e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){func(Offer) (*Answer, error) {
+				return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: read}, nil
+			}}})
+			ended := make(chan Outcome, 1)
+			go func() { ended <- e.Serve(t.Context(), turnOf(path, "step-"+path, "step-"+path, 50), out) }()
+			for n := 1; n <= 3; n++ {
+				go io.WriteString(write, event(n))
+				if got := <-out.seen; got != event(n) {
+					t.Fatalf("%s: event %d came as %q", path, n, got)
+				}
+			}
+			write.Close()
+			if o := <-ended; o != (Answered{}) {
+				t.Errorf("%s: %#v", path, o)
 			}
 		}
-		write.Close()
-		if o := <-ended; o != (Answered{}) {
-			t.Errorf("%s: %#v", path, o)
-		}
-	}
+	})
 }
 
 // stepOut hands each write over.
@@ -259,23 +232,25 @@
 
 // TestAClientThatLeavesEndsTheWork: also before the first event.
 func TestAClientThatLeavesEndsTheWork(t *testing.T) {
-	view := startStores(t)
-	for _, path := range []string{"plain", "k", "r"} {
-		asked, ended := make(chan struct{}), make(chan error, 1)
-		e := newStreamEntry(t, view, senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
-			close(asked)
-			<-ctx.Done()
-			ended <- ctx.Err()
-			return nil, &BrokenError{Endpoint: o.Endpoint.GetName(), Reason: "closed"}
-		}))
-		ctx, leave := context.WithCancel(t.Context())
-		go e.Serve(ctx, turnOf(path, "left-"+path, "left-"+path, 50), &fakeOut{})
-		<-asked
-		leave()
-		if err := <-ended; err != context.Canceled {
-			t.Errorf("%s: %v", path, err)
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		for _, path := range []string{"plain", "k", "r"} {
+			asked, ended := make(chan struct{}), make(chan error, 1)
+			e := newStreamEntry(t, view, senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
+				close(asked)
+				<-ctx.Done()
+				ended <- ctx.Err()
+				return nil, &BrokenError{Endpoint: o.Endpoint.GetName(), Reason: "closed"}
+			}))
+			ctx, leave := context.WithCancel(t.Context())
+			go e.Serve(ctx, turnOf(path, "left-"+path, "left-"+path, 50), &fakeOut{})
+			<-asked
+			leave()
+			if err := <-ended; err != context.Canceled {
+				t.Errorf("%s: %v", path, err)
+			}
 		}
-	}
+	})
 }
 
 type senderFunc func(ctx context.Context, o Offer) (*Answer, error)
@@ -285,31 +260,35 @@
 // TestALineStaysWithItsEndpoint: programs whose history is not kept here, too, also at an
 // instance that has not seen them.
 func TestALineStaysWithItsEndpoint(t *testing.T) {
-	view := startStores(t)
-	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
-	for n := range 6 {
-		e := newStreamEntry(t, view, s)
-		e.Serve(t.Context(), turnOf("r", fmt.Sprint("stay", n), "stay", 500), &fakeOut{})
-		awaitSettled(t, e, "stay", 9*(n+1))
-	}
-	for _, o := range s.offers {
-		if o.Endpoint.GetName() != s.offers[0].Endpoint.GetName() {
-			t.Errorf("%s after %s", o.Endpoint.GetName(), s.offers[0].Endpoint.GetName())
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
+		for n := range 6 {
+			e := newStreamEntry(t, view, s)
+			e.Serve(t.Context(), turnOf("r", fmt.Sprint("stay", n), "stay", 500), &fakeOut{})
+			awaitSettled(t, e, "stay", 9*(n+1))
 		}
-	}
+		for _, o := range s.offers {
+			if o.Endpoint.GetName() != s.offers[0].Endpoint.GetName() {
+				t.Errorf("%s after %s", o.Endpoint.GetName(), s.offers[0].Endpoint.GetName())
+			}
+		}
+	})
 }
 
 func TestNothingIsChargedForWhatDidNotRun(t *testing.T) {
-	view := startStores(t)
-	e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){notRun}})
-	for n := range 3 {
-		o := e.Serve(t.Context(), turnOf("r", fmt.Sprint("void", n), "void", 1000), &fakeOut{})
-		if r, ok := o.(Refused); !ok || r.Status != http.StatusServiceUnavailable {
-			t.Fatalf("%#v", o)
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		e := newStreamEntry(t, view, &fakeSender{answers: []func(Offer) (*Answer, error){notRun}})
+		for n := range 3 {
+			o := e.Serve(t.Context(), turnOf("r", fmt.Sprint("void", n), "void", 1000), &fakeOut{})
+			if r, ok := o.(Refused); !ok || r.Status != http.StatusServiceUnavailable {
+				t.Fatalf("%#v", o)
+			}
+			// Only if nothing of the turn before counts.
+			awaitRoom(t, e, "void", 9, 9)
 		}
-		// Only if nothing of the turn before counts.
-		awaitRoom(t, e, "void", 9, 9)
-	}
+	})
 }
 
 // pauseBriefly lets other goroutines go on.
@@ -341,18 +320,20 @@
 
 // TestAStreamThatStandsStillIsResumed: also without a sign from the network.
 func TestAStreamThatStandsStillIsResumed(t *testing.T) {
-	n := 0
-	e := newStreamEntry(t, startStores(t), senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
-		if n++; n > 1 {
-			return answers(200, events(2, 3))(o)
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		e := newStreamEntry(t, startStores(t), senderFunc(func(ctx context.Context, o Offer) (*Answer, error) {
+			if n++; n > 1 {
+				return answers(200, events(2, 3))(o)
+			}
+			read, write := io.Pipe()
+			go io.WriteString(write, event(1))
+			context.AfterFunc(ctx, func() { read.CloseWithError(ctx.Err()) })
+			return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: read}, nil
+		}))
+		out := &fakeOut{}
+		if o := e.Serve(t.Context(), turnOf("r", "1", "p", 0), out); o != (Answered{}) || out.body.String() != events(1, 3) {
+			t.Errorf("%#v %q", o, out.body.String())
 		}
-		read, write := io.Pipe()
-		go io.WriteString(write, event(1))
-		context.AfterFunc(ctx, func() { read.CloseWithError(ctx.Err()) })
-		return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: read}, nil
-	}))
-	out := &fakeOut{}
-	if o := e.Serve(t.Context(), turnOf("r", "1", "p", 0), out); o != (Answered{}) || out.body.String() != events(1, 3) {
-		t.Errorf("%#v %q", o, out.body.String())
-	}
+	})
 }
