controller: a promise is written by itself, not with the whole value

Cause: each round, also of an operator's read or a change of the stores' view, made every voter write the whole configuration for its promise. Change: promises have a cell of their own of some hundred bytes; the newer of both cells counts.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -10,11 +10,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
-	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/document"
-	"rockbarrow.dev/rockbarrow/durable"
 	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
@@ -66,7 +64,7 @@
 	Log    *logrus.Entry
 
 	watch    *watch.Client
-	cell     *durable.Cell
+	disk     *votes
 	presence presence
 	loads    loads
 	tables   tables
@@ -104,11 +102,11 @@
 
 // Open reads the disk. The instance votes once it is opened.
 func (c *Controller) Open() error {
-	cell, err := durable.OpenCell(c.DataDir, "register")
+	disk, record, err := openVotes(c.DataDir)
 	if err != nil {
 		return err
 	}
-	c.cell = cell
+	c.disk = disk
 	c.tables.init(c)
 	c.watch = &watch.Client{
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
@@ -117,11 +115,7 @@
 		Lists:     document.Cache{Keep: keptDocuments, Log: c.Log},
 	}
 	c.acceptor = register.Acceptor{Storage: c.Self.GetStorage(), Founder: c.Founder}
-	if b := cell.Value(); b != nil {
-		record := &fleetpb.AcceptorRecord{}
-		if err := proto.Unmarshal(b, record); err != nil {
-			return errors.Wrap(err, "controller: the votes on the disk")
-		}
+	if record != nil {
 		c.watch.Documents.Add(record.GetState())
 		c.acceptor.Restore(record)
 		c.saved.Store(record)
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -41,7 +41,7 @@
 
 // place is one control instance of a test.
 type place struct {
-	t          *testing.T
+	t          testing.TB
 	controller *Controller
 	member     *fleetpb.Member
 	dir        string
@@ -92,7 +92,7 @@
 }
 
 // newCore starts three control instances and waits until they have a value.
-func newCore(t *testing.T) []*place {
+func newCore(t testing.TB) []*place {
 	var places []*place
 	var listeners []net.Listener
 	var seeds []string
@@ -118,7 +118,7 @@
 	return places
 }
 
-func await(t *testing.T, ok func() bool) {
+func await(t testing.TB, ok func() bool) {
 	t.Helper()
 	for !ok() {
 		if err := t.Context().Err(); err != nil {
@@ -129,7 +129,7 @@
 	}
 }
 
-func put(t *testing.T, p *place, version uint64, document string) {
+func put(t testing.TB, p *place, version uint64, document string) {
 	t.Helper()
 	await(t, func() bool { return p.controller.Put(t.Context(), version, []byte(document)) == nil })
 }
@@ -261,7 +261,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.cell = cell
+	c.disk = &votes{value: cell, promise: cell}
 	req := &fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: 5}, Acceptor: 1}
 	if reply, err := c.Prepare(t.Context(), req); err == nil {
 		t.Errorf("a promise that is not on the disk was given: %v", reply)
@@ -269,6 +269,13 @@
 	if c.acceptor.Record().GetPromised().GetRound() != 0 {
 		t.Error("a promise that was not given is remembered")
 	}
+	value := &fleetpb.AcceptRequest{Ballot: &fleetpb.Ballot{Round: 5}, Acceptor: 1, State: &fleetpb.State{Number: 1}}
+	if reply, err := c.Accept(t.Context(), value); err == nil {
+		t.Errorf("a value that is not on the disk was accepted: %v", reply)
+	}
+	if c.acceptor.Record().GetState() != nil {
+		t.Error("a value that was not accepted is remembered")
+	}
 }
 
 // TestListsGoOnAfterARestartOfAllControl: an entry instance that lives on holds a list
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/schema/fleetpb"
@@ -214,7 +213,7 @@
 	before := c.acceptor.Record()
 	reply, changed := c.acceptor.Prepare(req)
 	if changed {
-		if err := c.save(before); err != nil {
+		if err := c.save(before, c.disk.savePromise); err != nil {
 			return nil, err
 		}
 	}
@@ -235,21 +234,17 @@
 	before := c.acceptor.Record()
 	reply, changed := c.acceptor.Accept(req)
 	if changed {
-		if err := c.save(before); err != nil {
+		if err := c.save(before, c.disk.saveValue); err != nil {
 			return nil, err
 		}
 	}
 	return reply, nil
 }
 
-// save writes the record. A record that could not be written is taken back: no
-// reply tells of it, and the value before it is whole in the other file.
-func (c *Controller) save(before *fleetpb.AcceptorRecord) error {
-	b, err := proto.Marshal(c.acceptor.Record())
-	if err == nil {
-		err = c.cell.Save(b)
-	}
-	if err != nil {
+// save writes what has changed of the record. A record that could not be written is taken
+// back: no reply tells of it, and what was written before it is whole.
+func (c *Controller) save(before *fleetpb.AcceptorRecord, write func(*fleetpb.AcceptorRecord) error) error {
+	if err := write(c.acceptor.Record()); err != nil {
 		c.acceptor.Restore(before)
 		c.Log.WithError(err).Error("a vote was not saved")
 		return errors.Wrap(err, "controller: save a vote")
--- a/rockbarrow/controller/tables_test.go
+++ b/rockbarrow/controller/tables_test.go
@@ -26,7 +26,7 @@
 }
 
 // configuration is one of n routes.
-func configuration(t *testing.T, version uint64, n int) []byte {
+func configuration(t testing.TB, version uint64, n int) []byte {
 	t.Helper()
 	d := &fleetpb.Document{Version: version, Services: []*fleetpb.Service{{Name: "s"}}}
 	for i := range n {
--- /dev/null
+++ b/rockbarrow/controller/votes.go
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/durable"
+	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// votes keeps an acceptor's record on the disk in two cells. A promise goes with every
+// read and every change of anything, and must not cost what is configured: it is written
+// by itself, in some hundred bytes. Only an accepted value is written whole.
+type votes struct {
+	// value holds a whole record, promise one without accepted ballot and state. The
+	// promise in force is the newer of the two, and so is the first set of voters, which
+	// never changes once there is one.
+	value, promise *durable.Cell
+}
+
+// openVotes reads the votes of a data folder. The record is nil on a new disk.
+func openVotes(dir string) (*votes, *fleetpb.AcceptorRecord, error) {
+	value, err := durable.OpenCell(dir, "register")
+	if err != nil {
+		return nil, nil, err
+	}
+	promise, err := durable.OpenCell(dir, "promise")
+	if err != nil {
+		return nil, nil, err
+	}
+	v := &votes{value: value, promise: promise}
+	record, err := v.record()
+	return v, record, errors.Wrap(err, "controller: the votes on the disk")
+}
+
+func (v *votes) record() (*fleetpb.AcceptorRecord, error) {
+	if v.value.Value() == nil && v.promise.Value() == nil {
+		return nil, nil
+	}
+	record, promise := &fleetpb.AcceptorRecord{}, &fleetpb.AcceptorRecord{}
+	if err := proto.Unmarshal(v.value.Value(), record); err != nil {
+		return nil, err
+	}
+	if err := proto.Unmarshal(v.promise.Value(), promise); err != nil {
+		return nil, err
+	}
+	if register.Compare(promise.GetPromised(), record.GetPromised()) > 0 {
+		record.Promised = promise.GetPromised()
+	}
+	if len(record.GetInitial()) == 0 {
+		record.Initial = promise.GetInitial()
+	}
+	return record, nil
+}
+
+// savePromise writes what a promise changes of a record.
+func (v *votes) savePromise(r *fleetpb.AcceptorRecord) error {
+	return save(v.promise, &fleetpb.AcceptorRecord{Promised: r.GetPromised(), Initial: r.GetInitial()})
+}
+
+// saveValue writes a whole record.
+func (v *votes) saveValue(r *fleetpb.AcceptorRecord) error { return save(v.value, r) }
+
+func save(cell *durable.Cell, r *fleetpb.AcceptorRecord) error {
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return err
+	}
+	return cell.Save(b)
+}
--- /dev/null
+++ b/rockbarrow/controller/votes_test.go
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// bytesIn is the size of the largest file of a data folder by a name's beginning.
+func bytesIn(t *testing.T, dir, name string) int64 {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, name+"-*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	most := int64(0)
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		most = max(most, info.Size())
+	}
+	return most
+}
+
+// TestAPromiseDoesNotCostWhatIsConfigured: every read by an operator wrote the whole
+// configuration to the disks of all voters, twice the work of accepting it.
+func TestAPromiseDoesNotCostWhatIsConfigured(t *testing.T) {
+	core := newCore(t)
+	put(t, core[0], 1, large("one"))
+	c := core[0].controller
+	before := c.disk.value.Value()
+	if _, err := c.Read(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if n := bytesIn(t, core[0].dir, "promise"); n == 0 || n > 1000 {
+		t.Errorf("a promise takes %d bytes on the disk", n)
+	}
+	if after := c.disk.value.Value(); len(after) != len(before) || len(after) < len(large("one")) {
+		t.Errorf("the value has %d bytes on the disk, %d before", len(after), len(before))
+	}
+}
+
+// TestAPromiseSurvivesARestart: alone, after a value, and before another one.
+func TestAPromiseSurvivesARestart(t *testing.T) {
+	ballot := func(round uint64) *fleetpb.Ballot { return &fleetpb.Ballot{Round: round, Proposer: 1} }
+	members := []*fleetpb.Member{{Instance: "a", Storage: 1}}
+	dir := t.TempDir()
+	v, record, err := openVotes(dir)
+	if err != nil || record != nil {
+		t.Fatalf("%v on a new disk, %v", record, err)
+	}
+	reopened := func(want *fleetpb.AcceptorRecord) {
+		t.Helper()
+		if v, record, err = openVotes(dir); err != nil || !proto.Equal(record, want) {
+			t.Fatalf("%v, %v, want %v", record, err, want)
+		}
+	}
+	want := &fleetpb.AcceptorRecord{Promised: ballot(3), Initial: members}
+	if err := v.savePromise(want); err != nil {
+		t.Fatal(err)
+	}
+	reopened(want)
+	want = &fleetpb.AcceptorRecord{Promised: ballot(4), Accepted: ballot(4), State: &fleetpb.State{Number: 1}, Initial: members}
+	if err := v.saveValue(want); err != nil {
+		t.Fatal(err)
+	}
+	reopened(want)
+	want.Promised = ballot(9)
+	if err := v.savePromise(want); err != nil {
+		t.Fatal(err)
+	}
+	reopened(want)
+	want = &fleetpb.AcceptorRecord{Promised: ballot(10), Accepted: ballot(10), State: &fleetpb.State{Number: 2}, Initial: members}
+	if err := v.saveValue(want); err != nil {
+		t.Fatal(err)
+	}
+	reopened(want)
+}
+
+// BenchmarkRead is a read by an operator, BenchmarkPut a change of one route, by three
+// control instances in one process.
+func BenchmarkRead(b *testing.B) {
+	for _, n := range []int{100, 10000} {
+		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) {
+			core := newCore(b)
+			put(b, core[0], 1, string(configuration(b, 1, n)))
+			for b.Loop() {
+				if _, err := core[0].controller.Read(b.Context()); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func BenchmarkPut(b *testing.B) {
+	for _, n := range []int{100, 10000} {
+		b.Run(fmt.Sprintf("routes=%d", n), func(b *testing.B) {
+			core := newCore(b)
+			version := uint64(0)
+			for b.Loop() {
+				version++
+				put(b, core[0], version, string(configuration(b, version, n+int(version))))
+			}
+		})
+	}
+}
