watch: a list is taken over whatever comes with it

A reply whose state could not be made whole was thrown away with the list in it, so that the leaving of an endpoint waited until the state came whole.

--- a/rockbarrow/watch/table_test.go
+++ b/rockbarrow/watch/table_test.go
@@ -50,29 +50,38 @@
 	t.Cleanup(pool.Close)
 	c := &Client{Self: &fleetpb.Member{Instance: "entry", FailureDomain: "a"}, Pool: pool, Log: logrus.NewEntry(log), targets: map[string]*target{}, PartWithin: patient}
 	for i, s := range scripts {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		g := dial.Server()
-		fleetpb.RegisterControlServer(g, s)
-		go func() {
-			// Serve returns an error once the test stops it.
-			if err := g.Serve(l); err != nil {
-				return
-			}
-		}()
-		t.Cleanup(g.Stop)
-		domain := "a"
+		t := c.serve(t, s)
 		if i > 0 {
-			domain = "b"
+			t.member.FailureDomain = "b"
 		}
-		a := l.Addr().String()
-		c.targets[a] = &target{client: c, address: a, member: &fleetpb.Member{FailureDomain: domain}, answered: true, heard: time.Now().Add(time.Hour)}
 	}
 	return c
 }
 
+// serve starts a control instance in the client's failure domain, which has answered.
+func (c *Client) serve(t *testing.T, s fleetpb.ControlServer) *target {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := dial.Server()
+	fleetpb.RegisterControlServer(g, s)
+	go func() {
+		// Serve returns an error once the test stops it.
+		if err := g.Serve(l); err != nil {
+			return
+		}
+	}()
+	t.Cleanup(g.Stop)
+	a := l.Addr().String()
+	c.targets[a] = &target{
+		client: c, address: a, member: &fleetpb.Member{FailureDomain: c.Self.GetFailureDomain()},
+		answered: true, heard: time.Now().Add(time.Hour),
+	}
+	return c.targets[a]
+}
+
 // tables returns a table and the parts that make the next one of it and of nothing.
 func tables(t *testing.T) (before, after *routing.Table, change, whole []*fleetpb.TablePart) {
 	t.Helper()
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -109,12 +109,11 @@
 	}
 	t.told, t.state, t.list = told, r.GetStateNumber(), r.GetListNumber()
 	size, arrived := proto.Size(r), time.Now()
-	if err := c.unpack(r); err != nil {
-		c.Log.WithError(err).WithField("control", t.address).Warn("news are not readable and are asked for whole")
-		t.whole = true
-		return err
+	unreadable := c.unpack(r)
+	t.whole = unreadable != nil
+	if t.whole {
+		c.Log.WithError(unreadable).WithField("control", t.address).Warn("news are not readable and are asked for whole")
 	}
-	t.whole = false
 	t.logNews(r, size, arrived.Sub(asked), time.Since(arrived))
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
@@ -122,7 +121,7 @@
 		asked = asked.Add(held)
 	}
 	c.heard(t, r, asked)
-	return nil
+	return unreadable
 }
 
 // missed logs a call that had no answer in its time although news were wanted: the step
@@ -148,15 +147,20 @@
 	}).Info("news have come")
 }
 
-// unpack makes the state and the list of a reply whole.
-func (c *Client) unpack(r *fleetpb.WatchReply) (err error) {
-	if r.State, err = c.Documents.UnpackState(r.GetState()); err != nil {
-		return err
-	}
-	if r.GetPackedList() != nil {
-		r.List, err = c.Lists.UnpackList(r.GetPackedList())
-	}
-	return err
+// unpack makes the state and the list of a reply whole. What is not readable is taken out,
+// and does not keep the other from being taken over.
+func (c *Client) unpack(r *fleetpb.WatchReply) error {
+	state, unreadableState := c.Documents.UnpackState(r.GetState())
+	r.State = state
+	if r.GetPackedList() == nil {
+		return unreadableState
+	}
+	list, unreadableList := c.Lists.UnpackList(r.GetPackedList())
+	if unreadableList != nil {
+		return unreadableList
+	}
+	r.List = list
+	return unreadableState
 }
 
 // knowsMore reports whether the instance has told of something newer than what the
