--- a/rockbarrow/entry/news_test.go
+++ b/rockbarrow/entry/news_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/routing"
+	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -47,3 +49,69 @@
 		synctest.Wait()
 	})
 }
+
+// TestATableThatNobodyTellsIsAskedForAgain: until control is reached, and what came of it
+// by then is in force meanwhile. What is not readable is not asked for without end.
+func TestATableThatNobodyTellsIsAskedForAgain(t *testing.T) {
+	table := func(version uint64) *routing.Table {
+		d := document()
+		d.Version = version
+		made, err := routing.New(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return made
+	}
+	synctest.Test(t, func(t *testing.T) {
+		e := newEntry(t, &fakeSender{})
+		e.Watch.Changed = e.Wake
+		var fetched []uint64
+		e.FetchTable = func(_ context.Context, held *routing.Table, version uint64) (*routing.Table, error) {
+			fetched = append(fetched, held.Version())
+			switch len(fetched) {
+			case 1:
+				return held, &watch.UnreachedError{Version: version}
+			case 2:
+				return table(2), &watch.UnreachedError{Version: version}
+			case 3:
+				return table(3), nil
+			}
+			return held, &routing.InvalidError{Reason: "not readable"}
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go e.Run(ctx)
+		e.Watch.Offer(&fleetpb.State{Number: 2, Configuration: &fleetpb.Configuration{Version: 3}})
+		<-time.After(2*fetchPause + fetchPause/2)
+		synctest.Wait()
+		if v := e.table.Load().Version(); v != 3 || len(fetched) != 3 || fetched[2] != 2 {
+			t.Errorf("version %d is in force after asking with %v", v, fetched)
+		}
+		e.Watch.Offer(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 4}})
+		<-time.After(10 * fetchPause)
+		synctest.Wait()
+		if v := e.table.Load().Version(); v != 3 || len(fetched) != 4 {
+			t.Errorf("version %d is in force after asking with %v", v, fetched)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestControlOfTheVersionBeforeTellsDocuments: they are taken as they come.
+func TestControlOfTheVersionBeforeTellsDocuments(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	e.FetchTable = func(context.Context, *routing.Table, uint64) (*routing.Table, error) {
+		t.Error("a table was asked for that came as a document")
+		return nil, &watch.UnreachedError{}
+	}
+	e.Decode = func([]byte) (*fleetpb.Document, error) {
+		d := document()
+		d.Version = 2
+		return d, nil
+	}
+	e.Watch.Offer(&fleetpb.State{Number: 2, Configuration: &fleetpb.Configuration{Version: 2, Document: []byte("x")}})
+	e.refresh()
+	if v := e.table.Load().Version(); v != 2 {
+		t.Errorf("version %d is in force, want 2", v)
+	}
+}
--- a/rockbarrow/routing/digest.go
+++ b/rockbarrow/routing/digest.go
@@ -42,14 +42,15 @@
 	}
 }
 
-// Digest names the table's content: equal tables have equal digests.
+// Digest names the table's content: equal tables have equal digests. Instances of
+// different versions compare them, so that it is part of the protocol between them.
 func (t *Table) Digest() []byte {
 	t = t.orEmpty()
 	b := binary.BigEndian.AppendUint64(nil, t.version)
-	b = binary.BigEndian.AppendUint64(b, uint64(t.routes.Len()))
-	b = binary.BigEndian.AppendUint64(b, uint64(t.services.Len()))
-	for _, lane := range t.sum {
-		b = binary.BigEndian.AppendUint64(b, lane)
+	for _, s := range []sum{t.routes.sum, t.services.sum} {
+		for _, lane := range s {
+			b = binary.BigEndian.AppendUint64(b, lane)
+		}
 	}
 	digest := sha256.Sum256(append(b, t.limitsRaw...))
 	return digest[:]
--- a/rockbarrow/routing/next.go
+++ b/rockbarrow/routing/next.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 
-	iradix "github.com/hashicorp/go-immutable-radix/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -41,7 +40,7 @@
 	t = t.orEmpty()
 	n := &next{
 		change: &fleetpb.TableChange{Base: t.baseDigest(), Version: d.GetVersion()},
-		before: t, sum: t.sum, routes: t.routes.Txn(), services: t.services.Txn(),
+		before: t, routes: t.routes.draft(), services: t.services.draft(),
 		names: make(map[string]bool, len(d.GetServices())),
 		keys:  make(map[string]string, len(d.GetRoutes())),
 	}
@@ -59,7 +58,7 @@
 	}
 	out := &Table{
 		version: d.GetVersion(), limits: d.GetLimits(), limitsRaw: n.change.GetLimits(),
-		routes: n.routes.Commit(), services: n.services.Commit(), sum: n.sum,
+		routes: n.routes.commit(), services: n.services.commit(),
 	}
 	n.change.Digest = out.Digest()
 	return out, n.change, nil
@@ -69,9 +68,8 @@
 type next struct {
 	before   *Table
 	change   *fleetpb.TableChange
-	sum      sum
-	routes   *iradix.Txn[*routeLeaf]
-	services *iradix.Txn[*serviceLeaf]
+	routes   *draft[*fleetpb.Route]
+	services *draft[*fleetpb.Service]
 	// names are the services of the document, and keys the names of its routes by key.
 	names map[string]bool
 	keys  map[string]string
@@ -87,17 +85,9 @@
 		if err != nil {
 			return err
 		}
-		leaf := &serviceLeaf{service: s, sum: sumOf(serviceKind, raw)}
-		old, ok := n.services.Get([]byte(s.GetName()))
-		if ok && old.sum == leaf.sum {
-			continue
+		if n.services.put([]byte(s.GetName()), s, sumOf(serviceKind, raw)) {
+			n.change.Services = append(n.change.Services, raw)
 		}
-		if ok {
-			n.sum.remove(old.sum)
-		}
-		n.sum.add(leaf.sum)
-		n.services.Insert([]byte(s.GetName()), leaf)
-		n.change.Services = append(n.change.Services, raw)
 	}
 	return nil
 }
@@ -116,17 +106,9 @@
 		if err != nil {
 			return err
 		}
-		leaf := &routeLeaf{route: r, sum: sumOf(routeKind, raw)}
-		old, ok := n.routes.Get(key)
-		if ok && old.sum == leaf.sum {
-			continue
-		}
-		if ok {
-			n.sum.remove(old.sum)
+		if n.routes.put(key, r, sumOf(routeKind, raw)) {
+			n.change.Routes = append(n.change.Routes, raw)
 		}
-		n.sum.add(leaf.sum)
-		n.routes.Insert(key, leaf)
-		n.change.Routes = append(n.change.Routes, raw)
 	}
 	return nil
 }
@@ -161,34 +143,32 @@
 
 // dropServices takes out what the document does not name any more.
 func (n *next) dropServices() {
-	if n.before.services.Len()+len(n.change.GetServices()) == len(n.names) {
+	if n.before.services.tree.Len()+len(n.change.GetServices()) == len(n.names) {
 		// Nothing was replaced or taken out.
 		return
 	}
-	n.before.services.Root().Walk(func(key []byte, leaf *serviceLeaf) bool {
+	n.before.services.each(func(key []byte, s *fleetpb.Service) bool {
 		if !n.names[string(key)] {
-			n.sum.remove(leaf.sum)
-			n.services.Delete(key)
-			n.change.RemovedServices = append(n.change.RemovedServices, leaf.service.GetName())
+			n.services.remove(key)
+			n.change.RemovedServices = append(n.change.RemovedServices, s.GetName())
 		}
-		return false
+		return true
 	})
 }
 
 // dropRoutes does the same for routes.
 func (n *next) dropRoutes() {
-	if n.before.routes.Len()+len(n.change.GetRoutes()) == len(n.keys) {
+	if n.before.routes.tree.Len()+len(n.change.GetRoutes()) == len(n.keys) {
 		return
 	}
-	n.before.routes.Root().Walk(func(key []byte, leaf *routeLeaf) bool {
+	n.before.routes.each(func(key []byte, r *fleetpb.Route) bool {
 		if _, ok := n.keys[string(key)]; !ok {
-			n.sum.remove(leaf.sum)
-			n.routes.Delete(key)
+			n.routes.remove(key)
 			n.change.RemovedRoutes = append(n.change.RemovedRoutes, &fleetpb.RouteKey{
-				Host: strings.ToLower(leaf.route.GetHost()), Prefix: leaf.route.GetPrefix(),
+				Host: strings.ToLower(r.GetHost()), Prefix: r.GetPrefix(),
 			})
 		}
-		return false
+		return true
 	})
 }
 
--- a/rockbarrow/routing/table.go
+++ b/rockbarrow/routing/table.go
@@ -6,7 +6,6 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-	iradix "github.com/hashicorp/go-immutable-radix/v2"
 
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -17,26 +16,13 @@
 	limits  *fleetpb.Limits
 	// limitsRaw is what the digest is made of.
 	limitsRaw []byte
-	// routes are by host and prefix, services by name. Trees of successive tables share
-	// what has not changed.
-	routes   *iradix.Tree[*routeLeaf]
-	services *iradix.Tree[*serviceLeaf]
-	// sum is that of all routes and services.
-	sum sum
-}
-
-type routeLeaf struct {
-	route *fleetpb.Route
-	sum   sum
-}
-
-type serviceLeaf struct {
-	service *fleetpb.Service
-	sum     sum
+	// routes are by host and prefix, services by name.
+	routes   layer[*fleetpb.Route]
+	services layer[*fleetpb.Service]
 }
 
 // empty is the table that nil stands for.
-var empty = &Table{routes: iradix.New[*routeLeaf](), services: iradix.New[*serviceLeaf]()}
+var empty = &Table{routes: newLayer[*fleetpb.Route](), services: newLayer[*fleetpb.Service]()}
 
 // hostEnd ends the host in a route's key; no host holds it.
 const hostEnd = 0
@@ -59,18 +45,15 @@
 func (t *Table) Version() uint64 { return t.orEmpty().version }
 
 // Routes returns the number of routes.
-func (t *Table) Routes() int { return t.orEmpty().routes.Len() }
+func (t *Table) Routes() int { return t.orEmpty().routes.tree.Len() }
 
 // Limits returns what clients may do.
 func (t *Table) Limits() *fleetpb.Limits { return t.limits }
 
 // Service returns a service by name, or nil.
 func (t *Table) Service(name string) *fleetpb.Service {
-	leaf, ok := t.services.Get([]byte(name))
-	if !ok {
-		return nil
-	}
-	return leaf.service
+	s, _ := t.services.get([]byte(name))
+	return s
 }
 
 // Match returns the route of a host whose prefix is the longest that begins the
@@ -92,16 +75,16 @@
 	// usual is more than most hosts and paths have, so that no memory is taken.
 	const usual = 256
 	var buf [usual]byte
-	_, leaf, ok := t.routes.Root().LongestPrefix(routeKey(buf[:0], host, path))
+	_, found, ok := t.routes.tree.Root().LongestPrefix(routeKey(buf[:0], host, path))
 	if !ok {
 		return nil, false
 	}
-	return leaf.route, true
+	return found.message, true
 }
 
 // knows reports whether a host has any route.
 func (t *Table) knows(host string) bool {
-	it := t.routes.Root().Iterator()
+	it := t.routes.tree.Root().Iterator()
 	it.SeekPrefix(routeKey(nil, host, ""))
 	_, _, ok := it.Next()
 	return ok
--- a/rockbarrow/routing/update.go
+++ b/rockbarrow/routing/update.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"strings"
 
-	iradix "github.com/hashicorp/go-immutable-radix/v2"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
@@ -41,9 +40,8 @@
 // table that it began with. After an error it is of no further use.
 type Update struct {
 	before   *Table
-	sum      sum
-	routes   *iradix.Txn[*routeLeaf]
-	services *iradix.Txn[*serviceLeaf]
+	routes   *draft[*fleetpb.Route]
+	services *draft[*fleetpb.Service]
 }
 
 // Begin starts an update of a table; a change without a base begins with nothing,
@@ -56,7 +54,7 @@
 	if own := t.baseDigest(); !bytes.Equal(own, base) {
 		return nil, &BaseError{want: own, got: base}
 	}
-	return &Update{before: t, sum: t.sum, routes: t.routes.Txn(), services: t.services.Txn()}, nil
+	return &Update{before: t, routes: t.routes.draft(), services: t.services.draft()}, nil
 }
 
 // Add applies a part. It returns the table after the last one and nil before. The
@@ -88,11 +86,7 @@
 	if err := proto.Unmarshal(raw, s); err != nil {
 		return errors.Wrap(err, "routing: a service of a change")
 	}
-	leaf := &serviceLeaf{service: s, sum: sumOf(serviceKind, raw)}
-	if old, ok := u.services.Insert([]byte(s.GetName()), leaf); ok {
-		u.sum.remove(old.sum)
-	}
-	u.sum.add(leaf.sum)
+	u.services.put([]byte(s.GetName()), s, sumOf(serviceKind, raw))
 	return nil
 }
 
@@ -101,24 +95,16 @@
 	if err := proto.Unmarshal(raw, r); err != nil {
 		return errors.Wrap(err, "routing: a route of a change")
 	}
-	leaf := &routeLeaf{route: r, sum: sumOf(routeKind, raw)}
-	if old, ok := u.routes.Insert(routeKey(nil, strings.ToLower(r.GetHost()), r.GetPrefix()), leaf); ok {
-		u.sum.remove(old.sum)
-	}
-	u.sum.add(leaf.sum)
+	u.routes.put(routeKey(nil, strings.ToLower(r.GetHost()), r.GetPrefix()), r, sumOf(routeKind, raw))
 	return nil
 }
 
 func (u *Update) remove(part *fleetpb.TableChange) {
 	for _, name := range part.GetRemovedServices() {
-		if old, ok := u.services.Delete([]byte(name)); ok {
-			u.sum.remove(old.sum)
-		}
+		u.services.remove([]byte(name))
 	}
 	for _, k := range part.GetRemovedRoutes() {
-		if old, ok := u.routes.Delete(routeKey(nil, k.GetHost(), k.GetPrefix())); ok {
-			u.sum.remove(old.sum)
-		}
+		u.routes.remove(routeKey(nil, k.GetHost(), k.GetPrefix()))
 	}
 }
 
@@ -129,7 +115,7 @@
 	}
 	t := &Table{
 		version: last.GetVersion(), limits: limits, limitsRaw: last.GetLimits(),
-		routes: u.routes.Commit(), services: u.services.Commit(), sum: u.sum,
+		routes: u.routes.commit(), services: u.services.commit(),
 	}
 	if own := t.Digest(); !bytes.Equal(own, last.GetDigest()) {
 		return nil, &DigestError{want: last.GetDigest(), got: own}
@@ -169,18 +155,20 @@
 	t = t.orEmpty()
 	c := &fleetpb.TableChange{Version: t.version, Limits: t.limitsRaw, Digest: t.Digest()}
 	var failed error
-	t.services.Root().Walk(func(_ []byte, leaf *serviceLeaf) bool {
-		raw, err := marshal(leaf.service)
-		c.Services, failed = append(c.Services, raw), err
-		return err != nil
+	t.services.each(func(_ []byte, s *fleetpb.Service) bool {
+		var raw []byte
+		raw, failed = marshal(s)
+		c.Services = append(c.Services, raw)
+		return failed == nil
 	})
-	t.routes.Root().Walk(func(_ []byte, leaf *routeLeaf) bool {
-		if failed != nil {
-			return true
-		}
-		raw, err := marshal(leaf.route)
-		c.Routes, failed = append(c.Routes, raw), err
-		return err != nil
+	if failed != nil {
+		return nil, failed
+	}
+	t.routes.each(func(_ []byte, r *fleetpb.Route) bool {
+		var raw []byte
+		raw, failed = marshal(r)
+		c.Routes = append(c.Routes, raw)
+		return failed == nil
 	})
 	return c, failed
 }
