soak: routes come and go by the thousand, and every entry ends with the newest ones

What is in force at entry instances was not looked at: only control's word was. Now each change adds and takes away up to three routes, one in three up to 2,000, and after the faults each entry has to serve a sample of those that are there and none of those that are gone.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -32,6 +32,8 @@
 	grace = 8
 	// readyWithin bounds the start of the fleet.
 	readyWithin = 60 * time.Second
+	// seedOfRoutes sets the draws of routes apart from those of faults and programs.
+	seedOfRoutes = 1 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -50,6 +52,7 @@
 	ledger    *standin.Ledger
 	operator  *standin.Operator
 	version   uint64
+	routes    *routes
 	// lives counts the endpoints made, so that ids never come back.
 	lives int
 }
@@ -66,8 +69,11 @@
 
 // newFleet starts everything and waits until it serves. The returned function
 // ends it.
-func newFleet(ctx context.Context, dir string, entriesEach int) (*fleet, func(), error) {
-	f := &fleet{dir: dir, ledger: &standin.Ledger{}, list: &standin.List{}}
+func newFleet(ctx context.Context, dir string, seed uint64, entriesEach int) (*fleet, func(), error) {
+	f := &fleet{
+		dir: dir, ledger: &standin.Ledger{}, list: &standin.List{},
+		routes: &routes{r: rand.New(rand.NewPCG(seed, seedOfRoutes))},
+	}
 	binary, err := build(ctx, dir)
 	if err != nil {
 		return nil, nil, err
@@ -239,6 +245,7 @@
 // deploy sends the next version of the configuration.
 func (f *fleet) deploy(ctx context.Context) error {
 	f.version++
+	f.routes.change()
 	route := func(name, service string, kind fleetpb.RouteKind) *fleetpb.Route {
 		return &fleetpb.Route{
 			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 5000, ObjectiveMs: 200, MaxAttempts: 2,
@@ -254,9 +261,8 @@
 			{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
 			{Name: "tool", MaxConnections: 300},
 		},
-		Routes: []*fleetpb.Route{
-			turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE),
-		},
+		Routes: append(f.routes.document(),
+			turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE)),
 	})
 }
 
--- /dev/null
+++ b/rockbench/soak/routes.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+
+	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// fewRoutes is the most that most changes add or take away, and manyRoutes the most of
+	// one in manyEvery.
+	fewRoutes, manyRoutes, manyEvery = 3, 2000, 3
+	// sampledRoutes is how many routes of each kind are looked at in the end.
+	sampledRoutes = 10
+)
+
+// routes are those that come and go while a soak lasts, all of one host.
+type routes struct {
+	r *rand.Rand
+	// next numbers the routes, so that none comes back.
+	next       int
+	live, gone []string
+}
+
+// change adds some routes and takes some away.
+func (x *routes) change() {
+	most := fewRoutes
+	if x.r.IntN(manyEvery) == 0 {
+		most = manyRoutes
+	}
+	for range min(len(x.live), x.r.IntN(most)) {
+		i := x.r.IntN(len(x.live))
+		x.gone = append(x.gone, x.live[i])
+		x.live = slices.Delete(x.live, i, i+1)
+	}
+	for range 1 + x.r.IntN(most) {
+		x.live = append(x.live, fmt.Sprintf("/extra-%d/", x.next))
+		x.next++
+	}
+}
+
+// document returns them as a configuration holds them.
+func (x *routes) document() []*fleetpb.Route {
+	var out []*fleetpb.Route
+	for _, prefix := range x.live {
+		out = append(out, &fleetpb.Route{
+			Name: prefix, Host: host, Prefix: prefix, Kind: fleetpb.RouteKind_ROUTE_KIND_REPEATABLE, TimeoutMs: 2000, ObjectiveMs: 200,
+			MaxAttempts: 2, Shares: []*fleetpb.Share{{Service: "tool", Weight: 1}},
+		})
+	}
+	return out
+}
+
+// sample draws some of a list.
+func (x *routes) sample(list []string) []string {
+	var out []string
+	for range min(len(list), sampledRoutes) {
+		out = append(out, list[x.r.IntN(len(list))])
+	}
+	return out
+}
+
+// checkRoutes breaks a promise unless every entry instance comes to route by the newest
+// configuration, whole: what it lacks there, nobody would send it any more.
+func (f *fleet) checkRoutes(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, e := range f.entries {
+		for _, path := range append(f.routes.sample(f.routes.live), f.routes.live[len(f.routes.live)-1]) {
+			f.awaitRoute(ctx, client, e, path, true)
+		}
+		for _, path := range f.routes.sample(f.routes.gone) {
+			f.awaitRoute(ctx, client, e, path, false)
+		}
+	}
+}
+
+// awaitRoute asks for a path until the answer shows that it is routed, or is not.
+func (f *fleet) awaitRoute(ctx context.Context, client *http.Client, e *instance, path string, routed bool) {
+	last := "no answer"
+	for n := 0; ctx.Err() == nil; n++ {
+		id := fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n)
+		status, err := standin.Probe(ctx, client, e.plan.Consumers, host, path+"x", id)
+		switch {
+		case err != nil:
+			last = err.Error()
+		case routed && status == http.StatusOK, !routed && status == http.StatusNotFound:
+			return
+		default:
+			last = fmt.Sprint("status ", status)
+		}
+		wait.For(ctx, checkEvery)
+	}
+	f.ledger.Break("%s does not route by the newest configuration: %s, routed there: %v, %s", e.plan.Instance, path, routed, last)
+}
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -53,7 +53,7 @@
 
 // Run plays a soak.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	f, stop, err := newFleet(ctx, cfg.Dir, cfg.EntriesEach)
+	f, stop, err := newFleet(ctx, cfg.Dir, cfg.Seed, cfg.EntriesEach)
 	if stop != nil {
 		defer stop()
 	}
@@ -92,6 +92,11 @@
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.Break("no control instance is sure of the configuration after the faults")
 	}
+	// The last change may have been given up with the faults.
+	if err := s.fleet.deploy(finish); err != nil {
+		s.fleet.ledger.Break("a configuration was not taken after the faults: %v", err)
+	}
+	s.fleet.checkRoutes(finish)
 }
 
 // disturber brings one fault after another. Two of them run at a time, so that
