--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -63,7 +63,8 @@
 	Decode func(document []byte) (*fleetpb.Document, error)
 	Log    *logrus.Entry
 
-	watch    *watch.Client
+	watch *watch.Client
+	// disk holds the votes.
 	disk     *votes
 	presence presence
 	loads    loads
@@ -78,7 +79,7 @@
 	// saved is the acceptor's record that is on the disk.
 	saved atomic.Pointer[fleetpb.AcceptorRecord]
 
-	ballots ballots
+	requests voteRequests
 	// distrusted holds the storages of acceptors whose last value could not be made
 	// whole: they are asked for it whole.
 	distrusted sync.Map
@@ -136,7 +137,7 @@
 	go reader.loop(ctx)
 	d := &duties{controller: c}
 	d.loop(ctx)
-	c.ballots.stop()
+	c.requests.stop()
 }
 
 // State returns the newest state known to be chosen, or nil.
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -62,13 +62,13 @@
 			switch a := a.(type) {
 			case register.Prepare:
 				v := &vote{controller: c, to: a.To, events: events}
-				if !c.ballots.start(func() { v.runPrepare(ctx, a.Request) }) {
+				if !c.requests.start(func() { v.runPrepare(ctx, a.Request) }) {
 					return nil, &stoppedError{}
 				}
 				outstanding++
 			case register.Accept:
 				v := &vote{controller: c, to: a.To, events: events, held: held[a.To.GetStorage()]}
-				if !c.ballots.start(func() { v.runAccept(ctx, a.Request) }) {
+				if !c.requests.start(func() { v.runAccept(ctx, a.Request) }) {
 					return nil, &stoppedError{}
 				}
 				outstanding++
--- a/rockbarrow/controller/tables.go
+++ b/rockbarrow/controller/tables.go
@@ -30,6 +30,8 @@
 	controller *Controller
 	// woken has room for one: a newer state is known.
 	woken chan struct{}
+	// refused is the newest version that made no table. Only the loop uses it.
+	refused uint64
 
 	mu     sync.Mutex
 	newest *madeTable
@@ -37,8 +39,6 @@
 	changes []tableChange
 	// made is closed and replaced whenever there is a newer table.
 	made chan struct{}
-	// refused is the newest version that made no table.
-	refused uint64
 }
 
 // tableChange is a change as it is sent.
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -100,7 +100,7 @@
 
 // refresh takes over all news at once.
 func (e *Entry) refresh() {
-	e.refreshTable(context.Background(), time.Now())
+	e.takeTable(context.Background(), time.Now())
 	e.refreshFleet(time.Now())
 }
 
--- a/rockbarrow/entry/news.go
+++ b/rockbarrow/entry/news.go
@@ -57,11 +57,25 @@
 		case <-ctx.Done():
 			return
 		}
-		came := e.tableNews.taken()
-		for !e.refreshTable(ctx, came) {
-			if !wait.For(ctx, fetchPause) {
-				return
-			}
+		e.takeTable(ctx, e.tableNews.taken())
+	}
+}
+
+// takeTable brings the newest known configuration into force. It tries again while control
+// is not reached.
+func (e *Entry) takeTable(ctx context.Context, came time.Time) {
+	for tries := 0; ; tries++ {
+		err := e.refreshTable(ctx, came)
+		if err == nil {
+			return
+		}
+		var unreached *watch.UnreachedError
+		again := errors.As(err, &unreached)
+		if tries == 0 || !again {
+			e.Log.WithError(err).WithField("again", again).Error("a configuration is not in force")
+		}
+		if !again || !wait.For(ctx, fetchPause) {
+			return
 		}
 	}
 }
@@ -78,13 +92,13 @@
 	}
 }
 
-// refreshTable brings the newest known configuration into force. It returns false if it has
-// to be tried again, which helps where control was not reached.
-func (e *Entry) refreshTable(ctx context.Context, came time.Time) bool {
+// refreshTable makes the table of the newest known configuration. What came of it by the
+// time of a failure is in force.
+func (e *Entry) refreshTable(ctx context.Context, came time.Time) error {
 	c := e.Watch.State().GetConfiguration()
 	old := e.table.Load()
 	if c.GetVersion() <= old.Version() {
-		return true
+		return nil
 	}
 	begun := time.Now()
 	t, err := e.nextTable(ctx, old, c)
@@ -95,14 +109,7 @@
 			"since_news_ms": time.Since(came).Milliseconds(), "took_ms": time.Since(begun).Milliseconds(),
 		}).Info("a configuration is in force")
 	}
-	if err == nil {
-		return true
-	}
-	var unreached *watch.UnreachedError
-	again := errors.As(err, &unreached)
-	e.Log.WithError(err).WithFields(logrus.Fields{"config_version": c.GetVersion(), "again": again}).
-		Error("a configuration is not in force")
-	return !again
+	return err
 }
 
 // nextTable makes the table of a configuration: by what changed, or of the whole document
--- a/rockbarrow/watch/table.go
+++ b/rockbarrow/watch/table.go
@@ -112,52 +112,62 @@
 	if err != nil {
 		return held, err
 	}
-	var u *routing.Update
+	f := &fetch{table: held}
 	for {
 		p, err := stream.Recv()
 		if err == io.EOF {
-			return held, ended(held, u, version)
+			return f.table, f.end(version)
 		}
 		if err != nil {
-			return held, err
+			return f.table, err
 		}
 		stalled.Reset(within)
-		next, err := addPart(held, &u, p)
-		if err != nil {
-			return held, err
-		}
-		if next != nil {
-			held, u = next, nil
+		if err := f.add(p); err != nil {
+			return f.table, err
 		}
 	}
 }
 
-// addPart applies a part, the first of a change with a new update. It returns the table
-// after the last part of a change, else nil.
-func addPart(held *routing.Table, u **routing.Update, p *fleetpb.TablePart) (*routing.Table, error) {
+// fetch makes tables of the parts of a stream.
+type fetch struct {
+	// table is the newest that is whole.
+	table *routing.Table
+	// update makes the next one; it is nil between changes.
+	update *routing.Update
+}
+
+// add applies a part.
+func (f *fetch) add(p *fleetpb.TablePart) error {
 	b, err := document.Decompress(p.GetFrame())
 	if err != nil {
-		return nil, err
+		return err
 	}
 	change := &fleetpb.TableChange{}
 	if err := proto.Unmarshal(b, change); err != nil {
-		return nil, errors.Wrap(err, "watch: a part of a routing table")
+		return errors.Wrap(err, "watch: a part of a routing table")
 	}
-	if *u == nil {
-		if *u, err = held.Begin(change.GetBase()); err != nil {
-			return nil, err
+	if f.update == nil {
+		if f.update, err = f.table.Begin(change.GetBase()); err != nil {
+			return err
 		}
 	}
-	return (*u).Add(change)
+	next, err := f.update.Add(change)
+	if err != nil {
+		return err
+	}
+	if next != nil {
+		f.table, f.update = next, nil
+	}
+	return nil
 }
 
-// ended returns what is wrong about the end of a stream, if anything is.
-func ended(held *routing.Table, u *routing.Update, version uint64) error {
-	if u != nil {
+// end returns what is wrong about the end of a stream, if anything is.
+func (f *fetch) end(version uint64) error {
+	if f.update != nil {
 		return errors.New("watch: a routing table ended before its last part")
 	}
-	if held.Version() < version {
-		return errors.Errorf("watch: the routing table of version %d was told where %d is in force", held.Version(), version)
+	if f.table.Version() < version {
+		return errors.Errorf("watch: the routing table of version %d was told where %d is in force", f.table.Version(), version)
 	}
 	return nil
 }
