soak: all instances begin with the version before and are upgraded while faults come

Half way, with both versions at work, and in the end every entry instance has to route by a configuration that was just sent.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -34,13 +34,17 @@
 	readyWithin = 60 * time.Second
 	// seedOfRoutes sets the draws of routes apart from those of faults and programs.
 	seedOfRoutes = 1 << 32
+	// seedOfUpgrades does the same for upgrades.
+	seedOfUpgrades = 2 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
 
 // fleet is all processes and stand-ins of one soak.
 type fleet struct {
-	dir     string
+	dir string
+	// binary is this build.
+	binary  string
 	control []*instance
 	stores  []*instance
 	entries []*instance
@@ -51,8 +55,10 @@
 	listens   net.Listener
 	ledger    *standin.Ledger
 	operator  *standin.Operator
-	version   uint64
-	routes    *routes
+	// configuring is held while a configuration is sent, and while one has to stay.
+	configuring sync.Mutex
+	version     uint64
+	routes      *routes
 	// lives counts the endpoints made, so that ids never come back.
 	lives int
 }
@@ -69,20 +75,24 @@
 
 // newFleet starts everything and waits until it serves. The returned function
 // ends it.
-func newFleet(ctx context.Context, dir string, seed uint64, entriesEach int) (*fleet, func(), error) {
+func newFleet(ctx context.Context, cfg Config) (*fleet, func(), error) {
 	f := &fleet{
-		dir: dir, ledger: &standin.Ledger{}, list: &standin.List{},
-		routes: &routes{r: rand.New(rand.NewPCG(seed, seedOfRoutes))},
+		dir: cfg.Dir, ledger: &standin.Ledger{}, list: &standin.List{},
+		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))},
 	}
-	binary, err := build(ctx, dir)
-	if err != nil {
+	var err error
+	if f.binary, err = build(ctx, cfg.Dir); err != nil {
 		return nil, nil, err
 	}
 	stop := f.stop
 	if err := f.startStandIns(); err != nil {
 		return nil, stop, err
 	}
-	if err := f.plan(binary, entriesEach); err != nil {
+	first := f.binary
+	if cfg.Before != "" {
+		first = cfg.Before
+	}
+	if err := f.plan(first, cfg.EntriesEach); err != nil {
 		return nil, stop, err
 	}
 	for _, in := range f.all() {
@@ -244,6 +254,13 @@
 
 // deploy sends the next version of the configuration.
 func (f *fleet) deploy(ctx context.Context) error {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
+	return f.sendNext(ctx)
+}
+
+// sendNext is deploy for who holds configuring.
+func (f *fleet) sendNext(ctx context.Context) error {
 	f.version++
 	f.routes.change()
 	route := func(name, service string, kind fleetpb.RouteKind) *fleetpb.Route {
--- a/rockbench/soak/recovery_test.go
+++ b/rockbench/soak/recovery_test.go
@@ -31,7 +31,7 @@
 // all but the disks, and starts them again. Programs under way go on with their histories.
 // The time that each part of the recovery took is printed; nothing asserts it.
 func TestAllAreKilledUnderLoad(t *testing.T) {
-	f, stop, err := newFleet(t.Context(), t.TempDir(), 1, 1)
+	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1})
 	if stop != nil {
 		t.Cleanup(stop)
 	}
--- a/rockbench/soak/routes.go
+++ b/rockbench/soak/routes.go
@@ -68,9 +68,16 @@
 	return out
 }
 
-// checkRoutes breaks a promise unless every entry instance comes to route by the newest
-// configuration, whole: what it lacks there, nobody would send it any more.
+// checkRoutes sends one more configuration, as the last one may have been given up, and
+// breaks a promise unless every entry instance comes to route by it, whole: what it lacks
+// then, nobody would send it any more.
 func (f *fleet) checkRoutes(ctx context.Context) {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
+	if err := f.sendNext(ctx); err != nil {
+		f.ledger.Break("a configuration was not taken: %v", err)
+		return
+	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, e := range f.entries {
 		for _, path := range append(f.routes.sample(f.routes.live), f.routes.live[len(f.routes.live)-1]) {
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -38,6 +38,9 @@
 	Last time.Duration
 	// Programs run at a time, EntriesEach entry instances in each of three domains.
 	Programs, EntriesEach int
+	// Before is the program of another version that all instances begin with; they are
+	// upgraded one after another while faults come. Empty is this build.
+	Before string
 	// Dir holds settings, disks and logs.
 	Dir string
 	// Out gets a line for each fault.
@@ -53,7 +56,7 @@
 
 // Run plays a soak.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	f, stop, err := newFleet(ctx, cfg.Dir, cfg.Seed, cfg.EntriesEach)
+	f, stop, err := newFleet(ctx, cfg)
 	if stop != nil {
 		defer stop()
 	}
@@ -83,6 +86,10 @@
 		running.Go(func() { w.loop(faulty, finish) })
 	}
 	running.Go(func() { s.operate(faulty) })
+	if s.cfg.Before != "" {
+		u := &upgrader{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfUpgrades)), finish: finish}
+		running.Go(func() { u.loop(faulty) })
+	}
 	lanes := [][]fault{append(slices.Clone(faults), diskFaults...), faults}
 	for i, lane := range lanes {
 		d := &disturber{soak: s, faults: lane, r: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i)))}
@@ -92,10 +99,6 @@
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.Break("no control instance is sure of the configuration after the faults")
 	}
-	// The last change may have been given up with the faults.
-	if err := s.fleet.deploy(finish); err != nil {
-		s.fleet.ledger.Break("a configuration was not taken after the faults: %v", err)
-	}
 	s.fleet.checkRoutes(finish)
 }
 
