requestlog, controller, store: sight of processes that end and of a deployment that does not begin

Logs could not tell the hypotheses of the incident apart: rockbench requests now counts how lives ended (stopped, failed, without a word), control says every 2 s what it waits for while it knows of no deployment, stores tell of compactions and of the bytes that their disk has refused. No change of what is decided.

--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -32,6 +32,9 @@
 	learnAfter = 250 * time.Millisecond
 	// dutyWithin bounds a change that a duty makes.
 	dutyWithin = 1500 * time.Millisecond
+	// unformedEvery is how often an instance says that it knows of no deployment. A first
+	// start takes half a second.
+	unformedEvery = 2 * time.Second
 )
 
 // duties are what one control instance does for all: forming the first view,
@@ -45,10 +48,13 @@
 	// lastJoin is when a store that was not known before was first heard.
 	lastJoin time.Time
 	known    int
+	// told is when it was last logged that there is no deployment.
+	told time.Time
 }
 
 func (d *duties) loop(ctx context.Context) {
 	d.started, d.ticked = time.Now(), time.Now()
+	d.told = d.started
 	for wait.For(ctx, dutyTick) {
 		now := time.Now()
 		if now.Sub(d.ticked) > stoodStill {
@@ -65,6 +71,7 @@
 
 func (d *duties) tick(ctx context.Context, now time.Time) {
 	d.learn(ctx, now)
+	d.tellUnformed(now)
 	c := d.controller
 	if c.rank(now) != 0 {
 		return
@@ -99,6 +106,19 @@
 	}
 }
 
+// tellUnformed logs what this instance waits for while it knows of no deployment.
+func (d *duties) tellUnformed(now time.Time) {
+	c := d.controller
+	if c.State() != nil || now.Sub(d.told) < unformedEvery {
+		return
+	}
+	d.told = now
+	c.Log.WithFields(logrus.Fields{
+		"seeds": c.Seeds, "heard": names(c.watch.Control(foundersWithin)), "founder": c.Founder, "rank": c.rank(now),
+		"holds_state": c.saved.Load().GetState().GetNumber(),
+	}).Warn("no deployment is known yet")
+}
+
 // found forms the first set of voters.
 func (d *duties) found(ctx context.Context) {
 	c := d.controller
--- a/rockbarrow/durable/log.go
+++ b/rockbarrow/durable/log.go
@@ -49,6 +49,8 @@
 	Live func(yield func([]byte))
 	// Failed is told of each failed write, from the log's own goroutine.
 	Failed func(error)
+	// Compacted is told of each compaction, from the log's own goroutine; may be nil.
+	Compacted func(Compaction)
 
 	dir     string
 	queue   chan *pending
@@ -66,8 +68,19 @@
 	// next ones, since the owner counts them among its live records.
 	unsynced []byte
 	written  atomic.Int64
+	// refused is the size in bytes of unsynced.
+	refused atomic.Int64
 }
 
+// Compaction is what one compaction did.
+type Compaction struct{ before, after int64 }
+
+// Before returns the size of all segments in bytes before, After that of the live records.
+func (c Compaction) Before() int64 { return c.before }
+
+// After returns the size in bytes of the records that were written anew.
+func (c Compaction) After() int64 { return c.after }
+
 // pending are records that wait for their sync.
 type pending struct {
 	payloads [][]byte
@@ -165,6 +178,10 @@
 // Written returns the number of bytes written in this life.
 func (l *Log) Written() int64 { return l.written.Load() }
 
+// Refused returns the bytes of records that the disk has refused and that are kept for the
+// next try.
+func (l *Log) Refused() int64 { return l.refused.Load() }
+
 func (l *Log) close() {
 	l.once.Do(func() { close(l.closing) })
 	<-l.closed
@@ -212,6 +229,7 @@
 		l.failed(frames, err)
 	} else {
 		l.unsynced = nil
+		l.refused.Store(0)
 	}
 	for _, p := range batch {
 		p.done <- err
@@ -225,6 +243,7 @@
 // a new one. A failed sync is never repeated on the same file.
 func (l *Log) failed(frames []byte, err error) {
 	l.unsynced = frames
+	l.refused.Store(int64(len(frames)))
 	if l.file != nil {
 		l.file.Close()
 		l.file = nil
@@ -305,4 +324,7 @@
 		}
 	}
 	l.size -= before
+	if l.Compacted != nil {
+		l.Compacted(Compaction{before: before, after: l.size})
+	}
 }
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -58,7 +58,12 @@
 		return nil, err
 	}
 	log.Live = s.live
-	log.Failed = func(err error) { s.Log.WithError(err).Error("records were not written") }
+	log.Failed = func(err error) {
+		s.Log.WithError(err).WithField("refused_bytes", log.Refused()).Error("records were not written")
+	}
+	log.Compacted = func(c durable.Compaction) {
+		s.Log.WithFields(logrus.Fields{"before_bytes": c.Before(), "after_bytes": c.After()}).Info("the log was compacted")
+	}
 	s.log = log
 	programs, turns, bytes := s.book.Size()
 	s.Log.WithFields(logrus.Fields{"programs": programs, "turns": turns, "bytes": bytes, "view": s.epoch}).
@@ -142,6 +147,7 @@
 	s.Metrics.Gauge("turns").Update(float64(turns))
 	s.Metrics.Gauge("turn_bytes").Update(float64(bytes))
 	s.Metrics.Gauge("disk_bytes_written").Update(float64(s.log.Written()))
+	s.Metrics.Gauge("disk_bytes_refused").Update(float64(s.log.Refused()))
 }
 
 // Wake looks at the view; package watch calls it when the state changes.
--- a/rockbench/requestlog/lives.go
+++ b/rockbench/requestlog/lives.go
@@ -21,8 +21,29 @@
 	StepReady Step = "readiness has changed"
 )
 
-// start is the message of a process that begins.
-const start = "starting"
+// The messages of a process that begins, ends as it was told to, and ends over an error.
+const (
+	start   = "starting"
+	stopped = "stopped"
+	failed  = "failed"
+)
+
+// end is how a life ended.
+type end int
+
+// The ends, in the order of the table.
+const (
+	// running has no end in the log.
+	running end = iota
+	// inOrder was stopped.
+	inOrder
+	// withError says in the log why it ended.
+	withError
+	// silent was followed by another life of the instance without a word about its end: it
+	// was killed, lost its power, or died by a signal that nobody meant for it.
+	silent
+	ends
+)
 
 // waveGap is the longest pause between two starts of one wave. Processes that lose power
 // together start within 0.3 s; a rolling restart takes them seconds apart.
@@ -57,6 +78,7 @@
 	role    string
 	begun   time.Duration
 	reached map[Step]time.Duration
+	end     end
 }
 
 // Add takes an event.
@@ -64,6 +86,10 @@
 	switch s := Step(e.Message); {
 	case e.Message == start:
 		t.begin(e)
+	case e.Message == stopped:
+		t.finish(e, inOrder)
+	case e.Message == failed:
+		t.finish(e, withError)
 	case s == StepState, s == StepList, s == StepReady && e.Ready:
 		l := t.current[e.Instance]
 		if l == nil {
@@ -75,7 +101,17 @@
 	}
 }
 
+// finish notes an end. A process that fails may still say that it stopped.
+func (t *Lives) finish(e Event, how end) {
+	if l := t.current[e.Instance]; l != nil {
+		l.end = max(l.end, how)
+	}
+}
+
 func (t *Lives) begin(e Event) {
+	if l := t.current[e.Instance]; l != nil && l.end == running {
+		l.end = silent
+	}
 	if t.current == nil {
 		t.current = map[string]*life{}
 	}
@@ -89,10 +125,11 @@
 	w.lives = append(w.lives, l)
 }
 
-// Write prints a row for each role in each wave of starts.
+// Write prints a row for each role in each wave of starts: how long its steps took, and how
+// many of its processes ended in each way.
 func (t *Lives) Write(w io.Writer) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "starts\trole\tfirst at\tlast\tstate p50\tlast\tlist p50\tlast\tready p50\tlast")
+	fmt.Fprintln(out, "starts\trole\tfirst at\tlast\tstate p50\tlast\tlist p50\tlast\tready p50\tlast\tstopped\tfailed\tsilent")
 	for _, wave := range t.waves {
 		byRole := map[string][]*life{}
 		var roles []string
@@ -105,8 +142,13 @@
 		slices.Sort(roles)
 		for _, role := range roles {
 			lives := byRole[role]
-			fmt.Fprintf(out, "%d\t%s\t%v\t%v\t%s\t%s\t%s\n", len(lives), role, round(lives[0].begun), round(lives[len(lives)-1].begun),
-				middleAndLast(lives, StepState), middleAndLast(lives, StepList), middleAndLast(lives, StepReady))
+			var ended [ends]int
+			for _, l := range lives {
+				ended[l.end]++
+			}
+			fmt.Fprintf(out, "%d\t%s\t%v\t%v\t%s\t%s\t%s\t%d\t%d\t%d\n", len(lives), role, round(lives[0].begun), round(lives[len(lives)-1].begun),
+				middleAndLast(lives, StepState), middleAndLast(lives, StepList), middleAndLast(lives, StepReady),
+				ended[inOrder], ended[withError], ended[silent])
 		}
 	}
 	return out.Flush()
--- a/rockbench/requestlog/requestlog_test.go
+++ b/rockbench/requestlog/requestlog_test.go
@@ -78,11 +78,39 @@
 		t.Fatal(err)
 	}
 	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
-	if len(rows) != 4 || strings.Join(strings.Fields(rows[2]), " ") != "2 entry 1s 1.2s 500ms 500ms - - 700ms 700ms" {
+	if len(rows) != 4 || strings.Join(strings.Fields(rows[2]), " ") != "2 entry 1s 1.2s 500ms 500ms - - 700ms 700ms 0 0 1" {
 		t.Errorf("%s", out.String())
 	}
 }
 
+// TestEndsWithoutAWordAreCounted: of two processes that run again, one was stopped and the
+// other died without a line; a third says why it failed, and then that it stopped.
+func TestEndsWithoutAWordAreCounted(t *testing.T) {
+	const log = `  1.0 a {"msg":"starting","role":"store","instance":"a"}
+  1.0 b {"msg":"starting","role":"store","instance":"b"}
+  1.0 c {"msg":"starting","role":"store","instance":"c"}
+  2.0 a {"msg":"stopped","role":"store","instance":"a"}
+  2.0 c {"msg":"failed","role":"store","instance":"c"}
+  2.0 c {"msg":"stopped","role":"store","instance":"c"}
+  5.0 a {"msg":"starting","role":"store","instance":"a"}
+  5.0 b {"msg":"starting","role":"store","instance":"b"}
+`
+	var lives Lives
+	if err := ReadEvents(strings.NewReader(log), lives.Add); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := lives.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")
+	for i, want := range map[int]string{1: "1 1 1", 2: "0 0 0"} {
+		if got := strings.Join(strings.Fields(rows[i]), " "); !strings.HasSuffix(got, want) {
+			t.Errorf("row %d: %s, want the ends %s", i, got, want)
+		}
+	}
+}
+
 // FuzzRead feeds lines of any kind.
 func FuzzRead(f *testing.F) {
 	f.Add(text)
