--- /dev/null
+++ b/rockbarrow/durable/refusing_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+
+package durable
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// TestADiskThatRefusesTakesNoMemory tells an incident: a store whose disk refused writes kept each
+// refused record in memory for its next try, 2 KB a record and 3 MB for each 1,500, until the process
+// was killed for its memory. Its owner holds what was refused anyway, among its live records.
+func TestADiskThatRefusesTakesNoMemory(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	l, stop, err := OpenLog(dir, func([]byte) error { return nil })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	live := map[string]bool{}
+	l.Live = func(yield func([]byte)) {
+		for r := range live {
+			yield([]byte(r))
+		}
+	}
+	away := dir + "-away"
+	if err := os.Rename(dir, away); err != nil {
+		t.Fatal(err)
+	}
+	const records, size = 3000, 2 << 10
+	for i := range records {
+		r := append(fmt.Appendf(nil, "record %d ", i), bytes.Repeat([]byte{'x'}, size)...)
+		live[string(r)] = true
+		if err := l.Append(t.Context(), r); err == nil {
+			t.Fatal("a folder that is gone took a record")
+		}
+	}
+	const most = 1 << 20
+	if got := l.Refused(); got > most {
+		t.Errorf("%d bytes of refused records are held", got)
+	}
+	if err := os.Rename(away, dir); err != nil {
+		t.Fatal(err)
+	}
+	if err := l.Append(t.Context(), []byte("after")); err != nil {
+		t.Fatalf("the disk works again: %v", err)
+	}
+	stop()
+	got := map[string]bool{}
+	for _, r := range replayed(t, dir) {
+		got[r] = true
+	}
+	if len(got) != records+1 {
+		t.Errorf("%d records are on the disk, want all %d that count", len(got), records+1)
+	}
+}
--- /dev/null
+++ b/rockbench/soak/ends_test.go
@@ -0,0 +1,238 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"rockbarrow.dev/platform/settings"
+	"rockbarrow.dev/rockbarrow/wait"
+)
+
+// These tests tell an incident: processes of all three roles ended by themselves, many at one
+// moment, and some never began. What they ended over was around them and would have passed: the
+// reader of their logs, a signal that came early, an address that the process before still held, a
+// settings file that was being written, a foreign file in the data folder. Runs with real processes
+// showed each of them alone to be enough.
+
+// solo is an instance of a role alone. It is served at an address of its own once it has begun.
+func solo(t *testing.T, binary, role string) *instance {
+	t.Helper()
+	first, err := freePorts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	at := func(offset int) string { return fmt.Sprintf("%s:%d", ip(0, 1), first+portSpan+offset) }
+	in := &instance{role: role, binary: binary, plan: settings.Plan{
+		Instance: role, Domain: "domain-0", IP: ip(0, 1), FirstPort: first, LastPort: first + portSpan - 1,
+		Control: []string{at(0)}, First: true, DataDir: filepath.Join(dir, "data"), List: at(3), Losses: 1, MemoryMB: 256,
+		GraceSeconds: 1, Operators: at(0), Consumers: at(1), Ready: at(2),
+	}}
+	if err := in.open(dir); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		in.stop(syscall.SIGKILL)
+		in.log.Close()
+	})
+	return in
+}
+
+// served is an address without which an instance is of no use, and its name in the logs.
+type served struct{ name, address string }
+
+func (in *instance) serves() []served {
+	switch in.role {
+	case "entry":
+		return []served{{"readiness", in.plan.Ready}, {"consumers", in.plan.Consumers}}
+	case "control":
+		return []served{{"peers", in.plan.PeerListen()}, {"operators", in.plan.Operators}}
+	}
+	return []served{{"peers", in.plan.PeerListen()}}
+}
+
+// awaitServed waits until all addresses of an instance are served. It fails the test if the process
+// ends instead.
+func awaitServed(t *testing.T, in *instance) {
+	t.Helper()
+	for _, s := range in.serves() {
+		for !accepts(s.address) {
+			if in.failed() {
+				t.Fatalf("the %s process ended by itself: %s", in.role, in.tail())
+			}
+			if !wait.For(t.Context(), holdTick) {
+				t.Fatal(t.Context().Err())
+			}
+		}
+	}
+}
+
+func accepts(address string) bool {
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// awaitLogged waits until an instance has logged a text.
+func awaitLogged(t *testing.T, in *instance, text string) {
+	t.Helper()
+	for !bytes.Contains(in.logged(), []byte(text)) {
+		if in.failed() {
+			t.Fatalf("the %s process ended by itself: %s", in.role, in.tail())
+		}
+		if !wait.For(t.Context(), holdTick) {
+			t.Fatalf("%q was not logged: %v", text, t.Context().Err())
+		}
+	}
+}
+
+func (in *instance) mustStart(t *testing.T) {
+	t.Helper()
+	if err := in.start(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (in *instance) writeSettings(t *testing.T) {
+	t.Helper()
+	if err := in.write(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// openFIFO opens the settings, a named pipe, once the process has opened them to read.
+func (in *instance) openFIFO(t *testing.T) *os.File {
+	t.Helper()
+	for {
+		f, err := os.OpenFile(in.file, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err == nil {
+			return f
+		}
+		if !wait.For(t.Context(), holdTick) {
+			t.Fatal(err)
+		}
+	}
+}
+
+var rolesOfProcesses = []string{"entry", "store", "control"}
+
+func eachRole(t *testing.T, binary string, f func(t *testing.T, in *instance)) {
+	for _, role := range rolesOfProcesses {
+		t.Run(role, func(t *testing.T) { f(t, solo(t, binary, role)) })
+	}
+}
+
+func TestNoProcessEndsOverItsSurroundings(t *testing.T) {
+	binary, err := build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Run("the reader of its logs goes away", func(t *testing.T) { eachRole(t, binary, readerGoesAway) })
+	t.Run("a hang-up before it has read its settings", func(t *testing.T) { eachRole(t, binary, earlyHangUp) })
+	t.Run("its addresses are held", func(t *testing.T) { eachRole(t, binary, addressesHeld) })
+	t.Run("its settings are being written", func(t *testing.T) { eachRole(t, binary, settingsHalfWritten) })
+	t.Run("foreign names in its data folder", func(t *testing.T) { eachRole(t, binary, foreignNames) })
+}
+
+func readerGoesAway(t *testing.T, in *instance) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	in.output = w
+	in.mustStart(t)
+	w.Close()
+	awaitServed(t, in)
+	r.Close()
+	// Each reading of the settings is logged, and so meets the closed pipe.
+	for range 3 {
+		in.signal(syscall.SIGHUP)
+		wait.For(t.Context(), probe.Timeout/5)
+	}
+	awaitServed(t, in)
+}
+
+func earlyHangUp(t *testing.T, in *instance) {
+	in.writeSettings(t)
+	text, err := os.ReadFile(in.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The process waits in its reading of the settings until this test writes them.
+	if err := os.Remove(in.file); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Mkfifo(in.file, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := in.run(); err != nil {
+		t.Fatal(err)
+	}
+	fifo := in.openFIFO(t)
+	in.signal(syscall.SIGHUP)
+	// The signal is delivered before the process goes on with what it reads.
+	wait.For(t.Context(), probe.Timeout/5)
+	if _, err := fifo.Write(text); err != nil {
+		t.Log(err)
+	}
+	fifo.Close()
+	if err := os.Remove(in.file); err != nil {
+		t.Fatal(err)
+	}
+	in.writeSettings(t)
+	awaitServed(t, in)
+}
+
+func addressesHeld(t *testing.T, in *instance) {
+	var held []net.Listener
+	for _, s := range in.serves() {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, l)
+	}
+	in.mustStart(t)
+	for i, s := range in.serves() {
+		awaitLogged(t, in, `"what":"`+s.name+`"`)
+		held[i].Close()
+	}
+	awaitServed(t, in)
+}
+
+func settingsHalfWritten(t *testing.T, in *instance) {
+	in.writeSettings(t)
+	text, err := os.ReadFile(in.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(in.file, text[:len(text)/2], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := in.run(); err != nil {
+		t.Fatal(err)
+	}
+	awaitLogged(t, in, "the settings can't be read")
+	in.writeSettings(t)
+	awaitServed(t, in)
+}
+
+func foreignNames(t *testing.T, in *instance) {
+	for _, name := range []string{"records-foo", "records-0000000003.bak", "lost+found", "records-18446744073709551616"} {
+		if err := os.MkdirAll(filepath.Join(in.plan.DataDir, name), 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	in.mustStart(t)
+	awaitServed(t, in)
+}
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -306,12 +305,7 @@
 	var out []string
 	for _, in := range f.all() {
 		if in.failed() {
-			b, err := os.ReadFile(in.log.Name())
-			if err != nil {
-				b = []byte(err.Error())
-			}
-			const end = 600
-			out = append(out, in.plan.Instance+" ended by itself: "+string(b[max(0, len(b)-end):]))
+			out = append(out, in.plan.Instance+" ended by itself: "+in.tail())
 		}
 	}
 	return out
--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -23,6 +23,8 @@
 	binary string
 	file   string
 	log    *os.File
+	// output is where the process writes its logs, if that is not log.
+	output *os.File
 	proxy  *proxy
 
 	// claimed is held while a fault has the instance.
@@ -38,15 +40,28 @@
 
 // start writes the settings and runs the process.
 func (in *instance) start() error {
+	if err := in.write(); err != nil {
+		return err
+	}
+	return in.run()
+}
+
+// write writes the settings.
+func (in *instance) write() error {
 	text, err := in.plan.Text()
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(in.file, []byte(text), 0o600); err != nil {
-		return errors.Wrap(err, "soak: settings")
-	}
+	return errors.Wrap(os.WriteFile(in.file, []byte(text), 0o600), "soak: settings")
+}
+
+// run runs the process with the settings as they stand.
+func (in *instance) run() error {
 	cmd := exec.Command(in.binary, in.role, "--settings", in.file, "--peer-listen", in.plan.PeerListen())
 	cmd.Stdout, cmd.Stderr = in.log, in.log
+	if in.output != nil {
+		cmd.Stdout, cmd.Stderr = in.output, in.output
+	}
 	// The process ends with the soak, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -114,6 +129,22 @@
 	}
 }
 
+// logged returns what the process has logged, in all its lives.
+func (in *instance) logged() []byte {
+	b, err := os.ReadFile(in.log.Name())
+	if err != nil {
+		return []byte(err.Error())
+	}
+	return b
+}
+
+// tail returns the last of the logs.
+func (in *instance) tail() string {
+	const most = 600
+	b := in.logged()
+	return string(b[max(0, len(b)-most):])
+}
+
 // wipe empties the data folder of a stopped process.
 func (in *instance) wipe() error {
 	if err := os.RemoveAll(in.plan.DataDir); err != nil {
