listen, node, durable, asynclog: processes wait for what is around them

Cause: each return of an error between start and service, and each signal that nobody asked for, ended a process, although what it ended over was shared and would pass: the reader of logs (SIGPIPE), a hang-up before the settings were read, an address that the process before held, settings that were being written, foreign names in the data folder, a disk that comes late. Listeners that failed later left a process that serves nothing. Change: signals are taken before anything else; addresses, disks and settings are waited for (settings for 2 s, the others as long as the process is meant to run), each with a line in the logs; a listener that fails is made again. Lines that can't be written are counted and told once the reader is back. What stays an exit: settings that are wrong for 2 s, an identity that is damaged or missing beside votes or records, votes of which neither file is whole (they were taken for none, so that promises were forgotten), records that can't be read. A hang-up in the first milliseconds of a process, before Go's runtime takes signals, still ends it.

--- a/rockbarrow/asynclog/asynclog.go
+++ b/rockbarrow/asynclog/asynclog.go
@@ -3,15 +3,14 @@
 // Package asynclog writes log lines without ever holding up who logs.
 //
 // A [Writer] keeps a bounded number of lines until its own goroutine has written
-// them. While the output stands still, further lines are dropped and counted,
-// and the count is written as a line of its own.
+// them. While the output stands still, further lines are dropped and counted, as are
+// those that can't be written, and the count is written as a line of its own.
 package asynclog
 
 import (
 	"bytes"
 	"fmt"
 	"io"
-	"os"
 	"sync/atomic"
 	"time"
 )
@@ -58,20 +57,28 @@
 		if line == nil {
 			return
 		}
-		w.write(line)
-		if n := w.dropped.Swap(0); n > 0 {
-			w.write(fmt.Appendf(nil, "{\"level\":\"warning\",\"msg\":\"log lines were dropped\",\"lines\":%d}\n", n))
+		if !w.write(line) {
+			w.dropped.Add(1)
 		}
+		w.tell()
 	}
 }
 
-// write has nowhere to report a failure but the standard error.
-func (w *Writer) write(b []byte) {
-	if _, err := w.out.Write(b); err != nil {
-		fmt.Fprintln(os.Stderr, "asynclog:", err)
+// tell writes how many lines were dropped. While that can't be written they stay counted: whoever reads
+// the output may come back.
+func (w *Writer) tell() {
+	n := w.dropped.Load()
+	if n > 0 && w.write(fmt.Appendf(nil, "{\"level\":\"warning\",\"msg\":\"log lines were dropped\",\"lines\":%d}\n", n)) {
+		w.dropped.Add(-n)
 	}
 }
 
+// write reports whether a line was written. There is nowhere to report why not.
+func (w *Writer) write(b []byte) bool {
+	_, err := w.out.Write(b)
+	return err == nil
+}
+
 func (w *Writer) close() {
 	t := time.NewTimer(flushWithin)
 	defer t.Stop()
--- a/rockbarrow/asynclog/asynclog_test.go
+++ b/rockbarrow/asynclog/asynclog_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -46,3 +47,33 @@
 		t.Errorf("%d lines were written and %d dropped of %d", n, dropped, maxLines+100)
 	}
 }
+
+// absent is an output whose reader is away at first.
+type absent struct {
+	failures int
+	text     bytes.Buffer
+}
+
+func (a *absent) Write(b []byte) (int, error) {
+	if a.failures > 0 {
+		a.failures--
+		return 0, errors.New("broken pipe")
+	}
+	return a.text.Write(b)
+}
+
+// TestLinesAreCountedWhileTheReaderIsAway: the first line can't be written, nor can its count.
+func TestLinesAreCountedWhileTheReaderIsAway(t *testing.T) {
+	a := &absent{failures: 2}
+	w, stop := New(a)
+	for _, line := range []string{"lost\n", "second\n", "third\n"} {
+		if _, err := w.Write([]byte(line)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop()
+	const want = "second\n{\"level\":\"warning\",\"msg\":\"log lines were dropped\",\"lines\":1}\nthird\n"
+	if got := a.text.String(); got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+}
--- a/rockbarrow/controller/votes.go
+++ b/rockbarrow/controller/votes.go
@@ -21,19 +21,37 @@
 	value, promise *durable.Cell
 }
 
+// The names of the cells.
+const (
+	valueCell   = "register"
+	promiseCell = "promise"
+)
+
+// Used reports whether a data folder holds votes.
+func Used(dir string) (bool, error) {
+	used, err := durable.HasCell(dir, valueCell)
+	if used || err != nil {
+		return used, err
+	}
+	return durable.HasCell(dir, promiseCell)
+}
+
 // openVotes reads the votes of a data folder. The record is nil on a new disk.
 func openVotes(dir string) (*votes, *fleetpb.AcceptorRecord, error) {
-	value, err := durable.OpenCell(dir, "register")
+	value, err := durable.OpenCell(dir, valueCell)
 	if err != nil {
 		return nil, nil, err
 	}
-	promise, err := durable.OpenCell(dir, "promise")
+	promise, err := durable.OpenCell(dir, promiseCell)
 	if err != nil {
 		return nil, nil, err
 	}
 	v := &votes{value: value, promise: promise}
 	record, err := v.record()
-	return v, record, errors.Wrap(err, "controller: the votes on the disk")
+	if err != nil {
+		return nil, nil, errors.Wrap(&durable.DamagedError{Dir: dir, What: "a vote"}, err.Error())
+	}
+	return v, record, nil
 }
 
 func (v *votes) record() (*fleetpb.AcceptorRecord, error) {
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
@@ -24,6 +23,7 @@
 	"rockbarrow.dev/rockbarrow/engine"
 	"rockbarrow.dev/rockbarrow/gossip"
 	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/listen"
 	"rockbarrow.dev/rockbarrow/operator"
 	"rockbarrow.dev/rockbarrow/peer"
 	"rockbarrow.dev/rockbarrow/roster"
@@ -98,7 +98,7 @@
 
 func (d *Daemon) serve(ctx context.Context) error {
 	s := &servers{daemon: d}
-	if err := s.listen(); err != nil {
+	if err := s.listen(ctx); err != nil {
 		return err
 	}
 	loops, stopLoops := context.WithCancel(context.Background())
@@ -174,7 +174,7 @@
 	return false
 }
 
-func (s *servers) listen() error {
+func (s *servers) listen(ctx context.Context) error {
 	d := s.daemon
 	secure := d.creds.secure
 	s.callers = &http.Server{Handler: d.callerServer().Handler(), MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second}
@@ -183,14 +183,14 @@
 		Instance: d.Settings.Instance, Config: d.source, Host: d.host, View: d.node.View, Peers: d.client, Secure: secure,
 	}, d.creds.server)
 	for _, l := range []struct {
-		address string
-		serve   func(net.Listener) error
+		name, address string
+		serve         func(net.Listener) error
 	}{
-		{d.Settings.Listen.Callers, s.callers.Serve},
-		{d.Settings.Listen.Peers, s.peers.Serve},
-		{d.Settings.Listen.Operators, s.operators.Serve},
+		{"callers", d.Settings.Listen.Callers, s.callers.Serve},
+		{"peers", d.Settings.Listen.Peers, s.peers.Serve},
+		{"operators", d.Settings.Listen.Operators, s.operators.Serve},
 	} {
-		if err := s.start(l.address, l.serve); err != nil {
+		if err := s.start(ctx, l.name, l.address, l.serve); err != nil {
 			return err
 		}
 	}
@@ -198,32 +198,32 @@
 		return nil
 	}
 	s.test = &http.Server{Handler: testPort(d.cut), ReadHeaderTimeout: time.Second}
-	return s.start(d.Settings.TestPort, s.test.Serve)
+	return s.start(ctx, "test port", d.Settings.TestPort, s.test.Serve)
 }
 
-func (s *servers) start(address string, serve func(net.Listener) error) error {
-	l, err := net.Listen("tcp", address)
+// start serves an address once it can be had. Its error is that of ctx.
+func (s *servers) start(ctx context.Context, name, address string, serve func(net.Listener) error) error {
+	a := &listen.Address{Name: name, Address: address, Log: s.daemon.Log}
+	l, err := a.Listen(ctx)
 	if err != nil {
-		return errors.Wrap(err, "daemon: listen")
+		return err
 	}
 	s.wait.Add(1)
-	go (&listening{servers: s, serve: serve, listener: l}).loop()
+	go (&serving{servers: s, address: a, serve: serve, listener: l}).run(ctx)
 	return nil
 }
 
-// listening serves one listener.
-type listening struct {
+// serving serves one address.
+type serving struct {
 	servers  *servers
+	address  *listen.Address
 	serve    func(net.Listener) error
 	listener net.Listener
 }
 
-func (l *listening) loop() {
+func (l *serving) run(ctx context.Context) {
 	defer l.servers.wait.Done()
-	err := l.serve(l.listener)
-	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, grpc.ErrServerStopped) {
-		l.servers.daemon.failed <- errors.Wrap(err, "daemon: serve")
-	}
+	l.address.Serve(ctx, l.listener, l.serve)
 }
 
 // close ends the listeners; callers' answers still being written go out.
--- a/rockbarrow/durable/cell.go
+++ b/rockbarrow/durable/cell.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"os"
 	"path/filepath"
 	"sync"
@@ -23,6 +24,18 @@
 	value []byte
 }
 
+// DamagedError says that something on a disk is not what was synced there. Whoever reads it must not go on
+// as if it had never been written.
+type DamagedError struct {
+	// Dir is the folder, What the name of what is damaged in it.
+	Dir, What string
+}
+
+// Error names the folder and what is damaged.
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("durable: %s in %s is damaged", e.What, e.Dir)
+}
+
 // OpenCell reads the value that a folder holds under a name. The value of a new
 // cell is nil.
 func OpenCell(dir, name string) (*Cell, error) {
@@ -30,6 +43,7 @@
 		return nil, errors.Wrap(err, "durable: make the data folder")
 	}
 	c := &Cell{dir: dir, name: name}
+	found := 0
 	for i := range uint64(2) {
 		b, err := os.ReadFile(c.path(i))
 		if errors.Is(err, os.ErrNotExist) {
@@ -38,11 +52,30 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "durable: read a cell")
 		}
+		found++
 		c.adopt(b)
 	}
+	// Only one file is ever being written, and the second one only once the first is whole.
+	if found == 2 && c.seq == 0 {
+		return nil, &DamagedError{Dir: dir, What: name}
+	}
 	return c, nil
 }
 
+// HasCell reports whether a folder holds a cell of a name.
+func HasCell(dir, name string) (bool, error) {
+	for i := range uint64(2) {
+		_, err := os.Stat((&Cell{dir: dir, name: name}).path(i))
+		if err == nil {
+			return true, nil
+		}
+		if !errors.Is(err, os.ErrNotExist) {
+			return false, errors.Wrap(err, "durable: look for a cell")
+		}
+	}
+	return false, nil
+}
+
 // adopt takes the value of a file if it is whole and newer.
 func (c *Cell) adopt(b []byte) {
 	payload, _, ok := nextFrame(b)
--- a/rockbarrow/durable/durable_test.go
+++ b/rockbarrow/durable/durable_test.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -106,3 +107,26 @@
 		t.Errorf("value %q, %v, want two", c.Value(), err)
 	}
 }
+
+// TestADamagedCellIsNoNewOne: an acceptor that took its lost promises for none would give others.
+func TestADamagedCellIsNoNewOne(t *testing.T) {
+	dir := t.TempDir()
+	c, err := OpenCell(dir, "cell")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range []string{"one", "two"} {
+		if err := c.Save([]byte(v)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range uint64(2) {
+		if err := os.Truncate(c.path(i), 5); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var damaged *DamagedError
+	if _, err := OpenCell(dir, "cell"); !errors.As(err, &damaged) {
+		t.Errorf("%v, want that the cell is damaged", err)
+	}
+}
--- a/rockbarrow/durable/log.go
+++ b/rockbarrow/durable/log.go
@@ -3,11 +3,13 @@
 package durable
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"path/filepath"
-	"sort"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +27,8 @@
 	// liveChunk is how many bytes of live records are framed at once in memory.
 	liveChunk = 1 << 20
 	segmentID = "records-"
+	// segmentDigits is how many digits follow.
+	segmentDigits = 10
 )
 
 // BusyError says that the disk takes no more records now.
@@ -94,12 +98,12 @@
 		return nil, nil, errors.Wrap(err, "durable: make the data folder")
 	}
 	l := &Log{dir: dir, queue: make(chan *pending, maxWaiting), closing: make(chan struct{}), closed: make(chan struct{})}
-	names, err := segments(dir)
+	kept, err := segments(dir)
 	if err != nil {
 		return nil, nil, err
 	}
-	for _, name := range names {
-		if err := l.replay(name, replay); err != nil {
+	for _, s := range kept {
+		if err := l.replay(s, replay); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -107,31 +111,49 @@
 	return l, l.close, nil
 }
 
-// segments returns the names of the segments, oldest first.
-func segments(dir string) ([]string, error) {
+// HasLog reports whether a folder holds a log.
+func HasLog(dir string) (bool, error) {
+	list, err := segments(dir)
+	return len(list) > 0, err
+}
+
+// segment is one file of a log.
+type segment struct {
+	name   string
+	number uint64
+}
+
+// segments returns those of a folder, oldest first. What else is there has another owner and is left alone.
+func segments(dir string) ([]segment, error) {
 	list, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "durable: list the data folder")
 	}
-	var out []string
+	var out []segment
 	for _, e := range list {
-		if strings.HasPrefix(e.Name(), segmentID) {
-			out = append(out, e.Name())
+		if number, ok := segmentNumber(e); ok {
+			out = append(out, segment{name: e.Name(), number: number})
 		}
 	}
-	sort.Strings(out)
+	slices.SortFunc(out, func(a, b segment) int { return cmp.Compare(a.number, b.number) })
 	return out, nil
 }
 
+// segmentNumber returns a segment's number, if the entry of a folder is one.
+func segmentNumber(e os.DirEntry) (uint64, bool) {
+	digits, ok := strings.CutPrefix(e.Name(), segmentID)
+	if !ok || len(digits) != segmentDigits || !e.Type().IsRegular() {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(digits, 10, 64)
+	return number, err == nil
+}
+
 // replay hands over a segment's records up to the first broken one. The rest of
 // the segment was never synced; a later segment starts anew.
-func (l *Log) replay(name string, replay func([]byte) error) error {
-	var number uint64
-	if _, err := fmt.Sscanf(name, segmentID+"%d", &number); err != nil {
-		return errors.Wrapf(err, "durable: segment %s", name)
-	}
-	l.number = max(l.number, number)
-	b, err := os.ReadFile(filepath.Join(l.dir, name))
+func (l *Log) replay(s segment, replay func([]byte) error) error {
+	l.number = max(l.number, s.number)
+	b, err := os.ReadFile(filepath.Join(l.dir, s.name))
 	if err != nil {
 		return errors.Wrap(err, "durable: read a segment")
 	}
@@ -271,7 +293,7 @@
 // open starts the next segment. Its name lasts with its first sync.
 func (l *Log) open() error {
 	l.number++
-	path := filepath.Join(l.dir, fmt.Sprintf("%s%010d", segmentID, l.number))
+	path := filepath.Join(l.dir, fmt.Sprintf("%s%0*d", segmentID, segmentDigits, l.number))
 	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "durable: open a segment")
@@ -317,8 +339,8 @@
 		l.failed(nil, err)
 		return
 	}
-	for _, name := range old {
-		if err := os.Remove(filepath.Join(l.dir, name)); err != nil {
+	for _, s := range old {
+		if err := os.Remove(filepath.Join(l.dir, s.name)); err != nil {
 			l.Failed(errors.Wrap(err, "durable: remove a segment"))
 			return
 		}
--- a/rockbarrow/main.go
+++ b/rockbarrow/main.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/asynclog"
 	"rockbarrow.dev/rockbarrow/daemon"
 	"rockbarrow.dev/rockbarrow/settings"
 )
@@ -28,6 +29,8 @@
 )
 
 func main() {
+	// The reader of its logs may go away and come back; that must not end an instance.
+	signal.Ignore(syscall.SIGPIPE)
 	var file string
 	flaggy.SetName("rockbarrow")
 	flaggy.SetDescription("schedules agent programs where their data may be processed")
@@ -75,6 +78,9 @@
 	}
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
+	out, flush := asynclog.New(os.Stderr)
+	defer flush()
+	log.SetOutput(out)
 	if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
 		log.SetLevel(level)
 	}
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
@@ -49,6 +48,9 @@
 	changed chan struct{}
 }
 
+// Used reports whether a data folder holds records.
+func Used(dir string) (bool, error) { return durable.HasLog(dir) }
+
 // Open replays the disk. The returned function closes it.
 func (s *Store) Open() (func(), error) {
 	s.changed = make(chan struct{}, 1)
@@ -74,7 +76,8 @@
 func (s *Store) replay(now time.Time, b []byte) error {
 	r := &fleetpb.Record{}
 	if err := proto.Unmarshal(b, r); err != nil {
-		return errors.Wrap(err, "store: a record on the disk")
+		s.Log.WithError(err).Error("a record on the disk can't be read")
+		return &durable.DamagedError{Dir: s.DataDir, What: "a record"}
 	}
 	switch k := r.GetKind().(type) {
 	case *fleetpb.Record_Epoch:
