register, controller: a deployment begins with a loss, and moves build on what is chosen

Cause, founding: every seed had to be heard and to be a founder, one set of them was agreed to for life, and only the instance whose name comes first began. One seed away, or killed before its identity was on the disk, and nothing ever formed. Cause, moves: a round applied a change of voters to a value that one acceptor held and nobody had chosen; held by the new voter alone, the result chose without the old voters, and a configuration that was acknowledged came back older. It takes three lost rounds during one move. Change: the first value is voted on by ballots at the seeds' addresses: a majority of founders, or someone at every address where the tolerated losses are fewer than a majority. Instances remember that there is a deployment. The first value holds the seeds as prior voters, and a value that is not known to be chosen is brought to its end before its voters change. Others than the first in rank begin after 6 s. Left: two seeds of three without an identity, where two losses are tolerated, still wait for an operator.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 
@@ -50,7 +51,9 @@
 	// Seeds are the addresses of the first control instances, this one perhaps
 	// included.
 	Seeds []string
-	// Founder is true on the very first start, on an empty disk.
+	// FirstSeeds are the Seeds of the disk's first start, where the first value is voted on.
+	FirstSeeds []string
+	// Founder is true if the disk's first start was the very first one of the deployment.
 	Founder bool
 	// Losses is how many instances with disks may be lost at once.
 	Losses int
@@ -113,7 +116,10 @@
 		Documents: document.Cache{Keep: keptDocuments, Log: c.Log},
 		Lists:     document.Cache{Keep: keptDocuments, Log: c.Log},
 	}
-	c.acceptor = register.Acceptor{Storage: c.Self.GetStorage(), Founder: c.Founder}
+	c.FirstSeeds = slices.Sorted(slices.Values(c.FirstSeeds))
+	c.acceptor = register.Acceptor{
+		Storage: c.Self.GetStorage(), Founder: c.Founder, Seeds: c.FirstSeeds, Losses: c.Losses,
+	}
 	if record != nil {
 		c.watch.Documents.Add(record.GetState())
 		c.acceptor.Restore(record)
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -62,7 +62,7 @@
 	log.SetOutput(io.Discard)
 	pool := &dial.Pool{}
 	c := &Controller{
-		Self: p.member, Seeds: p.seeds, Founder: p.founder, Losses: 1, DataDir: p.dir, Pool: pool, List: p.list,
+		Self: p.member, Seeds: p.seeds, FirstSeeds: p.seeds, Founder: p.founder, Losses: 1, DataDir: p.dir, Pool: pool, List: p.list,
 		Decode: decode, Log: logrus.NewEntry(log),
 	}
 	if err := c.Open(); err != nil {
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/membership"
+	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -32,6 +33,13 @@
 	learnAfter = 250 * time.Millisecond
 	// dutyWithin bounds a change that a duty makes.
 	dutyWithin = 1500 * time.Millisecond
+	// seedsWithin is how long all seeds are waited for after a start. Instances start within 0.3 s of
+	// each other.
+	seedsWithin = 2 * time.Second
+	// anyoneAfter is when others than the first in rank try to form a deployment, in one of rarely ticks
+	// each, so that they seldom meet.
+	anyoneAfter = 6 * time.Second
+	rarely      = 8
 	// unformedEvery is how often an instance says that it knows of no deployment. A first
 	// start takes half a second.
 	unformedEvery = 2 * time.Second
@@ -71,16 +79,21 @@
 
 func (d *duties) tick(ctx context.Context, now time.Time) {
 	d.learn(ctx, now)
+	d.markFormed()
 	d.tellUnformed(now)
 	c := d.controller
-	if c.rank(now) != 0 {
+	// Whoever comes first may not have heard what others have, so they try after a while.
+	first := c.rank(now) == 0
+	if c.State() != nil {
+		if first {
+			d.reconcile(ctx, now)
+		}
 		return
 	}
-	if c.State() == nil {
-		d.found(ctx)
-		return
+	seed := slices.Contains(c.FirstSeeds, c.Self.GetAddress())
+	if first && seed || now.Sub(d.started) > anyoneAfter && rand.N(rarely) == 0 {
+		d.found(ctx, now)
 	}
-	d.reconcile(ctx, now)
 }
 
 // learn runs a round when the own vote holds a newer value than the one known
@@ -119,20 +132,44 @@
 	}).Warn("no deployment is known yet")
 }
 
-// found forms the first set of voters.
-func (d *duties) found(ctx context.Context) {
+// found forms the first value once most of the seeds answer. All of them are waited for a little, since
+// a deployment that begins with few voters bears no loss of a disk until the others have come.
+func (d *duties) found(ctx context.Context, now time.Time) {
 	c := d.controller
-	_, initial := c.electorate()
-	if initial == nil {
+	known, seeds := c.electorate()
+	if known != nil {
 		return
 	}
-	d.change(ctx, "first voters", func(s *fleetpb.State) *fleetpb.State {
-		if s.GetNumber() > 0 {
-			return nil
+	heard := heardOf(seeds)
+	if 2*len(heard) <= len(seeds) || len(heard) < len(seeds) && now.Sub(d.started) < seedsWithin {
+		return
+	}
+	voters := firstVoters(heard, c.control(now, leaderWithin), 2*c.Losses+1)
+	d.change(ctx, "first voters", register.First(voters, seeds))
+}
+
+// firstVoters are the seeds that were heard and, while these are fewer than wanted, others: what a majority
+// of them keeps outlasts the tolerated losses.
+func firstVoters(seeds, control []*fleetpb.Member, wanted int) []*fleetpb.Member {
+	out := slices.Clone(seeds)
+	for _, m := range control {
+		if len(out) < wanted && !register.Has(out, m.GetStorage()) {
+			out = append(out, m)
 		}
-		s.Voters = initial
-		return s
-	})
+	}
+	return out
+}
+
+// markFormed remembers on the disk that there is a deployment, on an instance that has no vote in it. It
+// will never help to form another.
+func (d *duties) markFormed() {
+	c := d.controller
+	if c.State() == nil || c.saved.Load().GetFormed() || c.saved.Load().GetState() != nil {
+		return
+	}
+	if err := c.form(); err != nil {
+		c.Log.WithError(err).Warn("that there is a deployment was not saved")
+	}
 }
 
 // reconcile makes one step towards the view and the voters that should be.
--- a/rockbarrow/controller/founding_test.go
+++ b/rockbarrow/controller/founding_test.go
@@ -69,6 +69,7 @@
 	for away := range 3 {
 		for _, founder := range []bool{true, false} {
 			t.Run(fmt.Sprintf("seed %d is away, later founder %v", away, founder), func(t *testing.T) {
+				t.Parallel()
 				places, listeners := cluster(t, 4)
 				var up []*place
 				for i, p := range places {
@@ -88,6 +89,7 @@
 	}
 	for _, without := range [][]int{{0}, {1}, {0, 1}, {0, 1, 2}, {0, 1, 2, 3}} {
 		t.Run(fmt.Sprintf("%v lost their identities", without), func(t *testing.T) {
+			t.Parallel()
 			places, listeners := cluster(t, 4)
 			for _, i := range without {
 				places[i].founder = false
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,13 +47,13 @@
 // runRound carries the messages of one round. It ends once the round has, or no answer is
 // outstanding any more.
 func (c *Controller) runRound(ctx context.Context, change register.Change) (*fleetpb.State, error) {
-	known, initial := c.electorate()
-	if known == nil && initial == nil {
-		return nil, errors.New("the voters are not known yet")
+	known, seeds := c.electorate()
+	if known == nil && 2*len(heardOf(seeds)) <= len(seeds) {
+		return nil, errors.New("most seeds were not heard yet")
 	}
 	ctx, cancel := context.WithTimeout(ctx, roundWithin)
 	defer cancel()
-	r := &register.Round{Ballot: c.nextBallot(), Known: known, Initial: initial, Change: change}
+	r := &register.Round{Ballot: c.nextBallot(), Known: known, Seeds: seeds, Change: change}
 	events := make(chan register.Event, mostAnswers)
 	held := map[uint64]*fleetpb.Held{}
 	outstanding := 0
@@ -94,46 +95,39 @@
 	}
 }
 
-// electorate returns a value whose voters to ask, or the first set of voters.
-func (c *Controller) electorate() (known *fleetpb.State, initial []*fleetpb.Member) {
+// electorate returns a value whose voters to ask, or who answers at the seeds' addresses.
+func (c *Controller) electorate() (known *fleetpb.State, seeds []*fleetpb.Member) {
 	if s := c.State(); s != nil {
 		return s, nil
 	}
-	record := c.saved.Load()
-	if record.GetState() != nil {
-		return record.GetState(), nil
-	}
-	if len(record.GetInitial()) > 0 {
-		return nil, record.GetInitial()
-	}
-	if !c.Founder {
-		return nil, nil
+	if s := c.saved.Load().GetState(); s != nil {
+		return s, nil
 	}
-	return nil, c.founders()
+	return nil, c.seedMembers()
 }
 
-// founders returns the seeds once all of them were heard, this instance among
-// them.
-func (c *Controller) founders() []*fleetpb.Member {
+// seedMembers returns who answers at the address of each seed. One whom nobody has heard lately has
+// no storage.
+func (c *Controller) seedMembers() []*fleetpb.Member {
+	heard := append(c.watch.Control(foundersWithin), c.Self)
 	var out []*fleetpb.Member
-	heard := c.watch.Control(foundersWithin)
-	for _, address := range c.Seeds {
-		if address == c.Self.GetAddress() {
-			out = append(out, c.Self)
-			continue
-		}
+	for _, address := range c.FirstSeeds {
+		seed := &fleetpb.Member{Address: address}
 		for _, m := range heard {
 			if m.GetAddress() == address {
-				out = append(out, m)
+				seed = m
 			}
 		}
-	}
-	if len(out) < len(c.Seeds) || !register.Has(out, c.Self.GetStorage()) {
-		return nil
+		out = append(out, seed)
 	}
 	return out
 }
 
+// heardOf returns those of the seeds that were heard.
+func heardOf(seeds []*fleetpb.Member) []*fleetpb.Member {
+	return slices.DeleteFunc(slices.Clone(seeds), func(m *fleetpb.Member) bool { return m.GetStorage() == 0 })
+}
+
 // vote carries one acceptor's part of a round.
 type vote struct {
 	controller *Controller
@@ -250,6 +244,17 @@
 	return reply, nil
 }
 
+// form saves that there is a deployment.
+func (c *Controller) form() error {
+	c.voting.Lock()
+	defer c.voting.Unlock()
+	before := c.acceptor.Record()
+	if !c.acceptor.Form() {
+		return nil
+	}
+	return c.save(before, c.disk.savePromise)
+}
+
 // save writes what has changed of the record. A record that could not be written is taken
 // back: no reply tells of it, and what was written before it is whole.
 func (c *Controller) save(before *fleetpb.AcceptorRecord, write func(*fleetpb.AcceptorRecord) error) error {
--- a/rockbarrow/controller/votes.go
+++ b/rockbarrow/controller/votes.go
@@ -16,8 +16,7 @@
 // by itself, in some hundred bytes. Only an accepted value is written whole.
 type votes struct {
 	// value holds a whole record, promise one without accepted ballot and state. The
-	// promise in force is the newer of the two, and so is the first set of voters, which
-	// never changes once there is one.
+	// promise in force is the newer of the two; that there is a deployment holds if either says so.
 	value, promise *durable.Cell
 }
 
@@ -68,15 +67,13 @@
 	if register.Compare(promise.GetPromised(), record.GetPromised()) > 0 {
 		record.Promised = promise.GetPromised()
 	}
-	if len(record.GetInitial()) == 0 {
-		record.Initial = promise.GetInitial()
-	}
+	record.Formed = record.GetFormed() || promise.GetFormed()
 	return record, nil
 }
 
 // savePromise writes what a promise changes of a record.
 func (v *votes) savePromise(r *fleetpb.AcceptorRecord) error {
-	return save(v.promise, &fleetpb.AcceptorRecord{Promised: r.GetPromised(), Initial: r.GetInitial()})
+	return save(v.promise, &fleetpb.AcceptorRecord{Promised: r.GetPromised(), Formed: r.GetFormed()})
 }
 
 // saveValue writes a whole record.
--- a/rockbarrow/controller/votes_test.go
+++ b/rockbarrow/controller/votes_test.go
@@ -55,7 +55,6 @@
 // TestAPromiseSurvivesARestart: alone, after a value, and before another one.
 func TestAPromiseSurvivesARestart(t *testing.T) {
 	ballot := func(round uint64) *fleetpb.Ballot { return &fleetpb.Ballot{Round: round, Proposer: 1} }
-	members := []*fleetpb.Member{{Instance: "a", Storage: 1}}
 	dir := t.TempDir()
 	v, record, err := openVotes(dir)
 	if err != nil || record != nil {
@@ -67,12 +66,12 @@
 			t.Fatalf("%v, %v, want %v", record, err, want)
 		}
 	}
-	want := &fleetpb.AcceptorRecord{Promised: ballot(3), Initial: members}
+	want := &fleetpb.AcceptorRecord{Promised: ballot(3), Formed: true}
 	if err := v.savePromise(want); err != nil {
 		t.Fatal(err)
 	}
 	reopened(want)
-	want = &fleetpb.AcceptorRecord{Promised: ballot(4), Accepted: ballot(4), State: &fleetpb.State{Number: 1}, Initial: members}
+	want = &fleetpb.AcceptorRecord{Promised: ballot(4), Accepted: ballot(4), State: &fleetpb.State{Number: 1}, Formed: true}
 	if err := v.saveValue(want); err != nil {
 		t.Fatal(err)
 	}
@@ -82,7 +81,7 @@
 		t.Fatal(err)
 	}
 	reopened(want)
-	want = &fleetpb.AcceptorRecord{Promised: ballot(10), Accepted: ballot(10), State: &fleetpb.State{Number: 2}, Initial: members}
+	want = &fleetpb.AcceptorRecord{Promised: ballot(10), Accepted: ballot(10), State: &fleetpb.State{Number: 2}, Formed: true}
 	if err := v.saveValue(want); err != nil {
 		t.Fatal(err)
 	}
--- a/rockbarrow/register/acceptor.go
+++ b/rockbarrow/register/acceptor.go
@@ -3,6 +3,8 @@
 package register
 
 import (
+	"slices"
+
 	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/schema/fleetpb"
@@ -13,8 +15,13 @@
 type Acceptor struct {
 	// Storage names the life of the storage that the votes are kept on.
 	Storage uint64
-	// Founder is true on an instance that may agree to a first set of voters.
+	// Founder is true if the storage is that of the very first start: no life of it has voted before.
 	Founder bool
+	// Seeds are the addresses where the first value is voted on, as they were told at the first
+	// start of this storage. They never change.
+	Seeds []string
+	// Losses is how many storages may be lost at once.
+	Losses int
 
 	// record never goes back to an older ballot.
 	record *fleetpb.AcceptorRecord
@@ -28,7 +35,7 @@
 
 // Prepare answers a proposer that wants older ballots refused.
 func (a *Acceptor) Prepare(req *fleetpb.PrepareRequest) (reply *fleetpb.PrepareReply, changed bool) {
-	if req.GetAcceptor() != a.Storage || !a.mayFound(req.GetInitial()) {
+	if req.GetAcceptor() != a.Storage || !a.mayFound(req.GetSeeds()) {
 		return &fleetpb.PrepareReply{Silent: true}, false
 	}
 	promised := a.record.GetPromised()
@@ -37,26 +44,35 @@
 	}
 	next := a.next()
 	next.Promised = req.GetBallot()
-	if len(req.GetInitial()) > 0 && next.GetState() == nil {
-		next.Initial = req.GetInitial()
-	}
 	a.record = next
 	return &fleetpb.PrepareReply{
-		Promised: next.GetPromised(), Granted: true,
+		Promised: next.GetPromised(), Granted: true, Founder: a.Founder,
 		Accepted: next.GetAccepted(), State: next.GetState(),
 	}, true
 }
 
-// mayFound reports whether a first set of voters may be formed with this vote:
-// each founder agrees to one set in its life, so that two never form.
-func (a *Acceptor) mayFound(initial []*fleetpb.Member) bool {
-	if len(initial) == 0 || a.record.GetState() != nil {
+// mayFound reports whether this storage may vote, if the request is about the first value. All such votes are
+// about one list of addresses. A storage that knows of a deployment forms no other, and one that is not of
+// the first start helps only where no losses can have undone what a majority of founders chose.
+func (a *Acceptor) mayFound(seeds []string) bool {
+	switch {
+	case len(seeds) == 0 || a.record.GetState() != nil:
 		return true
+	case a.record.GetFormed() || !slices.Equal(seeds, a.Seeds):
+		return false
 	}
-	if agreed := a.record.GetInitial(); len(agreed) > 0 {
-		return Same(agreed, initial)
+	return a.Founder || a.Losses <= len(a.Seeds)/2
+}
+
+// Form remembers that there is a deployment. It reports whether that is new; the caller saves it.
+func (a *Acceptor) Form() (changed bool) {
+	if a.record.GetFormed() || a.record.GetState() != nil {
+		return false
 	}
-	return a.Founder && Has(initial, a.Storage)
+	next := a.next()
+	next.Formed = true
+	a.record = next
+	return true
 }
 
 // Accept answers a proposer that wants a value stored.
@@ -79,7 +95,7 @@
 func (a *Acceptor) next() *fleetpb.AcceptorRecord {
 	return &fleetpb.AcceptorRecord{
 		Promised: a.record.GetPromised(), Accepted: a.record.GetAccepted(),
-		State: a.record.GetState(), Initial: a.record.GetInitial(),
+		State: a.record.GetState(), Formed: a.record.GetFormed(),
 	}
 }
 
--- a/rockbarrow/register/ballot.go
+++ b/rockbarrow/register/ballot.go
@@ -21,6 +21,15 @@
 	return len(a) == len(b) && containsAll(a, b) && containsAll(b, a)
 }
 
+// Addresses returns those of a list, in its order.
+func Addresses(list []*fleetpb.Member) []string {
+	out := make([]string, 0, len(list))
+	for _, m := range list {
+		out = append(out, m.GetAddress())
+	}
+	return out
+}
+
 // Has reports whether a list names a life of a storage.
 func Has(list []*fleetpb.Member, storage uint64) bool {
 	for _, m := range list {
--- a/rockbarrow/register/doc.go
+++ b/rockbarrow/register/doc.go
@@ -16,6 +16,22 @@
 // an instance that lost its disk is another voter and never votes on what it
 // forgot.
 //
+// The first value is voted on at the seeds' addresses, which every instance is told alike at the very first
+// start. Two groups of instances that can't hear each other must never both choose one, also when one of
+// them has lost its disk. What holds:
+//
+//   - A founder is a storage whose first start was that very first one: it remembers all votes that were
+//     ever given at its address. A majority of the seeds, all of them founders, is enough, as any two such
+//     majorities share a founder.
+//   - A storage that came later, as its disk was lost or its process ended before it had an identity, can't
+//     know what was voted before it. It counts only where someone votes at every address, and only if the
+//     tolerated losses are fewer than a majority of the seeds: then a founder that had voted for a first value
+//     is among them and shows it.
+//   - A storage that has heard of a deployment never votes for a first value again, also after a restart.
+//     So a loss counts against the tolerated ones until the instance has heard of the deployment.
+//   - The first value holds the seeds as its prior voters, so that a majority of them counts with its voters
+//     until it is chosen; and a move of voters is only ever made from a value that was chosen.
+//
 // Nothing here does I/O, reads a clock or starts a goroutine:
 //
 //	r := register.Round{Ballot: b, Known: state, Change: change}
--- a/rockbarrow/register/model_test.go
+++ b/rockbarrow/register/model_test.go
@@ -24,29 +24,34 @@
 	chosen map[uint64]string
 	known  map[uint64]*fleetpb.State
 	rounds uint64
-	// initial are the first voters.
+	// initial are the first voters, at the seeds' addresses.
 	initial []*fleetpb.Member
 }
 
 func member(storage uint64) *fleetpb.Member {
-	return &fleetpb.Member{Instance: fmt.Sprint("control-", storage), Storage: storage}
+	return &fleetpb.Member{Instance: fmt.Sprint("control-", storage), Storage: storage, Address: fmt.Sprint("address-", storage)}
 }
 
 func newModel(t testing.TB, seed uint64, n int) *model {
 	m := &model{t: t, r: rand.New(rand.NewPCG(seed, 1)), acceptors: map[uint64]*Acceptor{}, chosen: map[uint64]string{}, known: map[uint64]*fleetpb.State{}}
 	for i := range uint64(n) {
-		m.acceptors[i+1] = &Acceptor{Storage: i + 1, Founder: i < 3}
+		m.acceptors[i+1] = &Acceptor{Storage: i + 1, Founder: true, Losses: 1}
 		if i < 3 {
 			m.initial = append(m.initial, member(i+1))
 		}
 	}
+	for _, a := range m.acceptors {
+		a.Seeds = Addresses(m.initial)
+	}
 	return m
 }
 
 // propose starts a round whose messages go over the wire.
-func (m *model) propose(by uint64, change Change) {
+func (m *model) propose(by uint64, change Change) { m.proposeFrom(by, m.known[by], m.initial, change) }
+
+func (m *model) proposeFrom(by uint64, known *fleetpb.State, seeds []*fleetpb.Member, change Change) {
 	m.rounds++
-	r := &Round{Ballot: &fleetpb.Ballot{Round: m.rounds, Proposer: by}, Known: m.known[by], Initial: m.initial, Change: change}
+	r := &Round{Ballot: &fleetpb.Ballot{Round: m.rounds, Proposer: by}, Known: known, Seeds: seeds, Change: change}
 	m.perform(by, r, r.Handle(Begin{}))
 }
 
@@ -55,12 +60,20 @@
 		switch a := a.(type) {
 		case Prepare:
 			m.send(func() {
-				reply, _ := m.acceptors[a.To.GetStorage()].Prepare(a.Request)
+				acceptor := m.acceptors[a.To.GetStorage()]
+				if acceptor == nil {
+					return
+				}
+				reply, _ := acceptor.Prepare(a.Request)
 				m.send(func() { m.perform(by, r, r.Handle(Prepared{From: a.To.GetStorage(), Reply: reply})) })
 			})
 		case Accept:
 			m.send(func() {
-				reply, _ := m.acceptors[a.To.GetStorage()].Accept(a.Request)
+				acceptor := m.acceptors[a.To.GetStorage()]
+				if acceptor == nil {
+					return
+				}
+				reply, _ := acceptor.Accept(a.Request)
 				m.send(func() { m.perform(by, r, r.Handle(Accepted{From: a.To.GetStorage(), Reply: reply})) })
 			})
 		case Chosen:
@@ -95,7 +108,7 @@
 	if s.GetNumber() == 0 {
 		return
 	}
-	v := fmt.Sprintf("%d %s", s.GetConfiguration().GetVersion(), s.GetConfiguration().GetDocument())
+	v := fmt.Sprintf("%d %s by %v", s.GetConfiguration().GetVersion(), s.GetConfiguration().GetDocument(), s.GetVoters())
 	if old, ok := m.chosen[s.GetNumber()]; ok && old != v {
 		m.t.Fatalf("number %d was chosen as %q and as %q", s.GetNumber(), old, v)
 	}
@@ -158,6 +171,10 @@
 				m.propose(by, put(version, fmt.Sprint("by ", by, " ", m.rounds)))
 			case 3:
 				m.propose(by, swap(1+m.r.Uint64N(5), 1+m.r.Uint64N(5)))
+			case 5:
+				// An instance that has just started knows only what its own disk holds.
+				by = 1 + m.r.Uint64N(5)
+				m.proposeFrom(by, m.acceptors[by].Record().GetState(), m.initial, swap(1+m.r.Uint64N(5), 1+m.r.Uint64N(5)))
 			case 4:
 				m.propose(by, nil)
 			default:
@@ -206,26 +223,38 @@
 	if !reply.GetSilent() || changed {
 		t.Error("a storage voted for the one before it")
 	}
-	founding := &fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: 1}, Acceptor: 9, Initial: []*fleetpb.Member{member(9)}}
-	if reply, _ := a.Prepare(founding); !reply.GetSilent() {
-		t.Error("a storage that was emptied later formed a first set of voters")
+	// One whose disk was emptied later helps to found only where that can't have undone a deployment,
+	// and never counts as a founder.
+	a.Seeds = []string{"x", "y", "z"}
+	founding := func(round uint64) *fleetpb.PrepareRequest {
+		return &fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: round}, Acceptor: 9, Seeds: a.Seeds}
+	}
+	if reply, _ := a.Prepare(founding(1)); !reply.GetGranted() || reply.GetFounder() {
+		t.Errorf("%v, want a promise of no founder", reply)
+	}
+	a.Losses = 2
+	if reply, _ := a.Prepare(founding(2)); !reply.GetSilent() {
+		t.Error("a storage that was emptied later founds where two of three may have been lost")
 	}
 }
 
-func TestAFounderAgreesToOneFirstSet(t *testing.T) {
-	a := &Acceptor{Storage: 1, Founder: true}
-	ask := func(round uint64, set ...*fleetpb.Member) bool {
-		reply, _ := a.Prepare(&fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: round}, Acceptor: 1, Initial: set})
+func TestAFounderVotesAboutOneListOfSeeds(t *testing.T) {
+	a := &Acceptor{Storage: 1, Founder: true, Seeds: []string{"x", "y", "z"}, Losses: 1}
+	ask := func(round uint64, seeds ...string) bool {
+		reply, _ := a.Prepare(&fleetpb.PrepareRequest{Ballot: &fleetpb.Ballot{Round: round}, Acceptor: 1, Seeds: seeds})
 		return reply.GetGranted()
 	}
-	if !ask(1, member(1), member(2), member(3)) {
-		t.Fatal("the first set was refused")
+	if !ask(1, "x", "y", "z") || !ask(2, "x", "y", "z") {
+		t.Fatal("the own list was refused")
+	}
+	if ask(3, "x", "y", "w") || ask(4, "x", "y") {
+		t.Error("another list was voted about")
 	}
-	if ask(2, member(1), member(2), member(4)) {
-		t.Error("a second set was agreed to")
+	if !a.Form() || a.Form() {
+		t.Error("that there is a deployment is not remembered once")
 	}
-	if !ask(3, member(3), member(2), member(1)) {
-		t.Error("the first set was refused the second time")
+	if ask(5, "x", "y", "z") {
+		t.Error("a storage that knows of a deployment formed another")
 	}
 }
 
--- a/rockbarrow/register/round.go
+++ b/rockbarrow/register/round.go
@@ -8,6 +8,19 @@
 // gets a copy of its own; s is empty, with number zero, before the first value.
 type Change func(s *fleetpb.State) *fleetpb.State
 
+// First returns the change that makes the first value, with voters that were heard. Until the first move of
+// voters a majority at the seeds' addresses counts beside them: two first values that are proposed at once
+// may have other voters, and only the seeds are the same for both.
+func First(voters, seeds []*fleetpb.Member) Change {
+	return func(s *fleetpb.State) *fleetpb.State {
+		if s.GetNumber() > 0 {
+			return nil
+		}
+		s.Voters, s.PriorVoters = voters, seeds
+		return s
+	}
+}
+
 // Event is what a round handles: [Begin], [Prepared] or [Accepted].
 type Event interface{ event() }
 
@@ -66,8 +79,9 @@
 	Ballot *fleetpb.Ballot
 	// Known is a value whose voters are asked first; it may be outdated.
 	Known *fleetpb.State
-	// Initial is the first set of voters, if no value is known.
-	Initial []*fleetpb.Member
+	// Seeds is used if no value is known: who answers at each address where the first value is
+	// voted on. One whom nobody has heard has no storage.
+	Seeds []*fleetpb.Member
 	// Change makes the next value. A round without one reads.
 	Change Change
 
@@ -75,6 +89,8 @@
 	asked []*fleetpb.Member
 	// promised holds the accepted ballot of each acceptor that granted.
 	promised map[uint64]*fleetpb.Ballot
+	// founders holds those of them whose storage is that of the very first start.
+	founders map[uint64]bool
 	// best is the newest accepted value met, under bestBallot.
 	best       *fleetpb.State
 	bestBallot *fleetpb.Ballot
@@ -91,7 +107,7 @@
 	}
 	switch e := e.(type) {
 	case Begin:
-		r.promised, r.accepted = map[uint64]*fleetpb.Ballot{}, map[uint64]bool{}
+		r.promised, r.founders, r.accepted = map[uint64]*fleetpb.Ballot{}, map[uint64]bool{}, map[uint64]bool{}
 		return r.prepare()
 	case Prepared:
 		return r.prepared(e)
@@ -117,7 +133,31 @@
 	case r.Known != nil:
 		return sets(r.Known)
 	}
-	return [][]*fleetpb.Member{r.Initial}
+	return [][]*fleetpb.Member{r.Seeds}
+}
+
+// suffice reports whether the acceptors that have a property are enough under what has been met so far.
+func (r *Round) suffice(has func(uint64) bool) bool {
+	if r.best != nil || r.Known != nil {
+		return majorities(r.electorate(), has)
+	}
+	return r.mayFound(has)
+}
+
+// mayFound reports whether acceptors are enough for the first value: founders at most of the seeds'
+// addresses, or, if too many have lost what they were, someone at each of them. See the package comment.
+func (r *Round) mayFound(has func(uint64) bool) bool {
+	all, founders := 0, 0
+	for _, m := range r.Seeds {
+		if m.GetStorage() == 0 || !has(m.GetStorage()) {
+			continue
+		}
+		all++
+		if r.founders[m.GetStorage()] {
+			founders++
+		}
+	}
+	return 2*founders > len(r.Seeds) || all == len(r.Seeds)
 }
 
 // prepare asks the voters that were not asked yet.
@@ -125,23 +165,24 @@
 	var out []Action
 	for _, set := range r.electorate() {
 		for _, m := range set {
-			if Has(r.asked, m.GetStorage()) {
+			if m.GetStorage() == 0 || Has(r.asked, m.GetStorage()) {
 				continue
 			}
 			r.asked = append(r.asked, m)
 			out = append(out, Prepare{To: m, Request: &fleetpb.PrepareRequest{
-				Ballot: r.Ballot, Acceptor: m.GetStorage(), Initial: r.initial(),
+				Ballot: r.Ballot, Acceptor: m.GetStorage(), Seeds: r.seeds(),
 			}})
 		}
 	}
 	return out
 }
 
-func (r *Round) initial() []*fleetpb.Member {
+// seeds returns the seeds' addresses, if the round is about the first value.
+func (r *Round) seeds() []string {
 	if r.Known != nil {
 		return nil
 	}
-	return r.Initial
+	return Addresses(r.Seeds)
 }
 
 func (r *Round) prepared(e Prepared) []Action {
@@ -152,6 +193,7 @@
 		return r.lost(e.Reply.GetPromised())
 	}
 	r.promised[e.From] = e.Reply.GetAccepted()
+	r.founders[e.From] = e.Reply.GetFounder()
 	if e.Reply.GetState() != nil && (r.best == nil || Compare(e.Reply.GetAccepted(), r.bestBallot) > 0) {
 		r.best, r.bestBallot = e.Reply.GetState(), e.Reply.GetAccepted()
 	}
@@ -159,7 +201,7 @@
 	if more := r.prepare(); len(more) > 0 {
 		return more
 	}
-	if !majorities(r.electorate(), func(id uint64) bool { _, ok := r.promised[id]; return ok }) {
+	if !r.suffice(func(id uint64) bool { _, ok := r.promised[id]; return ok }) {
 		return nil
 	}
 	return r.propose()
@@ -183,13 +225,18 @@
 		}
 		next = r.best
 	}
+	// A change of voters rests on the sets of the value before, which count for nothing until that
+	// value is chosen. It is brought to its end first, and the change is for another round.
+	if r.best != nil && !r.chosenAlready() && !sameSets(next, r.best) {
+		next = r.best
+	}
 	electorate := append(r.electorate(), sets(next)...)
 	r.proposed = next
 	var out []Action
 	var sent []*fleetpb.Member
 	for _, set := range electorate {
 		for _, m := range set {
-			if Has(sent, m.GetStorage()) {
+			if m.GetStorage() == 0 || Has(sent, m.GetStorage()) {
 				continue
 			}
 			sent = append(sent, m)
@@ -230,7 +277,7 @@
 	}
 	r.accepted[e.From] = true
 	has := func(id uint64) bool { return r.accepted[id] }
-	if !majorities(append(r.electorate(), sets(r.proposed)...), has) {
+	if !r.suffice(has) || !majorities(sets(r.proposed), has) {
 		return nil
 	}
 	return r.chosen(r.proposed)
@@ -246,6 +293,11 @@
 	return []Action{Lost{To: to, Proposed: r.proposed != nil}}
 }
 
+// sameSets reports whether two values have the same voters.
+func sameSets(a, b *fleetpb.State) bool {
+	return Same(a.GetVoters(), b.GetVoters()) && Same(a.GetPriorVoters(), b.GetPriorVoters())
+}
+
 // majorities reports whether more than half of each set has a property.
 func majorities(sets [][]*fleetpb.Member, has func(uint64) bool) bool {
 	for _, set := range sets {
