durable: a disk that refuses takes no memory, and compactions go with what is dead

Cause: what a disk refused was kept for the next try without bound, though its owner holds it anyway; and a compaction was due by the size of the log, so that beyond 48 MB of live records each sync wrote all of them. Change: 1 MB of refused records is kept; beyond that records are refused at once, the disk is tried five times a second, and all live records are written when it takes them. A compaction is due once the log has doubled since the last one; one that fails leaves nothing on the disk and is tried again after 10 s. Segments and compactions have files of their own.

--- a/rockbarrow/durable/log.go
+++ b/rockbarrow/durable/log.go
@@ -3,16 +3,13 @@
 package durable
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -21,14 +18,11 @@
 	// maxWaiting bounds the calls that wait for the disk; at about 2 KB each
 	// they hold 8 MB while a disk stalls.
 	maxWaiting = 4096
-	// compactAt is the least size in bytes at which live records are written
-	// anew; a disk of 300 MB then never holds more than a third of it in waste.
-	compactAt = 48 << 20
-	// liveChunk is how many bytes of live records are framed at once in memory.
-	liveChunk = 1 << 20
-	segmentID = "records-"
-	// segmentDigits is how many digits follow.
-	segmentDigits = 10
+	// maxRefused in bytes is what is kept of records that the disk has refused, some five hundred.
+	// Beyond that all live records are written once the disk takes writes again.
+	maxRefused = 1 << 20
+	// rewriteEvery is how often that is tried meanwhile.
+	rewriteEvery = 200 * time.Millisecond
 )
 
 // BusyError says that the disk takes no more records now.
@@ -39,6 +33,15 @@
 	return fmt.Sprintf("durable: %d records wait for the disk", e.Waiting)
 }
 
+// RefusedError says that the disk has refused records before and was not tried again for this one.
+type RefusedError struct{ Cause error }
+
+// Error tells the cause.
+func (e *RefusedError) Error() string { return "durable: the disk refuses writes: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
 // ClosedError says that the log was closed before the record was synced.
 type ClosedError struct{}
 
@@ -63,28 +66,29 @@
 	once    sync.Once
 
 	// file is the open segment, nil after a failure until the next write. Only
-	// the log's goroutine uses file, number, size and unsynced.
+	// the log's goroutine uses the fields from here to cause.
 	file   *os.File
 	number uint64
-	// size counts the bytes of all segments.
-	size int64
+	// synced is true if the open segment holds anything that was synced.
+	synced bool
+	// size counts the bytes of all segments, live those that the last compaction wrote.
+	size, live int64
 	// unsynced are frames of records whose write failed; they go out before the
 	// next ones, since the owner counts them among its live records.
 	unsynced []byte
-	written  atomic.Int64
+	// behind is true if more than that was refused: the disk lacks records that only the owner
+	// holds. tried is when writing them failed last, and cause why.
+	behind bool
+	tried  time.Time
+	cause  error
+	// compactAfter is when a compaction may be tried again.
+	compactAfter time.Time
+
+	written atomic.Int64
 	// refused is the size in bytes of unsynced.
 	refused atomic.Int64
 }
 
-// Compaction is what one compaction did.
-type Compaction struct{ before, after int64 }
-
-// Before returns the size of all segments in bytes before, After that of the live records.
-func (c Compaction) Before() int64 { return c.before }
-
-// After returns the size in bytes of the records that were written anew.
-func (c Compaction) After() int64 { return c.after }
-
 // pending are records that wait for their sync.
 type pending struct {
 	payloads [][]byte
@@ -111,65 +115,6 @@
 	return l, l.close, nil
 }
 
-// HasLog reports whether a folder holds a log.
-func HasLog(dir string) (bool, error) {
-	list, err := segments(dir)
-	return len(list) > 0, err
-}
-
-// segment is one file of a log.
-type segment struct {
-	name   string
-	number uint64
-}
-
-// segments returns those of a folder, oldest first. What else is there has another owner and is left alone.
-func segments(dir string) ([]segment, error) {
-	list, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, errors.Wrap(err, "durable: list the data folder")
-	}
-	var out []segment
-	for _, e := range list {
-		if number, ok := segmentNumber(e); ok {
-			out = append(out, segment{name: e.Name(), number: number})
-		}
-	}
-	slices.SortFunc(out, func(a, b segment) int { return cmp.Compare(a.number, b.number) })
-	return out, nil
-}
-
-// segmentNumber returns a segment's number, if the entry of a folder is one.
-func segmentNumber(e os.DirEntry) (uint64, bool) {
-	digits, ok := strings.CutPrefix(e.Name(), segmentID)
-	if !ok || len(digits) != segmentDigits || !e.Type().IsRegular() {
-		return 0, false
-	}
-	number, err := strconv.ParseUint(digits, 10, 64)
-	return number, err == nil
-}
-
-// replay hands over a segment's records up to the first broken one. The rest of
-// the segment was never synced; a later segment starts anew.
-func (l *Log) replay(s segment, replay func([]byte) error) error {
-	l.number = max(l.number, s.number)
-	b, err := os.ReadFile(filepath.Join(l.dir, s.name))
-	if err != nil {
-		return errors.Wrap(err, "durable: read a segment")
-	}
-	l.size += int64(len(b))
-	for {
-		payload, rest, ok := nextFrame(b)
-		if !ok {
-			return nil
-		}
-		if err := replay(payload); err != nil {
-			return err
-		}
-		b = rest
-	}
-}
-
 // Append writes records and returns once all are synced. After an error each may
 // or may not be there.
 func (l *Log) Append(ctx context.Context, payloads ...[]byte) error {
@@ -240,38 +185,70 @@
 
 // flush writes a batch, syncs it and answers those who wait for it.
 func (l *Log) flush(batch []*pending) {
+	err := l.put(batch)
+	for _, p := range batch {
+		p.done <- err
+	}
+	if err == nil {
+		l.compact()
+	}
+}
+
+// put writes a batch after what was refused before.
+func (l *Log) put(batch []*pending) error {
+	if l.behind && time.Since(l.tried) < rewriteEvery {
+		return &RefusedError{Cause: l.cause}
+	}
 	frames := l.unsynced
 	for _, p := range batch {
 		for _, payload := range p.payloads {
 			frames = appendFrame(frames, payload)
 		}
 	}
-	err := l.write(frames)
-	if err != nil {
-		l.failed(frames, err)
+	var err error
+	if l.behind {
+		err = l.rewrite(frames)
 	} else {
-		l.unsynced = nil
-		l.refused.Store(0)
+		err = l.write(frames)
 	}
-	for _, p := range batch {
-		p.done <- err
-	}
-	if err == nil {
-		l.compact()
+	if err != nil {
+		l.fail(frames, err)
+		return err
 	}
+	l.unsynced, l.behind = nil, false
+	l.refused.Store(0)
+	return nil
 }
 
-// failed leaves the segment, whose tail is in doubt, and keeps the records for
-// a new one. A failed sync is never repeated on the same file.
-func (l *Log) failed(frames []byte, err error) {
+// fail leaves the segment, whose tail is in doubt, and keeps the records for a new one, if they are few.
+// A failed sync is never repeated on the same file.
+func (l *Log) fail(frames []byte, err error) {
+	l.abandon()
+	l.tried, l.cause = time.Now(), err
+	if len(frames) > maxRefused && l.Live != nil {
+		frames, l.behind = nil, true
+	}
 	l.unsynced = frames
 	l.refused.Store(int64(len(frames)))
-	if l.file != nil {
-		l.file.Close()
-		l.file = nil
+	l.report(err)
+}
+
+// abandon closes the open segment, and removes it if nothing in it counts, so that a disk that is full does
+// not fill up with tries.
+func (l *Log) abandon() {
+	if l.file == nil {
+		return
 	}
-	if l.Failed != nil {
-		l.Failed(err)
+	name := l.file.Name()
+	info, err := os.Stat(name)
+	l.file.Close()
+	l.file = nil
+	if l.synced {
+		return
+	}
+	// If the disk refuses that too, the segment is read and compacted as others are.
+	if os.Remove(name) == nil && err == nil {
+		l.size -= info.Size()
 	}
 }
 
@@ -287,7 +264,11 @@
 	if err != nil {
 		return errors.Wrap(err, "durable: write a segment")
 	}
-	return errors.Wrap(l.file.Sync(), "durable: sync a segment")
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "durable: sync a segment")
+	}
+	l.synced = true
+	return nil
 }
 
 // open starts the next segment. Its name lasts with its first sync.
@@ -298,55 +279,12 @@
 	if err != nil {
 		return errors.Wrap(err, "durable: open a segment")
 	}
-	l.file = f
+	l.file, l.synced = f, false
 	return nil
 }
 
-// writeLive writes all live records, a chunk at a time.
-func (l *Log) writeLive() error {
-	var frames []byte
-	var failed error
-	l.Live(func(payload []byte) {
-		frames = appendFrame(frames, payload)
-		if len(frames) < liveChunk || failed != nil {
-			return
-		}
-		failed = l.write(frames)
-		frames = frames[:0]
-	})
-	if failed != nil {
-		return failed
-	}
-	return l.write(frames)
-}
-
-// compact writes the live records to a new segment and removes the older ones,
-// once they are large. A removal that does not last costs nothing, as records
-// may be replayed twice.
-func (l *Log) compact() {
-	if l.size < compactAt || l.Live == nil {
-		return
-	}
-	old, err := segments(l.dir)
-	if err != nil {
+func (l *Log) report(err error) {
+	if l.Failed != nil {
 		l.Failed(err)
-		return
-	}
-	l.file.Close()
-	l.file = nil
-	before := l.size
-	if err := l.writeLive(); err != nil {
-		l.failed(nil, err)
-		return
-	}
-	for _, s := range old {
-		if err := os.Remove(filepath.Join(l.dir, s.name)); err != nil {
-			l.Failed(errors.Wrap(err, "durable: remove a segment"))
-			return
-		}
-	}
-	l.size -= before
-	if l.Compacted != nil {
-		l.Compacted(Compaction{before: before, after: l.size})
 	}
 }
