--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -51,7 +51,8 @@
 	// Seeds are the addresses of the first control instances, this one perhaps
 	// included.
 	Seeds []string
-	// FirstSeeds are the Seeds of the disk's first start, where the first value is voted on.
+	// FirstSeeds are the Seeds of the disk's first start, where the first value is voted on. None are
+	// the Seeds of today.
 	FirstSeeds []string
 	// Founder is true if the disk's first start was the very first one of the deployment.
 	Founder bool
@@ -116,6 +117,9 @@
 		Documents: document.Cache{Keep: keptDocuments, Log: c.Log},
 		Lists:     document.Cache{Keep: keptDocuments, Log: c.Log},
 	}
+	if len(c.FirstSeeds) == 0 {
+		c.FirstSeeds = c.Seeds
+	}
 	c.FirstSeeds = slices.Sorted(slices.Values(c.FirstSeeds))
 	c.acceptor = register.Acceptor{
 		Storage: c.Self.GetStorage(), Founder: c.Founder, Seeds: c.FirstSeeds, Losses: c.Losses,
