soak: first starts with losses, processes that end at any moment, full disks, readers of logs that leave, races of operators, invalid changes

The soak asked once, at the end, which processes were dead, started everything at once, and knew three failure domains.

--- a/rockbench/soak.go
+++ b/rockbench/soak.go
@@ -18,8 +18,8 @@
 
 // soakOptions are those of the command line.
 type soakOptions struct {
-	seed, seeds, seconds, programs, entries int
-	before                                  string
+	seed, seeds, seconds, programs, entries, domains int
+	before                                           string
 }
 
 func (o *soakOptions) add(c *flaggy.Subcommand) {
@@ -27,7 +27,8 @@
 	c.Int(&o.seeds, "", "seeds", "how many seeds, one after another")
 	c.Int(&o.seconds, "", "seconds", "how long faults come under each seed")
 	c.Int(&o.programs, "", "programs", "how many programs run at a time")
-	c.Int(&o.entries, "", "entries", "entry instances in each of three failure domains")
+	c.Int(&o.entries, "", "entries", "entry instances in each failure domain")
+	c.Int(&o.domains, "", "domains", "failure domains, three at least")
 	c.String(&o.before, "", "before", "a program of the version before, which all instances begin with and are upgraded from")
 }
 
@@ -57,7 +58,7 @@
 		return 0, errors.Wrap(err, "soak: folder")
 	}
 	report, err := soak.Run(ctx, soak.Config{
-		Seed: seed, Last: time.Duration(o.seconds) * time.Second, Programs: o.programs, EntriesEach: o.entries, Before: o.before, Dir: dir, Out: out,
+		Seed: seed, Last: time.Duration(o.seconds) * time.Second, Programs: o.programs, EntriesEach: o.entries, Domains: o.domains, Before: o.before, Dir: dir, Out: out,
 	})
 	if err != nil {
 		return 0, errors.Wrapf(err, "soak: seed %d, logs in %s", seed, dir)
--- a/rockbench/soak/ends_test.go
+++ b/rockbench/soak/ends_test.go
@@ -45,19 +45,6 @@
 	return in
 }
 
-// served is an address without which an instance is of no use, and its name in the logs.
-type served struct{ name, address string }
-
-func (in *instance) serves() []served {
-	switch in.role {
-	case "entry":
-		return []served{{"readiness", in.plan.Ready}, {"consumers", in.plan.Consumers}}
-	case "control":
-		return []served{{"peers", in.plan.PeerListen()}, {"operators", in.plan.Operators}}
-	}
-	return []served{{"peers", in.plan.PeerListen()}}
-}
-
 // awaitServed waits until all addresses of an instance are served. It fails the test if the process
 // ends instead.
 func awaitServed(t *testing.T, in *instance) {
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -6,9 +6,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"rockbarrow.dev/rockbarrow/wait"
 )
 
@@ -40,6 +45,13 @@
 	{"lost answers", loseAnswers},
 	{"an endpoint is replaced", replaceEndpoint},
 	{"new settings", hangUp},
+	{"settings are half written", tornSettings},
+	{"nobody reads the logs", dropReaders},
+	{"a store's disk is full", fullDisk(func(f *fleet) []*instance { return f.stores })},
+	{"a control instance's disk is full", fullDisk(func(f *fleet) []*instance { return f.control })},
+	{"a process starts while its addresses are held", heldAddresses},
+	{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.control })},
+	{"all instances of a failure domain are killed", endDomain},
 }
 
 // diskFaults lose a disk. Two never come at once, as one loss is tolerated.
@@ -144,6 +156,113 @@
 	wait.For(ctx, last)
 }
 
+// tornSettings writes half of the settings of one instance, tells it so, and writes the rest later.
+func tornSettings(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	in := claim(r, f.all())
+	if in == nil {
+		return
+	}
+	defer in.claimed.Unlock()
+	text, err := in.plan.Text()
+	if err == nil {
+		err = os.WriteFile(in.file, []byte(text[:r.IntN(len(text))]), 0o600)
+	}
+	if err != nil {
+		f.ledger.Break("%v", err)
+		return
+	}
+	in.signal(syscall.SIGHUP)
+	wait.For(ctx, last)
+	if err := in.write(); err != nil {
+		f.ledger.Break("%v", err)
+	}
+	in.signal(syscall.SIGHUP)
+}
+
+// dropReaders ends what reads the logs of some processes, for as long as these run.
+func dropReaders(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	for _, in := range f.all() {
+		if r.IntN(2) == 0 {
+			in.dropReader()
+		}
+	}
+	wait.For(ctx, last)
+}
+
+// fullDisk lets no file of one process grow. Its log, which is no file, goes on.
+func fullDisk(from choose) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+		in := claim(r, from(f))
+		if in == nil {
+			return
+		}
+		defer in.claimed.Unlock()
+		if err := in.limitFiles(uint64(r.IntN(64 << 10))); err != nil {
+			f.ledger.Break("%v", err)
+			return
+		}
+		wait.For(ctx, last)
+		if err := in.limitFiles(unix.RLIM_INFINITY); err != nil {
+			f.ledger.Break("%v", err)
+		}
+	}
+}
+
+// heldAddresses starts a process again while another one still has its addresses.
+func heldAddresses(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	in := claim(r, f.all())
+	if in == nil {
+		return
+	}
+	defer in.claimed.Unlock()
+	in.stop(syscall.SIGKILL)
+	var held []net.Listener
+	for _, s := range in.serves() {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			f.ledger.Break("%s: %v", in.plan.Instance, err)
+			continue
+		}
+		held = append(held, l)
+	}
+	f.restart(in)
+	wait.For(ctx, last/2)
+	for _, l := range held {
+		l.Close()
+	}
+}
+
+// endAll kills some processes at one moment and starts them again within a second.
+func endAll(from choose) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, _ *rand.Rand, last time.Duration) {
+		var claimed []*instance
+		for _, in := range from(f) {
+			if in.claimed.TryLock() {
+				defer in.claimed.Unlock()
+				claimed = append(claimed, in)
+			}
+		}
+		for _, in := range claimed {
+			in.expectEnd()
+			in.signal(syscall.SIGKILL)
+		}
+		for _, in := range claimed {
+			in.stop(syscall.SIGKILL)
+		}
+		wait.For(ctx, min(last, time.Second))
+		for _, in := range claimed {
+			f.restart(in)
+		}
+	}
+}
+
+func endDomain(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	domain := f.control[r.IntN(len(f.control))].plan.Domain
+	endAll(func(f *fleet) []*instance {
+		return slices.DeleteFunc(f.all(), func(in *instance) bool { return in.plan.Domain != domain })
+	})(ctx, f, r, last)
+}
+
 func (f *fleet) restart(in *instance) {
 	if err := in.start(); err != nil {
 		f.ledger.Break("%s was not started again: %v", in.plan.Instance, err)
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -23,8 +23,8 @@
 )
 
 const (
-	// domains is the number of failure domains.
-	domains = 3
+	// seeds is how many control instances all others are told of.
+	seeds = 3
 	// portSpan is how many internal ports an instance has.
 	portSpan = 6
 	// grace is the time from the stop signal to the kill.
@@ -33,8 +33,11 @@
 	readyWithin = 60 * time.Second
 	// seedOfRoutes sets the draws of routes apart from those of faults and programs.
 	seedOfRoutes = 1 << 32
-	// seedOfUpgrades does the same for upgrades.
-	seedOfUpgrades = 2 << 32
+	// seedOfUpgrades does the same for upgrades, seedOfStarts for first starts and
+	// seedOfOperators for invalid configurations.
+	seedOfUpgrades  = 2 << 32
+	seedOfStarts    = 3 << 32
+	seedOfOperators = 4 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -42,6 +45,8 @@
 // fleet is all processes and stand-ins of one soak.
 type fleet struct {
 	dir string
+	// domains is the number of failure domains.
+	domains int
 	// binary is this build.
 	binary  string
 	control []*instance
@@ -76,7 +81,7 @@
 // ends it.
 func newFleet(ctx context.Context, cfg Config) (*fleet, func(), error) {
 	f := &fleet{
-		dir: cfg.Dir, ledger: &standin.Ledger{}, list: &standin.List{},
+		dir: cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Ledger{}, list: &standin.List{},
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))},
 	}
 	var err error
@@ -87,17 +92,16 @@
 	if err := f.startStandIns(); err != nil {
 		return nil, stop, err
 	}
-	first := f.binary
+	program := f.binary
 	if cfg.Before != "" {
-		first = cfg.Before
+		program = cfg.Before
 	}
-	if err := f.plan(first, cfg.EntriesEach); err != nil {
+	if err := f.plan(program, cfg.EntriesEach); err != nil {
 		return nil, stop, err
 	}
-	for _, in := range f.all() {
-		if err := in.start(); err != nil {
-			return nil, stop, err
-		}
+	first := &firstStart{fleet: f, r: rand.New(rand.NewPCG(cfg.Seed, seedOfStarts)), out: cfg.Out}
+	if err := first.run(ctx); err != nil {
+		return nil, stop, err
 	}
 	return f, stop, f.await(ctx)
 }
@@ -112,9 +116,9 @@
 		return errors.Wrap(err, "soak: list")
 	}
 	go f.serveList()
-	for range domains {
+	for range f.domains {
 		for _, service := range []string{"model", "tool"} {
-			if _, err := f.addEndpoint(service, fmt.Sprint("domain-", len(f.endpoints)/2%domains)); err != nil {
+			if _, err := f.addEndpoint(service, fmt.Sprint("domain-", len(f.endpoints)/2%f.domains)); err != nil {
 				return err
 			}
 		}
@@ -167,14 +171,14 @@
 	if err != nil {
 		return err
 	}
-	var seeds []string
-	for d := range domains {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", ip(d, 1), first+portSpan))
+	var control []string
+	for d := range seeds {
+		control = append(control, fmt.Sprintf("%s:%d", ip(d, 1), first+portSpan))
 	}
 	add := func(role string, d, n int) (*instance, error) {
 		in := &instance{role: role, binary: binary, plan: settings.Plan{
 			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), Domain: fmt.Sprint("domain-", d), IP: ip(d, n),
-			FirstPort: first, LastPort: first + portSpan - 1, Control: seeds, First: true,
+			FirstPort: first, LastPort: first + portSpan - 1, Control: control, First: true,
 			List: f.listens.Addr().String(), Losses: 1, MemoryMB: 256, GraceSeconds: grace,
 		}}
 		in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
@@ -184,7 +188,7 @@
 		in.proxy, err = newProxy(in.plan.PeerAddress(), in.plan.PeerListen())
 		return in, errors.Wrap(err, "soak: proxy")
 	}
-	for d := range domains {
+	for d := range f.domains {
 		c, err := add("control", d, 1)
 		if err != nil {
 			return err
@@ -262,6 +266,23 @@
 func (f *fleet) sendNext(ctx context.Context) error {
 	f.version++
 	f.routes.change()
+	return f.operator.Deploy(ctx, f.document(f.version))
+}
+
+// race lets two operators send different configurations of one version at one moment. They differ in what no
+// check of routes looks at.
+func (f *fleet) race(ctx context.Context) error {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
+	f.version++
+	f.routes.change()
+	one, other := f.document(f.version), f.document(f.version)
+	other.Limits.BodyBytes *= 2
+	return f.operator.Race(ctx, one, other)
+}
+
+// document returns the configuration of a version.
+func (f *fleet) document(version uint64) *fleetpb.Document {
 	route := func(name, service string, kind fleetpb.RouteKind) *fleetpb.Route {
 		return &fleetpb.Route{
 			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 5000, ObjectiveMs: 200, MaxAttempts: 2,
@@ -270,8 +291,8 @@
 	}
 	turn := route("turn", "model", fleetpb.RouteKind_ROUTE_KIND_STREAM)
 	turn.History, turn.RetainMs = true, 60_000
-	return f.operator.Deploy(ctx, &fleetpb.Document{
-		Version: f.version,
+	return &fleetpb.Document{
+		Version: version,
 		Limits:  &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
 		Services: []*fleetpb.Service{
 			{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
@@ -279,7 +300,7 @@
 		},
 		Routes: append(f.routes.document(),
 			turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE)),
-	})
+	}
 }
 
 // stop ends all processes that were started, and the stand-ins.
@@ -300,13 +321,11 @@
 	}
 }
 
-// failures names the processes that ended by themselves.
+// failures names the processes that ended by themselves, at any moment.
 func (f *fleet) failures() []string {
 	var out []string
 	for _, in := range f.all() {
-		if in.failed() {
-			out = append(out, in.plan.Instance+" ended by itself: "+in.tail())
-		}
+		out = append(out, in.failures()...)
 	}
 	return out
 }
--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -3,15 +3,19 @@
 package soak
 
 import (
+	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"rockbarrow.dev/platform/settings"
 )
@@ -23,7 +27,7 @@
 	binary string
 	file   string
 	log    *os.File
-	// output is where the process writes its logs, if that is not log.
+	// output is where the process writes its logs, if that is not a pipe of the instance's own.
 	output *os.File
 	proxy  *proxy
 
@@ -33,9 +37,13 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// reader is the end of the process's log that the soak reads.
+	reader *os.File
 	// meant is true while the process is meant to run; one that ends by itself
 	// then has failed.
 	meant bool
+	// ends tells of each process that has failed, also of those that were started again since.
+	ends []string
 }
 
 // start writes the settings and runs the process.
@@ -58,38 +66,93 @@
 // run runs the process with the settings as they stand.
 func (in *instance) run() error {
 	cmd := exec.Command(in.binary, in.role, "--settings", in.file, "--peer-listen", in.plan.PeerListen())
-	cmd.Stdout, cmd.Stderr = in.log, in.log
-	if in.output != nil {
-		cmd.Stdout, cmd.Stderr = in.output, in.output
-	}
 	// The process ends with the soak, however that ends.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := in.pipe(cmd)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	// The reaper must find what is noted here.
+	in.mu.Lock()
+	defer in.mu.Unlock()
 	if err := cmd.Start(); err != nil {
 		return errors.Wrap(err, "soak: start")
 	}
-	in.mu.Lock()
 	in.cmd, in.exited, in.meant = cmd, make(chan struct{}), true
-	in.mu.Unlock()
-	go (&reaper{cmd: cmd, exited: in.exited}).run()
+	go (&reaper{instance: in, cmd: cmd, exited: in.exited}).run()
 	// Only the very first start is one.
 	in.plan.First = false
 	return nil
 }
 
+// pipe gives the process a log that somebody reads, who may go away. What it returns is closed once the
+// process has it.
+func (in *instance) pipe(cmd *exec.Cmd) (io.Closer, error) {
+	if in.output != nil {
+		cmd.Stdout, cmd.Stderr = in.output, in.output
+		return io.NopCloser(nil), nil
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: log")
+	}
+	cmd.Stdout, cmd.Stderr = w, w
+	in.mu.Lock()
+	in.reader = r
+	in.mu.Unlock()
+	go (&logReader{from: r, to: in.log}).run()
+	return w, nil
+}
+
+// logReader keeps what a process logs.
+type logReader struct{ from, to *os.File }
+
+// run ends with the process, or once a fault has closed the pipe.
+func (l *logReader) run() {
+	defer l.from.Close()
+	if _, err := io.Copy(l.to, l.from); err != nil {
+		return
+	}
+}
+
+// dropReader closes the log that the process writes to.
+func (in *instance) dropReader() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.reader != nil {
+		in.reader.Close()
+	}
+}
+
 type reaper struct {
-	cmd    *exec.Cmd
-	exited chan struct{}
+	instance *instance
+	cmd      *exec.Cmd
+	exited   chan struct{}
 }
 
-// run waits for the process; its exit code tells nothing after a kill.
+// run waits for the process. One that was meant to run has failed, however soon it is started again.
 func (r *reaper) run() {
-	if err := r.cmd.Wait(); err != nil {
-		defer close(r.exited)
-		return
+	err := r.cmd.Wait()
+	in := r.instance
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.meant && in.cmd == r.cmd {
+		in.ends = append(in.ends, fmt.Sprintf("%s ended by itself (%v): %s", in.plan.Instance, err, in.tail()))
 	}
 	close(r.exited)
 }
 
+// pid returns the process's number, and whether there is one that is meant to run.
+func (in *instance) pid() (int, bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.cmd == nil || !in.meant {
+		return 0, false
+	}
+	return in.cmd.Process.Pid, true
+}
+
 // signal sends a signal to the process that the soak started.
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
@@ -102,10 +165,17 @@
 	}
 }
 
+// expectEnd lets the process end without having failed.
+func (in *instance) expectEnd() {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.meant = false
+}
+
 // stop ends the process by a signal and waits for its end.
 func (in *instance) stop(s syscall.Signal) {
+	in.expectEnd()
 	in.mu.Lock()
-	in.meant = false
 	exited := in.exited
 	in.mu.Unlock()
 	in.signal(s)
@@ -114,19 +184,14 @@
 	}
 }
 
-// failed reports whether the process ended by itself.
-func (in *instance) failed() bool {
+// failed reports whether any process of the instance has ended by itself.
+func (in *instance) failed() bool { return len(in.failures()) > 0 }
+
+// failures tells of the processes that have ended by themselves.
+func (in *instance) failures() []string {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if !in.meant || in.exited == nil {
-		return false
-	}
-	select {
-	case <-in.exited:
-		return true
-	default:
-		return false
-	}
+	return slices.Clone(in.ends)
 }
 
 // logged returns what the process has logged, in all its lives.
@@ -145,6 +210,29 @@
 	return string(b[max(0, len(b)-most):])
 }
 
+// limitFiles bounds the size of each file that the process writes, as a disk without room does.
+func (in *instance) limitFiles(bytes uint64) error {
+	pid, ok := in.pid()
+	if !ok {
+		return nil
+	}
+	limit := &unix.Rlimit{Cur: bytes, Max: unix.RLIM_INFINITY}
+	return errors.Wrap(unix.Prlimit(pid, unix.RLIMIT_FSIZE, limit, nil), "soak: limit of files")
+}
+
+// served is an address without which an instance is of no use, and its name in the logs.
+type served struct{ name, address string }
+
+func (in *instance) serves() []served {
+	switch in.role {
+	case "entry":
+		return []served{{"readiness", in.plan.Ready}, {"consumers", in.plan.Consumers}}
+	case "control":
+		return []served{{"peers", in.plan.PeerListen()}, {"operators", in.plan.Operators}}
+	}
+	return []served{{"peers", in.plan.PeerListen()}}
+}
+
 // wipe empties the data folder of a stopped process.
 func (in *instance) wipe() error {
 	if err := os.RemoveAll(in.plan.DataDir); err != nil {
--- /dev/null
+++ b/rockbench/soak/invalid.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bytes"
+	"context"
+	"math/rand/v2"
+
+	"rockbarrow.dev/platform/wire"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// aboveAll is added to the newest version by changes that must not be taken: one that is would hold.
+const aboveAll = 1 << 40
+
+// spoil makes a valid configuration one that no instance may take.
+type spoil struct {
+	name string
+	// document changes the configuration, text what is sent; either may be nil.
+	document func(d *fleetpb.Document)
+	text     func(r *rand.Rand, b []byte) []byte
+}
+
+var spoils = []spoil{
+	{name: "cut short", text: func(r *rand.Rand, b []byte) []byte { return b[:r.IntN(len(b))] }},
+	{name: "no routes", text: func(_ *rand.Rand, b []byte) []byte { return renamed(b, "routes") }},
+	{name: "no services", text: func(_ *rand.Rand, b []byte) []byte { return renamed(b, "services") }},
+	{name: "no version", text: func(_ *rand.Rand, b []byte) []byte { return renamed(b, "version") }},
+	{name: "bytes behind it", text: func(_ *rand.Rand, b []byte) []byte { return append(b, "{}"...) }},
+	{name: "no UTF-8", text: func(_ *rand.Rand, b []byte) []byte { return bytes.Replace(b, []byte(host), []byte("\xff\xfe"), 1) }},
+	{name: "a timeout of zero", document: func(d *fleetpb.Document) { d.Routes[0].TimeoutMs = 0 }},
+	{name: "a service that is not known", document: func(d *fleetpb.Document) { d.Routes[0].Shares[0].Service = "nobody" }},
+	{name: "weights of zero", document: func(d *fleetpb.Document) { d.Routes[0].Shares[0].Weight = 0 }},
+	{name: "two routes of one place", document: func(d *fleetpb.Document) { d.Routes = append(d.Routes, d.Routes[0]) }},
+	{name: "an unknown kind", document: func(d *fleetpb.Document) { d.Routes[0].Kind = fleetpb.RouteKind_ROUTE_KIND_UNSPECIFIED }},
+}
+
+// renamed gives another name to a field of the outermost level.
+func renamed(b []byte, field string) []byte {
+	return bytes.Replace(b, []byte(`"`+field+`":`), []byte(`"was-`+field+`":`), 1)
+}
+
+// sendInvalid sends one of them.
+func (f *fleet) sendInvalid(ctx context.Context, r *rand.Rand) {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
+	s := spoils[r.IntN(len(spoils))]
+	d := f.document(f.version + aboveAll)
+	if s.document != nil {
+		s.document(d)
+	}
+	b, err := wire.Encode(d)
+	if err != nil {
+		f.ledger.Break("%v", err)
+		return
+	}
+	if s.text != nil {
+		b = s.text(r, b)
+	}
+	f.operator.Refused(ctx, s.name, b)
+}
--- a/rockbench/soak/recovery_test.go
+++ b/rockbench/soak/recovery_test.go
@@ -56,6 +56,7 @@
 		wait.For(t.Context(), holdTick)
 	}
 	for _, in := range f.all() {
+		in.expectEnd()
 		in.signal(syscall.SIGKILL)
 	}
 	for _, in := range f.all() {
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -36,8 +36,9 @@
 	Seed uint64
 	// Last is how long faults come.
 	Last time.Duration
-	// Programs run at a time, EntriesEach entry instances in each of three domains.
-	Programs, EntriesEach int
+	// Programs run at a time, EntriesEach entry instances in each of Domains failure domains, of which
+	// there are three at least.
+	Programs, EntriesEach, Domains int
 	// Before is the program of another version that all instances begin with; they are
 	// upgraded one after another while faults come. Empty is this build.
 	Before string
@@ -120,14 +121,23 @@
 	}
 }
 
-// operate changes the configuration now and then and reads it all the time.
+// operate changes the configuration now and then, alone and against another operator, sends what must not be
+// taken, and reads it all the time.
 func (s *soak) operate(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.cfg.Seed, seedOfOperators))
 	for i := 1; ctx.Err() == nil; i++ {
 		s.fleet.operator.Check(ctx)
-		if i%4 == 0 {
-			if err := s.fleet.deploy(ctx); err != nil && ctx.Err() == nil {
-				s.fleet.ledger.Break("a configuration was not taken: %v", err)
-			}
+		var err error
+		switch i % 6 {
+		case 1, 4:
+			s.fleet.sendInvalid(ctx, r)
+		case 2:
+			err = s.fleet.race(ctx)
+		case 5:
+			err = s.fleet.deploy(ctx)
+		}
+		if err != nil && ctx.Err() == nil {
+			s.fleet.ledger.Break("a configuration was not taken: %v", err)
 		}
 		wait.For(ctx, checkEvery)
 	}
