entry: endpoints come back under their id; not ready before stores are chosen

Cause 1: an id that was seen leaving was refused for ever, so that an endpoint that started again under it got no request from any entry instance that had seen it leave. A list that lags still brings nothing back, and nothing is carried over from the life before. Change 2: they are not ready before the first view.

--- /dev/null
+++ b/rockbarrow/entry/departures_test.go
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+func listOf(endpoints ...*fleetpb.Endpoint) *fleetpb.EndpointList {
+	return &fleetpb.EndpointList{Endpoints: endpoints}
+}
+
+func ready(id string) *fleetpb.Endpoint { return &fleetpb.Endpoint{Id: id} }
+
+func draining(id string) *fleetpb.Endpoint { return &fleetpb.Endpoint{Id: id, Draining: true} }
+
+// TestAnEndpointComesBackUnderItsID: an endpoint that had left and started again under its id got no request
+// from any entry instance for as long as that ran.
+func TestAnEndpointComesBackUnderItsID(t *testing.T) {
+	var d departures
+	now := time.Now()
+	count := func(l *fleetpb.EndpointList) int {
+		usable, _, _ := d.take(now, l)
+		return len(usable)
+	}
+	if n := count(listOf(ready("a"), ready("b"))); n != 2 {
+		t.Fatalf("%d endpoints, want 2", n)
+	}
+	if _, leaving, _ := d.take(now, listOf(draining("a"), ready("b"))); len(leaving) != 1 {
+		t.Fatalf("%v are leaving, want one", leaving)
+	}
+	// The list that comes next may have been read before.
+	if n := count(listOf(ready("a"), ready("b"))); n != 1 {
+		t.Errorf("%d endpoints by a list that lags, want 1", n)
+	}
+	if n := count(listOf(draining("a"), ready("b"))); n != 1 {
+		t.Errorf("%d endpoints, want 1", n)
+	}
+	if n := count(listOf(ready("b"))); n != 1 {
+		t.Errorf("%d endpoints, want 1", n)
+	}
+	if n := count(listOf(ready("a"), ready("b"))); n != 2 {
+		t.Errorf("%d endpoints after it has started again, want 2", n)
+	}
+}
+
+// TestAnEndpointThatStaysInTheList: it started again so soon that no list lacked it.
+func TestAnEndpointThatStaysInTheList(t *testing.T) {
+	var d departures
+	now := time.Now()
+	d.take(now, listOf(draining("a")))
+	usable, _, wait := d.take(now, listOf(ready("a")))
+	if len(usable) != 0 || wait != returnAfter {
+		t.Fatalf("%v at once, again in %v", usable, wait)
+	}
+	if usable, _, wait = d.take(now.Add(wait), listOf(ready("a"))); len(usable) != 1 || wait != 0 {
+		t.Errorf("%v after %v, again in %v", usable, returnAfter, wait)
+	}
+	// The time begins anew whenever it is seen leaving.
+	d.take(now, listOf(draining("a")))
+	d.take(now, listOf(ready("a")))
+	d.take(now.Add(returnAfter/2), listOf(draining("a")))
+	if usable, _, _ = d.take(now.Add(returnAfter), listOf(ready("a"))); len(usable) != 0 {
+		t.Errorf("%v, though it was leaving meanwhile", usable)
+	}
+}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -48,9 +48,11 @@
 
 	table atomic.Pointer[routing.Table]
 	fleet atomic.Pointer[fleet]
-	// gone holds the ids of endpoints that were seen leaving. An id never comes
-	// back, so that an older reading of the list changes nothing.
-	gone map[string]bool
+	// departures is used by the goroutine of lists only.
+	departures departures
+	// returns is when endpoints that left may count again under the list in force, zero if none
+	// can.
+	returns time.Time
 	// tableNews and listNews each have a goroutine of their own, so that neither kind of
 	// news waits for the other.
 	tableNews, listNews *news
@@ -85,6 +87,9 @@
 	if serves, why := e.Serves(); !serves {
 		return false, why
 	}
+	if e.Watch.State().GetView().GetEpoch() == 0 {
+		return false, "no stores are chosen yet"
+	}
 	if e.deserted() {
 		return false, "most entry instances of this failure domain are lost"
 	}
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -287,6 +287,20 @@
 	}
 }
 
+// TestAnInstanceIsNotReadyBeforeStoresAreChosen: at a first start it called itself ready with a configuration and no
+// stores, and refused each turn.
+func TestAnInstanceIsNotReadyBeforeStoresAreChosen(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	if ready, why := e.Ready(); !ready {
+		t.Fatal(why)
+	}
+	e.Watch = &watch.Client{Log: e.Log}
+	e.Watch.Offer(&fleetpb.State{Number: 1, Configuration: &fleetpb.Configuration{Version: 1}})
+	if ready, _ := e.Ready(); ready {
+		t.Error("ready although no store is chosen")
+	}
+}
+
 // TestLoadsOfAnotherListAreNotTaken: loads go by the order of a list.
 func TestLoadsOfAnotherListAreNotTaken(t *testing.T) {
 	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
--- a/rockbarrow/entry/news.go
+++ b/rockbarrow/entry/news.go
@@ -136,14 +136,16 @@
 		return
 	}
 	old := e.fleet.Load()
-	if old != nil && old.reading.List() == reading.List() {
+	now := time.Now()
+	due := !e.returns.IsZero() && !now.Before(e.returns)
+	if old != nil && old.reading.List() == reading.List() && !due {
 		return
 	}
 	var before *placement.Fleet
 	if old != nil {
 		before = old.Fleet
 	}
-	f := placement.NewServiceFleet(e.endpoints(reading.List()), placement.Spread, before)
+	f := placement.NewServiceFleet(e.endpoints(now, reading.List()), placement.Spread, before)
 	e.fleet.Store(&fleet{Fleet: f, reading: reading})
 	e.Log.WithFields(logrus.Fields{
 		"list": reading.List().GetNumber(), "age_ms": time.Since(reading.At()).Milliseconds(),
@@ -152,20 +154,19 @@
 }
 
 // endpoints returns the endpoints that may get new requests.
-func (e *Entry) endpoints(l *fleetpb.EndpointList) []*configpb.Endpoint {
-	if e.gone == nil {
-		e.gone = map[string]bool{}
-	}
-	var out []*configpb.Endpoint
-	for _, p := range l.GetEndpoints() {
-		if p.GetDraining() && !e.gone[p.GetId()] {
-			e.gone[p.GetId()] = true
-			e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": l.GetNumber()}).
-				Info("an endpoint is leaving and gets nothing new")
-		}
-		if e.gone[p.GetId()] {
-			continue
-		}
+func (e *Entry) endpoints(now time.Time, l *fleetpb.EndpointList) []*configpb.Endpoint {
+	usable, leaving, wait := e.departures.take(now, l)
+	for _, p := range leaving {
+		e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": l.GetNumber()}).
+			Info("an endpoint is leaving and gets nothing new")
+	}
+	e.returns = time.Time{}
+	if wait > 0 {
+		e.returns = now.Add(wait)
+		time.AfterFunc(wait, e.listNews.wake)
+	}
+	out := make([]*configpb.Endpoint, 0, len(usable))
+	for _, p := range usable {
 		out = append(out, &configpb.Endpoint{
 			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
 			Service: p.GetService(), MaxCalls: p.GetSlots(),
