--- a/rockbench/soak.go
+++ b/rockbench/soak.go
@@ -16,6 +16,9 @@
 	"rockbarrow.dev/rockbench/soak"
 )
 
+// mostPrinted bounds the broken promises that are printed of a seed; the count tells of the rest.
+const mostPrinted = 20
+
 // soakOptions are those of the command line.
 type soakOptions struct {
 	seed, seeds, seconds, programs, entries, domains int
@@ -76,7 +79,7 @@
 	if len(report.Broken) == 0 {
 		return 0, os.RemoveAll(dir)
 	}
-	for _, b := range report.Broken {
+	for _, b := range report.Broken[:min(len(report.Broken), mostPrinted)] {
 		fmt.Fprintln(out, "  ", b)
 	}
 	fmt.Fprintln(out, "  logs and disks in", dir)
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -14,6 +15,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbarrow/wait"
 )
 
@@ -44,6 +46,8 @@
 	{"reset links", link(reset)},
 	{"lost answers", loseAnswers},
 	{"an endpoint is replaced", replaceEndpoint},
+	{"an endpoint starts again under its id", restartEndpoint},
+	{"another writer's entries are in the list", foreignList},
 	{"new settings", hangUp},
 	{"settings are half written", tornSettings},
 	{"nobody reads the logs", dropReaders},
@@ -138,15 +142,59 @@
 
 // replaceEndpoint lets one leave after another has come.
 func replaceEndpoint(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	f.replacing.Lock()
+	defer f.replacing.Unlock()
 	old := f.endpoint(r)
 	if _, err := f.addEndpoint(old.Service, old.Domain); err != nil {
 		f.ledger.Break("%v", err)
 		return
 	}
-	old.Draining.Store(true)
+	leave(ctx, f, old, last)
+}
+
+// leave drains an endpoint and takes it off the list.
+func leave(ctx context.Context, f *fleet, e *standin.Endpoint, last time.Duration) {
+	e.Draining.Store(true)
 	wait.For(ctx, last+2*time.Second)
-	f.removeEndpoint(old)
-	old.Close()
+	f.removeEndpoint(e)
+	e.Close()
+}
+
+// restartEndpoint lets one end, in the middle of whatever it does or after it has left, and start again under its
+// id.
+func restartEndpoint(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	f.replacing.Lock()
+	defer f.replacing.Unlock()
+	old := f.endpoint(r)
+	if r.IntN(2) == 0 {
+		leave(ctx, f, old, last)
+	} else {
+		f.removeEndpoint(old)
+		old.Close()
+	}
+	wait.For(ctx, last/4)
+	if _, err := f.startEndpoint(old.ID, old.Service, old.Domain); err != nil {
+		f.ledger.Break("%v", err)
+	}
+}
+
+// foreignEntries are what other writers may leave in the list of endpoints.
+var foreignEntries = []string{
+	`null`, `"text"`, `[]`, `{}`, `{"id":7}`, `{"id":"x-1","service":"tool"}`,
+	`{"id":"x-2","service":"tool","address":"nowhere","zone":"domain-0","slots":1,"state":"ready"}`,
+	`{"id":"x-3","service":"tool","address":"127.0.0.1:1","zone":"domain-0","slots":"many","state":"ready"}`,
+	`{"id":"x-4","service":"tool","address":"127.0.0.1:1","zone":"domain-0","slots":1,"state":"resting"}`,
+	`{"id":"x-5","service":"nobody","address":"127.0.0.1:1","zone":"domain-0","slots":1,"state":"ready"}`,
+}
+
+func foreignList(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	var entries []json.RawMessage
+	for range 1 + r.IntN(4) {
+		entries = append(entries, json.RawMessage(foreignEntries[r.IntN(len(foreignEntries))]))
+	}
+	f.list.SetForeign(entries...)
+	wait.For(ctx, last)
+	f.list.SetForeign()
 }
 
 func hangUp(ctx context.Context, f *fleet, _ *rand.Rand, last time.Duration) {
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -63,8 +63,10 @@
 	configuring sync.Mutex
 	version     uint64
 	routes      *routes
-	// lives counts the endpoints made, so that ids never come back.
+	// lives counts the endpoints made, so that each has an id of its own.
 	lives int
+	// replacing is held while an endpoint is replaced or starts again: one of each kind always stays.
+	replacing sync.Mutex
 }
 
 // build compiles the product into a folder.
@@ -133,18 +135,26 @@
 	}
 }
 
-// addEndpoint starts another life of an endpoint.
+// addEndpoint starts another endpoint.
 func (f *fleet) addEndpoint(service, domain string) (*standin.Endpoint, error) {
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.lives++
+	id := fmt.Sprintf("%s-%d", service, f.lives)
+	f.mu.Unlock()
+	return f.startEndpoint(id, service, domain)
+}
+
+// startEndpoint starts an endpoint under an id that is new or was given up.
+func (f *fleet) startEndpoint(id, service, domain string) (*standin.Endpoint, error) {
 	e := &standin.Endpoint{
-		ID: fmt.Sprintf("%s-%d", service, f.lives), Service: service, Domain: domain, Slots: 64,
+		ID: id, Service: service, Domain: domain, Slots: 64,
 		Work: 4 * time.Millisecond, Stream: service == "model", Ledger: f.ledger,
 	}
 	if err := e.Start("127.0.0.1"); err != nil {
 		return nil, errors.Wrap(err, "soak: endpoint")
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.endpoints = append(f.endpoints, e)
 	f.list.Set(f.endpoints...)
 	return e, nil
