--- a/rockbench/soak/ends_test.go
+++ b/rockbench/soak/ends_test.go
@@ -131,6 +131,21 @@
 	t.Run("foreign names in its data folder", func(t *testing.T) { eachRole(t, binary, foreignNames) })
 }
 
+// TestSettingsChangeWithoutASignal: the file may change, and name other control instances, with nobody telling the
+// process. It had kept the old ones until a signal came.
+func TestSettingsChangeWithoutASignal(t *testing.T) {
+	binary, err := build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := solo(t, binary, "entry")
+	in.mustStart(t)
+	awaitServed(t, in)
+	in.plan.Control = append(in.plan.Control, ip(1, 1)+":1")
+	in.writeSettings(t)
+	awaitLogged(t, in, "the settings were read again")
+}
+
 func readerGoesAway(t *testing.T, in *instance) {
 	r, w, err := os.Pipe()
 	if err != nil {
