--- a/rockbench/soak/ends_test.go
+++ b/rockbench/soak/ends_test.go
@@ -146,6 +146,45 @@
 	awaitLogged(t, in, "the settings were read again")
 }
 
+// TestAnEntryIsNotAskedForReadinessBeforeItServes: while another process holds the address of consumers, the balancer
+// must not lead them there. Readiness was served first.
+func TestAnEntryIsNotAskedForReadinessBeforeItServes(t *testing.T) {
+	binary, err := build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := solo(t, binary, "entry")
+	l, err := net.Listen("tcp", in.plan.Consumers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	in.mustStart(t)
+	awaitLogged(t, in, `"what":"consumers"`)
+	if accepts(in.plan.Ready) {
+		t.Error("readiness is served")
+	}
+	l.Close()
+	awaitServed(t, in)
+}
+
+// TestAStopWhileSettingsAreAwaited: a stop is no failure, whatever the process waits for.
+func TestAStopWhileSettingsAreAwaited(t *testing.T) {
+	binary, err := build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := solo(t, binary, "entry")
+	if err := in.run(); err != nil {
+		t.Fatal(err)
+	}
+	awaitLogged(t, in, "the settings can't be read yet")
+	in.stop(syscall.SIGTERM)
+	if code := in.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("it ended with code %d", code)
+	}
+}
+
 func readerGoesAway(t *testing.T, in *instance) {
 	r, w, err := os.Pipe()
 	if err != nil {
