--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -220,13 +220,14 @@
 	return errors.Wrap(unix.Prlimit(pid, unix.RLIMIT_FSIZE, limit, nil), "soak: limit of files")
 }
 
-// served is an address without which an instance is of no use, and its name in the logs.
+// served is an address without which an instance is of no use, and its name in the logs. An instance serves
+// its addresses one after the other, in their order.
 type served struct{ name, address string }
 
 func (in *instance) serves() []served {
 	switch in.role {
 	case "entry":
-		return []served{{"readiness", in.plan.Ready}, {"consumers", in.plan.Consumers}}
+		return []served{{"consumers", in.plan.Consumers}, {"readiness", in.plan.Ready}}
 	case "control":
 		return []served{{"peers", in.plan.PeerListen()}, {"operators", in.plan.Operators}}
 	}
