--- a/rockbench/soak/ends_test.go
+++ b/rockbench/soak/ends_test.go
@@ -8,6 +8,8 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -168,6 +170,43 @@
 	awaitServed(t, in)
 }
 
+// TestAHangUpAsSoonAsItIsHandled: the runtime takes a hang-up from its first millisecond on and ends the process for
+// it until the program asks for it, some 5 to 20 ms later. Settings that change while a process starts ended it.
+func TestAHangUpAsSoonAsItIsHandled(t *testing.T) {
+	binary, err := build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	eachRole(t, binary, func(t *testing.T, in *instance) {
+		in.mustStart(t)
+		for !handlesHangUp(t, in.cmd.Process.Pid) {
+			continue
+		}
+		in.signal(syscall.SIGHUP)
+		awaitServed(t, in)
+	})
+}
+
+// handlesHangUp reports whether a process ignores or catches SIGHUP.
+func handlesHangUp(t *testing.T, pid int) bool {
+	t.Helper()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"SigIgn:", "SigCgt:"} {
+		_, rest, _ := strings.Cut(string(status), name)
+		mask, err := strconv.ParseUint(strings.TrimSpace(rest[:strings.IndexByte(rest, '\n')]), 16, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if mask&(1<<(syscall.SIGHUP-1)) != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // TestAStopWhileSettingsAreAwaited: a stop is no failure, whatever the process waits for.
 func TestAStopWhileSettingsAreAwaited(t *testing.T) {
 	binary, err := build(t.Context(), t.TempDir())
