controller: a test of a read waits for all voters

A change counts once two of three voters have accepted it; a read that meets the third proposes the value again, as the register requires, and writes it. The test read at once. Shown by a run that printed the votes at the failure: voter 3 had accepted round 1, the others round 2, and round 3 wrote the value of round 2. Change: the test waits until all voters have accepted the value under one ballot and then looks at the disks of all three instead of one. With a promise written with the whole value it fails. Ruled out: a duty's round (the record shows the read's ballot, of instance 1).

--- a/rockbarrow/controller/votes_test.go
+++ b/rockbarrow/controller/votes_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 
+	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -35,21 +36,40 @@
 }
 
 // TestAPromiseDoesNotCostWhatIsConfigured: every read by an operator wrote the whole
-// configuration to the disks of all voters, twice the work of accepting it.
+// configuration to the disks of all voters, twice the work of accepting it. A change counts once
+// two of three have accepted it, and a read that meets the third brings it there, as it must; so
+// all three are waited for.
 func TestAPromiseDoesNotCostWhatIsConfigured(t *testing.T) {
 	core := newCore(t)
 	put(t, core[0], 1, large("one"))
-	c := core[0].controller
-	before := c.disk.value.Value()
-	if _, err := c.Read(t.Context()); err != nil {
+	await(t, func() bool { return acceptedByAll(core, large("one")) })
+	var before [][]byte
+	for _, p := range core {
+		before = append(before, p.controller.disk.value.Value())
+	}
+	if _, err := core[0].controller.Read(t.Context()); err != nil {
 		t.Fatal(err)
 	}
 	if n := bytesIn(t, core[0].dir, "promise"); n == 0 || n > 1000 {
 		t.Errorf("a promise takes %d bytes on the disk", n)
 	}
-	if after := c.disk.value.Value(); !bytes.Equal(after, before) || len(after) < len(large("one")) {
-		t.Errorf("the value was written anew: %d bytes, %d before", len(after), len(before))
+	for i, p := range core {
+		if after := p.controller.disk.value.Value(); !bytes.Equal(after, before[i]) || len(after) < len(large("one")) {
+			t.Errorf("voter %d wrote the value anew: %d bytes, %d before", i, len(after), len(before[i]))
+		}
+	}
+}
+
+// acceptedByAll reports whether all voters have accepted a document, under one ballot.
+func acceptedByAll(core []*place, document string) bool {
+	newest := core[0].controller.acceptorRecord()
+	for _, p := range core {
+		r := p.controller.acceptorRecord()
+		if register.Compare(r.GetAccepted(), newest.GetAccepted()) != 0 {
+			return false
+		}
 	}
+	return string(newest.GetState().GetConfiguration().GetDocument()) == document
 }
 
 // TestAPromiseSurvivesARestart: alone, after a value, and before another one.
