--- /dev/null
+++ b/rockbarrow/life/life_test.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: MIT
+
+package life
+
+import (
+	"testing"
+	"time"
+)
+
+func TestWhatIsNotKnownEndsNoLife(t *testing.T) {
+	for _, tt := range []struct {
+		a, b Life
+		same bool
+	}{
+		{Life{"e", 5}, Life{"e", 5}, true},
+		{Life{"e", 5}, Life{"e", 6}, false},
+		{Life{"e", 5}, Life{"e", 0}, true},
+		{Life{"e", 0}, Life{"e", 6}, true},
+		{Life{"e", 5}, Life{"f", 5}, false},
+	} {
+		if got := tt.a.Same(tt.b); got != tt.same {
+			t.Errorf("%v and %v: same is %v", tt.a, tt.b, got)
+		}
+	}
+}
+
+// TestALateWordBringsNoLifeBack: not after a clock stepped back either, where the newer life has the lower time.
+func TestALateWordBringsNoLifeBack(t *testing.T) {
+	var l Lives
+	now := time.Unix(1, 0)
+	for i, step := range []struct {
+		word, present uint64
+		began         bool
+	}{
+		{0, 0, false},
+		{900, 900, false},
+		{900, 900, false},
+		{0, 900, false},
+		{500, 500, true},
+		{900, 500, false},
+		{1200, 1200, true},
+		{500, 1200, false},
+		{900, 1200, false},
+	} {
+		present, began := l.Take(now, Life{"e", step.word})
+		if present != (Life{"e", step.present}) || began != step.began {
+			t.Errorf("step %d: %v, began %v", i, present, began)
+		}
+	}
+	if !l.Ended(Life{"e", 500}) || l.Ended(Life{"e", 1200}) || l.Ended(Life{"f", 500}) {
+		t.Error("other lives count as ended")
+	}
+}
+
+func TestIdsThatAreGoneAreForgotten(t *testing.T) {
+	var l Lives
+	begun := time.Unix(1, 0)
+	l.Take(begun, Life{"old", 5})
+	l.Take(begun.Add(forgetAfter), Life{"new", 5})
+	l.Forget(begun.Add(forgetAfter + 1))
+	if len(l.byID) != 1 || l.byID["new"] == nil {
+		t.Errorf("%d ids are known", len(l.byID))
+	}
+}
+
+// TestTheEndedLivesAreBounded: an endpoint that starts again for ever.
+func TestTheEndedLivesAreBounded(t *testing.T) {
+	var l Lives
+	for born := uint64(1); born < 1000; born++ {
+		l.Take(time.Unix(1, 0), Life{"e", born})
+	}
+	if n := len(l.byID["e"].ended); n != mostEnded {
+		t.Errorf("%d ended lives are kept", n)
+	}
+}
