entry, controller: tests of endpoints that start again, failing

What is known of an endpoint goes by its id: its failures, the lines that it served, and the calls that others tell of. All three tests fail on this code.

--- a/rockbarrow/controller/loads_test.go
+++ b/rockbarrow/controller/loads_test.go
@@ -61,3 +61,25 @@
 		t.Error("outcomes without weight are kept")
 	}
 }
+
+// TestCallsAtAnOlderLifeDoNotCount: an endpoint that starts again has nothing under way and has failed nothing,
+// whatever instances tell that have not heard of it.
+func TestCallsAtAnOlderLifeDoNotCount(t *testing.T) {
+	var l loads
+	now := time.Unix(100, 0)
+	at := func(born uint64, running, failed uint32) []*fleetpb.EndpointUse {
+		return []*fleetpb.EndpointUse{{Endpoint: "x", BornMs: born, Running: running, Failed: failed}}
+	}
+	l.heard(now, "1", at(1000, 3, 9))
+	l.heard(now, "2", at(2000, 1, 0))
+	list := &fleetpb.EndpointList{Number: 8, Endpoints: []*fleetpb.Endpoint{{Id: "x", BornMs: 2000}}}
+	got := l.of(now, "new", list)
+	if !slices.Equal(got.GetRunning(), []uint32{1}) || got.GetFailing()[0] != 0 {
+		t.Errorf("%v, want one call of the present life", got)
+	}
+	// Who does not know the life tells of the present one.
+	l.heard(now, "1", at(0, 5, 0))
+	if got := l.of(now, "new", list); !slices.Equal(got.GetRunning(), []uint32{6}) {
+		t.Errorf("%v, want six calls", got)
+	}
+}
--- /dev/null
+++ b/rockbarrow/entry/lives_test.go
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// lifeOf is a list with one endpoint, of a life.
+func lifeOf(number, bornMS uint64) *fleetpb.EndpointList {
+	return &fleetpb.EndpointList{Number: number, Endpoints: []*fleetpb.Endpoint{
+		{Id: "x", Service: "s", Address: "127.0.0.1:1", FailureDomain: "a", Slots: 4, BornMs: bornMS},
+	}}
+}
+
+// hear takes over a list.
+func (e *Entry) hear(l *fleetpb.EndpointList) {
+	e.Watch.OfferList(l, time.Now())
+	e.refresh()
+}
+
+// TestANewLifeIsNotHeldToTheFailuresOfAnOlderOne: an endpoint that had failed and started again under its id got
+// nothing for up to 30 s, although nothing was known of it.
+func TestANewLifeIsNotHeldToTheFailuresOfAnOlderOne(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){broken, broken, broken, answers(200, "ok")}}
+	e := newEntry(t, s)
+	e.hear(lifeOf(2, 1000))
+	for range 3 {
+		e.Serve(t.Context(), ask("/once/1"), &fakeOut{})
+	}
+	if out := e.Serve(t.Context(), ask("/once/1"), &fakeOut{}); out == (Answered{}) {
+		t.Fatal("an endpoint that fails is still used")
+	}
+	// A clock that has stepped back makes no difference.
+	e.hear(lifeOf(3, 900))
+	if out := e.Serve(t.Context(), ask("/once/1"), &fakeOut{}); out != (Answered{}) {
+		t.Errorf("%v, want an answer of the new life", out)
+	}
+}
+
+// TestALineLeavesAnEndpointThatStartedAgain: what the line said before is not there any more, and the endpoint is
+// no better than others. All programs that it had served stayed with it, however full it was.
+func TestALineLeavesAnEndpointThatStartedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
+		e := newStreamEntry(t, view, s)
+		number := uint64(10)
+		hear := func(born func(id string) uint64) {
+			l := list(number)
+			number++
+			for _, p := range l.GetEndpoints() {
+				p.BornMs = born(p.GetId())
+			}
+			e.hear(l)
+		}
+		hear(func(string) uint64 { return 1000 })
+		e.Serve(t.Context(), turnOf("r", "first", "moving", 500), &fakeOut{})
+		awaitSettled(t, e, "moving", 9)
+		first := s.offers[0].Endpoint.GetName()
+		hear(func(id string) uint64 {
+			if id == first {
+				return 2000
+			}
+			return 1000
+		})
+		// It runs more than the others, which is no reason to leave it for who was served there.
+		running := map[string]uint32{first: 2}
+		loads := &fleetpb.EndpointLoads{ListNumber: number - 1, Failing: make([]uint32, 3)}
+		for _, p := range e.Watch.List().List().GetEndpoints() {
+			loads.Running = append(loads.Running, running[p.GetId()])
+		}
+		e.HearLoads(loads)
+		for n := range 3 {
+			e.Serve(t.Context(), turnOf("r", fmt.Sprint("later", n), "moving", 500), &fakeOut{})
+			awaitSettled(t, e, "moving", 9*(n+2))
+		}
+		for _, o := range s.offers[1:] {
+			if o.Endpoint.GetName() == first {
+				t.Error("the line went back to an endpoint that had started again")
+			}
+		}
+	})
+}
