placement, entry, controller, stores: what is known belongs to a life

Cause: an endpoint's failures, its lines, its calls under way and what instances tell of them went by its id, also after it had started again under it. Change: they go by life.Life, the id and the start. Placement of an older life's late word: its own account, which nobody reads. Rolling upgrades: fields beside the old ones; who knows no start speaks of the present life. Ruled out: counts of an endpoint as part of its identity (a second id beside the first).

--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -30,14 +31,14 @@
 	entries map[string]*entryLoad
 	// running sums the calls under way by endpoint; it always equals the sum over
 	// entries.
-	running  map[string]uint32
-	outcomes map[string]*outcomes
+	running  map[life.Life]uint32
+	outcomes map[life.Life]*outcomes
 }
 
 // entryLoad is one entry instance's last report.
 type entryLoad struct {
 	heard   time.Time
-	running map[string]uint32
+	running map[life.Life]uint32
 }
 
 // outcomes counts how calls at one endpoint ended, older ones with less weight.
@@ -51,18 +52,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.entries == nil {
-		l.entries, l.running, l.outcomes = map[string]*entryLoad{}, map[string]uint32{}, map[string]*outcomes{}
+		l.entries, l.running, l.outcomes = map[string]*entryLoad{}, map[life.Life]uint32{}, map[life.Life]*outcomes{}
 	}
 	l.drop(entry)
-	e := &entryLoad{heard: now, running: map[string]uint32{}}
+	e := &entryLoad{heard: now, running: map[life.Life]uint32{}}
 	l.entries[entry] = e
 	for _, u := range uses {
+		of := life.Life{ID: u.GetEndpoint(), BornMS: u.GetBornMs()}
 		if n := u.GetRunning(); n > 0 {
-			e.running[u.GetEndpoint()] = n
-			l.running[u.GetEndpoint()] += n
+			e.running[of] = n
+			l.running[of] += n
 		}
 		if u.GetAnswered() > 0 || u.GetFailed() > 0 {
-			l.ended(now, u)
+			l.ended(now, of, u)
 		}
 	}
 }
@@ -82,11 +84,11 @@
 	delete(l.entries, entry)
 }
 
-func (l *loads) ended(now time.Time, u *fleetpb.EndpointUse) {
-	o := l.outcomes[u.GetEndpoint()]
+func (l *loads) ended(now time.Time, of life.Life, u *fleetpb.EndpointUse) {
+	o := l.outcomes[of]
 	if o == nil {
 		o = &outcomes{at: now}
-		l.outcomes[u.GetEndpoint()] = o
+		l.outcomes[of] = o
 	}
 	o.decay(now)
 	o.answered += float64(u.GetAnswered())
@@ -101,8 +103,7 @@
 }
 
 // failing is the share of calls that failed lately, in percent.
-func (o *outcomes) failing(now time.Time) uint32 {
-	o.decay(now)
+func (o outcomes) failing() uint32 {
 	return uint32(100 * o.failed / (o.answered + o.failed + fewOutcomes))
 }
 
@@ -132,15 +133,31 @@
 	out := &fleetpb.EndpointLoads{
 		ListNumber: list.GetNumber(), Running: make([]uint32, n), Failing: make([]uint32, n),
 	}
-	var own map[string]uint32
+	var own map[life.Life]uint32
 	if e := l.entries[entry]; e != nil {
 		own = e.running
 	}
 	for i, p := range list.GetEndpoints() {
-		out.Running[i] = l.running[p.GetId()] - own[p.GetId()]
-		if o := l.outcomes[p.GetId()]; o != nil {
-			out.Failing[i] = o.failing(now)
+		var ended outcomes
+		for _, of := range spokenOf(p) {
+			out.Running[i] += l.running[of] - own[of]
+			if o := l.outcomes[of]; o != nil {
+				o.decay(now)
+				ended.answered += o.answered
+				ended.failed += o.failed
+			}
 		}
+		out.Failing[i] = ended.failing()
 	}
 	return out
 }
+
+// spokenOf returns under which names instances tell of an endpoint: its life and, while they do not know that, its
+// id alone. What they tell of older lives does not count.
+func spokenOf(p *fleetpb.Endpoint) []life.Life {
+	of := life.Life{ID: p.GetId(), BornMS: p.GetBornMs()}
+	if of.BornMS == 0 {
+		return []life.Life{of}
+	}
+	return []life.Life{of, {ID: of.ID}}
+}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/rockbarrow/wait"
@@ -50,6 +51,8 @@
 	fleet atomic.Pointer[fleet]
 	// departures is used by the goroutine of lists only.
 	departures departures
+	// lives is used by the same goroutine only.
+	lives life.Lives
 	// returns is when endpoints that left may count again under the list in force, zero if none
 	// can.
 	returns time.Time
@@ -221,7 +224,7 @@
 	}
 	e.Log.WithFields(logrus.Fields{
 		"request": r.ID, "program": r.Program, "previous": r.Previous, "route": x.route.GetName(),
-		"service": x.service.GetName(), "endpoint": x.endpoint, "offers": x.offers, "status": status,
+		"service": x.service.GetName(), "endpoint": x.endpoint.ID, "offers": x.offers, "status": status,
 		"reason": reason, "config_version": x.table.Version(), "list": x.list, "list_age_ms": x.listAge,
 		"took_ms": took.Milliseconds(), "own_ms": x.own.Milliseconds(), "waited_ms": x.waited.Milliseconds(), "left_ms": r.Finish.Milliseconds(),
 	}).Log(level, "request ended")
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/stores"
@@ -50,10 +51,11 @@
 	// offers counts the endpoints asked, runs those that may have run it and whose
 	// answer did not become the client's whole answer.
 	offers, runs int
-	avoid        []string
+	avoid        []life.Life
 	// last is the endpoint that served the turn before.
-	last     string
-	endpoint string
+	last life.Life
+	// endpoint is the one that was offered the request last.
+	endpoint life.Life
 	status   int
 	list     uint64
 	listAge  int64
@@ -158,11 +160,11 @@
 	}
 	p := choice.Endpoint()
 	pauses.at(p.Domain())
-	x.endpoint = p.Name()
+	x.endpoint = p.Life()
 	x.offers++
 	sent := time.Now()
 	answer, err := x.entry.Sender.Send(try, Offer{
-		Request: x.request, Body: x.body, Endpoint: p.Config(), Deadline: x.deadline,
+		Request: x.request, Body: x.body, Endpoint: p.Config(), Life: x.endpoint, Deadline: x.deadline,
 		Priority: x.route.GetPriority(), Connections: x.connections(),
 		Stream: x.way.streamed, After: x.events.last,
 	})
@@ -174,7 +176,7 @@
 		left := ctx.Err() != nil && time.Since(sent) < hungAfter
 		busy := errors.As(err, &notRun) && notRun.Busy
 		done(placement.Result{OK: busy || left, Refused: busy || left, Unreached: unreached})
-		x.avoid = append(x.avoid, p.Name())
+		x.avoid = append(x.avoid, x.endpoint)
 		return nil, nil, err
 	}
 	x.ran = true
--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -143,7 +143,7 @@
 	r := x.request
 	spent := time.Since(r.Arrived)
 	leave, act := x.entry.gates.of(x.service.GetName()).enter(ctx, x.places, limiter.Arrived{
-		Underway: r.Previous != "" || x.last != "" || r.LastEvent != "",
+		Underway: r.Previous != "" || x.last.ID != "" || r.LastEvent != "",
 		Left:     r.Finish - spent, Timed: r.HasFinish,
 		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientWaits() - spent,
 		Priority: x.route.GetPriority(),
--- a/rockbarrow/entry/lines.go
+++ b/rockbarrow/entry/lines.go
@@ -2,7 +2,11 @@
 
 package entry
 
-import "sync"
+import (
+	"sync"
+
+	"rockbarrow.dev/rockbarrow/life"
+)
 
 // maxLines bounds each of the two generations of lines that are remembered: a few times
 // the programs under way at one instance, at some 100 bytes each.
@@ -14,21 +18,21 @@
 	mu sync.Mutex
 	// young takes what is new; once it is full it becomes old, and what was old is
 	// forgotten.
-	young, old map[line]string
+	young, old map[line]life.Life
 }
 
 // line is a line of turns of a program; an empty name stands for the whole program.
 type line struct{ program, name string }
 
 // add notes where a turn was served.
-func (l *lines) add(program, name, endpoint string) {
+func (l *lines) add(program, name string, endpoint life.Life) {
 	if program == "" {
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.young == nil || len(l.young) >= maxLines {
-		l.young, l.old = map[line]string{}, l.young
+		l.young, l.old = map[line]life.Life{}, l.young
 	}
 	l.young[line{program, name}] = endpoint
 	l.young[line{program, ""}] = endpoint
@@ -36,12 +40,12 @@
 
 // find returns the endpoint that served a line last; for a new line that of its program,
 // whose prompt it begins with; or else what others have told.
-func (l *lines) find(program, name, told string) string {
+func (l *lines) find(program, name string, told life.Life) life.Life {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, key := range []line{{program, name}, {program, ""}} {
-		for _, m := range []map[line]string{l.young, l.old} {
-			if e := m[key]; e != "" {
+		for _, m := range []map[line]life.Life{l.young, l.old} {
+			if e := m[key]; e.ID != "" {
 				return e
 			}
 		}
--- a/rockbarrow/entry/loads.go
+++ b/rockbarrow/entry/loads.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -16,12 +17,12 @@
 		return nil
 	}
 	var out []watch.Use
-	for name, p := range f.Endpoints() {
+	for _, p := range f.Endpoints() {
 		u := p.Use()
-		if u.Running == 0 && u.Answered == 0 && u.Failed == 0 {
+		if u == (placement.Use{}) {
 			continue
 		}
-		out = append(out, watch.Use{Endpoint: name, Running: u.Running, Answered: u.Answered, Failed: u.Failed})
+		out = append(out, watch.Use{Life: p.Life(), Running: u.Running, Answered: u.Answered, Failed: u.Failed, Lost: u.Lost})
 	}
 	return out
 }
--- a/rockbarrow/entry/news.go
+++ b/rockbarrow/entry/news.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/wait"
@@ -154,7 +155,7 @@
 }
 
 // endpoints returns the endpoints that may get new requests.
-func (e *Entry) endpoints(now time.Time, l *fleetpb.EndpointList) []*configpb.Endpoint {
+func (e *Entry) endpoints(now time.Time, l *fleetpb.EndpointList) []placement.Listed {
 	usable, leaving, wait := e.departures.take(now, l)
 	for _, p := range leaving {
 		e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": l.GetNumber()}).
@@ -165,13 +166,20 @@
 		e.returns = now.Add(wait)
 		time.AfterFunc(wait, e.listNews.wake)
 	}
-	out := make([]*configpb.Endpoint, 0, len(usable))
+	out := make([]placement.Listed, 0, len(usable))
 	for _, p := range usable {
-		out = append(out, &configpb.Endpoint{
+		// A list that lags brings no ended life back.
+		present, began := e.lives.Take(now, life.Life{ID: p.GetId(), BornMS: p.GetBornMs()})
+		if began {
+			e.Log.WithFields(logrus.Fields{"endpoint": present.ID, "born_ms": present.BornMS, "list": l.GetNumber()}).
+				Info("an endpoint has started again under its id")
+		}
+		out = append(out, placement.Listed{BornMS: present.BornMS, Config: &configpb.Endpoint{
 			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
 			Service: p.GetService(), MaxCalls: p.GetSlots(),
-		})
+		}})
 	}
+	e.lives.Forget(now)
 	return out
 }
 
--- a/rockbarrow/entry/pass.go
+++ b/rockbarrow/entry/pass.go
@@ -22,7 +22,7 @@
 func (x *exchange) broken(done func(placement.Result), r placement.Result, reason string) error {
 	done(r)
 	x.avoid = append(x.avoid, x.endpoint)
-	return &BrokenError{Endpoint: x.endpoint, Reason: reason}
+	return &BrokenError{Endpoint: x.endpoint.ID, Reason: reason}
 }
 
 // passWhole hands an answer on that is not events. It returns an error if the answer
--- a/rockbarrow/entry/ports.go
+++ b/rockbarrow/entry/ports.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/fleetpb"
@@ -50,8 +51,9 @@
 type Offer struct {
 	Request *Request
 	Body    []byte
-	// Endpoint is the life of a back end that must run it, and no other.
+	// Endpoint must run it, and no other; Life is what is known of its life.
 	Endpoint *configpb.Endpoint
+	Life     life.Life
 	// Deadline is when the endpoint is to stop.
 	Deadline time.Time
 	// Priority 0 is the most urgent.
@@ -73,6 +75,8 @@
 	// Body ends with io.EOF only if the answer is whole. Closing it early ends
 	// the endpoint's work.
 	Body io.ReadCloser
+	// Reconnected is true if the endpoint had closed a connection at rest that was to be used.
+	Reconnected bool
 }
 
 // Sender carries offers to endpoints.
--- a/rockbarrow/host/perform.go
+++ b/rockbarrow/host/perform.go
@@ -8,6 +8,7 @@
 
 	"rockbarrow.dev/rockbarrow/control"
 	"rockbarrow.dev/rockbarrow/dispatch"
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/owner"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/problem"
@@ -67,6 +68,10 @@
 	}
 	bounds := placement.Boundaries(a.History)
 	customer, _ := s.Customer(created.GetCustomer())
+	avoid := make([]life.Life, 0, len(a.Avoid))
+	for _, name := range a.Avoid {
+		avoid = append(avoid, life.Life{ID: name})
+	}
 	job := &dispatch.Job{
 		Customer: created.GetCustomer(),
 		Weight:   customer.GetWeight(),
@@ -76,8 +81,8 @@
 			Prompt:   promptOf(bounds),
 			Answer:   int64(a.AnswerTokens),
 			Prefixes: r.host.Desk.Prefixes.Find(bounds),
-			Last:     a.Last,
-			Avoid:    a.Avoid,
+			Last:     life.Life{ID: a.Last},
+			Avoid:    avoid,
 		},
 		Attained: a.Attained,
 		Started:  time.UnixMilli(o.Machine.State().MadeMS()),
--- a/rockbarrow/ledger/book.go
+++ b/rockbarrow/ledger/book.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -29,8 +30,8 @@
 // it is.
 type program struct {
 	reservations map[string]*fleetpb.Reservation
-	// endpoint served the turn that was settled last, or is "".
-	endpoint string
+	// endpoint served the turn that was settled last; it has no id if none is known.
+	endpoint life.Life
 	turns    []*fleetpb.Turn
 	retain   time.Duration
 	touched  time.Time
@@ -54,7 +55,7 @@
 	joined := join(old, own)
 	p.reservations[own.GetTurn()] = joined
 	if own.GetEndpoint() != "" {
-		p.endpoint = own.GetEndpoint()
+		p.endpoint = life.Life{ID: own.GetEndpoint(), BornMS: own.GetBornMs()}
 	}
 	return old == nil || joined != old
 }
@@ -101,12 +102,12 @@
 	return out
 }
 
-// Endpoint returns the endpoint that served a program's turn that was settled last, or
-// "".
-func (b *Book) Endpoint(name string) string {
+// Endpoint returns the endpoint that served a program's turn that was settled last, without
+// an id if none is known.
+func (b *Book) Endpoint(name string) life.Life {
 	p := b.programs[name]
 	if p == nil {
-		return ""
+		return life.Life{}
 	}
 	return p.endpoint
 }
--- a/rockbarrow/placement/baseline.go
+++ b/rockbarrow/placement/baseline.go
@@ -12,7 +12,7 @@
 	start := f.turn.n.Add(1)
 	for i := range uint64(len(list)) {
 		e := list[(start+i)%uint64(len(list))]
-		if e.open(now) && !avoided(req, e.name) {
+		if e.open(now) && !avoided(req, e) {
 			return Choice{endpoint: e, lacking: req.Prompt}, true
 		}
 	}
@@ -26,7 +26,7 @@
 	var best *Endpoint
 	for i := range uint64(len(list)) {
 		e := list[(start+i)%uint64(len(list))]
-		if !e.open(now) || avoided(req, e.name) {
+		if !e.open(now) || avoided(req, e) {
 			continue
 		}
 		if best == nil || e.underway.Load() < best.underway.Load() {
@@ -38,7 +38,7 @@
 
 // sticky stays with the run's last endpoint, or takes the least loaded.
 func (f *Fleet) sticky(now int64, list []*Endpoint, req Request) (Choice, bool) {
-	if e := f.endpoints[req.Last]; e != nil && e.open(now) && !avoided(req, e.name) {
+	if e := f.endpoints[req.Last.ID]; e != nil && e.Life().Same(req.Last) && e.open(now) && !avoided(req, e) {
 		for _, o := range list {
 			if o == e {
 				return Choice{endpoint: e, lacking: req.Prompt}, true
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/configpb"
 )
 
@@ -40,6 +41,8 @@
 	name   string
 	domain string
 	config *configpb.Endpoint
+	// born is the start of the only life that this speaks of, in milliseconds since 1970, 0 until it is known.
+	born atomic.Uint64
 
 	// underway counts own calls there and never exceeds the limit.
 	underway atomic.Int64
@@ -61,6 +64,8 @@
 	sign atomic.Int64
 	// answered and failed count own calls that have ended.
 	answered, failed atomic.Uint64
+	// lost counts calls and connections that ended by no answer.
+	lost atomic.Uint64
 	// others is what other instances know.
 	others others
 }
@@ -73,6 +78,9 @@
 // Answered notes that the endpoint has begun to answer a call.
 func (e *Endpoint) Answered(now time.Time) { e.sign.Store(now.UnixNano()) }
 
+// Lost notes that a call, or a connection at rest, ended by no answer: the endpoint may have started again.
+func (e *Endpoint) Lost() { e.lost.Add(1) }
+
 // silent reports whether the endpoint has calls and has answered none for long: it
 // hangs or is cut off, whatever its health says.
 func (e *Endpoint) silent(now int64) bool {
@@ -94,8 +102,10 @@
 	return &Report{running: running, waitingTokens: waitingTokens, cacheFree: cacheFree, at: at}
 }
 
-func newEndpoint(c *configpb.Endpoint) *Endpoint {
+func newEndpoint(l Listed) *Endpoint {
+	c := l.Config
 	e := &Endpoint{name: c.GetName(), domain: c.GetDomain(), config: c}
+	e.born.Store(l.BornMS)
 	e.limit.Store(int64(e.maxCalls()) * 1000)
 	return e
 }
@@ -103,6 +113,9 @@
 // Name returns the endpoint's name.
 func (e *Endpoint) Name() string { return e.name }
 
+// Life returns the life of the endpoint that all else here belongs to.
+func (e *Endpoint) Life() life.Life { return life.Life{ID: e.name, BornMS: e.born.Load()} }
+
 // Domain returns the endpoint's failure domain.
 func (e *Endpoint) Domain() string { return e.domain }
 
--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/control"
-	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/rockbarrow/life"
 )
 
 // Policy is how endpoints are chosen. Cost and Spread are in use; the others are
@@ -55,10 +55,10 @@
 	Prompt, Answer int64
 	// Prefixes are what endpoints hold of the prompt, the longest for each.
 	Prefixes []Held
-	// Last is the endpoint of the run's last answer, or "".
-	Last string
-	// Avoid names endpoints that failed the call.
-	Avoid []string
+	// Last is the endpoint of the run's last answer, without an id if there is none.
+	Last life.Life
+	// Avoid are endpoints that failed the call.
+	Avoid []life.Life
 	// Domain is the own failure domain, and AvoidDomains those that are likely to
 	// be out of reach, for Spread.
 	Domain       string
@@ -108,7 +108,7 @@
 func NewFleet(s *control.Snapshot, w Weights, p Policy, old *Fleet) *Fleet {
 	f := &Fleet{weights: w, policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}}
 	for _, c := range s.Document().GetEndpoints() {
-		f.endpoints[c.GetName()] = carry(c, old)
+		f.endpoints[c.GetName()] = carry(Listed{Config: c}, old)
 	}
 	for _, b := range s.Document().GetBindings() {
 		f.index(s, b.GetName())
@@ -117,20 +117,22 @@
 	return f
 }
 
-// carry keeps an endpoint's knowledge over a change of its limits, but not of
+// carry keeps an endpoint's knowledge over a change of its limits, but not of its life or
 // its address, behind which another back end stands.
-func carry(c *configpb.Endpoint, old *Fleet) *Endpoint {
-	if old == nil {
-		return newEndpoint(c)
+func carry(l Listed, old *Fleet) *Endpoint {
+	o := l.known(old)
+	if o == nil {
+		return newEndpoint(l)
 	}
-	o := old.endpoints[c.GetName()]
-	if o == nil || o.config.GetAddress() != c.GetAddress() || o.domain != c.GetDomain() {
-		return newEndpoint(c)
+	if l.BornMS != 0 {
+		o.born.Store(l.BornMS)
 	}
+	c := l.Config
 	if o.config.GetMaxCalls() == c.GetMaxCalls() && o.config.GetDraining() == c.GetDraining() {
 		return o
 	}
-	e := newEndpoint(c)
+	e := newEndpoint(l)
+	e.born.Store(o.born.Load())
 	e.leaving.Store(o.leaving.Load())
 	e.prefill.Store(o.prefill.Load())
 	e.step.Store(o.step.Load())
@@ -138,6 +140,21 @@
 	return e
 }
 
+// known returns what an earlier fleet, which may be nil, knows of the same life behind the same address, or nil.
+func (l Listed) known(old *Fleet) *Endpoint {
+	if old == nil {
+		return nil
+	}
+	o := old.endpoints[l.Config.GetName()]
+	if o == nil || o.config.GetAddress() != l.Config.GetAddress() || o.domain != l.Config.GetDomain() {
+		return nil
+	}
+	if !o.Life().Same(life.Life{ID: o.name, BornMS: l.BornMS}) {
+		return nil
+	}
+	return o
+}
+
 func (f *Fleet) index(s *control.Snapshot, binding string) {
 	b, _ := s.Binding(binding)
 	for _, e := range f.endpoints {
@@ -234,7 +251,7 @@
 	}
 	first, second := Choice{cost: math.Inf(1)}, Choice{cost: math.Inf(1)}
 	consider := func(e *Endpoint, has int64) {
-		if !e.open(now) || avoided(req, e.name) {
+		if !e.open(now) || avoided(req, e) {
 			return
 		}
 		c := f.price(now, e, req, has, most)
@@ -273,7 +290,7 @@
 		return Choice{}, false
 	}
 	for _, e := range list {
-		if e.open(now) && !avoided(req, e.name) {
+		if e.open(now) && !avoided(req, e) {
 			return f.price(now, e, req, 0, 0), true
 		}
 	}
@@ -344,9 +361,9 @@
 	return running, waiting, float64(rep.cacheFree)
 }
 
-func avoided(req Request, name string) bool {
+func avoided(req Request, e *Endpoint) bool {
 	for _, a := range req.Avoid {
-		if a == name {
+		if a.Same(e.Life()) {
 			return true
 		}
 	}
--- a/rockbarrow/placement/fleet_test.go
+++ b/rockbarrow/placement/fleet_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/recordpb"
 )
@@ -34,7 +35,7 @@
 		r := rand.New(rand.NewPCG(1, 1))
 		now := time.Unix(1000, 0)
 		for range 200 {
-			c, ok := f.Choose(now, Request{Class: class, Prompt: 100, Answer: 10, Last: "e002", Prefixes: []Held{{Endpoint: "e002", Tokens: 100}}}, r)
+			c, ok := f.Choose(now, Request{Class: class, Prompt: 100, Answer: 10, Last: life.Life{ID: "e002"}, Prefixes: []Held{{Endpoint: "e002", Tokens: 100}}}, r)
 			if !ok {
 				break
 			}
@@ -173,7 +174,7 @@
 		r := rand.New(rand.NewPCG(1, 1))
 		f.Endpoint("e001").Leave(true)
 		for range 100 {
-			c, ok := f.Choose(time.Unix(1000, 0), Request{Class: class, Last: "e001", Prefixes: []Held{{Endpoint: "e001", Tokens: 9}}, Prompt: 9}, r)
+			c, ok := f.Choose(time.Unix(1000, 0), Request{Class: class, Last: life.Life{ID: "e001"}, Prefixes: []Held{{Endpoint: "e001", Tokens: 9}}, Prompt: 9}, r)
 			if ok && c.Endpoint().Name() == "e001" {
 				t.Fatalf("policy %d chose a leaving endpoint", p)
 			}
--- a/rockbarrow/placement/others.go
+++ b/rockbarrow/placement/others.go
@@ -61,12 +61,14 @@
 type Use struct {
 	// Running are under way; Answered and Failed have ended.
 	Running, Answered, Failed uint64
+	// Lost counts calls and connections that ended by no answer.
+	Lost uint64
 }
 
 // Use returns the own calls.
 func (e *Endpoint) Use() Use {
 	return Use{
 		Running:  uint64(max(0, e.underway.Load())),
-		Answered: e.answered.Load(), Failed: e.failed.Load(),
+		Answered: e.answered.Load(), Failed: e.failed.Load(), Lost: e.lost.Load(),
 	}
 }
--- a/rockbarrow/placement/others_test.go
+++ b/rockbarrow/placement/others_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/configpb"
 )
 
@@ -42,7 +43,7 @@
 func TestAProgramLeavesAFailingEndpoint(t *testing.T) {
 	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
 	req := spreadRequest()
-	req.Last = "b1"
+	req.Last = life.Life{ID: "b1"}
 	f.Endpoint("b1").HeardOthers(now, 0, 10)
 	if c, _ := f.Choose(now, req, r); c.Endpoint().Name() != "b1" {
 		t.Error("a program left its endpoint on account of a few failures")
@@ -64,7 +65,7 @@
 			name := fmt.Sprintf("e%02d", k)
 			list = append(list, &configpb.Endpoint{Name: name, Domain: "a", Service: "s", MaxCalls: 6, Address: name})
 		}
-		f := NewServiceFleet(list, Spread, nil)
+		f := NewServiceFleet(listed(list), Spread, nil)
 		f.first = uint64(i)
 		for name := range f.Endpoints() {
 			f.Endpoint(name).HeardOthers(now, 2, 0)
@@ -82,7 +83,7 @@
 func TestUseCountsHowCallsEnded(t *testing.T) {
 	f, r, now := spreadFleet(6), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
 	req := spreadRequest()
-	req.Last = "a1"
+	req.Last = life.Life{ID: "a1"}
 	for _, result := range []Result{{OK: true}, {}, {OK: true, Refused: true}} {
 		c, _ := f.Choose(now, req, r)
 		c.Endpoint().Done(now, result)
@@ -104,7 +105,7 @@
 			name := fmt.Sprintf("e%03d", k)
 			list = append(list, &configpb.Endpoint{Name: name, Domain: "a", Service: "s", MaxCalls: 6, Address: name})
 		}
-		f, own := NewServiceFleet(list, Spread, nil), map[string]bool{}
+		f, own := NewServiceFleet(listed(list), Spread, nil), map[string]bool{}
 		f.first = uint64(i) * 37
 		r := rand.New(rand.NewPCG(uint64(i), 1))
 		for range 400 {
@@ -115,7 +116,7 @@
 		if len(own) > window+draws {
 			t.Fatalf("an instance uses %d endpoints", len(own))
 		}
-		if again := NewServiceFleet(list, Spread, f); again.first != f.first {
+		if again := NewServiceFleet(listed(list), Spread, f); again.first != f.first {
 			t.Fatal("a new list moves the window")
 		}
 	}
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -24,18 +24,25 @@
 	outOfReach = 2
 )
 
+// Listed is an endpoint of a list.
+type Listed struct {
+	Config *configpb.Endpoint
+	// BornMS tells its life, 0 if that is not known.
+	BornMS uint64
+}
+
 // NewServiceFleet indexes endpoints by their service alone, where every
 // configured endpoint is allowed. Endpoints that did not change since an earlier
 // fleet, which may be nil, keep what is known of them.
-func NewServiceFleet(endpoints []*configpb.Endpoint, p Policy, old *Fleet) *Fleet {
+func NewServiceFleet(endpoints []Listed, p Policy, old *Fleet) *Fleet {
 	f := &Fleet{policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}, first: rand.Uint64()}
 	if old != nil {
 		f.first = old.first
 	}
-	for _, c := range endpoints {
-		e := carry(c, old)
-		f.endpoints[c.GetName()] = e
-		class := Class{Service: c.GetService()}
+	for _, l := range endpoints {
+		e := carry(l, old)
+		f.endpoints[e.name] = e
+		class := Class{Service: l.Config.GetService()}
 		f.classes[class] = append(f.classes[class], e)
 	}
 	f.sortClasses()
@@ -51,7 +58,7 @@
 // domain. What others told is some 0.3 s old: were all endpoints compared, all
 // instances would choose the same one until they hear of each other.
 func (f *Fleet) spread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
-	if last := f.endpoints[req.Last]; last != nil && has(list, last) && last.mayKeep(now, req) {
+	if last := f.endpoints[req.Last.ID]; last != nil && last.Life().Same(req.Last) && has(list, last) && last.mayKeep(now, req) {
 		return Choice{endpoint: last, cached: req.Prompt}, true
 	}
 	if len(list) == 0 {
@@ -77,7 +84,7 @@
 // belonged to another run, which then moves too (docs/POLICY.md).
 func (e *Endpoint) mayKeep(now int64, req Request) bool {
 	switch {
-	case avoided(req, e.name), slices.Contains(req.AvoidDomains, e.domain):
+	case avoided(req, e), slices.Contains(req.AvoidDomains, e.domain):
 		return false
 	case !e.open(now), e.silent(now):
 		return false
@@ -109,7 +116,7 @@
 
 func (d *draw) consider(e *Endpoint) {
 	own := e.domain == d.req.Domain
-	if d.any == 0 && !own || !e.open(d.now) || avoided(d.req, e.name) {
+	if d.any == 0 && !own || !e.open(d.now) || avoided(d.req, e) {
 		return
 	}
 	load := e.taken(d.now) + distance(e, d.req) + failingWeight*e.others.failingAt(d.now)
--- a/rockbarrow/placement/spread_test.go
+++ b/rockbarrow/placement/spread_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/configpb"
 )
 
@@ -15,7 +16,16 @@
 	for _, e := range []struct{ name, domain string }{{"a1", "a"}, {"a2", "a"}, {"b1", "b"}, {"b2", "b"}} {
 		list = append(list, &configpb.Endpoint{Name: e.name, Domain: e.domain, Service: "s", MaxCalls: places, Address: e.name})
 	}
-	return NewServiceFleet(list, Spread, nil)
+	return NewServiceFleet(listed(list), Spread, nil)
+}
+
+// listed is a list of endpoints of which nobody told a life.
+func listed(endpoints []*configpb.Endpoint) []Listed {
+	out := make([]Listed, 0, len(endpoints))
+	for _, c := range endpoints {
+		out = append(out, Listed{Config: c})
+	}
+	return out
 }
 
 func spreadRequest() Request { return Request{Class: Class{Service: "s"}, Domain: "a"} }
@@ -42,7 +52,7 @@
 func TestSpreadStaysWithTheLastEndpoint(t *testing.T) {
 	f, r, now := spreadFleet(10), rand.New(rand.NewPCG(1, 1)), time.Unix(1, 0)
 	req := spreadRequest()
-	req.Last = "b2"
+	req.Last = life.Life{ID: "b2"}
 	// Also where others have taken more than all of its places: it reads the least.
 	f.Endpoint("b2").HeardOthers(now, 25, 0)
 	for i := range 10 {
@@ -58,7 +68,7 @@
 func TestSpreadAvoids(t *testing.T) {
 	r, now := rand.New(rand.NewPCG(1, 1)), time.Unix(1, 0)
 	req := spreadRequest()
-	req.Avoid, req.AvoidDomains = []string{"b1"}, []string{"a"}
+	req.Avoid, req.AvoidDomains = []life.Life{{ID: "b1"}}, []string{"a"}
 	f := spreadFleet(2)
 	for i, want := range []string{"b2", "b2"} {
 		if c, _ := f.Choose(now, req, r); c.Endpoint().Name() != want {
@@ -74,7 +84,7 @@
 func TestASilentEndpointIsAvoidedUntilItAnswers(t *testing.T) {
 	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(1, 0)
 	req := spreadRequest()
-	req.Last = "b1"
+	req.Last = life.Life{ID: "b1"}
 	hung, _ := f.Choose(now, req, r)
 	later := now.Add(silentAfter + time.Millisecond)
 	if c, _ := f.Choose(later, req, r); c.Endpoint() == hung.Endpoint() {
@@ -94,7 +104,7 @@
 func TestAnUnreachedEndpointIsTakenOutAtOnceAndOnce(t *testing.T) {
 	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(1, 0)
 	req := spreadRequest()
-	req.Last = "b1"
+	req.Last = life.Life{ID: "b1"}
 	var under []Choice
 	for range 5 {
 		c, _ := f.Choose(now, req, r)
--- a/rockbarrow/store/calls.go
+++ b/rockbarrow/store/calls.go
@@ -22,10 +22,12 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	served := s.book.Endpoint(req.GetProgram())
 	reply := &fleetpb.ReserveReply{
 		Status:       st,
 		Reservations: s.book.Reservations(req.GetProgram()),
-		Endpoint:     s.book.Endpoint(req.GetProgram()),
+		Endpoint:     served.ID,
+		BornMs:       served.BornMS,
 		Found:        req.GetPrevious() != "" && s.book.Has(req.GetPrevious()),
 	}
 	if req.GetChain() && reply.Found {
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -11,6 +11,7 @@
 
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/ledger"
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
@@ -60,15 +61,15 @@
 	// history are the turns before it, oldest first.
 	history []*fleetpb.Turn
 	home    string
-	// endpoint served a turn of the program lately, or is "".
-	endpoint string
+	// endpoint served a turn of the program lately; it has no id if none is known.
+	endpoint life.Life
 }
 
 // History returns the turns before, oldest first.
 func (g *Grant) History() []*fleetpb.Turn { return g.history }
 
-// Endpoint returns the endpoint that served the program lately, or "".
-func (g *Grant) Endpoint() string { return g.endpoint }
+// Endpoint returns the endpoint that served the program lately, without an id if none is known.
+func (g *Grant) Endpoint() life.Life { return g.endpoint }
 
 // Home returns the program whose stores keep the chain.
 func (g *Grant) Home() string { return g.home }
@@ -136,7 +137,7 @@
 				total.Add(r.GetReservations())
 				seen.add(r.GetChain())
 				if r.GetEndpoint() != "" {
-					g.endpoint = r.GetEndpoint()
+					g.endpoint = life.Life{ID: r.GetEndpoint(), BornMS: r.GetBornMs()}
 				}
 			})
 		if got == reached {
@@ -165,15 +166,15 @@
 // the background: until it is done, the program's budget is a little smaller.
 func (c *Client) Void(ctx context.Context, g *Grant) { c.void(ctx, g.turn) }
 
-func (c *Client) void(ctx context.Context, t Turn) { c.settleLater(ctx, t, 0, "") }
+func (c *Client) void(ctx context.Context, t Turn) { c.settleLater(ctx, t, 0, life.Life{}) }
 
 // SettleLater stores in the background what a turn has spent that is not kept itself,
 // and which endpoint served it. Until it is done, the reservation counts at its most.
-func (c *Client) SettleLater(ctx context.Context, g *Grant, spent uint64, endpoint string) {
+func (c *Client) SettleLater(ctx context.Context, g *Grant, spent uint64, endpoint life.Life) {
 	c.settleLater(ctx, g.turn, spent, endpoint)
 }
 
-func (c *Client) settleLater(ctx context.Context, t Turn, spent uint64, endpoint string) {
+func (c *Client) settleLater(ctx context.Context, t Turn, spent uint64, endpoint life.Life) {
 	s := &settling{client: c, turn: t, spent: spent, endpoint: endpoint}
 	go s.run(context.WithoutCancel(ctx))
 }
@@ -183,7 +184,7 @@
 	client   *Client
 	turn     Turn
 	spent    uint64
-	endpoint string
+	endpoint life.Life
 }
 
 func (s *settling) run(ctx context.Context) {
@@ -197,10 +198,10 @@
 }
 
 // settled is the record that ends a turn's reservation.
-func (t Turn) settled(spent uint64, endpoint string) *fleetpb.SettleRequest {
+func (t Turn) settled(spent uint64, endpoint life.Life) *fleetpb.SettleRequest {
 	return &fleetpb.SettleRequest{
 		Program:     t.Program,
-		Reservation: &fleetpb.Reservation{Turn: t.reservation, Tokens: spent, Settled: true, Endpoint: endpoint},
+		Reservation: &fleetpb.Reservation{Turn: t.reservation, Tokens: spent, Settled: true, Endpoint: endpoint.ID, BornMs: endpoint.BornMS},
 		RetainMs:    uint64(t.Retain.Milliseconds()),
 	}
 }
@@ -209,7 +210,7 @@
 // itself, durably.
 func (c *Client) Settle(ctx context.Context, g *Grant, spent uint64, done *fleetpb.Turn) error {
 	t := g.turn
-	req := t.settled(spent, done.GetEndpoint())
+	req := t.settled(spent, life.Life{ID: done.GetEndpoint(), BornMS: done.GetBornMs()})
 	if done != nil && done.GetHome() != t.Program {
 		// The chain belongs to an earlier program, whose stores keep it.
 		if err := c.write(ctx, done.GetHome(), &fleetpb.SettleRequest{Turn: done}); err != nil {
--- a/rockbarrow/watch/uses.go
+++ b/rockbarrow/watch/uses.go
@@ -7,41 +7,52 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
 // Use is the sender's calls at one endpoint since the sender knows it.
 type Use struct {
-	Endpoint string
+	Life life.Life
 	// Running are under way; Answered and Failed have ended.
 	Running, Answered, Failed uint64
+	// Lost are calls and connections that ended by no answer.
+	Lost uint64
 }
 
 // reported is what one control instance has been told: each hears of every call once.
-type reported map[string]Use
+type reported map[life.Life]Use
 
 // since returns what is new about uses, and what will have been reported with it.
 func (r reported) since(uses []Use) ([]*fleetpb.EndpointUse, reported) {
 	var out []*fleetpb.EndpointUse
 	next := make(reported, len(uses))
 	for _, u := range uses {
-		next[u.Endpoint] = u
-		before := r[u.Endpoint]
-		if before.Answered > u.Answered || before.Failed > u.Failed {
+		next[u.Life] = u
+		before := r.of(u.Life)
+		if before.Answered > u.Answered || before.Failed > u.Failed || before.Lost > u.Lost {
 			// The endpoint's counts began anew.
 			before = Use{}
 		}
 		n := &fleetpb.EndpointUse{
-			Endpoint: u.Endpoint, Running: uint32(u.Running),
-			Answered: uint32(u.Answered - before.Answered), Failed: uint32(u.Failed - before.Failed),
+			Endpoint: u.Life.ID, BornMs: u.Life.BornMS, Running: uint32(u.Running),
+			Answered: uint32(u.Answered - before.Answered), Failed: uint32(u.Failed - before.Failed), Lost: uint32(u.Lost - before.Lost),
 		}
-		if n.Running > 0 || n.Answered > 0 || n.Failed > 0 {
+		if n.Running > 0 || n.Answered > 0 || n.Failed > 0 || n.Lost > 0 {
 			out = append(out, n)
 		}
 	}
 	return out, next
 }
 
+// of returns what was told of a life, also while its start was not known yet.
+func (r reported) of(l life.Life) Use {
+	if u, ok := r[l]; ok {
+		return u
+	}
+	return r[life.Life{ID: l.ID}]
+}
+
 // teller is the control instance that tells news at once, and of the calls of other
 // entry instances: one that answers, in the own failure domain if there is one, since
 // bytes between domains have a price. The others only tell how new their knowledge is,
--- a/rockbarrow/watch/uses_test.go
+++ b/rockbarrow/watch/uses_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -16,15 +17,21 @@
 		out, told = told.since(uses)
 		return out
 	}
+	e := life.Life{ID: "e"}
+	born := life.Life{ID: "e", BornMS: 1000}
+	again := life.Life{ID: "e", BornMS: 900}
 	steps := []struct {
 		name string
 		now  Use
 		want *fleetpb.EndpointUse
 	}{
-		{"first calls", Use{"e", 1, 3, 1}, &fleetpb.EndpointUse{Running: 1, Answered: 3, Failed: 1}},
-		{"one more", Use{"e", 0, 4, 1}, &fleetpb.EndpointUse{Answered: 1}},
-		{"nothing new", Use{"e", 0, 4, 1}, nil},
-		{"the counts began anew", Use{"e", 0, 2, 0}, &fleetpb.EndpointUse{Answered: 2}},
+		{"first calls", Use{e, 1, 3, 1, 0}, &fleetpb.EndpointUse{Running: 1, Answered: 3, Failed: 1}},
+		{"one more", Use{e, 0, 4, 1, 0}, &fleetpb.EndpointUse{Answered: 1}},
+		{"nothing new", Use{e, 0, 4, 1, 0}, nil},
+		{"the counts began anew", Use{e, 0, 2, 0, 0}, &fleetpb.EndpointUse{Answered: 2}},
+		{"its start is told", Use{born, 0, 3, 0, 0}, &fleetpb.EndpointUse{Answered: 1}},
+		{"it was lost", Use{born, 0, 3, 0, 2}, &fleetpb.EndpointUse{Lost: 2}},
+		{"it has started again", Use{again, 0, 3, 0, 0}, &fleetpb.EndpointUse{Answered: 3}},
 	}
 	for _, s := range steps {
 		got := report(s.now)
@@ -34,7 +41,7 @@
 			}
 			continue
 		}
-		if len(got) != 1 || got[0].GetRunning() != s.want.GetRunning() || got[0].GetAnswered() != s.want.GetAnswered() || got[0].GetFailed() != s.want.GetFailed() {
+		if len(got) != 1 || got[0].GetRunning() != s.want.GetRunning() || got[0].GetAnswered() != s.want.GetAnswered() || got[0].GetFailed() != s.want.GetFailed() || got[0].GetLost() != s.want.GetLost() || got[0].GetBornMs() != s.now.Life.BornMS {
 			t.Errorf("%s: %v, want %v", s.name, got, s.want)
 		}
 	}
--- a/rockbench/emulator/entry.go
+++ b/rockbench/emulator/entry.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/limiter"
 	"rockbarrow.dev/rockbarrow/placement"
 )
@@ -52,7 +53,7 @@
 	places := e.fleet.Places(now, placement.Class{Service: service}, len(e.world.entries))
 	e.handle(limiter.Resized{Places: places})
 	e.handle(limiter.Arrived{
-		ID: a.id, Underway: t.line.last != "", Left: t.program.due - e.world.clock.now, Timed: true,
+		ID: a.id, Underway: t.line.last.ID != "", Left: t.program.due - e.world.clock.now, Timed: true,
 		Patience: ms(t.program.kind.ObjectiveMS), Wait: clientWaits, Priority: t.program.kind.Priority,
 	})
 }
@@ -78,7 +79,7 @@
 func (a *attempt) send() {
 	e, t := a.entry, a.turn
 	now := e.world.clock.time()
-	var avoid []string
+	var avoid []life.Life
 	for range len(e.world.engines) {
 		choice, ok := e.fleet.Choose(now, placement.Request{
 			Class: placement.Class{Service: service}, Prompt: int64(t.prompt), Answer: int64(t.output), Last: t.line.last, Avoid: avoid,
@@ -93,7 +94,7 @@
 			return
 		}
 		a.place.Done(now, placement.Result{OK: true, Refused: true})
-		avoid = append(avoid, a.place.Name())
+		avoid = append(avoid, a.place.Life())
 	}
 	a.place, a.over = nil, true
 	a.leave()
@@ -109,7 +110,7 @@
 
 func (a *attempt) ended() {
 	a.over = true
-	a.turn.line.last = a.place.Name()
+	a.turn.line.last = a.place.Life()
 	a.done(placement.Result{OK: true})
 	a.turn.answered()
 }
--- a/rockbench/emulator/program.go
+++ b/rockbench/emulator/program.go
@@ -2,7 +2,11 @@
 
 package emulator
 
-import "time"
+import (
+	"time"
+
+	"rockbarrow.dev/rockbarrow/life"
+)
 
 const (
 	// tries is how often a turn is sent, and sends how often each try is, by clients
@@ -38,7 +42,7 @@
 	parent, prefix, shared int
 	// context is its tokens so far, last the engine that served it last.
 	context int
-	last    string
+	last    life.Life
 	left    []step
 	// done is called when all turns are answered.
 	done func()
--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -72,12 +72,14 @@
 		rand:  rand.New(rand.NewPCG(r.Seed, 1)),
 		times: hdrhistogram.New(1, 120_000, 3),
 	}
-	var list []*configpb.Endpoint
+	var list []placement.Listed
 	for i := range r.Deployment.Engine.Count {
 		name := fmt.Sprintf("engine-%03d", i)
 		w.names = append(w.names, name)
 		w.engines[name] = &engine{deployment: &r.Deployment.Engine, clock: &w.clock, name: name}
-		list = append(list, &configpb.Endpoint{Name: name, Service: service, MaxCalls: uint32(r.Deployment.Engine.Slots), Domain: "domain", Address: name})
+		list = append(list, placement.Listed{Config: &configpb.Endpoint{
+			Name: name, Service: service, MaxCalls: uint32(r.Deployment.Engine.Slots), Domain: "domain", Address: name,
+		}})
 	}
 	for i := range r.Deployment.Entries {
 		e := &entry{world: w, rand: rand.New(rand.NewPCG(r.Seed, uint64(i+2))), waiting: map[limiter.ID]*attempt{}}
