--- a/rockbarrow/entry/departures_test.go
+++ b/rockbarrow/entry/departures_test.go
@@ -67,3 +67,22 @@
 		t.Errorf("%v, though it was leaving meanwhile", usable)
 	}
 }
+
+// TestAnotherLifeReturnsAtOnce: no older reading of the list can name a life that it does not know.
+func TestAnotherLifeReturnsAtOnce(t *testing.T) {
+	at := func(born uint64, draining bool) *fleetpb.EndpointList {
+		return listOf(&fleetpb.Endpoint{Id: "a", BornMs: born, Draining: draining})
+	}
+	now := time.Now()
+	for _, step := range []struct {
+		born uint64
+		want int
+	}{{1000, 0}, {0, 0}, {900, 1}} {
+		var d departures
+		d.take(now, at(1000, false))
+		d.take(now, at(1000, true))
+		if usable, _, _ := d.take(now, at(step.born, false)); len(usable) != step.want {
+			t.Errorf("born %d: %d endpoints, want %d", step.born, len(usable), step.want)
+		}
+	}
+}
