backend, entry: connections and returns go by the life; signs of a new start are counted

Cause: connections were kept by the endpoint's id, also after it had started again; a connection at rest that the endpoint closed, the first sign of a start where nothing runs, was replaced without a word; an endpoint that left and came back as another life waited 3 s, as one does that only a list which lags brings back. Change: pools go by the life, an answer says whether such a connection was replaced, lost answers and connections are counted per endpoint, another life returns at once. Ruled out: asking each endpoint at a fixed pace for its start; a start ends connections.

--- a/rockbarrow/entry/departures.go
+++ b/rockbarrow/entry/departures.go
@@ -9,7 +9,7 @@
 )
 
 // returnAfter is how long an endpoint that was seen leaving must stand in the list as one that takes requests
-// before it gets any. Two control instances may read the list one after the other, and the later reading may be
+// before it gets any, unless it tells another life. Two control instances may read the list one after the other, and the later reading may be
 // the older one by the time that a reading takes, 0.9 s.
 const returnAfter = 3 * time.Second
 
@@ -22,6 +22,8 @@
 
 // departure is an endpoint that was seen leaving.
 type departure struct {
+	// born is the start of the life that was leaving, 0 if it is not known.
+	born uint64
 	// absent is true once the list has lacked it: only a new start brings it back.
 	absent bool
 	// ready is since when it stands in the list as one that takes requests, zero if it does not.
@@ -40,14 +42,14 @@
 		left := d.left[p.GetId()]
 		switch {
 		case left == nil && p.GetDraining():
-			d.left[p.GetId()] = &departure{}
+			d.left[p.GetId()] = &departure{born: p.GetBornMs()}
 			leaving = append(leaving, p)
 		case left == nil:
 			usable = append(usable, p)
 		case p.GetDraining():
-			left.absent, left.ready = false, time.Time{}
+			*left = departure{born: p.GetBornMs()}
 		default:
-			rest := left.remaining(now)
+			rest := left.remaining(now, p)
 			if rest <= 0 {
 				delete(d.left, p.GetId())
 				usable = append(usable, p)
@@ -65,8 +67,9 @@
 }
 
 // remaining returns how much longer an endpoint that stands in the list as ready is not used.
-func (d *departure) remaining(now time.Time) time.Duration {
-	if d.absent {
+func (d *departure) remaining(now time.Time, p *fleetpb.Endpoint) time.Duration {
+	another := d.born != 0 && p.GetBornMs() != 0 && d.born != p.GetBornMs()
+	if d.absent || another {
 		return 0
 	}
 	if d.ready.IsZero() {
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -54,7 +54,8 @@
 	avoid        []life.Life
 	// last is the endpoint that served the turn before.
 	last life.Life
-	// endpoint is the one that was offered the request last.
+	// place is at the endpoint that was offered the request last, which is endpoint.
+	place    *placement.Endpoint
 	endpoint life.Life
 	status   int
 	list     uint64
@@ -119,7 +120,7 @@
 	if x.way.streamed && answer.Status == http.StatusOK {
 		return x.passEvents(ctx, answer, done, pauses)
 	}
-	return x.passWhole(answer, done)
+	return x.passWhole(ctx, answer, done)
 }
 
 // within bounds an attempt of a request that may run again: each of those that are left
@@ -160,7 +161,7 @@
 	}
 	p := choice.Endpoint()
 	pauses.at(p.Domain())
-	x.endpoint = p.Life()
+	x.place, x.endpoint = p, p.Life()
 	x.offers++
 	sent := time.Now()
 	answer, err := x.entry.Sender.Send(try, Offer{
@@ -175,11 +176,17 @@
 		// A full endpoint is not at fault; nor is one whose client left soon.
 		left := ctx.Err() != nil && time.Since(sent) < hungAfter
 		busy := errors.As(err, &notRun) && notRun.Busy
+		if !busy && !left {
+			p.Lost()
+		}
 		done(placement.Result{OK: busy || left, Refused: busy || left, Unreached: unreached})
 		x.avoid = append(x.avoid, x.endpoint)
 		return nil, nil, err
 	}
 	x.ran = true
+	if answer.Reconnected {
+		p.Lost()
+	}
 	p.Answered(time.Now())
 	return answer, done, nil
 }
--- a/rockbarrow/entry/pass.go
+++ b/rockbarrow/entry/pass.go
@@ -25,9 +25,16 @@
 	return &BrokenError{Endpoint: x.endpoint.ID, Reason: reason}
 }
 
+// lost notes that the endpoint ended the answer midway, unless the client has left.
+func (x *exchange) lost(ctx context.Context) {
+	if ctx.Err() == nil {
+		x.place.Lost()
+	}
+}
+
 // passWhole hands an answer on that is not events. It returns an error if the answer
 // was lost before its first byte was passed on.
-func (x *exchange) passWhole(a *Answer, done func(placement.Result)) (Outcome, error) {
+func (x *exchange) passWhole(ctx context.Context, a *Answer, done func(placement.Result)) (Outcome, error) {
 	defer a.Body.Close()
 	if x.started {
 		// Only events can follow the head that the client has.
@@ -35,6 +42,7 @@
 	}
 	whole, err := io.ReadAll(io.LimitReader(a.Body, wholeBody+1))
 	if err != nil {
+		x.lost(ctx)
 		return nil, x.broken(done, placement.Result{}, err.Error())
 	}
 	failed := a.Status >= http.StatusInternalServerError
@@ -55,6 +63,7 @@
 	_, err = io.Copy(writerOf(x.out), a.Body)
 	done(placement.Result{OK: err == nil})
 	if err != nil {
+		x.lost(ctx)
 		return Cut{Reason: err.Error()}, nil
 	}
 	return Answered{}, nil
@@ -90,6 +99,7 @@
 		case err == io.EOF:
 			return nil, x.broken(done, placement.Result{}, "the stream ended inside an event")
 		case err != nil:
+			x.lost(ctx)
 			return nil, x.broken(done, placement.Result{OK: ctx.Err() != nil}, "the stream broke off: "+err.Error())
 		}
 	}
