controller, report: endpoints are asked when they started

The first in rank asks each endpoint of the list at first sight, after it has moved or returned, and when an instance tells that calls or connections there were lost: at most once a second each, eight at once. The answers go out with the list, some 0.1 s later at most. A word on an older life asks nothing; an endpoint that tells no start is asked once. Another reader takes the lives from the list and asks nobody again.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -62,6 +62,8 @@
 	DataDir string
 	Pool    *dial.Pool
 	List    List
+	// Reports asks endpoints for their starts. Without it they go by their ids alone.
+	Reports Reports
 	// Decode reads a configuration. Without it no tables are made here, and documents
 	// are told to everyone.
 	Decode func(document []byte) (*fleetpb.Document, error)
@@ -72,8 +74,11 @@
 	disk     *votes
 	presence presence
 	loads    loads
-	tables   tables
-	counted  atomic.Pointer[headcount]
+	lives    lives
+	// listing makes one list at a time.
+	listing sync.Mutex
+	tables  tables
+	counted atomic.Pointer[headcount]
 	// listed is the newest list that was told to anyone.
 	listed atomic.Pointer[document.List]
 
@@ -111,6 +116,7 @@
 	}
 	c.disk = disk
 	c.tables.init(c)
+	c.lives.controller = c
 	c.watch = &watch.Client{
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
 		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
@@ -145,6 +151,9 @@
 	}
 	reader := &reader{controller: c}
 	go reader.loop(ctx)
+	if c.Reports != nil {
+		go c.lives.loop(ctx)
+	}
 	d := &duties{controller: c}
 	d.loop(ctx)
 	c.requests.stop()
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -48,6 +48,7 @@
 	seeds      []string
 	founder    bool
 	list       *fakeList
+	reports    *fakeReports
 	stop       func()
 }
 
@@ -65,6 +66,9 @@
 		Self: p.member, Seeds: p.seeds, FirstSeeds: p.seeds, Founder: p.founder, Losses: 1, DataDir: p.dir, Pool: pool, List: p.list,
 		Decode: decode, Log: logrus.NewEntry(log),
 	}
+	if p.reports != nil {
+		c.Reports = p.reports
+	}
 	if err := c.Open(); err != nil {
 		p.t.Fatal(err)
 	}
--- /dev/null
+++ b/rockbarrow/controller/lives.go
@@ -0,0 +1,225 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/rockbarrow/life"
+	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// Reports asks endpoints what they tell of themselves.
+type Reports interface {
+	// Born returns when an endpoint started, in milliseconds since 1970 by its own clock, 0 if it does not tell it.
+	// An error says that it gave no answer.
+	Born(ctx context.Context, e *fleetpb.Endpoint) (uint64, error)
+}
+
+const (
+	// askPause lies between two questions to one endpoint. Each has a price, and an endpoint whose answers are lost
+	// one by one is doubtful all the time.
+	askPause = time.Second
+	// askTick is how often questions are looked for, and what was answered told on: together, since each
+	// new list goes to all instances.
+	askTick = 100 * time.Millisecond
+	// mostAsked bounds the questions under way; each takes some 10 ms.
+	mostAsked = 8
+)
+
+// lives finds out which life of each endpoint is the present one, and tells it with the list. An endpoint is
+// asked when it is new and when an instance tells that calls or connections to it were lost. Only the first in rank
+// asks; the others know the answers from its lists.
+type lives struct {
+	controller *Controller
+
+	mu sync.Mutex
+	// present holds what was told; what a list that lags tells is among it.
+	present   life.Lives
+	questions map[string]*question
+	// asked counts the questions under way.
+	asked int
+	// answered is true if something was answered that no list tells yet.
+	answered bool
+}
+
+// question is what is asked of one endpoint of the list.
+type question struct {
+	endpoint *fleetpb.Endpoint
+	// due is when to ask, zero if nothing is doubtful.
+	due time.Time
+	// last is when it was asked last.
+	last time.Time
+	// underway is true while it is asked.
+	underway bool
+	// untold is true once it has answered without telling its start: it is not asked again.
+	untold bool
+}
+
+// name puts the present lives into a reading of the list. What the known list tells came from another
+// instance, perhaps.
+func (l *lives) name(now time.Time, known *fleetpb.EndpointList, reading []*fleetpb.Endpoint) []*fleetpb.Endpoint {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range known.GetEndpoints() {
+		l.present.Take(now, lifeOf(e))
+	}
+	before := l.questions
+	l.questions = make(map[string]*question, len(reading))
+	out := make([]*fleetpb.Endpoint, 0, len(reading))
+	for _, read := range reading {
+		present, _ := l.present.Take(now, life.Life{ID: read.GetId()})
+		e := proto.CloneOf(read)
+		e.BornMs = present.BornMS
+		out = append(out, e)
+		l.questions[e.GetId()] = next(now, before[e.GetId()], e)
+	}
+	l.present.Forget(now)
+	l.answered = false
+	return out
+}
+
+// next returns what is asked of an endpoint after another reading, by what was asked before, or nil.
+func next(now time.Time, before *question, e *fleetpb.Endpoint) *question {
+	if before == nil {
+		// Another instance may have asked it.
+		q := &question{endpoint: e}
+		if e.GetBornMs() == 0 {
+			q.due = now
+		}
+		return q
+	}
+	moved := before.endpoint.GetAddress() != e.GetAddress()
+	returned := before.endpoint.GetDraining() && !e.GetDraining()
+	before.endpoint = e
+	if moved || returned {
+		before.due, before.untold = now, false
+	}
+	return before
+}
+
+// doubt takes what an entry instance tells of endpoints: those whose calls or connections were lost may have started
+// again. What it tells of an older life is late.
+func (l *lives) doubt(now time.Time, uses []*fleetpb.EndpointUse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, u := range uses {
+		q := l.questions[u.GetEndpoint()]
+		if u.GetLost() == 0 || q == nil || q.untold || !q.due.IsZero() {
+			continue
+		}
+		present, _ := l.present.Take(now, life.Life{ID: u.GetEndpoint()})
+		if !present.Same(life.Life{ID: u.GetEndpoint(), BornMS: u.GetBornMs()}) {
+			continue
+		}
+		q.due = now
+		if soonest := q.last.Add(askPause); soonest.After(now) {
+			q.due = soonest
+		}
+	}
+}
+
+func lifeOf(e *fleetpb.Endpoint) life.Life { return life.Life{ID: e.GetId(), BornMS: e.GetBornMs()} }
+
+// loop asks what is due and tells what was answered, until ctx ends.
+func (l *lives) loop(ctx context.Context) {
+	for wait.For(ctx, askTick) {
+		if l.tell() {
+			l.controller.nameAgain()
+		}
+		now := time.Now()
+		if l.controller.rank(now) != 0 {
+			continue
+		}
+		for _, q := range l.take(now) {
+			go l.runQuestion(ctx, q)
+		}
+	}
+}
+
+// tell reports whether there is something to tell, once.
+func (l *lives) tell() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	answered := l.answered
+	l.answered = false
+	return answered
+}
+
+// take returns the questions to ask now.
+func (l *lives) take(now time.Time) []*question {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []*question
+	for _, q := range l.questions {
+		if l.asked == mostAsked {
+			break
+		}
+		if q.underway || q.due.IsZero() || now.Before(q.due) {
+			continue
+		}
+		q.underway, q.due, q.last = true, time.Time{}, now
+		l.asked++
+		out = append(out, q)
+	}
+	return out
+}
+
+// runQuestion asks one endpoint.
+func (l *lives) runQuestion(ctx context.Context, q *question) {
+	l.mu.Lock()
+	e := q.endpoint
+	l.mu.Unlock()
+	born, err := l.controller.Reports.Born(ctx, e)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.asked--
+	q.underway = false
+	log := l.controller.Log.WithFields(logrus.Fields{"endpoint": e.GetId(), "address": e.GetAddress()})
+	switch {
+	case q.endpoint.GetAddress() != e.GetAddress():
+		// It has moved meanwhile, and is asked there.
+	case err != nil:
+		log.WithError(err).Debug("an endpoint does not answer when it started")
+		q.due = time.Now().Add(askPause)
+	case born == 0:
+		q.untold = true
+		log.Info("an endpoint does not tell when it started: it goes by its id alone")
+	default:
+		l.hear(log, life.Life{ID: e.GetId(), BornMS: born})
+	}
+}
+
+// hear takes an endpoint's answer.
+func (l *lives) hear(log *logrus.Entry, told life.Life) {
+	before, _ := l.present.Take(time.Now(), life.Life{ID: told.ID})
+	now, began := l.present.Take(time.Now(), told)
+	if now == before {
+		return
+	}
+	l.answered = true
+	log = log.WithField("born_ms", now.BornMS)
+	if began {
+		log.WithField("before_born_ms", before.BornMS).Info("an endpoint has started again under its id")
+		return
+	}
+	log.Debug("an endpoint tells when it started")
+}
+
+// nameAgain offers the known list with the present lives.
+func (c *Controller) nameAgain() {
+	c.listing.Lock()
+	defer c.listing.Unlock()
+	known := c.watch.List()
+	if known == nil {
+		return
+	}
+	named := c.lives.name(time.Now(), known.List(), known.List().GetEndpoints())
+	c.watch.OfferList(c.numberList(known.List(), named), known.At())
+}
--- /dev/null
+++ b/rockbarrow/controller/lives_test.go
@@ -0,0 +1,172 @@
+// SPDX-License-Identifier: MIT
+
+package controller
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// fakeReports are endpoints that tell when they started, or don't answer while nothing is known of them.
+type fakeReports struct {
+	mu    sync.Mutex
+	born  map[string]uint64
+	asked map[string]int
+}
+
+func (r *fakeReports) Born(_ context.Context, e *fleetpb.Endpoint) (uint64, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.asked[e.GetId()]++
+	born, ok := r.born[e.GetId()]
+	if !ok {
+		return 0, errors.New("no answer")
+	}
+	return born, nil
+}
+
+func (r *fakeReports) start(id string, born uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born[id] = born
+}
+
+func (r *fakeReports) questions(id string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.asked[id]
+}
+
+// newReporting starts one control instance with a list of endpoints x and y.
+func newReporting(t *testing.T) *place {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &place{
+		t: t, dir: t.TempDir(), founder: true, seeds: []string{l.Addr().String()}, list: &fakeList{},
+		member:  &fleetpb.Member{Instance: "control-0", Storage: 1, Address: l.Addr().String()},
+		reports: &fakeReports{born: map[string]uint64{}, asked: map[string]int{}},
+	}
+	p.list.set(&fleetpb.Endpoint{Id: "x", Address: "1"}, &fleetpb.Endpoint{Id: "y", Address: "2"})
+	p.start(l)
+	return p
+}
+
+// born is what the list in force tells of an endpoint.
+func (p *place) born(id string) uint64 {
+	for _, e := range p.controller.Endpoints().List().GetEndpoints() {
+		if e.GetId() == id {
+			return e.GetBornMs()
+		}
+	}
+	return 0
+}
+
+// lose tells that calls at a life of an endpoint were lost.
+func (p *place) lose(id string, born uint64) {
+	p.controller.lives.doubt(time.Now(), []*fleetpb.EndpointUse{{Endpoint: id, BornMs: born, Lost: 1}})
+}
+
+// TestTheListTellsWhenEndpointsStarted: also after a start with a clock that was set back, and never again the life
+// before, whatever a list that lags tells.
+func TestTheListTellsWhenEndpointsStarted(t *testing.T) {
+	p := newReporting(t)
+	p.reports.start("x", 1000)
+	await(t, func() bool { return p.born("x") == 1000 })
+	lagging := p.controller.Endpoints().List()
+	p.reports.start("x", 900)
+	p.lose("x", 1000)
+	await(t, func() bool { return p.born("x") == 900 })
+	late := &fleetpb.EndpointList{Number: p.controller.Endpoints().List().GetNumber() + 1<<tagBits, Endpoints: lagging.GetEndpoints()}
+	p.controller.Watcher().OfferList(late, time.Now())
+	await(t, func() bool { return p.born("x") == 900 })
+	if n := p.reports.questions("x"); n != 2 {
+		t.Errorf("asked %d times, want at the first sight and at a loss", n)
+	}
+	// Who has not heard of the start yet tells of the life before.
+	p.lose("x", 1000)
+	if q := p.controller.lives.take(time.Now().Add(time.Hour)); len(q) > 0 && q[0].endpoint.GetId() == "x" {
+		t.Error("a late word on a life that has ended is a question")
+	}
+}
+
+// TestAnEndpointThatGivesNoAnswerIsAskedAgain: y is down until it tells.
+func TestAnEndpointThatGivesNoAnswerIsAskedAgain(t *testing.T) {
+	p := newReporting(t)
+	await(t, func() bool { return p.reports.questions("y") == 1 })
+	p.reports.start("y", 7)
+	await(t, func() bool { return p.born("y") == 7 })
+}
+
+// TestAnEndpointThatTellsNoStartIsAskedOnce: each question has a price.
+func TestAnEndpointThatTellsNoStartIsAskedOnce(t *testing.T) {
+	p := newReporting(t)
+	p.reports.start("x", 0)
+	untold := func() bool {
+		p.controller.lives.mu.Lock()
+		defer p.controller.lives.mu.Unlock()
+		q := p.controller.lives.questions["x"]
+		return q != nil && q.untold
+	}
+	await(t, untold)
+	p.lose("x", 0)
+	for _, q := range p.controller.lives.take(time.Now().Add(time.Hour)) {
+		if q.endpoint.GetId() == "x" {
+			t.Error("it is asked again")
+		}
+	}
+	// Another one may have come to its id.
+	p.reports.start("x", 8)
+	p.list.set(&fleetpb.Endpoint{Id: "x", Address: "3"}, &fleetpb.Endpoint{Id: "y", Address: "2"})
+	await(t, func() bool { return p.born("x") == 8 })
+}
+
+// TestAnotherReaderAsksNobodyAgain: it takes the lives from the list that it has heard.
+func TestAnotherReaderAsksNobodyAgain(t *testing.T) {
+	var l lives
+	known := &fleetpb.EndpointList{Endpoints: []*fleetpb.Endpoint{{Id: "x", BornMs: 5}}}
+	now := time.Unix(100, 0)
+	named := l.name(now, known, []*fleetpb.Endpoint{{Id: "x"}, {Id: "new"}})
+	if named[0].GetBornMs() != 5 || named[1].GetBornMs() != 0 {
+		t.Errorf("%v", named)
+	}
+	if q := l.take(now); len(q) != 1 || q[0].endpoint.GetId() != "new" {
+		t.Errorf("%d questions, want one of the new endpoint", len(q))
+	}
+}
+
+// TestQuestionsAreBoundedAndSpaced: an endpoint whose answers are lost one by one, and very many endpoints.
+func TestQuestionsAreBoundedAndSpaced(t *testing.T) {
+	var l lives
+	now := time.Unix(100, 0)
+	reading := make([]*fleetpb.Endpoint, 0, 100)
+	for i := range 100 {
+		reading = append(reading, &fleetpb.Endpoint{Id: string(rune('a' + i))})
+	}
+	l.name(now, nil, reading)
+	if n := len(l.take(now)); n != mostAsked {
+		t.Errorf("%d questions at once, want %d", n, mostAsked)
+	}
+	var one lives
+	one.name(now, nil, reading[:1])
+	asked := 0
+	for after := time.Duration(0); after < 10*askPause; after += askPause / 10 {
+		one.doubt(now.Add(after), []*fleetpb.EndpointUse{{Endpoint: "a", Lost: 3}})
+		for _, q := range one.take(now.Add(after)) {
+			asked++
+			one.asked--
+			q.underway = false
+		}
+	}
+	if asked != 10 {
+		t.Errorf("asked %d times in ten pauses, want 10", asked)
+	}
+}
--- a/rockbarrow/controller/news.go
+++ b/rockbarrow/controller/news.go
@@ -17,6 +17,7 @@
 	c.sawList(req.GetListNumber())
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
 		c.loads.heard(time.Now(), req.GetSender().GetInstance(), req.GetUses())
+		c.lives.doubt(time.Now(), req.GetUses())
 	}
 	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer wait.Stop()
--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -70,7 +70,10 @@
 		c.Log.Info("the list of endpoints is read again")
 	}
 	r.failing = false
-	c.watch.OfferList(c.numberList(c.watch.List().List(), endpoints), asked)
+	c.listing.Lock()
+	defer c.listing.Unlock()
+	known := c.watch.List().List()
+	c.watch.OfferList(c.numberList(known, c.lives.name(time.Now(), known, endpoints)), asked)
 }
 
 // numberList numbers a reading: the known number if nothing changed, else one above
