standin, soak: endpoints that start again at their address, in series and with clocks set back

Stand-ins tell when they started, nothing, or what is no time. The soak starts endpoints again where they were, up to five times within a second, in the middle of streams and of calls that may run once, unseen by the list. After the faults each life that runs has to get a request within 20 s.

--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -47,6 +47,8 @@
 	asked int
 	// answered is true if something was answered that no list tells yet.
 	answered bool
+	// untold is true once an endpoint was met that tells no start.
+	untold bool
 }
 
 // question is what is asked of one endpoint of the list.
@@ -190,7 +192,7 @@
 		q.due = time.Now().Add(askPause)
 	case born == 0:
 		q.untold = true
-		log.Info("an endpoint does not tell when it started: it goes by its id alone")
+		l.goByID(log)
 	default:
 		l.hear(log, life.Life{ID: e.GetId(), BornMS: born})
 	}
@@ -212,6 +214,16 @@
 	log.Debug("an endpoint tells when it started")
 }
 
+// goByID logs that an endpoint tells no start: the first one so that it is seen, as all may be of the same make.
+func (l *lives) goByID(log *logrus.Entry) {
+	level := logrus.DebugLevel
+	if !l.untold {
+		level = logrus.InfoLevel
+	}
+	l.untold = true
+	log.Log(level, "an endpoint does not tell when it started: it goes by its id alone")
+}
+
 // nameAgain offers the known list with the present lives.
 func (c *Controller) nameAgain() {
 	c.listing.Lock()
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -47,6 +47,7 @@
 	{"lost answers", loseAnswers},
 	{"an endpoint is replaced", replaceEndpoint},
 	{"an endpoint starts again under its id", restartEndpoint},
+	{"an endpoint starts again and again at its address", bounceEndpoint},
 	{"another writer's entries are in the list", foreignList},
 	{"new settings", hangUp},
 	{"settings are half written", tornSettings},
@@ -160,24 +161,6 @@
 	e.Close()
 }
 
-// restartEndpoint lets one end, in the middle of whatever it does or after it has left, and start again under its
-// id.
-func restartEndpoint(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
-	f.replacing.Lock()
-	defer f.replacing.Unlock()
-	old := f.endpoint(r)
-	if r.IntN(2) == 0 {
-		leave(ctx, f, old, last)
-	} else {
-		f.removeEndpoint(old)
-		old.Close()
-	}
-	wait.For(ctx, last/4)
-	if _, err := f.startEndpoint(old.ID, old.Service, old.Domain); err != nil {
-		f.ledger.Break("%v", err)
-	}
-}
-
 // foreignEntries are what other writers may leave in the list of endpoints.
 var foreignEntries = []string{
 	`null`, `"text"`, `[]`, `{}`, `{"id":7}`, `{"id":"x-1","service":"tool"}`,
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -141,23 +141,30 @@
 	f.lives++
 	id := fmt.Sprintf("%s-%d", service, f.lives)
 	f.mu.Unlock()
-	return f.startEndpoint(id, service, domain)
+	e := f.newEndpoint(id, service, domain)
+	return e, f.startEndpoint(e, anyPort)
 }
 
-// startEndpoint starts an endpoint under an id that is new or was given up.
-func (f *fleet) startEndpoint(id, service, domain string) (*standin.Endpoint, error) {
-	e := &standin.Endpoint{
+// anyPort is where endpoints start for the first time.
+const anyPort = "127.0.0.1:0"
+
+func (f *fleet) newEndpoint(id, service, domain string) *standin.Endpoint {
+	return &standin.Endpoint{
 		ID: id, Service: service, Domain: domain, Slots: 64,
 		Work: 4 * time.Millisecond, Stream: service == "model", Ledger: f.ledger,
 	}
-	if err := e.Start("127.0.0.1"); err != nil {
-		return nil, errors.Wrap(err, "soak: endpoint")
+}
+
+// startEndpoint starts an endpoint, whose id is new or was given up, and puts it in the list.
+func (f *fleet) startEndpoint(e *standin.Endpoint, address string) error {
+	if err := e.Start(address); err != nil {
+		return errors.Wrap(err, "soak: endpoint")
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endpoints = append(f.endpoints, e)
 	f.list.Set(f.endpoints...)
-	return e, nil
+	return nil
 }
 
 // endpoint draws one.
--- /dev/null
+++ b/rockbench/soak/lives.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbarrow/wait"
+)
+
+const (
+	// mostStarts is how often an endpoint starts again in one series.
+	mostStarts = 5
+	// startedWithin is the most between two starts of a series, so that several fall into the time of one reading of
+	// the list.
+	startedWithin = 200 * time.Millisecond
+	// clockStep is the most by which an endpoint's clock is set back between two starts.
+	clockStep = time.Hour
+	// usedWithin is how long after the last fault each endpoint has to get a request: an endpoint that failed often
+	// is left out for up to 30 s, but one that has started again has failed nothing.
+	usedWithin = 20 * time.Second
+)
+
+// restartEndpoint lets one end, in the middle of whatever it does or after it has left, and start again under its
+// id at another address.
+func restartEndpoint(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	f.replacing.Lock()
+	defer f.replacing.Unlock()
+	old := f.endpoint(r)
+	if r.IntN(2) == 0 {
+		leave(ctx, f, old, last)
+	} else {
+		f.removeEndpoint(old)
+		old.Close()
+	}
+	wait.For(ctx, last/4)
+	if err := f.startEndpoint(f.nextLife(old, r), anyPort); err != nil {
+		f.ledger.Break("%v", err)
+	}
+}
+
+// bounceEndpoint ends one in the middle of whatever it does, and starts it again where it was, several times. The list
+// tells nothing of it.
+func bounceEndpoint(ctx context.Context, f *fleet, r *rand.Rand, _ time.Duration) {
+	f.replacing.Lock()
+	defer f.replacing.Unlock()
+	old := f.endpoint(r)
+	for range 1 + r.IntN(mostStarts) {
+		next := f.nextLife(old, r)
+		old.Close()
+		f.ledger.Count("starts of endpoints at their address")
+		if err := next.Start(old.Address()); err != nil {
+			f.ledger.Break("%s: %v", old.ID, err)
+			f.removeEndpoint(old)
+			return
+		}
+		f.swapEndpoint(old, next)
+		old = next
+		wait.For(ctx, time.Duration(r.Int64N(int64(startedWithin))))
+	}
+}
+
+// nextLife is an endpoint that comes after another one under its id. Some clocks are set back, and some tell no time.
+func (f *fleet) nextLife(old *standin.Endpoint, r *rand.Rand) *standin.Endpoint {
+	e := f.newEndpoint(old.ID, old.Service, old.Domain)
+	switch r.IntN(6) {
+	case 0:
+		e.BornMS = old.BornMS - uint64(1+r.Int64N(clockStep.Milliseconds()))
+	case 1:
+		e.Told = standin.ToldNothing
+	case 2:
+		e.Told = standin.ToldText
+	}
+	return e
+}
+
+// swapEndpoint puts one life in the place of another in the list.
+func (f *fleet) swapEndpoint(old, next *standin.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.endpoints = slices.Clone(f.endpoints)
+	f.endpoints[slices.Index(f.endpoints, old)] = next
+	f.list.Set(f.endpoints...)
+}
+
+// checkEndpoints breaks a promise unless each life that runs gets requests once the faults are over.
+func (f *fleet) checkEndpoints(ctx context.Context, entries []string) {
+	f.replacing.Lock()
+	defer f.replacing.Unlock()
+	f.mu.Lock()
+	before := map[*standin.Endpoint]int64{}
+	for _, e := range f.endpoints {
+		before[e] = e.Taken()
+	}
+	f.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, usedWithin)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer client.CloseIdleConnections()
+	r := rand.New(rand.NewPCG(seedOfOperators, uint64(len(before))))
+	for n := 0; ctx.Err() == nil; n++ {
+		p := &standin.Program{
+			Name: fmt.Sprint("last-", n), Turns: 1, Entries: entries, Host: host, TurnPath: "/turn/", OncePath: "/once/",
+			RepeatPath: "/repeat/", Rand: r, Ledger: f.ledger, Client: client,
+		}
+		p.Run(ctx)
+		for e, taken := range before {
+			if e.Taken() > taken {
+				delete(before, e)
+			}
+		}
+		if len(before) == 0 {
+			return
+		}
+	}
+	for e := range before {
+		f.ledger.Break("%s, born %d, got no request in %v after the faults", e.ID, e.BornMS, usedWithin)
+	}
+}
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -101,6 +101,7 @@
 		s.fleet.ledger.Break("no control instance is sure of the configuration after the faults")
 	}
 	s.fleet.checkRoutes(finish)
+	s.fleet.checkEndpoints(finish, s.entries())
 }
 
 // disturber brings one fault after another. Two of them run at a time, so that
