entry: tests on connections without timers of no delay

In go1.26.8 a timer without delay runs at once in the caller's goroutine there and takes a race context that all of the bubble share; two at a time bring the runtime down. Change: the tests' connections are those of net.Pipe, which begin none. Ruled out: the product's code, which is not in the program that crashes.

--- a/rockbarrow/entry/stores_test.go
+++ b/rockbarrow/entry/stores_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
-	"google.golang.org/grpc/test/bufconn"
 
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/store"
@@ -23,7 +22,9 @@
 
 // network leads connections to listeners in memory. With it these tests run under the clock
 // of package synctest, which stands still while anything works: how fast the machine is
-// decides nothing. On a busy machine reservations had no answer in their second before.
+// decides nothing. On a busy machine reservations had no answer in their second before. Its connections are those
+// of [net.Pipe]: the buffered ones of grpc's package bufconn begin two timers of no delay each, and under the race
+// detector such timers, two at once in one bubble of synctest, bring go1.26.8's runtime down (docs/FINDINGS.md).
 type network struct {
 	last      atomic.Int64
 	listeners sync.Map
@@ -31,14 +32,11 @@
 
 var inMemory network
 
-// buffered is how many bytes a connection holds that were not read yet.
-const buffered = 64 << 10
-
 func (n *network) listen() (address string, l net.Listener) {
 	address = fmt.Sprint("memory-", n.last.Add(1))
-	b := bufconn.Listen(buffered)
-	n.listeners.Store(address, b)
-	return address, b
+	m := &memoryListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.listeners.Store(address, m)
+	return address, m
 }
 
 func (n *network) dial(ctx context.Context, address string) (net.Conn, error) {
@@ -46,9 +44,51 @@
 	if !ok {
 		return nil, errors.Errorf("nobody listens at %s", address)
 	}
-	return l.(*bufconn.Listener).DialContext(ctx)
+	return l.(*memoryListener).dial(ctx)
+}
+
+// memoryListener hands one end of each connection to who accepts.
+type memoryListener struct {
+	address string
+	conns   chan net.Conn
+	once    sync.Once
+	closed  chan struct{}
+}
+
+func (l *memoryListener) dial(ctx context.Context) (net.Conn, error) {
+	here, there := net.Pipe()
+	select {
+	case l.conns <- there:
+		return here, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
 }
 
+func (l *memoryListener) Addr() net.Addr { return memoryAddress(l.address) }
+
+// memoryAddress is an address of the network in memory.
+type memoryAddress string
+
+func (a memoryAddress) Network() string { return "memory" }
+func (a memoryAddress) String() string  { return string(a) }
+
 // backgroundEnds is longer than any call in the background, by the clock that stands still.
 const backgroundEnds = time.Minute
 
