entry, controller: tests of lists that lag and of doubts without end, failing

Found by reading: departures took any other life for a new one, also the one before; and an endpoint whose connections at rest always end sooner than it says would be asked once a second for ever.

--- a/rockbarrow/controller/lives_test.go
+++ b/rockbarrow/controller/lives_test.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// TestQuestionsAreBoundedAndSpaced: an endpoint whose answers are lost one by one, and very many endpoints.
-func TestQuestionsAreBoundedAndSpaced(t *testing.T) {
+// TestQuestionsAreBounded: very many endpoints are new at once.
+func TestQuestionsAreBounded(t *testing.T) {
 	var l lives
 	now := time.Unix(100, 0)
 	reading := make([]*fleetpb.Endpoint, 0, 100)
@@ -155,18 +155,42 @@
 	if n := len(l.take(now)); n != mostAsked {
 		t.Errorf("%d questions at once, want %d", n, mostAsked)
 	}
-	var one lives
-	one.name(now, nil, reading[:1])
-	asked := 0
-	for after := time.Duration(0); after < 10*askPause; after += askPause / 10 {
-		one.doubt(now.Add(after), []*fleetpb.EndpointUse{{Endpoint: "a", Lost: 3}})
-		for _, q := range one.take(now.Add(after)) {
-			asked++
-			one.asked--
-			q.underway = false
+}
+
+// TestDoubtsThatComeToNothingAreAskedSeldom: an endpoint loses answers one by one, or closes its connections at rest sooner
+// than it says, for ever. Each question has a price.
+func TestDoubtsThatComeToNothingAreAskedSeldom(t *testing.T) {
+	l := lives{controller: &Controller{Log: quietLog()}}
+	begun := time.Unix(100, 0)
+	l.name(begun, nil, []*fleetpb.Endpoint{{Id: "a"}})
+	born := uint64(1000)
+	var asked []time.Duration
+	doubtUntil := func(from, to time.Duration) {
+		asked = nil
+		for after := from; after < to; after += 100 * time.Millisecond {
+			now := begun.Add(after)
+			l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: "a", Lost: 3}})
+			for _, q := range l.take(now) {
+				asked = append(asked, after)
+				_ = born
+				l.asked--
+				q.underway = false
+			}
 		}
 	}
-	if asked != 10 {
-		t.Errorf("asked %d times in ten pauses, want 10", asked)
+	doubtUntil(0, 2*time.Minute)
+	if n := len(asked); n < 5 || n > 12 {
+		t.Errorf("asked %d times in two minutes of doubts, at %v", n, asked)
+	}
+	// It has started again: the next start may be near.
+	born = 2000
+	doubtUntil(2*time.Minute, 3*time.Minute)
+	if len(asked) < 2 || asked[1]-asked[0] > 2*askPause {
+		t.Errorf("asked at %v after a new start", asked)
+	}
+	// Nothing was doubtful for long.
+	doubtUntil(10*time.Minute, 10*time.Minute+3*time.Second)
+	if len(asked) != 2 || asked[0] != 10*time.Minute {
+		t.Errorf("asked at %v after a time without doubts", asked)
 	}
 }
--- a/rockbarrow/entry/lives_test.go
+++ b/rockbarrow/entry/lives_test.go
@@ -87,3 +87,23 @@
 		}
 	})
 }
+
+// TestAListThatLagsBringsNoEndedLifeBack: a life that has left is not the one before it, which a list that lags still
+// tells as ready.
+func TestAListThatLagsBringsNoEndedLifeBack(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
+	e := newEntry(t, s)
+	e.hear(lifeOf(2, 1000))
+	e.hear(lifeOf(3, 2000))
+	leaving := lifeOf(4, 2000)
+	leaving.Endpoints[0].Draining = true
+	e.hear(leaving)
+	e.hear(lifeOf(5, 1000))
+	if out := e.Serve(t.Context(), ask("/once/1"), &fakeOut{}); out == (Answered{}) {
+		t.Error("a list that lags brought an endpoint back that is leaving")
+	}
+	e.hear(lifeOf(6, 3000))
+	if out := e.Serve(t.Context(), ask("/once/1"), &fakeOut{}); out != (Answered{}) {
+		t.Errorf("%v, want an answer of the life after", out)
+	}
+}
