entry, controller: lists that lag bring no ended life back; doubts without end cost little

Cause: departures took any other life than the one that left for a new one, also the one before it, which a list that lags still tells. And a question a second was asked of each endpoint that is doubtful for ever, such as one that closes connections at rest sooner than it says. Change: returns go by the present lives; the pause between questions doubles up to 16 s while answers tell nothing new, and begins anew with a new start or after 32 s. Ruled out: no questions for connections at rest alone, the only sign of a start where nothing is under way.

--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -23,9 +23,13 @@
 }
 
 const (
-	// askPause lies between two questions to one endpoint. Each has a price, and an endpoint whose answers are lost
-	// one by one is doubtful all the time.
-	askPause = time.Second
+	// askPause lies between two questions to one endpoint. Each has a price. The pause doubles up to mostPause with
+	// each answer that tells nothing new, since an endpoint that loses answers one by one, or closes connections at
+	// rest sooner than it says, is doubtful for ever; a start then goes unnoticed for as long at the most. It begins
+	// anew with a new start, and once nothing was asked for calmAfter.
+	askPause  = time.Second
+	mostPause = 16 * time.Second
+	calmAfter = 2 * mostPause
 	// askTick is how often questions are looked for, and what was answered told on: together, since each
 	// new list goes to all instances.
 	askTick = 100 * time.Millisecond
@@ -56,8 +60,9 @@
 	endpoint *fleetpb.Endpoint
 	// due is when to ask, zero if nothing is doubtful.
 	due time.Time
-	// last is when it was asked last.
-	last time.Time
+	// last is when it was asked last, and pause what has to pass before it is asked again.
+	last  time.Time
+	pause time.Duration
 	// underway is true while it is asked.
 	underway bool
 	// untold is true once it has answered without telling its start: it is not asked again.
@@ -91,7 +96,7 @@
 func next(now time.Time, before *question, e *fleetpb.Endpoint) *question {
 	if before == nil {
 		// Another instance may have asked it.
-		q := &question{endpoint: e}
+		q := &question{endpoint: e, pause: askPause}
 		if e.GetBornMs() == 0 {
 			q.due = now
 		}
@@ -120,13 +125,18 @@
 		if !present.Same(life.Life{ID: u.GetEndpoint(), BornMS: u.GetBornMs()}) {
 			continue
 		}
-		q.due = now
-		if soonest := q.last.Add(askPause); soonest.After(now) {
-			q.due = soonest
-		}
+		q.due = later(now, q.last.Add(q.pause))
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func lifeOf(e *fleetpb.Endpoint) life.Life { return life.Life{ID: e.GetId(), BornMS: e.GetBornMs()} }
 
 // loop asks what is due and tells what was answered, until ctx ends.
@@ -166,6 +176,9 @@
 		if q.underway || q.due.IsZero() || now.Before(q.due) {
 			continue
 		}
+		if now.Sub(q.last) > calmAfter {
+			q.pause = askPause
+		}
 		q.underway, q.due, q.last = true, time.Time{}, now
 		l.asked++
 		out = append(out, q)
@@ -179,6 +192,11 @@
 	e := q.endpoint
 	l.mu.Unlock()
 	born, err := l.controller.Reports.Born(ctx, e)
+	l.answer(time.Now(), q, e, born, err)
+}
+
+// answer takes the answer to a question that an endpoint was asked, at the address that it had then.
+func (l *lives) answer(now time.Time, q *question, e *fleetpb.Endpoint, born uint64, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.asked--
@@ -189,29 +207,32 @@
 		// It has moved meanwhile, and is asked there.
 	case err != nil:
 		log.WithError(err).Debug("an endpoint does not answer when it started")
-		q.due = time.Now().Add(askPause)
+		q.due = now.Add(askPause)
 	case born == 0:
 		q.untold = true
 		l.goByID(log)
+	case l.hear(now, log, life.Life{ID: e.GetId(), BornMS: born}):
+		q.pause = askPause
 	default:
-		l.hear(log, life.Life{ID: e.GetId(), BornMS: born})
+		q.pause = min(2*q.pause, mostPause)
 	}
 }
 
-// hear takes an endpoint's answer.
-func (l *lives) hear(log *logrus.Entry, told life.Life) {
-	before, _ := l.present.Take(time.Now(), life.Life{ID: told.ID})
-	now, began := l.present.Take(time.Now(), told)
-	if now == before {
-		return
+// hear takes what an endpoint has told, and reports whether that is news.
+func (l *lives) hear(now time.Time, log *logrus.Entry, told life.Life) bool {
+	before, _ := l.present.Take(now, life.Life{ID: told.ID})
+	present, began := l.present.Take(now, told)
+	if present == before {
+		return false
 	}
 	l.answered = true
-	log = log.WithField("born_ms", now.BornMS)
+	log = log.WithField("born_ms", present.BornMS)
 	if began {
 		log.WithField("before_born_ms", before.BornMS).Info("an endpoint has started again under its id")
-		return
+	} else {
+		log.Debug("an endpoint tells when it started")
 	}
-	log.Debug("an endpoint tells when it started")
+	return true
 }
 
 // goByID logs that an endpoint tells no start: the first one so that it is seen, as all may be of the same make.
--- a/rockbarrow/controller/lives_test.go
+++ b/rockbarrow/controller/lives_test.go
@@ -172,9 +172,7 @@
 			l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: "a", Lost: 3}})
 			for _, q := range l.take(now) {
 				asked = append(asked, after)
-				_ = born
-				l.asked--
-				q.underway = false
+				l.answer(now, q, q.endpoint, born, nil)
 			}
 		}
 	}
--- a/rockbarrow/entry/departures.go
+++ b/rockbarrow/entry/departures.go
@@ -5,12 +5,13 @@
 import (
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
 // returnAfter is how long an endpoint that was seen leaving must stand in the list as one that takes requests
-// before it gets any, unless it tells another life. Two control instances may read the list one after the other, and the later reading may be
-// the older one by the time that a reading takes, 0.9 s.
+// before it gets any, unless it is another life. Two control instances may read the list one after the other, and the
+// later reading may be the older one by the time that a reading takes, 0.9 s.
 const returnAfter = 3 * time.Second
 
 // departures remembers the endpoints that were seen leaving, so that an older reading of the list brings none of
@@ -22,8 +23,8 @@
 
 // departure is an endpoint that was seen leaving.
 type departure struct {
-	// born is the start of the life that was leaving, 0 if it is not known.
-	born uint64
+	// life is the one that was leaving.
+	life life.Life
 	// absent is true once the list has lacked it: only a new start brings it back.
 	absent bool
 	// ready is since when it stands in the list as one that takes requests, zero if it does not.
@@ -31,25 +32,24 @@
 }
 
 // take returns the endpoints of a list that may get new requests, and those that are seen leaving for the first
-// time. If it has to be called again although the list stays the same, wait says when.
-func (d *departures) take(now time.Time, l *fleetpb.EndpointList) (usable, leaving []*fleetpb.Endpoint, wait time.Duration) {
+// time. Present are the lives of all of its endpoints, which a list that lags does not tell. If it has to be called
+// again although the list stays the same, wait says when.
+func (d *departures) take(now time.Time, l *fleetpb.EndpointList, present map[string]life.Life) (usable, leaving []*fleetpb.Endpoint, wait time.Duration) {
 	if d.left == nil {
 		d.left = map[string]*departure{}
 	}
-	present := make(map[string]bool, len(l.GetEndpoints()))
 	for _, p := range l.GetEndpoints() {
-		present[p.GetId()] = true
 		left := d.left[p.GetId()]
 		switch {
 		case left == nil && p.GetDraining():
-			d.left[p.GetId()] = &departure{born: p.GetBornMs()}
+			d.left[p.GetId()] = &departure{life: present[p.GetId()]}
 			leaving = append(leaving, p)
 		case left == nil:
 			usable = append(usable, p)
 		case p.GetDraining():
-			*left = departure{born: p.GetBornMs()}
+			*left = departure{life: present[p.GetId()]}
 		default:
-			rest := left.remaining(now, p)
+			rest := left.remaining(now, present[p.GetId()])
 			if rest <= 0 {
 				delete(d.left, p.GetId())
 				usable = append(usable, p)
@@ -59,7 +59,7 @@
 		}
 	}
 	for id, left := range d.left {
-		if !present[id] {
+		if _, ok := present[id]; !ok {
 			left.absent, left.ready = true, time.Time{}
 		}
 	}
@@ -67,9 +67,8 @@
 }
 
 // remaining returns how much longer an endpoint that stands in the list as ready is not used.
-func (d *departure) remaining(now time.Time, p *fleetpb.Endpoint) time.Duration {
-	another := d.born != 0 && p.GetBornMs() != 0 && d.born != p.GetBornMs()
-	if d.absent || another {
+func (d *departure) remaining(now time.Time, present life.Life) time.Duration {
+	if d.absent || !d.life.Same(present) {
 		return 0
 	}
 	if d.ready.IsZero() {
--- a/rockbarrow/entry/departures_test.go
+++ b/rockbarrow/entry/departures_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -13,6 +14,15 @@
 	return &fleetpb.EndpointList{Endpoints: endpoints}
 }
 
+// take takes a list whose lives are all as it tells them.
+func take(d *departures, now time.Time, l *fleetpb.EndpointList) (usable, leaving []*fleetpb.Endpoint, wait time.Duration) {
+	present := map[string]life.Life{}
+	for _, p := range l.GetEndpoints() {
+		present[p.GetId()] = life.Life{ID: p.GetId(), BornMS: p.GetBornMs()}
+	}
+	return d.take(now, l, present)
+}
+
 func ready(id string) *fleetpb.Endpoint { return &fleetpb.Endpoint{Id: id} }
 
 func draining(id string) *fleetpb.Endpoint { return &fleetpb.Endpoint{Id: id, Draining: true} }
@@ -23,13 +33,13 @@
 	var d departures
 	now := time.Now()
 	count := func(l *fleetpb.EndpointList) int {
-		usable, _, _ := d.take(now, l)
+		usable, _, _ := take(&d, now, l)
 		return len(usable)
 	}
 	if n := count(listOf(ready("a"), ready("b"))); n != 2 {
 		t.Fatalf("%d endpoints, want 2", n)
 	}
-	if _, leaving, _ := d.take(now, listOf(draining("a"), ready("b"))); len(leaving) != 1 {
+	if _, leaving, _ := take(&d, now, listOf(draining("a"), ready("b"))); len(leaving) != 1 {
 		t.Fatalf("%v are leaving, want one", leaving)
 	}
 	// The list that comes next may have been read before.
@@ -51,19 +61,19 @@
 func TestAnEndpointThatStaysInTheList(t *testing.T) {
 	var d departures
 	now := time.Now()
-	d.take(now, listOf(draining("a")))
-	usable, _, wait := d.take(now, listOf(ready("a")))
+	take(&d, now, listOf(draining("a")))
+	usable, _, wait := take(&d, now, listOf(ready("a")))
 	if len(usable) != 0 || wait != returnAfter {
 		t.Fatalf("%v at once, again in %v", usable, wait)
 	}
-	if usable, _, wait = d.take(now.Add(wait), listOf(ready("a"))); len(usable) != 1 || wait != 0 {
+	if usable, _, wait = take(&d, now.Add(wait), listOf(ready("a"))); len(usable) != 1 || wait != 0 {
 		t.Errorf("%v after %v, again in %v", usable, returnAfter, wait)
 	}
 	// The time begins anew whenever it is seen leaving.
-	d.take(now, listOf(draining("a")))
-	d.take(now, listOf(ready("a")))
-	d.take(now.Add(returnAfter/2), listOf(draining("a")))
-	if usable, _, _ = d.take(now.Add(returnAfter), listOf(ready("a"))); len(usable) != 0 {
+	take(&d, now, listOf(draining("a")))
+	take(&d, now, listOf(ready("a")))
+	take(&d, now.Add(returnAfter/2), listOf(draining("a")))
+	if usable, _, _ = take(&d, now.Add(returnAfter), listOf(ready("a"))); len(usable) != 0 {
 		t.Errorf("%v, though it was leaving meanwhile", usable)
 	}
 }
@@ -79,9 +89,9 @@
 		want int
 	}{{1000, 0}, {0, 0}, {900, 1}} {
 		var d departures
-		d.take(now, at(1000, false))
-		d.take(now, at(1000, true))
-		if usable, _, _ := d.take(now, at(step.born, false)); len(usable) != step.want {
+		take(&d, now, at(1000, false))
+		take(&d, now, at(1000, true))
+		if usable, _, _ := take(&d, now, at(step.born, false)); len(usable) != step.want {
 			t.Errorf("born %d: %d endpoints, want %d", step.born, len(usable), step.want)
 		}
 	}
--- a/rockbarrow/entry/news.go
+++ b/rockbarrow/entry/news.go
@@ -156,7 +156,8 @@
 
 // endpoints returns the endpoints that may get new requests.
 func (e *Entry) endpoints(now time.Time, l *fleetpb.EndpointList) []placement.Listed {
-	usable, leaving, wait := e.departures.take(now, l)
+	present := e.presentLives(now, l)
+	usable, leaving, wait := e.departures.take(now, l, present)
 	for _, p := range leaving {
 		e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": l.GetNumber()}).
 			Info("an endpoint is leaving and gets nothing new")
@@ -168,16 +169,24 @@
 	}
 	out := make([]placement.Listed, 0, len(usable))
 	for _, p := range usable {
-		// A list that lags brings no ended life back.
+		out = append(out, placement.Listed{BornMS: present[p.GetId()].BornMS, Config: &configpb.Endpoint{
+			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
+			Service: p.GetService(), MaxCalls: p.GetSlots(),
+		}})
+	}
+	return out
+}
+
+// presentLives returns the life of each endpoint of a list by its id. A list that lags brings no ended life back.
+func (e *Entry) presentLives(now time.Time, l *fleetpb.EndpointList) map[string]life.Life {
+	out := make(map[string]life.Life, len(l.GetEndpoints()))
+	for _, p := range l.GetEndpoints() {
 		present, began := e.lives.Take(now, life.Life{ID: p.GetId(), BornMS: p.GetBornMs()})
 		if began {
 			e.Log.WithFields(logrus.Fields{"endpoint": present.ID, "born_ms": present.BornMS, "list": l.GetNumber()}).
 				Info("an endpoint has started again under its id")
 		}
-		out = append(out, placement.Listed{BornMS: present.BornMS, Config: &configpb.Endpoint{
-			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
-			Service: p.GetService(), MaxCalls: p.GetSlots(),
-		}})
+		out[p.GetId()] = present
 	}
 	e.lives.Forget(now)
 	return out
--- a/rockbarrow/life/life.go
+++ b/rockbarrow/life/life.go
@@ -13,7 +13,6 @@
 package life
 
 import (
-	"fmt"
 	"slices"
 	"time"
 )
@@ -32,9 +31,6 @@
 	return l.ID == o.ID && (l.BornMS == o.BornMS || l.BornMS == 0 || o.BornMS == 0)
 }
 
-// String returns the id and the time of the start.
-func (l Life) String() string { return fmt.Sprintf("%s born %d", l.ID, l.BornMS) }
-
 const (
 	// mostEnded is how many ended lives of an id are remembered, the newest ones. A word that is late by more
 	// starts than these would have to be many seconds old.
@@ -57,8 +53,8 @@
 	heard   time.Time
 }
 
-// Take takes a word on the life of an id and returns the present one. It began is true if another life was the
-// present one before.
+// Take takes a word on the life of an id and returns the present one. Began is true if another life was the present one
+// before.
 func (l *Lives) Take(now time.Time, word Life) (present Life, began bool) {
 	if l.byID == nil {
 		l.byID = map[string]*lives{}
@@ -84,12 +80,6 @@
 	l.present = born
 }
 
-// Ended reports whether a life is known to have ended.
-func (l *Lives) Ended(of Life) bool {
-	known := l.byID[of.ID]
-	return known != nil && slices.Contains(known.ended, of.BornMS)
-}
-
 // Forget drops the ids that nobody has spoken of for long.
 func (l *Lives) Forget(now time.Time) {
 	for id, known := range l.byID {
--- a/rockbarrow/life/life_test.go
+++ b/rockbarrow/life/life_test.go
@@ -47,9 +47,6 @@
 			t.Errorf("step %d: %v, began %v", i, present, began)
 		}
 	}
-	if !l.Ended(Life{"e", 500}) || l.Ended(Life{"e", 1200}) || l.Ended(Life{"f", 500}) {
-		t.Error("other lives count as ended")
-	}
 }
 
 func TestIdsThatAreGoneAreForgotten(t *testing.T) {
