controller: a test of an endpoint that comes back to the list, failing

Found by reading: what is remembered of an endpoint for a minute was taken for what another instance had asked, so that one that came back to the list was not asked.

--- a/rockbarrow/controller/lives_test.go
+++ b/rockbarrow/controller/lives_test.go
@@ -143,6 +143,32 @@
 	}
 }
 
+// TestAnEndpointThatComesBackIsAsked: it was not in the list for a while, and what is remembered of it is from before.
+func TestAnEndpointThatComesBackIsAsked(t *testing.T) {
+	l := lives{controller: &Controller{Log: quietLog()}}
+	now := time.Unix(100, 0)
+	list := &fleetpb.EndpointList{}
+	read := func(reading ...*fleetpb.Endpoint) []*question {
+		list = &fleetpb.EndpointList{Endpoints: l.name(now, list, reading)}
+		return l.take(now)
+	}
+	for _, q := range read(&fleetpb.Endpoint{Id: "x"}) {
+		l.answer(now, q, q.endpoint, 1000, nil)
+	}
+	if n := len(read(&fleetpb.Endpoint{Id: "x"})); n != 0 {
+		t.Fatalf("%d questions of an endpoint that has answered", n)
+	}
+	read()
+	back := read(&fleetpb.Endpoint{Id: "x"})
+	if len(back) != 1 {
+		t.Fatalf("%d questions of an endpoint that has come back, want 1", len(back))
+	}
+	l.answer(now, back[0], back[0].endpoint, 900, nil)
+	if named := l.name(now, list, []*fleetpb.Endpoint{{Id: "x"}}); named[0].GetBornMs() != 900 {
+		t.Errorf("%v, want the life of its return", named)
+	}
+}
+
 // TestQuestionsAreBounded: very many endpoints are new at once.
 func TestQuestionsAreBounded(t *testing.T) {
 	var l lives
