controller: an endpoint that comes back to the list is asked

Cause: whether an endpoint had been asked was read off what is remembered of it, which outlasts its absence from the list by a minute. Change: only what the known list tells counts as asked.

--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -74,8 +74,10 @@
 func (l *lives) name(now time.Time, known *fleetpb.EndpointList, reading []*fleetpb.Endpoint) []*fleetpb.Endpoint {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	told := map[string]bool{}
 	for _, e := range known.GetEndpoints() {
 		l.present.Take(now, lifeOf(e))
+		told[e.GetId()] = e.GetBornMs() != 0
 	}
 	before := l.questions
 	l.questions = make(map[string]*question, len(reading))
@@ -85,30 +87,37 @@
 		e := proto.CloneOf(read)
 		e.BornMs = present.BornMS
 		out = append(out, e)
-		l.questions[e.GetId()] = next(now, before[e.GetId()], e)
+		q := before[e.GetId()]
+		if q == nil {
+			q = newQuestion(now, e, told[e.GetId()])
+		} else {
+			q.read(now, e)
+		}
+		l.questions[e.GetId()] = q
 	}
 	l.present.Forget(now)
 	l.answered = false
 	return out
 }
 
-// next returns what is asked of an endpoint after another reading, by what was asked before, or nil.
-func next(now time.Time, before *question, e *fleetpb.Endpoint) *question {
-	if before == nil {
-		// Another instance may have asked it.
-		q := &question{endpoint: e, pause: askPause}
-		if e.GetBornMs() == 0 {
-			q.due = now
-		}
-		return q
+// newQuestion is that of an endpoint that no reading of this instance has named before. Another instance has asked it
+// if the known list tells its life; what is remembered of one that has come back does not count.
+func newQuestion(now time.Time, e *fleetpb.Endpoint, told bool) *question {
+	q := &question{endpoint: e, pause: askPause}
+	if !told {
+		q.due = now
 	}
-	moved := before.endpoint.GetAddress() != e.GetAddress()
-	returned := before.endpoint.GetDraining() && !e.GetDraining()
-	before.endpoint = e
+	return q
+}
+
+// read takes what another reading tells of the endpoint.
+func (q *question) read(now time.Time, e *fleetpb.Endpoint) {
+	moved := q.endpoint.GetAddress() != e.GetAddress()
+	returned := q.endpoint.GetDraining() && !e.GetDraining()
+	q.endpoint = e
 	if moved || returned {
-		before.due, before.untold = now, false
+		q.due, q.untold = now, false
 	}
-	return before
 }
 
 // doubt takes what an entry instance tells of endpoints: those whose calls or connections were lost may have started
