--- a/rockbench/emulate.go
+++ b/rockbench/emulate.go
@@ -65,7 +65,7 @@
 	}
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
 	if !o.asJSON {
-		fmt.Fprintln(table, "variant\tseed\tshare\tin time\tlate\tfailed\trefused\ttokens read\tturn p50\tp99 ms")
+		fmt.Fprintln(table, "variant\tseed\tshare\tideal\tin time\tlate\tfailed\trefused\ttokens read\tturn p50\tp99 ms")
 	}
 	played := variants
 	if len(d.Restarts) > 0 {
@@ -81,8 +81,8 @@
 				}
 				continue
 			}
-			fmt.Fprintf(table, "%s\t%d\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n",
-				v.name, seed, r.Share, r.InTime, r.Late, r.Failed, r.Refused, r.Read, r.TurnP50, r.TurnP99)
+			fmt.Fprintf(table, "%s\t%d\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\n",
+				v.name, seed, r.Share, r.Ideal, r.InTime, r.Late, r.Failed, r.Refused, r.Read, r.TurnP50, r.TurnP99)
 		}
 	}
 	return table.Flush()
--- a/rockbench/emulator/deployment.go
+++ b/rockbench/emulator/deployment.go
@@ -26,6 +26,7 @@
 	Kinds    []Kind    `toml:"kinds"`
 	Bursts   []Burst   `toml:"bursts"`
 	Restarts []Restart `toml:"restarts"`
+	Slow     []Slow    `toml:"slow"`
 }
 
 // Engine describes the model engines, which are all alike.
@@ -82,6 +83,30 @@
 	AtS  float64 `toml:"at_s"`
 	ForS float64 `toml:"for_s"`
 	X    float64 `toml:"x"`
+	// Entries is the share of the entry instances that what comes on top arrives at; 0 means all.
+	Entries float64 `toml:"entries"`
+}
+
+// Carries is how many programs a second fill all engines, were each prompt read once, without programs that run away.
+func (d *Deployment) Carries() float64 {
+	var work, shares float64
+	for _, k := range d.Kinds {
+		shares += k.Share
+		work += k.Share * d.Engine.programWork(k)
+	}
+	return 1000 * float64(d.Engine.Count) * shares / work
+}
+
+// programWork is the time of one engine in milliseconds for a program of a kind in the mean, with a full batch.
+func (e *Engine) programWork(k Kind) float64 {
+	turns := k.Turns * (1 + k.Fan*float64(k.Width)*lineTurns)
+	context := float64(k.SharedTokens) + k.Turns/2*(k.InputTokens+k.OutputTokens)
+	return turns * (k.InputTokens/e.ReadPerMS + k.OutputTokens*e.perToken(int(context)))
+}
+
+// active reports whether a burst is under way for a kind.
+func (b Burst) active(s float64, kind string) bool {
+	return s >= b.AtS && s < b.AtS+b.ForS && (b.Kind == "" || b.Kind == kind)
 }
 
 // FieldError says which key of a deployment is wrong.
@@ -125,6 +150,11 @@
 			return &FieldError{Key: fmt.Sprintf("kinds[%d]", i), Expected: "share, turns, aim, output_tokens and prefixes must be set"}
 		}
 	}
+	for i, s := range d.Slow {
+		if s.wrong() {
+			return &FieldError{Key: fmt.Sprintf("slow[%d]", i), Expected: "share must be from 0 to 1, x at least 1, for_s more than zero"}
+		}
+	}
 	for i, r := range d.Restarts {
 		if r.wrong() {
 			return &FieldError{Key: fmt.Sprintf("restarts[%d]", i), Expected: "share must be from 0 to 1, times at least 1, every_s set if there are more"}
@@ -135,8 +165,8 @@
 		if !known {
 			return &FieldError{Key: fmt.Sprintf("bursts[%d].kind", i), Expected: "must name one of the kinds"}
 		}
-		if b.X < 0 || b.ForS <= 0 {
-			return &FieldError{Key: fmt.Sprintf("bursts[%d]", i), Expected: "x must not be negative, for_s more than zero"}
+		if b.X < 0 || b.ForS <= 0 || b.Entries < 0 || b.Entries > 1 {
+			return &FieldError{Key: fmt.Sprintf("bursts[%d]", i), Expected: "x must not be negative, for_s more than zero, entries from 0 to 1"}
 		}
 	}
 	return nil
@@ -152,7 +182,7 @@
 	for _, k := range d.Kinds {
 		r := d.PerSecond * k.Share / total
 		for _, b := range d.Bursts {
-			if s >= b.AtS && s < b.AtS+b.ForS && (b.Kind == "" || b.Kind == k.Name) {
+			if b.active(s, k.Name) {
 				r *= b.X
 			}
 		}
--- a/rockbench/emulator/emulator_test.go
+++ b/rockbench/emulator/emulator_test.go
@@ -155,3 +155,25 @@
 		t.Errorf("sum %.3f by lives, %.3f by names", lives, names)
 	}
 }
+
+// TestNobodyEarnsMoreThanWhoKnowsAllLengths: the mark to go by lies above what is reached, and is all there is where the
+// engines are never full.
+func TestNobodyEarnsMoreThanWhoKnowsAllLengths(t *testing.T) {
+	for seed := range uint64(10) {
+		d := drawn(rand.New(rand.NewPCG(seed, 99)))
+		r := Run{Deployment: d, Seed: seed, Limited: true, Policy: placement.Spread}.Play()
+		t.Logf("seed %d: share %.3f, ideal %.3f", seed, r.Share, r.Ideal)
+		if r.Ideal < r.Share {
+			t.Errorf("seed %d: share %.3f above the ideal %.3f", seed, r.Share, r.Ideal)
+		}
+	}
+	calm := load(t, "preorder.toml")
+	calm.Seconds, calm.Bursts = 12, nil
+	if r := (Run{Deployment: calm, Seed: 1, Limited: true, Policy: placement.Spread}).Play(); r.Ideal < 0.999 {
+		t.Errorf("ideal %.3f on a calm day", r.Ideal)
+	}
+	calm.Slow = []Slow{{AtS: 0, ForS: 60, Share: 1, X: 40}}
+	if r := (Run{Deployment: calm, Seed: 1, Limited: true, Policy: placement.Spread}).Play(); r.Ideal > 0.9 || r.Share > r.Ideal {
+		t.Errorf("ideal %.3f, share %.3f with engines that are forty times as slow", r.Ideal, r.Share)
+	}
+}
--- a/rockbench/emulator/entry.go
+++ b/rockbench/emulator/entry.go
@@ -67,6 +67,10 @@
 			a.send()
 		case limiter.Reject:
 			a := e.waiting[act.ID]
+			if a == nil {
+				// Its client has left in the same moment.
+				continue
+			}
 			delete(e.waiting, act.ID)
 			a.over = true
 			e.world.result.Refused++
--- a/rockbench/emulator/program.go
+++ b/rockbench/emulator/program.go
@@ -141,10 +141,10 @@
 	switch {
 	case p.runaway:
 	case now <= p.due:
-		p.world.earn(p.kind.Worth)
+		p.world.earn(p, p.kind.Worth)
 		p.world.result.InTime++
 	case now <= p.late:
-		p.world.earn(p.kind.LateWorth)
+		p.world.earn(p, p.kind.LateWorth)
 		p.world.result.Late++
 	default:
 		p.world.result.Failed++
--- a/rockbench/emulator/restart.go
+++ b/rockbench/emulator/restart.go
@@ -18,6 +18,20 @@
 	DownS  float64 `toml:"down_s"`
 }
 
+// engines is how many of some engines start again, one at least.
+func (r Restart) engines(of int) int { return max(1, int(r.Share*float64(of))) }
+
+// away reports whether they are between two lives at a time.
+func (r Restart) away(s float64) bool {
+	for n := range r.Times {
+		begun := r.AtS + float64(n)*r.EveryS
+		if s >= begun && s < begun+r.DownS {
+			return true
+		}
+	}
+	return false
+}
+
 func (r Restart) wrong() bool {
 	return r.Share <= 0 || r.Share > 1 || r.Times < 1 || r.DownS < 0 || r.Times > 1 && r.EveryS <= 0
 }
@@ -25,7 +39,7 @@
 // runRestarts plays the restarts of a deployment.
 func (w *world) runRestarts() {
 	for _, r := range w.deployment.Restarts {
-		engines := w.rand.Perm(len(w.names))[:max(1, int(r.Share*float64(len(w.names))))]
+		engines := w.rand.Perm(len(w.names))[:r.engines(len(w.names))]
 		for n := range r.Times {
 			w.clock.after(ms(1000*(r.AtS+float64(n)*r.EveryS)), func() { w.stop(engines, ms(1000*r.DownS)) })
 		}
--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -31,6 +31,10 @@
 type Result struct {
 	// Share is the worth earned of all that could be.
 	Share float64 `json:"share"`
+	// Ideal is the share that someone would earn who knows how long everything takes.
+	Ideal float64 `json:"ideal"`
+	// LastShare is the share of the programs that arrived in the last quarter of the day.
+	LastShare float64 `json:"last_share"`
 	// Programs arrived, InTime and Late ended, Failed did not.
 	Programs int `json:"programs"`
 	InTime   int `json:"in_time"`
@@ -65,6 +69,10 @@
 	result    Result
 	times     *hdrhistogram.Histogram
 	owed, had float64
+	// lastOwed and lastHad are those of the last quarter.
+	lastOwed, lastHad float64
+	// demands are the programs that are owed.
+	demands []demand
 	// peak bounds the rate of arrivals.
 	peak  float64
 	lines int
@@ -81,7 +89,7 @@
 	for i := range r.Deployment.Engine.Count {
 		name := fmt.Sprintf("engine-%03d", i)
 		w.names = append(w.names, name)
-		w.engines[name] = &engine{deployment: &r.Deployment.Engine, clock: &w.clock, name: name}
+		w.engines[name] = &engine{deployment: &r.Deployment.Engine, clock: &w.clock, name: name, slow: 1}
 		w.listed = append(w.listed, placement.Listed{BornMS: 1, Config: &configpb.Endpoint{
 			Name: name, Service: service, MaxCalls: uint32(r.Deployment.Engine.Slots), Domain: "domain", Address: name,
 		}})
@@ -95,6 +103,7 @@
 	w.clock.after(0, w.arrive)
 	w.clock.after(0, w.news)
 	w.runRestarts()
+	w.runSlow()
 	w.clock.run(ms(1000*r.Deployment.Seconds) + drain)
 	return w.sum()
 }
@@ -107,6 +116,10 @@
 	if w.owed > 0 {
 		r.Share = w.had / w.owed
 	}
+	if w.lastOwed > 0 {
+		r.LastShare = w.lastHad / w.lastOwed
+	}
+	r.Ideal = w.ideal()
 	r.TurnP50, r.TurnP99 = w.times.ValueAtQuantile(50), w.times.ValueAtQuantile(99)
 	return r
 }
@@ -152,7 +165,7 @@
 // begin draws a program.
 func (w *world) begin(k *Kind) {
 	p := &program{
-		world: w, kind: k, entry: w.entries[w.rand.IntN(len(w.entries))], began: w.clock.now,
+		world: w, kind: k, entry: w.drawEntry(k), began: w.clock.now,
 		runaway: w.rand.Float64() < k.Runaway,
 	}
 	l, idle := w.drawLine(p, w.drawTurns(p), true)
@@ -162,10 +175,26 @@
 	w.result.Programs++
 	if !p.runaway {
 		w.owed += k.Worth
+		if w.last(p) {
+			w.lastOwed += k.Worth
+		}
+		w.demands = append(w.demands, demand{kind: k, work: l.work(&w.deployment.Engine, l.context), from: p.began, due: p.due, end: p.late})
 	}
 	l.next()
 }
 
+// drawEntry returns the entry instance that a program arrives at: any, or for what comes on top in a burst one of its
+// own.
+func (w *world) drawEntry(k *Kind) *entry {
+	s := w.clock.now.Seconds()
+	for _, b := range w.deployment.Bursts {
+		if b.Entries > 0 && b.X > 1 && b.active(s, k.Name) && w.rand.Float64() < 1-1/b.X {
+			return w.entries[w.rand.IntN(max(1, int(b.Entries*float64(len(w.entries)))))]
+		}
+	}
+	return w.entries[w.rand.IntN(len(w.entries))]
+}
+
 func (w *world) drawTurns(p *program) int {
 	if p.runaway {
 		return max(1, p.kind.RunawayTurns)
@@ -216,7 +245,16 @@
 	return 0
 }
 
-func (w *world) earn(worth float64) { w.had += worth }
+// earn takes what a program has come to.
+func (w *world) earn(p *program, worth float64) {
+	w.had += worth
+	if w.last(p) {
+		w.lastHad += worth
+	}
+}
+
+// last reports whether a program came in the last quarter of the day.
+func (w *world) last(p *program) bool { return p.began.Seconds() >= 0.75*w.deployment.Seconds }
 
 func (w *world) took(d time.Duration) {
 	// The histogram holds up to two minutes, longer than a run goes on.
--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -46,6 +46,11 @@
 	emulateRun := emulateOptions{seed: 1, seeds: 1}
 	emulateRun.add(emulateCmd)
 	flaggy.AttachSubcommand(emulateCmd, 1)
+	patternsCmd := flaggy.NewSubcommand("patterns")
+	patternsCmd.Description = "play the patterns of load in simulated time, beside who knows how long everything takes"
+	patternsRun := patternsOptions{seed: 1, seeds: 3}
+	patternsRun.add(patternsCmd)
+	flaggy.AttachSubcommand(patternsCmd, 1)
 	requestsCmd := flaggy.NewSubcommand("requests")
 	requestsCmd.Description = "tell from logs of entry instances how requests ended, why, and where their time went"
 	logFile := ""
@@ -66,6 +71,8 @@
 		err = faults(ctx, os.Stdout, only)
 	case emulateCmd.Used:
 		err = runEmulate(os.Stdout, emulateRun)
+	case patternsCmd.Used:
+		err = runPatterns(os.Stdout, patternsRun)
 	case requestsCmd.Used:
 		err = runRequests(os.Stdout, logFile)
 	case soakCmd.Used:
