emulator: news cost what there are entries, not their square

Each entry summed the calls of all others for each engine; with 300 entries most of a run's time was that. The sum is made once.

--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -144,16 +144,15 @@
 
 // news tells each entry the calls of the others.
 func (w *world) news() {
-	for _, e := range w.entries {
-		for _, name := range w.names {
-			var others int64
-			for _, o := range w.entries {
-				if o != e {
-					others += o.fleet.Endpoint(name).Underway()
-				}
-			}
-			// It arrives later, as it stood now.
+	for _, name := range w.names {
+		var all int64
+		for _, e := range w.entries {
+			all += e.fleet.Endpoint(name).Underway()
+		}
+		for _, e := range w.entries {
 			p := e.fleet.Endpoint(name)
+			others := all - p.Underway()
+			// It arrives later, as it stood now.
 			w.clock.after(ms(w.deployment.NewsMS), func() { p.HeardOthers(w.clock.time(), uint32(others), 0) })
 		}
 	}
