--- a/rockbarrow/entry/lives_test.go
+++ b/rockbarrow/entry/lives_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -107,3 +108,22 @@
 		t.Errorf("%v, want an answer of the life after", out)
 	}
 }
+
+// TestLoadsOfAnEndedLifeDoNotCount: a list that lags, and the loads that go with it, speak of the life before.
+func TestLoadsOfAnEndedLifeDoNotCount(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
+	e := newEntry(t, s)
+	e.hear(lifeOf(2, 1000))
+	e.hear(lifeOf(3, 2000))
+	e.hear(lifeOf(4, 1000))
+	failing := &fleetpb.EndpointLoads{ListNumber: 4, Running: []uint32{4}, Failing: []uint32{100}}
+	e.HearLoads(failing)
+	before := e.fleet.Load().Places(time.Now(), placement.Class{Service: "s"}, 4)
+	e.hear(lifeOf(5, 2000))
+	failing.ListNumber = 5
+	e.HearLoads(failing)
+	after := e.fleet.Load().Places(time.Now(), placement.Class{Service: "s"}, 4)
+	if before <= after {
+		t.Errorf("%d places while an ended life was told as full, %d while the present one is", before, after)
+	}
+}
