entry: loads of an ended life do not count

Cause: loads are told in the order of a list, and were taken for the present lives also where that list lags and names ended ones. Change: a load counts only for the life that the list tells.

--- a/rockbarrow/entry/loads.go
+++ b/rockbarrow/entry/loads.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
@@ -41,7 +42,9 @@
 	}
 	now := time.Now()
 	for i, p := range list {
-		if known := f.Endpoint(p.GetId()); known != nil {
+		known := f.Endpoint(p.GetId())
+		// A list that lags, and what is told with it, may speak of a life that has ended.
+		if known != nil && known.Life().Same(life.Life{ID: p.GetId(), BornMS: p.GetBornMs()}) {
 			known.HeardOthers(now, l.GetRunning()[i], l.GetFailing()[i])
 		}
 	}
