standin: an endpoint keeps its address over a new start

It had given its port up for a moment, and ports of outgoing connections are drawn from the same range. Change: the next life takes the listening socket over. Ruled out: the product, which has no part in it.

--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -53,9 +53,8 @@
 	old := f.endpoint(r)
 	for range 1 + r.IntN(mostStarts) {
 		next := f.nextLife(old, r)
-		old.Close()
 		f.ledger.Count("starts of endpoints at their address")
-		if err := next.Start(old.Address()); err != nil {
+		if err := next.Follow(old); err != nil {
 			f.ledger.Break("%s: %v", old.ID, err)
 			f.removeEndpoint(old)
 			return
