--- a/rockbarrow/controller/lives_test.go
+++ b/rockbarrow/controller/lives_test.go
@@ -70,9 +70,16 @@
 	return 0
 }
 
-// lose tells that calls at a life of an endpoint were lost.
+// lose lets an entry instance tell that calls at a life of an endpoint were lost.
 func (p *place) lose(id string, born uint64) {
-	p.controller.lives.doubt(time.Now(), []*fleetpb.EndpointUse{{Endpoint: id, BornMs: born, Lost: 1}})
+	p.t.Helper()
+	req := &fleetpb.WatchRequest{
+		Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY,
+		Uses: []*fleetpb.EndpointUse{{Endpoint: id, BornMs: born, Lost: 1}},
+	}
+	if _, err := p.controller.Watch(p.t.Context(), req); err != nil {
+		p.t.Fatal(err)
+	}
 }
 
 // TestTheListTellsWhenEndpointsStarted: also after a start with a clock that was set back, and never again the life
--- a/rockbarrow/entry/lives_test.go
+++ b/rockbarrow/entry/lives_test.go
@@ -127,3 +127,71 @@
 		t.Errorf("%d places while an ended life was told as full, %d while the present one is", before, after)
 	}
 }
+
+// reconnected is an answer over a connection that took the place of one that the endpoint had closed.
+func reconnected(o Offer) (*Answer, error) {
+	a, err := answers(200, "ok")(o)
+	a.Reconnected = true
+	return a, err
+}
+
+// TestWhatMayBeANewStartIsTold: lost calls, answers that end midway and closed connections are all that an instance sees
+// of a new start. A full endpoint is none.
+func TestWhatMayBeANewStartIsTold(t *testing.T) {
+	for name, tt := range map[string]struct {
+		answer func(Offer) (*Answer, error)
+		want   uint64
+	}{
+		"answered": {answers(200, "ok"), 0}, "full": {notRun, 0}, "lost": {broken, 1}, "cut off": {cutOff("par"), 1}, "reconnected": {reconnected, 1},
+	} {
+		e := newEntry(t, &fakeSender{answers: []func(Offer) (*Answer, error){tt.answer}})
+		e.hear(lifeOf(2, 1000))
+		e.Serve(t.Context(), ask("/once/1"), &fakeOut{})
+		var lost uint64
+		for _, u := range e.Uses() {
+			lost += u.Lost
+		}
+		if lost != tt.want {
+			t.Errorf("%s: %d losses are told, want %d", name, lost, tt.want)
+		}
+	}
+}
+
+// TestTheStoresKeepTheLife: an instance that has not seen a program hears of its endpoint from the stores, for turns whose
+// history is kept and others, and does not go back to it by its id alone.
+func TestTheStoresKeepTheLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		for _, path := range []string{"r", "k"} {
+			s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, events(1, 3))}}
+			for n, born := range []uint64{1000, 2000} {
+				e := newStreamEntry(t, view, s)
+				e.hear(lifeOf(10, born))
+				r := turnOf(path, fmt.Sprint(path, n), "kept-"+path, 500)
+				if n > 0 && path == "k" {
+					r.Previous = path + "0"
+				}
+				x := &exchange{entry: e, request: r, table: e.table.Load(), route: routeOf(t, e, r)}
+				if n == 0 {
+					e.Serve(t.Context(), r, &fakeOut{})
+					awaitSettled(t, e, "kept-"+path, 9)
+					continue
+				}
+				x.way, x.deadline = wayOf(x.route, r), time.Now().Add(time.Second)
+				if o := x.prepare(t.Context()); o != nil || x.last.ID != "x" || x.last.BornMS != 1000 {
+					t.Errorf("%s: %v, %v, want the life that served the turn before", path, o, x.last)
+				}
+			}
+		}
+	})
+}
+
+// routeOf returns the route of a request.
+func routeOf(t *testing.T, e *Entry, r *Request) *fleetpb.Route {
+	t.Helper()
+	route, ok := e.table.Load().Match(r.Host, r.Path)
+	if !ok {
+		t.Fatal("no route")
+	}
+	return route
+}
