routing, wire: customers with keys, priorities and quotas in the configuration

Cause: the platform's pages add customers; they were dropped when a configuration was decoded. Change: decoded once, into digests of their keys; checked in routing, with errors that name the customer and never a key; tables travel with what changed about customers and keys. An index of keys in two levels with buckets of 12-byte digests. Random changes with keys that move, come back or were the last lead to the same table as the whole document.

--- /dev/null
+++ b/rockbarrow/routing/customers_test.go
@@ -0,0 +1,302 @@
+// SPDX-License-Identifier: MIT
+
+package routing
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// customer returns one with keys of these names.
+func customer(name string, secrets ...string) *fleetpb.Customer {
+	c := &fleetpb.Customer{Name: name, RatePerSecond: 10, Burst: 5}
+	for _, s := range secrets {
+		k := KeyOf(s)
+		c.Keys = append(c.Keys, k[:])
+	}
+	return c
+}
+
+// manyCustomers returns a document with so many keys, ten a customer.
+func manyCustomers(keys int) *fleetpb.Document {
+	d := document(1, 1)
+	for i := range keys {
+		if i%10 == 0 {
+			d.Customers = append(d.Customers, customer(fmt.Sprintf("c%d", i/10)))
+		}
+		c := d.Customers[len(d.Customers)-1]
+		k := KeyOf(fmt.Sprintf("key%d", i))
+		c.Keys = append(c.Keys, k[:])
+	}
+	return d
+}
+
+// changedCustomers adds, alters and takes away customers and keys in a few drawn places; keys also move.
+func changedCustomers(r *rand.Rand, d *fleetpb.Document) {
+	secret := func() string { return fmt.Sprintf("key%d", r.IntN(60)) }
+	held := func(k Key) bool {
+		return slices.ContainsFunc(d.Customers, func(c *fleetpb.Customer) bool {
+			return slices.ContainsFunc(c.Keys, func(o []byte) bool { return bytes.Equal(o, k[:]) })
+		})
+	}
+	for range r.IntN(4) {
+		if name := fmt.Sprintf("c%d", r.IntN(20)); !slices.ContainsFunc(d.Customers, func(c *fleetpb.Customer) bool { return c.GetName() == name }) {
+			d.Customers = append(d.Customers, customer(name))
+		}
+	}
+	for range r.IntN(6) {
+		if len(d.Customers) == 0 {
+			return
+		}
+		c := d.Customers[r.IntN(len(d.Customers))]
+		switch r.IntN(4) {
+		case 0:
+			c.Keys = nil
+		case 1:
+			c.Priority, c.RatePerSecond = r.Uint32N(3), float64(r.IntN(9))
+		default:
+			if k := KeyOf(secret()); !held(k) {
+				c.Keys = append(c.Keys, k[:])
+			}
+		}
+	}
+	if len(d.Customers) > 1 && r.IntN(2) == 0 {
+		// The keys of the last customer may move to the first one.
+		last := d.Customers[len(d.Customers)-1]
+		d.Customers = d.Customers[:len(d.Customers)-1]
+		if r.IntN(2) == 0 {
+			d.Customers[0].Keys = append(d.Customers[0].Keys, last.GetKeys()...)
+		}
+	}
+}
+
+// TestChangesOfCustomersLeadToTheSameTable: a table that follows changes finds each key's customer as one that is
+// made of the whole document, also for keys that move, come back or were a customer's last one.
+func TestChangesOfCustomersLeadToTheSameTable(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 2))
+		d := document(3, 1)
+		control, err := New(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		entry := control
+		for range 25 {
+			d = proto.Clone(d).(*fleetpb.Document)
+			d.Version++
+			changedCustomers(r, d)
+			next, change, err := control.Next(d)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			followed, err := apply(t, entry, change)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			fresh, err := New(d)
+			if err != nil {
+				t.Fatal(err)
+			}
+			whole, err := next.Whole()
+			if err != nil {
+				t.Fatal(err)
+			}
+			again, err := apply(t, nil, whole)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, got := range []*Table{next, followed, again} {
+				compareCustomers(t, d, got, fresh)
+			}
+			control, entry = next, followed
+		}
+	}
+}
+
+func compareCustomers(t *testing.T, d *fleetpb.Document, got, fresh *Table) {
+	t.Helper()
+	if !bytes.Equal(got.Digest(), fresh.Digest()) || got.Keys() != fresh.Keys() || got.Customers() != len(d.GetCustomers()) {
+		t.Fatalf("version %d: tables differ", d.GetVersion())
+	}
+	holder := map[Key]string{}
+	for _, c := range d.GetCustomers() {
+		for _, raw := range c.GetKeys() {
+			holder[Key(raw)] = c.GetName()
+		}
+		if named := got.CustomerNamed(c.GetName()); named.GetPriority() != c.GetPriority() || named.GetRatePerSecond() != c.GetRatePerSecond() {
+			t.Fatalf("customer %v, want %v", named, c)
+		}
+	}
+	for i := range 60 {
+		k := KeyOf(fmt.Sprintf("key%d", i))
+		c, ok := got.Customer(k)
+		if c.GetName() != holder[k] || ok != (holder[k] != "") {
+			t.Fatalf("version %d: key %d is held by %q, want %q", d.GetVersion(), i, c.GetName(), holder[k])
+		}
+	}
+}
+
+// TestInvalidCustomersAreRefused: the error names the customer and never a key.
+func TestInvalidCustomersAreRefused(t *testing.T) {
+	const secret = "one"
+	with := func(f func(*fleetpb.Customer)) []*fleetpb.Customer {
+		c := customer("a", secret)
+		f(c)
+		return []*fleetpb.Customer{c}
+	}
+	tests := map[string][]*fleetpb.Customer{
+		"a key that two hold":      {customer("a", secret), customer("b", "two", secret)},
+		"a key that one has twice": {customer("a", secret, secret)},
+		"a name that two have":     {customer("a", secret), customer("a", "two")},
+		"no name":                  {customer("", secret)},
+		"an empty key":             with(func(c *fleetpb.Customer) { c.Keys = append(c.Keys, nil) }),
+		"a negative rate":          with(func(c *fleetpb.Customer) { c.RatePerSecond = -1 }),
+		"an absurd rate":           with(func(c *fleetpb.Customer) { c.RatePerSecond = 1e12 }),
+		"a negative burst":         with(func(c *fleetpb.Customer) { c.Burst = -0.5 }),
+	}
+	for name, list := range tests {
+		d := document(1, 1)
+		d.Customers = list
+		var invalid *InvalidError
+		_, err := New(d)
+		if !errors.As(err, &invalid) || invalid.Customer == "" && name != "no name" {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		if strings.Contains(err.Error(), secret+" ") {
+			t.Errorf("%s: the error tells a key: %v", name, err)
+		}
+	}
+}
+
+// TestKeysOfAnUnknownCustomerAreNotApplied: a change that does not fit is noticed.
+func TestKeysOfAnUnknownCustomerAreNotApplied(t *testing.T) {
+	k := KeyOf("one")
+	for name, c := range map[string]*fleetpb.KeyChange{
+		"an unknown customer": {Customer: "nobody", Added: k[:]},
+		"half a key":          {Customer: "a", Added: k[:5]},
+	} {
+		u, err := (*Table)(nil).Begin(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		raw, err := marshal(&fleetpb.Customer{Name: "a"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if out, err := u.Add(&fleetpb.TableChange{Customers: [][]byte{raw}, Keys: []*fleetpb.KeyChange{c}, Version: 1, Digest: []byte("x")}); err == nil {
+			t.Errorf("%s: %v", name, out)
+		}
+	}
+}
+
+// TestManyKeysComeInParts: no part is much larger than what a slow link carries in some ten milliseconds.
+func TestManyKeysComeInParts(t *testing.T) {
+	table, change, err := (*Table)(nil).Next(manyCustomers(30_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, p := range Parts(change) {
+		if proto.Size(p) > 2*partBytes {
+			t.Errorf("part %d has %d bytes", i, proto.Size(p))
+		}
+	}
+	if got, err := apply(t, nil, change); err != nil || !bytes.Equal(got.Digest(), table.Digest()) {
+		t.Errorf("another table came out: %v", err)
+	}
+}
+
+// keySizes are the numbers of keys of benchmarks and of the bound on memory.
+var keySizes = []int{760, 100_000}
+
+// TestKeysTakeLittleMemory: 100,000 keys of one table take less than 2 MB on an entry instance.
+func TestKeysTakeLittleMemory(t *testing.T) {
+	const bound = 2 << 20
+	_, change, err := (*Table)(nil).Next(manyCustomers(100_000))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The customers themselves count for nothing here: they are as many as the operator has.
+	change.Customers = slices.Clone(change.Customers)
+	heap := func() uint64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	draft := (&customers{byName: newLayer[uint32]()}).draft()
+	draft.slots, draft.copied = slots{{Name: "c"}}, true
+	before := heap()
+	for _, c := range change.GetKeys() {
+		for b := c.GetAdded(); len(b) > 0; b = b[keySize:] {
+			draft.keys.put(Key(b[:keySize]), 0, draft.slots)
+		}
+	}
+	index := draft.keys.index
+	draft = nil
+	after := heap()
+	if used := after - before; index.len != 100_000 || used > bound {
+		t.Errorf("%d keys take %d bytes", index.len, used)
+	}
+	runtime.KeepAlive(&index)
+	runtime.KeepAlive(change)
+}
+
+func eachKeys(b *testing.B, f func(b *testing.B, d *fleetpb.Document)) {
+	for _, n := range keySizes {
+		b.Run(fmt.Sprintf("keys=%d", n), func(b *testing.B) { f(b, manyCustomers(n)) })
+	}
+}
+
+// BenchmarkCustomer is a request's search for its customer.
+func BenchmarkCustomer(b *testing.B) {
+	eachKeys(b, func(b *testing.B, d *fleetpb.Document) {
+		t, err := New(d)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, ok := t.Customer(KeyOf("key7")); !ok {
+				b.Fatal("no customer")
+			}
+		}
+	})
+}
+
+// BenchmarkKeyChange is an entry instance's work for one key more.
+func BenchmarkKeyChange(b *testing.B) {
+	eachKeys(b, func(b *testing.B, d *fleetpb.Document) {
+		t, err := New(d)
+		if err != nil {
+			b.Fatal(err)
+		}
+		more := proto.Clone(d).(*fleetpb.Document)
+		k := KeyOf("one more")
+		more.Version, more.Customers[0].Keys = 2, append(more.Customers[0].Keys, k[:])
+		_, change, err := t.Next(more)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			u, err := t.Begin(change.GetBase())
+			if err != nil {
+				b.Fatal(err)
+			}
+			if out, err := u.Add(change); err != nil || out == nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/rockbarrow/routing/digest.go
+++ b/rockbarrow/routing/digest.go
@@ -14,8 +14,10 @@
 
 // Members of different kinds never have the same digest.
 const (
-	routeKind   = 'r'
-	serviceKind = 's'
+	routeKind    = 'r'
+	serviceKind  = 's'
+	customerKind = 'c'
+	keyKind      = 'k'
 )
 
 func sumOf(kind byte, raw []byte) sum {
@@ -47,7 +49,7 @@
 func (t *Table) Digest() []byte {
 	t = t.orEmpty()
 	b := binary.BigEndian.AppendUint64(nil, t.version)
-	for _, s := range []sum{t.routes.sum, t.services.sum} {
+	for _, s := range append([]sum{t.routes.sum, t.services.sum}, t.customers.sums()...) {
 		for _, lane := range s {
 			b = binary.BigEndian.AppendUint64(b, lane)
 		}
--- a/rockbarrow/routing/next.go
+++ b/rockbarrow/routing/next.go
@@ -14,15 +14,18 @@
 
 // InvalidError says why a configuration can't be in force.
 type InvalidError struct {
-	// Route names the route at fault, if one is.
-	Route string
+	// Route names the route at fault, if one is, and Customer the customer.
+	Route, Customer string
 	// Reason tells what is wrong.
 	Reason string
 }
 
 // Error describes the fault.
 func (e *InvalidError) Error() string {
-	if e.Route == "" {
+	switch {
+	case e.Customer != "":
+		return fmt.Sprintf("routing: customer %q: %s", e.Customer, e.Reason)
+	case e.Route == "":
 		return "routing: " + e.Reason
 	}
 	return fmt.Sprintf("routing: route %q: %s", e.Route, e.Reason)
@@ -40,9 +43,10 @@
 	t = t.orEmpty()
 	n := &next{
 		change: &fleetpb.TableChange{Base: t.baseDigest(), Version: d.GetVersion()},
-		before: t, routes: t.routes.draft(), services: t.services.draft(),
-		names: make(map[string]bool, len(d.GetServices())),
-		keys:  make(map[string]string, len(d.GetRoutes())),
+		before: t, routes: t.routes.draft(), services: t.services.draft(), customers: t.customers.draft(),
+		names:   make(map[string]bool, len(d.GetServices())),
+		keys:    make(map[string]string, len(d.GetRoutes())),
+		holders: make(map[string]bool, len(d.GetCustomers())),
 	}
 	if err := n.takeServices(d.GetServices()); err != nil {
 		return nil, nil, err
@@ -50,15 +54,19 @@
 	if err := n.takeRoutes(d.GetRoutes()); err != nil {
 		return nil, nil, err
 	}
+	if err := n.takeCustomers(d.GetCustomers()); err != nil {
+		return nil, nil, err
+	}
 	n.dropServices()
 	n.dropRoutes()
+	n.dropCustomers()
 	var err error
 	if n.change.Limits, err = marshal(d.GetLimits()); err != nil {
 		return nil, nil, err
 	}
 	out := &Table{
 		version: d.GetVersion(), limits: d.GetLimits(), limitsRaw: n.change.GetLimits(),
-		routes: n.routes.commit(), services: n.services.commit(),
+		routes: n.routes.commit(), services: n.services.commit(), customers: n.customers.commit(),
 	}
 	n.change.Digest = out.Digest()
 	return out, n.change, nil
@@ -66,13 +74,16 @@
 
 // next is a table in the making.
 type next struct {
-	before   *Table
-	change   *fleetpb.TableChange
-	routes   *draft[*fleetpb.Route]
-	services *draft[*fleetpb.Service]
-	// names are the services of the document, and keys the names of its routes by key.
-	names map[string]bool
-	keys  map[string]string
+	before    *Table
+	change    *fleetpb.TableChange
+	routes    *draft[*fleetpb.Route]
+	services  *draft[*fleetpb.Service]
+	customers *customersDraft
+	// names are the services of the document, keys the names of its routes by key, and holders its
+	// customers.
+	names   map[string]bool
+	keys    map[string]string
+	holders map[string]bool
 }
 
 func (n *next) takeServices(list []*fleetpb.Service) error {
--- a/rockbarrow/routing/table.go
+++ b/rockbarrow/routing/table.go
@@ -17,12 +17,13 @@
 	// limitsRaw is what the digest is made of.
 	limitsRaw []byte
 	// routes are by host and prefix, services by name.
-	routes   layer[*fleetpb.Route]
-	services layer[*fleetpb.Service]
+	routes    layer[*fleetpb.Route]
+	services  layer[*fleetpb.Service]
+	customers customers
 }
 
 // empty is the table that nil stands for.
-var empty = &Table{routes: newLayer[*fleetpb.Route](), services: newLayer[*fleetpb.Service]()}
+var empty = &Table{routes: newLayer[*fleetpb.Route](), services: newLayer[*fleetpb.Service](), customers: newCustomers()}
 
 // hostEnd ends the host in a route's key; no host holds it.
 const hostEnd = 0
--- a/rockbarrow/routing/update.go
+++ b/rockbarrow/routing/update.go
@@ -39,9 +39,10 @@
 // Update makes a table from another one, part by part of a change. It never alters the
 // table that it began with. After an error it is of no further use.
 type Update struct {
-	before   *Table
-	routes   *draft[*fleetpb.Route]
-	services *draft[*fleetpb.Service]
+	before    *Table
+	routes    *draft[*fleetpb.Route]
+	services  *draft[*fleetpb.Service]
+	customers *customersDraft
 }
 
 // Begin starts an update of a table; a change without a base begins with nothing,
@@ -54,7 +55,7 @@
 	if own := t.baseDigest(); !bytes.Equal(own, base) {
 		return nil, &BaseError{want: own, got: base}
 	}
-	return &Update{before: t, routes: t.routes.draft(), services: t.services.draft()}, nil
+	return &Update{before: t, routes: t.routes.draft(), services: t.services.draft(), customers: t.customers.draft()}, nil
 }
 
 // Add applies a part. It returns the table after the last one and nil before. The
@@ -74,6 +75,9 @@
 			return nil, err
 		}
 	}
+	if err := u.addCustomers(part); err != nil {
+		return nil, err
+	}
 	u.remove(part)
 	if len(part.GetDigest()) == 0 {
 		return nil, nil
@@ -106,6 +110,9 @@
 	for _, k := range part.GetRemovedRoutes() {
 		u.routes.remove(routeKey(nil, k.GetHost(), k.GetPrefix()))
 	}
+	for _, name := range part.GetRemovedCustomers() {
+		u.customers.remove(name)
+	}
 }
 
 func (u *Update) commit(last *fleetpb.TableChange) (*Table, error) {
@@ -115,7 +122,7 @@
 	}
 	t := &Table{
 		version: last.GetVersion(), limits: limits, limitsRaw: last.GetLimits(),
-		routes: u.routes.commit(), services: u.services.commit(),
+		routes: u.routes.commit(), services: u.services.commit(), customers: u.customers.commit(),
 	}
 	if own := t.Digest(); !bytes.Equal(own, last.GetDigest()) {
 		return nil, &DigestError{want: last.GetDigest(), got: own}
@@ -123,31 +130,52 @@
 	return t, nil
 }
 
-// partBytes is about how large the routes of one part are, before compression: 64 KB
-// take 17 ms on a link of 30 Mbit/s.
+// partBytes is about how large one part is, before compression: 64 KB take 17 ms on a link of 30 Mbit/s.
 const partBytes = 64 << 10
 
-// Parts splits a change, so that a receiver sees progress and does not hold all of it.
+// Parts splits a change, so that a receiver sees progress and does not hold all of it. Customers are there
+// before their keys, and are taken out after them.
 func Parts(c *fleetpb.TableChange) []*fleetpb.TableChange {
-	var out []*fleetpb.TableChange
-	routes := c.GetRoutes()
-	for {
-		n, size := 0, 0
-		for n < len(routes) && size < partBytes {
-			size += len(routes[n])
-			n++
-		}
-		part := &fleetpb.TableChange{Base: c.GetBase(), Routes: routes[:n]}
-		if len(out) == 0 {
-			part.Services, part.RemovedServices, part.RemovedRoutes = c.GetServices(), c.GetRemovedServices(), c.GetRemovedRoutes()
-		}
-		routes = routes[n:]
-		out = append(out, part)
-		if len(routes) == 0 {
-			part.Version, part.Limits, part.Digest = c.GetVersion(), c.GetLimits(), c.GetDigest()
-			return out
-		}
+	p := &parts{base: c.GetBase()}
+	p.open()
+	p.last.Services, p.last.RemovedServices, p.last.RemovedRoutes = c.GetServices(), c.GetRemovedServices(), c.GetRemovedRoutes()
+	for _, raw := range c.GetCustomers() {
+		p.room(len(raw))
+		p.last.Customers = append(p.last.Customers, raw)
+	}
+	for _, k := range c.GetKeys() {
+		p.room(len(k.GetAdded()) + len(k.GetRemoved()))
+		p.last.Keys = append(p.last.Keys, k)
+	}
+	for _, raw := range c.GetRoutes() {
+		p.room(len(raw))
+		p.last.Routes = append(p.last.Routes, raw)
+	}
+	p.last.RemovedCustomers = c.GetRemovedCustomers()
+	p.last.Version, p.last.Limits, p.last.Digest = c.GetVersion(), c.GetLimits(), c.GetDigest()
+	return p.all
+}
+
+// parts are those of a change in the making.
+type parts struct {
+	base []byte
+	all  []*fleetpb.TableChange
+	// last is the newest part, which holds so many bytes.
+	last *fleetpb.TableChange
+	size int
+}
+
+func (p *parts) open() {
+	p.last, p.size = &fleetpb.TableChange{Base: p.base}, 0
+	p.all = append(p.all, p.last)
+}
+
+// room begins another part if the newest one is full, and counts what is to be added.
+func (p *parts) room(size int) {
+	if p.size >= partBytes {
+		p.open()
 	}
+	p.size += size
 }
 
 // Whole returns the change that makes this table of nothing.
@@ -170,5 +198,8 @@
 		c.Routes = append(c.Routes, raw)
 		return failed == nil
 	})
-	return c, failed
+	if failed != nil {
+		return nil, failed
+	}
+	return c, t.wholeCustomers(c)
 }
--- a/rockbench/soak/invalid.go
+++ b/rockbench/soak/invalid.go
@@ -33,6 +33,9 @@
 	{name: "a service that is not known", document: func(d *fleetpb.Document) { d.Routes[0].Shares[0].Service = "nobody" }},
 	{name: "weights of zero", document: func(d *fleetpb.Document) { d.Routes[0].Shares[0].Weight = 0 }},
 	{name: "two routes of one place", document: func(d *fleetpb.Document) { d.Routes = append(d.Routes, d.Routes[0]) }},
+	{name: "a key that two customers hold", text: func(_ *rand.Rand, b []byte) []byte {
+		return bytes.Replace(b, []byte(`"secret-`+bounded+`"`), []byte(`"secret-`+steadyName(0)+`"`), 1)
+	}},
 	{name: "an unknown kind", document: func(d *fleetpb.Document) { d.Routes[0].Kind = fleetpb.RouteKind_ROUTE_KIND_UNSPECIFIED }},
 }
 
@@ -50,7 +53,7 @@
 	if s.document != nil {
 		s.document(d)
 	}
-	b, err := wire.Encode(d)
+	b, err := wire.Encode(d, f.customers.held())
 	if err != nil {
 		f.ledger.Break("%v", err)
 		return
