quota: customers' requests counted over all entry instances

Four ways behind one interface: shares of the overrun and questions beyond them (used), a question for each request, estimates by the last news, even shares. Ruled out on the way: shares of all that is left (2,372 ran of 2,350), and counting shares as used until they are told (ramps were refused).

--- /dev/null
+++ b/rockbarrow/quota/till.go
@@ -0,0 +1,316 @@
+// SPDX-License-Identifier: MIT
+
+package quota
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// newsFor is how long the share of one piece of news may be used: four times as long as news take to come.
+	newsFor = 1500 * time.Millisecond
+	// shares is how many shares of different news an instance may have used before the counter hears of the first
+	// one: two before it told its count, and one after that.
+	shares = 3
+	// backFor is how long a request that did not run lets another one in its place.
+	backFor = 500 * time.Millisecond
+	// blockFor is how long a refusal is repeated at the most without asking again.
+	blockFor = 200 * time.Millisecond
+)
+
+// Ask asks a control instance to let requests in. It returns who answered, for [Till.Uses].
+type Ask func(ctx context.Context, req *fleetpb.AdmitRequest) (control string, reply *fleetpb.AdmitReply, err error)
+
+// Way is how a till lets requests in: [Shared], [Central], [Estimated] or [Even].
+type Way interface{ way() }
+
+// Shared lets requests in by shares of what is left, and asks beyond that. It is what instances use.
+type Shared struct{}
+
+// Central asks for each request.
+type Central struct{}
+
+// Estimated goes by the last news and what was let in since then alone, up to the limit.
+type Estimated struct{}
+
+// Even gives each instance an even share of the limit, whatever the others use.
+type Even struct{}
+
+func (Shared) way()    {}
+func (Central) way()   {}
+func (Estimated) way() {}
+func (Even) way()      {}
+
+// Till lets requests in on an entry instance. Set the exported fields before the first call.
+type Till struct {
+	Terms Terms
+	// Way is how; nil is Shared.
+	Way Way
+	// Instance names the entry instance, and Entries returns how many there are.
+	Instance string
+	Entries  func() int
+	Ask      Ask
+
+	began    time.Time
+	once     sync.Once
+	accounts sync.Map // of *account by the customer's name
+	news     atomic.Pointer[news]
+}
+
+// news is what was told of all customers. It does not change.
+type news struct {
+	asked  time.Time
+	counts map[string]uint32
+}
+
+// account is one customer's requests at this instance.
+type account struct {
+	mu     sync.Mutex
+	window window
+	// let counts all requests that were let in, and granted those of them that each control instance granted.
+	let     uint64
+	granted map[string]uint64
+	// share is what may be let in without asking under the news that it was made of.
+	share   int
+	sharing *news
+	// told is what these news say of the customer.
+	told float64
+	// back are requests that did not run, and lets others in until a time.
+	back      int
+	backUntil time.Time
+	// blocked is until when new programs, or all requests, are refused without asking.
+	blockedNew, blockedAll time.Time
+}
+
+func (t *Till) since(now time.Time) time.Duration {
+	t.once.Do(func() { t.began = now })
+	return now.Sub(t.began)
+}
+
+func (t *Till) account(customer string) *account {
+	if a, ok := t.accounts.Load(customer); ok {
+		return a.(*account)
+	}
+	a, _ := t.accounts.LoadOrStore(customer, &account{granted: map[string]uint64{}})
+	return a.(*account)
+}
+
+// Hear takes news, which were asked for at a moment.
+func (t *Till) Hear(asked time.Time, counts []*fleetpb.CustomerCount) {
+	n := &news{asked: asked, counts: make(map[string]uint32, len(counts))}
+	for _, c := range counts {
+		n.counts[c.GetCustomer()] = c.GetRequests()
+	}
+	t.news.Store(n)
+}
+
+// Let decides about one request of a customer.
+func (t *Till) Let(ctx context.Context, now time.Time, customer *fleetpb.Customer, newProgram bool) Decision {
+	limit, ok := t.Terms.limit(customer)
+	if !ok {
+		return Granted{}
+	}
+	a := t.account(customer.GetName())
+	if d := a.alone(t, now, customer.GetName(), limit, newProgram); d != nil {
+		return d
+	}
+	control, reply, err := t.Ask(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), Requests: 1, NewProgram: newProgram})
+	switch {
+	case err != nil || reply.GetUnsure():
+		return a.evenly(t, now, customer.GetName(), limit)
+	case reply.GetGranted():
+		a.grant(t, now, control)
+		return Granted{}
+	}
+	after := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
+	a.block(now, after, newProgram)
+	return Refused{RetryAfter: after}
+}
+
+// alone decides without asking, or returns nil.
+func (a *account) alone(t *Till, now time.Time, customer string, limit float64, newProgram bool) Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.back > 0 && now.Before(a.backUntil) {
+		// The request that did not run was counted.
+		a.back--
+		return Granted{}
+	}
+	switch t.Way.(type) {
+	case Central:
+		return nil
+	case Even:
+		return a.even(t, now, customer, limit)
+	case Estimated:
+		return a.estimated(t, now, customer, limit)
+	}
+	blocked := a.blockedAll
+	if newProgram && a.blockedNew.After(blocked) {
+		blocked = a.blockedNew
+	}
+	if now.Before(blocked) {
+		return Refused{RetryAfter: blocked.Sub(now)}
+	}
+	a.refresh(t, now, customer, limit)
+	if a.share > 0 && !(newProgram && a.told >= begun*limit) {
+		a.share--
+		a.count(t, now)
+		return Granted{}
+	}
+	return nil
+}
+
+// refresh makes the share of the newest news, unless that was done; the caller holds mu.
+func (a *account) refresh(t *Till, now time.Time, customer string, limit float64) {
+	n := t.news.Load()
+	if n == nil || now.Sub(n.asked) > newsFor {
+		a.share = 0
+		return
+	}
+	if a.sharing == n {
+		return
+	}
+	a.sharing = n
+	a.told = max(float64(n.counts[customer]), toldFrom*limit)
+	bound := t.Terms.bound(limit)
+	left := max(0, min(bound-a.told, t.Terms.most(limit)-bound))
+	whole, part := math.Modf(left / float64(shares*max(1, t.Entries())))
+	a.share = int(whole)
+	if rand.Float64() < part {
+		// Of shares below one, as many instances get a whole one as make up the sum.
+		a.share++
+	}
+}
+
+// count notes a request that was let in; the caller holds mu.
+func (a *account) count(t *Till, now time.Time) {
+	a.let++
+	a.window.add(t.since(now), t.Terms.Window, 1)
+}
+
+func (a *account) grant(t *Till, now time.Time, control string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.granted[control]++
+	a.count(t, now)
+}
+
+func (a *account) block(now time.Time, after time.Duration, newProgram bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	until := now.Add(min(after, blockFor))
+	if newProgram {
+		a.blockedNew = until
+	} else {
+		a.blockedAll = until
+	}
+}
+
+// evenly decides where nobody could be asked.
+func (a *account) evenly(t *Till, now time.Time, customer string, limit float64) Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if d, ok := a.even(t, now, customer, limit).(Granted); ok {
+		return d
+	}
+	return Unsure{}
+}
+
+// even decides by an even share of the limit; the caller holds mu. What is left of shares by rounding off goes to
+// as many instances as make up the limit, which a hash draws.
+func (a *account) even(t *Till, now time.Time, customer string, limit float64) Decision {
+	whole, part := math.Modf(limit / float64(max(1, t.Entries())))
+	if float64(xxhash.Sum64String(t.Instance+"\x00"+customer))/math.MaxUint64 < part {
+		whole++
+	}
+	used := a.window.count(t.since(now), t.Terms.Window)
+	if float64(used)+1 > whole {
+		return Refused{RetryAfter: a.window.until(t.since(now), t.Terms.Window, whole-1)}
+	}
+	a.count(t, now)
+	return Granted{}
+}
+
+// estimated decides by the last news; the caller holds mu.
+func (a *account) estimated(t *Till, now time.Time, customer string, limit float64) Decision {
+	n := t.news.Load()
+	if n == nil {
+		return a.even(t, now, customer, limit)
+	}
+	if a.sharing != n {
+		a.sharing, a.told, a.share = n, float64(n.counts[customer]), 0
+	}
+	if a.told+float64(a.share)+1 > limit {
+		return Refused{RetryAfter: blockFor}
+	}
+	a.share++
+	a.count(t, now)
+	return Granted{}
+}
+
+// Force counts a request that may run once more: a try at another endpoint.
+func (t *Till) Force(now time.Time, customer *fleetpb.Customer) {
+	if _, ok := t.Terms.limit(customer); !ok {
+		return
+	}
+	a := t.account(customer.GetName())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.count(t, now)
+}
+
+// Back gives back what was granted to a request that certainly did not run, and never will.
+func (t *Till) Back(now time.Time, customer *fleetpb.Customer) {
+	if _, ok := t.Terms.limit(customer); !ok {
+		return
+	}
+	a := t.account(customer.GetName())
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !now.Before(a.backUntil) {
+		a.back = 0
+	}
+	a.back++
+	a.backUntil = now.Add(backFor)
+}
+
+// Use is how many requests of a customer were let in.
+type Use struct {
+	Customer string
+	Requests uint64
+}
+
+// Uses returns how many requests of each customer were let in since the process began, but for those that a control
+// instance granted and has counted itself.
+func (t *Till) Uses(control string) []Use {
+	return t.uses(func(a *account) uint64 { return a.let - a.granted[control] })
+}
+
+// Recent returns how many requests of each customer were let in within the window.
+func (t *Till) Recent(now time.Time) []Use {
+	at := t.since(now)
+	return t.uses(func(a *account) uint64 { return uint64(a.window.count(at, t.Terms.Window)) })
+}
+
+func (t *Till) uses(count func(*account) uint64) []Use {
+	var out []Use
+	t.accounts.Range(func(name, value any) bool {
+		a := value.(*account)
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		if n := count(a); n > 0 {
+			out = append(out, Use{Customer: name.(string), Requests: n})
+		}
+		return true
+	})
+	return out
+}
--- a/rockbench/main.go
+++ b/rockbench/main.go
@@ -51,6 +51,11 @@
 	patternsRun := patternsOptions{seed: 1, seeds: 3}
 	patternsRun.add(patternsCmd)
 	flaggy.AttachSubcommand(patternsCmd, 1)
+	quotasCmd := flaggy.NewSubcommand("quotas")
+	quotasCmd.Description = "play the ways of letting customers' requests in, in simulated time"
+	quotasRun := quotasOptions{seed: 1, seeds: 3}
+	quotasRun.add(quotasCmd)
+	flaggy.AttachSubcommand(quotasCmd, 1)
 	requestsCmd := flaggy.NewSubcommand("requests")
 	requestsCmd.Description = "tell from logs of entry instances how requests ended, why, and where their time went"
 	logFile := ""
@@ -73,6 +78,8 @@
 		err = runEmulate(os.Stdout, emulateRun)
 	case patternsCmd.Used:
 		err = runPatterns(os.Stdout, patternsRun)
+	case quotasCmd.Used:
+		err = runQuotas(os.Stdout, quotasRun)
 	case requestsCmd.Used:
 		err = runRequests(os.Stdout, logFile)
 	case soakCmd.Used:
