limiter, fair: new programs are taken by customer

Change: of new programs of one priority, the one whose customer has had the least for its quota starts next. The virtual clock of admission moves to package fair and serves both. Test: a customer that sends four times as many programs takes no more than its part (failed by arrival order).

--- a/rockbarrow/admission/gate.go
+++ b/rockbarrow/admission/gate.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/fair"
 	"rockbarrow.dev/rockbarrow/problem"
 	"rockbarrow.dev/schema/peerpb"
 )
@@ -98,9 +99,8 @@
 	trying *waiter
 	taken  map[ID]*waiter
 	// full are classes without room since the last change.
-	full map[string]bool
-	// clock is the virtual time of the customer served last.
-	clock  float64
+	full   map[string]bool
+	clock  fair.Clock
 	queued int
 	// drained are times of calls that left the queue for an endpoint.
 	drained []time.Time
@@ -110,7 +110,7 @@
 	name     string
 	weight   float64
 	maxCalls uint32
-	// virtual is the work had so far over the weight.
+	// virtual is its time on the clock.
 	virtual  float64
 	underway uint32
 	waiters  []*waiter
@@ -165,7 +165,7 @@
 		return []Action{Refuse{ID: e.ID, Problem: problem.Retry(problem.Overloaded, "the customer's share of the queue is full", g.wait(now, len(c.waiters)))}}
 	}
 	if len(c.waiters) == 0 && c.underway == 0 {
-		c.virtual = max(c.virtual, g.clock)
+		c.virtual = g.clock.Join(c.virtual)
 	}
 	w := &waiter{arrived: e, at: now, customer: c}
 	at, _ := slices.BinarySearchFunc(c.waiters, w, compareWaiters)
@@ -244,7 +244,7 @@
 			return c
 		}
 	}
-	c := &customer{name: e.Customer, weight: float64(or(e.Weight, 1)), maxCalls: e.MaxCalls, virtual: g.clock}
+	c := &customer{name: e.Customer, weight: float64(or(e.Weight, 1)), maxCalls: e.MaxCalls, virtual: g.clock.Join(0)}
 	g.customers = append(g.customers, c)
 	return c
 }
@@ -292,8 +292,8 @@
 	c := w.customer
 	c.waiters = slices.DeleteFunc(c.waiters, func(o *waiter) bool { return o == w })
 	g.queued--
-	g.clock = max(g.clock, c.virtual)
-	c.virtual += float64(max(w.arrived.Cost, 1)) / c.weight
+	g.clock.Serve(c.virtual)
+	c.virtual = fair.Charge(c.virtual, float64(max(w.arrived.Cost, 1)), c.weight)
 	c.underway++
 	g.taken[id] = w
 	g.drained = append(g.drained, now)
@@ -327,7 +327,7 @@
 		}
 	}
 	g.customers = slices.DeleteFunc(g.customers, func(c *customer) bool {
-		return len(c.waiters) == 0 && c.underway == 0 && c.virtual <= g.clock
+		return len(c.waiters) == 0 && c.underway == 0 && g.clock.Behind(c.virtual)
 	})
 	return out
 }
--- a/rockbarrow/limiter/event.go
+++ b/rockbarrow/limiter/event.go
@@ -26,6 +26,9 @@
 	Wait time.Duration
 	// Priority 0 is the most urgent.
 	Priority uint32
+	// Customer is whose request it is, or "", and Weight its part of the places, 0 for one part.
+	Customer string
+	Weight   float64
 }
 
 // Finished is a request that has given its place back.
--- a/rockbarrow/limiter/limiter.go
+++ b/rockbarrow/limiter/limiter.go
@@ -4,9 +4,12 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"rockbarrow.dev/rockbarrow/fair"
 )
 
 // Limiter admits requests to the places of one service. The zero value has no places
@@ -25,6 +28,9 @@
 	taken time.Duration
 	// promised is when the client that was rejected last is to come back.
 	promised time.Time
+	// clock orders the new programs of customers, and customers holds the virtual time of each.
+	clock     fair.Clock
+	customers map[string]float64
 }
 
 // group is the first part of the order in which requests start.
@@ -50,7 +56,9 @@
 	due time.Time
 	// latest is when it must start to be answered while its client waits; zero if the
 	// client did not say how long that is.
-	latest  time.Time
+	latest time.Time
+	// virtual is the customer's virtual time at which a new program of it is to start.
+	virtual float64
 	arrival uint64
 }
 
@@ -65,6 +73,9 @@
 	if c := a.due.Compare(b.due); c != 0 && a.group == underway {
 		return c
 	}
+	if c := cmp.Compare(a.virtual, b.virtual); c != 0 && a.group == fresh {
+		return c
+	}
 	return cmp.Compare(a.arrival, b.arrival)
 }
 
@@ -122,7 +133,7 @@
 
 func (l *Limiter) arrive(now time.Time, e Arrived) []Action {
 	l.arrivals++
-	w := &waiter{id: e.ID, group: groupOf(e), priority: e.Priority, arrival: l.arrivals}
+	w := &waiter{id: e.ID, group: groupOf(e), priority: e.Priority, virtual: l.clock.Join(l.customers[e.Customer]), arrival: l.arrivals}
 	if e.Timed {
 		w.due = now.Add(e.Left)
 	}
@@ -141,9 +152,26 @@
 		}
 	}
 	l.waiting = slices.Insert(l.waiting, at, w)
+	if w.group == fresh {
+		l.charge(e.Customer, w.virtual, e.Weight)
+	}
 	return l.fill(now)
 }
 
+// manyCustomers is how many virtual times are kept before those that are behind the clock are dropped.
+const manyCustomers = 256
+
+// charge moves a customer behind those that had fewer new programs for their weights.
+func (l *Limiter) charge(customer string, virtual, weight float64) {
+	if len(l.customers) >= manyCustomers {
+		maps.DeleteFunc(l.customers, func(_ string, v float64) bool { return l.clock.Behind(v) })
+	}
+	if l.customers == nil {
+		l.customers = map[string]float64{}
+	}
+	l.customers[customer] = fair.Charge(virtual, 1, weight)
+}
+
 // ahead returns how many of a group wait before a position.
 func (l *Limiter) ahead(at int, g group) int {
 	n := 0
@@ -175,6 +203,9 @@
 			l.running = map[ID]time.Time{}
 		}
 		l.running[w.id] = now
+		if w.group == fresh {
+			l.clock.Serve(w.virtual)
+		}
 		l.begun[w.group].add(now)
 		out = append(out, Start{ID: w.id})
 	}
--- a/rockbarrow/limiter/limiter_test.go
+++ b/rockbarrow/limiter/limiter_test.go
@@ -54,6 +54,46 @@
 	}
 }
 
+// TestCustomersShareByTheirWeights: a customer that sends far more new programs than another one takes no more than its
+// part of the places, also if it was there first; and one that was away has saved nothing up.
+func TestCustomersShareByTheirWeights(t *testing.T) {
+	var l Limiter
+	l.Handle(start, Resized{Places: 1})
+	l.Handle(start, newProgram(1, time.Hour))
+	owner := map[ID]string{}
+	arrive := func(id ID, customer string, weight float64) {
+		owner[id] = customer
+		l.Handle(start, Arrived{ID: id, Patience: time.Hour, Customer: customer, Weight: weight})
+	}
+	for i := range ID(30) {
+		arrive(100+i, "loud", 1)
+	}
+	for i := range ID(8) {
+		arrive(200+i, "quiet", 1)
+		arrive(300+i, "large", 2)
+	}
+	counts := map[string]int{}
+	running := ID(1)
+	for range 16 {
+		started, _ := ids(l.Handle(start, Finished{ID: running}))
+		if len(started) != 1 {
+			t.Fatalf("started %v", started)
+		}
+		running = started[0]
+		counts[owner[running]]++
+	}
+	if counts["loud"] > 5 || counts["quiet"] < 3 || counts["large"] < 7 {
+		t.Errorf("of sixteen places: %v", counts)
+	}
+	arrive(400, "away", 1)
+	arrive(401, "away", 1)
+	first, _ := ids(l.Handle(start, Finished{ID: running}))
+	second, _ := ids(l.Handle(start, Finished{ID: first[0]}))
+	if owner[first[0]] == "away" && owner[second[0]] == "away" {
+		t.Error("a customer that was away comes before all others twice")
+	}
+}
+
 func TestANewProgramIsRejectedOnceItWouldWaitTooLong(t *testing.T) {
 	var l Limiter
 	l.Handle(start, Resized{Places: 9})
