entry, controller: keys are asked for and quotas kept

Change: a route is public or wants a key: 401 by a table that was the newest one within 1.5 s, else 503 with a time to come back; a key is trusted for its lease only, looked at again before each offer. The customer's name goes to endpoints, its key does not. A turn of another customer is 404. Priorities of customers go before those of routes. A quota's 429 leaves the program's later turns room; what did not run is given back.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -8,12 +8,14 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/document"
+	"rockbarrow.dev/rockbarrow/quota"
 	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
@@ -68,8 +70,13 @@
 	// are told to everyone.
 	Decode func(document []byte) (*fleetpb.Document, error)
 	Log    *logrus.Entry
+	// QuotaTerms are the terms of customers' quotas.
+	QuotaTerms quota.Terms
 
 	watch *watch.Client
+	// process names this process to entry instances, which tell a new one of what went before.
+	process uint64
+	quotas  quota.Counter
 	// disk holds the votes.
 	disk     *votes
 	presence presence
@@ -138,6 +145,9 @@
 	}
 	c.proposing = make(chan struct{}, 1)
 	c.listTag = rand.Uint64N(1 << tagBits)
+	c.process = rand.Uint64()
+	c.quotas.Terms = c.QuotaTerms
+	c.quotas.Begin(time.Now())
 	c.news = make(chan struct{})
 	return nil
 }
--- a/rockbarrow/controller/news.go
+++ b/rockbarrow/controller/news.go
@@ -18,6 +18,7 @@
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
 		c.loads.heard(time.Now(), req.GetSender().GetInstance(), req.GetUses())
 		c.lives.doubt(time.Now(), req.GetUses())
+		c.quotas.Heard(time.Now(), req.GetCustomerUses())
 	}
 	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer wait.Stop()
@@ -69,15 +70,32 @@
 		entryDomains: c.presence.entryDomains(now),
 	}
 	c.counted.Store(h)
+	c.quotas.Miss(missing(h.entryDomains))
 	return h
 }
 
+// missing returns the part of the entry instances that were heard some time ago and not just now.
+func missing(domains []*fleetpb.EntryDomain) float64 {
+	known, heard := uint32(0), uint32(0)
+	for _, d := range domains {
+		known += d.GetKnown()
+		heard += d.GetHeard()
+	}
+	if known == 0 {
+		return 0
+	}
+	return float64(known-heard) / float64(known)
+}
+
 func (c *Controller) reply(req *fleetpb.WatchRequest) *fleetpb.WatchReply {
 	now := time.Now()
 	h := c.headcount(now)
-	r := &fleetpb.WatchReply{Responder: c.Self, Control: h.control, Entries: h.entries}
+	r := &fleetpb.WatchReply{
+		Responder: c.Self, Control: h.control, Entries: h.entries, Process: c.process,
+		AcceptedNumber: c.saved.Load().GetState().GetNumber(),
+	}
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
-		r.EntryDomains = h.entryDomains
+		r.EntryDomains, r.Confirmed = h.entryDomains, c.confirmed()
 	}
 	s := c.State()
 	r.StateNumber = s.GetNumber()
@@ -91,6 +109,7 @@
 			c.tellList(r, l.List(), req.GetHeldLists())
 		}
 		if req.GetWantsLoads() {
+			r.Customers = c.customerCounts(now)
 			r.Loads = c.loads.of(now, req.GetSender().GetInstance(), l.List())
 		}
 	}
--- /dev/null
+++ b/rockbarrow/entry/customer.go
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"rockbarrow.dev/rockbarrow/quota"
+)
+
+// sureWithin is how lately the table must have been the newest one for a request to be denied by it: less than the
+// time within which a configuration must be in force everywhere, and a few of the confirmations that come each 0.3 s.
+const sureWithin = 1500 * time.Millisecond
+
+// identify finds out whose request it is. It returns what the client hears if the request may not go on.
+func (x *exchange) identify() Outcome {
+	now := time.Now()
+	if x.request.HasKey {
+		x.customer, _ = x.table.Customer(x.request.Key)
+	}
+	switch {
+	case !x.route.GetKeyed():
+		if x.customer != nil && !x.entry.trusts(x, now) {
+			x.customer = nil
+		}
+		return nil
+	case x.customer == nil && !x.entry.Lease.Newest(now, x.table.Version(), sureWithin):
+		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.untilSure(now), Reason: "the key is not known here, which may lag behind"}
+	case x.customer == nil:
+		return Refused{Status: http.StatusUnauthorized, Reason: "no customer holds such a key"}
+	case !x.entry.trusts(x, now):
+		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.untilSure(now), Reason: "the key could not be confirmed lately"}
+	}
+	return nil
+}
+
+// trusts reports whether a request may still be offered to an endpoint under its customer's key: by the table that it
+// came under or by the one in force.
+func (e *Entry) trusts(x *exchange, now time.Time) bool {
+	if x.customer == nil || e.Lease.Holds(now, x.table.Version()) {
+		return true
+	}
+	t := e.table.Load()
+	c, ok := t.Customer(x.request.Key)
+	return ok && c.GetName() == x.customer.GetName() && e.Lease.Holds(now, t.Version())
+}
+
+// untilSure is when a client had better come back that was refused because keys could not be confirmed.
+func (e *Entry) untilSure(now time.Time) time.Duration {
+	if e.apart() {
+		return e.elsewhere(now)
+	}
+	return later
+}
+
+// letIn counts the request against its customer's quota. It returns what the client hears if there is no room.
+func (x *exchange) letIn(ctx context.Context) Outcome {
+	if x.customer == nil {
+		return nil
+	}
+	begun := time.Now()
+	d := x.entry.Till.Let(ctx, begun, x.customer, x.begins())
+	x.own += time.Since(begun)
+	x.entry.customers.count(x.entry.Metrics, x.customer.GetName(), d)
+	switch d := d.(type) {
+	case quota.Refused:
+		return Refused{Status: http.StatusTooManyRequests, RetryAfter: max(d.RetryAfter, soon), Reason: "the customer is at its limit"}
+	case quota.Unsure:
+		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: later, Reason: "the customer's limit could not be looked up"}
+	}
+	x.counted = true
+	return nil
+}
+
+// begins reports whether the request is the first turn of a new program.
+func (x *exchange) begins() bool {
+	return x.way.streamed && x.request.Previous == "" && x.request.LastEvent == ""
+}
+
+// giveBack lets another request in if this one certainly did not run.
+func (x *exchange) giveBack() {
+	if x.counted && !x.ran {
+		x.entry.Till.Back(time.Now(), x.customer)
+	}
+}
+
+// customerPriorities is how many priorities of routes there are for each priority of customers in what endpoints are
+// told, which have ten in all.
+const customerPriorities = 3
+
+// priority is how urgent the request is among those that wait here: the customer's priority goes before that of the
+// route.
+func (x *exchange) priority() uint32 {
+	const routes = 1 << 8
+	return min(x.customer.GetPriority(), routes)*routes + min(x.route.GetPriority(), routes-1)
+}
+
+// endpointPriority is the same for endpoints, on their scale.
+func (x *exchange) endpointPriority() uint32 {
+	if x.customer == nil {
+		return x.route.GetPriority()
+	}
+	return x.customer.GetPriority()*customerPriorities + min(x.route.GetPriority(), customerPriorities-1)
+}
+
+// mostMetered bounds the customers with metrics of their own; the others share one.
+const mostMetered = 256
+
+// customerMetrics holds the metrics of customers. The zero value is ready.
+type customerMetrics struct {
+	scopes sync.Map // of tally.Scope by the customer's name
+	known  atomic.Int64
+}
+
+// count counts what became of a request of a customer.
+func (m *customerMetrics) count(scope tally.Scope, customer string, d quota.Decision) {
+	name := "customer_requests"
+	switch d.(type) {
+	case quota.Refused:
+		name = "customer_refused"
+	case quota.Unsure:
+		name = "customer_unsure"
+	}
+	m.of(scope, customer).Counter(name).Inc(1)
+}
+
+func (m *customerMetrics) of(scope tally.Scope, customer string) tally.Scope {
+	if s, ok := m.scopes.Load(customer); ok {
+		return s.(tally.Scope)
+	}
+	if m.known.Load() >= mostMetered {
+		return scope.Tagged(map[string]string{"customer": "others"})
+	}
+	s, loaded := m.scopes.LoadOrStore(customer, scope.Tagged(map[string]string{"customer": customer}))
+	if !loaded {
+		m.known.Add(1)
+	}
+	return s.(tally.Scope)
+}
--- /dev/null
+++ b/rockbarrow/entry/customer_test.go
@@ -0,0 +1,225 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/rockbarrow/lease"
+	"rockbarrow.dev/rockbarrow/quota"
+	"rockbarrow.dev/rockbarrow/routing"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// keyed returns a document whose routes want keys, but for the first one. Customer a holds key "ka", b holds "kb".
+func keyed(version uint64) *fleetpb.Document {
+	d := document()
+	d.Version = version
+	for _, r := range d.Routes[1:] {
+		r.Keyed, r.Priority = true, 1
+	}
+	for _, name := range []string{"a", "b"} {
+		k := routing.KeyOf("k" + name)
+		d.Customers = append(d.Customers, &fleetpb.Customer{Name: name, Keys: [][]byte{k[:]}, Priority: 2})
+	}
+	return d
+}
+
+// newKeyed returns an entry with the keyed document, which was confirmed just now.
+func newKeyed(t *testing.T, s *fakeSender) *Entry {
+	if s.answers == nil {
+		s.answers = []func(Offer) (*Answer, error){answers(200, "ok")}
+	}
+	e := newEntry(t, s)
+	e.Lease = &lease.Lease{Within: lease.Within(5 * time.Second)}
+	e.take(t, keyed(2))
+	e.Lease.Confirm(2, time.Now())
+	return e
+}
+
+// take brings a document into force.
+func (e *Entry) take(t *testing.T, d *fleetpb.Document) {
+	t.Helper()
+	table, err := routing.New(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	e.table.Store(table)
+}
+
+// askAs returns a request under a key, or without one for "".
+func askAs(secret, path string) *Request {
+	r := ask(path)
+	if secret != "" {
+		r.Key, r.HasKey = routing.KeyOf(secret), true
+	}
+	return r
+}
+
+func statusOf(o Outcome, out *fakeOut) int {
+	if r, ok := o.(Refused); ok {
+		return r.Status
+	}
+	return out.status
+}
+
+// TestWhoIsLetIn: a request's customer is told to endpoints; without a known key it does not run, and it is denied only
+// by a table that is certainly the newest.
+func TestWhoIsLetIn(t *testing.T) {
+	const old = sureWithin + time.Millisecond
+	tests := []struct {
+		name, secret, path string
+		// age is how long ago the table was confirmed.
+		age      time.Duration
+		status   int
+		customer string
+	}{
+		{"a known key", "ka", "/once/1", 0, 200, "a"},
+		{"another customer's", "kb", "/once/1", 0, 200, "b"},
+		{"no key", "", "/once/1", 0, 401, ""},
+		{"an unknown key", "kx", "/once/1", 0, 401, ""},
+		{"an unknown key, and the table may lag", "kx", "/once/1", old, 503, ""},
+		{"no key, and the table may lag", "", "/once/1", old, 503, ""},
+		{"a known key, and the table may lag", "ka", "/once/1", old, 200, "a"},
+		{"a known key after the lease", "ka", "/once/1", 5 * time.Second, 503, ""},
+		{"no key on a public route", "", "/repeat/1", old, 200, ""},
+		{"a key on a public route", "ka", "/repeat/1", 0, 200, "a"},
+		{"an unknown key on a public route", "kx", "/repeat/1", 0, 200, ""},
+		{"a key on a public route after the lease", "ka", "/repeat/1", 5 * time.Second, 200, ""},
+	}
+	for _, test := range tests {
+		s := &fakeSender{}
+		e := newKeyed(t, s)
+		e.Lease = &lease.Lease{Within: lease.Within(5 * time.Second)}
+		e.Lease.Confirm(2, time.Now().Add(-test.age))
+		out := &fakeOut{}
+		o := e.Serve(t.Context(), askAs(test.secret, test.path), out)
+		if got := statusOf(o, out); got != test.status {
+			t.Errorf("%s: status %d, want %d", test.name, got, test.status)
+		}
+		if r, ok := o.(Refused); ok && r.Status == 503 && r.RetryAfter == 0 {
+			t.Errorf("%s: no time to come back", test.name)
+		}
+		if (len(s.offers) > 0) != (test.status == 200) {
+			t.Errorf("%s: %d offers", test.name, len(s.offers))
+		}
+		for _, offer := range s.offers {
+			if offer.Customer != test.customer || !offer.HideKey {
+				t.Errorf("%s: offered as customer %q, key hidden %v", test.name, offer.Customer, offer.HideKey)
+			}
+		}
+	}
+}
+
+// TestWithoutCustomersKeysMeanNothing: a deployment whose configuration has no customers passes keys on.
+func TestWithoutCustomersKeysMeanNothing(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
+	e := newEntry(t, s)
+	e.Lease = &lease.Lease{Within: time.Second}
+	out := &fakeOut{}
+	if o := e.Serve(t.Context(), askAs("ka", "/once/1"), out); statusOf(o, out) != 200 || s.offers[0].HideKey || s.offers[0].Customer != "" {
+		t.Errorf("%+v, offers %+v", o, s.offers)
+	}
+}
+
+// TestAFrozenInstanceLooksAtTheLeaseAgain tells a revocation that an instance sleeps through between the look-up of a
+// key and the offer: the endpoint must not be offered the request any more.
+func TestAFrozenInstanceLooksAtTheLeaseAgain(t *testing.T) {
+	s := &fakeSender{}
+	e := newKeyed(t, s)
+	s.answers = []func(Offer) (*Answer, error){func(o Offer) (*Answer, error) {
+		e.Lease = &lease.Lease{Within: lease.Within(5 * time.Second)}
+		e.Lease.Confirm(2, time.Now().Add(-5*time.Second))
+		return notRun(o)
+	}, answers(200, "ok")}
+	out := &fakeOut{}
+	if o := e.Serve(t.Context(), askAs("ka", "/once/1"), out); statusOf(o, out) != 503 || len(s.offers) != 1 {
+		t.Errorf("%+v after %d offers", o, len(s.offers))
+	}
+}
+
+// TestARequestOutlivesItsTable: a request that waited while the configuration changed goes by the new one.
+func TestARequestOutlivesItsTable(t *testing.T) {
+	moved := func(version uint64) *fleetpb.Document {
+		d := keyed(version)
+		d.Customers[0].Keys, d.Customers[1].Keys = d.Customers[1].Keys, d.Customers[0].Keys
+		return d
+	}
+	gone := func(version uint64) *fleetpb.Document {
+		d := keyed(version)
+		d.Customers = d.Customers[1:]
+		return d
+	}
+	for name, test := range map[string]struct {
+		next *fleetpb.Document
+		want int
+	}{
+		"the key is still the customer's": {keyed(3), 200},
+		"the key has moved":               {moved(3), 503},
+		"the customer is gone":            {gone(3), 503},
+	} {
+		s := &fakeSender{}
+		e := newKeyed(t, s)
+		s.answers = []func(Offer) (*Answer, error){func(o Offer) (*Answer, error) {
+			e.take(t, test.next)
+			e.Lease = &lease.Lease{Within: lease.Within(5 * time.Second)}
+			e.Lease.Confirm(3, time.Now())
+			return notRun(o)
+		}, answers(200, "ok")}
+		out := &fakeOut{}
+		if o := e.Serve(t.Context(), askAs("ka", "/once/1"), out); statusOf(o, out) != test.want {
+			t.Errorf("%s: %+v, want %d", name, o, test.want)
+		}
+	}
+}
+
+// TestACustomersPriorityGoesBeforeTheRoutes: here and at endpoints.
+func TestACustomersPriorityGoesBeforeTheRoutes(t *testing.T) {
+	of := func(customer, route uint32) *exchange {
+		return &exchange{customer: &fleetpb.Customer{Priority: customer}, route: &fleetpb.Route{Priority: route}}
+	}
+	order := []*exchange{of(0, 0), of(0, 1), of(0, 2), of(1, 0), of(1, 2), of(2, 0)}
+	for i, x := range order[1:] {
+		if x.priority() <= order[i].priority() || x.endpointPriority() <= order[i].endpointPriority() {
+			t.Errorf("customer %d, route %d is not behind the one before", x.customer.GetPriority(), x.route.GetPriority())
+		}
+	}
+	if got := (&exchange{route: &fleetpb.Route{Priority: 2}}).endpointPriority(); got != 2 {
+		t.Errorf("without a customer: %d, want 2", got)
+	}
+}
+
+// TestWhatDidNotRunIsNotCounted: the refusal of endpoints gives the request back, and one that may have run is not.
+func TestWhatDidNotRunIsNotCounted(t *testing.T) {
+	none := func(context.Context, *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
+		return "", nil, errors.New("nobody is there")
+	}
+	for name, test := range map[string]struct {
+		answer func(Offer) (*Answer, error)
+		want   int
+	}{
+		"it did not run":  {notRun, http.StatusServiceUnavailable},
+		"it may have run": {broken, http.StatusTooManyRequests},
+	} {
+		s := &fakeSender{answers: []func(Offer) (*Answer, error){test.answer}}
+		e := newKeyed(t, s)
+		d := keyed(2)
+		d.Customers[0].RatePerSecond, d.Customers[0].Burst = 0.1, 0.5
+		e.take(t, d)
+		e.Till = &quota.Till{Terms: quota.Terms{Window: 5 * time.Second}, Way: quota.Even{}, Entries: func() int { return 1 }, Ask: none}
+		e.Serve(t.Context(), askAs("ka", "/once/1"), &fakeOut{})
+		out := &fakeOut{}
+		o := e.Serve(t.Context(), askAs("ka", "/once/2"), out)
+		if statusOf(o, out) != test.want {
+			t.Errorf("%s: the next request got %+v, want %d", name, o, test.want)
+		}
+		if r, ok := o.(Refused); ok && r.Status == http.StatusTooManyRequests && r.RetryAfter <= 0 {
+			t.Errorf("%s: no time to come back", name)
+		}
+	}
+}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -11,7 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"rockbarrow.dev/rockbarrow/lease"
 	"rockbarrow.dev/rockbarrow/life"
+	"rockbarrow.dev/rockbarrow/quota"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/rockbarrow/wait"
@@ -46,6 +48,9 @@
 	FetchTable FetchTable
 	Log        *logrus.Entry
 	Metrics    tally.Scope
+	// Lease says whether the keys of a table may be trusted, and Till counts customers' requests.
+	Lease *lease.Lease
+	Till  *quota.Till
 
 	table atomic.Pointer[routing.Table]
 	fleet atomic.Pointer[fleet]
@@ -63,6 +68,7 @@
 	domains             domains
 	lines               lines
 	gates               gates
+	customers           customerMetrics
 	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
 	// zero while they are reached.
 	lostSince atomic.Int64
@@ -184,9 +190,16 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.way = wayOf(route, req)
+	if o := x.identify(); o != nil {
+		return e.ended(x, o)
+	}
 	if o := x.resumption(); o != nil {
 		return e.ended(x, o)
 	}
+	if o := x.letIn(ctx); o != nil {
+		return e.ended(x, o)
+	}
+	defer x.giveBack()
 	return e.ended(x, x.serve(ctx))
 }
 
@@ -224,7 +237,7 @@
 	}
 	e.Log.WithFields(logrus.Fields{
 		"request": r.ID, "program": r.Program, "previous": r.Previous, "route": x.route.GetName(),
-		"service": x.service.GetName(), "endpoint": x.endpoint.ID, "offers": x.offers, "status": status,
+		"service": x.service.GetName(), "customer": x.customer.GetName(), "endpoint": x.endpoint.ID, "offers": x.offers, "status": status,
 		"reason": reason, "config_version": x.table.Version(), "list": x.list, "list_age_ms": x.listAge,
 		"took_ms": took.Milliseconds(), "own_ms": x.own.Milliseconds(), "waited_ms": x.waited.Milliseconds(), "left_ms": r.Finish.Milliseconds(),
 	}).Log(level, "request ended")
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -16,6 +16,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/lease"
+	"rockbarrow.dev/rockbarrow/quota"
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
@@ -87,7 +89,7 @@
 	pool := &dial.Pool{}
 	t.Cleanup(pool.Close)
 	e := &Entry{
-		Domain: "a", Watch: w, Sender: sender, Log: w.Log, Metrics: tally.NoopScope,
+		Domain: "a", Watch: w, Sender: sender, Log: w.Log, Metrics: tally.NoopScope, Lease: &lease.Lease{}, Till: &quota.Till{},
 		Stores: &stores.Client{Watch: w, Pool: pool, Turns: &stores.Cache{Bytes: 1 << 16}},
 		Decode: func([]byte) (*fleetpb.Document, error) { return document(), nil },
 	}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -28,11 +28,15 @@
 
 // exchange is one request on its way.
 type exchange struct {
-	entry    *Entry
-	request  *Request
-	table    *routing.Table
-	route    *fleetpb.Route
-	service  *fleetpb.Service
+	entry   *Entry
+	request *Request
+	table   *routing.Table
+	route   *fleetpb.Route
+	service *fleetpb.Service
+	// customer is whose request it is, or nil.
+	customer *fleetpb.Customer
+	// counted is true once the request was counted against the customer's quota.
+	counted  bool
 	way      way
 	out      Out
 	deadline time.Time
@@ -155,10 +159,16 @@
 // offer sends the request to the best endpoint, which has until the end of try. The
 // place is given back by done.
 func (x *exchange) offer(ctx, try context.Context, pauses *pauses) (*Answer, func(placement.Result), error) {
+	if !x.entry.trusts(x, time.Now()) {
+		return nil, nil, &NotRunError{Endpoint: "none", Reason: "the key could not be confirmed lately", Busy: true}
+	}
 	choice, ok := x.choose()
 	if !ok {
 		return nil, nil, &NotRunError{Endpoint: "none", Reason: "no endpoint has room", Busy: true}
 	}
+	if x.counted && x.runs > 0 {
+		x.entry.Till.Force(time.Now(), x.customer)
+	}
 	p := choice.Endpoint()
 	pauses.at(p.Domain())
 	x.place, x.endpoint = p, p.Life()
@@ -166,8 +176,9 @@
 	sent := time.Now()
 	answer, err := x.entry.Sender.Send(try, Offer{
 		Request: x.request, Body: x.body, Endpoint: p.Config(), Life: x.endpoint, Deadline: x.deadline,
-		Priority: x.route.GetPriority(), Connections: x.connections(),
+		Priority: x.endpointPriority(), Connections: x.connections(),
 		Stream: x.way.streamed, After: x.events.last,
+		Customer: x.customer.GetName(), HideKey: x.table.Customers() > 0 || x.route.GetKeyed(),
 	})
 	done := func(r placement.Result) { p.Done(time.Now(), r) }
 	unreached := x.tell(p, err)
--- a/rockbarrow/entry/ports.go
+++ b/rockbarrow/entry/ports.go
@@ -45,6 +45,9 @@
 	HasFinish bool
 	// Affinity names the object that the request is about, or is "".
 	Affinity string
+	// Key is the digest of the customer's key, where HasKey says that there is one.
+	Key    routing.Key
+	HasKey bool
 }
 
 // Offer is a request on its way to one endpoint.
@@ -64,6 +67,10 @@
 	Stream bool
 	// After is the id of the event after which the answer is to go on, or "".
 	After string
+	// Customer is whose request it is, or "".
+	Customer string
+	// HideKey is true where keys are asked for: then the client's key is not the endpoint's to see.
+	HideKey bool
 }
 
 // Answer is what an endpoint answered.
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -46,7 +46,7 @@
 func (x *exchange) reservation() stores.Turn {
 	r := x.request
 	t := stores.Turn{
-		ID: r.ID, Program: r.Program, Previous: r.Previous, Most: r.Most, Budget: r.Budget,
+		ID: r.ID, Program: r.Program, Customer: x.customer.GetName(), Previous: r.Previous, Most: r.Most, Budget: r.Budget,
 		Retain: time.Duration(x.route.GetRetainMs()) * time.Millisecond,
 	}
 	if t.Program == "" {
@@ -126,7 +126,7 @@
 	defer cancel()
 	err := x.entry.Stores.Settle(ctx, x.grant, x.spent(true), &fleetpb.Turn{
 		Id: x.request.ID, Previous: x.request.Previous, Home: x.grant.Home(), Input: x.request.Body, Output: x.events.output,
-		Endpoint: x.endpoint.ID, BornMs: x.endpoint.BornMS, RetainMs: x.route.GetRetainMs(),
+		Endpoint: x.endpoint.ID, BornMs: x.endpoint.BornMS, RetainMs: x.route.GetRetainMs(), Customer: x.customer.GetName(),
 	})
 	if err != nil {
 		return Cut{Reason: "the turn was not stored: " + err.Error()}
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -39,8 +39,8 @@
 
 // Turn is a turn that wants to run.
 type Turn struct {
-	// ID names the turn, Program whose budget it spends.
-	ID, Program string
+	// ID names the turn, Program whose budget it spends, and Customer whose program that is, or is "".
+	ID, Program, Customer string
 	// reservation names what is set aside. One that was given back counts as
 	// settled for ever, so that another try needs another name.
 	reservation string
--- a/rockbarrow/stores/fleet_test.go
+++ b/rockbarrow/stores/fleet_test.go
@@ -193,6 +193,32 @@
 	}
 }
 
+// TestATurnOfAnotherCustomerIsUnknown: also where it is held in the cache of an entry instance. A turn of before keys were
+// asked for is anyone's who knows its id.
+func TestATurnOfAnotherCustomerIsUnknown(t *testing.T) {
+	g := newGroup(t)
+	one, other := g.newClient(), g.newClient()
+	keep := func(id, customer string) {
+		grant, err := one.Reserve(t.Context(), stores.Turn{ID: id, Program: "p", Customer: customer, Most: 1, Retain: time.Minute})
+		g.must(err)
+		g.must(one.Settle(t.Context(), grant, 1, &fleetpb.Turn{Id: id, Home: grant.Home(), Input: []byte("in"), Customer: customer, RetainMs: 60_000}))
+	}
+	keep("of-a", "a")
+	keep("of-nobody", "")
+	for _, c := range []*stores.Client{one, other} {
+		for _, test := range []struct {
+			previous, customer string
+			known              bool
+		}{{"of-a", "a", true}, {"of-a", "b", false}, {"of-a", "", false}, {"of-nobody", "b", true}, {"of-nobody", "", true}} {
+			_, err := c.Reserve(t.Context(), stores.Turn{ID: test.previous + "/" + test.customer, Program: "p", Customer: test.customer, Previous: test.previous, Most: 1, Retain: time.Minute})
+			var unknown *stores.UnknownTurnError
+			if errors.As(err, &unknown) == test.known {
+				t.Errorf("customer %q goes on from %s: %v", test.customer, test.previous, err)
+			}
+		}
+	}
+}
+
 func TestBudgetHoldsOverEntries(t *testing.T) {
 	g := newGroup(t)
 	turn := func(id string) stores.Turn { return stores.Turn{ID: id, Program: "p", Most: 100, Budget: 250} }
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -46,6 +46,9 @@
 			}
 			turn = seen.find(id)
 		}
+		if id == t.Previous && !mayGoOn(turn, t.Customer) {
+			return nil, &UnknownTurnError{Turn: id}
+		}
 		out = append(out, turn)
 		id, home = turn.GetPrevious(), turn.GetHome()
 	}
@@ -53,6 +56,12 @@
 	return out, nil
 }
 
+// mayGoOn reports whether a customer may go on from a turn: one of its own, or one from before keys were asked for,
+// which belongs to nobody. A turn's chain is its customer's, as each turn of it was looked at like this.
+func mayGoOn(turn *fleetpb.Turn, customer string) bool {
+	return turn.GetCustomer() == "" || turn.GetCustomer() == customer
+}
+
 // gap keeps a chain with a hole from being taken for a turn that never was.
 func (c *Client) gap(err error, id, previous string) error {
 	var unknown *UnknownTurnError
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -25,8 +25,9 @@
 	heard    time.Time
 	answered bool
 	lost     bool
-	// told is what it has heard of the sender's calls at endpoints.
-	told reported
+	// told is what it has heard of the sender's calls at endpoints, and customers of its requests.
+	told      reported
+	customers customersTold
 	// state and list are the newest numbers that it has told of.
 	state, list uint64
 	// whole is true after news from it could not be made whole: the next ones are to
@@ -95,6 +96,7 @@
 		req.Uses, told = t.told.since(c.Uses())
 		req.WantsLoads = teller == t
 	}
+	customers := t.customerUses(req)
 	if req.GetWantsNews() && !t.whole {
 		req.Held = c.Documents.Held()
 		if c.Role != fleetpb.Role_ROLE_STORE {
@@ -115,12 +117,14 @@
 		c.Log.WithError(unreadable).WithField("control", t.address).Warn("news are not readable and are asked for whole")
 	}
 	t.logNews(r, size, arrived.Sub(asked), time.Since(arrived))
+	t.toldCustomers(customers, r.GetProcess())
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
+	by := asked
 	if time.Since(asked) >= held {
-		asked = asked.Add(held)
+		by = asked.Add(held)
 	}
-	c.heard(t, r, asked)
+	c.heard(t, r, asked, by)
 	return unreadable
 }
 
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -19,6 +19,7 @@
 
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/document"
+	"rockbarrow.dev/rockbarrow/lease"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -58,6 +59,14 @@
 	// other instances; both are nil where the sender has none.
 	Uses  func() []Use
 	Loads func(*fleetpb.EndpointLoads)
+	// Confirmed is told up to which moment a version of the configuration was known to be the newest; may be
+	// nil.
+	Confirmed func(version uint64, at time.Time)
+	// CustomerUses returns how many requests of each customer were let in since the process began, but for those
+	// that one control instance granted, and Customers is told who was let in at all entry instances, by a control
+	// instance that was asked at a moment. Both are nil where the sender lets nobody in.
+	CustomerUses func(control string, whole bool) []CustomerUse
+	Customers    func(counts []*fleetpb.CustomerCount, asked time.Time)
 	// Documents holds the documents that were met lately, so that news of them come as
 	// differences.
 	Documents document.Cache
@@ -72,7 +81,9 @@
 	mu sync.Mutex
 	// targets are the addresses that a loop watches.
 	targets map[string]*target
-	ctx     context.Context
+	// votes is what voters have told.
+	votes lease.Votes
+	ctx   context.Context
 }
 
 // Run watches until ctx ends.
@@ -188,10 +199,22 @@
 	go t.loop(c.ctx)
 }
 
-// heard takes what a control instance answered.
-func (c *Client) heard(t *target, r *fleetpb.WatchReply, asked time.Time) {
+// Confirm returns a moment by which no state newer than s was chosen, as far as the voters have told; own is the number
+// of the state that this instance has accepted itself.
+func (c *Client) Confirm(s *fleetpb.State, own uint64) (at time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.votes.Heard(c.Self.GetStorage(), own, time.Now())
+	return c.votes.Confirm(s)
+}
+
+// heard takes what a control instance answered to a question of a moment; by is when the answer's ages count from.
+func (c *Client) heard(t *target, r *fleetpb.WatchReply, asked, by time.Time) {
 	c.mu.Lock()
 	t.member, t.heard, t.answered = r.GetResponder(), time.Now(), true
+	if storage := r.GetResponder().GetStorage(); c.Role == fleetpb.Role_ROLE_CONTROL && storage != 0 {
+		c.votes.Heard(storage, r.GetAcceptedNumber(), asked)
+	}
 	back := t.lost
 	t.lost = false
 	c.mu.Unlock()
@@ -199,10 +222,16 @@
 		c.Log.WithField("control", t.address).Info("control instance is reached again")
 	}
 	c.Hear(r)
-	c.hearList(r, asked)
+	c.hearList(r, by)
 	if r.GetLoads() != nil && c.Loads != nil {
 		c.Loads(r.GetLoads())
 	}
+	if f := r.GetConfirmed(); f != nil && c.Confirmed != nil {
+		c.Confirmed(f.GetVersion(), asked.Add(-time.Duration(f.GetAgeUs())*time.Microsecond))
+	}
+	if r.GetCustomers() != nil && c.Customers != nil {
+		c.Customers(r.GetCustomers().GetCounts(), asked)
+	}
 	for _, m := range r.GetControl() {
 		c.add(m.GetAddress(), m)
 	}
