--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -38,6 +38,8 @@
 	seedOfUpgrades  = 2 << 32
 	seedOfStarts    = 3 << 32
 	seedOfOperators = 4 << 32
+	// seedOfCustomers does the same for keys that come and go.
+	seedOfCustomers = 5 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -63,6 +65,8 @@
 	configuring sync.Mutex
 	version     uint64
 	routes      *routes
+	// customers are those of the configuration, nil if it has none.
+	customers *customers
 	// lives counts the endpoints made, so that each has an id of its own.
 	lives int
 	// replacing is held while an endpoint is replaced or starts again: one of each kind always stays.
@@ -86,6 +90,9 @@
 		dir: cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Ledger{}, list: &standin.List{},
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))},
 	}
+	if cfg.Before == "" {
+		f.customers = newCustomers(f.ledger, rand.New(rand.NewPCG(cfg.Seed, seedOfCustomers)))
+	}
 	var err error
 	if f.binary, err = build(ctx, cfg.Dir); err != nil {
 		return nil, nil, err
@@ -197,6 +204,7 @@
 			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), Domain: fmt.Sprint("domain-", d), IP: ip(d, n),
 			FirstPort: first, LastPort: first + portSpan - 1, Control: control, First: true,
 			List: f.listens.Addr().String(), Losses: 1, MemoryMB: 256, GraceSeconds: grace,
+			RevokeMS: float64(revokeWithin.Milliseconds()), Quota: quotaTerms,
 		}}
 		in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
 		if err := in.open(f.dir); err != nil {
@@ -228,7 +236,7 @@
 			f.entries = append(f.entries, e)
 		}
 	}
-	f.operator = &standin.Operator{Addresses: f.operators(), Ledger: f.ledger}
+	f.operator = &standin.Operator{Addresses: f.operators(), Ledger: f.ledger, Secrets: f.customers.held()}
 	return nil
 }
 
@@ -283,7 +291,12 @@
 func (f *fleet) sendNext(ctx context.Context) error {
 	f.version++
 	f.routes.change()
-	return f.operator.Deploy(ctx, f.document(f.version))
+	f.customers.change()
+	if err := f.operator.Deploy(ctx, f.document(f.version)); err != nil {
+		return err
+	}
+	f.customers.acknowledged(time.Now())
+	return nil
 }
 
 // race lets two operators send different configurations of one version at one moment. They differ in what no
@@ -308,15 +321,19 @@
 	}
 	turn := route("turn", "model", fleetpb.RouteKind_ROUTE_KIND_STREAM)
 	turn.History, turn.RetainMs = true, 60_000
+	work := []*fleetpb.Route{turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE)}
+	for _, r := range work {
+		r.Keyed = f.customers != nil
+	}
 	return &fleetpb.Document{
-		Version: version,
-		Limits:  &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+		Version:   version,
+		Customers: f.customers.document(),
+		Limits:    &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
 		Services: []*fleetpb.Service{
 			{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
 			{Name: "tool", MaxConnections: 300},
 		},
-		Routes: append(f.routes.document(),
-			turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE)),
+		Routes: append(f.routes.document(), work...),
 	}
 }
 
--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -108,6 +108,7 @@
 			Name: fmt.Sprint("last-", n), Turns: 1, Entries: entries, Host: host, TurnPath: "/turn/", OncePath: "/once/",
 			RepeatPath: "/repeat/", Rand: r, Ledger: f.ledger, Client: client,
 		}
+		p.Customer, p.Secret = f.customers.of(n)
 		p.Run(ctx)
 		for e, taken := range before {
 			if e.Taken() > taken {
--- a/rockbench/soak/recovery_test.go
+++ b/rockbench/soak/recovery_test.go
@@ -46,6 +46,7 @@
 			TurnPath: "/turn/", OncePath: "/once/", RepeatPath: "/repeat/",
 			Rand: rand.New(rand.NewPCG(1, uint64(i))), Ledger: f.ledger, Client: &http.Client{Transport: &http.Transport{}},
 		}
+		p.Customer, p.Secret = f.customers.of(i)
 		running.Go(func() {
 			if !p.Run(t.Context()) {
 				t.Errorf("program %s did not come to its end", p.Name)
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -91,6 +91,9 @@
 		running.Go(func() { w.loop(faulty, finish) })
 	}
 	running.Go(func() { s.operate(faulty) })
+	if c := s.fleet.customers; c != nil {
+		running.Go(func() { c.press(faulty, s.entries(), rand.New(rand.NewPCG(s.cfg.Seed, seedOfCustomers+1))) })
+	}
 	if s.cfg.Before != "" {
 		u := &upgrader{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfUpgrades)), finish: finish}
 		running.Go(func() { u.loop(faulty) })
@@ -101,6 +104,7 @@
 		running.Go(func() { d.loop(faulty) })
 	}
 	running.Wait()
+	s.fleet.customers.check()
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.Break("no control instance is sure of the configuration after the faults")
 	}
@@ -166,6 +170,7 @@
 			Host: host, TurnPath: "/turn/", OncePath: "/once/", RepeatPath: "/repeat/",
 			Rand: w.r, Ledger: w.soak.fleet.ledger, Client: client,
 		}
+		p.Customer, p.Secret = w.soak.fleet.customers.of(w.number)
 		const tight, budget = 4, 45
 		if w.r.IntN(tight) == 0 {
 			p.Budget = budget
--- a/rockctl/main.go
+++ b/rockctl/main.go
@@ -62,6 +62,7 @@
 	{name: "restore", help: "take back a drain or a fence", args: []string{"SUBJECT"}, options: commandOptions, run: restore},
 	{name: "explain", help: "show where each turn of a run ran, under which version and why", args: []string{"RUN"}, run: explain},
 	{name: "audit", help: "show the audit trail", options: auditOptions, run: audit},
+	{name: "customers", help: "show customers, their keys' digests and what they have used; --address is a control instance's peer address", run: showCustomers},
 	{name: "keys-init", help: "make a development authority in a folder", options: keysOptions, run: keysInit},
 	{name: "keys-issue", help: "issue a certificate of the authority in a folder", args: []string{"NAME"}, options: keysOptions, run: keysIssue},
 	{name: "keys-hash", help: "print how a caller's bearer key is stored", args: []string{"KEY"}, run: keysHash},
--- a/rockctl/session.go
+++ b/rockctl/session.go
@@ -21,6 +21,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/keys"
+	"rockbarrow.dev/schema/fleetpb"
 	"rockbarrow.dev/schema/operatorpb"
 )
 
@@ -49,7 +50,9 @@
 type session struct {
 	flags *flags
 	api   operatorpb.OperatorClient
-	out   io.Writer
+	// control is the interface of control instances, which deployments on the users' platform have.
+	control fleetpb.ControlClient
+	out     io.Writer
 }
 
 // open connects to the instance; nothing is sent before the first call.
@@ -69,7 +72,7 @@
 	if err != nil {
 		return nil, nil, &UsageError{Reason: "--address: " + err.Error()}
 	}
-	return &session{flags: f, api: operatorpb.NewOperatorClient(conn), out: os.Stdout}, func() { conn.Close() }, nil
+	return &session{flags: f, api: operatorpb.NewOperatorClient(conn), control: fleetpb.NewControlClient(conn), out: os.Stdout}, func() { conn.Close() }, nil
 }
 
 // print writes a message as JSON, or as the table that rows fill.
