--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -65,7 +65,7 @@
 		return nil
 	}
 	begun := time.Now()
-	d := x.entry.Till.Let(ctx, begun, x.customer, x.begins())
+	d := x.entry.Quota.Admit(ctx, begun, x.customer, x.begins())
 	x.own += time.Since(begun)
 	x.entry.customers.count(x.entry.Metrics, x.customer.GetName(), d)
 	switch d := d.(type) {
@@ -86,7 +86,7 @@
 // giveBack lets another request in if this one certainly did not run.
 func (x *exchange) giveBack() {
 	if x.counted && !x.ran {
-		x.entry.Till.Back(time.Now(), x.customer)
+		x.entry.Quota.Return(time.Now(), x.customer)
 	}
 }
 
--- a/rockbarrow/entry/customer_test.go
+++ b/rockbarrow/entry/customer_test.go
@@ -211,7 +211,7 @@
 		d := keyed(2)
 		d.Customers[0].RatePerSecond, d.Customers[0].Burst = 0.1, 0.5
 		e.take(t, d)
-		e.Till = &quota.Till{Terms: quota.Terms{Window: 5 * time.Second}, Way: quota.Even{}, Entries: func() int { return 1 }, Ask: none}
+		e.Quota = &quota.Limiter{Terms: quota.Terms{Window: 5 * time.Second}, Way: quota.Even{}, Entries: func() int { return 1 }, Ask: none}
 		e.Serve(t.Context(), askAs("ka", "/once/1"), &fakeOut{})
 		out := &fakeOut{}
 		o := e.Serve(t.Context(), askAs("ka", "/once/2"), out)
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -48,9 +48,9 @@
 	FetchTable FetchTable
 	Log        *logrus.Entry
 	Metrics    tally.Scope
-	// Lease says whether the keys of a table may be trusted, and Till counts customers' requests.
+	// Lease says whether the keys of a table may be trusted, and Quota counts customers' requests.
 	Lease *lease.Lease
-	Till  *quota.Till
+	Quota *quota.Limiter
 
 	table atomic.Pointer[routing.Table]
 	fleet atomic.Pointer[fleet]
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -89,7 +89,7 @@
 	pool := &dial.Pool{}
 	t.Cleanup(pool.Close)
 	e := &Entry{
-		Domain: "a", Watch: w, Sender: sender, Log: w.Log, Metrics: tally.NoopScope, Lease: &lease.Lease{}, Till: &quota.Till{},
+		Domain: "a", Watch: w, Sender: sender, Log: w.Log, Metrics: tally.NoopScope, Lease: &lease.Lease{}, Quota: &quota.Limiter{},
 		Stores: &stores.Client{Watch: w, Pool: pool, Turns: &stores.Cache{Bytes: 1 << 16}},
 		Decode: func([]byte) (*fleetpb.Document, error) { return document(), nil },
 	}
--- a/rockbarrow/entry/loads.go
+++ b/rockbarrow/entry/loads.go
@@ -53,9 +53,9 @@
 // CustomerUses returns how many requests of each customer were let in, as package watch asks for them: within
 // the window of quotas if the control instance knows of none.
 func (e *Entry) CustomerUses(control string, whole bool) []watch.CustomerUse {
-	uses := e.Till.Uses(control)
+	uses := e.Quota.Uses(control)
 	if whole {
-		uses = e.Till.Recent(time.Now())
+		uses = e.Quota.Recent(time.Now())
 	}
 	out := make([]watch.CustomerUse, 0, len(uses))
 	for _, u := range uses {
@@ -66,5 +66,5 @@
 
 // HearCustomers takes how many requests of each customer were let in at all entry instances.
 func (e *Entry) HearCustomers(counts []*fleetpb.CustomerCount, asked time.Time) {
-	e.Till.Hear(asked, counts)
+	e.Quota.Hear(asked, counts)
 }
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -24,7 +24,7 @@
 // counted is what is known of one customer.
 type counted struct {
 	window window
-	// earlier are requests from before this counter began, as tills have told.
+	// earlier are requests from before this counter began, as limiters have told.
 	earlier window
 	// promised is when the client that was refused last is to come back.
 	promised time.Time
@@ -120,7 +120,7 @@
 	return max(0, next.Sub(now))
 }
 
-// toldFrom is the part of its limit from which on a customer's count is told. Below it a till takes this part for the
+// toldFrom is the part of its limit from which on a customer's count is told. Below it a limiter takes this part for the
 // count, so that the many customers far below their limits cost no bytes.
 const toldFrom = 0.5
 
--- a/rockbarrow/quota/till.go
+++ b/rockbarrow/quota/limiter.go
@@ -27,10 +27,10 @@
 	blockFor = 200 * time.Millisecond
 )
 
-// Ask asks a control instance to let requests in. It returns who answered, for [Till.Uses].
+// Ask asks a control instance to let requests in. It returns who answered, for [Limiter.Uses].
 type Ask func(ctx context.Context, req *fleetpb.AdmitRequest) (control string, reply *fleetpb.AdmitReply, err error)
 
-// Way is how a till lets requests in: [Shared], [Central], [Estimated] or [Even].
+// Way is how a limiter lets requests in: [Shared], [Central], [Estimated] or [Even].
 type Way interface{ way() }
 
 // Shared lets requests in by shares of what is left, and asks beyond that. It is what instances use.
@@ -50,8 +50,8 @@
 func (Estimated) way() {}
 func (Even) way()      {}
 
-// Till lets requests in on an entry instance. Set the exported fields before the first call.
-type Till struct {
+// Limiter lets requests in on an entry instance. Set the exported fields before the first call.
+type Limiter struct {
 	Terms Terms
 	// Way is how; nil is Shared.
 	Way Way
@@ -91,44 +91,44 @@
 	blockedNew, blockedAll time.Time
 }
 
-func (t *Till) since(now time.Time) time.Duration {
-	t.once.Do(func() { t.began = now })
-	return now.Sub(t.began)
+func (l *Limiter) since(now time.Time) time.Duration {
+	l.once.Do(func() { l.began = now })
+	return now.Sub(l.began)
 }
 
-func (t *Till) account(customer string) *account {
-	if a, ok := t.accounts.Load(customer); ok {
+func (l *Limiter) account(customer string) *account {
+	if a, ok := l.accounts.Load(customer); ok {
 		return a.(*account)
 	}
-	a, _ := t.accounts.LoadOrStore(customer, &account{granted: map[string]uint64{}})
+	a, _ := l.accounts.LoadOrStore(customer, &account{granted: map[string]uint64{}})
 	return a.(*account)
 }
 
 // Hear takes news, which were asked for at a moment.
-func (t *Till) Hear(asked time.Time, counts []*fleetpb.CustomerCount) {
+func (l *Limiter) Hear(asked time.Time, counts []*fleetpb.CustomerCount) {
 	n := &news{asked: asked, counts: make(map[string]uint32, len(counts))}
 	for _, c := range counts {
 		n.counts[c.GetCustomer()] = c.GetRequests()
 	}
-	t.news.Store(n)
+	l.news.Store(n)
 }
 
-// Let decides about one request of a customer.
-func (t *Till) Let(ctx context.Context, now time.Time, customer *fleetpb.Customer, newProgram bool) Decision {
-	limit, ok := t.Terms.limit(customer)
+// Admit decides about one request of a customer.
+func (l *Limiter) Admit(ctx context.Context, now time.Time, customer *fleetpb.Customer, newProgram bool) Decision {
+	limit, ok := l.Terms.limit(customer)
 	if !ok {
 		return Granted{}
 	}
-	a := t.account(customer.GetName())
-	if d := a.alone(t, now, customer.GetName(), limit, newProgram); d != nil {
+	a := l.account(customer.GetName())
+	if d := a.alone(l, now, customer.GetName(), limit, newProgram); d != nil {
 		return d
 	}
-	control, reply, err := t.Ask(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), Requests: 1, NewProgram: newProgram})
+	control, reply, err := l.Ask(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), Requests: 1, NewProgram: newProgram})
 	switch {
 	case err != nil || reply.GetUnsure():
-		return a.evenly(t, now, customer.GetName(), limit)
+		return a.evenly(l, now, customer.GetName(), limit)
 	case reply.GetGranted():
-		a.grant(t, now, control)
+		a.grant(l, now, control)
 		return Granted{}
 	}
 	after := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
@@ -137,7 +137,7 @@
 }
 
 // alone decides without asking, or returns nil.
-func (a *account) alone(t *Till, now time.Time, customer string, limit float64, newProgram bool) Decision {
+func (a *account) alone(l *Limiter, now time.Time, customer string, limit float64, newProgram bool) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.back > 0 && now.Before(a.backUntil) {
@@ -145,13 +145,13 @@
 		a.back--
 		return Granted{}
 	}
-	switch t.Way.(type) {
+	switch l.Way.(type) {
 	case Central:
 		return nil
 	case Even:
-		return a.even(t, now, customer, limit)
+		return a.even(l, now, customer, limit)
 	case Estimated:
-		return a.estimated(t, now, customer, limit)
+		return a.estimated(l, now, customer, limit)
 	}
 	blocked := a.blockedAll
 	if newProgram && a.blockedNew.After(blocked) {
@@ -160,18 +160,18 @@
 	if now.Before(blocked) {
 		return Refused{RetryAfter: blocked.Sub(now)}
 	}
-	a.refresh(t, now, customer, limit)
+	a.refresh(l, now, customer, limit)
 	if a.share > 0 && !(newProgram && a.told >= begun*limit) {
 		a.share--
-		a.count(t, now)
+		a.count(l, now)
 		return Granted{}
 	}
 	return nil
 }
 
 // refresh makes the share of the newest news, unless that was done; the caller holds mu.
-func (a *account) refresh(t *Till, now time.Time, customer string, limit float64) {
-	n := t.news.Load()
+func (a *account) refresh(l *Limiter, now time.Time, customer string, limit float64) {
+	n := l.news.Load()
 	if n == nil || now.Sub(n.asked) > newsFor {
 		a.share = 0
 		return
@@ -181,9 +181,9 @@
 	}
 	a.sharing = n
 	a.told = max(float64(n.counts[customer]), toldFrom*limit)
-	bound := t.Terms.bound(limit)
-	left := max(0, min(bound-a.told, t.Terms.most(limit)-bound))
-	whole, part := math.Modf(left / float64(shares*max(1, t.Entries())))
+	bound := l.Terms.bound(limit)
+	left := max(0, min(bound-a.told, l.Terms.most(limit)-bound))
+	whole, part := math.Modf(left / float64(shares*max(1, l.Entries())))
 	a.share = int(whole)
 	if rand.Float64() < part {
 		// Of shares below one, as many instances get a whole one as make up the sum.
@@ -192,16 +192,16 @@
 }
 
 // count notes a request that was let in; the caller holds mu.
-func (a *account) count(t *Till, now time.Time) {
+func (a *account) count(l *Limiter, now time.Time) {
 	a.let++
-	a.window.add(t.since(now), t.Terms.Window, 1)
+	a.window.add(l.since(now), l.Terms.Window, 1)
 }
 
-func (a *account) grant(t *Till, now time.Time, control string) {
+func (a *account) grant(l *Limiter, now time.Time, control string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.granted[control]++
-	a.count(t, now)
+	a.count(l, now)
 }
 
 func (a *account) block(now time.Time, after time.Duration, newProgram bool) {
@@ -216,10 +216,10 @@
 }
 
 // evenly decides where nobody could be asked.
-func (a *account) evenly(t *Till, now time.Time, customer string, limit float64) Decision {
+func (a *account) evenly(l *Limiter, now time.Time, customer string, limit float64) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if d, ok := a.even(t, now, customer, limit).(Granted); ok {
+	if d, ok := a.even(l, now, customer, limit).(Granted); ok {
 		return d
 	}
 	return Unsure{}
@@ -227,24 +227,24 @@
 
 // even decides by an even share of the limit; the caller holds mu. What is left of shares by rounding off goes to
 // as many instances as make up the limit, which a hash draws.
-func (a *account) even(t *Till, now time.Time, customer string, limit float64) Decision {
-	whole, part := math.Modf(limit / float64(max(1, t.Entries())))
-	if float64(xxhash.Sum64String(t.Instance+"\x00"+customer))/math.MaxUint64 < part {
+func (a *account) even(l *Limiter, now time.Time, customer string, limit float64) Decision {
+	whole, part := math.Modf(limit / float64(max(1, l.Entries())))
+	if float64(xxhash.Sum64String(l.Instance+"\x00"+customer))/math.MaxUint64 < part {
 		whole++
 	}
-	used := a.window.count(t.since(now), t.Terms.Window)
+	used := a.window.count(l.since(now), l.Terms.Window)
 	if float64(used)+1 > whole {
-		return Refused{RetryAfter: a.window.until(t.since(now), t.Terms.Window, whole-1)}
+		return Refused{RetryAfter: a.window.until(l.since(now), l.Terms.Window, whole-1)}
 	}
-	a.count(t, now)
+	a.count(l, now)
 	return Granted{}
 }
 
 // estimated decides by the last news; the caller holds mu.
-func (a *account) estimated(t *Till, now time.Time, customer string, limit float64) Decision {
-	n := t.news.Load()
+func (a *account) estimated(l *Limiter, now time.Time, customer string, limit float64) Decision {
+	n := l.news.Load()
 	if n == nil {
-		return a.even(t, now, customer, limit)
+		return a.even(l, now, customer, limit)
 	}
 	if a.sharing != n {
 		a.sharing, a.told, a.share = n, float64(n.counts[customer]), 0
@@ -253,27 +253,27 @@
 		return Refused{RetryAfter: blockFor}
 	}
 	a.share++
-	a.count(t, now)
+	a.count(l, now)
 	return Granted{}
 }
 
-// Force counts a request that may run once more: a try at another endpoint.
-func (t *Till) Force(now time.Time, customer *fleetpb.Customer) {
-	if _, ok := t.Terms.limit(customer); !ok {
+// Charge counts a request that may run once more: a try at another endpoint.
+func (l *Limiter) Charge(now time.Time, customer *fleetpb.Customer) {
+	if _, ok := l.Terms.limit(customer); !ok {
 		return
 	}
-	a := t.account(customer.GetName())
+	a := l.account(customer.GetName())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.count(t, now)
+	a.count(l, now)
 }
 
-// Back gives back what was granted to a request that certainly did not run, and never will.
-func (t *Till) Back(now time.Time, customer *fleetpb.Customer) {
-	if _, ok := t.Terms.limit(customer); !ok {
+// Return gives back what was granted to a request that certainly did not run, and never will.
+func (l *Limiter) Return(now time.Time, customer *fleetpb.Customer) {
+	if _, ok := l.Terms.limit(customer); !ok {
 		return
 	}
-	a := t.account(customer.GetName())
+	a := l.account(customer.GetName())
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if !now.Before(a.backUntil) {
@@ -291,19 +291,19 @@
 
 // Uses returns how many requests of each customer were let in since the process began, but for those that a control
 // instance granted and has counted itself.
-func (t *Till) Uses(control string) []Use {
-	return t.uses(func(a *account) uint64 { return a.let - a.granted[control] })
+func (l *Limiter) Uses(control string) []Use {
+	return l.uses(func(a *account) uint64 { return a.let - a.granted[control] })
 }
 
 // Recent returns how many requests of each customer were let in within the window.
-func (t *Till) Recent(now time.Time) []Use {
-	at := t.since(now)
-	return t.uses(func(a *account) uint64 { return uint64(a.window.count(at, t.Terms.Window)) })
+func (l *Limiter) Recent(now time.Time) []Use {
+	at := l.since(now)
+	return l.uses(func(a *account) uint64 { return uint64(a.window.count(at, l.Terms.Window)) })
 }
 
-func (t *Till) uses(count func(*account) uint64) []Use {
+func (l *Limiter) uses(count func(*account) uint64) []Use {
 	var out []Use
-	t.accounts.Range(func(name, value any) bool {
+	l.accounts.Range(func(name, value any) bool {
 		a := value.(*account)
 		a.mu.Lock()
 		defer a.mu.Unlock()
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -3,14 +3,14 @@
 // Package quota bounds the requests of customers over all entry instances together.
 //
 // A customer may make so many requests in each span of time, the window: its limit. Some more may run, the overrun,
-// which is what estimates may err by. A [Counter] on each control instance counts what was let in anywhere; a [Till] on each
+// which is what estimates may err by. A [Counter] on each control instance counts what was let in anywhere; a [Limiter] on each
 // entry instance lets requests in.
 //
 // The counter lets in up to the limit and a part of the overrun, as it knows. The rest of the overrun is for what it
-// does not know yet: a till lets in by itself, with each piece of news, an even share of a third of that rest, as it may
+// does not know yet: a limiter lets in by itself, with each piece of news, an even share of a third of that rest, as it may
 // have used three such shares before the counter hears of the first one. So the sum stays below the limit with the overrun
 // whatever comes at once, but for shares of less than one request, which are drawn and make up the rest on average.
-// Beyond its share a till asks one control instance, the same for all tills while all hear the same instances, and that one
+// Beyond its share a limiter asks one control instance, the same for all limiters while all hear the same instances, and that one
 // grants requests one by one.
 //
 // What a customer has left goes to programs under way first: the first turn of a new program leaves a part of the
@@ -35,7 +35,7 @@
 	// begun is the part of its limit up to which new programs are let in.
 	begun = 0.9
 	// errs is the part of the overrun that the counter itself may use, for the width of its buckets and the lag of
-	// what tills tell. The rest is for the shares of tills.
+	// what limiters tell. The rest is for the shares of limiters.
 	errs = 0.3
 )
 
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -152,14 +152,14 @@
 	}
 }
 
-// world is a counter with tills, joined without a network.
+// world is a counter with limiters, joined without a network.
 type world struct {
-	clock   *clock
-	counter *Counter
-	tills   []*Till
-	// told is what the counter heard of each till.
+	clock    *clock
+	counter  *Counter
+	limiters []*Limiter
+	// told is what the counter heard of each limiter.
 	told []uint64
-	// apart are tills that reach nobody.
+	// apart are limiters that reach nobody.
 	apart    map[int]bool
 	customer *fleetpb.Customer
 }
@@ -169,7 +169,7 @@
 	w.counter.Begin(w.clock.now)
 	w.clock.pass(terms.Window)
 	for i := range n {
-		w.tills = append(w.tills, &Till{
+		w.limiters = append(w.limiters, &Limiter{
 			Terms: terms, Way: way, Instance: fmt.Sprint("e", i), Entries: func() int { return n },
 			Ask: func(_ context.Context, req *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
 				if w.apart[i] {
@@ -188,24 +188,24 @@
 	return w
 }
 
-// exchange lets a till tell its count and hear the news.
+// exchange lets a limiter tell its count and hear the news.
 func (w *world) exchange(i int) {
 	if w.apart[i] {
 		return
 	}
-	for _, u := range w.tills[i].Uses("control") {
+	for _, u := range w.limiters[i].Uses("control") {
 		w.counter.Heard(w.clock.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - w.told[i])}})
 		w.told[i] = u.Requests
 	}
-	w.tills[i].Hear(w.clock.now, w.counter.Counts(w.clock.now, func(string) *fleetpb.Customer { return w.customer }))
+	w.limiters[i].Hear(w.clock.now, w.counter.Counts(w.clock.now, func(string) *fleetpb.Customer { return w.customer }))
 }
 
-// newsEvery is how often a till in touch hears news.
+// newsEvery is how often a limiter in touch hears news.
 const newsEvery = 300 * time.Millisecond
 
-// TestTheSumOfAllTillsIsBounded: whatever comes at once at 57 instances, no more runs than may, and a customer below
+// TestTheSumOfAllLimitersIsBounded: whatever comes at once at 57 instances, no more runs than may, and a customer below
 // its limit is served.
-func TestTheSumOfAllTillsIsBounded(t *testing.T) {
+func TestTheSumOfAllLimitersIsBounded(t *testing.T) {
 	const n, step = 57, 10 * time.Millisecond
 	for _, c := range []*fleetpb.Customer{customer(3, 3), customer(20, 20), customer(353, 353)} {
 		limit, _ := terms.limit(c)
@@ -222,9 +222,9 @@
 					}
 				}
 				for carry += demand * limit / terms.Window.Seconds() * step.Seconds(); carry >= 1; carry-- {
-					till := w.tills[(tick*31+int(carry)*17)%n]
+					limiter := w.limiters[(tick*31+int(carry)*17)%n]
 					below := float64(within(let, w.clock.now)) < limit-1
-					if _, ok := till.Let(t.Context(), w.clock.now, c, false).(Granted); ok {
+					if _, ok := limiter.Admit(t.Context(), w.clock.now, c, false).(Granted); ok {
 						let = append(let, w.clock.now)
 					} else if below {
 						refused++
@@ -242,7 +242,7 @@
 	}
 }
 
-// TestACutOffInstanceKeepsToItsShare: tills that reach nobody let in even shares of the limit together, and say that they
+// TestACutOffInstanceKeepsToItsShare: limiters that reach nobody let in even shares of the limit together, and say that they
 // are not sure beyond that.
 func TestACutOffInstanceKeepsToItsShare(t *testing.T) {
 	const n = 57
@@ -250,10 +250,10 @@
 		limit, _ := terms.limit(c)
 		w := newWorld(n, Shared{}, c)
 		let := 0
-		for i, till := range w.tills {
+		for i, limiter := range w.limiters {
 			w.apart[i] = true
 			for range 200 {
-				switch till.Let(t.Context(), w.clock.now, c, false).(type) {
+				switch limiter.Admit(t.Context(), w.clock.now, c, false).(type) {
 				case Granted:
 					let++
 				case Refused:
@@ -267,9 +267,9 @@
 	}
 }
 
-// BenchmarkLet is a request's part where nobody is asked, of 1,000 customers.
-func BenchmarkLet(b *testing.B) {
-	till := &Till{Terms: terms, Way: Even{}, Instance: "e", Entries: func() int { return 1 }}
+// BenchmarkAdmit is a request's part where nobody is asked, of 1,000 customers.
+func BenchmarkAdmit(b *testing.B) {
+	limiter := &Limiter{Terms: terms, Way: Even{}, Instance: "e", Entries: func() int { return 1 }}
 	var all []*fleetpb.Customer
 	for i := range 1000 {
 		all = append(all, &fleetpb.Customer{Name: fmt.Sprint("c", i), RatePerSecond: 1e8, Burst: 1})
@@ -279,7 +279,7 @@
 	i := 0
 	for b.Loop() {
 		i++
-		if _, ok := till.Let(context.Background(), now, all[i%len(all)], false).(Granted); !ok {
+		if _, ok := limiter.Admit(context.Background(), now, all[i%len(all)], false).(Granted); !ok {
 			b.Fatal("refused")
 		}
 	}
--- a/rockbench/quotas/quotas.go
+++ b/rockbench/quotas/quotas.go
@@ -89,23 +89,23 @@
 
 // play is one run.
 type play struct {
-	scenario Scenario
-	r        *rand.Rand
-	now      time.Time
-	began    time.Time
-	customer *fleetpb.Customer
-	counter  *quota.Counter
-	tills    []*till
-	let      []time.Time
-	result   Result
+	scenario  Scenario
+	r         *rand.Rand
+	now       time.Time
+	began     time.Time
+	customer  *fleetpb.Customer
+	counter   *quota.Counter
+	instances []*instance
+	let       []time.Time
+	result    Result
 	// asked, requests, owed and the others count.
 	asked, requests, owed, below, refused, refusedNew int
 	lowered                                           time.Time
 }
 
-// till is an entry instance.
-type till struct {
-	*quota.Till
+// instance is an entry instance.
+type instance struct {
+	*quota.Limiter
 	next  time.Time
 	told  uint64
 	apart bool
@@ -118,19 +118,19 @@
 	p.customer = &fleetpb.Customer{Name: "c", RatePerSecond: s.Rate, Burst: s.Burst}
 	p.counter.Begin(p.now.Add(-Terms.Window))
 	for i := range s.Entries {
-		p.tills = append(p.tills, p.newTill(i, way))
+		p.instances = append(p.instances, p.newInstance(i, way))
 	}
 	carry := 0.0
 	for at := time.Duration(0); at < day; at += step {
 		p.now = p.began.Add(at)
 		p.disturb(at, way)
-		for _, t := range p.tills {
+		for _, t := range p.instances {
 			if !t.apart && !p.now.Before(t.next) {
 				p.exchange(t)
 			}
 		}
 		for carry += p.demand(at) * step.Seconds(); carry >= 1; carry-- {
-			p.request(p.till(at))
+			p.request(p.draw(at))
 		}
 	}
 	p.result.Below = share(p.below, p.owed)
@@ -161,16 +161,16 @@
 	return x
 }
 
-func (p *play) till(at time.Duration) *till {
+func (p *play) draw(at time.Duration) *instance {
 	if near := p.scenario.Near; near > 0 && inTrouble(at) {
-		return p.tills[p.r.IntN(near)]
+		return p.instances[p.r.IntN(near)]
 	}
-	return p.tills[p.r.IntN(len(p.tills))]
+	return p.instances[p.r.IntN(len(p.instances))]
 }
 
-func (p *play) newTill(i int, way quota.Way) *till {
-	t := &till{next: p.now.Add(time.Duration(p.r.Int64N(int64(newsEvery))))}
-	t.Till = &quota.Till{
+func (p *play) newInstance(i int, way quota.Way) *instance {
+	t := &instance{next: p.now.Add(time.Duration(p.r.Int64N(int64(newsEvery))))}
+	t.Limiter = &quota.Limiter{
 		Terms: Terms, Way: way, Instance: fmt.Sprint("e", i), Entries: func() int { return p.scenario.Entries },
 		Ask: func(_ context.Context, req *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
 			p.asked++
@@ -189,7 +189,7 @@
 	return t
 }
 
-func (p *play) exchange(t *till) {
+func (p *play) exchange(t *instance) {
 	for _, u := range t.Uses("control") {
 		p.counter.Heard(p.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - t.told)}})
 		t.told = u.Requests
@@ -202,15 +202,15 @@
 	s := p.scenario
 	switch at {
 	case begin:
-		for _, t := range p.tills[:s.Apart] {
+		for _, t := range p.instances[:s.Apart] {
 			t.apart = true
 		}
 		for i := range s.Killed {
-			p.tills[i] = p.newTill(i, way)
+			p.instances[i] = p.newInstance(i, way)
 		}
 		if s.Forget {
 			p.counter.Begin(p.now)
-			for _, t := range p.tills {
+			for _, t := range p.instances {
 				for _, u := range t.Recent(p.now) {
 					p.counter.Heard(p.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests), Earlier: true}})
 				}
@@ -224,7 +224,7 @@
 		p.counter.Miss(share(s.Apart, s.Entries))
 	case end:
 		p.counter.Miss(0)
-		for _, t := range p.tills {
+		for _, t := range p.instances {
 			t.apart = false
 		}
 		p.customer = &fleetpb.Customer{Name: "c", RatePerSecond: s.Rate, Burst: s.Burst}
@@ -237,7 +237,7 @@
 	return p.customer.GetRatePerSecond()*Terms.Window.Seconds() + p.customer.GetBurst()
 }
 
-func (p *play) request(t *till) {
+func (p *play) request(t *instance) {
 	newProgram := p.r.Float64() > turnShare
 	for len(p.let) > 0 && p.now.Sub(p.let[0]) >= Terms.Window {
 		p.let = p.let[1:]
@@ -248,7 +248,7 @@
 	if owed {
 		p.owed++
 	}
-	if _, ok := t.Let(context.Background(), p.now, p.customer, newProgram).(quota.Granted); !ok {
+	if _, ok := t.Admit(context.Background(), p.now, p.customer, newProgram).(quota.Granted); !ok {
 		p.refused++
 		if newProgram {
 			p.refusedNew++
