--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -48,6 +48,9 @@
 	// bufferSize in bytes fits most messages; more would cost memory for each
 	// connection.
 	bufferSize = 8 << 10
+	// streamWorkers is how many goroutines a server keeps for its calls, which saves growing a stack for each of
+	// them. While all are taken, calls get goroutines of their own.
+	streamWorkers = 8
 	// maxMessage in bytes fits a configuration of some thousand routes.
 	maxMessage = 32 << 20
 )
@@ -157,6 +160,7 @@
 // Server returns a gRPC server with the buffers that fit the pool's messages.
 func Server() *grpc.Server {
 	return grpc.NewServer(
+		grpc.NumStreamWorkers(streamWorkers),
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingEvery, Timeout: pingWithin}),
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -5,12 +5,8 @@
 import (
 	"context"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
-	"github.com/uber-go/tally/v4"
-
 	"rockbarrow.dev/rockbarrow/quota"
 )
 
@@ -67,7 +63,7 @@
 	begun := time.Now()
 	d := x.entry.Quota.Admit(ctx, begun, x.customer, x.begins())
 	x.own += time.Since(begun)
-	x.entry.customers.count(x.entry.Metrics, x.customer.GetName(), d)
+	x.entry.countCustomer(x.customer.GetName(), d)
 	switch d := d.(type) {
 	case quota.Refused:
 		return Refused{Status: http.StatusTooManyRequests, RetryAfter: max(d.RetryAfter, soon), Reason: "the customer is at its limit"}
@@ -109,17 +105,8 @@
 	return x.customer.GetPriority()*customerPriorities + min(x.route.GetPriority(), customerPriorities-1)
 }
 
-// mostMetered bounds the customers with metrics of their own; the others share one.
-const mostMetered = 256
-
-// customerMetrics holds the metrics of customers. The zero value is ready.
-type customerMetrics struct {
-	scopes sync.Map // of tally.Scope by the customer's name
-	known  atomic.Int64
-}
-
-// count counts what became of a request of a customer.
-func (m *customerMetrics) count(scope tally.Scope, customer string, d quota.Decision) {
+// countCustomer counts what became of a request of a customer.
+func (e *Entry) countCustomer(customer string, d quota.Decision) {
 	name := "customer_requests"
 	switch d.(type) {
 	case quota.Refused:
@@ -127,19 +114,5 @@
 	case quota.Unsure:
 		name = "customer_unsure"
 	}
-	m.of(scope, customer).Counter(name).Inc(1)
-}
-
-func (m *customerMetrics) of(scope tally.Scope, customer string) tally.Scope {
-	if s, ok := m.scopes.Load(customer); ok {
-		return s.(tally.Scope)
-	}
-	if m.known.Load() >= mostMetered {
-		return scope.Tagged(map[string]string{"customer": "others"})
-	}
-	s, loaded := m.scopes.LoadOrStore(customer, scope.Tagged(map[string]string{"customer": customer}))
-	if !loaded {
-		m.known.Add(1)
-	}
-	return s.(tally.Scope)
+	e.customers.of(e.Metrics, "customer", customer).Counter(name).Inc(1)
 }
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -68,7 +68,7 @@
 	domains             domains
 	lines               lines
 	gates               gates
-	customers           customerMetrics
+	customers, outcomes taggedScopes
 	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
 	// zero while they are reached.
 	lostSince atomic.Int64
@@ -252,7 +252,7 @@
 	case Cut:
 		kind = "cut"
 	}
-	scope := e.Metrics.Tagged(map[string]string{"outcome": kind})
+	scope := e.outcomes.of(e.Metrics, "outcome", kind)
 	scope.Counter("requests").Inc(1)
 	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(took)
 	if x.own > 0 {
