--- a/rockbarrow/routing/doc.go
+++ b/rockbarrow/routing/doc.go
@@ -11,4 +11,6 @@
 // ([Table.Next]) and tells others the change that leads to it ([Update]). A table's digest
 // is a sum over its routes and services, so that it too is made of what changed; it
 // shows whether a change was applied to the right table and came out whole.
+//
+// A table also knows the customers and by whom each key is held, of which it has digests only.
 package routing
