stores: a reservation asks a quorum of its stores first

Three fifths of what a turn costs are its ten calls to stores. Change: while all stores have answered their last calls, a reservation goes to as many as it needs, the own failure domain's first; to the rest after 10 ms, a refusal or a loss. Settlements go to all, and bring the reservation with them. Failed first try: a refusal ended the try (TestAWipedStoreCopiesBeforeItCounts), and stores that had never answered were left out.

--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -33,6 +33,9 @@
 	Domain string
 	// Turns are those seen lately.
 	Turns *Cache
+	// HedgeAfter is how long a quorum that was asked first may take before the other stores are asked too; zero means
+	// the default.
+	HedgeAfter time.Duration
 
 	health health
 }
@@ -123,8 +126,9 @@
 		tally := ledger.NewTally(view, t.Program)
 		var total ledger.Total
 		wanted := t.Previous != "" && seen.find(t.Previous) == nil
-		asked := c.nearest(tally.Members())
-		got, reason := gather(ctx, c, tally, func() bool { return tally.Written() && tally.Sure() },
+		members, first := c.quorumFirst(view, tally.Members())
+		asked := c.nearest(members)
+		got, reason := gather(ctx, c, tally, members, first, func() bool { return tally.Written() && tally.Sure() },
 			func() bool { return c.hopeless(t.Program) },
 			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Reserve(ctx, &fleetpb.ReserveRequest{
@@ -149,6 +153,24 @@
 	}
 }
 
+// quorumFirst returns the stores of a program, those of the own failure domain first, and how many to ask at first: as
+// many as a reservation needs while nothing is wrong. The settlement goes to all of them and brings the reservation with it.
+func (c *Client) quorumFirst(v *fleetpb.View, members []*fleetpb.Member) ([]*fleetpb.Member, int) {
+	if len(v.GetPrior()) > 0 || !c.health.allProven(v) {
+		return members, len(members)
+	}
+	ordered := make([]*fleetpb.Member, 0, len(members))
+	for _, own := range []bool{true, false} {
+		for _, m := range members {
+			if (m.GetFailureDomain() == c.Domain) == own {
+				ordered = append(ordered, m)
+			}
+		}
+	}
+	n := len(members)
+	return ordered, max(ledger.WriteQuorum(n), ledger.ReadQuorum(n))
+}
+
 // nearest prefers a store of the own failure domain.
 func (c *Client) nearest(members []*fleetpb.Member) *fleetpb.Member {
 	for _, m := range members {
@@ -233,7 +255,8 @@
 	for {
 		view := c.Watch.State().GetView()
 		tally := ledger.NewTally(view, program)
-		got, reason := gather(ctx, c, tally, tally.Written, nil,
+		members := tally.Members()
+		got, reason := gather(ctx, c, tally, members, len(members), tally.Written, nil,
 			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Settle(ctx, &fleetpb.SettleRequest{
 					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: req.GetProgram(),
--- a/rockbarrow/stores/fleet_test.go
+++ b/rockbarrow/stores/fleet_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -38,6 +39,20 @@
 	store  *store.Store
 	watch  *watch.Client
 	stop   func()
+	// reserves counts the reservations that it was asked for.
+	reserves atomic.Int64
+}
+
+// counted is a store whose calls are counted.
+type counted struct {
+	*store.Store
+	reserves *atomic.Int64
+}
+
+// Reserve counts a call.
+func (c *counted) Reserve(ctx context.Context, req *fleetpb.ReserveRequest) (*fleetpb.ReserveReply, error) {
+	c.reserves.Add(1)
+	return c.Store.Reserve(ctx, req)
 }
 
 // start runs a store on a folder. Its address stays the same over restarts.
@@ -64,7 +79,7 @@
 	p.store = s
 	p.watch.Changed = s.Wake
 	g := dial.Server()
-	fleetpb.RegisterStoreServer(g, s)
+	fleetpb.RegisterStoreServer(g, &counted{Store: s, reserves: &p.reserves})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { s.Run(ctx) })
@@ -258,6 +273,44 @@
 	}
 }
 
+// TestAReservationAsksAQuorumFirst: a store more is asked only where one of the quorum is gone, and what all were told by
+// the settlement holds on whichever stores are left.
+func TestAReservationAsksAQuorumFirst(t *testing.T) {
+	g := newGroup(t)
+	g.client.HedgeAfter = time.Hour
+	asked := func() (n int64) {
+		for _, p := range g.places {
+			n += p.reserves.Load()
+		}
+		return n
+	}
+	// Each store has to have answered this process once.
+	g.must(g.run(g.client, stores.Turn{ID: "1", Program: "p", Most: 10, Budget: 100}, 10))
+	for _, p := range g.places {
+		for p.reserves.Load() == 0 {
+			pauseBriefly()
+		}
+	}
+	const turns = 20
+	before := asked()
+	for i := range turns {
+		g.must(g.run(g.client, stores.Turn{ID: fmt.Sprint("q", i), Program: "p", Most: 1, Budget: 100}, 1))
+	}
+	if n := asked() - before; n != 2*turns {
+		t.Errorf("%d questions for %d reservations of a quorum of two", n, turns)
+	}
+	g.places[1].stop()
+	grant, err := g.client.Reserve(t.Context(), stores.Turn{ID: "2", Program: "p", Previous: "1", Most: 10, Budget: 100})
+	g.must(err)
+	if want := "in 1\nout 1\n"; history(grant) != want {
+		t.Errorf("with a store gone: history %q, want %q", history(grant), want)
+	}
+	var over *stores.OverBudgetError
+	if _, err := g.client.Reserve(t.Context(), stores.Turn{ID: "3", Program: "p", Most: 61, Budget: 100}); !errors.As(err, &over) {
+		t.Errorf("%v: what was settled before is forgotten", err)
+	}
+}
+
 func TestOneLostStoreCostsNothingTwoAreToldAsUnavailable(t *testing.T) {
 	g := newGroup(t)
 	g.must(g.run(g.client, stores.Turn{ID: "1", Program: "p", Most: 10}, 5))
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -94,7 +94,8 @@
 		view := c.Watch.State().GetView()
 		t, sure := tally(view)
 		found := false
-		got, reason := gather(ctx, c, t, func() bool { return found || sure() }, nil,
+		members := t.Members()
+		got, reason := gather(ctx, c, t, members, len(members), func() bool { return found || sure() }, nil,
 			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.LookupReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Lookup(ctx, &fleetpb.LookupRequest{Epoch: view.GetEpoch(), Storage: m.GetStorage(), Turn: id})
 				return r, r.GetStatus(), err
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -3,6 +3,7 @@
 package stores
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"time"
@@ -19,6 +20,8 @@
 	// retryPause lies between two tries with a quorum, under another view or when
 	// stores were still copying.
 	retryPause = 15 * time.Millisecond
+	// hedgeAfter is the default of [Client.HedgeAfter]: a call takes some 5 ms.
+	hedgeAfter = 10 * time.Millisecond
 )
 
 // answer is one store's reply.
@@ -69,19 +72,37 @@
 	expired
 )
 
-// gather calls all members of a tally until enough reports true. Each reply that
-// counts goes to take first. It gives up once hopeless reports true, which it asks when
-// stores go out of reach; without it, it waits for all answers.
+// asking is a question to the members of a tally.
+type asking[R any] struct {
+	client *Client
+	call   func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
+	// answers has room for those of all members.
+	answers chan answer[R]
+	// rest are the members that were not asked yet, asked counts the others.
+	rest  []*fleetpb.Member
+	asked int
+}
+
+// ask asks so many of the rest.
+func (a *asking[R]) ask(ctx context.Context, n int) {
+	for _, m := range a.rest[:n] {
+		go (&caller[R]{client: a.client, member: m, call: a.call, out: a.answers}).run(ctx)
+	}
+	a.rest, a.asked = a.rest[n:], a.asked+n
+}
+
+// gather calls the members of a tally until enough reports true: the first ones at once, and all others if one of
+// these refuses, a store goes out of reach or they take longer than usual. Each reply that counts goes to take first. It
+// gives up once hopeless reports true, which it asks when stores go out of reach; without it, it waits for all answers.
 func gather[R any](
-	ctx context.Context, c *Client, t *ledger.Tally, enough, hopeless func() bool,
+	ctx context.Context, c *Client, t *ledger.Tally, members []*fleetpb.Member, first int, enough, hopeless func() bool,
 	call func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error),
 	take func(R),
 ) (outcome, string) {
-	members := t.Members()
-	answers := make(chan answer[R], len(members))
-	for _, m := range members {
-		go (&caller[R]{client: c, member: m, call: call, out: answers}).run(ctx)
-	}
+	a := &asking[R]{client: c, call: call, answers: make(chan answer[R], len(members)), rest: members}
+	a.ask(ctx, first)
+	hedge := time.NewTimer(cmp.Or(c.HedgeAfter, hedgeAfter))
+	defer hedge.Stop()
 	reason := "no store answered"
 	for heard := 0; heard < len(members); {
 		change := c.health.change()
@@ -90,16 +111,21 @@
 		}
 		select {
 		case <-change:
+			a.ask(ctx, len(a.rest))
 			continue
-		case a := <-answers:
+		case <-hedge.C:
+			a.ask(ctx, len(a.rest))
+			continue
+		case got := <-a.answers:
 			heard++
-			if why := refusedBy(a.status, a.err); why != "" {
-				t.Refuse(a.member.GetStorage())
-				reason = a.member.GetInstance() + ": " + why
+			if why := refusedBy(got.status, got.err); why != "" {
+				t.Refuse(got.member.GetStorage())
+				reason = got.member.GetInstance() + ": " + why
+				a.ask(ctx, len(a.rest))
 				continue
 			}
-			t.Ack(a.member.GetStorage(), a.status.GetWholeEpoch())
-			take(a.reply)
+			t.Ack(got.member.GetStorage(), got.status.GetWholeEpoch())
+			take(got.reply)
 			if enough() {
 				return reached, ""
 			}
@@ -109,6 +135,9 @@
 		if t.Lost() {
 			return short, reason
 		}
+		if heard == a.asked {
+			a.ask(ctx, len(a.rest))
+		}
 	}
 	return short, reason
 }
