watch, controller, entry: the first confirmation of keys comes at once

Cause: after a start of all instances keys were trusted only once control instances had held each other's first calls for 0.3 s, and then the entry instance's for as long: requests got 503 meanwhile. Change: control instances answer each other's first calls at once; an entry instance that has heard of no confirmation says so and is answered as soon as there is one; a request that comes before waits for it as it does for the first configuration. Tests: an instance that has just started refuses nobody over a key that is about to be confirmed (503 before).

--- a/rockbarrow/controller/customers_test.go
+++ b/rockbarrow/controller/customers_test.go
@@ -47,6 +47,21 @@
 	await(t, fresh)
 }
 
+// TestTheFirstConfirmationIsNotWaitedFor: an entry instance that waits for it is answered as soon as there is one, and not at
+// the end of the time for which calls are held.
+func TestTheFirstConfirmationIsNotWaitedFor(t *testing.T) {
+	places := newCore(t)
+	put(t, places[0], 7, "seven")
+	await(t, func() bool { return version(places[2]) == 7 })
+	const hours = 3_600_000
+	r, err := places[2].controller.Watch(t.Context(), &fleetpb.WatchRequest{
+		Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY, Unconfirmed: true, WaitMs: hours,
+	})
+	if err != nil || r.GetConfirmed().GetVersion() != 7 {
+		t.Errorf("%v, %v", r, err)
+	}
+}
+
 // keyedDocument is a configuration with a customer that may make ten requests within the window.
 func keyedDocument(t *testing.T, version uint64) string {
 	t.Helper()
--- a/rockbarrow/controller/news.go
+++ b/rockbarrow/controller/news.go
@@ -24,11 +24,12 @@
 	defer wait.Stop()
 	for {
 		news := c.newsChannel()
-		if c.hasNews(req) {
+		if c.hasNews(req) || req.GetUnconfirmed() && c.confirmed() != nil {
 			return c.reply(req), nil
 		}
 		select {
 		case <-news:
+		case <-c.confirmations(req):
 		case <-wait.C:
 			return c.reply(req), nil
 		case <-ctx.Done():
@@ -37,6 +38,17 @@
 	}
 }
 
+// confirmTick is how often a call that waits for the first confirmation looks for it.
+const confirmTick = 20 * time.Millisecond
+
+// confirmations returns a channel that wakes a call which waits for the first confirmation, and never any other.
+func (c *Controller) confirmations(req *fleetpb.WatchRequest) <-chan time.Time {
+	if !req.GetUnconfirmed() {
+		return nil
+	}
+	return time.After(confirmTick)
+}
+
 func (c *Controller) hasNews(req *fleetpb.WatchRequest) bool {
 	return req.GetWantsNews() && (c.State().GetNumber() > req.GetStateNumber() || c.hasList(req))
 }
--- a/rockbarrow/entry/customer_test.go
+++ b/rockbarrow/entry/customer_test.go
@@ -116,6 +116,19 @@
 	}
 }
 
+// TestARequestWaitsForTheFirstConfirmation: an instance that has just started refuses nobody over a key that control is
+// about to confirm.
+func TestARequestWaitsForTheFirstConfirmation(t *testing.T) {
+	s := &fakeSender{}
+	e := newKeyed(t, s)
+	e.Lease = &lease.Lease{Within: lease.Within(5 * time.Second)}
+	time.AfterFunc(3*learnTick, func() { e.Lease.Confirm(2, time.Now()) })
+	out := &fakeOut{}
+	if o := e.Serve(t.Context(), askAs("ka", "/once/1"), out); statusOf(o, out) != 200 {
+		t.Errorf("%+v", o)
+	}
+}
+
 // TestWithoutCustomersKeysMeanNothing: a deployment whose configuration has no customers passes keys on.
 func TestWithoutCustomersKeysMeanNothing(t *testing.T) {
 	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -211,9 +211,15 @@
 	learnTick   = 20 * time.Millisecond
 )
 
-// awaitLearned waits a little for the first configuration and list.
+// learned reports whether a configuration and a list are in force, and whether its keys may be trusted if it has any.
+func (e *Entry) learned() bool {
+	t := e.table.Load()
+	return t != nil && e.fleet.Load() != nil && !(t.Customers() > 0 && e.Lease.Unconfirmed())
+}
+
+// awaitLearned waits a little for the first configuration and list, and for the first confirmation of keys.
 func (e *Entry) awaitLearned(ctx context.Context) {
-	for end := time.Now().Add(learnWithin); e.table.Load() == nil || e.fleet.Load() == nil; {
+	for end := time.Now().Add(learnWithin); !e.learned(); {
 		if !wait.For(ctx, learnTick) || time.Now().After(end) {
 			return
 		}
--- a/rockbarrow/lease/lease.go
+++ b/rockbarrow/lease/lease.go
@@ -128,3 +128,6 @@
 	at, ok := l.at(version)
 	return ok && now.Sub(at) < within
 }
+
+// Unconfirmed reports whether nothing was confirmed yet although keys need it, as after a start.
+func (l *Lease) Unconfirmed() bool { return l.Within > 0 && l.confirmed.Load() == nil }
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -132,7 +132,7 @@
 	var out []*fleetpb.CustomerCount
 	for name, k := range c.customers {
 		age := now.Sub(c.began)
-		if k.window.count(age, c.Terms.Window)+k.earlier.count(age, c.Terms.Window) == 0 && k.refused == 0 {
+		if k.window.count(age, c.Terms.Window)+k.earlier.count(age, c.Terms.Window) == 0 && (k.refused == 0 || customer(name) == nil) {
 			delete(c.customers, name)
 			continue
 		}
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -86,6 +86,10 @@
 	if held == 0 {
 		held = hold
 	}
+	if c.Role == fleetpb.Role_ROLE_CONTROL && !t.answered {
+		// What the other one has accepted is wanted at once: leases rest on it.
+		held = 0
+	}
 	ctx, cancel := context.WithTimeout(ctx, held+reply)
 	defer cancel()
 	asked := time.Now()
@@ -97,6 +101,7 @@
 		req.WantsLoads = teller == t
 	}
 	customers := t.customerUses(req)
+	req.Unconfirmed = c.Unconfirmed != nil && c.Unconfirmed()
 	if req.GetWantsNews() && !t.whole {
 		req.Held = c.Documents.Held()
 		if c.Role != fleetpb.Role_ROLE_STORE {
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -62,6 +62,8 @@
 	// Confirmed is told up to which moment a version of the configuration was known to be the newest; may be
 	// nil.
 	Confirmed func(version uint64, at time.Time)
+	// Unconfirmed reports whether the sender waits for the first of these; may be nil.
+	Unconfirmed func() bool
 	// CustomerUses returns how many requests of each customer were let in since the process began, but for those
 	// that one control instance granted, and Customers is told who was let in at all entry instances, by a control
 	// instance that was asked at a moment. Both are nil where the sender lets nobody in.
