stores: no stores to ask is no fault

Cause: a view without members, before stores are chosen, made the question to a quorum reach beyond the members (a panic that the HTTP server caught). Test: TestBeforeStoresAreChosenNothingIsReserved, which panicked before.

--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -156,7 +156,7 @@
 // quorumFirst returns the stores of a program, those of the own failure domain first, and how many to ask at first: as
 // many as a reservation needs while nothing is wrong. The settlement goes to all of them and brings the reservation with it.
 func (c *Client) quorumFirst(v *fleetpb.View, members []*fleetpb.Member) ([]*fleetpb.Member, int) {
-	if len(v.GetPrior()) > 0 || !c.health.allProven(v) {
+	if len(members) == 0 || len(v.GetPrior()) > 0 || !c.health.allProven(v) {
 		return members, len(members)
 	}
 	ordered := make([]*fleetpb.Member, 0, len(members))
--- a/rockbarrow/stores/fleet_test.go
+++ b/rockbarrow/stores/fleet_test.go
@@ -311,6 +311,19 @@
 	}
 }
 
+// TestBeforeStoresAreChosenNothingIsReserved: a view without members is an error to who reserves, and no fault.
+func TestBeforeStoresAreChosenNothingIsReserved(t *testing.T) {
+	w := &watch.Client{Self: &fleetpb.Member{Instance: "entry"}, Log: quiet()}
+	w.Offer(&fleetpb.State{Number: 1, View: &fleetpb.View{Epoch: 1, Copies: 3}})
+	c := &stores.Client{Watch: w, Pool: &dial.Pool{}, Turns: &stores.Cache{Bytes: 1 << 10}}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	var unavailable *stores.UnavailableError
+	if _, err := c.Reserve(ctx, stores.Turn{ID: "1", Program: "p", Most: 1}); !errors.As(err, &unavailable) {
+		t.Errorf("%v, want an UnavailableError", err)
+	}
+}
+
 func TestOneLostStoreCostsNothingTwoAreToldAsUnavailable(t *testing.T) {
 	g := newGroup(t)
 	g.must(g.run(g.client, stores.Turn{ID: "1", Program: "p", Most: 10}, 5))
