--- a/rockbarrow/stores/fleet_test.go
+++ b/rockbarrow/stores/fleet_test.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,25 +32,45 @@
 
 // place is one store instance of a test, which may be stopped and started.
 type place struct {
-	t      *testing.T
-	member *fleetpb.Member
-	dir    string
-	store  *store.Store
-	watch  *watch.Client
-	stop   func()
-	// reserves counts the reservations that it was asked for.
-	reserves atomic.Int64
+	t        *testing.T
+	member   *fleetpb.Member
+	dir      string
+	store    *store.Store
+	watch    *watch.Client
+	stop     func()
+	reserves reserves
+}
+
+// reserves counts the reservations that a store was asked for, by program.
+type reserves struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func (r *reserves) add(program string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = map[string]int{}
+	}
+	r.counts[program]++
+}
+
+func (r *reserves) of(program string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.counts[program]
 }
 
 // counted is a store whose calls are counted.
 type counted struct {
 	*store.Store
-	reserves *atomic.Int64
+	reserves *reserves
 }
 
 // Reserve counts a call.
 func (c *counted) Reserve(ctx context.Context, req *fleetpb.ReserveRequest) (*fleetpb.ReserveReply, error) {
-	c.reserves.Add(1)
+	c.reserves.add(req.GetProgram())
 	return c.Store.Reserve(ctx, req)
 }
 
@@ -278,35 +297,34 @@
 func TestAReservationAsksAQuorumFirst(t *testing.T) {
 	g := newGroup(t)
 	g.client.HedgeAfter = time.Hour
-	asked := func() (n int64) {
+	asked := func(program string) (n int) {
 		for _, p := range g.places {
-			n += p.reserves.Load()
+			n += p.reserves.of(program)
 		}
 		return n
 	}
-	// Each store has to have answered this process once.
-	g.must(g.run(g.client, stores.Turn{ID: "1", Program: "p", Most: 10, Budget: 100}, 10))
-	for _, p := range g.places {
-		for p.reserves.Load() == 0 {
-			pauseBriefly()
-		}
+	reserve := func(program string) {
+		g.must(g.run(g.client, stores.Turn{ID: program + "-1", Program: program, Most: 10, Budget: 100}, 10))
+	}
+	reserve("p")
+	for !g.client.Proven() {
+		pauseBriefly()
 	}
 	const turns = 20
-	before := asked()
 	for i := range turns {
-		g.must(g.run(g.client, stores.Turn{ID: fmt.Sprint("q", i), Program: "p", Most: 1, Budget: 100}, 1))
+		g.must(g.run(g.client, stores.Turn{ID: fmt.Sprint("q", i), Program: "q", Most: 1, Budget: 100}, 1))
 	}
-	if n := asked() - before; n != 2*turns {
+	if n := asked("q"); n != 2*turns {
 		t.Errorf("%d questions for %d reservations of a quorum of two", n, turns)
 	}
 	g.places[1].stop()
-	grant, err := g.client.Reserve(t.Context(), stores.Turn{ID: "2", Program: "p", Previous: "1", Most: 10, Budget: 100})
+	grant, err := g.client.Reserve(t.Context(), stores.Turn{ID: "2", Program: "p", Previous: "p-1", Most: 10, Budget: 100})
 	g.must(err)
-	if want := "in 1\nout 1\n"; history(grant) != want {
+	if want := "in p-1\nout p-1\n"; history(grant) != want {
 		t.Errorf("with a store gone: history %q, want %q", history(grant), want)
 	}
 	var over *stores.OverBudgetError
-	if _, err := g.client.Reserve(t.Context(), stores.Turn{ID: "3", Program: "p", Most: 61, Budget: 100}); !errors.As(err, &over) {
+	if _, err := g.client.Reserve(t.Context(), stores.Turn{ID: "3", Program: "p", Most: 81, Budget: 100}); !errors.As(err, &over) {
 		t.Errorf("%v: what was settled before is forgotten", err)
 	}
 }
--- a/rockbench/soak/customers.go
+++ b/rockbench/soak/customers.go
@@ -142,9 +142,10 @@
 // press sends requests of the bounded customer and under passing keys, until ctx ends.
 func (c *customers) press(ctx context.Context, entries []string, r *rand.Rand) {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+	ofQuota, ofKeys := rand.New(rand.NewPCG(r.Uint64(), 0)), rand.New(rand.NewPCG(r.Uint64(), 1))
 	var running sync.WaitGroup
-	running.Go(func() { c.pressQuota(ctx, client, entries, rand.New(rand.NewPCG(r.Uint64(), 0))) })
-	running.Go(func() { c.pressKeys(ctx, client, entries, rand.New(rand.NewPCG(r.Uint64(), 1))) })
+	running.Go(func() { c.pressQuota(ctx, client, entries, ofQuota) })
+	running.Go(func() { c.pressKeys(ctx, client, entries, ofKeys) })
 	running.Wait()
 }
 
