--- a/rockbarrow/controller/customers.go
+++ b/rockbarrow/controller/customers.go
@@ -18,7 +18,9 @@
 	if s.GetConfiguration() == nil {
 		return nil
 	}
-	at, ok := c.watch.Confirm(s, c.saved.Load().GetState().GetNumber())
+	// The clock is read first: this process may stand still before it looks at its own vote.
+	asked := time.Now()
+	at, ok := c.watch.Confirm(s, c.saved.Load().GetState().GetNumber(), asked)
 	if !ok {
 		return nil
 	}
@@ -70,7 +72,7 @@
 		}
 		u := c.quotas.Usage(now, h.Customer)
 		s := &fleetpb.CustomerStatus{
-			Name: h.GetName(), Priority: h.GetPriority(), RatePerSecond: h.GetRatePerSecond(), Burst: h.GetBurst(),
+			Name: h.GetName(), Priority: h.GetPriority(), RequestsPerSecond: h.GetRequestsPerSecond(), Burst: h.GetBurst(),
 			Requests: u.Requests, Limit: u.Limit, Refused: u.Refused,
 		}
 		for _, k := range h.Digests[:min(len(h.Digests), mostTold)] {
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -86,9 +86,13 @@
 	}
 }
 
-// customerPriorities is how many priorities of routes there are for each priority of customers in what endpoints are
-// told, which have ten in all.
-const customerPriorities = 3
+const (
+	// routePriorities is how many priorities of routes there are for each priority of customers in what endpoints
+	// are told.
+	routePriorities = 3
+	// leastUrgent is the last of the ten priorities that endpoints know.
+	leastUrgent = 9
+)
 
 // priority is how urgent the request is among those that wait here: the customer's priority goes before that of the
 // route.
@@ -102,7 +106,7 @@
 	if x.customer == nil {
 		return x.route.GetPriority()
 	}
-	return x.customer.GetPriority()*customerPriorities + min(x.route.GetPriority(), customerPriorities-1)
+	return min(x.customer.GetPriority(), leastUrgent)*routePriorities + min(x.route.GetPriority(), routePriorities-1)
 }
 
 // countCustomer counts what became of a request of a customer.
--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -146,7 +146,7 @@
 		Underway: r.Previous != "" || x.last.ID != "" || r.LastEvent != "",
 		Left:     r.Finish - spent, Timed: r.HasFinish,
 		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientWaits() - spent,
-		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRatePerSecond(),
+		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRequestsPerSecond(),
 	})
 	if leave != nil {
 		return leave, nil
--- a/rockbarrow/lease/lease.go
+++ b/rockbarrow/lease/lease.go
@@ -25,9 +25,10 @@
 // after it wakes. A control instance behind a cut, or in a minority, hears no majority: its c gets older, and so do all
 // leases that rest on it.
 //
-// How it pays. c is at most some 0.7 s old when a control instance replies, and the entry instance's question is
-// at most some 0.6 s old when the next one is answered. An instance that loses control keeps its lease for Within
-// less 1.3 s, which has to be longer than 0.6 of the revocation bound: as long are clients owed an answer.
+// How it pays. Calls are held for 0.3 s and may take 0.25 s more, so that by arithmetic c is at most some 0.6 s old when a
+// control instance replies, and the entry instance's question as old when the next one is answered. An instance that
+// loses control keeps its lease for Within less 1.2 s, which has to be longer than 0.6 of the revocation bound: as long
+// are clients owed an answer.
 package lease
 
 import (
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -99,7 +99,7 @@
 	}
 	if used := c.used(now, k, limit); used > 0 && used+float64(n) > bound {
 		k.refused += uint64(n)
-		return Refused{RetryAfter: c.comeBack(now, k, bound-float64(n), customer.GetRatePerSecond())}
+		return Refused{RetryAfter: c.comeBack(now, k, bound-float64(n), customer.GetRequestsPerSecond())}
 	}
 	k.window.add(now.Sub(c.began), c.Terms.Window, n)
 	return Granted{}
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -41,10 +41,10 @@
 
 // limit returns how many requests of a customer may be let in within the window, or false if there is no bound.
 func (t Terms) limit(c *fleetpb.Customer) (limit float64, ok bool) {
-	if t.Window <= 0 || c.GetRatePerSecond() <= 0 {
+	if t.Window <= 0 || c.GetRequestsPerSecond() <= 0 {
 		return 0, false
 	}
-	return c.GetRatePerSecond()*t.Window.Seconds() + c.GetBurst(), true
+	return c.GetRequestsPerSecond()*t.Window.Seconds() + c.GetBurst(), true
 }
 
 // most returns how many requests under a limit may run at all.
--- a/rockbarrow/routing/customer_change.go
+++ b/rockbarrow/routing/customer_change.go
@@ -22,7 +22,7 @@
 		if err := n.checkCustomer(c, holders); err != nil {
 			return err
 		}
-		bare := &fleetpb.Customer{Name: c.GetName(), Priority: c.GetPriority(), RatePerSecond: c.GetRatePerSecond(), Burst: c.GetBurst()}
+		bare := &fleetpb.Customer{Name: c.GetName(), Priority: c.GetPriority(), RequestsPerSecond: c.GetRequestsPerSecond(), Burst: c.GetBurst()}
 		raw, err := marshal(bare)
 		if err != nil {
 			return err
@@ -63,7 +63,7 @@
 		return &InvalidError{Reason: "a customer has no name"}
 	case n.holders[c.GetName()]:
 		return invalid("it stands there twice")
-	case !(c.GetRatePerSecond() >= 0 && c.GetRatePerSecond() <= mostRequests):
+	case !(c.GetRequestsPerSecond() >= 0 && c.GetRequestsPerSecond() <= mostRequests):
 		return invalid("its rate is not between 0 and 10^9")
 	case !(c.GetBurst() >= 0 && c.GetBurst() <= mostRequests):
 		return invalid("its burst is not between 0 and 10^9")
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -201,12 +201,12 @@
 	go t.loop(c.ctx)
 }
 
-// Confirm returns a moment by which no state newer than s was chosen, as far as the voters have told; own is the number
-// of the state that this instance has accepted itself.
-func (c *Client) Confirm(s *fleetpb.State, own uint64) (at time.Time, ok bool) {
+// Confirm returns a moment by which no state newer than s was chosen, as far as the voters have told. Own is the number
+// of the state that this instance had accepted itself at some time after asked.
+func (c *Client) Confirm(s *fleetpb.State, own uint64, asked time.Time) (at time.Time, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.votes.Heard(c.Self.GetStorage(), own, time.Now())
+	c.votes.Heard(c.Self.GetStorage(), own, asked)
 	return c.votes.Confirm(s)
 }
 
--- a/rockbench/quotas/quotas.go
+++ b/rockbench/quotas/quotas.go
@@ -115,7 +115,7 @@
 func Run(s Scenario, way quota.Way, seed uint64) Result {
 	p := &play{scenario: s, r: rand.New(rand.NewPCG(seed, 3)), now: time.Now(), counter: &quota.Counter{Terms: Terms}}
 	p.began = p.now
-	p.customer = &fleetpb.Customer{Name: "c", RatePerSecond: s.Rate, Burst: s.Burst}
+	p.customer = &fleetpb.Customer{Name: "c", RequestsPerSecond: s.Rate, Burst: s.Burst}
 	p.counter.Begin(p.now.Add(-Terms.Window))
 	for i := range s.Entries {
 		p.instances = append(p.instances, p.newInstance(i, way))
@@ -217,7 +217,7 @@
 			}
 		}
 		if s.Lowered > 0 {
-			p.customer = &fleetpb.Customer{Name: "c", RatePerSecond: s.Lowered, Burst: s.Lowered}
+			p.customer = &fleetpb.Customer{Name: "c", RequestsPerSecond: s.Lowered, Burst: s.Lowered}
 			p.lowered = p.now
 		}
 	case noticed:
@@ -227,14 +227,14 @@
 		for _, t := range p.instances {
 			t.apart = false
 		}
-		p.customer = &fleetpb.Customer{Name: "c", RatePerSecond: s.Rate, Burst: s.Burst}
+		p.customer = &fleetpb.Customer{Name: "c", RequestsPerSecond: s.Rate, Burst: s.Burst}
 		p.lowered = time.Time{}
 	}
 }
 
 // limit is the quota within a window.
 func (p *play) limit() float64 {
-	return p.customer.GetRatePerSecond()*Terms.Window.Seconds() + p.customer.GetBurst()
+	return p.customer.GetRequestsPerSecond()*Terms.Window.Seconds() + p.customer.GetBurst()
 }
 
 func (p *play) request(t *instance) {
--- a/rockctl/customers.go
+++ b/rockctl/customers.go
@@ -28,7 +28,7 @@
 			limit = fmt.Sprintf("%.0f", c.GetLimit())
 		}
 		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%d\t%g\t%g\t%s\n", c.GetName(), c.GetPriority(), c.GetRequests(), limit,
-			c.GetRefused(), c.GetRatePerSecond(), c.GetBurst(), strings.Join(c.GetKeyDigests(), " "))
+			c.GetRefused(), c.GetRequestsPerSecond(), c.GetBurst(), strings.Join(c.GetKeyDigests(), " "))
 	}
 	if n := r.GetLeftOut(); n > 0 {
 		fmt.Fprintf(w, "\n%d customers more\n", n)
