--- a/rockbarrow/controller/customers_test.go
+++ b/rockbarrow/controller/customers_test.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,6 +63,65 @@
 	}
 }
 
+// TestRepliesTellWhatLeasesAndQuotasRestOn: the number of the own vote, which process answers and who was let in.
+func TestRepliesTellWhatLeasesAndQuotasRestOn(t *testing.T) {
+	p := newCore(t)[0]
+	put(t, p, 1, keyedDocument(t, 1))
+	await(t, func() bool { return p.controller.RoutingTable().Customers() == 2 && p.controller.Endpoints() != nil })
+	watch := func(p *place) *fleetpb.WatchReply {
+		r, err := p.controller.Watch(t.Context(), &fleetpb.WatchRequest{Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY, WantsLoads: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	r := watch(p)
+	if r.GetAcceptedNumber() == 0 || r.GetAcceptedNumber() != p.controller.saved.Load().GetState().GetNumber() {
+		t.Errorf("the own vote is told as %d", r.GetAcceptedNumber())
+	}
+	if r.GetCustomers() == nil {
+		t.Error("who was let in is not told")
+	}
+	process := r.GetProcess()
+	if process == 0 || watch(p).GetProcess() != process {
+		t.Error("the process has no name that stays")
+	}
+	p.stop()
+	p.start(nil)
+	if watch(p).GetProcess() == process {
+		t.Error("another process has the same name")
+	}
+}
+
+// TestInstancesThatAreNotHeardKeepTheirShares: of four entry instances one is not heard any more. It may be cut off and let
+// a quarter of each quota in.
+func TestInstancesThatAreNotHeardKeepTheirShares(t *testing.T) {
+	p := newCore(t)[0]
+	p.controller.quotas.Terms = quota.Terms{Window: 1024 * time.Second}
+	p.controller.quotas.Begin(time.Now().Add(-time.Hour))
+	put(t, p, 1, keyedDocument(t, 1))
+	await(t, func() bool { return p.controller.RoutingTable().Customers() == 2 })
+	now := time.Now()
+	for i, heard := range []time.Time{now, now, now, now.Add(-5 * time.Second)} {
+		p.controller.presence.heard(heard, &fleetpb.WatchRequest{Sender: &fleetpb.Member{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}, Role: fleetpb.Role_ROLE_ENTRY, Serves: true})
+	}
+	p.controller.counted.Store(nil)
+	p.controller.headcount(now)
+	granted := 0
+	for range 20 {
+		r, err := p.controller.Admit(t.Context(), &fleetpb.AdmitRequest{Customer: "a", Requests: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.GetGranted() {
+			granted++
+		}
+	}
+	if granted != 7 {
+		t.Errorf("%d of a quota of ten were granted, want three quarters", granted)
+	}
+}
+
 // keyedDocument is a configuration with a customer that may make ten requests within the window.
 func keyedDocument(t *testing.T, version uint64) string {
 	t.Helper()
--- a/rockbarrow/entry/customer_test.go
+++ b/rockbarrow/entry/customer_test.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,14 +45,28 @@
 	return e
 }
 
-// take brings a document into force.
-func (e *Entry) take(t *testing.T, d *fleetpb.Document) {
+// table returns the routing table of a document.
+func table(t *testing.T, d *fleetpb.Document) *routing.Table {
 	t.Helper()
-	table, err := routing.New(d)
+	out, err := routing.New(d)
 	if err != nil {
 		t.Fatal(err)
 	}
-	e.table.Store(table)
+	return out
+}
+
+// take brings a document into force.
+func (e *Entry) take(t *testing.T, d *fleetpb.Document) {
+	t.Helper()
+	e.table.Store(table(t, d))
+}
+
+// offerRoute returns the place of a path's route in the keyed document.
+func offerRoute(path string) int {
+	if strings.HasPrefix(path, "/repeat/") {
+		return 0
+	}
+	return 1
 }
 
 // askAs returns a request under a key, or without one for "".
@@ -109,6 +126,9 @@
 			t.Errorf("%s: %d offers", test.name, len(s.offers))
 		}
 		for _, offer := range s.offers {
+			if want := (&exchange{customer: table(t, keyed(2)).CustomerNamed(test.customer), route: keyed(2).Routes[offerRoute(test.path)]}).endpointPriority(); offer.Priority != want {
+				t.Errorf("%s: offered with priority %d, want %d", test.name, offer.Priority, want)
+			}
 			if offer.Customer != test.customer || !offer.HideKey {
 				t.Errorf("%s: offered as customer %q, key hidden %v", test.name, offer.Customer, offer.HideKey)
 			}
@@ -239,3 +259,114 @@
 		}
 	}
 }
+
+// TestALimiterKnowsWhoseRequestItIs: without that it could neither share among customers nor put one before another.
+func TestALimiterKnowsWhoseRequestItIs(t *testing.T) {
+	x := &exchange{
+		request: ask("/turn/1"), route: &fleetpb.Route{Priority: 1}, customer: &fleetpb.Customer{Name: "a", Priority: 2, RequestsPerSecond: 7},
+	}
+	if got := x.arrival(); got.Customer != "a" || got.Weight != 7 || got.Priority != x.priority() || got.Priority == 1 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// asking returns an entry whose control instance answers questions about quotas by a function.
+func asking(t *testing.T, s *fakeSender, answer func(*fleetpb.AdmitRequest) *fleetpb.AdmitReply) *Entry {
+	e := newKeyed(t, s)
+	d := keyed(2)
+	d.Customers[0].RequestsPerSecond = 10
+	e.take(t, d)
+	e.Quota = &quota.Limiter{
+		Terms: quota.Terms{Window: 5 * time.Second}, Way: quota.Central{}, Entries: func() int { return 1 },
+		Ask: func(_ context.Context, req *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
+			return "control", answer(req), nil
+		},
+	}
+	return e
+}
+
+// TestOnlyFirstTurnsBeginPrograms: they alone leave room to others. A refusal tells when there is room.
+func TestOnlyFirstTurnsBeginPrograms(t *testing.T) {
+	const after = 700 * time.Millisecond
+	for name, test := range map[string]struct {
+		path, previous, event string
+		want                  bool
+	}{
+		"a first turn":       {"/turn/1", "", "", true},
+		"a later turn":       {"/turn/1", "t0", "", false},
+		"a tool":             {"/once/1", "", "", false},
+		"a stream goes on":   {"/plain/1", "", "7", false},
+		"a stream of itself": {"/plain/1", "", "", true},
+	} {
+		asked := 0
+		e := asking(t, &fakeSender{}, func(req *fleetpb.AdmitRequest) *fleetpb.AdmitReply {
+			asked++
+			if req.GetNewProgram() != test.want || req.GetCustomer() != "a" || req.GetRequests() != 1 {
+				t.Errorf("%s: asked %v", name, req)
+			}
+			return &fleetpb.AdmitReply{RetryAfterMs: uint64(after.Milliseconds())}
+		})
+		d := streams()
+		d.Customers = keyed(2).Customers
+		d.Customers[0].RequestsPerSecond = 10
+		for _, r := range d.Routes {
+			r.Keyed = true
+		}
+		d.Version = 2
+		e.take(t, d)
+		r := askAs("ka", test.path)
+		r.Previous, r.LastEvent = test.previous, test.event
+		o, ok := e.Serve(t.Context(), r, &fakeOut{}).(Refused)
+		if asked != 1 || !ok || o.Status != http.StatusTooManyRequests || o.RetryAfter != after {
+			t.Errorf("%s: %+v after %d questions", name, o, asked)
+		}
+	}
+}
+
+// TestARetryIsCharged: a request that may have run at one endpoint and runs at another one counts twice.
+func TestARetryIsCharged(t *testing.T) {
+	s := &fakeSender{answers: []func(Offer) (*Answer, error){broken, answers(200, "ok")}}
+	e := newKeyed(t, s)
+	d := keyed(2)
+	d.Customers[0].RequestsPerSecond, d.Customers[0].Burst = 0.1, 2.5
+	e.take(t, d)
+	e.Quota = &quota.Limiter{Terms: quota.Terms{Window: 5 * time.Second}, Way: quota.Even{}, Entries: func() int { return 1 }}
+	for i, want := range []int{200, 200, http.StatusTooManyRequests} {
+		out := &fakeOut{}
+		if o := e.Serve(t.Context(), askAs("ka", "/repeat/1"), out); statusOf(o, out) != want {
+			t.Errorf("request %d of a quota of three runs: %+v, want %d", i+1, o, want)
+		}
+	}
+}
+
+// TestATurnIsItsCustomers: the record of a turn says whose it is, so that another instance lets only that customer go on.
+func TestATurnIsItsCustomers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		serve := func(secret, id, previous string) int {
+			e := newStreamEntry(t, view, senderFunc(func(context.Context, Offer) (*Answer, error) {
+				return &Answer{Status: 200, Header: http.Header{}, Length: -1, Body: io.NopCloser(strings.NewReader(events(1, 3)))}, nil
+			}))
+			d := streams()
+			d.Version, d.Customers = 2, keyed(2).Customers
+			for _, r := range d.Routes {
+				r.Keyed = true
+			}
+			e.take(t, d)
+			e.Lease = &lease.Lease{}
+			r := turnOf("k", id, "p", 1000)
+			r.Key, r.HasKey, r.Previous = routing.KeyOf(secret), true, previous
+			out := &fakeOut{}
+			return statusOf(e.Serve(t.Context(), r, out), out)
+		}
+		if got := serve("ka", "1", ""); got != 200 {
+			t.Fatalf("the first turn: %d", got)
+		}
+		if got := serve("kb", "2", "1"); got != http.StatusNotFound {
+			t.Errorf("another customer goes on: %d", got)
+		}
+		if got := serve("ka", "3", "1"); got != 200 {
+			t.Errorf("its own customer goes on: %d", got)
+		}
+	})
+}
--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -140,14 +140,7 @@
 	if !x.way.streamed || x.service.GetSlots() == 0 {
 		return func() {}, nil
 	}
-	r := x.request
-	spent := time.Since(r.Arrived)
-	leave, act := x.entry.gates.of(x.service.GetName()).enter(ctx, x.places, limiter.Arrived{
-		Underway: r.Previous != "" || x.last.ID != "" || r.LastEvent != "",
-		Left:     r.Finish - spent, Timed: r.HasFinish,
-		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientWaits() - spent,
-		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRequestsPerSecond(),
-	})
+	leave, act := x.entry.gates.of(x.service.GetName()).enter(ctx, x.places, x.arrival())
 	if leave != nil {
 		return leave, nil
 	}
@@ -157,6 +150,18 @@
 	return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: later, Reason: "no place at an endpoint within its time"}
 }
 
+// arrival is the request as its limiter sees it.
+func (x *exchange) arrival() limiter.Arrived {
+	r := x.request
+	spent := time.Since(r.Arrived)
+	return limiter.Arrived{
+		Underway: r.Previous != "" || x.last.ID != "" || r.LastEvent != "",
+		Left:     r.Finish - spent, Timed: r.HasFinish,
+		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientWaits() - spent,
+		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRequestsPerSecond(),
+	}
+}
+
 // clientWaits is how long the client waits for the first event, from its arrival on.
 func (x *exchange) clientWaits() time.Duration {
 	whole := x.deadline.Sub(x.request.Arrived)
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -267,6 +267,97 @@
 	}
 }
 
+// lone is a limiter whose questions are counted and answered by a function.
+type lone struct {
+	*Limiter
+	asked int
+}
+
+func newLone(answer func(*fleetpb.AdmitRequest) *fleetpb.AdmitReply) *lone {
+	l := &lone{}
+	l.Limiter = &Limiter{Terms: terms, Instance: "e", Entries: func() int { return 1 }, Ask: func(_ context.Context, req *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
+		l.asked++
+		return "control", answer(req), nil
+	}}
+	return l
+}
+
+func granted(*fleetpb.AdmitRequest) *fleetpb.AdmitReply { return &fleetpb.AdmitReply{Granted: true} }
+
+func refused(*fleetpb.AdmitRequest) *fleetpb.AdmitReply {
+	return &fleetpb.AdmitReply{RetryAfterMs: 5000}
+}
+
+// TestOldNewsGiveNoShares: an instance that hears nothing any more asks for each request.
+func TestOldNewsGiveNoShares(t *testing.T) {
+	k, l, c := newClock(), newLone(granted), customer(353, 353)
+	l.Hear(k.now, nil)
+	l.Admit(t.Context(), k.now, c, false)
+	if l.asked != 0 {
+		t.Fatal("fresh news gave no share")
+	}
+	k.pass(newsFor + time.Millisecond)
+	l.Admit(t.Context(), k.now, c, false)
+	if l.asked != 1 {
+		t.Errorf("%d questions under old news", l.asked)
+	}
+}
+
+// TestNewProgramsHaveNoSharesNearTheLimit: whether there is room for one is for who counts all.
+func TestNewProgramsHaveNoSharesNearTheLimit(t *testing.T) {
+	k, l, c := newClock(), newLone(granted), customer(353, 353)
+	limit, _ := terms.limit(c)
+	l.Hear(k.now, []*fleetpb.CustomerCount{{Customer: "c", Requests: uint32(0.95 * limit)}})
+	l.Admit(t.Context(), k.now, c, false)
+	if l.asked != 0 {
+		t.Fatal("a turn of a program under way had no share")
+	}
+	l.Admit(t.Context(), k.now, c, true)
+	if l.asked != 1 {
+		t.Errorf("%d questions for a new program near the limit", l.asked)
+	}
+}
+
+// TestARefusalIsRepeatedForAWhile: without another question, and a new program's says nothing of programs under way.
+func TestARefusalIsRepeatedForAWhile(t *testing.T) {
+	for _, newProgram := range []bool{true, false} {
+		k, l, c := newClock(), newLone(refused), customer(3, 3)
+		if r, ok := l.Admit(t.Context(), k.now, c, newProgram).(Refused); !ok || r.RetryAfter != 5*time.Second {
+			t.Errorf("refused with %+v", r)
+		}
+		k.pass(blockFor / 2)
+		if _, ok := l.Admit(t.Context(), k.now, c, newProgram).(Refused); !ok || l.asked != 1 {
+			t.Errorf("new %v: %d questions after a refusal", newProgram, l.asked)
+		}
+		l.Admit(t.Context(), k.now, c, !newProgram)
+		if want := map[bool]int{true: 2, false: 1}[newProgram]; l.asked != want {
+			t.Errorf("new %v: %d questions with one of the other kind, want %d", newProgram, l.asked, want)
+		}
+		k.pass(blockFor)
+		l.Admit(t.Context(), k.now, c, newProgram)
+		if want := map[bool]int{true: 3, false: 2}[newProgram]; l.asked != want {
+			t.Errorf("new %v: %d questions once the refusal is over, want %d", newProgram, l.asked, want)
+		}
+	}
+}
+
+// TestWhatIsGivenBackLastsShortly: it lets one request in, and none later than the window allows to.
+func TestWhatIsGivenBackLastsShortly(t *testing.T) {
+	k, l, c := newClock(), newLone(refused), customer(3, 3)
+	l.Return(k.now, c)
+	if _, ok := l.Admit(t.Context(), k.now, c, false).(Granted); !ok || l.asked != 0 {
+		t.Error("what was given back lets nobody in")
+	}
+	if _, ok := l.Admit(t.Context(), k.now, c, false).(Refused); !ok {
+		t.Error("it lets two in")
+	}
+	l.Return(k.now, c)
+	k.pass(backFor)
+	if _, ok := l.Admit(t.Context(), k.now, c, false).(Refused); !ok {
+		t.Error("it lets somebody in late")
+	}
+}
+
 // BenchmarkAdmit is a request's part where nobody is asked, of 1,000 customers.
 func BenchmarkAdmit(b *testing.B) {
 	limiter := &Limiter{Terms: terms, Way: Even{}, Instance: "e", Entries: func() int { return 1 }}
--- a/rockbarrow/routing/customers_test.go
+++ b/rockbarrow/routing/customers_test.go
@@ -94,14 +94,7 @@
 			d = proto.Clone(d).(*fleetpb.Document)
 			d.Version++
 			changedCustomers(r, d)
-			next, change, err := control.Next(d)
-			if err != nil {
-				t.Fatalf("seed %d: %v", seed, err)
-			}
-			followed, err := apply(t, entry, change)
-			if err != nil {
-				t.Fatalf("seed %d: %v", seed, err)
-			}
+			next, followed := follow(t, seed, control, entry, d)
 			fresh, err := New(d)
 			if err != nil {
 				t.Fatal(err)
--- a/rockbarrow/routing/update_test.go
+++ b/rockbarrow/routing/update_test.go
@@ -72,6 +72,19 @@
 	return nil, errors.New("the last part is missing")
 }
 
+// follow returns the tables of control and of an entry instance that follow under a document.
+func follow(t *testing.T, seed uint64, control, entry *Table, d *fleetpb.Document) (next, followed *Table) {
+	t.Helper()
+	next, change, err := control.Next(d)
+	if err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	if followed, err = apply(t, entry, change); err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	return next, followed
+}
+
 // slow is what a request's route is by the definition: of all routes.
 func slow(d *fleetpb.Document, host, path string) *fleetpb.Route {
 	find := func(host string) (best *fleetpb.Route, known bool) {
@@ -115,15 +128,8 @@
 		}
 		for range 15 {
 			d = changed(r, d)
-			next, change, err := control.Next(d)
-			if err != nil {
-				t.Fatal(err)
-			}
 			before := entry.Digest()
-			followed, err := apply(t, entry, change)
-			if err != nil {
-				t.Fatalf("seed %d: %v", seed, err)
-			}
+			next, followed := follow(t, seed, control, entry, d)
 			if !bytes.Equal(entry.Digest(), before) || entry.Version() == followed.Version() {
 				t.Fatal("the table before was altered")
 			}
