--- a/rockbarrow/stores/hedge_test.go
+++ b/rockbarrow/stores/hedge_test.go
@@ -63,6 +63,8 @@
 type script struct {
 	after time.Duration
 	err   error
+	// refused goes with an answer that is no error.
+	refused fleetpb.StoreStatus_Refused
 }
 
 // gathered returns how long it takes until three of five stores have answered, and who was asked.
@@ -80,7 +82,7 @@
 					s.after = usual
 				}
 				time.Sleep(s.after)
-				return nil, &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1}, s.err
+				return nil, &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1, Refused: s.refused}, s.err
 			},
 			func(*fleetpb.SettleReply) {})
 		took = time.Since(begun)
@@ -107,7 +109,8 @@
 	}{
 		{"as usual", nil, usual, 3},
 		{"one of the first is slow", map[int]script{1: {after: 100 * time.Millisecond}}, hedgeAfter + usual, 5},
-		{"one refuses at once", map[int]script{1: {err: errors.New("its disk is full")}}, usual, 5},
+		{"one answers that it does not write", map[int]script{1: {refused: fleetpb.StoreStatus_REFUSED_DISK}}, usual, 5},
+		{"one fails at once", map[int]script{1: {err: errors.New("its disk is full")}}, usual, 5},
 		{"two are slow", map[int]script{0: {after: 100 * time.Millisecond}, 2: {after: 100 * time.Millisecond}}, hedgeAfter + usual, 5},
 		{"one of the others is slow", map[int]script{4: {after: 100 * time.Millisecond}}, usual, 3},
 	}
