catalog: lists of endpoints as versions that share what they have in common

Cause: each new list was sent as a difference of its whole document, unpacked, hashed and indexed as a whole at every instance. Not in use yet.

--- /dev/null
+++ b/rockbarrow/catalog/list.go
@@ -0,0 +1,163 @@
+// SPDX-License-Identifier: MIT
+
+package catalog
+
+import (
+	"encoding/binary"
+	"slices"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// List is one version of the list of endpoints.
+type List struct {
+	// list is ordered by id without duplicates.
+	list *fleetpb.EndpointList
+	// sum is the sum of the checksums of all endpoints.
+	sum uint64
+}
+
+// New makes a list of endpoints in any order. Of two with one id the first one counts.
+func New(l *fleetpb.EndpointList) *List {
+	endpoints := l.GetEndpoints()
+	if !slices.IsSortedFunc(endpoints, byID) {
+		endpoints = slices.Clone(endpoints)
+		slices.SortStableFunc(endpoints, byID)
+	}
+	if hasDuplicates(endpoints) {
+		endpoints = slices.CompactFunc(slices.Clone(endpoints), func(a, b *fleetpb.Endpoint) bool { return a.GetId() == b.GetId() })
+	}
+	out := &List{list: &fleetpb.EndpointList{Number: l.GetNumber(), Endpoints: endpoints}}
+	for _, e := range endpoints {
+		out.sum += checksum(e)
+	}
+	return out
+}
+
+func byID(a, b *fleetpb.Endpoint) int { return strings.Compare(a.GetId(), b.GetId()) }
+
+func hasDuplicates(sorted []*fleetpb.Endpoint) bool {
+	for i := 1; i < len(sorted); i++ {
+		if sorted[i].GetId() == sorted[i-1].GetId() {
+			return true
+		}
+	}
+	return false
+}
+
+// List returns the list in the form of messages, nil if l is nil.
+func (l *List) List() *fleetpb.EndpointList {
+	if l == nil {
+		return nil
+	}
+	return l.list
+}
+
+// Number returns the number of the version, zero if l is nil.
+func (l *List) Number() uint64 { return l.List().GetNumber() }
+
+// Sum returns the checksum, zero if l is nil.
+func (l *List) Sum() uint64 {
+	if l == nil {
+		return 0
+	}
+	return l.sum
+}
+
+// Index returns the position of an endpoint.
+func (l *List) Index(id string) (int, bool) {
+	return slices.BinarySearchFunc(l.List().GetEndpoints(), id, func(e *fleetpb.Endpoint, id string) int {
+		return strings.Compare(e.GetId(), id)
+	})
+}
+
+// checksum covers all fields of an endpoint.
+func checksum(e *fleetpb.Endpoint) uint64 {
+	var h xxhash.Digest
+	h.Reset()
+	for _, s := range []string{e.GetId(), e.GetService(), e.GetAddress(), e.GetFailureDomain()} {
+		var length [4]byte
+		binary.BigEndian.PutUint32(length[:], uint32(len(s)))
+		h.Write(length[:])
+		h.WriteString(s)
+	}
+	var rest [13]byte
+	binary.BigEndian.PutUint32(rest[:], e.GetSlots())
+	binary.BigEndian.PutUint64(rest[4:], e.GetBornMs())
+	if e.GetDraining() {
+		rest[12] = 1
+	}
+	h.Write(rest[:])
+	return h.Sum64()
+}
+
+// equal reports whether two endpoints have the same fields.
+func equal(a, b *fleetpb.Endpoint) bool {
+	return a == b || a.GetId() == b.GetId() && a.GetService() == b.GetService() && a.GetAddress() == b.GetAddress() &&
+		a.GetFailureDomain() == b.GetFailureDomain() && a.GetSlots() == b.GetSlots() && a.GetDraining() == b.GetDraining() &&
+		a.GetBornMs() == b.GetBornMs()
+}
+
+// Compare calls visit for each endpoint that differs between two lists, in the order of ids: before is nil for one that
+// is new, after for one that is gone.
+func Compare(from, to *List, visit func(before, after *fleetpb.Endpoint)) {
+	a, b := from.List().GetEndpoints(), to.List().GetEndpoints()
+	for len(a) > 0 && len(b) > 0 {
+		if a[0] == b[0] {
+			a, b = a[1:], b[1:]
+			continue
+		}
+		switch order := byID(a[0], b[0]); {
+		case order < 0:
+			visit(a[0], nil)
+			a = a[1:]
+		case order > 0:
+			visit(nil, b[0])
+			b = b[1:]
+		default:
+			if !equal(a[0], b[0]) {
+				visit(a[0], b[0])
+			}
+			a, b = a[1:], b[1:]
+		}
+	}
+	for _, e := range a {
+		visit(e, nil)
+	}
+	for _, e := range b {
+		visit(nil, e)
+	}
+}
+
+// Same reports whether two lists have the same endpoints, whatever their numbers.
+func Same(a, b *List) bool {
+	same := a.Sum() == b.Sum()
+	if same {
+		Compare(a, b, func(_, _ *fleetpb.Endpoint) { same = false })
+	}
+	return same
+}
+
+// Sharing returns l with the endpoints that it has in common with another list taken from there, so that the two need
+// little more memory than one.
+func (l *List) Sharing(o *List) *List {
+	a, b := slices.Clone(l.List().GetEndpoints()), o.List().GetEndpoints()
+	for i, j := 0, 0; i < len(a) && j < len(b); {
+		switch order := byID(a[i], b[j]); {
+		case order < 0:
+			i++
+		case order > 0:
+			j++
+		default:
+			if equal(a[i], b[j]) {
+				a[i] = b[j]
+			}
+			i++
+			j++
+		}
+	}
+	return &List{list: &fleetpb.EndpointList{Number: l.Number(), Endpoints: a}, sum: l.sum}
+}
