--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/rockbarrow/quota"
@@ -86,8 +87,14 @@
 	listing sync.Mutex
 	tables  tables
 	counted atomic.Pointer[headcount]
-	// listed is the newest list that was told to anyone.
+	// lists makes the changes of lists that others need.
+	lists catalog.History
+	// listed is the newest list that was told to an instance of version 0.3.0 or older.
 	listed atomic.Pointer[document.List]
+	// made are the numbers of the newest state and list that were made here, and not learned from others.
+	madeState, madeList atomic.Uint64
+	// reach is which control instances were heard lately.
+	reach atomic.Pointer[fleetpb.Reach]
 
 	// voting serializes the acceptor and its disk, which may stall for seconds.
 	voting   sync.Mutex
@@ -124,9 +131,11 @@
 	c.disk = disk
 	c.tables.init(c)
 	c.lives.controller = c
+	c.reach.Store(&fleetpb.Reach{FailureDomains: []string{c.Self.GetFailureDomain()}, AllRelay: true})
 	c.watch = &watch.Client{
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
 		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
+		Relayed:   c.relayed,
 		Documents: document.Cache{Keep: keptDocuments, Log: c.Log},
 		Lists:     document.Cache{Keep: keptDocuments, Log: c.Log},
 	}
@@ -155,6 +164,7 @@
 // Run does the instance's duties until ctx ends and no vote is under way any more.
 func (c *Controller) Run(ctx context.Context) {
 	go c.watch.Run(ctx)
+	go c.runReach(ctx)
 	go c.runLearning(ctx)
 	if c.Decode != nil {
 		go c.tables.loop(ctx)
@@ -234,6 +244,7 @@
 		if s.GetNumber() == 0 {
 			return nil, &UnavailableError{Cause: errors.New("the voters have no value yet")}
 		}
+		raise(&c.madeState, s.GetNumber())
 		c.watch.Offer(s)
 		return s, nil
 	}
@@ -259,9 +270,12 @@
 }
 
 // sawRound raises the newest round met.
-func (c *Controller) sawRound(round uint64) {
-	for old := c.round.Load(); old < round; old = c.round.Load() {
-		if c.round.CompareAndSwap(old, round) {
+func (c *Controller) sawRound(round uint64) { raise(&c.round, round) }
+
+// raise makes a number at least n.
+func raise(number *atomic.Uint64, n uint64) {
+	for old := number.Load(); old < n; old = number.Load() {
+		if number.CompareAndSwap(old, n) {
 			return
 		}
 	}
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -194,7 +194,7 @@
 // settled reports whether no store has come for a while, so that the first view
 // holds them all.
 func (d *duties) settled(now time.Time) bool {
-	n := len(d.controller.presence.of(now, fleetpb.Role_ROLE_STORE, membership.PresentWithin))
+	n := len(d.controller.presence.members(now, fleetpb.Role_ROLE_STORE, membership.PresentWithin))
 	if n != d.known {
 		d.known, d.lastJoin = n, now
 	}
--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -33,6 +33,8 @@
 	// askTick is how often questions are looked for, and what was answered told on: together, since each
 	// new list goes to all instances.
 	askTick = 100 * time.Millisecond
+	// tellEvery is how often answers are told while more are to come: after a start all endpoints are asked.
+	tellEvery = time.Second
 	// mostAsked bounds the questions under way; each takes some 10 ms.
 	mostAsked = 8
 )
@@ -49,8 +51,11 @@
 	questions map[string]*question
 	// asked counts the questions under way.
 	asked int
-	// answered is true if something was answered that no list tells yet.
+	// answered is true if something was answered that no list tells yet, and told is when answers were told last.
 	answered bool
+	told     time.Time
+	// more is true while more questions are due than are asked at once.
+	more bool
 	// untold is true once an endpoint was met that tells no start.
 	untold bool
 }
@@ -84,8 +89,11 @@
 	out := make([]*fleetpb.Endpoint, 0, len(reading))
 	for _, read := range reading {
 		present, _ := l.present.Take(now, life.Life{ID: read.GetId()})
-		e := proto.CloneOf(read)
-		e.BornMs = present.BornMS
+		e := read
+		if e.GetBornMs() != present.BornMS {
+			e = proto.CloneOf(read)
+			e.BornMs = present.BornMS
+		}
 		out = append(out, e)
 		q := before[e.GetId()]
 		if q == nil {
@@ -151,10 +159,10 @@
 // loop asks what is due and tells what was answered, until ctx ends.
 func (l *lives) loop(ctx context.Context) {
 	for wait.For(ctx, askTick) {
-		if l.tell() {
+		now := time.Now()
+		if l.tell(now) {
 			l.controller.nameAgain()
 		}
-		now := time.Now()
 		if l.controller.rank(now) != 0 {
 			continue
 		}
@@ -165,12 +173,14 @@
 }
 
 // tell reports whether there is something to tell, once.
-func (l *lives) tell() bool {
+func (l *lives) tell(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	answered := l.answered
-	l.answered = false
-	return answered
+	if !l.answered || l.more && now.Sub(l.told) < tellEvery {
+		return false
+	}
+	l.answered, l.told = false, now
+	return true
 }
 
 // take returns the questions to ask now.
@@ -178,13 +188,15 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var out []*question
+	l.more = false
 	for _, q := range l.questions {
-		if l.asked == mostAsked {
-			break
-		}
 		if q.underway || q.due.IsZero() || now.Before(q.due) {
 			continue
 		}
+		if l.asked == mostAsked {
+			l.more = true
+			break
+		}
 		if now.Sub(q.last) > calmAfter {
 			q.pause = askPause
 		}
@@ -263,5 +275,5 @@
 		return
 	}
 	named := c.lives.name(time.Now(), known.List(), known.List().GetEndpoints())
-	c.watch.OfferList(c.numberList(known.List(), named), known.At())
+	c.offerList(c.numberList(known.Version(), named), known.At())
 }
--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -4,9 +4,11 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -25,20 +27,24 @@
 	forgottenOutcomes = 0.01
 )
 
-// loads is what entry instances have reported of endpoints. The zero value is ready.
+// loads is what entry instances have reported of endpoints, here or to another control instance that relays it. The zero
+// value is ready.
 type loads struct {
-	mu      sync.Mutex
-	entries map[string]*entryLoad
+	mu sync.Mutex
+	// reporters are entry instances, and control instances with the sums of their followers.
+	reporters map[string]*report
 	// running sums the calls under way by endpoint; it always equals the sum over
-	// entries.
+	// reporters.
 	running  map[life.Life]uint32
 	outcomes map[life.Life]*outcomes
 }
 
-// entryLoad is one entry instance's last report.
-type entryLoad struct {
+// report is one instance's last report.
+type report struct {
 	heard   time.Time
 	running map[life.Life]uint32
+	// relay is true if the reporter is an entry instance that reports to no other control instance.
+	relay bool
 }
 
 // outcomes counts how calls at one endpoint ended, older ones with less weight.
@@ -47,52 +53,93 @@
 	at               time.Time
 }
 
-// heard takes a report.
-func (l *loads) heard(now time.Time, entry string, uses []*fleetpb.EndpointUse) {
+// heard takes a report of an entry instance. Relay is true if it reports to no other control instance.
+func (l *loads) heard(now time.Time, entry string, uses []*fleetpb.EndpointUse, relay bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.entries == nil {
-		l.entries, l.running, l.outcomes = map[string]*entryLoad{}, map[life.Life]uint32{}, map[life.Life]*outcomes{}
+	l.take(now, entry, uses, relay)
+	l.end(now, uses)
+}
+
+// heardRelayed takes the sums of the followers of another control instance, and those of their calls that ended.
+func (l *loads) heardRelayed(now time.Time, control string, running, ended []*fleetpb.EndpointUse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.take(now, control, running, false)
+	l.end(now, ended)
+}
+
+// take replaces an instance's calls under way; the caller holds mu.
+func (l *loads) take(now time.Time, reporter string, uses []*fleetpb.EndpointUse, relay bool) {
+	if l.reporters == nil {
+		l.reporters, l.running, l.outcomes = map[string]*report{}, map[life.Life]uint32{}, map[life.Life]*outcomes{}
 	}
-	l.drop(entry)
-	e := &entryLoad{heard: now, running: map[life.Life]uint32{}}
-	l.entries[entry] = e
+	l.drop(reporter)
+	r := &report{heard: now, running: map[life.Life]uint32{}, relay: relay}
+	l.reporters[reporter] = r
 	for _, u := range uses {
-		of := life.Life{ID: u.GetEndpoint(), BornMS: u.GetBornMs()}
 		if n := u.GetRunning(); n > 0 {
-			e.running[of] = n
+			of := lifeOfUse(u)
+			r.running[of] += n
 			l.running[of] += n
 		}
-		if u.GetAnswered() > 0 || u.GetFailed() > 0 {
-			l.ended(now, of, u)
+	}
+}
+
+func lifeOfUse(u *fleetpb.EndpointUse) life.Life {
+	return life.Life{ID: u.GetEndpoint(), BornMS: u.GetBornMs()}
+}
+
+// direct returns the calls under way of the followers whose reports this instance relays.
+func (l *loads) direct() []*fleetpb.EndpointUse {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	sums := map[life.Life]uint32{}
+	for _, r := range l.reporters {
+		if r.relay {
+			for of, n := range r.running {
+				sums[of] += n
+			}
 		}
 	}
+	out := make([]*fleetpb.EndpointUse, 0, len(sums))
+	for of, n := range sums {
+		out = append(out, &fleetpb.EndpointUse{Endpoint: of.ID, BornMs: of.BornMS, Running: n})
+	}
+	return out
 }
 
-// drop takes an entry instance's calls off the sums.
-func (l *loads) drop(entry string) {
-	e := l.entries[entry]
-	if e == nil {
+// drop takes an instance's calls off the sums.
+func (l *loads) drop(reporter string) {
+	r := l.reporters[reporter]
+	if r == nil {
 		return
 	}
-	for endpoint, n := range e.running {
+	for endpoint, n := range r.running {
 		l.running[endpoint] -= n
 		if l.running[endpoint] == 0 {
 			delete(l.running, endpoint)
 		}
 	}
-	delete(l.entries, entry)
+	delete(l.reporters, reporter)
 }
 
-func (l *loads) ended(now time.Time, of life.Life, u *fleetpb.EndpointUse) {
-	o := l.outcomes[of]
-	if o == nil {
-		o = &outcomes{at: now}
-		l.outcomes[of] = o
+// end counts ended calls; the caller holds mu.
+func (l *loads) end(now time.Time, uses []*fleetpb.EndpointUse) {
+	for _, u := range uses {
+		if u.GetAnswered() == 0 && u.GetFailed() == 0 {
+			continue
+		}
+		of := lifeOfUse(u)
+		o := l.outcomes[of]
+		if o == nil {
+			o = &outcomes{at: now}
+			l.outcomes[of] = o
+		}
+		o.decay(now)
+		o.answered += float64(u.GetAnswered())
+		o.failed += float64(u.GetFailed())
 	}
-	o.decay(now)
-	o.answered += float64(u.GetAnswered())
-	o.failed += float64(u.GetFailed())
 }
 
 func (o *outcomes) decay(now time.Time) {
@@ -111,9 +158,9 @@
 func (l *loads) forget(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for entry, e := range l.entries {
-		if now.Sub(e.heard) > loadsWithin {
-			l.drop(entry)
+	for name, r := range l.reporters {
+		if now.Sub(r.heard) > loadsWithin {
+			l.drop(name)
 		}
 	}
 	for endpoint, o := range l.outcomes {
@@ -124,40 +171,85 @@
 	}
 }
 
-// of returns what an entry instance should know of the endpoints of a list: the
-// calls of the others, and how calls ended.
-func (l *loads) of(now time.Time, entry string, list *fleetpb.EndpointList) *fleetpb.EndpointLoads {
+// load is what is known of one endpoint of a list.
+type load struct {
+	index   int
+	running uint32
+	ended   outcomes
+}
+
+// of returns what an entry instance should know of the endpoints of a list: the calls of the others, and how calls ended.
+// A sparse answer leaves out the endpoints without either.
+func (l *loads) of(now time.Time, entry string, list *catalog.List, sparse bool) *fleetpb.EndpointLoads {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := len(list.GetEndpoints())
-	out := &fleetpb.EndpointLoads{
-		ListNumber: list.GetNumber(), Running: make([]uint32, n), Failing: make([]uint32, n),
+	known := l.known(now, entry, list)
+	out := &fleetpb.EndpointLoads{ListNumber: list.Number(), Sparse: sparse}
+	if !sparse {
+		n := len(list.List().GetEndpoints())
+		out.Running, out.Failing = make([]uint32, n), make([]uint32, n)
+		for _, k := range known {
+			out.Running[k.index], out.Failing[k.index] = k.running, k.ended.failing()
+		}
+		return out
 	}
-	var own map[life.Life]uint32
-	if e := l.entries[entry]; e != nil {
-		own = e.running
-	}
-	for i, p := range list.GetEndpoints() {
-		var ended outcomes
-		for _, of := range spokenOf(p) {
-			out.Running[i] += l.running[of] - own[of]
-			if o := l.outcomes[of]; o != nil {
-				o.decay(now)
-				ended.answered += o.answered
-				ended.failed += o.failed
-			}
+	for _, k := range known {
+		if failing := k.ended.failing(); k.running > 0 || failing > 0 {
+			out.Index = append(out.Index, uint32(k.index))
+			out.Running = append(out.Running, k.running)
+			out.Failing = append(out.Failing, failing)
 		}
-		out.Failing[i] = ended.failing()
 	}
 	return out
 }
 
-// spokenOf returns under which names instances tell of an endpoint: its life and, while they do not know that, its
+// known returns what is known of the endpoints of a list, in their order; the caller holds mu. It costs as much as is
+// known, whatever the length of the list.
+func (l *loads) known(now time.Time, entry string, list *catalog.List) []load {
+	var own map[life.Life]uint32
+	if r := l.reporters[entry]; r != nil {
+		own = r.running
+	}
+	out := make([]load, 0, len(l.running)+len(l.outcomes))
+	for of, n := range l.running {
+		if i, ok := position(list, of); ok {
+			out = append(out, load{index: i, running: n - own[of]})
+		}
+	}
+	for of, o := range l.outcomes {
+		if i, ok := position(list, of); ok {
+			o.decay(now)
+			out = append(out, load{index: i, ended: *o})
+		}
+	}
+	slices.SortFunc(out, func(a, b load) int { return a.index - b.index })
+	return joined(out)
+}
+
+// joined adds up what is known of the same endpoint, in place.
+func joined(sorted []load) []load {
+	n := 0
+	for _, k := range sorted {
+		if n > 0 && sorted[n-1].index == k.index {
+			last := &sorted[n-1]
+			last.running += k.running
+			last.ended.answered += k.ended.answered
+			last.ended.failed += k.ended.failed
+			continue
+		}
+		sorted[n] = k
+		n++
+	}
+	return sorted[:n]
+}
+
+// position returns where a list has a life: under its id and start or, while instances do not know the start, under its
 // id alone. What they tell of older lives does not count.
-func spokenOf(p *fleetpb.Endpoint) []life.Life {
-	of := life.Life{ID: p.GetId(), BornMS: p.GetBornMs()}
-	if of.BornMS == 0 {
-		return []life.Life{of}
+func position(list *catalog.List, of life.Life) (int, bool) {
+	i, ok := list.Index(of.ID)
+	if !ok {
+		return 0, false
 	}
-	return []life.Life{of, {ID: of.ID}}
+	born := list.List().GetEndpoints()[i].GetBornMs()
+	return i, of.BornMS == 0 || of.BornMS == born
 }
--- a/rockbarrow/controller/news.go
+++ b/rockbarrow/controller/news.go
@@ -4,8 +4,12 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/rockbarrow/membership"
 	"rockbarrow.dev/schema/fleetpb"
@@ -13,31 +17,49 @@
 
 // Watch answers with what is newer than the sender knows, or waits for it.
 func (c *Controller) Watch(ctx context.Context, req *fleetpb.WatchRequest) (*fleetpb.WatchReply, error) {
-	c.presence.heard(time.Now(), req)
-	c.sawList(req.GetListNumber())
-	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
-		c.loads.heard(time.Now(), req.GetSender().GetInstance(), req.GetUses())
-		c.lives.doubt(time.Now(), req.GetUses())
-		c.quotas.Heard(time.Now(), req.GetCustomerUses())
-	}
+	acknowledged := c.received(time.Now(), req)
 	wait := time.NewTimer(time.Duration(req.GetWaitMs()) * time.Millisecond)
 	defer wait.Stop()
-	for {
+	majority := c.reach.Load().GetMajority()
+	for first := true; ; first = false {
 		news := c.newsChannel()
-		if c.hasNews(req) || req.GetUnconfirmed() && c.confirmed() != nil {
-			return c.reply(req), nil
+		if c.hasUpdate(req, first) || req.GetUnconfirmed() && c.confirmed() != nil || c.reach.Load().GetMajority() != majority {
+			return c.reply(req, acknowledged), nil
 		}
 		select {
 		case <-news:
 		case <-c.confirmations(req):
 		case <-wait.C:
-			return c.reply(req), nil
+			return c.reply(req, acknowledged), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// received takes what the sender tells. It returns the sequence to acknowledge of what it relays.
+func (c *Controller) received(now time.Time, req *fleetpb.WatchRequest) (acknowledged uint64) {
+	acknowledged, ended := c.presence.heard(now, req)
+	c.sawList(req.GetListNumber())
+	switch req.GetRole() {
+	case fleetpb.Role_ROLE_ENTRY:
+		c.loads.heard(now, req.GetSender().GetInstance(), req.GetUses(), req.GetCompact())
+		c.lives.doubt(now, req.GetUses())
+		c.quotas.Heard(now, req.GetCustomerUses())
+	case fleetpb.Role_ROLE_CONTROL:
+		if req.GetRelayed() != nil {
+			c.loads.heardRelayed(now, req.GetSender().GetInstance(), req.GetRelayed().GetRunning(), ended)
+			c.lives.doubt(now, ended)
+		}
+	}
+	return acknowledged
+}
+
+// relayed returns what another control instance lacks of the reports of this one's followers.
+func (c *Controller) relayed(acknowledged uint64) *fleetpb.Relayed {
+	return c.presence.reports.Since(time.Now(), acknowledged, c.loads.direct())
+}
+
 // confirmTick is how often a call that waits for the first confirmation looks for it.
 const confirmTick = 20 * time.Millisecond
 
@@ -49,13 +71,22 @@
 	return time.After(confirmTick)
 }
 
-func (c *Controller) hasNews(req *fleetpb.WatchRequest) bool {
-	return req.GetWantsNews() && (c.State().GetNumber() > req.GetStateNumber() || c.hasList(req))
+// hasUpdate reports whether the sender wants a state or list that it lacks. While its call waits, a control instance is
+// told only of what was made here: it hears of the rest from where that was made, or with its next call.
+func (c *Controller) hasUpdate(req *fleetpb.WatchRequest, first bool) bool {
+	if !req.GetWantsNews() {
+		return false
+	}
+	state, list := c.State().GetNumber(), c.watch.List().Version().Number()
+	if req.GetRole() == fleetpb.Role_ROLE_CONTROL && !first {
+		state, list = min(state, c.madeState.Load()), min(list, c.madeList.Load())
+	}
+	return state > req.GetStateNumber() || req.GetRole() != fleetpb.Role_ROLE_STORE && list > req.GetListNumber()
 }
 
 // hasList reports whether the sender lacks a list that it has a use for.
 func (c *Controller) hasList(req *fleetpb.WatchRequest) bool {
-	return req.GetRole() != fleetpb.Role_ROLE_STORE && c.watch.List().List().GetNumber() > req.GetListNumber()
+	return req.GetRole() != fleetpb.Role_ROLE_STORE && c.watch.List().Version().Number() > req.GetListNumber()
 }
 
 // headcountFor is how long a headcount is used: a third of the time between two calls
@@ -65,8 +96,10 @@
 
 // headcount is who is present, as replies tell it. It does not change.
 type headcount struct {
-	at           time.Time
+	at time.Time
+	// control are the control instances, and controlSum their checksum.
 	control      []*fleetpb.Member
+	controlSum   uint64
 	entries      uint32
 	entryDomains []*fleetpb.EntryDomain
 }
@@ -76,11 +109,9 @@
 	if h := c.counted.Load(); h != nil && now.Sub(h.at) < headcountFor {
 		return h
 	}
-	h := &headcount{
-		at: now, control: c.control(now, membership.PresentWithin),
-		entries:      uint32(len(c.presence.of(now, fleetpb.Role_ROLE_ENTRY, membership.PresentWithin))),
-		entryDomains: c.presence.entryDomains(now),
-	}
+	h := &headcount{at: now, control: c.control(now, membership.PresentWithin)}
+	h.controlSum = sumMembers(h.control)
+	h.entryDomains, h.entries = c.presence.entryDomains(now)
 	c.counted.Store(h)
 	c.quotas.Miss(missing(h.entryDomains))
 	return h
@@ -99,12 +130,15 @@
 	return float64(known-heard) / float64(known)
 }
 
-func (c *Controller) reply(req *fleetpb.WatchRequest) *fleetpb.WatchReply {
+func (c *Controller) reply(req *fleetpb.WatchRequest, acknowledged uint64) *fleetpb.WatchReply {
 	now := time.Now()
 	h := c.headcount(now)
 	r := &fleetpb.WatchReply{
-		Responder: c.Self, Control: h.control, Entries: h.entries, Process: c.process,
-		AcceptedNumber: c.saved.Load().GetState().GetNumber(),
+		Responder: c.Self, Entries: h.entries, Process: c.process, ControlSum: h.controlSum,
+		AcceptedNumber: c.saved.Load().GetState().GetNumber(), Reach: c.reach.Load(), RelayedSequence: acknowledged,
+	}
+	if !req.GetCompact() || req.GetControlSum() != h.controlSum {
+		r.Control = h.control
 	}
 	if req.GetRole() == fleetpb.Role_ROLE_ENTRY {
 		r.EntryDomains, r.Confirmed = h.entryDomains, c.confirmed()
@@ -118,11 +152,11 @@
 		r.ListKnown, r.ListNumber = true, l.List().GetNumber()
 		r.ListAgeMs = uint64(max(0, now.Sub(l.At()).Milliseconds()))
 		if req.GetWantsNews() && c.hasList(req) {
-			c.tellList(r, l.List(), req.GetHeldLists())
+			c.putList(r, l.Version(), req)
 		}
 		if req.GetWantsLoads() {
 			r.Customers = c.customerCounts(now)
-			r.Loads = c.loads.of(now, req.GetSender().GetInstance(), l.List())
+			r.Loads = c.loads.of(now, req.GetSender().GetInstance(), l.Version(), req.GetCompact())
 		}
 	}
 	return r
@@ -136,22 +170,40 @@
 	return c.watch.Documents.PackState(s, req.GetHeld())
 }
 
-// tellList puts a list into a reply, whole for who understands nothing else.
-func (c *Controller) tellList(r *fleetpb.WatchReply, l *fleetpb.EndpointList, held *fleetpb.Held) {
-	if held == nil {
-		r.List = l
+// putList puts a list into a reply: what changed for a compact sender, and whole or packed for one of version 0.3.0 or
+// older.
+func (c *Controller) putList(r *fleetpb.WatchReply, l *catalog.List, req *fleetpb.WatchRequest) {
+	if req.GetCompact() {
+		change, err := c.lists.Change(req.GetListSum(), l)
+		if err == nil {
+			r.ListChange = change
+			return
+		}
+		c.Log.WithError(err).Error("a list of endpoints is sent as it is")
+	}
+	if req.GetCompact() || req.GetHeldLists() == nil {
+		r.List = l.List()
 		return
 	}
 	known := c.listed.Load()
-	if known.List() != l {
-		made, err := document.NewList(l)
+	if known.List() != l.List() {
+		made, err := document.NewList(l.List())
 		if err != nil {
-			c.Log.WithError(err).Error("a list of endpoints is told whole")
-			r.List = l
+			c.Log.WithError(err).Error("a list of endpoints is sent as it is")
+			r.List = l.List()
 			return
 		}
 		known = made
 		c.listed.Store(made)
 	}
-	r.PackedList = c.watch.Lists.PackList(known, held)
+	r.PackedList = c.watch.Lists.PackList(known, req.GetHeldLists())
+}
+
+// sumMembers names a set of instances.
+func sumMembers(members []*fleetpb.Member) uint64 {
+	var sum uint64
+	for _, m := range members {
+		sum += xxhash.Sum64String(fmt.Sprint(m.GetInstance(), "\x00", m.GetStorage(), "\x00", m.GetFailureDomain(), "\x00", m.GetAddress()))
+	}
+	return sum
 }
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/membership"
+	"rockbarrow.dev/rockbarrow/relay"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -28,75 +29,78 @@
 	forgetAfter = time.Minute
 )
 
-// peer is what is known of one instance.
-type peer struct {
-	member *fleetpb.Member
-	role   fleetpb.Role
-	heard  time.Time
-	copied uint64
-	// serves is true if an entry instance takes requests.
-	serves bool
-}
-
-// presence is who called this instance, and when. The zero value is ready.
+// presence is who calls this instance or, as relayed by others, another control instance. The zero value is ready.
 type presence struct {
-	mu    sync.Mutex
-	peers map[string]*peer
+	// fleet holds the entry and store instances, and reports what is relayed of those that call here.
+	fleet   relay.Fleet
+	reports relay.Reports
+
+	mu sync.Mutex
+	// control holds the control instances, all of which call each other.
+	control map[string]membership.Peer
 }
 
-func (r *presence) heard(now time.Time, req *fleetpb.WatchRequest) {
+// heard takes a call. It returns the sequence to acknowledge of what the caller relays, and the calls of followers that
+// ended.
+func (r *presence) heard(now time.Time, req *fleetpb.WatchRequest) (acknowledged uint64, ended []*fleetpb.EndpointUse) {
+	if req.GetRole() != fleetpb.Role_ROLE_CONTROL {
+		r.fleet.Heard(now, req)
+		r.reports.Heard(now, req)
+		return 0, nil
+	}
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.peers == nil {
-		r.peers = map[string]*peer{}
+	if r.control == nil {
+		r.control = map[string]membership.Peer{}
 	}
-	r.peers[req.GetSender().GetInstance()] = &peer{
-		member: req.GetSender(), role: req.GetRole(), heard: now,
-		copied: req.GetCopiedEpoch(), serves: req.GetServes(),
+	name := req.GetSender().GetInstance()
+	r.control[name] = membership.Peer{Member: req.GetSender(), Heard: now, Copied: req.GetCopiedEpoch()}
+	r.mu.Unlock()
+	if req.GetRelayed() == nil {
+		return 0, nil
 	}
+	return r.fleet.Take(now, name, req.GetRelayed())
 }
 
 // refresh counts all as heard now, after this process stood still.
 func (r *presence) refresh(now time.Time) {
+	r.fleet.Refresh(now)
+	r.reports.Refresh(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, s := range r.peers {
-		s.heard = now
+	for name, p := range r.control {
+		p.Heard = now
+		r.control[name] = p
 	}
 }
 
 // forget drops instances that were not heard for long.
 func (r *presence) forget(now time.Time) {
+	r.fleet.Forget(now)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for name, s := range r.peers {
-		if now.Sub(s.heard) > forgetAfter {
-			delete(r.peers, name)
-		}
-	}
-}
-
-// of returns the instances of a role that were heard within a time, by name.
-func (r *presence) of(now time.Time, role fleetpb.Role, within time.Duration) []peer {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var out []peer
-	for _, s := range r.peers {
-		if s.role == role && now.Sub(s.heard) < within {
-			out = append(out, *s)
+	for name, p := range r.control {
+		if now.Sub(p.Heard) > forgetAfter {
+			delete(r.control, name)
 		}
 	}
-	slices.SortFunc(out, func(a, b peer) int {
-		return strings.Compare(a.member.GetInstance(), b.member.GetInstance())
-	})
-	return out
 }
 
-// members returns the instances of a role as package membership needs them.
+// members returns the instances of a role that were heard within a time, by name.
 func (r *presence) members(now time.Time, role fleetpb.Role, within time.Duration) []membership.Peer {
 	var out []membership.Peer
-	for _, s := range r.of(now, role, within) {
-		out = append(out, membership.Peer{Member: s.member, Heard: s.heard, Copied: s.copied})
+	if role == fleetpb.Role_ROLE_CONTROL {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, p := range r.control {
+			if now.Sub(p.Heard) < within {
+				out = append(out, p)
+			}
+		}
+		slices.SortFunc(out, func(a, b membership.Peer) int { return strings.Compare(a.Member.GetInstance(), b.Member.GetInstance()) })
+		return out
+	}
+	for _, i := range r.fleet.Instances(now, role, within) {
+		out = append(out, membership.Peer{Member: i.Member, Heard: i.Heard, Copied: i.Copied})
 	}
 	return out
 }
@@ -104,44 +108,44 @@
 // domains returns the failure domains of which any instance was heard lately, and the
 // own one.
 func (r *presence) domains(now time.Time, own string) map[string]bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
 	out := map[string]bool{own: true}
-	for _, s := range r.peers {
-		if now.Sub(s.heard) < membership.PresentWithin {
-			out[s.member.GetFailureDomain()] = true
+	for _, role := range []fleetpb.Role{fleetpb.Role_ROLE_CONTROL, fleetpb.Role_ROLE_ENTRY, fleetpb.Role_ROLE_STORE} {
+		for _, p := range r.members(now, role, membership.PresentWithin) {
+			out[p.Member.GetFailureDomain()] = true
 		}
 	}
 	return out
 }
 
-// entryDomains counts the entry instances of each failure domain, by name.
-func (r *presence) entryDomains(now time.Time) []*fleetpb.EntryDomain {
-	var out []*fleetpb.EntryDomain
+// entryDomains counts the entry instances of each failure domain, by name, and those that are present in all.
+func (r *presence) entryDomains(now time.Time) (out []*fleetpb.EntryDomain, present uint32) {
 	at := map[string]*fleetpb.EntryDomain{}
-	for _, s := range r.of(now, fleetpb.Role_ROLE_ENTRY, knownWithin) {
-		name := s.member.GetFailureDomain()
+	for _, i := range r.fleet.Instances(now, fleetpb.Role_ROLE_ENTRY, knownWithin) {
+		name := i.Member.GetFailureDomain()
 		if at[name] == nil {
 			at[name] = &fleetpb.EntryDomain{FailureDomain: name}
 			out = append(out, at[name])
 		}
 		at[name].Known++
-		if now.Sub(s.heard) < servingWithin {
+		if now.Sub(i.Heard) < membership.PresentWithin {
+			present++
+		}
+		if now.Sub(i.Heard) < servingWithin {
 			at[name].Heard++
-			if s.serves {
+			if i.Serves {
 				at[name].Serving++
 			}
 		}
 	}
-	return out
+	return out, present
 }
 
 // control returns the control instances that this one knows, itself included.
 func (c *Controller) control(now time.Time, within time.Duration) []*fleetpb.Member {
 	out := []*fleetpb.Member{c.Self}
-	for _, s := range c.presence.of(now, fleetpb.Role_ROLE_CONTROL, within) {
-		if s.member.GetInstance() != c.Self.GetInstance() {
-			out = append(out, s.member)
+	for _, p := range c.presence.members(now, fleetpb.Role_ROLE_CONTROL, within) {
+		if p.Member.GetInstance() != c.Self.GetInstance() {
+			out = append(out, p.Member)
 		}
 	}
 	slices.SortFunc(out, func(a, b *fleetpb.Member) int {
--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -4,10 +4,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -19,8 +20,13 @@
 	// rankDelay is how much older the list gets before the next in rank reads it
 	// too; the age that others tell is up to peerHold late.
 	rankDelay = 900 * time.Millisecond
-	// readWithin bounds one reading.
-	readWithin = 900 * time.Millisecond
+	// readWithin bounds one reading, which may have many pages.
+	readWithin = 5 * time.Second
+	// firstReadDelay lies between the first readings of the seeds after a start, so that not all of them
+	// read at once what one of them tells the others.
+	firstReadDelay = 200 * time.Millisecond
+	// spareDelays is over how many of these delays the first readings of instances spread that are no seeds.
+	spareDelays = 20
 	// readerTick is how often the age is looked at.
 	readerTick = 100 * time.Millisecond
 )
@@ -29,10 +35,14 @@
 type reader struct {
 	controller *Controller
 	failing    bool
+	// first is when this instance reads if it has no list by then.
+	first time.Time
+	// behind is since when others are known to have a newer list, zero if none have.
+	behind time.Time
 }
 
 func (r *reader) loop(ctx context.Context) {
-	// The first reading comes at once: after a loss of power everyone waits for it.
+	r.first = time.Now().Add(r.controller.firstRead())
 	for {
 		if r.due(time.Now()) {
 			r.read(ctx)
@@ -43,12 +53,32 @@
 	}
 }
 
+// firstRead returns how long after a start this instance waits for another one's list: the first seed not at all, since
+// after a loss of power everyone waits for it.
+func (c *Controller) firstRead() time.Duration {
+	if len(c.Seeds) == 0 {
+		return 0
+	}
+	if i := slices.Index(c.Seeds, c.Self.GetAddress()); i >= 0 {
+		return time.Duration(i) * firstReadDelay
+	}
+	return time.Duration(len(c.Seeds))*firstReadDelay + rand.N(spareDelays*firstReadDelay)
+}
+
 func (r *reader) due(now time.Time) bool {
 	l := r.controller.watch.List()
-	if l == nil || l.List().GetNumber() < r.controller.listFloor.Load() {
-		return true
+	if l == nil {
+		return !now.Before(r.first)
 	}
-	return now.Sub(l.At()) > readEvery+time.Duration(r.controller.rank(now))*rankDelay
+	rank := time.Duration(r.controller.rank(now))
+	if l.Version().Number() >= r.controller.listFloor.Load() {
+		r.behind = time.Time{}
+		return now.Sub(l.At()) > readEvery+rank*rankDelay
+	}
+	if r.behind.IsZero() {
+		r.behind = now
+	}
+	return now.Sub(r.behind) >= rank*rankDelay
 }
 
 func (r *reader) read(ctx context.Context) {
@@ -72,8 +102,8 @@
 	r.failing = false
 	c.listing.Lock()
 	defer c.listing.Unlock()
-	known := c.watch.List().List()
-	c.watch.OfferList(c.numberList(known, c.lives.name(time.Now(), known, endpoints)), asked)
+	known := c.watch.List().Version()
+	c.offerList(c.numberList(known, c.lives.name(time.Now(), known.List(), endpoints)), asked)
 }
 
 // numberList numbers a reading: the known number if nothing changed, else one above
@@ -81,13 +111,14 @@
 // restart of all control instances, which begin with no list at all, and would take
 // no list under a lower number. The low bits are drawn by each process, so that no
 // two lists share a number.
-func (c *Controller) numberList(known *fleetpb.EndpointList, endpoints []*fleetpb.Endpoint) *fleetpb.EndpointList {
+func (c *Controller) numberList(known *catalog.List, endpoints []*fleetpb.Endpoint) *catalog.List {
 	floor := c.listFloor.Load()
-	l := &fleetpb.EndpointList{Number: known.GetNumber(), Endpoints: endpoints}
-	if known != nil && known.GetNumber() >= floor && proto.Equal(known, l) {
+	l := catalog.New(&fleetpb.EndpointList{
+		Number: (max(known.Number(), floor)>>tagBits+1)<<tagBits | c.listTag, Endpoints: endpoints,
+	}).Sharing(known)
+	if known != nil && known.Number() >= floor && catalog.Same(known, l) {
 		return known
 	}
-	l.Number = (max(known.GetNumber(), floor)>>tagBits+1)<<tagBits | c.listTag
 	return l
 }
 
@@ -95,10 +126,12 @@
 const tagBits = 16
 
 // sawList raises the newest list number met.
-func (c *Controller) sawList(number uint64) {
-	for old := c.listFloor.Load(); old < number; old = c.listFloor.Load() {
-		if c.listFloor.CompareAndSwap(old, number) {
-			return
-		}
+func (c *Controller) sawList(number uint64) { raise(&c.listFloor, number) }
+
+// offerList makes a list that was read here the newest, unless it holds nothing new.
+func (c *Controller) offerList(l *catalog.List, at time.Time) {
+	if l != c.watch.List().Version() {
+		raise(&c.madeList, l.Number())
 	}
+	c.watch.OfferVersion(l, at)
 }
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -14,6 +14,9 @@
 // time within which a configuration must be in force everywhere, and a few of the confirmations that come each 0.3 s.
 const sureWithin = 1500 * time.Millisecond
 
+// HasCustomers reports whether the configuration in force has customers, whose quotas every control instance counts.
+func (e *Entry) HasCustomers() bool { return e.table.Load().Customers() > 0 }
+
 // identify finds out whose request it is. It returns what the client hears if the request may not go on.
 func (x *exchange) identify() Outcome {
 	now := time.Now()
--- a/rockbarrow/entry/departures.go
+++ b/rockbarrow/entry/departures.go
@@ -3,6 +3,8 @@
 package entry
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"rockbarrow.dev/rockbarrow/life"
@@ -25,31 +27,33 @@
 type departure struct {
 	// life is the one that was leaving.
 	life life.Life
-	// absent is true once the list has lacked it: only a new start brings it back.
-	absent bool
 	// ready is since when it stands in the list as one that takes requests, zero if it does not.
 	ready time.Time
 }
 
-// take returns the endpoints of a list that may get new requests, and those that are seen leaving for the first
-// time. Present are the lives of all of its endpoints, which a list that lags does not tell. If it has to be called
+// waiting returns the ids of the endpoints that were seen leaving and stand in the list still.
+func (d *departures) waiting() []string { return slices.Sorted(maps.Keys(d.left)) }
+
+// take takes the endpoints of a list that have changed, with those that are waiting, and those that the list lacks now. It
+// returns the ones of present that may get new requests, and those that are seen leaving for the first
+// time. Lives are the present ones, which a list that lags does not tell. If it has to be called
 // again although the list stays the same, wait says when.
-func (d *departures) take(now time.Time, l *fleetpb.EndpointList, present map[string]life.Life) (usable, leaving []*fleetpb.Endpoint, wait time.Duration) {
+func (d *departures) take(now time.Time, present, absent []*fleetpb.Endpoint, lives map[string]life.Life) (usable, leaving []*fleetpb.Endpoint, wait time.Duration) {
 	if d.left == nil {
 		d.left = map[string]*departure{}
 	}
-	for _, p := range l.GetEndpoints() {
+	for _, p := range present {
 		left := d.left[p.GetId()]
 		switch {
 		case left == nil && p.GetDraining():
-			d.left[p.GetId()] = &departure{life: present[p.GetId()]}
+			d.left[p.GetId()] = &departure{life: lives[p.GetId()]}
 			leaving = append(leaving, p)
 		case left == nil:
 			usable = append(usable, p)
 		case p.GetDraining():
-			*left = departure{life: present[p.GetId()]}
+			*left = departure{life: lives[p.GetId()]}
 		default:
-			rest := left.remaining(now, present[p.GetId()])
+			rest := left.remaining(now, lives[p.GetId()])
 			if rest <= 0 {
 				delete(d.left, p.GetId())
 				usable = append(usable, p)
@@ -58,17 +62,16 @@
 			}
 		}
 	}
-	for id, left := range d.left {
-		if _, ok := present[id]; !ok {
-			left.absent, left.ready = true, time.Time{}
-		}
+	for _, p := range absent {
+		// Only a new start brings it back.
+		delete(d.left, p.GetId())
 	}
 	return usable, leaving, wait
 }
 
 // remaining returns how much longer an endpoint that stands in the list as ready is not used.
 func (d *departure) remaining(now time.Time, present life.Life) time.Duration {
-	if d.absent || !d.life.Same(present) {
+	if !d.life.Same(present) {
 		return 0
 	}
 	if d.ready.IsZero() {
--- a/rockbarrow/entry/departures_test.go
+++ b/rockbarrow/entry/departures_test.go
@@ -20,7 +20,13 @@
 	for _, p := range l.GetEndpoints() {
 		present[p.GetId()] = life.Life{ID: p.GetId(), BornMS: p.GetBornMs()}
 	}
-	return d.take(now, l, present)
+	var absent []*fleetpb.Endpoint
+	for id := range d.left {
+		if _, ok := present[id]; !ok {
+			absent = append(absent, &fleetpb.Endpoint{Id: id})
+		}
+	}
+	return d.take(now, l.GetEndpoints(), absent, present)
 }
 
 func ready(id string) *fleetpb.Endpoint { return &fleetpb.Endpoint{Id: id} }
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -57,7 +57,8 @@
 	// departures is used by the goroutine of lists only.
 	departures departures
 	// lives is used by the same goroutine only.
-	lives life.Lives
+	lives          life.Lives
+	livesForgotten time.Time
 	// returns is when endpoints that left may count again under the list in force, zero if none
 	// can.
 	returns time.Time
--- a/rockbarrow/entry/loads.go
+++ b/rockbarrow/entry/loads.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	var out []watch.Use
-	for _, p := range f.Endpoints() {
+	for _, p := range f.Used() {
 		u := p.Use()
 		if u == (placement.Use{}) {
 			continue
@@ -32,22 +32,39 @@
 // it speaks of the list that is in force here.
 func (e *Entry) HearLoads(l *fleetpb.EndpointLoads) {
 	f := e.fleet.Load()
-	if f == nil || f.reading.List().GetNumber() != l.GetListNumber() {
+	if f == nil || f.reading.Version().Number() != l.GetListNumber() {
 		return
 	}
 	list := f.reading.List().GetEndpoints()
-	if len(l.GetRunning()) != len(list) || len(l.GetFailing()) != len(list) {
-		e.Log.WithField("list", l.GetListNumber()).Warn("loads of another list were sent")
-		return
-	}
-	now := time.Now()
-	for i, p := range list {
+	loads := make([]placement.Load, 0, len(l.GetIndex()))
+	add := func(index, i int) bool {
+		if index >= len(list) || i >= len(l.GetRunning()) || i >= len(l.GetFailing()) {
+			return false
+		}
+		p := list[index]
 		known := f.Endpoint(p.GetId())
 		// A list that lags, and what is told with it, may speak of a life that has ended.
 		if known != nil && known.Life().Same(life.Life{ID: p.GetId(), BornMS: p.GetBornMs()}) {
-			known.HeardOthers(now, l.GetRunning()[i], l.GetFailing()[i])
+			loads = append(loads, placement.Load{Endpoint: known, Running: l.GetRunning()[i], Failing: l.GetFailing()[i]})
+		}
+		return true
+	}
+	complete := true
+	if l.GetSparse() {
+		for i, index := range l.GetIndex() {
+			complete = complete && add(int(index), i)
+		}
+	} else {
+		for i := range list {
+			complete = complete && add(i, i)
 		}
+		complete = complete && len(l.GetRunning()) == len(list)
+	}
+	if !complete {
+		e.Log.WithField("list", l.GetListNumber()).Warn("loads of another list were sent")
+		return
 	}
+	f.SetLoads(time.Now(), loads)
 }
 
 // CustomerUses returns how many requests of each customer were let in, as package watch asks for them: within
--- a/rockbarrow/entry/news.go
+++ b/rockbarrow/entry/news.go
@@ -4,12 +4,15 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/life"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/routing"
@@ -130,7 +133,7 @@
 	return t, nil
 }
 
-// refreshFleet brings the newest known list into force.
+// refreshFleet brings the newest known list into force. It costs what has changed.
 func (e *Entry) refreshFleet(came time.Time) {
 	reading := e.Watch.List()
 	if reading == nil {
@@ -139,56 +142,90 @@
 	old := e.fleet.Load()
 	now := time.Now()
 	due := !e.returns.IsZero() && !now.Before(e.returns)
-	if old != nil && old.reading.List() == reading.List() && !due {
+	if old != nil && old.reading.Version() == reading.Version() && !due {
 		return
 	}
-	var before *placement.Fleet
-	if old != nil {
-		before = old.Fleet
+	var next *placement.Fleet
+	if old == nil {
+		changed, _ := e.listed(now, nil, reading.Version())
+		next = placement.NewServiceFleet(now, changed, placement.Spread, nil)
+	} else {
+		changed, gone := e.listed(now, old.reading.Version(), reading.Version())
+		next = old.Next(now, changed, gone)
 	}
-	f := placement.NewServiceFleet(now, e.endpoints(now, reading.List()), placement.Spread, before)
-	e.fleet.Store(&fleet{Fleet: f, reading: reading})
+	e.fleet.Store(&fleet{Fleet: next, reading: reading})
 	e.Log.WithFields(logrus.Fields{
 		"list": reading.List().GetNumber(), "age_ms": time.Since(reading.At()).Milliseconds(),
 		"since_news_ms": time.Since(came).Milliseconds(),
 	}).Info("a list of endpoints is in force")
 }
 
-// endpoints returns the endpoints that may get new requests.
-func (e *Entry) endpoints(now time.Time, l *fleetpb.EndpointList) []placement.Listed {
-	present := e.presentLives(now, l)
-	usable, leaving, wait := e.departures.take(now, l, present)
-	for _, p := range leaving {
-		e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": l.GetNumber()}).
-			Info("an endpoint is leaving and gets nothing new")
+// listed returns the endpoints that have changed from one list to the next and may get new requests, and the ids of those
+// that may not any more.
+func (e *Entry) listed(now time.Time, from, to *catalog.List) (changed []placement.Listed, gone []string) {
+	var present, absent []*fleetpb.Endpoint
+	catalog.Compare(from, to, func(before, after *fleetpb.Endpoint) {
+		if after != nil {
+			present = append(present, after)
+		} else {
+			absent = append(absent, before)
+		}
+	})
+	for _, p := range e.departures.waiting() {
+		if i, ok := to.Index(p); ok {
+			present = append(present, to.List().GetEndpoints()[i])
+		}
 	}
+	slices.SortFunc(present, func(a, b *fleetpb.Endpoint) int { return strings.Compare(a.GetId(), b.GetId()) })
+	present = slices.CompactFunc(present, func(a, b *fleetpb.Endpoint) bool { return a == b })
+	lives := e.presentLives(now, present, to.Number())
+	usable, leaving, wait := e.departures.take(now, present, absent, lives)
 	e.returns = time.Time{}
 	if wait > 0 {
 		e.returns = now.Add(wait)
 		time.AfterFunc(wait, e.listNews.wake)
 	}
-	out := make([]placement.Listed, 0, len(usable))
+	may := make(map[string]bool, len(usable))
 	for _, p := range usable {
-		out = append(out, placement.Listed{BornMS: present[p.GetId()].BornMS, Config: &configpb.Endpoint{
+		may[p.GetId()] = true
+		changed = append(changed, placement.Listed{BornMS: lives[p.GetId()].BornMS, Config: &configpb.Endpoint{
 			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
 			Service: p.GetService(), MaxCalls: p.GetSlots(),
 		}})
 	}
-	return out
+	for _, p := range present {
+		if !may[p.GetId()] {
+			gone = append(gone, p.GetId())
+		}
+	}
+	for _, p := range absent {
+		gone = append(gone, p.GetId())
+	}
+	for _, p := range leaving {
+		e.Log.WithFields(logrus.Fields{"endpoint": p.GetId(), "list": to.Number()}).
+			Info("an endpoint is leaving and gets nothing new")
+	}
+	return changed, gone
 }
 
-// presentLives returns the life of each endpoint of a list by its id. A list that lags brings no ended life back.
-func (e *Entry) presentLives(now time.Time, l *fleetpb.EndpointList) map[string]life.Life {
-	out := make(map[string]life.Life, len(l.GetEndpoints()))
-	for _, p := range l.GetEndpoints() {
+// forgetLivesEvery is how often the lives of endpoints that are gone are looked for.
+const forgetLivesEvery = 10 * time.Second
+
+// presentLives returns the lives of endpoints of a list by their ids. A list that lags brings no ended life back.
+func (e *Entry) presentLives(now time.Time, endpoints []*fleetpb.Endpoint, list uint64) map[string]life.Life {
+	out := make(map[string]life.Life, len(endpoints))
+	for _, p := range endpoints {
 		present, began := e.lives.Take(now, life.Life{ID: p.GetId(), BornMS: p.GetBornMs()})
 		if began {
-			e.Log.WithFields(logrus.Fields{"endpoint": present.ID, "born_ms": present.BornMS, "list": l.GetNumber()}).
+			e.Log.WithFields(logrus.Fields{"endpoint": present.ID, "born_ms": present.BornMS, "list": list}).
 				Info("an endpoint has started again under its id")
 		}
 		out[p.GetId()] = present
 	}
-	e.lives.Forget(now)
+	if now.Sub(e.livesForgotten) > forgetLivesEvery {
+		e.livesForgotten = now
+		e.lives.Forget(now)
+	}
 	return out
 }
 
--- a/rockbarrow/placement/baseline.go
+++ b/rockbarrow/placement/baseline.go
@@ -38,7 +38,7 @@
 
 // sticky stays with the run's last endpoint, or takes the least loaded.
 func (f *Fleet) sticky(now int64, list []*Endpoint, req Request) (Choice, bool) {
-	if e := f.endpoints[req.Last.ID]; e != nil && e.Life().Same(req.Last) && e.open(now) && !avoided(req, e) {
+	if e := f.Endpoint(req.Last.ID); e != nil && e.Life().Same(req.Last) && e.open(now) && !avoided(req, e) {
 		for _, o := range list {
 			if o == e {
 				return Choice{endpoint: e, lacking: req.Prompt}, true
--- a/rockbarrow/placement/cost.go
+++ b/rockbarrow/placement/cost.go
@@ -81,7 +81,7 @@
 // resolve finds the allowed candidates among those that hold a prefix.
 func (f *Fleet) resolve(out []held, list []*Endpoint, req Request) []held {
 	for _, h := range req.Prefixes {
-		e := f.endpoints[h.Endpoint]
+		e := f.Endpoint(h.Endpoint)
 		if e == nil || !has(list, e) || holds(out, e) || len(out) == cap(out) {
 			continue
 		}
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -66,6 +66,8 @@
 	answered, failed atomic.Uint64
 	// lost counts calls and connections that ended by no answer.
 	lost atomic.Uint64
+	// used is true once it has had a call.
+	used atomic.Bool
 	// others is what other instances know.
 	others others
 }
--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -3,7 +3,6 @@
 package placement
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -92,11 +91,14 @@
 
 // Fleet is the endpoints of one configuration version.
 type Fleet struct {
-	weights   Weights
-	policy    Policy
-	endpoints map[string]*Endpoint
-	classes   map[Class][]*Endpoint
+	weights Weights
+	policy  Policy
+	// endpoints are ordered by name, as are those of each class.
+	endpoints []*Endpoint
+	classes   map[Class]*members
 	turn      *turn
+	// known is shared with the fleets before and after this one.
+	known *known
 	// first is where this instance's window begins in each list of endpoints, for
 	// Spread.
 	first uint64
@@ -105,14 +107,14 @@
 // NewFleet indexes a snapshot. Endpoints that did not change since an earlier
 // fleet, which may be nil, keep what is known of them.
 func NewFleet(s *control.Snapshot, w Weights, p Policy, old *Fleet) *Fleet {
-	f := &Fleet{weights: w, policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}}
+	f := &Fleet{weights: w, policy: p, classes: map[Class]*members{}, turn: &turn{}, known: &known{}}
 	for _, c := range s.Document().GetEndpoints() {
-		f.endpoints[c.GetName()] = carry(time.Time{}, Listed{Config: c}, old)
+		f.endpoints = append(f.endpoints, carry(time.Time{}, Listed{Config: c}, old))
 	}
+	f.endpoints = sorted(f.endpoints)
 	for _, b := range s.Document().GetBindings() {
 		f.index(s, b.GetName())
 	}
-	f.sortClasses()
 	return f
 }
 
@@ -145,13 +147,14 @@
 	return e
 }
 
-// known returns what an earlier fleet, which may be nil, knows of the id behind the same address, or nil.
+// known returns what an earlier fleet, which may be nil, knows of the id with the same service behind the same address,
+// or nil.
 func (l Listed) known(old *Fleet) *Endpoint {
 	if old == nil {
 		return nil
 	}
-	o := old.endpoints[l.Config.GetName()]
-	if o == nil || o.config.GetAddress() != l.Config.GetAddress() || o.domain != l.Config.GetDomain() {
+	o := old.Endpoint(l.Config.GetName())
+	if o == nil || o.config.GetAddress() != l.Config.GetAddress() || o.domain != l.Config.GetDomain() || o.config.GetService() != l.Config.GetService() {
 		return nil
 	}
 	return o
@@ -164,12 +167,10 @@
 			continue
 		}
 		for _, m := range e.config.GetModels() {
-			class := Class{Model: m, Binding: binding}
-			f.classes[class] = append(f.classes[class], e)
+			f.put(Class{Model: m, Binding: binding}, e)
 		}
 		if v := e.config.GetService(); v != "" {
-			class := Class{Service: v, Binding: binding}
-			f.classes[class] = append(f.classes[class], e)
+			f.put(Class{Service: v, Binding: binding}, e)
 		}
 	}
 }
@@ -180,26 +181,29 @@
 	return byDomain || byName
 }
 
-// sortClasses orders each class by name, so that no map order decides anything.
-func (f *Fleet) sortClasses() {
-	for _, list := range f.classes {
-		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.name, b.name) })
+// Endpoint returns an endpoint by name, or nil.
+func (f *Fleet) Endpoint(name string) *Endpoint {
+	if i, ok := find(f.endpoints, name); ok {
+		return f.endpoints[i]
 	}
+	return nil
 }
 
-// Endpoint returns an endpoint by name, or nil.
-func (f *Fleet) Endpoint(name string) *Endpoint { return f.endpoints[name] }
+// find searches a list that is ordered by name.
+func find(list []*Endpoint, name string) (int, bool) {
+	return slices.BinarySearchFunc(list, name, func(e *Endpoint, name string) int { return strings.Compare(e.name, name) })
+}
 
-// Endpoints returns all endpoints in no order.
-func (f *Fleet) Endpoints() map[string]*Endpoint { return f.endpoints }
+// Endpoints returns all endpoints, ordered by name. The list must not be changed.
+func (f *Fleet) Endpoints() []*Endpoint { return f.endpoints }
 
 // Candidates returns the allowed endpoints of a class, ordered by name.
-func (f *Fleet) Candidates(c Class) []*Endpoint { return f.classes[c] }
+func (f *Fleet) Candidates(c Class) []*Endpoint { return f.classes[c].candidates() }
 
 // Choose takes a seat at the best endpoint. It reports false when no allowed
 // endpoint has room.
 func (f *Fleet) Choose(now time.Time, req Request, r *rand.Rand) (Choice, bool) {
-	list := f.classes[req.Class]
+	list := f.Candidates(req.Class)
 	at := now.UnixNano()
 	// A lost race for the last seat is tried again, each time with one fewer.
 	for range len(list) {
@@ -208,6 +212,7 @@
 			return Choice{}, false
 		}
 		if c.endpoint.enter(at, c.lacking) {
+			f.known.use(c.endpoint)
 			return c, true
 		}
 	}
@@ -230,9 +235,7 @@
 
 // has searches a list that is ordered by name.
 func has(list []*Endpoint, e *Endpoint) bool {
-	i, ok := slices.BinarySearchFunc(list, e.name, func(o *Endpoint, name string) int {
-		return cmp.Compare(o.name, name)
-	})
+	i, ok := find(list, e.name)
 	return ok && list[i] == e
 }
 
--- a/rockbarrow/placement/lives_test.go
+++ b/rockbarrow/placement/lives_test.go
@@ -35,7 +35,7 @@
 		c, _ := old.Choose(now, req, rand.New(rand.NewPCG(1, 1)))
 		c.Endpoint().Done(now, Result{})
 	}
-	before.HeardOthers(now, 64, 90)
+	before.setOthers(now, 64, 90)
 	if before.open(now.UnixNano()) {
 		t.Fatal("an endpoint that fails is open")
 	}
@@ -43,7 +43,7 @@
 	next := NewServiceFleet(time.Time{}, livesOf(1, 900), Spread, old).Endpoint("e0000")
 	before.enter(now.UnixNano(), 0)
 	before.Done(now, Result{})
-	before.HeardOthers(now, 64, 90)
+	before.setOthers(now, 64, 90)
 	if !next.open(now.UnixNano()) || next.Use() != (Use{}) || next.taken(now.UnixNano()) != 0 || next.others.failingAt(now.UnixNano()) != 0 {
 		t.Errorf("the new life has %+v", next.Use())
 	}
--- a/rockbarrow/placement/others.go
+++ b/rockbarrow/placement/others.go
@@ -30,9 +30,9 @@
 	at atomic.Int64
 }
 
-// HeardOthers takes the calls under way from other instances, and the share of all
+// setOthers takes the calls under way from other instances, and the share of all
 // calls that failed lately in percent.
-func (e *Endpoint) HeardOthers(now time.Time, running, failing uint32) {
+func (e *Endpoint) setOthers(now time.Time, running, failing uint32) {
 	e.others.running.Store(int64(running))
 	e.others.failing.Store(failing)
 	e.others.at.Store(now.UnixNano())
--- a/rockbarrow/placement/others_test.go
+++ b/rockbarrow/placement/others_test.go
@@ -21,7 +21,7 @@
 	}{{"full", 6, 0}, {"failing", 0, 60}}
 	for _, test := range tests {
 		f, r, now := spreadFleet(6), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
-		f.Endpoint("a1").HeardOthers(now, test.running, test.failing)
+		f.Endpoint("a1").setOthers(now, test.running, test.failing)
 		for range 4 {
 			if c, _ := f.Choose(now, spreadRequest(), r); c.Endpoint().Name() == "a1" {
 				t.Errorf("%s: a1 got a call", test.name)
@@ -44,11 +44,11 @@
 	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(100, 0)
 	req := spreadRequest()
 	req.Last = life.Life{ID: "b1"}
-	f.Endpoint("b1").HeardOthers(now, 0, 10)
+	f.Endpoint("b1").setOthers(now, 0, 10)
 	if c, _ := f.Choose(now, req, r); c.Endpoint().Name() != "b1" {
 		t.Error("a program left its endpoint on account of a few failures")
 	}
-	f.Endpoint("b1").HeardOthers(now, 0, 40)
+	f.Endpoint("b1").setOthers(now, 0, 40)
 	if c, _ := f.Choose(now, req, r); c.Endpoint().Name() == "b1" {
 		t.Error("a program stays with an endpoint that fails")
 	}
@@ -67,10 +67,10 @@
 		}
 		f := NewServiceFleet(time.Time{}, listed(list), Spread, nil)
 		f.first = uint64(i)
-		for name := range f.Endpoints() {
-			f.Endpoint(name).HeardOthers(now, 2, 0)
+		for _, e := range f.Endpoints() {
+			e.setOthers(now, 2, 0)
 		}
-		f.Endpoint("e00").HeardOthers(now, 0, 0)
+		f.Endpoint("e00").setOthers(now, 0, 0)
 		c, _ := f.Choose(now, spreadRequest(), rand.New(rand.NewPCG(uint64(i), 1)))
 		count[c.Endpoint().Name()]++
 		most = max(most, count[c.Endpoint().Name()])
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"slices"
-	"time"
 
 	"rockbarrow.dev/schema/configpb"
 )
@@ -31,24 +30,8 @@
 	BornMS uint64
 }
 
-// NewServiceFleet indexes endpoints by their service alone, where every
-// configured endpoint is allowed. Endpoints that did not change since an earlier
-// fleet, which may be nil, keep what is known of them. One that has started again since begins
-// with nothing but a time to warm up, as after an ejection.
-func NewServiceFleet(now time.Time, endpoints []Listed, p Policy, old *Fleet) *Fleet {
-	f := &Fleet{policy: p, endpoints: map[string]*Endpoint{}, classes: map[Class][]*Endpoint{}, turn: &turn{}, first: rand.Uint64()}
-	if old != nil {
-		f.first = old.first
-	}
-	for _, l := range endpoints {
-		e := carry(now, l, old)
-		f.endpoints[e.name] = e
-		class := Class{Service: l.Config.GetService()}
-		f.classes[class] = append(f.classes[class], e)
-	}
-	f.sortClasses()
-	return f
-}
+// drawFirst draws where draws begin.
+func drawFirst() uint64 { return rand.Uint64() }
 
 // DrawFrom sets where draws begin in each list of endpoints, which is else drawn by lot: for
 // runs that repeat.
@@ -59,7 +42,7 @@
 // domain. What others told is some 0.3 s old: were all endpoints compared, all
 // instances would choose the same one until they hear of each other.
 func (f *Fleet) spread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
-	if last := f.endpoints[req.Last.ID]; last != nil && last.Life().Same(req.Last) && has(list, last) && last.mayKeep(now, req) {
+	if last := f.Endpoint(req.Last.ID); last != nil && last.Life().Same(req.Last) && has(list, last) && last.mayKeep(now, req) {
 		return Choice{endpoint: last, cached: req.Prompt}, true
 	}
 	if len(list) == 0 {
@@ -155,24 +138,6 @@
 	return float64(e.underway.Load()+e.others.runningAt(now)) / float64(e.maxCalls())
 }
 
-// Places returns how many calls this instance may have at the usable endpoints of a
-// class, of which there are so many instances: what others leave, and at least an even
-// share, since others may not have heard of this instance's need.
-func (f *Fleet) Places(now time.Time, c Class, instances int) int {
-	at := now.UnixNano()
-	var all, slots, others int
-	for _, e := range f.classes[c] {
-		if e.Leaving() || at < e.ejectedUntil.Load() || e.silent(at) {
-			continue
-		}
-		n := int(e.maxCalls())
-		slots += n
-		all += n + queued(n)
-		others += int(e.others.runningAt(at))
-	}
-	return min(slots, max(1, all/instances, all-others))
-}
-
 // queuedShare is how many calls may wait at an endpoint, as a share of those that it
 // runs. Without any, endpoints stand idle whose calls have ended, as news of others' calls
 // is 0.3 s old; with as many as it runs, programs wait there that should have been
--- a/rockbarrow/placement/spread_test.go
+++ b/rockbarrow/placement/spread_test.go
@@ -54,7 +54,7 @@
 	req := spreadRequest()
 	req.Last = life.Life{ID: "b2"}
 	// Also where others have taken more than all of its places: it reads the least.
-	f.Endpoint("b2").HeardOthers(now, 25, 0)
+	f.Endpoint("b2").setOthers(now, 25, 0)
 	for i := range 10 {
 		if c, _ := f.Choose(now, req, r); c.Endpoint().Name() != "b2" {
 			t.Fatalf("call %d went to %s", i, c.Endpoint().Name())
--- a/rockbarrow/watch/knowledge.go
+++ b/rockbarrow/watch/knowledge.go
@@ -7,17 +7,23 @@
 
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
 // Reading is the list of endpoints with the time of its newest confirmation.
 type Reading struct {
-	list *fleetpb.EndpointList
+	list *catalog.List
 	at   time.Time
 }
 
 // List returns the list, or nil if there is no reading.
 func (r *Reading) List() *fleetpb.EndpointList {
+	return r.Version().List()
+}
+
+// Version returns the list with its checksum, or nil if there is no reading.
+func (r *Reading) Version() *catalog.List {
 	if r == nil {
 		return nil
 	}
@@ -46,14 +52,24 @@
 	}
 }
 
-// OfferList takes a reading of the list. Older ones change nothing but the time
+// OfferList takes a reading of the list, which it does not change. Older ones change nothing but the time
 // of a list already known.
 func (c *Client) OfferList(l *fleetpb.EndpointList, at time.Time) {
+	known := c.list.Load()
+	if known != nil && l.GetNumber() == known.list.Number() {
+		c.OfferVersion(known.list, at)
+		return
+	}
+	c.OfferVersion(catalog.New(l).Sharing(known.Version()), at)
+}
+
+// OfferVersion is OfferList for a list whose checksum is known.
+func (c *Client) OfferVersion(l *catalog.List, at time.Time) {
 	for {
 		old := c.list.Load()
 		next := &Reading{list: l, at: at}
-		if old != nil && l.GetNumber() <= old.list.GetNumber() {
-			if l.GetNumber() < old.list.GetNumber() || !at.After(old.at) {
+		if old != nil && l.Number() <= old.list.Number() {
+			if l.Number() < old.list.Number() || !at.After(old.at) {
 				return
 			}
 			next.list = old.list
@@ -62,7 +78,7 @@
 			continue
 		}
 		if old == nil || next.list != old.list {
-			c.Log.WithFields(logrus.Fields{"list": l.GetNumber(), "endpoints": len(l.GetEndpoints())}).
+			c.Log.WithFields(logrus.Fields{"list": l.Number(), "endpoints": len(l.List().GetEndpoints())}).
 				Info("a newer list of endpoints is in force")
 			c.changed()
 		}
@@ -87,19 +103,18 @@
 	}
 }
 
-// hearList takes the list or the news that the known one was read again.
-func (c *Client) hearList(r *fleetpb.WatchReply, asked time.Time) {
+// hearList takes a newer list, or the news that the known one was read again.
+func (c *Client) hearList(r *fleetpb.WatchReply, list *catalog.List, by time.Time) {
 	if !r.GetListKnown() {
 		return
 	}
-	list := r.GetList()
-	if list == nil {
-		known := c.list.Load()
-		if known == nil || known.list.GetNumber() != r.GetListNumber() {
-			// The age is that of another list.
-			return
-		}
-		list = known.list
+	at := by.Add(-time.Duration(r.GetListAgeMs()) * time.Millisecond)
+	if list != nil {
+		c.OfferVersion(list, at)
+		return
+	}
+	// The age may be that of another list.
+	if known := c.list.Load(); known != nil && known.list.Number() == r.GetListNumber() {
+		c.OfferVersion(known.list, at)
 	}
-	c.OfferList(list, asked.Add(-time.Duration(r.GetListAgeMs())*time.Millisecond))
 }
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -5,13 +5,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/protobuf/proto"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -21,12 +22,26 @@
 	client  *Client
 	address string
 	member  *fleetpb.Member
-	// heard is when it answered last, or when the watch began.
+	// rank orders the control instances, in an order of its own at each instance.
+	rank uint64
+	// listed is when it was told of last.
+	listed time.Time
+	// wanted is true while it is to be followed, and running while its loop runs.
+	wanted, running bool
+	// heard is when it answered last, or when the loop began; answered is true if it has answered this loop.
 	heard    time.Time
 	answered bool
 	lost     bool
-	// told is what it has heard of the sender's calls at endpoints, and customers of its requests.
-	told      reported
+	// avoidUntil is until when others are preferred, and avoided how long it was avoided last.
+	avoidUntil time.Time
+	avoided    time.Duration
+	// reach is whom it has heard, and control the control instances that it knows.
+	reach      *fleetpb.Reach
+	control    []*fleetpb.Member
+	controlSum uint64
+	// relayed is the sequence that it has acknowledged of what this instance relays.
+	relayed uint64
+	// customers is what it has heard of the sender's requests of customers.
 	customers customersTold
 	// state and list are the newest numbers that it has told of.
 	state, list uint64
@@ -35,41 +50,29 @@
 	whole bool
 }
 
-// loop watches one control instance.
+// loop calls one control instance while it is followed.
 func (t *target) loop(ctx context.Context) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && t.isFollowed() {
 		asked := time.Now()
 		if err := t.watch(ctx); err != nil {
 			t.failed(err)
-			if t.forgotten() {
-				return
-			}
 			wait.For(ctx, pause+rand.N(pause)-time.Since(asked))
 		}
 	}
 }
 
-// forgotten gives up an instance that was taken away. Others tell of it again
-// should it come back.
-func (t *target) forgotten() bool {
-	c := t.client
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if slices.Contains(c.Seeds, t.address) || time.Since(t.heard) < forgetAfter {
-		return false
-	}
-	delete(c.targets, t.address)
-	return true
-}
-
 // failed logs the loss of an instance once.
 func (t *target) failed(err error) {
 	c := t.client
+	now := time.Now()
 	c.mu.Lock()
-	news := !t.lost && time.Since(t.heard) > silentAfter
-	if news {
-		t.lost = true
+	silent := now.Sub(t.heard) > silentAfter
+	news := silent && !t.lost
+	if silent && t.avoidance(now) == 0 {
+		t.avoid(now)
+		c.follow(now)
 	}
+	t.lost = t.lost || silent
 	c.mu.Unlock()
 	if news {
 		c.Log.WithError(err).WithField("control", t.address).Warn("control instance is not reached")
@@ -94,12 +97,14 @@
 	defer cancel()
 	asked := time.Now()
 	req := c.request(held)
-	teller, told := c.teller(asked), t.told
+	teller := c.teller(asked)
 	req.WantsNews = teller == nil || teller == t || c.Role == fleetpb.Role_ROLE_CONTROL || t.knowsMore(req)
-	if c.Uses != nil {
-		req.Uses, told = t.told.since(c.Uses())
-		req.WantsLoads = teller == t
+	var uses reported
+	if c.Uses != nil && teller == t {
+		req.WantsLoads = true
+		req.Uses, uses = c.reportedUses().since(c.Uses())
 	}
+	t.compact(req)
 	customers := t.customerUses(req)
 	req.Unconfirmed = c.Unconfirmed != nil && c.Unconfirmed()
 	if req.GetWantsNews() && !t.whole {
@@ -114,9 +119,15 @@
 		t.missed(req, err, time.Since(asked))
 		return err
 	}
-	t.told, t.state, t.list = told, r.GetStateNumber(), r.GetListNumber()
-	size, arrived := proto.Size(r), time.Now()
-	unreadable := c.unpack(r)
+	if uses != nil {
+		c.usesReported(uses)
+	}
+	t.state, t.list = r.GetStateNumber(), r.GetListNumber()
+	size, arrived := 0, time.Now()
+	if r.GetState() != nil || r.GetPackedList() != nil || r.GetListChange() != nil {
+		size = proto.Size(r)
+	}
+	list, unreadable := c.unpack(req, r)
 	t.whole = unreadable != nil
 	if t.whole {
 		c.Log.WithError(unreadable).WithField("control", t.address).Warn("news are not readable and are asked for whole")
@@ -129,7 +140,7 @@
 	if time.Since(asked) >= held {
 		by = asked.Add(held)
 	}
-	c.heard(t, r, asked, by)
+	c.heard(t, r, list, asked, by)
 	return unreadable
 }
 
@@ -147,7 +158,7 @@
 // logNews logs what the steps of news took until they were whole. Calls are held until
 // there are news, so that call_ms is an upper bound of their way here.
 func (t *target) logNews(r *fleetpb.WatchReply, size int, call, unpacked time.Duration) {
-	if r.GetState() == nil && r.GetList() == nil {
+	if r.GetState() == nil && r.GetList() == nil && r.GetListChange() == nil {
 		return
 	}
 	t.client.Log.WithFields(logrus.Fields{
@@ -157,19 +168,63 @@
 }
 
 // unpack makes the state and the list of a reply whole. What is not readable is taken out,
-// and does not keep the other from being taken over.
-func (c *Client) unpack(r *fleetpb.WatchReply) error {
+// and does not keep the other from being taken over. The list is nil if none came that is newer.
+func (c *Client) unpack(req *fleetpb.WatchRequest, r *fleetpb.WatchReply) (*catalog.List, error) {
 	state, unreadableState := c.Documents.UnpackState(r.GetState())
 	r.State = state
-	if r.GetPackedList() == nil {
-		return unreadableState
-	}
-	list, unreadableList := c.Lists.UnpackList(r.GetPackedList())
+	list, unreadableList := c.unpackList(req, r)
 	if unreadableList != nil {
-		return unreadableList
+		return nil, unreadableList
+	}
+	return list, unreadableState
+}
+
+func (c *Client) unpackList(req *fleetpb.WatchRequest, r *fleetpb.WatchReply) (*catalog.List, error) {
+	known := c.List().Version()
+	switch {
+	case r.GetListChange() != nil:
+		return c.changedList(known, req.GetListSum(), r.GetListChange())
+	case r.GetPackedList() != nil:
+		l, err := c.Lists.UnpackList(r.GetPackedList())
+		if err != nil {
+			return nil, err
+		}
+		return catalog.New(l).Sharing(known), nil
+	case r.GetList() != nil:
+		return catalog.New(r.GetList()).Sharing(known), nil
+	}
+	return nil, nil
+}
+
+// changedList applies a change to the list that is held, unless another control instance was faster. Told is the
+// checksum of the list that was held when the change was asked for.
+func (c *Client) changedList(known *catalog.List, told uint64, change *fleetpb.ListChange) (*catalog.List, error) {
+	if known != nil && change.GetNumber() <= known.Number() {
+		return nil, nil
+	}
+	next, err := catalog.Apply(known, change)
+	var base *catalog.BaseError
+	if errors.As(err, &base) && base.Want == told {
+		// The list has changed during the call; the next call tells the one that is held now.
+		c.Log.WithError(err).Debug("a change of another list")
+		return nil, nil
+	}
+	return next, err
+}
+
+// compact tells the control instance what it need not send.
+func (t *target) compact(req *fleetpb.WatchRequest) {
+	c := t.client
+	c.mu.Lock()
+	req.Compact, req.ControlSum = true, t.controlSum
+	acknowledged := t.relayed
+	c.mu.Unlock()
+	if c.Relayed != nil {
+		req.Relayed = c.Relayed(acknowledged)
+	}
+	if l := c.List(); l != nil && !t.whole {
+		req.ListSum = l.list.Sum()
 	}
-	r.List = list
-	return unreadableState
 }
 
 // knowsMore reports whether the instance has told of something newer than what the
@@ -185,7 +240,7 @@
 		WithoutDocument: c.Role != fleetpb.Role_ROLE_CONTROL,
 	}
 	if l := c.List(); l != nil {
-		req.ListNumber = l.list.GetNumber()
+		req.ListNumber = l.list.Number()
 	}
 	if c.Copied != nil {
 		req.CopiedEpoch = c.Copied()
--- a/rockbarrow/watch/uses.go
+++ b/rockbarrow/watch/uses.go
@@ -20,7 +20,7 @@
 	Lost uint64
 }
 
-// reported is what one control instance has been told: each hears of every call once.
+// reported is what control instances have been told of calls: one of them hears of every call once, and relays it.
 type reported map[life.Life]Use
 
 // since returns what is new about uses, and what will have been reported with it.
@@ -53,6 +53,20 @@
 	return r[life.Life{ID: l.ID}]
 }
 
+// reportedUses returns what has been reported.
+func (c *Client) reportedUses() reported {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.uses
+}
+
+// usesReported notes what has been reported.
+func (c *Client) usesReported(uses reported) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.uses = uses
+}
+
 // teller is the control instance that tells news at once, and of the calls of other
 // entry instances: one that answers, in the own failure domain if there is one, since
 // bytes between domains have a price. The others only tell how new their knowledge is,
@@ -70,14 +84,13 @@
 }
 
 func (c *Client) tellsBetter(t, o *target) bool {
-	own, others := t.member.GetFailureDomain() == c.Self.GetFailureDomain(), o.member.GetFailureDomain() == c.Self.GetFailureDomain()
-	if own != others {
-		return own
+	if near := c.isNear(t); near != c.isNear(o) {
+		return near
 	}
-	return c.drawn(t) < c.drawn(o)
+	return t.rank < o.rank
 }
 
-// drawn gives each instance an order of its own of the control instances.
-func (c *Client) drawn(t *target) uint64 {
-	return xxhash.Sum64String(c.Self.GetInstance() + "\x00" + t.address)
+// rankOf gives each instance an order of its own of the control instances.
+func (c *Client) rankOf(address string) uint64 {
+	return xxhash.Sum64String(c.Self.GetInstance() + "\x00" + address)
 }
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -3,20 +3,22 @@
 // Package watch is the client of control instances: it learns the state of the
 // deployment and the list of endpoints, and tells control that the sender lives.
 //
-// A [Client] holds one long call to each control instance that it knows. What
-// is newer comes back at once from whichever instance has it first, so that no
-// single one has to be reached. What is in force never goes back to an older
-// state within the life of a process.
+// A [Client] holds one long call to each control instance that it follows: all of them for a control instance, a few
+// for the others, which replace one that does not answer. What is newer comes back at once from the one that is near,
+// and from the others if they have it first. What is in force never goes back to an older state within the life of a
+// process.
 package watch
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/rockbarrow/lease"
@@ -69,10 +71,14 @@
 	// instance that was asked at a moment. Both are nil where the sender lets nobody in.
 	CustomerUses func(control string, whole bool) []CustomerUse
 	Customers    func(counts []*fleetpb.CustomerCount, asked time.Time)
+	// FollowAll reports whether every control instance is to be called, as quotas need it; nil is no.
+	FollowAll func() bool
+	// Relayed returns what a control instance passes on to one that has acknowledged a sequence; nil for other roles.
+	Relayed func(acknowledged uint64) *fleetpb.Relayed
 	// Documents holds the documents that were met lately, so that news of them come as
 	// differences.
 	Documents document.Cache
-	// Lists is the same for lists of endpoints.
+	// Lists is the same for lists of endpoints from control instances of version 0.3.0 and older.
 	Lists document.Cache
 
 	state   atomic.Pointer[fleetpb.State]
@@ -83,6 +89,8 @@
 	mu sync.Mutex
 	// targets are the addresses that a loop watches.
 	targets map[string]*target
+	// uses is what has been reported of the sender's calls at endpoints.
+	uses reported
 	// votes is what voters have told.
 	votes lease.Votes
 	ctx   context.Context
@@ -96,12 +104,18 @@
 	for _, a := range c.Seeds {
 		c.add(a, nil)
 	}
-	t := time.NewTicker(sweepEvery)
-	defer t.Stop()
+	sweep, choose := time.NewTicker(sweepEvery), time.NewTicker(chooseEvery)
+	defer sweep.Stop()
+	defer choose.Stop()
 	for {
 		select {
-		case now := <-t.C:
+		case now := <-sweep.C:
 			c.Pool.Sweep(now)
+		case now := <-choose.C:
+			c.mu.Lock()
+			c.forget(now)
+			c.follow(now)
+			c.mu.Unlock()
 		case <-ctx.Done():
 			return
 		}
@@ -139,8 +153,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var out []*fleetpb.Member
+	now := time.Now()
 	for _, t := range c.targets {
-		if t.member != nil && t.answered && time.Since(t.heard) < within {
+		if t.member != nil && t.isFresh(now, within) {
 			out = append(out, t.member)
 		}
 	}
@@ -155,25 +170,38 @@
 // there already: a call's length and some round trips.
 const freshWithin = hold + 100*time.Millisecond
 
-// CutOff reports whether most of the voters have not answered just now: an
-// instance that reaches few stores either is then likely to be apart from the rest.
+// CutOff reports whether no control instance answers that has just heard a majority of the voters, nor most of the
+// voters themselves: an instance that reaches few stores either is then likely to be apart from the rest.
 func (c *Client) CutOff() bool {
 	voters := c.State().GetVoters()
-	reached := 0
-	for _, m := range c.Control(freshWithin) {
-		for _, v := range voters {
-			if v.GetInstance() == m.GetInstance() {
-				reached++
-			}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reached, now := 0, time.Now()
+	for _, t := range c.targets {
+		if !t.isFresh(now, freshWithin) {
+			continue
+		}
+		if t.reach.GetMajority() {
+			return false
+		}
+		if slices.ContainsFunc(voters, func(v *fleetpb.Member) bool { return v.GetInstance() == t.member.GetInstance() }) {
+			reached++
 		}
 	}
 	return 2*reached <= len(voters)
 }
 
-// ReachesDomain reports whether a control instance of a failure domain answers.
+// ReachesDomain reports whether a control instance of a failure domain answers, here or to another control instance
+// that answers here.
 func (c *Client) ReachesDomain(domain string) bool {
-	for _, m := range c.Control(reachedWithin) {
-		if m.GetFailureDomain() == domain {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for _, t := range c.targets {
+		if !t.isFresh(now, reachedWithin) {
+			continue
+		}
+		if t.member.GetFailureDomain() == domain || slices.Contains(t.reach.GetFailureDomains(), domain) {
 			return true
 		}
 	}
@@ -183,22 +211,44 @@
 // Add starts to watch the control instance at an address, if it is a new one.
 func (c *Client) Add(address string) { c.add(address, nil) }
 
-// add starts to watch an address.
+// add notes a control instance, which may be followed.
 func (c *Client) add(address string, m *fleetpb.Member) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.note(address, m) {
+		c.follow(time.Now())
+	}
+}
+
+// note adds a control instance if it is a new one, and reports whether it is; the caller holds mu.
+func (c *Client) note(address string, m *fleetpb.Member) bool {
 	if address == c.Self.GetAddress() || c.ctx == nil {
-		return
+		return false
 	}
 	if c.targets == nil {
 		c.targets = map[string]*target{}
 	}
-	if c.targets[address] != nil {
-		return
+	now := time.Now()
+	if t := c.targets[address]; t != nil {
+		t.listed = now
+		if t.member == nil && m != nil {
+			t.member = m
+			return true
+		}
+		return false
+	}
+	c.targets[address] = &target{client: c, address: address, member: m, listed: now, rank: c.rankOf(address)}
+	return true
+}
+
+// forget drops the control instances that were taken away: no seeds, and neither heard nor told of for long. The caller
+// holds mu.
+func (c *Client) forget(now time.Time) {
+	for address, t := range c.targets {
+		if !t.running && !slices.Contains(c.Seeds, address) && now.Sub(t.listed) > forgetAfter {
+			delete(c.targets, address)
+		}
 	}
-	t := &target{client: c, address: address, member: m, heard: time.Now()}
-	c.targets[address] = t
-	go t.loop(c.ctx)
 }
 
 // Confirm returns a moment by which no state newer than s was chosen, as far as the voters have told. Own is the number
@@ -211,20 +261,13 @@
 }
 
 // heard takes what a control instance answered to a question of a moment; by is when the answer's ages count from.
-func (c *Client) heard(t *target, r *fleetpb.WatchReply, asked, by time.Time) {
-	c.mu.Lock()
-	t.member, t.heard, t.answered = r.GetResponder(), time.Now(), true
-	if storage := r.GetResponder().GetStorage(); c.Role == fleetpb.Role_ROLE_CONTROL && storage != 0 {
-		c.votes.Heard(storage, r.GetAcceptedNumber(), asked)
-	}
-	back := t.lost
-	t.lost = false
-	c.mu.Unlock()
-	if back {
+// List is the reply's list, nil if it brought none that is newer.
+func (c *Client) heard(t *target, r *fleetpb.WatchReply, list *catalog.List, asked, by time.Time) {
+	if back := c.answered(t, r, asked); back {
 		c.Log.WithField("control", t.address).Info("control instance is reached again")
 	}
 	c.Hear(r)
-	c.hearList(r, by)
+	c.hearList(r, list, by)
 	if r.GetLoads() != nil && c.Loads != nil {
 		c.Loads(r.GetLoads())
 	}
@@ -234,7 +277,25 @@
 	if r.GetCustomers() != nil && c.Customers != nil {
 		c.Customers(r.GetCustomers().GetCounts(), asked)
 	}
-	for _, m := range r.GetControl() {
-		c.add(m.GetAddress(), m)
+}
+
+// answered notes that a target has answered, and reports whether it had been lost.
+func (c *Client) answered(t *target, r *fleetpb.WatchReply, asked time.Time) (back bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	t.member, t.heard, t.answered, t.reach = r.GetResponder(), now, true, r.GetReach()
+	t.avoided, t.avoidUntil, t.relayed = 0, time.Time{}, r.GetRelayedSequence()
+	if storage := r.GetResponder().GetStorage(); c.Role == fleetpb.Role_ROLE_CONTROL && storage != 0 {
+		c.votes.Heard(storage, r.GetAcceptedNumber(), asked)
+	}
+	back, t.lost = t.lost, false
+	if len(r.GetControl()) > 0 {
+		t.control, t.controlSum = r.GetControl(), r.GetControlSum()
+	}
+	for _, m := range t.control {
+		c.note(m.GetAddress(), m)
 	}
+	c.follow(now)
+	return back
 }
--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -144,17 +144,21 @@
 
 // news tells each entry the calls of the others.
 func (w *world) news() {
+	all := map[string]int64{}
 	for _, name := range w.names {
-		var all int64
 		for _, e := range w.entries {
-			all += e.fleet.Endpoint(name).Underway()
+			all[name] += e.fleet.Endpoint(name).Underway()
 		}
-		for _, e := range w.entries {
+	}
+	for _, e := range w.entries {
+		loads := make([]placement.Load, 0, len(w.names))
+		for _, name := range w.names {
 			p := e.fleet.Endpoint(name)
-			others := all - p.Underway()
-			// It arrives later, as it stood now.
-			w.clock.after(ms(w.deployment.NewsMS), func() { p.HeardOthers(w.clock.time(), uint32(others), 0) })
+			loads = append(loads, placement.Load{Endpoint: p, Running: uint32(all[name] - p.Underway())})
 		}
+		// It arrives later, as it stood now.
+		fleet := e.fleet
+		w.clock.after(ms(w.deployment.NewsMS), func() { fleet.SetLoads(w.clock.time(), loads) })
 	}
 	if w.clock.now < ms(1000*w.deployment.Seconds)+drain {
 		w.clock.after(ms(max(10, w.deployment.NewsMS)), w.news)
