controller, entry, operator: failure domains are evacuated

Entry instances take the endpoints of evacuated domains out of the fleet, as soon as the state comes, and back in when it is taken back; endpoints that come or leave meanwhile are kept apart.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -61,6 +61,8 @@
 	Founder bool
 	// Losses is how many instances with disks may be lost at once.
 	Losses int
+	// Domains are the failure domains of the deployment, which operators may evacuate.
+	Domains []string
 	// DataDir holds the votes.
 	DataDir string
 	Pool    *dial.Pool
--- a/rockbarrow/document/state.go
+++ b/rockbarrow/document/state.go
@@ -29,7 +29,7 @@
 func withConfiguration(st *fleetpb.State, cfg *fleetpb.Configuration) *fleetpb.State {
 	return &fleetpb.State{
 		Number: st.GetNumber(), Voters: st.GetVoters(), PriorVoters: st.GetPriorVoters(),
-		View: st.GetView(), Retired: st.GetRetired(), Configuration: cfg,
+		View: st.GetView(), Retired: st.GetRetired(), Evacuations: st.GetEvacuations(), Configuration: cfg,
 	}
 }
 
--- /dev/null
+++ b/rockbarrow/entry/evacuation_test.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// spread is a list of endpoints in failure domains a and b.
+func spread(number uint64, inB ...string) *fleetpb.EndpointList {
+	l := list(number)
+	for _, id := range inB {
+		l.Endpoints = append(l.Endpoints, &fleetpb.Endpoint{Id: id, Service: "s", Address: "127.0.0.1:2", FailureDomain: "b", Slots: 4})
+	}
+	return l
+}
+
+// evacuate puts a state with evacuated failure domains into force.
+func (e *Entry) evacuate(number uint64, domains ...string) {
+	s := &fleetpb.State{Number: number, Configuration: &fleetpb.Configuration{Version: 1}, View: &fleetpb.View{Epoch: 1, Copies: 3}}
+	for _, d := range domains {
+		s.Evacuations = append(s.Evacuations, &fleetpb.Evacuation{FailureDomain: d})
+	}
+	e.Watch.Offer(s)
+	e.refresh()
+}
+
+// TestAnEvacuatedDomainGetsNothing: nobody read the order, and requests went on to the endpoints there.
+func TestAnEvacuatedDomainGetsNothing(t *testing.T) {
+	s := &fakeSender{}
+	e := newEntry(t, s)
+	e.hear(spread(2, "p", "q"))
+	domains := func() map[string]int {
+		out := map[string]int{}
+		s.offers = nil
+		for i := range 40 {
+			s.answers = append(s.answers, answers(200, "ok"))
+			e.Serve(t.Context(), ask(fmt.Sprint("/once/", i)), &fakeOut{})
+		}
+		for _, o := range s.offers {
+			out[o.Endpoint.GetDomain()]++
+		}
+		return out
+	}
+	places := func() int { return e.fleet.Load().Places(time.Now(), placement.Class{Service: "s"}, 1) }
+	all := places()
+	if got := domains(); got["a"] == 0 {
+		t.Fatalf("%v", got)
+	}
+	e.evacuate(2, "a")
+	if got := domains(); got["a"] != 0 || got["b"] != 40 {
+		t.Errorf("%v after the evacuation of a", got)
+	}
+	if places() >= all {
+		t.Errorf("%d of %d places are left", places(), all)
+	}
+	// Endpoints come and go meanwhile, and one that is leaving stays out.
+	l := spread(3, "p", "q")
+	l.Endpoints = append(l.Endpoints, &fleetpb.Endpoint{Id: "new", Service: "s", Address: "127.0.0.1:3", FailureDomain: "a", Slots: 4})
+	l.Endpoints[0].Draining = true
+	e.hear(l)
+	if got := domains(); got["a"] != 0 {
+		t.Errorf("%v with a new endpoint in a", got)
+	}
+	e.evacuate(3)
+	if got := domains(); got["a"] == 0 {
+		t.Errorf("%v after a was taken back", got)
+	}
+	if f := e.fleet.Load(); f.Endpoint("x") != nil || f.Endpoint("new") == nil {
+		t.Error("the leaving endpoint is back, or the new one is not")
+	}
+}
+
+// TestARequestIsRefusedWhereAllIsEvacuated, with a time to come back.
+func TestARequestIsRefusedWhereAllIsEvacuated(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	e.evacuate(2, "a")
+	refused, ok := e.Serve(t.Context(), ask("/once/1"), &fakeOut{}).(Refused)
+	if !ok || refused.Status != 503 || refused.RetryAfter == 0 {
+		t.Errorf("%+v", refused)
+	}
+}
--- a/rockbarrow/entry/news.go
+++ b/rockbarrow/entry/news.go
@@ -142,29 +142,40 @@
 	old := e.fleet.Load()
 	now := time.Now()
 	due := !e.returns.IsZero() && !now.Before(e.returns)
-	if old != nil && old.reading.Version() == reading.Version() && !due {
+	evacuated := evacuatedDomains(e.Watch.State())
+	if old != nil && old.reading.Version() == reading.Version() && slices.Equal(old.evacuated, evacuated) && !due {
 		return
 	}
 	var next *placement.Fleet
 	if old == nil {
-		changed, _ := e.listed(now, nil, reading.Version())
+		changed, _ := e.listed(now, nil, &fleet{reading: reading, evacuated: evacuated})
 		next = placement.NewServiceFleet(now, changed, placement.Spread, nil)
 	} else {
-		changed, gone := e.listed(now, old.reading.Version(), reading.Version())
+		changed, gone := e.listed(now, old, &fleet{reading: reading, evacuated: evacuated})
 		next = old.Next(now, changed, gone)
 	}
-	e.fleet.Store(&fleet{Fleet: next, reading: reading})
+	e.fleet.Store(&fleet{Fleet: next, reading: reading, evacuated: evacuated})
 	e.Log.WithFields(logrus.Fields{
 		"list": reading.List().GetNumber(), "age_ms": time.Since(reading.At()).Milliseconds(),
-		"since_news_ms": time.Since(came).Milliseconds(),
+		"since_news_ms": time.Since(came).Milliseconds(), "evacuated": evacuated,
 	}).Info("a list of endpoints is in force")
 }
 
-// listed returns the endpoints that have changed from one list to the next and may get new requests, and the ids of those
-// that may not any more.
-func (e *Entry) listed(now time.Time, from, to *catalog.List) (changed []placement.Listed, gone []string) {
+// evacuatedDomains returns the failure domains whose endpoints get nothing new, by name.
+func evacuatedDomains(s *fleetpb.State) []string {
+	var out []string
+	for _, e := range s.GetEvacuations() {
+		out = append(out, e.GetFailureDomain())
+	}
+	return out
+}
+
+// listed returns the endpoints that have changed from one fleet, which may be nil, to the next and may get new requests,
+// and the ids of those that may not any more.
+func (e *Entry) listed(now time.Time, old, next *fleet) (changed []placement.Listed, gone []string) {
 	var present, absent []*fleetpb.Endpoint
-	catalog.Compare(from, to, func(before, after *fleetpb.Endpoint) {
+	to := next.reading.Version()
+	catalog.Compare(old.version(), to, func(before, after *fleetpb.Endpoint) {
 		if after != nil {
 			present = append(present, after)
 		} else {
@@ -176,6 +187,7 @@
 			present = append(present, to.List().GetEndpoints()[i])
 		}
 	}
+	present = append(present, next.moved(old)...)
 	slices.SortFunc(present, func(a, b *fleetpb.Endpoint) int { return strings.Compare(a.GetId(), b.GetId()) })
 	present = slices.CompactFunc(present, func(a, b *fleetpb.Endpoint) bool { return a == b })
 	lives := e.presentLives(now, present, to.Number())
@@ -187,6 +199,9 @@
 	}
 	may := make(map[string]bool, len(usable))
 	for _, p := range usable {
+		if slices.Contains(next.evacuated, p.GetFailureDomain()) {
+			continue
+		}
 		may[p.GetId()] = true
 		changed = append(changed, placement.Listed{BornMS: lives[p.GetId()].BornMS, Config: &configpb.Endpoint{
 			Name: p.GetId(), Domain: p.GetFailureDomain(), Address: p.GetAddress(),
@@ -231,6 +246,31 @@
 
 // fleet is what requests need of the list of endpoints.
 type fleet struct {
+	// Fleet lacks the endpoints of evacuated failure domains.
 	*placement.Fleet
 	reading *watch.Reading
+	// evacuated are those failure domains, by name.
+	evacuated []string
+}
+
+// version returns the list, nil if f is nil.
+func (f *fleet) version() *catalog.List {
+	if f == nil {
+		return nil
+	}
+	return f.reading.Version()
+}
+
+// moved returns the listed endpoints of the failure domains that were evacuated, or taken back, since an earlier fleet.
+func (f *fleet) moved(old *fleet) []*fleetpb.Endpoint {
+	if old == nil || slices.Equal(f.evacuated, old.evacuated) {
+		return nil
+	}
+	var out []*fleetpb.Endpoint
+	for _, p := range f.reading.List().GetEndpoints() {
+		if slices.Contains(f.evacuated, p.GetFailureDomain()) != slices.Contains(old.evacuated, p.GetFailureDomain()) {
+			out = append(out, p)
+		}
+	}
+	return out
 }
--- a/rockbarrow/register/acceptor.go
+++ b/rockbarrow/register/acceptor.go
@@ -104,7 +104,7 @@
 func Clone(s *fleetpb.State) *fleetpb.State {
 	shallow := &fleetpb.State{
 		Number: s.GetNumber(), Voters: s.GetVoters(), PriorVoters: s.GetPriorVoters(),
-		View: s.GetView(), Retired: s.GetRetired(),
+		View: s.GetView(), Retired: s.GetRetired(), Evacuations: s.GetEvacuations(),
 	}
 	c := proto.Clone(shallow).(*fleetpb.State)
 	c.Configuration = s.GetConfiguration()
