stores: an instance asks a sample of the stores whether they are there

Cause: after a start each entry instance asked every store each 0.2 s until it answered, and kept a connection to each: entries x stores (865 x 119 on the whole fleet). Change: three of each failure domain, other ones for each instance, tell the reach of all; a store of which nothing is known counts as its failure domain does; a reservation looks at the stores of its own group, so that one store that is out does not cost every other program its quorum first. Deployments with three stores a failure domain ask all, as before.

--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,7 +38,8 @@
 	// the default.
 	HedgeAfter time.Duration
 
-	health health
+	health  health
+	samples samples
 }
 
 // Turn is a turn that wants to run.
@@ -156,9 +158,15 @@
 // quorumFirst returns the stores of a program, those of the own failure domain first, and how many to ask at first: as
 // many as a reservation needs while nothing is wrong. The settlement goes to all of them and brings the reservation with it.
 func (c *Client) quorumFirst(v *fleetpb.View, members []*fleetpb.Member) ([]*fleetpb.Member, int) {
-	if len(members) == 0 || len(v.GetPrior()) > 0 || !c.health.allProven(v) {
+	if len(members) == 0 || len(v.GetPrior()) > 0 {
 		return members, len(members)
 	}
+	if !c.health.allProven(members) {
+		domains := c.provenDomains(v)
+		if slices.ContainsFunc(members, func(m *fleetpb.Member) bool { return !c.isProven(m, domains) }) {
+			return members, len(members)
+		}
+	}
 	ordered := make([]*fleetpb.Member, 0, len(members))
 	for _, own := range []bool{true, false} {
 		for _, m := range members {
--- a/rockbarrow/stores/export_test.go
+++ b/rockbarrow/stores/export_test.go
@@ -3,4 +3,4 @@
 package stores
 
 // Proven reports whether all stores have answered their last calls.
-func (c *Client) Proven() bool { return c.health.allProven(c.Watch.State().GetView()) }
+func (c *Client) Proven() bool { return c.health.allProven(c.Watch.State().GetView().GetMembers()) }
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -88,19 +89,24 @@
 	return h.met[storage] && !h.out[storage]
 }
 
-// allProven reports whether all stores of a view have answered, also their last calls. It is asked for with each request,
-// and spares the look at groups while nothing is wrong.
-func (h *health) allProven(v *fleetpb.View) bool {
+// known reports whether anything was told of a store.
+func (h *health) known(storage uint64) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.met[storage] || h.out[storage]
+}
+
+// allProven reports whether stores have all answered, also their last calls, and no other store is out. It is asked for with
+// each request, and spares the look at groups while nothing is wrong.
+func (h *health) allProven(list []*fleetpb.Member) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if len(h.out) > 0 {
 		return false
 	}
-	for _, list := range [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()} {
-		for _, m := range list {
-			if !h.met[m.GetStorage()] {
-				return false
-			}
+	for _, m := range list {
+		if !h.met[m.GetStorage()] {
+			return false
 		}
 	}
 	return true
@@ -120,19 +126,21 @@
 // Reachable reports whether half of the groups of stores or more can be written.
 // Groups are spread over failure domains, so that more stores than a group may
 // lose can be out of reach while every group has its quorum. A store that has not
-// answered yet counts as out of reach: a process that starts behind a cut must not
+// answered yet counts as out of reach, unless one of its failure domain answers: a process that starts behind a cut must not
 // draw clients there.
 func (c *Client) Reachable() bool {
 	v := c.Watch.State().GetView()
 	if v == nil {
 		return false
 	}
-	if c.health.allProven(v) {
+	if c.health.allProven(c.samples.of(v, c.Watch.Self)) {
 		return true
 	}
+	domains := c.provenDomains(v)
+	out := func(m *fleetpb.Member) bool { return !c.isProven(m, domains) }
 	reached := 0
 	for i := range sampled {
-		if reaches(v, strconv.Itoa(i), c.unproven) {
+		if reaches(v, strconv.Itoa(i), out) {
 			reached++
 		}
 	}
@@ -143,47 +151,62 @@
 // calls have told: a store that was not called yet may be there.
 func (c *Client) Reaches(program string) bool {
 	v := c.Watch.State().GetView()
-	return v != nil && (c.health.allThere() || reaches(v, program, c.health.isOut))
+	return v != nil && (c.health.allThere() || reaches(v, program, func(m *fleetpb.Member) bool { return c.health.isOut(m.GetStorage()) }))
 }
 
 // hopeless reports whether so many stores of a program have gone out of reach that a
 // call under way to them will find no quorum.
 func (c *Client) hopeless(program string) bool {
 	v := c.Watch.State().GetView()
-	return v == nil || !c.health.allThere() && !reaches(v, program, c.health.gone)
+	return v == nil || !c.health.allThere() && !reaches(v, program, func(m *fleetpb.Member) bool { return c.health.gone(m.GetStorage()) })
 }
 
-func (c *Client) unproven(storage uint64) bool { return !c.health.proven(storage) }
+// isProven reports whether a store has answered its last call or, if nothing is known of it, one of its failure domain has.
+func (c *Client) isProven(m *fleetpb.Member, domains map[string]bool) bool {
+	if c.health.known(m.GetStorage()) {
+		return c.health.proven(m.GetStorage())
+	}
+	return domains[m.GetFailureDomain()]
+}
+
+// provenDomains returns the failure domains of which a store answers.
+func (c *Client) provenDomains(v *fleetpb.View) map[string]bool {
+	out := map[string]bool{}
+	for _, m := range v.GetMembers() {
+		if !out[m.GetFailureDomain()] && c.health.proven(m.GetStorage()) {
+			out[m.GetFailureDomain()] = true
+		}
+	}
+	return out
+}
 
 // reaches reports whether few enough stores of a program's groups are out.
-func reaches(v *fleetpb.View, program string, out func(storage uint64) bool) bool {
+func reaches(v *fleetpb.View, program string, out func(*fleetpb.Member) bool) bool {
 	copies := int(v.GetCopies())
 	present, prior := ledger.Group(v.GetMembers(), program, copies), ledger.Group(v.GetPrior(), program, copies)
 	return countOut(present, out) <= ledger.Losable(len(present)) && countOut(prior, out) <= ledger.Unheard(len(prior))
 }
 
-func countOut(group []*fleetpb.Member, out func(storage uint64) bool) int {
+func countOut(group []*fleetpb.Member, out func(*fleetpb.Member) bool) int {
 	n := 0
 	for _, m := range group {
-		if out(m.GetStorage()) {
+		if out(m) {
 			n++
 		}
 	}
 	return n
 }
 
-// DomainsOut returns the failure domains none of whose stores answers.
+// DomainsOut returns the failure domains of which no store answers, and some did not answer a call.
 func (c *Client) DomainsOut() []string {
-	reached, out := map[string]bool{}, []string{}
-	members := c.Watch.State().GetView().GetMembers()
-	for _, m := range members {
-		if !c.health.isOut(m.GetStorage()) {
-			reached[m.GetFailureDomain()] = true
-		}
+	if c.health.allThere() {
+		return nil
 	}
-	for _, m := range members {
-		if d := m.GetFailureDomain(); !reached[d] {
-			reached[d] = true
+	v := c.Watch.State().GetView()
+	proven, out := c.provenDomains(v), []string{}
+	for _, m := range v.GetMembers() {
+		if d := m.GetFailureDomain(); !proven[d] && c.health.isOut(m.GetStorage()) {
+			proven[d] = true
 			out = append(out, d)
 		}
 	}
@@ -234,8 +257,8 @@
 // viewTick is how often a process that has just started looks for the first view.
 const viewTick = 5 * time.Millisecond
 
-// Run probes stores that are out of reach or have not answered yet, and all of them
-// while most voters are silent, until ctx ends.
+// Run probes stores that are out of reach and a sample of those that have not answered yet, and all that are known while
+// most voters are silent, until ctx ends.
 func (c *Client) Run(ctx context.Context) {
 	for c.Watch.State().GetView() == nil {
 		if !wait.For(ctx, viewTick) {
@@ -261,10 +284,22 @@
 func (c *Client) probe(ctx context.Context) {
 	v := c.Watch.State().GetView()
 	cutOff := c.Watch.CutOff()
+	ask := func(m *fleetpb.Member) {
+		if cutOff || !c.health.proven(m.GetStorage()) {
+			go (&prober{client: c, member: m, epoch: v.GetEpoch()}).run(ctx)
+		}
+	}
+	sample := c.samples.of(v, c.Watch.Self)
+	for _, m := range sample {
+		ask(m)
+	}
+	if !cutOff && c.health.allThere() {
+		return
+	}
 	for _, list := range [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()} {
 		for _, m := range list {
-			if cutOff || c.unproven(m.GetStorage()) {
-				go (&prober{client: c, member: m, epoch: v.GetEpoch()}).run(ctx)
+			if c.health.known(m.GetStorage()) && !slices.Contains(sample, m) {
+				ask(m)
 			}
 		}
 	}
@@ -288,7 +323,7 @@
 	switch {
 	case err == nil:
 		p.client.observe(p.member, nil)
-	case p.client.unproven(p.member.GetStorage()):
+	case !p.client.health.proven(p.member.GetStorage()):
 		// It may be starting too. Requests try it, and wait for it a little.
 	case !stoodStill(asked, probeWithin):
 		p.client.observe(p.member, err)
