controller: endpoints of a make that tells no start are not all asked

Cause: ten thousand endpoints were asked at first sight for a start that none of them tells; each question has a price and a new connection. Change: after sixteen answers in a row without a start, a service's others are asked once they are doubtful, and all of them once one tells its start.

--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -37,6 +37,9 @@
 	tellEvery = time.Second
 	// mostAsked bounds the questions under way; each takes some 10 ms.
 	mostAsked = 8
+	// silentMake is how many endpoints of a service answer in a row without telling their start until the others are taken
+	// for the same make, and are asked only once they are doubtful.
+	silentMake = 16
 )
 
 // lives finds out which life of each endpoint is the present one, and tells it with the list. An endpoint is
@@ -56,8 +59,9 @@
 	told     time.Time
 	// more is true while more questions are due than are asked at once.
 	more bool
-	// untold is true once an endpoint was met that tells no start.
+	// untold is true once an endpoint was met that tells no start, and silent counts by service those that were met in a row.
 	untold bool
+	silent map[string]int
 }
 
 // question is what is asked of one endpoint of the list.
@@ -68,6 +72,8 @@
 	// last is when it was asked last, and pause what has to pass before it is asked again.
 	last  time.Time
 	pause time.Duration
+	// atSight is true if it is due only because nobody has asked the endpoint yet.
+	atSight bool
 	// underway is true while it is asked.
 	underway bool
 	// untold is true once it has answered without telling its start: it is not asked again.
@@ -113,7 +119,7 @@
 func newQuestion(now time.Time, e *fleetpb.Endpoint, told bool) *question {
 	q := &question{endpoint: e, pause: askPause}
 	if !told {
-		q.due = now
+		q.due, q.atSight = now, true
 	}
 	return q
 }
@@ -124,7 +130,7 @@
 	returned := q.endpoint.GetDraining() && !e.GetDraining()
 	q.endpoint = e
 	if moved || returned {
-		q.due, q.untold = now, false
+		q.due, q.untold, q.atSight = now, false, false
 	}
 }
 
@@ -135,14 +141,14 @@
 	defer l.mu.Unlock()
 	for _, u := range uses {
 		q := l.questions[u.GetEndpoint()]
-		if u.GetLost() == 0 || q == nil || q.untold || !q.due.IsZero() {
+		if u.GetLost() == 0 || q == nil || q.untold || !q.due.IsZero() && !q.atSight {
 			continue
 		}
 		present, _ := l.present.Take(now, life.Life{ID: u.GetEndpoint()})
 		if !present.Same(life.Life{ID: u.GetEndpoint(), BornMS: u.GetBornMs()}) {
 			continue
 		}
-		q.due = later(now, q.last.Add(q.pause))
+		q.due, q.atSight = later(now, q.last.Add(q.pause)), false
 	}
 }
 
@@ -190,7 +196,7 @@
 	var out []*question
 	l.more = false
 	for _, q := range l.questions {
-		if q.underway || q.due.IsZero() || now.Before(q.due) {
+		if q.underway || q.due.IsZero() || now.Before(q.due) || q.atSight && l.silent[q.endpoint.GetService()] >= silentMake {
 			continue
 		}
 		if l.asked == mostAsked {
@@ -200,7 +206,7 @@
 		if now.Sub(q.last) > calmAfter {
 			q.pause = askPause
 		}
-		q.underway, q.due, q.last = true, time.Time{}, now
+		q.underway, q.atSight, q.due, q.last = true, false, time.Time{}, now
 		l.asked++
 		out = append(out, q)
 	}
@@ -231,8 +237,12 @@
 		q.due = now.Add(askPause)
 	case born == 0:
 		q.untold = true
+		if l.silent == nil {
+			l.silent = map[string]int{}
+		}
+		l.silent[e.GetService()]++
 		l.goByID(log)
-	case l.hear(now, log, life.Life{ID: e.GetId(), BornMS: born}):
+	case l.hear(now, log, e.GetService(), life.Life{ID: e.GetId(), BornMS: born}):
 		q.pause = askPause
 	default:
 		q.pause = min(2*q.pause, mostPause)
@@ -240,7 +250,8 @@
 }
 
 // hear takes what an endpoint has told, and reports whether that is news.
-func (l *lives) hear(now time.Time, log *logrus.Entry, told life.Life) bool {
+func (l *lives) hear(now time.Time, log *logrus.Entry, service string, told life.Life) bool {
+	delete(l.silent, service)
 	before, _ := l.present.Take(now, life.Life{ID: told.ID})
 	present, began := l.present.Take(now, told)
 	if present == before {
--- a/rockbarrow/controller/lives_test.go
+++ b/rockbarrow/controller/lives_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -225,3 +226,55 @@
 		t.Errorf("asked at %v after a time without doubts", asked)
 	}
 }
+
+// TestAMakeThatTellsNoStartIsNotAskedThroughout: ten thousand endpoints of two services told no start, and each
+// was asked once. Those that are doubtful are asked, and all are once one of the service tells its start.
+func TestAMakeThatTellsNoStartIsNotAskedThroughout(t *testing.T) {
+	for _, n := range []int{100, 200} {
+		l := lives{controller: &Controller{Log: quietLog()}}
+		now := time.Unix(100, 0)
+		var reading []*fleetpb.Endpoint
+		for i := range n {
+			reading = append(reading, &fleetpb.Endpoint{Id: fmt.Sprintf("e%03d", i), Service: "s"}, &fleetpb.Endpoint{Id: fmt.Sprintf("o%03d", i), Service: "o"})
+		}
+		l.name(now, nil, reading)
+		asked := map[string]int{}
+		ask := func(born uint64) {
+			for batch := l.take(now); len(batch) > 0; batch = l.take(now) {
+				for _, q := range batch {
+					asked[q.endpoint.GetService()]++
+					told := born
+					if q.endpoint.GetService() == "o" {
+						told = 1000
+					}
+					l.answer(now, q, q.endpoint, told, nil)
+				}
+			}
+		}
+		ask(0)
+		if asked["s"] < silentMake || asked["s"] >= silentMake+mostAsked || asked["o"] != n {
+			t.Errorf("%v of %d each were asked", asked, n)
+		}
+		before := asked["s"]
+		for _, e := range reading {
+			l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: e.GetId(), Lost: 1}})
+			if now = now.Add(2 * mostPause); asked["s"] > before {
+				break
+			}
+			ask(0)
+		}
+		if asked["s"] != before+1 {
+			t.Errorf("%d doubtful ones were asked, want one", asked["s"]-before)
+		}
+		for _, q := range l.questions {
+			if q.atSight && q.endpoint.GetService() == "s" {
+				l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: q.endpoint.GetId(), Lost: 1}})
+				break
+			}
+		}
+		ask(7)
+		if asked["s"] != n {
+			t.Errorf("%d of %d were asked after one told its start", asked["s"], n)
+		}
+	}
+}
