controller, dial, watch: answers look up what fails or is under way; connections to released control instances close

Cause: each answer to an entry looked up all endpoints that had been called in the last 13 s (counted by allocations), and every instance kept its first connections to the seeds for a minute.

--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -23,6 +23,8 @@
 	// fewOutcomes keeps a handful of failures from weighing like a rule: it is added
 	// to the number of calls that the failed ones are divided by.
 	fewOutcomes = 3
+	// noticedFailures is the weight of failed calls below which an endpoint's share of them rounds to nothing.
+	noticedFailures = 0.01 * fewOutcomes
 	// forgottenOutcomes is the weight below which an endpoint's outcomes are dropped.
 	forgottenOutcomes = 0.01
 )
@@ -204,19 +206,22 @@
 }
 
 // known returns what is known of the endpoints of a list, in their order; the caller holds mu. It costs as much as is
-// known, whatever the length of the list.
+// under way or fails, whatever the length of the list and however many calls have ended well.
 func (l *loads) known(now time.Time, entry string, list *catalog.List) []load {
 	var own map[life.Life]uint32
 	if r := l.reporters[entry]; r != nil {
 		own = r.running
 	}
-	out := make([]load, 0, len(l.running)+len(l.outcomes))
+	out := make([]load, 0, len(l.running))
 	for of, n := range l.running {
 		if i, ok := position(list, of); ok {
 			out = append(out, load{index: i, running: n - own[of]})
 		}
 	}
 	for of, o := range l.outcomes {
+		if o.failed < noticedFailures {
+			continue
+		}
 		if i, ok := position(list, of); ok {
 			o.decay(now)
 			out = append(out, load{index: i, ended: *o})
--- a/rockbarrow/controller/relay_test.go
+++ b/rockbarrow/controller/relay_test.go
@@ -78,6 +78,26 @@
 	}
 }
 
+// TestCallsThatEndedWellCostNothing: each answer looked up all endpoints that had been called lately.
+func TestCallsThatEndedWellCostNothing(t *testing.T) {
+	list := &fleetpb.EndpointList{Number: 1}
+	var l loads
+	now := time.Unix(100, 0)
+	for i := range 2000 {
+		id := fmt.Sprintf("e%05d", i)
+		list.Endpoints = append(list.Endpoints, &fleetpb.Endpoint{Id: id})
+		l.heard(now, "1", []*fleetpb.EndpointUse{use(id, 0, 9, 0)}, true)
+	}
+	version := catalog.New(list)
+	if n := testing.AllocsPerRun(10, func() { l.of(now, "2", version, true) }); n > 2 {
+		t.Errorf("%.0f allocations where nothing is under way or fails", n)
+	}
+	l.heard(now, "1", []*fleetpb.EndpointUse{use("e00007", 0, 0, 1)}, true)
+	if got := l.of(now, "2", version, true); len(got.GetIndex()) != 1 || got.GetFailing()[0] == 0 {
+		t.Errorf("%v, want the one that failed a call", got)
+	}
+}
+
 // TestACallThatWaitsIsAnsweredByTheMaker: every control instance told every other of each new list, each time whole.
 func TestACallThatWaitsIsAnsweredByTheMaker(t *testing.T) {
 	c := &Controller{Self: &fleetpb.Member{Instance: "control-0", Storage: 1}, DataDir: t.TempDir(), Log: quietLog()}
--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -135,6 +135,16 @@
 	time.AfterFunc(lastCalls, func() { c.Close() })
 }
 
+// Release closes the connection to a peer that is not called for now. Calls under way may still end.
+func (p *Pool) Release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[address]; c != nil {
+		delete(p.conns, address)
+		time.AfterFunc(lastCalls, func() { c.Close() })
+	}
+}
+
 // Sweep closes connections that were not used for long.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -59,6 +59,9 @@
 			wait.For(ctx, pause+rand.N(pause)-time.Since(asked))
 		}
 	}
+	if ctx.Err() == nil {
+		t.client.Pool.Release(t.address)
+	}
 }
 
 // failed logs the loss of an instance once.
