controller, list: a long list is read less often

Change: readings use a tenth of the calls that the list takes, and come as often as a third of the time in which a leaving endpoint has to be known; short lists are read as before.

--- a/rockbarrow/catalog/change.go
+++ b/rockbarrow/catalog/change.go
@@ -31,7 +31,7 @@
 
 // Change returns what leads from one list to another.
 func Change(from, to *List) *fleetpb.ListChange {
-	out := &fleetpb.ListChange{Number: to.Number(), BaseSum: from.Sum(), Sum: to.Sum()}
+	out := &fleetpb.ListChange{Number: to.Number(), BaseSum: from.Sum(), Sum: to.Sum(), Calls: to.List().GetCalls()}
 	Compare(from, to, func(before, after *fleetpb.Endpoint) {
 		if after != nil {
 			out.Changed = append(out.Changed, after)
@@ -52,7 +52,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "catalog: a whole list")
 	}
-	return &fleetpb.ListChange{Number: l.Number(), Sum: l.Sum(), Whole: frame}, nil
+	return &fleetpb.ListChange{Number: l.Number(), Sum: l.Sum(), Whole: frame, Calls: l.List().GetCalls()}, nil
 }
 
 // Apply returns the list that a change leads to. It fails with a [BaseError] or a [SumError], or if a whole list is
@@ -78,7 +78,7 @@
 		if err := proto.Unmarshal(b, l); err != nil {
 			return nil, errors.Wrap(err, "catalog: a whole list")
 		}
-		l.Number = c.GetNumber()
+		l.Number, l.Calls = c.GetNumber(), c.GetCalls()
 		return New(l).Sharing(held), nil
 	}
 	if c.GetBaseSum() != held.Sum() {
@@ -116,5 +116,6 @@
 			changed = changed[1:]
 		}
 	}
-	return &List{list: &fleetpb.EndpointList{Number: c.GetNumber(), Endpoints: slices.Clip(out)}, sum: sum}
+	l := &fleetpb.EndpointList{Number: c.GetNumber(), Endpoints: slices.Clip(out), Calls: c.GetCalls()}
+	return &List{list: l, sum: sum}
 }
--- a/rockbarrow/catalog/list.go
+++ b/rockbarrow/catalog/list.go
@@ -30,7 +30,7 @@
 	if hasDuplicates(endpoints) {
 		endpoints = slices.CompactFunc(slices.Clone(endpoints), func(a, b *fleetpb.Endpoint) bool { return a.GetId() == b.GetId() })
 	}
-	out := &List{list: &fleetpb.EndpointList{Number: l.GetNumber(), Endpoints: endpoints}}
+	out := &List{list: &fleetpb.EndpointList{Number: l.GetNumber(), Endpoints: endpoints, Calls: l.GetCalls()}}
 	for _, e := range endpoints {
 		out.sum += checksum(e)
 	}
@@ -159,5 +159,5 @@
 			j++
 		}
 	}
-	return &List{list: &fleetpb.EndpointList{Number: l.Number(), Endpoints: a}, sum: l.sum}
+	return &List{list: &fleetpb.EndpointList{Number: l.Number(), Endpoints: a, Calls: l.List().GetCalls()}, sum: l.sum}
 }
--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -30,8 +30,8 @@
 
 // List reads the list of endpoints, wherever it is kept.
 type List interface {
-	// Endpoints returns the whole list.
-	Endpoints(ctx context.Context) ([]*fleetpb.Endpoint, error)
+	// Endpoints returns the whole list, which has no number yet, and how many calls that took.
+	Endpoints(ctx context.Context) (*fleetpb.EndpointList, error)
 }
 
 // UnavailableError says that no majority of the voters answered in time. What
@@ -67,6 +67,10 @@
 	DataDir string
 	Pool    *dial.Pool
 	List    List
+	// ListCallsPerSecond is how many calls of all instances the list takes, zero if that is not bounded. ListAge is how
+	// old what is known of the list may get, zero for no bound.
+	ListCallsPerSecond float64
+	ListAge            time.Duration
 	// Reports asks endpoints for their starts. Without it they go by their ids alone.
 	Reports Reports
 	// Decode reads a configuration. Without it no tables are made here, and documents
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -27,10 +27,10 @@
 	list []*fleetpb.Endpoint
 }
 
-func (l *fakeList) Endpoints(context.Context) ([]*fleetpb.Endpoint, error) {
+func (l *fakeList) Endpoints(context.Context) (*fleetpb.EndpointList, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.list, nil
+	return &fleetpb.EndpointList{Endpoints: l.list}, nil
 }
 
 func (l *fakeList) set(list ...*fleetpb.Endpoint) {
--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -285,6 +285,8 @@
 	if known == nil {
 		return
 	}
-	named := c.lives.name(time.Now(), known.List(), known.List().GetEndpoints())
+	named := &fleetpb.EndpointList{
+		Endpoints: c.lives.name(time.Now(), known.List(), known.List().GetEndpoints()), Calls: known.List().GetCalls(),
+	}
 	c.offerList(c.numberList(known.Version(), named), known.At())
 }
--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -14,9 +14,14 @@
 )
 
 const (
-	// readEvery is the age at which the first in rank reads the list again. Each
+	// readEvery is the least age at which the first in rank reads the list again. Each
 	// call has a price; a leaving endpoint must get nothing new within seconds.
 	readEvery = 800 * time.Millisecond
+	// callsShare is the part of the calls that the list takes which readings may use: the rest is for several
+	// instances that read at once.
+	callsShare = 0.1
+	// ageShare is the part of the list's allowed age that may pass between two readings.
+	ageShare = 1.0 / 3
 	// rankDelay is how much older the list gets before the next in rank reads it
 	// too; the age that others tell is up to peerHold late.
 	rankDelay = 900 * time.Millisecond
@@ -65,6 +70,16 @@
 	return time.Duration(len(c.Seeds))*firstReadDelay + rand.N(spareDelays*firstReadDelay)
 }
 
+// readInterval returns the age at which a list is read again that takes so many calls: a long one less often, since the
+// calls that it takes do not grow with it.
+func (c *Controller) readInterval(calls uint32) time.Duration {
+	if c.ListCallsPerSecond <= 0 || c.ListAge <= 0 {
+		return readEvery
+	}
+	needed := time.Duration(float64(calls) / (callsShare * c.ListCallsPerSecond) * float64(time.Second))
+	return max(readEvery, min(needed, time.Duration(ageShare*float64(c.ListAge))))
+}
+
 func (r *reader) due(now time.Time) bool {
 	l := r.controller.watch.List()
 	if l == nil {
@@ -73,7 +88,7 @@
 	rank := time.Duration(r.controller.rank(now))
 	if l.Version().Number() >= r.controller.listFloor.Load() {
 		r.behind = time.Time{}
-		return now.Sub(l.At()) > readEvery+rank*rankDelay
+		return now.Sub(l.At()) > r.controller.readInterval(l.List().GetCalls())+rank*rankDelay
 	}
 	if r.behind.IsZero() {
 		r.behind = now
@@ -87,7 +102,7 @@
 	c := r.controller
 	// The list is at least as new as the moment when it was asked for.
 	asked := time.Now()
-	endpoints, err := c.List.Endpoints(ctx)
+	read, err := c.List.Endpoints(ctx)
 	if err != nil {
 		if !r.failing {
 			c.Log.WithError(err).Warn("the list of endpoints is not read")
@@ -103,7 +118,8 @@
 	c.listing.Lock()
 	defer c.listing.Unlock()
 	known := c.watch.List().Version()
-	c.offerList(c.numberList(known, c.lives.name(time.Now(), known.List(), endpoints)), asked)
+	named := &fleetpb.EndpointList{Endpoints: c.lives.name(time.Now(), known.List(), read.GetEndpoints()), Calls: read.GetCalls()}
+	c.offerList(c.numberList(known, named), asked)
 }
 
 // numberList numbers a reading: the known number if nothing changed, else one above
@@ -111,11 +127,10 @@
 // restart of all control instances, which begin with no list at all, and would take
 // no list under a lower number. The low bits are drawn by each process, so that no
 // two lists share a number.
-func (c *Controller) numberList(known *catalog.List, endpoints []*fleetpb.Endpoint) *catalog.List {
+func (c *Controller) numberList(known *catalog.List, read *fleetpb.EndpointList) *catalog.List {
 	floor := c.listFloor.Load()
-	l := catalog.New(&fleetpb.EndpointList{
-		Number: (max(known.Number(), floor)>>tagBits+1)<<tagBits | c.listTag, Endpoints: endpoints,
-	}).Sharing(known)
+	read.Number = (max(known.Number(), floor)>>tagBits+1)<<tagBits | c.listTag
+	l := catalog.New(read).Sharing(known)
 	if known != nil && known.Number() >= floor && catalog.Same(known, l) {
 		return known
 	}
--- a/rockbarrow/controller/start_test.go
+++ b/rockbarrow/controller/start_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -57,3 +58,20 @@
 		t.Errorf("%d endpoints are known before the first tick", n)
 	}
 }
+
+// TestALongListIsReadLessOften: fifty calls for each reading used a fifth of all that the list takes.
+func TestALongListIsReadLessOften(t *testing.T) {
+	c := &Controller{ListCallsPerSecond: 320, ListAge: 5 * time.Second}
+	for _, test := range []struct {
+		calls uint32
+		least float64
+	}{{0, 0}, {1, 0}, {25, 0}, {50, 1.5}, {100, 1.5}, {1000, 1.5}} {
+		interval := c.readInterval(test.calls)
+		if interval < readEvery || interval.Seconds() < test.least || interval > c.ListAge/3 {
+			t.Errorf("%d calls each %v", test.calls, interval)
+		}
+	}
+	if got := (&Controller{}).readInterval(50); got != readEvery {
+		t.Errorf("%v where the calls are not bounded", got)
+	}
+}
