--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -125,7 +125,7 @@
 
 	// news is closed and replaced whenever something newer is known.
 	newsMu sync.Mutex
-	news   chan struct{}
+	update chan struct{}
 }
 
 // Open reads the disk. The instance votes once it is opened.
@@ -140,7 +140,7 @@
 	c.reach.Store(&fleetpb.Reach{FailureDomains: []string{c.Self.GetFailureDomain()}, AllRelay: true})
 	c.watch = &watch.Client{
 		Self: c.Self, Role: fleetpb.Role_ROLE_CONTROL,
-		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.tell,
+		Seeds: c.Seeds, Pool: c.Pool, Log: c.Log, Hold: peerHold, Changed: c.publish,
 		Relayed:   c.relayed,
 		Documents: document.Cache{Keep: keptDocuments, Log: c.Log},
 		Lists:     document.Cache{Keep: keptDocuments, Log: c.Log},
@@ -163,7 +163,7 @@
 	c.process = rand.Uint64()
 	c.quotas.Terms = c.QuotaTerms
 	c.quotas.Begin(time.Now())
-	c.news = make(chan struct{})
+	c.update = make(chan struct{})
 	return nil
 }
 
@@ -197,19 +197,19 @@
 // Endpoints returns the newest list and when it was read.
 func (c *Controller) Endpoints() *watch.Reading { return c.watch.List() }
 
-// tell wakes the calls that wait for news.
-func (c *Controller) tell() {
+// publish wakes the calls that wait for news.
+func (c *Controller) publish() {
 	c.tables.wake()
 	c.newsMu.Lock()
-	close(c.news)
-	c.news = make(chan struct{})
+	close(c.update)
+	c.update = make(chan struct{})
 	c.newsMu.Unlock()
 }
 
-func (c *Controller) newsChannel() <-chan struct{} {
+func (c *Controller) updates() <-chan struct{} {
 	c.newsMu.Lock()
 	defer c.newsMu.Unlock()
-	return c.news
+	return c.update
 }
 
 // Put brings a configuration into force, unless one of the same or a higher
--- a/rockbarrow/controller/customers_test.go
+++ b/rockbarrow/controller/customers_test.go
@@ -103,7 +103,7 @@
 	await(t, func() bool { return p.controller.RoutingTable().Customers() == 2 })
 	now := time.Now()
 	for i, heard := range []time.Time{now, now, now, now.Add(-5 * time.Second)} {
-		p.controller.presence.heard(heard, &fleetpb.WatchRequest{Sender: &fleetpb.Member{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}, Role: fleetpb.Role_ROLE_ENTRY, Serves: true})
+		p.controller.presence.receive(heard, &fleetpb.WatchRequest{Sender: &fleetpb.Member{Instance: fmt.Sprint("entry-", i), FailureDomain: "a"}, Role: fleetpb.Role_ROLE_ENTRY, Serves: true})
 	}
 	p.controller.counted.Store(nil)
 	p.controller.headcount(now)
--- a/rockbarrow/controller/duties.go
+++ b/rockbarrow/controller/duties.go
@@ -19,9 +19,9 @@
 const (
 	// dutyTick is how often the duties are looked at.
 	dutyTick = 250 * time.Millisecond
-	// stoodStill is a gap between ticks after which this process knows nothing
+	// stalledAfter is a gap between ticks after which this process knows nothing
 	// of who is present.
-	stoodStill = time.Second
+	stalledAfter = time.Second
 	// settleFor is how long no store may have come before the first view forms;
 	// all instances start within 0.3 s of each other.
 	settleFor = 1200 * time.Millisecond
@@ -65,7 +65,7 @@
 	d.told = d.started
 	for wait.For(ctx, dutyTick) {
 		now := time.Now()
-		if now.Sub(d.ticked) > stoodStill {
+		if now.Sub(d.ticked) > stalledAfter {
 			d.controller.Log.WithField("gap_ms", now.Sub(d.ticked).Milliseconds()).Warn("this process stood still")
 			d.controller.presence.refresh(now)
 		}
--- a/rockbarrow/controller/lives.go
+++ b/rockbarrow/controller/lives.go
@@ -134,9 +134,9 @@
 	}
 }
 
-// doubt takes what an entry instance tells of endpoints: those whose calls or connections were lost may have started
+// suspect takes what an entry instance tells of endpoints: those whose calls or connections were lost may have started
 // again. What it tells of an older life is late.
-func (l *lives) doubt(now time.Time, uses []*fleetpb.EndpointUse) {
+func (l *lives) suspect(now time.Time, uses []*fleetpb.EndpointUse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, u := range uses {
@@ -166,7 +166,7 @@
 func (l *lives) loop(ctx context.Context) {
 	for wait.For(ctx, askTick) {
 		now := time.Now()
-		if l.tell(now) {
+		if l.hasAnswers(now) {
 			l.controller.nameAgain()
 		}
 		if l.controller.rank(now) != 0 {
@@ -178,8 +178,8 @@
 	}
 }
 
-// tell reports whether there is something to tell, once.
-func (l *lives) tell(now time.Time) bool {
+// hasAnswers reports whether there is something to hasAnswers, once.
+func (l *lives) hasAnswers(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.answered || l.more && now.Sub(l.told) < tellEvery {
@@ -242,15 +242,15 @@
 		}
 		l.silent[e.GetService()]++
 		l.goByID(log)
-	case l.hear(now, log, e.GetService(), life.Life{ID: e.GetId(), BornMS: born}):
+	case l.receive(now, log, e.GetService(), life.Life{ID: e.GetId(), BornMS: born}):
 		q.pause = askPause
 	default:
 		q.pause = min(2*q.pause, mostPause)
 	}
 }
 
-// hear takes what an endpoint has told, and reports whether that is news.
-func (l *lives) hear(now time.Time, log *logrus.Entry, service string, told life.Life) bool {
+// receive takes what an endpoint has told, and reports whether that is news.
+func (l *lives) receive(now time.Time, log *logrus.Entry, service string, told life.Life) bool {
 	delete(l.silent, service)
 	before, _ := l.present.Take(now, life.Life{ID: told.ID})
 	present, began := l.present.Take(now, told)
--- a/rockbarrow/controller/lives_test.go
+++ b/rockbarrow/controller/lives_test.go
@@ -203,7 +203,7 @@
 		asked = nil
 		for after := from; after < to; after += 100 * time.Millisecond {
 			now := begun.Add(after)
-			l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: "a", Lost: 3}})
+			l.suspect(now, []*fleetpb.EndpointUse{{Endpoint: "a", Lost: 3}})
 			for _, q := range l.take(now) {
 				asked = append(asked, after)
 				l.answer(now, q, q.endpoint, born, nil)
@@ -257,7 +257,7 @@
 		}
 		before := asked["s"]
 		for _, e := range reading {
-			l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: e.GetId(), Lost: 1}})
+			l.suspect(now, []*fleetpb.EndpointUse{{Endpoint: e.GetId(), Lost: 1}})
 			if now = now.Add(2 * mostPause); asked["s"] > before {
 				break
 			}
@@ -268,7 +268,7 @@
 		}
 		for _, q := range l.questions {
 			if q.atSight && q.endpoint.GetService() == "s" {
-				l.doubt(now, []*fleetpb.EndpointUse{{Endpoint: q.endpoint.GetId(), Lost: 1}})
+				l.suspect(now, []*fleetpb.EndpointUse{{Endpoint: q.endpoint.GetId(), Lost: 1}})
 				break
 			}
 		}
--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -55,16 +55,16 @@
 	at               time.Time
 }
 
-// heard takes a report of an entry instance. Relay is true if it reports to no other control instance.
-func (l *loads) heard(now time.Time, entry string, uses []*fleetpb.EndpointUse, relay bool) {
+// receive takes a report of an entry instance. Relay is true if it reports to no other control instance.
+func (l *loads) receive(now time.Time, entry string, uses []*fleetpb.EndpointUse, relay bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.take(now, entry, uses, relay)
 	l.end(now, uses)
 }
 
-// heardRelayed takes the sums of the followers of another control instance, and those of their calls that ended.
-func (l *loads) heardRelayed(now time.Time, control string, running, ended []*fleetpb.EndpointUse) {
+// receiveRelayed takes the sums of the followers of another control instance, and those of their calls that ended.
+func (l *loads) receiveRelayed(now time.Time, control string, running, ended []*fleetpb.EndpointUse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.take(now, control, running, false)
--- a/rockbarrow/controller/loads_test.go
+++ b/rockbarrow/controller/loads_test.go
@@ -22,10 +22,10 @@
 func TestLoadsAreThoseOfOthers(t *testing.T) {
 	var l loads
 	now := time.Unix(100, 0)
-	l.heard(now, "1", []*fleetpb.EndpointUse{use("x", 3, 0, 0), use("y", 1, 0, 0)}, false)
-	l.heard(now, "2", []*fleetpb.EndpointUse{use("x", 2, 0, 0)}, false)
+	l.receive(now, "1", []*fleetpb.EndpointUse{use("x", 3, 0, 0), use("y", 1, 0, 0)}, false)
+	l.receive(now, "2", []*fleetpb.EndpointUse{use("x", 2, 0, 0)}, false)
 	// A report replaces the one before.
-	l.heard(now, "2", []*fleetpb.EndpointUse{use("x", 4, 0, 0)}, false)
+	l.receive(now, "2", []*fleetpb.EndpointUse{use("x", 4, 0, 0)}, false)
 	tests := []struct {
 		entry string
 		want  []uint32
@@ -37,7 +37,7 @@
 		}
 	}
 	// An instance that is lost takes its calls with it.
-	l.heard(now.Add(loadsWithin), "2", nil, false)
+	l.receive(now.Add(loadsWithin), "2", nil, false)
 	l.forget(now.Add(loadsWithin + time.Millisecond))
 	if got := l.of(now, "new", loadList(), false).GetRunning(); !slices.Equal(got, []uint32{0, 0}) {
 		t.Errorf("%v, want nothing under way", got)
@@ -48,8 +48,8 @@
 	var l loads
 	now := time.Unix(100, 0)
 	failing := func(after time.Duration) []uint32 { return l.of(now.Add(after), "new", loadList(), false).GetFailing() }
-	l.heard(now, "1", []*fleetpb.EndpointUse{use("x", 0, 5, 5), use("y", 0, 0, 1)}, false)
-	l.heard(now, "2", []*fleetpb.EndpointUse{use("x", 0, 0, 5)}, false)
+	l.receive(now, "1", []*fleetpb.EndpointUse{use("x", 0, 5, 5), use("y", 0, 0, 1)}, false)
+	l.receive(now, "2", []*fleetpb.EndpointUse{use("x", 0, 0, 5)}, false)
 	first := failing(0)
 	if first[0] < 50 || first[1] > 30 {
 		t.Errorf("%v, want x to fail, and y not on account of one failure", first)
@@ -71,15 +71,15 @@
 	at := func(born uint64, running, failed uint32) []*fleetpb.EndpointUse {
 		return []*fleetpb.EndpointUse{{Endpoint: "x", BornMs: born, Running: running, Failed: failed}}
 	}
-	l.heard(now, "1", at(1000, 3, 9), false)
-	l.heard(now, "2", at(2000, 1, 0), false)
+	l.receive(now, "1", at(1000, 3, 9), false)
+	l.receive(now, "2", at(2000, 1, 0), false)
 	list := catalog.New(&fleetpb.EndpointList{Number: 8, Endpoints: []*fleetpb.Endpoint{{Id: "x", BornMs: 2000}}})
 	got := l.of(now, "new", list, false)
 	if !slices.Equal(got.GetRunning(), []uint32{1}) || got.GetFailing()[0] != 0 {
 		t.Errorf("%v, want one call of the present life", got)
 	}
 	// Who does not know the life tells of the present one.
-	l.heard(now, "1", at(0, 5, 0), false)
+	l.receive(now, "1", at(0, 5, 0), false)
 	if got := l.of(now, "new", list, false); !slices.Equal(got.GetRunning(), []uint32{6}) {
 		t.Errorf("%v, want six calls", got)
 	}
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -40,12 +40,12 @@
 	control map[string]membership.Peer
 }
 
-// heard takes a call. It returns the sequence to acknowledge of what the caller relays, and the calls of followers that
+// receive takes a call. It returns the sequence to acknowledge of what the caller relays, and the calls of followers that
 // ended.
-func (r *presence) heard(now time.Time, req *fleetpb.WatchRequest) (acknowledged uint64, ended []*fleetpb.EndpointUse) {
+func (r *presence) receive(now time.Time, req *fleetpb.WatchRequest) (acknowledged uint64, ended []*fleetpb.EndpointUse) {
 	if req.GetRole() != fleetpb.Role_ROLE_CONTROL {
-		r.fleet.Heard(now, req)
-		r.reports.Heard(now, req)
+		r.fleet.Receive(now, req)
+		r.reports.Receive(now, req)
 		return 0, nil
 	}
 	r.mu.Lock()
--- a/rockbarrow/controller/reach.go
+++ b/rockbarrow/controller/reach.go
@@ -32,7 +32,7 @@
 			c.reach.Store(next)
 		}
 		if before.GetMajority() != next.GetMajority() {
-			c.tell()
+			c.publish()
 		}
 		if !wait.For(ctx, reachTick) {
 			return
--- a/rockbarrow/controller/relay_test.go
+++ b/rockbarrow/controller/relay_test.go
@@ -63,7 +63,7 @@
 		}
 		var l loads
 		now := time.Unix(100, 0)
-		l.heard(now, "1", []*fleetpb.EndpointUse{use("e00007", 3, 0, 0), use("e00100", 0, 0, 40), use("gone", 1, 0, 0)}, true)
+		l.receive(now, "1", []*fleetpb.EndpointUse{use("e00007", 3, 0, 0), use("e00100", 0, 0, 40), use("gone", 1, 0, 0)}, true)
 		got := l.of(now, "2", catalog.New(list), true)
 		if len(got.GetIndex()) != 2 || got.GetIndex()[0] != 7 || got.GetRunning()[0] != 3 || got.GetFailing()[1] < 50 {
 			t.Errorf("%v", got)
@@ -86,13 +86,13 @@
 	for i := range 2000 {
 		id := fmt.Sprintf("e%05d", i)
 		list.Endpoints = append(list.Endpoints, &fleetpb.Endpoint{Id: id})
-		l.heard(now, "1", []*fleetpb.EndpointUse{use(id, 0, 9, 0)}, true)
+		l.receive(now, "1", []*fleetpb.EndpointUse{use(id, 0, 9, 0)}, true)
 	}
 	version := catalog.New(list)
 	if n := testing.AllocsPerRun(10, func() { l.of(now, "2", version, true) }); n > 2 {
 		t.Errorf("%.0f allocations where nothing is under way or fails", n)
 	}
-	l.heard(now, "1", []*fleetpb.EndpointUse{use("e00007", 0, 0, 1)}, true)
+	l.receive(now, "1", []*fleetpb.EndpointUse{use("e00007", 0, 0, 1)}, true)
 	if got := l.of(now, "2", version, true); len(got.GetIndex()) != 1 || got.GetFailing()[0] == 0 {
 		t.Errorf("%v, want the one that failed a call", got)
 	}
--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -22,7 +22,7 @@
 	defer wait.Stop()
 	majority := c.reach.Load().GetMajority()
 	for first := true; ; first = false {
-		news := c.newsChannel()
+		news := c.updates()
 		if c.hasUpdate(req, first) || req.GetUnconfirmed() && c.confirmed() != nil || c.reach.Load().GetMajority() != majority {
 			return c.reply(req, acknowledged), nil
 		}
@@ -39,17 +39,17 @@
 
 // received takes what the sender tells. It returns the sequence to acknowledge of what it relays.
 func (c *Controller) received(now time.Time, req *fleetpb.WatchRequest) (acknowledged uint64) {
-	acknowledged, ended := c.presence.heard(now, req)
+	acknowledged, ended := c.presence.receive(now, req)
 	c.sawList(req.GetListNumber())
 	switch req.GetRole() {
 	case fleetpb.Role_ROLE_ENTRY:
-		c.loads.heard(now, req.GetSender().GetInstance(), req.GetUses(), req.GetCompact())
-		c.lives.doubt(now, req.GetUses())
-		c.quotas.Heard(now, req.GetCustomerUses())
+		c.loads.receive(now, req.GetSender().GetInstance(), req.GetUses(), req.GetCompact())
+		c.lives.suspect(now, req.GetUses())
+		c.quotas.Add(now, req.GetCustomerUses())
 	case fleetpb.Role_ROLE_CONTROL:
 		if req.GetRelayed() != nil {
-			c.loads.heardRelayed(now, req.GetSender().GetInstance(), req.GetRelayed().GetRunning(), ended)
-			c.lives.doubt(now, ended)
+			c.loads.receiveRelayed(now, req.GetSender().GetInstance(), req.GetRelayed().GetRunning(), ended)
+			c.lives.suspect(now, ended)
 		}
 	}
 	return acknowledged
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -10,9 +10,9 @@
 	"rockbarrow.dev/rockbarrow/quota"
 )
 
-// sureWithin is how lately the table must have been the newest one for a request to be denied by it: less than the
+// confirmedWithin is how lately the table must have been the newest one for a request to be denied by it: less than the
 // time within which a configuration must be in force everywhere, and a few of the confirmations that come each 0.3 s.
-const sureWithin = 1500 * time.Millisecond
+const confirmedWithin = 1500 * time.Millisecond
 
 // HasCustomers reports whether the configuration in force has customers, whose quotas every control instance counts.
 func (e *Entry) HasCustomers() bool { return e.table.Load().Customers() > 0 }
@@ -25,23 +25,23 @@
 	}
 	switch {
 	case !x.route.GetKeyed():
-		if x.customer != nil && !x.entry.trusts(x, now) {
+		if x.customer != nil && !x.entry.hasValidKey(x, now) {
 			x.customer = nil
 		}
 		return nil
-	case x.customer == nil && !x.entry.Lease.Newest(now, x.table.Version(), sureWithin):
-		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.untilSure(now), Reason: "the key is not known here, which may lag behind"}
+	case x.customer == nil && !x.entry.Lease.Newest(now, x.table.Version(), confirmedWithin):
+		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.retryAfterUnconfirmed(now), Reason: "the key is not known here, which may lag behind"}
 	case x.customer == nil:
 		return Refused{Status: http.StatusUnauthorized, Reason: "no customer holds such a key"}
-	case !x.entry.trusts(x, now):
-		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.untilSure(now), Reason: "the key could not be confirmed lately"}
+	case !x.entry.hasValidKey(x, now):
+		return Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.retryAfterUnconfirmed(now), Reason: "the key could not be confirmed lately"}
 	}
 	return nil
 }
 
-// trusts reports whether a request may still be offered to an endpoint under its customer's key: by the table that it
+// hasValidKey reports whether a request may still be offered to an endpoint under its customer's key: by the table that it
 // came under or by the one in force.
-func (e *Entry) trusts(x *exchange, now time.Time) bool {
+func (e *Entry) hasValidKey(x *exchange, now time.Time) bool {
 	if x.customer == nil || e.Lease.Holds(now, x.table.Version()) {
 		return true
 	}
@@ -50,21 +50,21 @@
 	return ok && c.GetName() == x.customer.GetName() && e.Lease.Holds(now, t.Version())
 }
 
-// untilSure is when a client had better come back that was refused because keys could not be confirmed.
-func (e *Entry) untilSure(now time.Time) time.Duration {
-	if e.apart() {
-		return e.elsewhere(now)
+// retryAfterUnconfirmed is when a client had better come back that was refused because keys could not be confirmed.
+func (e *Entry) retryAfterUnconfirmed(now time.Time) time.Duration {
+	if e.isCutOff() {
+		return e.retryElsewhere(now)
 	}
 	return later
 }
 
-// letIn counts the request against its customer's quota. It returns what the client hears if there is no room.
-func (x *exchange) letIn(ctx context.Context) Outcome {
+// chargeQuota counts the request against its customer's quota. It returns what the client hears if there is no room.
+func (x *exchange) chargeQuota(ctx context.Context) Outcome {
 	if x.customer == nil {
 		return nil
 	}
 	begun := time.Now()
-	d := x.entry.Quota.Admit(ctx, begun, x.customer, x.begins())
+	d := x.entry.Quota.Admit(ctx, begun, x.customer, x.isFirstTurn())
 	x.own += time.Since(begun)
 	x.entry.countCustomer(x.customer.GetName(), d)
 	switch d := d.(type) {
@@ -77,13 +77,13 @@
 	return nil
 }
 
-// begins reports whether the request is the first turn of a new program.
-func (x *exchange) begins() bool {
+// isFirstTurn reports whether the request is the first turn of a new program.
+func (x *exchange) isFirstTurn() bool {
 	return x.way.streamed && x.request.Previous == "" && x.request.LastEvent == ""
 }
 
-// giveBack lets another request in if this one certainly did not run.
-func (x *exchange) giveBack() {
+// refundQuota lets another request in if this one certainly did not run.
+func (x *exchange) refundQuota() {
 	if x.counted && !x.ran {
 		x.entry.Quota.Return(time.Now(), x.customer)
 	}
--- a/rockbarrow/entry/customer_test.go
+++ b/rockbarrow/entry/customer_test.go
@@ -88,7 +88,7 @@
 // TestWhoIsLetIn: a request's customer is told to endpoints; without a known key it does not run, and it is denied only
 // by a table that is certainly the newest.
 func TestWhoIsLetIn(t *testing.T) {
-	const old = sureWithin + time.Millisecond
+	const old = confirmedWithin + time.Millisecond
 	tests := []struct {
 		name, secret, path string
 		// age is how long ago the table was confirmed.
--- a/rockbarrow/entry/domains.go
+++ b/rockbarrow/entry/domains.go
@@ -86,7 +86,7 @@
 	for {
 		select {
 		case <-t.C:
-			e.lookAround()
+			e.updateReach()
 			wasReady = e.logReady(wasReady)
 		case <-ctx.Done():
 			return
@@ -94,9 +94,9 @@
 	}
 }
 
-// lookAround takes a domain for cut off if neither a store nor a control instance
+// updateReach takes a domain for cut off if neither a store nor a control instance
 // there is reached.
-func (e *Entry) lookAround() {
+func (e *Entry) updateReach() {
 	if e.Stores.Reachable() {
 		e.lostSince.Store(0)
 	} else {
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -30,9 +30,9 @@
 	// a second apart, has taken the instances out that are cut off: 2 s, and half a
 	// second for the instances that notice last.
 	balancerTakes = 2500 * time.Millisecond
-	// elsewhereAtLeast is when to come back after that: on a new connection, which
+	// leastRetryElsewhere is when to come back after that: on a new connection, which
 	// leads elsewhere.
-	elsewhereAtLeast = 250 * time.Millisecond
+	leastRetryElsewhere = 250 * time.Millisecond
 )
 
 // Entry is one entry instance. Set the exported fields before Run.
@@ -62,27 +62,27 @@
 	// returns is when endpoints that left may count again under the list in force, zero if none
 	// can.
 	returns time.Time
-	// tableNews and listNews each have a goroutine of their own, so that neither kind of
+	// tableUpdates and listUpdates each have a goroutine of their own, so that neither kind of
 	// news waits for the other.
-	tableNews, listNews *news
-	stopped             atomic.Bool
-	domains             domains
-	lines               lines
-	gates               gates
-	customers, outcomes taggedScopes
+	tableUpdates, listUpdates *signal
+	stopped                   atomic.Bool
+	domains                   domains
+	lines                     lines
+	gates                     gates
+	customers, outcomes       taggedScopes
 	// lostSince is when most stores went out of reach, in nanoseconds since 1970,
 	// zero while they are reached.
 	lostSince atomic.Int64
-	flying    atomic.Int64
+	inFlight  atomic.Int64
 }
 
 // Init makes the entry ready for Wake; call it before the watch client runs.
-func (e *Entry) Init() { e.tableNews, e.listNews = newNews(), newNews() }
+func (e *Entry) Init() { e.tableUpdates, e.listUpdates = newSignal(), newSignal() }
 
 // Wake takes over what is new; package watch calls it.
 func (e *Entry) Wake() {
-	e.tableNews.wake()
-	e.listNews.wake()
+	e.tableUpdates.wake()
+	e.listUpdates.wake()
 }
 
 // Run takes over new configurations and lists until ctx ends.
@@ -100,7 +100,7 @@
 	if e.Watch.State().GetView().GetEpoch() == 0 {
 		return false, "no stores are chosen yet"
 	}
-	if e.deserted() {
+	if e.isDomainMostlyLost() {
 		return false, "most entry instances of this failure domain are lost"
 	}
 	return true, ""
@@ -115,18 +115,18 @@
 		return false, "no configuration is known"
 	case e.fleet.Load() == nil:
 		return false, "no list of endpoints is known"
-	case e.apart():
+	case e.isCutOff():
 		return false, "cut off from most stores and control instances"
 	}
 	return true, ""
 }
 
-// deserted reports whether most entry instances of the own failure domain are
+// isDomainMostlyLost reports whether most entry instances of the own failure domain are
 // lost while another domain has most of its own. The balancer goes on to use all
 // instances of a domain, the lost ones too, while fewer than half of them are
 // ready, but none of them once none is. Instances that are heard and do not serve yet or
 // any more are not lost: they say so to the balancer themselves.
-func (e *Entry) deserted() bool {
+func (e *Entry) isDomainMostlyLost() bool {
 	own, elsewhere := false, false
 	for _, d := range e.Watch.EntryDomains() {
 		if d.GetFailureDomain() == e.Domain {
@@ -139,26 +139,26 @@
 	return own && elsewhere
 }
 
-// apart reports whether this instance is cut off from the rest. It then serves
+// isCutOff reports whether this instance is cut off from the rest. It then serves
 // what it can, but new connections are better off elsewhere. When most stores are
 // lost for everyone, no instance is better than another, and all stay ready.
-func (e *Entry) apart() bool { return !e.Stores.Reachable() && e.Watch.CutOff() }
+func (e *Entry) isCutOff() bool { return !e.Stores.Reachable() && e.Watch.CutOff() }
 
-// elsewhere is when a client that is refused for want of stores had better come
+// retryElsewhere is when a client that is refused for want of stores had better come
 // back.
-func (e *Entry) elsewhere(now time.Time) time.Duration {
+func (e *Entry) retryElsewhere(now time.Time) time.Duration {
 	since := e.lostSince.Load()
 	if since == 0 {
 		return balancerTakes
 	}
-	return max(elsewhereAtLeast, balancerTakes-now.Sub(time.Unix(0, since)))
+	return max(leastRetryElsewhere, balancerTakes-now.Sub(time.Unix(0, since)))
 }
 
 // Stop makes the entry say that it is not ready. It goes on to serve.
 func (e *Entry) Stop() { e.stopped.Store(true) }
 
-// Flying returns the number of requests under way.
-func (e *Entry) Flying() int64 { return e.flying.Load() }
+// InFlight returns the number of requests under way.
+func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
 // Limits returns what clients may do, or nil before a configuration is known.
 func (e *Entry) Limits() *fleetpb.Limits {
@@ -171,8 +171,8 @@
 
 // Serve answers a request.
 func (e *Entry) Serve(ctx context.Context, req *Request, out Out) Outcome {
-	e.flying.Add(1)
-	defer e.flying.Add(-1)
+	e.inFlight.Add(1)
+	defer e.inFlight.Add(-1)
 	e.awaitLearned(ctx)
 	t, f := e.table.Load(), e.fleet.Load()
 	if t == nil || f == nil {
@@ -197,10 +197,10 @@
 	if o := x.resumption(); o != nil {
 		return e.ended(x, o)
 	}
-	if o := x.letIn(ctx); o != nil {
+	if o := x.chargeQuota(ctx); o != nil {
 		return e.ended(x, o)
 	}
-	defer x.giveBack()
+	defer x.refundQuota()
 	return e.ended(x, x.serve(ctx))
 }
 
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -263,7 +263,7 @@
 		}, false},
 	}
 	for _, test := range tests {
-		e.Watch.Hear(&fleetpb.WatchReply{EntryDomains: test.counts})
+		e.Watch.Receive(&fleetpb.WatchReply{EntryDomains: test.counts})
 		if ready, why := e.Ready(); ready != test.ready {
 			t.Errorf("%s: ready %v %s", test.name, ready, why)
 		}
@@ -307,10 +307,10 @@
 func TestLoadsOfAnotherListAreNotTaken(t *testing.T) {
 	s := &fakeSender{answers: []func(Offer) (*Answer, error){answers(200, "ok")}}
 	e := newEntry(t, s)
-	e.HearLoads(&fleetpb.EndpointLoads{ListNumber: 99, Running: []uint32{9, 9, 9}, Failing: []uint32{90, 90, 90}})
-	e.HearLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{9}, Failing: []uint32{90}})
+	e.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 99, Running: []uint32{9, 9, 9}, Failing: []uint32{90, 90, 90}})
+	e.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{9}, Failing: []uint32{90}})
 	number := e.fleet.Load().reading.List().GetNumber()
-	e.HearLoads(&fleetpb.EndpointLoads{ListNumber: number, Running: []uint32{0, 0, 0}, Failing: []uint32{90, 90, 0}})
+	e.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: number, Running: []uint32{0, 0, 0}, Failing: []uint32{90, 90, 0}})
 	for range 6 {
 		e.Serve(t.Context(), ask("/once/1"), &fakeOut{})
 	}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -159,7 +159,7 @@
 // offer sends the request to the best endpoint, which has until the end of try. The
 // place is given back by done.
 func (x *exchange) offer(ctx, try context.Context, pauses *pauses) (*Answer, func(placement.Result), error) {
-	if !x.entry.trusts(x, time.Now()) {
+	if !x.entry.hasValidKey(x, time.Now()) {
 		return nil, nil, &NotRunError{Endpoint: "none", Reason: "the key could not be confirmed lately", Busy: true}
 	}
 	choice, ok := x.choose()
@@ -233,7 +233,7 @@
 	x.ran = true
 	x.runs++
 	switch {
-	case ctx.Err() == nil && x.mayRunAgain():
+	case ctx.Err() == nil && x.canRetry():
 		return nil
 	case x.started:
 		return Cut{Reason: err.Error()}
@@ -260,8 +260,8 @@
 	return Refused{Status: http.StatusServiceUnavailable, RetryAfter: later, Reason: err.Error()}
 }
 
-// mayRunAgain reports whether a request that may have run may be offered again.
-func (x *exchange) mayRunAgain() bool {
+// canRetry reports whether a request that may have run may be offered again.
+func (x *exchange) canRetry() bool {
 	may := x.way.resumable || x.way.repeatable && !x.started
 	return may && x.runs < int(x.route.GetMaxAttempts()) && x.offers < maxOffers
 }
--- a/rockbarrow/entry/gate.go
+++ b/rockbarrow/entry/gate.go
@@ -157,13 +157,13 @@
 	return limiter.Arrived{
 		Underway: r.Previous != "" || x.last.ID != "" || r.LastEvent != "",
 		Left:     r.Finish - spent, Timed: r.HasFinish,
-		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientWaits() - spent,
+		Patience: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - spent, Wait: x.clientPatience() - spent,
 		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRequestsPerSecond(),
 	}
 }
 
-// clientWaits is how long the client waits for the first event, from its arrival on.
-func (x *exchange) clientWaits() time.Duration {
+// clientPatience is how long the client waits for the first event, from its arrival on.
+func (x *exchange) clientPatience() time.Duration {
 	whole := x.deadline.Sub(x.request.Arrived)
 	if first := x.route.GetPauseMs(); first > 0 {
 		return min(whole, time.Duration(first)*time.Millisecond)
--- a/rockbarrow/entry/lives_test.go
+++ b/rockbarrow/entry/lives_test.go
@@ -76,7 +76,7 @@
 		for _, p := range e.Watch.List().List().GetEndpoints() {
 			loads.Running = append(loads.Running, running[p.GetId()])
 		}
-		e.HearLoads(loads)
+		e.ReceiveLoads(loads)
 		for n := range 3 {
 			e.Serve(t.Context(), turnOf("r", fmt.Sprint("later", n), "moving", 500), &fakeOut{})
 			awaitSettled(t, e, "moving", 9*(n+2))
@@ -117,11 +117,11 @@
 	e.hear(lifeOf(3, 2000))
 	e.hear(lifeOf(4, 1000))
 	failing := &fleetpb.EndpointLoads{ListNumber: 4, Running: []uint32{4}, Failing: []uint32{100}}
-	e.HearLoads(failing)
+	e.ReceiveLoads(failing)
 	before := e.fleet.Load().Places(time.Now(), placement.Class{Service: "s"}, 4)
 	e.hear(lifeOf(5, 2000))
 	failing.ListNumber = 5
-	e.HearLoads(failing)
+	e.ReceiveLoads(failing)
 	after := e.fleet.Load().Places(time.Now(), placement.Class{Service: "s"}, 4)
 	if before <= after {
 		t.Errorf("%d places while an ended life was told as full, %d while the present one is", before, after)
--- a/rockbarrow/entry/loads.go
+++ b/rockbarrow/entry/loads.go
@@ -28,9 +28,9 @@
 	return out
 }
 
-// HearLoads takes what other entry instances know of endpoints. It counts only if
+// ReceiveLoads takes what other entry instances know of endpoints. It counts only if
 // it speaks of the list that is in force here.
-func (e *Entry) HearLoads(l *fleetpb.EndpointLoads) {
+func (e *Entry) ReceiveLoads(l *fleetpb.EndpointLoads) {
 	f := e.fleet.Load()
 	if f == nil || f.reading.Version().Number() != l.GetListNumber() {
 		return
@@ -81,7 +81,7 @@
 	return out
 }
 
-// HearCustomers takes how many requests of each customer were let in at all entry instances.
-func (e *Entry) HearCustomers(counts []*fleetpb.CustomerCount, asked time.Time) {
-	e.Quota.Hear(asked, counts)
+// ReceiveCustomers takes how many requests of each customer were let in at all entry instances.
+func (e *Entry) ReceiveCustomers(counts []*fleetpb.CustomerCount, asked time.Time) {
+	e.Quota.Receive(asked, counts)
 }
--- a/rockbarrow/entry/pauses.go
+++ b/rockbarrow/entry/pauses.go
@@ -84,14 +84,14 @@
 	if p.stopped {
 		return
 	}
-	if p.hopeless(time.Since(p.moved)) {
+	if p.exceedsPatience(time.Since(p.moved)) {
 		p.end()
 		return
 	}
 	p.timer.Reset(pauseTick)
 }
 
-func (p *pauses) hopeless(pause time.Duration) bool {
+func (p *pauses) exceedsPatience(pause time.Duration) bool {
 	if p.resumes && p.flowing && pause >= stalledAfter {
 		return true
 	}
--- a/rockbarrow/entry/pauses_test.go
+++ b/rockbarrow/entry/pauses_test.go
@@ -90,7 +90,7 @@
 		{"a stream that another can go on with", &pauses{domains: d, domain: "near", resumes: true, flowing: true}, stalledAfter, true},
 	}
 	for _, test := range tests {
-		if got := test.p.hopeless(test.pause); got != test.wanted {
+		if got := test.p.exceedsPatience(test.pause); got != test.wanted {
 			t.Errorf("%s: %v", test.name, got)
 		}
 	}
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -64,7 +64,7 @@
 	start := time.Now()
 	defer func() { x.own += time.Since(start) }()
 	if !x.entry.Stores.Reaches(t.Program) {
-		return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.elsewhere(time.Now()), Reason: "most stores are out of reach"}
+		return nil, Refused{Status: http.StatusServiceUnavailable, RetryAfter: x.entry.retryElsewhere(time.Now()), Reason: "most stores are out of reach"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, reserveWithin)
 	defer cancel()
--- a/rockbarrow/entry/updates.go
+++ b/rockbarrow/entry/updates.go
@@ -26,17 +26,17 @@
 // instances: some tens of round trips.
 const fetchPause = 50 * time.Millisecond
 
-// news wakes the one goroutine that takes over one kind of news.
-type news struct {
+// signal wakes the one goroutine that takes over one kind of signal.
+type signal struct {
 	c chan struct{}
 	// came is when the oldest news came that were not taken over yet, in nanoseconds
 	// since 1970, zero if there are none.
 	came atomic.Int64
 }
 
-func newNews() *news { return &news{c: make(chan struct{}, 1)} }
+func newSignal() *signal { return &signal{c: make(chan struct{}, 1)} }
 
-func (n *news) wake() {
+func (n *signal) wake() {
 	n.came.CompareAndSwap(0, time.Now().UnixNano())
 	select {
 	case n.c <- struct{}{}:
@@ -45,7 +45,7 @@
 }
 
 // taken returns when the news came that are taken over now.
-func (n *news) taken() time.Time {
+func (n *signal) taken() time.Time {
 	if at := n.came.Swap(0); at > 0 {
 		return time.Unix(0, at)
 	}
@@ -57,11 +57,11 @@
 func (e *Entry) runTables(ctx context.Context) {
 	for {
 		select {
-		case <-e.tableNews.c:
+		case <-e.tableUpdates.c:
 		case <-ctx.Done():
 			return
 		}
-		e.takeTable(ctx, e.tableNews.taken())
+		e.takeTable(ctx, e.tableUpdates.taken())
 	}
 }
 
@@ -88,8 +88,8 @@
 func (e *Entry) runFleets(ctx context.Context) {
 	for {
 		select {
-		case <-e.listNews.c:
-			e.refreshFleet(e.listNews.taken())
+		case <-e.listUpdates.c:
+			e.refreshFleet(e.listUpdates.taken())
 		case <-ctx.Done():
 			return
 		}
@@ -195,7 +195,7 @@
 	e.returns = time.Time{}
 	if wait > 0 {
 		e.returns = now.Add(wait)
-		time.AfterFunc(wait, e.listNews.wake)
+		time.AfterFunc(wait, e.listUpdates.wake)
 	}
 	may := make(map[string]bool, len(usable))
 	for _, p := range usable {
--- a/rockbarrow/host/perform.go
+++ b/rockbarrow/host/perform.go
@@ -26,8 +26,8 @@
 	sent   bool
 }
 
-// giveBack returns a seat that was never used.
-func (s *seated) giveBack() { s.seat.Done(placement.Result{OK: true}) }
+// release returns a seat that was never used.
+func (s *seated) release() { s.seat.Done(placement.Result{OK: true}) }
 
 // unusedSeat takes the seat away when its attempt came to nothing before it
 // was sent. Called with mu held.
@@ -134,7 +134,7 @@
 	r.seat = s
 	r.mu.Unlock()
 	if old != nil && !old.sent {
-		old.giveBack()
+		old.release()
 	}
 	e := seat.Choice().Endpoint()
 	r.post(owner.Asked{Event: program.Placed{
--- a/rockbarrow/host/run.go
+++ b/rockbarrow/host/run.go
@@ -196,7 +196,7 @@
 	idle := r.unusedSeat()
 	r.mu.Unlock()
 	if idle != nil {
-		idle.giveBack()
+		idle.release()
 	}
 	for _, a := range actions {
 		r.perform(o, a)
@@ -228,7 +228,7 @@
 		}
 		r.mu.Unlock()
 		if s != nil {
-			s.giveBack()
+			s.release()
 		}
 		return
 	}
@@ -296,6 +296,6 @@
 	}
 	r.mu.Unlock()
 	if s != nil {
-		s.giveBack()
+		s.release()
 	}
 }
--- a/rockbarrow/host/sending.go
+++ b/rockbarrow/host/sending.go
@@ -28,7 +28,7 @@
 	defer w.seat.cancel()
 	in := w.attempt.Intent
 	if reason := w.forbidden(); reason != "" {
-		w.seat.giveBack()
+		w.seat.release()
 		w.post(program.Failed{Sequence: in.GetSequence(), Attempt: in.GetAttempt(), NotRun: true, Reason: reason})
 		return
 	}
--- a/rockbarrow/lease/lease.go
+++ b/rockbarrow/lease/lease.go
@@ -48,9 +48,9 @@
 	return max(time.Millisecond, bound-drift)
 }
 
-// kept bounds the confirmations that wait for their table. Versions come a few a second at the most, and a table
+// maxPending bounds the confirmations that wait for their table. Versions come a few a second at the most, and a table
 // some tens of milliseconds after its version.
-const kept = 16
+const maxPending = 16
 
 // confirmation says that no configuration newer than a version was acknowledged by a moment.
 type confirmation struct {
@@ -99,7 +99,7 @@
 		return 1
 	})
 	next = slices.Insert(next, at, c)
-	return next[max(0, len(next)-kept):], true
+	return next[max(0, len(next)-maxPending):], true
 }
 
 // at returns the latest moment by which a table is known to be the newest, and whether there is one.
--- a/rockbarrow/lease/lease_test.go
+++ b/rockbarrow/lease/lease_test.go
@@ -53,13 +53,13 @@
 func TestManyVersionsAreRemembered(t *testing.T) {
 	begun := time.Now()
 	l := &Lease{Within: time.Minute}
-	for i := range 10 * kept {
+	for i := range 10 * maxPending {
 		l.Confirm(uint64(i), begun.Add(time.Duration(i)*time.Millisecond))
 	}
-	if n := len(*l.confirmed.Load()); n != kept {
+	if n := len(*l.confirmed.Load()); n != maxPending {
 		t.Errorf("%d confirmations are kept", n)
 	}
-	if !l.Holds(begun, 10*kept) || l.Holds(begun, 0) {
+	if !l.Holds(begun, 10*maxPending) || l.Holds(begun, 0) {
 		t.Error("the newest ones are not kept")
 	}
 }
--- a/rockbarrow/limiter/limiter.go
+++ b/rockbarrow/limiter/limiter.go
@@ -119,7 +119,7 @@
 		if w.latest.IsZero() || now.Before(w.latest) {
 			return false
 		}
-		out = append(out, Reject{ID: w.id, RetryAfter: l.comeBack(now, l.expect(now, w.group, 0))})
+		out = append(out, Reject{ID: w.id, RetryAfter: l.retryAfter(now, l.expect(now, w.group, 0))})
 		return true
 	})
 	return out
@@ -148,7 +148,7 @@
 	at, _ := slices.BinarySearchFunc(l.waiting, w, before)
 	if at > 0 || !l.room(w.group) {
 		if wait := l.expect(now, w.group, l.ahead(at, w.group)); wait > most {
-			return []Action{Reject{ID: e.ID, RetryAfter: l.comeBack(now, wait)}}
+			return []Action{Reject{ID: e.ID, RetryAfter: l.retryAfter(now, wait)}}
 		}
 	}
 	l.waiting = slices.Insert(l.waiting, at, w)
@@ -246,9 +246,9 @@
 	return min(longest, time.Duration(float64(ahead+1)/perSecond*float64(time.Second)))
 }
 
-// comeBack spreads the clients that are rejected over the time to come, in the order in
+// retryAfter spreads the clients that are rejected over the time to come, in the order in
 // which they were, as fast as new programs begin.
-func (l *Limiter) comeBack(now time.Time, wait time.Duration) time.Duration {
+func (l *Limiter) retryAfter(now time.Time, wait time.Duration) time.Duration {
 	step := l.expect(now, fresh, 0)
 	next := now.Add(wait)
 	if after := l.promised.Add(step); after.After(next) {
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -50,8 +50,8 @@
 	return k
 }
 
-// Heard counts what an entry instance has let in by itself.
-func (c *Counter) Heard(now time.Time, uses []*fleetpb.CustomerUse) {
+// Add counts what an entry instance has let in by itself.
+func (c *Counter) Add(now time.Time, uses []*fleetpb.CustomerUse) {
 	if c.Terms.Window <= 0 || len(uses) == 0 {
 		return
 	}
@@ -95,19 +95,19 @@
 	k := c.of(customer.GetName())
 	bound := c.Terms.bound(limit)
 	if newProgram {
-		bound = begun * limit
+		bound = newProgramShare * limit
 	}
 	if used := c.used(now, k, limit); used > 0 && used+float64(n) > bound {
 		k.refused += uint64(n)
-		return Refused{RetryAfter: c.comeBack(now, k, bound-float64(n), customer.GetRequestsPerSecond())}
+		return Refused{RetryAfter: c.retryAfter(now, k, bound-float64(n), customer.GetRequestsPerSecond())}
 	}
 	k.window.add(now.Sub(c.began), c.Terms.Window, n)
 	return Granted{}
 }
 
-// comeBack spreads the clients that are refused over the time to come, as fast as the customer's rate allows; the
+// retryAfter spreads the clients that are refused over the time to come, as fast as the customer's rate allows; the
 // caller holds mu.
-func (c *Counter) comeBack(now time.Time, k *counted, left, perSecond float64) time.Duration {
+func (c *Counter) retryAfter(now time.Time, k *counted, left, perSecond float64) time.Duration {
 	next := now.Add(k.window.until(now.Sub(c.began), c.Terms.Window, left))
 	step := time.Duration(float64(time.Second) / perSecond)
 	if after := k.promised.Add(step); after.After(next) {
--- a/rockbarrow/quota/limiter.go
+++ b/rockbarrow/quota/limiter.go
@@ -16,15 +16,15 @@
 )
 
 const (
-	// newsFor is how long the share of one piece of news may be used: four times as long as news take to come.
-	newsFor = 1500 * time.Millisecond
+	// updateTTL is how long the share of one piece of news may be used: four times as long as news take to come.
+	updateTTL = 1500 * time.Millisecond
 	// shares is how many shares of different news an instance may have used before the counter hears of the first
 	// one: two before it told its count, and one after that.
 	shares = 3
-	// backFor is how long a request that did not run lets another one in its place.
-	backFor = 500 * time.Millisecond
-	// blockFor is how long a refusal is repeated at the most without asking again.
-	blockFor = 200 * time.Millisecond
+	// refundTTL is how long a request that did not run lets another one in its place.
+	refundTTL = 500 * time.Millisecond
+	// refusalTTL is how long a refusal is repeated at the most without asking again.
+	refusalTTL = 200 * time.Millisecond
 )
 
 // Ask asks a control instance to let requests in. It returns who answered, for [Limiter.Uses].
@@ -63,11 +63,11 @@
 	began    time.Time
 	once     sync.Once
 	accounts sync.Map // of *account by the customer's name
-	news     atomic.Pointer[news]
+	news     atomic.Pointer[update]
 }
 
-// news is what was told of all customers. It does not change.
-type news struct {
+// update is what was told of all customers. It does not change.
+type update struct {
 	asked  time.Time
 	counts map[string]uint32
 }
@@ -81,12 +81,12 @@
 	granted map[string]uint64
 	// share is what may be let in without asking under the news that it was made of.
 	share   int
-	sharing *news
+	sharing *update
 	// told is what these news say of the customer.
 	told float64
-	// back are requests that did not run, and lets others in until a time.
-	back      int
-	backUntil time.Time
+	// refunds are requests that did not run, and lets others in until a time.
+	refunds      int
+	refundsUntil time.Time
 	// blocked is until when new programs, or all requests, are refused without asking.
 	blockedNew, blockedAll time.Time
 }
@@ -104,9 +104,9 @@
 	return a.(*account)
 }
 
-// Hear takes news, which were asked for at a moment.
-func (l *Limiter) Hear(asked time.Time, counts []*fleetpb.CustomerCount) {
-	n := &news{asked: asked, counts: make(map[string]uint32, len(counts))}
+// Receive takes news, which were asked for at a moment.
+func (l *Limiter) Receive(asked time.Time, counts []*fleetpb.CustomerCount) {
+	n := &update{asked: asked, counts: make(map[string]uint32, len(counts))}
 	for _, c := range counts {
 		n.counts[c.GetCustomer()] = c.GetRequests()
 	}
@@ -140,9 +140,9 @@
 func (a *account) alone(l *Limiter, now time.Time, customer string, limit float64, newProgram bool) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.back > 0 && now.Before(a.backUntil) {
+	if a.refunds > 0 && now.Before(a.refundsUntil) {
 		// The request that did not run was counted.
-		a.back--
+		a.refunds--
 		return Granted{}
 	}
 	switch l.Way.(type) {
@@ -161,7 +161,7 @@
 		return Refused{RetryAfter: blocked.Sub(now)}
 	}
 	a.refresh(l, now, customer, limit)
-	if a.share > 0 && !(newProgram && a.told >= begun*limit) {
+	if a.share > 0 && !(newProgram && a.told >= newProgramShare*limit) {
 		a.share--
 		a.count(l, now)
 		return Granted{}
@@ -172,7 +172,7 @@
 // refresh makes the share of the newest news, unless that was done; the caller holds mu.
 func (a *account) refresh(l *Limiter, now time.Time, customer string, limit float64) {
 	n := l.news.Load()
-	if n == nil || now.Sub(n.asked) > newsFor {
+	if n == nil || now.Sub(n.asked) > updateTTL {
 		a.share = 0
 		return
 	}
@@ -207,7 +207,7 @@
 func (a *account) block(now time.Time, after time.Duration, newProgram bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	until := now.Add(min(after, blockFor))
+	until := now.Add(min(after, refusalTTL))
 	if newProgram {
 		a.blockedNew = until
 	} else {
@@ -250,7 +250,7 @@
 		a.sharing, a.told, a.share = n, float64(n.counts[customer]), 0
 	}
 	if a.told+float64(a.share)+1 > limit {
-		return Refused{RetryAfter: blockFor}
+		return Refused{RetryAfter: refusalTTL}
 	}
 	a.share++
 	a.count(l, now)
@@ -276,11 +276,11 @@
 	a := l.account(customer.GetName())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !now.Before(a.backUntil) {
-		a.back = 0
+	if !now.Before(a.refundsUntil) {
+		a.refunds = 0
 	}
-	a.back++
-	a.backUntil = now.Add(backFor)
+	a.refunds++
+	a.refundsUntil = now.Add(refundTTL)
 }
 
 // Use is how many requests of a customer were let in.
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -32,11 +32,11 @@
 }
 
 const (
-	// begun is the part of its limit up to which new programs are let in.
-	begun = 0.9
-	// errs is the part of the overrun that the counter itself may use, for the width of its buckets and the lag of
+	// newProgramShare is the part of its limit up to which new programs are let in.
+	newProgramShare = 0.9
+	// counterShare is the part of the overrun that the counter itself may use, for the width of its buckets and the lag of
 	// what limiters tell. The rest is for the shares of limiters.
-	errs = 0.3
+	counterShare = 0.3
 )
 
 // limit returns how many requests of a customer may be let in within the window, or false if there is no bound.
@@ -51,7 +51,7 @@
 func (t Terms) most(limit float64) float64 { return limit*(1+t.Overrun) + t.Slack }
 
 // bound returns how many requests under a limit the counter lets in.
-func (t Terms) bound(limit float64) float64 { return limit + errs*(t.most(limit)-limit) }
+func (t Terms) bound(limit float64) float64 { return limit + counterShare*(t.most(limit)-limit) }
 
 // Decision is what becomes of requests: [Granted], [Refused] or [Unsure].
 type Decision interface{ decision() }
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -194,10 +194,10 @@
 		return
 	}
 	for _, u := range w.limiters[i].Uses("control") {
-		w.counter.Heard(w.clock.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - w.told[i])}})
+		w.counter.Add(w.clock.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - w.told[i])}})
 		w.told[i] = u.Requests
 	}
-	w.limiters[i].Hear(w.clock.now, w.counter.Counts(w.clock.now, func(string) *fleetpb.Customer { return w.customer }))
+	w.limiters[i].Receive(w.clock.now, w.counter.Counts(w.clock.now, func(string) *fleetpb.Customer { return w.customer }))
 }
 
 // newsEvery is how often a limiter in touch hears news.
@@ -291,12 +291,12 @@
 // TestOldNewsGiveNoShares: an instance that hears nothing any more asks for each request.
 func TestOldNewsGiveNoShares(t *testing.T) {
 	k, l, c := newClock(), newLone(granted), customer(353, 353)
-	l.Hear(k.now, nil)
+	l.Receive(k.now, nil)
 	l.Admit(t.Context(), k.now, c, false)
 	if l.asked != 0 {
 		t.Fatal("fresh news gave no share")
 	}
-	k.pass(newsFor + time.Millisecond)
+	k.pass(updateTTL + time.Millisecond)
 	l.Admit(t.Context(), k.now, c, false)
 	if l.asked != 1 {
 		t.Errorf("%d questions under old news", l.asked)
@@ -307,7 +307,7 @@
 func TestNewProgramsHaveNoSharesNearTheLimit(t *testing.T) {
 	k, l, c := newClock(), newLone(granted), customer(353, 353)
 	limit, _ := terms.limit(c)
-	l.Hear(k.now, []*fleetpb.CustomerCount{{Customer: "c", Requests: uint32(0.95 * limit)}})
+	l.Receive(k.now, []*fleetpb.CustomerCount{{Customer: "c", Requests: uint32(0.95 * limit)}})
 	l.Admit(t.Context(), k.now, c, false)
 	if l.asked != 0 {
 		t.Fatal("a turn of a program under way had no share")
@@ -325,7 +325,7 @@
 		if r, ok := l.Admit(t.Context(), k.now, c, newProgram).(Refused); !ok || r.RetryAfter != 5*time.Second {
 			t.Errorf("refused with %+v", r)
 		}
-		k.pass(blockFor / 2)
+		k.pass(refusalTTL / 2)
 		if _, ok := l.Admit(t.Context(), k.now, c, newProgram).(Refused); !ok || l.asked != 1 {
 			t.Errorf("new %v: %d questions after a refusal", newProgram, l.asked)
 		}
@@ -333,7 +333,7 @@
 		if want := map[bool]int{true: 2, false: 1}[newProgram]; l.asked != want {
 			t.Errorf("new %v: %d questions with one of the other kind, want %d", newProgram, l.asked, want)
 		}
-		k.pass(blockFor)
+		k.pass(refusalTTL)
 		l.Admit(t.Context(), k.now, c, newProgram)
 		if want := map[bool]int{true: 3, false: 2}[newProgram]; l.asked != want {
 			t.Errorf("new %v: %d questions once the refusal is over, want %d", newProgram, l.asked, want)
@@ -352,7 +352,7 @@
 		t.Error("it lets two in")
 	}
 	l.Return(k.now, c)
-	k.pass(backFor)
+	k.pass(refundTTL)
 	if _, ok := l.Admit(t.Context(), k.now, c, false).(Refused); !ok {
 		t.Error("it lets somebody in late")
 	}
--- a/rockbarrow/relay/fleet.go
+++ b/rockbarrow/relay/fleet.go
@@ -45,8 +45,8 @@
 	calm bool
 }
 
-// Heard takes a call of an entry or store instance.
-func (f *Fleet) Heard(now time.Time, req *fleetpb.WatchRequest) {
+// Receive takes a call of an entry or store instance.
+func (f *Fleet) Receive(now time.Time, req *fleetpb.WatchRequest) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.direct == nil {
--- a/rockbarrow/relay/relay_test.go
+++ b/rockbarrow/relay/relay_test.go
@@ -38,11 +38,11 @@
 	var r Reports
 	var f Fleet
 	for _, name := range []string{"entry-1", "entry-2"} {
-		r.Heard(start, call(name, fleetpb.Role_ROLE_ENTRY))
+		r.Receive(start, call(name, fleetpb.Role_ROLE_ENTRY))
 	}
 	store := call("store-1", fleetpb.Role_ROLE_STORE)
 	store.CopiedEpoch = 7
-	r.Heard(start, store)
+	r.Receive(start, store)
 	acknowledged, _ := f.Take(start, "control-1", r.Since(start, 0, nil))
 	if got := names(&f, start, fleetpb.Role_ROLE_ENTRY, time.Second); got != "entry-1 entry-2 " || acknowledged == 0 {
 		t.Fatalf("%q, acknowledged %d", got, acknowledged)
@@ -51,7 +51,7 @@
 		t.Errorf("%v", i)
 	}
 	// One that was heard here too counts as heard by whoever heard it last.
-	f.Heard(start.Add(-time.Minute), call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	f.Receive(start.Add(-time.Minute), call("entry-1", fleetpb.Role_ROLE_ENTRY))
 	if got := names(&f, start, fleetpb.Role_ROLE_ENTRY, time.Second); got != "entry-1 entry-2 " {
 		t.Errorf("%q", got)
 	}
@@ -65,7 +65,7 @@
 		var f Fleet
 		for round := range 10 {
 			for i := range n {
-				r.Heard(now, call(fmt.Sprint("entry-", i), fleetpb.Role_ROLE_ENTRY))
+				r.Receive(now, call(fmt.Sprint("entry-", i), fleetpb.Role_ROLE_ENTRY))
 			}
 			m := r.Since(now, acknowledged, nil)
 			if round > 0 && proto.Size(m) > 64 {
@@ -84,7 +84,7 @@
 func TestSilenceIsRelayedAsItIs(t *testing.T) {
 	var r Reports
 	var f Fleet
-	r.Heard(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
 	acknowledged := uint64(0)
 	now := start
 	for ; now.Before(start.Add(3 * time.Second)); now = now.Add(300 * time.Millisecond) {
@@ -96,7 +96,7 @@
 		}
 	}
 	// It calls again.
-	r.Heard(now, call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(now, call("entry-1", fleetpb.Role_ROLE_ENTRY))
 	f.Take(now, "control-1", r.Since(now, acknowledged, nil))
 	if heard := f.Instances(now, fleetpb.Role_ROLE_ENTRY, time.Hour)[0].Heard; heard != now {
 		t.Errorf("heard %v ago, want now", now.Sub(heard))
@@ -108,11 +108,11 @@
 	var lost, other Reports
 	var f Fleet
 	for _, name := range []string{"entry-1", "entry-2"} {
-		lost.Heard(start, call(name, fleetpb.Role_ROLE_ENTRY))
+		lost.Receive(start, call(name, fleetpb.Role_ROLE_ENTRY))
 	}
 	f.Take(start, "control-1", lost.Since(start, 0, nil))
 	later := start.Add(2 * time.Second)
-	other.Heard(later, call("entry-2", fleetpb.Role_ROLE_ENTRY))
+	other.Receive(later, call("entry-2", fleetpb.Role_ROLE_ENTRY))
 	f.Take(later, "control-2", other.Since(later, 0, nil))
 	if got := names(&f, later, fleetpb.Role_ROLE_ENTRY, time.Second); got != "entry-2 " {
 		t.Errorf("%q were heard within a second", got)
@@ -127,15 +127,15 @@
 func TestEndedCallsCountOnce(t *testing.T) {
 	var r Reports
 	var f Fleet
-	r.Heard(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
 	first, _ := f.Take(start, "control-1", r.Since(start, 0, nil))
-	r.Heard(start, ended("x", 3))
+	r.Receive(start, ended("x", 3))
 	lost := r.Since(start, first, nil)
 	if _, uses := f.Take(start, "control-1", lost); len(uses) != 1 || uses[0].GetAnswered() != 3 {
 		t.Fatalf("%v", uses)
 	}
 	// The sender has not heard the answer.
-	r.Heard(start, ended("x", 4))
+	r.Receive(start, ended("x", 4))
 	second, uses := f.Take(start, "control-1", r.Since(start, first, nil))
 	if len(uses) != 1 || uses[0].GetAnswered() != 4 {
 		t.Errorf("%v, want what is new", uses)
@@ -153,14 +153,14 @@
 func TestAMessageWithoutItsBaseChangesNothing(t *testing.T) {
 	var r, restarted Reports
 	var f, receiver Fleet
-	r.Heard(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
 	acknowledged, _ := f.Take(start, "control-1", r.Since(start, 0, nil))
-	r.Heard(start, call("entry-2", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(start, call("entry-2", fleetpb.Role_ROLE_ENTRY))
 	change := r.Since(start, acknowledged, nil)
 	if got, _ := receiver.Take(start, "control-1", change); got != 0 || len(receiver.Instances(start, fleetpb.Role_ROLE_ENTRY, time.Hour)) > 0 {
 		t.Errorf("acknowledged %d without a base", got)
 	}
-	restarted.Heard(start, call("entry-3", fleetpb.Role_ROLE_ENTRY))
+	restarted.Receive(start, call("entry-3", fleetpb.Role_ROLE_ENTRY))
 	if got, _ := f.Take(start, "control-1", restarted.Since(start, acknowledged, nil)); got != 0 || names(&f, start, fleetpb.Role_ROLE_ENTRY, time.Hour) != "entry-1 " {
 		t.Errorf("acknowledged %d of another process", got)
 	}
@@ -174,7 +174,7 @@
 func TestForgottenFollowersLeave(t *testing.T) {
 	var r Reports
 	var f Fleet
-	r.Heard(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
 	acknowledged, _ := f.Take(start, "control-1", r.Since(start, 0, nil))
 	later := start.Add(forgetAfter + time.Second)
 	if m := r.Since(later, acknowledged, nil); len(m.GetLeft()) != 1 {
@@ -186,8 +186,8 @@
 
 func FuzzTake(f *testing.F) {
 	var r Reports
-	r.Heard(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
-	r.Heard(start, ended("x", 1))
+	r.Receive(start, call("entry-1", fleetpb.Role_ROLE_ENTRY))
+	r.Receive(start, ended("x", 1))
 	for _, acknowledged := range []uint64{0, 1} {
 		b, err := proto.Marshal(r.Since(start, acknowledged, nil))
 		if err != nil {
--- a/rockbarrow/relay/reports.go
+++ b/rockbarrow/relay/reports.go
@@ -55,8 +55,8 @@
 	uses     []*fleetpb.EndpointUse
 }
 
-// Heard takes a call of an entry or store instance. Ended calls are relayed if the sender reports to this instance alone.
-func (r *Reports) Heard(now time.Time, req *fleetpb.WatchRequest) {
+// Receive takes a call of an entry or store instance. Ended calls are relayed if the sender reports to this instance alone.
+func (r *Reports) Receive(now time.Time, req *fleetpb.WatchRequest) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.begin()
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -131,7 +131,7 @@
 		members, first := c.quorumFirst(view, tally.Members())
 		asked := c.nearest(members)
 		got, reason := gather(ctx, c, tally, members, first, func() bool { return tally.Written() && tally.Sure() },
-			func() bool { return c.hopeless(t.Program) },
+			func() bool { return c.cannotReachQuorum(t.Program) },
 			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Reserve(ctx, &fleetpb.ReserveRequest{
 					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: t.Program, Turn: t.reservation, Tokens: t.Most,
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -154,9 +154,9 @@
 	return v != nil && (c.health.allThere() || reaches(v, program, func(m *fleetpb.Member) bool { return c.health.isOut(m.GetStorage()) }))
 }
 
-// hopeless reports whether so many stores of a program have gone out of reach that a
+// cannotReachQuorum reports whether so many stores of a program have gone out of reach that a
 // call under way to them will find no quorum.
-func (c *Client) hopeless(program string) bool {
+func (c *Client) cannotReachQuorum(program string) bool {
 	v := c.Watch.State().GetView()
 	return v == nil || !c.health.allThere() && !reaches(v, program, func(m *fleetpb.Member) bool { return c.health.gone(m.GetStorage()) })
 }
@@ -239,19 +239,19 @@
 }
 
 func (s *suspicion) run() {
-	if !stoodStill(s.asked, suspectAfter) {
+	if !wasStalled(s.asked, suspectAfter) {
 		s.client.observe(s.member, &suspectError{})
 	}
 }
 
-// stillFor is how late a timer may be before this process, and not the peer, is
+// stallSlack is how late a timer may be before this process, and not the peer, is
 // taken for the one that stood still.
-const stillFor = 150 * time.Millisecond
+const stallSlack = 150 * time.Millisecond
 
-// stoodStill reports whether a timer that was set for a time fired much later:
+// wasStalled reports whether a timer that was set for a time fired much later:
 // what came in meanwhile has not been read yet, so that silence means nothing.
-func stoodStill(set time.Time, wait time.Duration) bool {
-	return time.Since(set) > wait+stillFor
+func wasStalled(set time.Time, wait time.Duration) bool {
+	return time.Since(set) > wait+stallSlack
 }
 
 // viewTick is how often a process that has just started looks for the first view.
@@ -325,7 +325,7 @@
 		p.client.observe(p.member, nil)
 	case !p.client.health.proven(p.member.GetStorage()):
 		// It may be starting too. Requests try it, and wait for it a little.
-	case !stoodStill(asked, probeWithin):
+	case !wasStalled(asked, probeWithin):
 		p.client.observe(p.member, err)
 	}
 }
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -53,7 +53,7 @@
 		a.reply, a.status, err = c.call(ctx, fleetpb.NewStoreClient(conn), c.member)
 	}
 	timer.Stop()
-	if err == nil || !stoodStill(slow.asked, callWithin) {
+	if err == nil || !wasStalled(slow.asked, callWithin) {
 		c.client.observe(c.member, err)
 	}
 	a.err = err
@@ -93,9 +93,9 @@
 
 // gather calls the members of a tally until enough reports true: the first ones at once, and all others if one of
 // these refuses, a store goes out of reach or they take longer than usual. Each reply that counts goes to take first. It
-// gives up once hopeless reports true, which it asks when stores go out of reach; without it, it waits for all answers.
+// gives up once unreachable reports true, which it asks when stores go out of reach; without it, it waits for all answers.
 func gather[R any](
-	ctx context.Context, c *Client, t *ledger.Tally, members []*fleetpb.Member, first int, enough, hopeless func() bool,
+	ctx context.Context, c *Client, t *ledger.Tally, members []*fleetpb.Member, first int, enough, unreachable func() bool,
 	call func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error),
 	take func(R),
 ) (outcome, string) {
@@ -106,7 +106,7 @@
 	reason := "no store answered"
 	for heard := 0; heard < len(members); {
 		change := c.health.change()
-		if hopeless != nil && hopeless() {
+		if unreachable != nil && unreachable() {
 			return expired, "most stores have gone out of reach"
 		}
 		select {
--- a/rockbarrow/watch/customers.go
+++ b/rockbarrow/watch/customers.go
@@ -94,7 +94,7 @@
 	defer c.mu.Unlock()
 	var out []string
 	for _, t := range c.targets {
-		if t.answered && now.Sub(t.heard) < silentAfter {
+		if t.answered && now.Sub(t.lastAnswer) < silentAfter {
 			out = append(out, t.address)
 		}
 	}
--- a/rockbarrow/watch/follow.go
+++ b/rockbarrow/watch/follow.go
@@ -32,7 +32,7 @@
 	for _, t := range c.targets {
 		t.wanted = slices.Contains(wanted, t)
 		if t.wanted && !t.running {
-			t.running, t.answered, t.heard, t.state, t.list = true, false, now, 0, 0
+			t.running, t.answered, t.lastAnswer, t.state, t.list = true, false, now, 0, 0
 			go t.loop(c.ctx)
 		}
 		t.answered = t.answered && t.wanted
@@ -112,7 +112,7 @@
 
 // isFresh reports whether a target has answered within a time; the caller holds the client's mu.
 func (t *target) isFresh(now time.Time, within time.Duration) bool {
-	return t.answered && now.Sub(t.heard) < within
+	return t.answered && now.Sub(t.lastAnswer) < within
 }
 
 // isFollowed reports whether the target's loop is to go on. If not, another may begin.
--- a/rockbarrow/watch/follow_test.go
+++ b/rockbarrow/watch/follow_test.go
@@ -102,7 +102,7 @@
 	all, _ := c.followed()
 	lost := all[0]
 	c.mu.Lock()
-	lost.heard = now.Add(-2 * silentAfter)
+	lost.lastAnswer = now.Add(-2 * silentAfter)
 	c.mu.Unlock()
 	lost.failed(context.DeadlineExceeded)
 	if again, _ := c.followed(); len(again) != followed || lost.wanted {
--- a/rockbarrow/watch/received.go
+++ b/rockbarrow/watch/received.go
@@ -92,8 +92,8 @@
 	}
 }
 
-// Hear takes what a control instance tells of the state and of entry instances.
-func (c *Client) Hear(r *fleetpb.WatchReply) {
+// Receive takes what a control instance tells of the state and of entry instances.
+func (c *Client) Receive(r *fleetpb.WatchReply) {
 	c.entries.Store(max(r.GetEntries(), 1))
 	if counts := r.GetEntryDomains(); len(counts) > 0 {
 		c.domains.Store(&counts)
@@ -103,8 +103,8 @@
 	}
 }
 
-// hearList takes a newer list, or the news that the known one was read again.
-func (c *Client) hearList(r *fleetpb.WatchReply, list *catalog.List, by time.Time) {
+// receiveList takes a newer list, or the news that the known one was read again.
+func (c *Client) receiveList(r *fleetpb.WatchReply, list *catalog.List, by time.Time) {
 	if !r.GetListKnown() {
 		return
 	}
--- a/rockbarrow/watch/table.go
+++ b/rockbarrow/watch/table.go
@@ -46,7 +46,7 @@
 // table than the one held. Errors are of type [*UnreachedError].
 func (c *Client) FetchTable(ctx context.Context, held *routing.Table, version uint64) (*routing.Table, error) {
 	failed := &UnreachedError{Version: version}
-	for _, t := range c.tellers(time.Now()) {
+	for _, t := range c.inOrder(time.Now()) {
 		got, err := t.fetchTable(ctx, held, version)
 		if err != nil && wrongTable(err) {
 			c.Log.WithError(err).WithField("control", t.address).Warn("a change of the routing table is not readable and is asked for whole")
@@ -74,9 +74,9 @@
 	return errors.As(err, &base) || errors.As(err, &digest)
 }
 
-// tellers returns the control instances that answer, the one that tells news first.
-func (c *Client) tellers(now time.Time) []*target {
-	first := c.teller(now)
+// inOrder returns the control instances that answer, the one that tells news first.
+func (c *Client) inOrder(now time.Time) []*target {
+	first := c.primary(now)
 	if first == nil {
 		return nil
 	}
@@ -84,7 +84,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, t := range c.targets {
-		if t != first && t.answered && now.Sub(t.heard) < silentAfter {
+		if t != first && t.answered && now.Sub(t.lastAnswer) < silentAfter {
 			out = append(out, t)
 		}
 	}
--- a/rockbarrow/watch/table_test.go
+++ b/rockbarrow/watch/table_test.go
@@ -77,7 +77,7 @@
 	a := l.Addr().String()
 	c.targets[a] = &target{
 		client: c, address: a, member: &fleetpb.Member{FailureDomain: c.Self.GetFailureDomain()},
-		answered: true, heard: time.Now().Add(time.Hour),
+		answered: true, lastAnswer: time.Now().Add(time.Hour),
 	}
 	return c.targets[a]
 }
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -28,10 +28,10 @@
 	listed time.Time
 	// wanted is true while it is to be followed, and running while its loop runs.
 	wanted, running bool
-	// heard is when it answered last, or when the loop began; answered is true if it has answered this loop.
-	heard    time.Time
-	answered bool
-	lost     bool
+	// lastAnswer is when it answered last, or when the loop began; answered is true if it has answered this loop.
+	lastAnswer time.Time
+	answered   bool
+	lost       bool
 	// avoidUntil is until when others are preferred, and avoided how long it was avoided last.
 	avoidUntil time.Time
 	avoided    time.Duration
@@ -56,7 +56,7 @@
 		asked := time.Now()
 		if err := t.watch(ctx); err != nil {
 			t.failed(err)
-			wait.For(ctx, pause+rand.N(pause)-time.Since(asked))
+			wait.For(ctx, retryPause+rand.N(retryPause)-time.Since(asked))
 		}
 	}
 	if ctx.Err() == nil {
@@ -69,15 +69,15 @@
 	c := t.client
 	now := time.Now()
 	c.mu.Lock()
-	silent := now.Sub(t.heard) > silentAfter
-	news := silent && !t.lost
+	silent := now.Sub(t.lastAnswer) > silentAfter
+	lost := silent && !t.lost
 	if silent && t.avoidance(now) == 0 {
 		t.avoid(now)
 		c.follow(now)
 	}
 	t.lost = t.lost || silent
 	c.mu.Unlock()
-	if news {
+	if lost {
 		c.Log.WithError(err).WithField("control", t.address).Warn("control instance is not reached")
 	}
 }
@@ -90,20 +90,20 @@
 	}
 	held := c.Hold
 	if held == 0 {
-		held = hold
+		held = longPollTimeout
 	}
 	if c.Role == fleetpb.Role_ROLE_CONTROL && !t.answered {
 		// What the other one has accepted is wanted at once: leases rest on it.
 		held = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, held+reply)
+	ctx, cancel := context.WithTimeout(ctx, held+answerSlack)
 	defer cancel()
 	asked := time.Now()
 	req := c.request(held)
-	teller := c.teller(asked)
-	req.WantsNews = teller == nil || teller == t || c.Role == fleetpb.Role_ROLE_CONTROL || t.knowsMore(req)
+	primary := c.primary(asked)
+	req.WantsNews = primary == nil || primary == t || c.Role == fleetpb.Role_ROLE_CONTROL || t.hasNewer(req)
 	var uses reported
-	if c.Uses != nil && teller == t {
+	if c.Uses != nil && primary == t {
 		req.WantsLoads = true
 		req.Uses, uses = c.reportedUses().since(c.Uses())
 	}
@@ -119,7 +119,7 @@
 	// The call goes out in the moment in which there is a connection.
 	r, err := fleetpb.NewControlClient(conn).Watch(ctx, req, grpc.WaitForReady(true))
 	if err != nil {
-		t.missed(req, err, time.Since(asked))
+		t.logMissed(req, err, time.Since(asked))
 		return err
 	}
 	if uses != nil {
@@ -135,7 +135,7 @@
 	if t.whole {
 		c.Log.WithError(unreadable).WithField("control", t.address).Warn("news are not readable and are asked for whole")
 	}
-	t.logNews(r, size, arrived.Sub(asked), time.Since(arrived))
+	t.logUpdate(r, size, arrived.Sub(asked), time.Since(arrived))
 	t.toldCustomers(customers, r.GetProcess())
 	// The age of the list counts from when the answer was given; for a call that
 	// was held that is about now, and a little late is safe.
@@ -143,13 +143,13 @@
 	if time.Since(asked) >= held {
 		by = asked.Add(held)
 	}
-	c.heard(t, r, list, asked, by)
+	c.received(t, r, list, asked, by)
 	return unreadable
 }
 
-// missed logs a call that had no answer in its time although news were wanted: the step
+// logMissed logs a call that had no answer in its time although news were wanted: the step
 // at which news are late is then the way here, not what is done with them.
-func (t *target) missed(req *fleetpb.WatchRequest, err error, took time.Duration) {
+func (t *target) logMissed(req *fleetpb.WatchRequest, err error, took time.Duration) {
 	if !req.GetWantsNews() || !t.answered {
 		return
 	}
@@ -158,9 +158,9 @@
 	}).Info("no news in time")
 }
 
-// logNews logs what the steps of news took until they were whole. Calls are held until
+// logUpdate logs what the steps of news took until they were whole. Calls are held until
 // there are news, so that call_ms is an upper bound of their way here.
-func (t *target) logNews(r *fleetpb.WatchReply, size int, call, unpacked time.Duration) {
+func (t *target) logUpdate(r *fleetpb.WatchReply, size int, call, unpacked time.Duration) {
 	if r.GetState() == nil && r.GetList() == nil && r.GetListChange() == nil {
 		return
 	}
@@ -230,9 +230,9 @@
 	}
 }
 
-// knowsMore reports whether the instance has told of something newer than what the
-// teller has brought.
-func (t *target) knowsMore(req *fleetpb.WatchRequest) bool {
+// hasNewer reports whether the instance has told of something newer than what the
+// primary has brought.
+func (t *target) hasNewer(req *fleetpb.WatchRequest) bool {
 	return t.state > req.GetStateNumber() || t.client.Role != fleetpb.Role_ROLE_STORE && t.list > req.GetListNumber()
 }
 
--- a/rockbarrow/watch/uses.go
+++ b/rockbarrow/watch/uses.go
@@ -67,23 +67,23 @@
 	c.uses = uses
 }
 
-// teller is the control instance that tells news at once, and of the calls of other
+// primary is the control instance that tells news at once, and of the calls of other
 // entry instances: one that answers, in the own failure domain if there is one, since
 // bytes between domains have a price. The others only tell how new their knowledge is,
-// and are asked for what the teller lacks. Instances that have the choice spread.
-func (c *Client) teller(now time.Time) *target {
+// and are asked for what the primary lacks. Instances that have the choice spread.
+func (c *Client) primary(now time.Time) *target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var best *target
 	for _, t := range c.targets {
-		if t.answered && now.Sub(t.heard) < silentAfter && (best == nil || c.tellsBetter(t, best)) {
+		if t.answered && now.Sub(t.lastAnswer) < silentAfter && (best == nil || c.isPreferred(t, best)) {
 			best = t
 		}
 	}
 	return best
 }
 
-func (c *Client) tellsBetter(t, o *target) bool {
+func (c *Client) isPreferred(t, o *target) bool {
 	if near := c.isNear(t); near != c.isNear(o) {
 		return near
 	}
--- a/rockbarrow/watch/uses_test.go
+++ b/rockbarrow/watch/uses_test.go
@@ -49,14 +49,14 @@
 
 func TestLoadsAreAskedOfANearInstanceThatAnswers(t *testing.T) {
 	now := time.Now()
-	near := &target{address: "9", member: &fleetpb.Member{FailureDomain: "a"}, answered: true, heard: now}
-	far := &target{address: "1", member: &fleetpb.Member{FailureDomain: "b"}, answered: true, heard: now}
+	near := &target{address: "9", member: &fleetpb.Member{FailureDomain: "a"}, answered: true, lastAnswer: now}
+	far := &target{address: "1", member: &fleetpb.Member{FailureDomain: "b"}, answered: true, lastAnswer: now}
 	c := &Client{Self: &fleetpb.Member{FailureDomain: "a"}, targets: map[string]*target{"9": near, "1": far}}
-	if c.teller(now) != near {
+	if c.primary(now) != near {
 		t.Error("the instance in the own failure domain is not asked")
 	}
-	near.heard = now.Add(-silentAfter)
-	if c.teller(now) != far {
+	near.lastAnswer = now.Add(-silentAfter)
+	if c.primary(now) != far {
 		t.Error("an instance that is silent is still asked")
 	}
 }
@@ -72,7 +72,7 @@
 	}{{entry, 5, 7, false}, {entry, 6, 7, true}, {entry, 5, 8, true}, {store, 5, 8, false}, {store, 6, 0, true}}
 	for _, test := range tests {
 		o := &target{client: test.client, state: test.state, list: test.list}
-		if got := o.knowsMore(known); got != test.want {
+		if got := o.hasNewer(known); got != test.want {
 			t.Errorf("state %d, list %d: %v", test.state, test.list, got)
 		}
 	}
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -26,16 +26,16 @@
 )
 
 const (
-	// hold is how long a call waits for news. Shorter costs calls: each is about
+	// longPollTimeout is how long a call waits for news. Shorter costs calls: each is about
 	// 0.1 ms of processor time on both sides.
-	hold = 300 * time.Millisecond
-	// reply is how much longer than hold an answer may take.
-	reply = 250 * time.Millisecond
-	// pause lies between the beginnings of calls to an instance that fails, twice that at
+	longPollTimeout = 300 * time.Millisecond
+	// answerSlack is how much longer than hold an answer may take.
+	answerSlack = 250 * time.Millisecond
+	// retryPause lies between the beginnings of calls to an instance that fails, twice that at
 	// the most.
-	pause = 150 * time.Millisecond
+	retryPause = 150 * time.Millisecond
 	// silentAfter is when a control instance counts as lost.
-	silentAfter = 2*hold + reply
+	silentAfter = 2*longPollTimeout + answerSlack
 )
 
 // Client watches control instances. Set the exported fields before Run.
@@ -164,11 +164,11 @@
 
 // reachedWithin is how lately a control instance must have answered to count as
 // reached: a call's length and a little more.
-const reachedWithin = hold + reply + 100*time.Millisecond
+const reachedWithin = longPollTimeout + answerSlack + 100*time.Millisecond
 
 // freshWithin is how lately one must have answered where another sign of a cut is
 // there already: a call's length and some round trips.
-const freshWithin = hold + 100*time.Millisecond
+const freshWithin = longPollTimeout + 100*time.Millisecond
 
 // CutOff reports whether no control instance answers that has just heard a majority of the voters, nor most of the
 // voters themselves: an instance that reaches few stores either is then likely to be apart from the rest.
@@ -260,14 +260,14 @@
 	return c.votes.Confirm(s)
 }
 
-// heard takes what a control instance answered to a question of a moment; by is when the answer's ages count from.
+// received takes what a control instance answered to a question of a moment; by is when the answer's ages count from.
 // List is the reply's list, nil if it brought none that is newer.
-func (c *Client) heard(t *target, r *fleetpb.WatchReply, list *catalog.List, asked, by time.Time) {
+func (c *Client) received(t *target, r *fleetpb.WatchReply, list *catalog.List, asked, by time.Time) {
 	if back := c.answered(t, r, asked); back {
 		c.Log.WithField("control", t.address).Info("control instance is reached again")
 	}
-	c.Hear(r)
-	c.hearList(r, list, by)
+	c.Receive(r)
+	c.receiveList(r, list, by)
 	if r.GetLoads() != nil && c.Loads != nil {
 		c.Loads(r.GetLoads())
 	}
@@ -284,7 +284,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	t.member, t.heard, t.answered, t.reach = r.GetResponder(), now, true, r.GetReach()
+	t.member, t.lastAnswer, t.answered, t.reach = r.GetResponder(), now, true, r.GetReach()
 	t.avoided, t.avoidUntil, t.relayed = 0, time.Time{}, r.GetRelayedSequence()
 	if storage := r.GetResponder().GetStorage(); c.Role == fleetpb.Role_ROLE_CONTROL && storage != 0 {
 		c.votes.Heard(storage, r.GetAcceptedNumber(), asked)
--- a/rockbench/emulator/entry.go
+++ b/rockbench/emulator/entry.go
@@ -14,8 +14,8 @@
 const (
 	// service is the name of the only service.
 	service = "engines"
-	// clientWaits is how long a client waits for the first token.
-	clientWaits = 2 * time.Second
+	// clientPatience is how long a client waits for the first token.
+	clientPatience = 2 * time.Second
 )
 
 // entry is one entry instance: the product's limiter and placement.
@@ -43,7 +43,7 @@
 func (e *entry) serve(t *turn) {
 	e.next++
 	a := &attempt{id: e.next, entry: e, turn: t}
-	t.program.world.clock.after(clientWaits, a.expired)
+	t.program.world.clock.after(clientPatience, a.expired)
 	if !e.world.limited {
 		a.send()
 		return
@@ -54,7 +54,7 @@
 	e.handle(limiter.Resized{Places: places})
 	e.handle(limiter.Arrived{
 		ID: a.id, Underway: t.line.last.ID != "", Left: t.program.due - e.world.clock.now, Timed: true,
-		Patience: ms(t.program.kind.ObjectiveMS), Wait: clientWaits, Priority: t.program.kind.Priority,
+		Patience: ms(t.program.kind.ObjectiveMS), Wait: clientPatience, Priority: t.program.kind.Priority,
 	})
 }
 
--- a/rockbench/quotas/quotas.go
+++ b/rockbench/quotas/quotas.go
@@ -191,10 +191,10 @@
 
 func (p *play) exchange(t *instance) {
 	for _, u := range t.Uses("control") {
-		p.counter.Heard(p.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - t.told)}})
+		p.counter.Add(p.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - t.told)}})
 		t.told = u.Requests
 	}
-	t.Hear(p.now, p.counter.Counts(p.now, func(string) *fleetpb.Customer { return p.customer }))
+	t.Receive(p.now, p.counter.Counts(p.now, func(string) *fleetpb.Customer { return p.customer }))
 	t.next = p.now.Add(newsEvery + time.Duration(p.r.Int64N(int64(newsLate))))
 }
 
@@ -212,7 +212,7 @@
 			p.counter.Begin(p.now)
 			for _, t := range p.instances {
 				for _, u := range t.Recent(p.now) {
-					p.counter.Heard(p.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests), Earlier: true}})
+					p.counter.Add(p.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests), Earlier: true}})
 				}
 			}
 		}
