--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -199,9 +199,13 @@
 	for d := range seeds {
 		control = append(control, fmt.Sprintf("%s:%d", ip(d, 1), first+portSpan))
 	}
+	var domains []string
+	for d := range f.domains {
+		domains = append(domains, fmt.Sprint("domain-", d))
+	}
 	add := func(role string, d, n int) (*instance, error) {
 		in := &instance{role: role, binary: binary, plan: settings.Plan{
-			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), Domain: fmt.Sprint("domain-", d), IP: ip(d, n),
+			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), Domain: domains[d], Domains: domains, IP: ip(d, n),
 			FirstPort: first, LastPort: first + portSpan - 1, Control: control, First: true,
 			List: f.listens.Addr().String(), Losses: 1, MemoryMB: 256, GraceSeconds: grace,
 			RevokeMS: float64(revokeWithin.Milliseconds()), Quota: quotaTerms,
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -110,6 +110,7 @@
 	}
 	s.fleet.checkRoutes(finish)
 	s.fleet.checkEndpoints(finish, s.entries())
+	s.fleet.checkEvacuation(finish, s.entries())
 }
 
 // disturber brings one fault after another. Two of them run at a time, so that
