--- a/rockbarrow/watch/follow.go
+++ b/rockbarrow/watch/follow.go
@@ -115,6 +115,13 @@
 	return t.answered && now.Sub(t.lastAnswer) < within
 }
 
+// hasAnswered reports whether the target has answered this loop.
+func (t *target) hasAnswered() bool {
+	t.client.mu.Lock()
+	defer t.client.mu.Unlock()
+	return t.answered
+}
+
 // isFollowed reports whether the target's loop is to go on. If not, another may begin.
 func (t *target) isFollowed() bool {
 	c := t.client
@@ -123,3 +130,36 @@
 	t.running = t.wanted
 	return t.wanted
 }
+
+// note adds a control instance if it is a new one, and reports whether it is; the caller holds mu.
+func (c *Client) note(address string, m *fleetpb.Member) bool {
+	if address == c.Self.GetAddress() || c.ctx == nil {
+		return false
+	}
+	if c.targets == nil {
+		c.targets = map[string]*target{}
+	}
+	now := time.Now()
+	if t := c.targets[address]; t != nil {
+		t.listed = now
+		if t.member == nil && m != nil {
+			t.member = m
+			return true
+		}
+		return false
+	}
+	c.targets[address] = &target{client: c, address: address, member: m, listed: now, rank: c.rankOf(address)}
+	return true
+}
+
+// forget drops the control instances that were taken away: no seeds, and neither heard nor told of for long. The caller
+// holds mu.
+func (c *Client) forget(now time.Time) {
+	for address, t := range c.targets {
+		if slices.Contains(c.Seeds, address) || now.Sub(t.listed) < forgetAfter || now.Sub(t.lastAnswer) < forgetAfter {
+			continue
+		}
+		t.wanted = false
+		delete(c.targets, address)
+	}
+}
--- a/rockbarrow/watch/follow_test.go
+++ b/rockbarrow/watch/follow_test.go
@@ -253,3 +253,21 @@
 		t.Errorf("%v", uses)
 	}
 }
+
+// TestControlInstancesThatAreGoneAreForgotten: neither they nor others tell of them any more. Seeds may come back.
+func TestControlInstancesThatAreGoneAreForgotten(t *testing.T) {
+	c := follower(t, "control", 5)
+	c.Role = fleetpb.Role_ROLE_CONTROL
+	c.Seeds = []string{"control-1"}
+	later := time.Now().Add(forgetAfter + time.Second)
+	c.mu.Lock()
+	c.follow(time.Now())
+	gone := c.targets["control-2"]
+	c.targets["control-3"].lastAnswer, c.targets["control-4"].listed = later, later
+	c.forget(later)
+	n := len(c.targets)
+	c.mu.Unlock()
+	if n != 3 || gone.isFollowed() {
+		t.Errorf("%d control instances are known, want the seed and two that are heard or told of", n)
+	}
+}
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -92,7 +92,7 @@
 	if held == 0 {
 		held = longPollTimeout
 	}
-	if c.Role == fleetpb.Role_ROLE_CONTROL && !t.answered {
+	if c.Role == fleetpb.Role_ROLE_CONTROL && !t.hasAnswered() {
 		// What the other one has accepted is wanted at once: leases rest on it.
 		held = 0
 	}
@@ -150,7 +150,7 @@
 // logMissed logs a call that had no answer in its time although news were wanted: the step
 // at which news are late is then the way here, not what is done with them.
 func (t *target) logMissed(req *fleetpb.WatchRequest, err error, took time.Duration) {
-	if !req.GetWantsNews() || !t.answered {
+	if !req.GetWantsNews() || !t.hasAnswered() {
 		return
 	}
 	t.client.Log.WithError(err).WithFields(logrus.Fields{
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -220,37 +220,6 @@
 	}
 }
 
-// note adds a control instance if it is a new one, and reports whether it is; the caller holds mu.
-func (c *Client) note(address string, m *fleetpb.Member) bool {
-	if address == c.Self.GetAddress() || c.ctx == nil {
-		return false
-	}
-	if c.targets == nil {
-		c.targets = map[string]*target{}
-	}
-	now := time.Now()
-	if t := c.targets[address]; t != nil {
-		t.listed = now
-		if t.member == nil && m != nil {
-			t.member = m
-			return true
-		}
-		return false
-	}
-	c.targets[address] = &target{client: c, address: address, member: m, listed: now, rank: c.rankOf(address)}
-	return true
-}
-
-// forget drops the control instances that were taken away: no seeds, and neither heard nor told of for long. The caller
-// holds mu.
-func (c *Client) forget(now time.Time) {
-	for address, t := range c.targets {
-		if !t.running && !slices.Contains(c.Seeds, address) && now.Sub(t.listed) > forgetAfter {
-			delete(c.targets, address)
-		}
-	}
-}
-
 // Confirm returns a moment by which no state newer than s was chosen, as far as the voters have told. Own is the number
 // of the state that this instance had accepted itself at some time after asked.
 func (c *Client) Confirm(s *fleetpb.State, own uint64, asked time.Time) (at time.Time, ok bool) {
