--- a/rockbench/soak/invalid.go
+++ b/rockbench/soak/invalid.go
@@ -59,7 +59,12 @@
 		return
 	}
 	if s.text != nil {
-		b = s.text(r, b)
+		spoiled := s.text(r, bytes.Clone(b))
+		if bytes.Equal(spoiled, b) {
+			// There is nothing of that kind in the configuration, as without customers.
+			return
+		}
+		b = spoiled
 	}
 	f.operator.Refused(ctx, s.name, b)
 }
