--- a/rockbarrow/stores/hedge_test.go
+++ b/rockbarrow/stores/hedge_test.go
@@ -81,7 +81,7 @@
 				if !ok {
 					s.after = usual
 				}
-				time.Sleep(s.after)
+				<-time.After(s.after)
 				return nil, &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1, Refused: s.refused}, s.err
 			},
 			func(*fleetpb.SettleReply) {})
@@ -90,7 +90,7 @@
 			t.Fatalf("%v: %s", got, reason)
 		}
 		// Calls outlive their quorum.
-		time.Sleep(callWithin)
+		<-time.After(callWithin)
 		for len(names) > 0 {
 			asked = append(asked, <-names)
 		}
