--- a/rockbarrow/catalog/catalog_test.go
+++ b/rockbarrow/catalog/catalog_test.go
@@ -115,6 +115,9 @@
 		wrong(c)
 		return c
 	}
+	// Its sum is right: only the order tells it.
+	added := Change(from, with(from, 2, map[string]*fleetpb.Endpoint{"y": {Id: "y"}, "z": {Id: "z"}}))
+	slices.Reverse(added.Changed)
 	var base *BaseError
 	var sum *SumError
 	tests := []struct {
@@ -126,6 +129,7 @@
 		{"another result", change(func(c *fleetpb.ListChange) { c.Sum++ }), &sum},
 		{"a damaged endpoint", change(func(c *fleetpb.ListChange) { c.Changed[0].Slots++ }), &sum},
 		{"nothing to remove", change(func(c *fleetpb.ListChange) { c.Removed[0] = "e00003x" }), &sum},
+		{"new ones out of order", added, nil},
 		{"out of order", change(func(c *fleetpb.ListChange) { slices.Reverse(c.Changed) }), nil},
 		{"twice the same", change(func(c *fleetpb.ListChange) { c.Changed = append(c.Changed[:1], c.Changed[0]) }), nil},
 		{"no frame", change(func(c *fleetpb.ListChange) { c.Whole = []byte("x") }), nil},
--- a/rockbarrow/placement/others_test.go
+++ b/rockbarrow/placement/others_test.go
@@ -124,3 +124,15 @@
 		t.Errorf("all instances use %d of 200 endpoints", len(used))
 	}
 }
+
+// TestWhatOthersDoNotTellAgainIsOver: only the endpoints with calls are told, so that one that is left out has none.
+func TestWhatOthersDoNotTellAgainIsOver(t *testing.T) {
+	f, now := spreadFleet(6), time.Unix(100, 0)
+	a1, b1 := f.Endpoint("a1"), f.Endpoint("b1")
+	f.SetLoads(now, []Load{{Endpoint: a1, Running: 6, Failing: 50}, {Endpoint: b1, Running: 1}})
+	f.SetLoads(now, []Load{{Endpoint: b1, Running: 2}})
+	at := now.UnixNano()
+	if a1.others.runningAt(at) != 0 || a1.others.failingAt(at) != 0 || b1.others.runningAt(at) != 2 {
+		t.Errorf("%d calls and %v failing at one that is over, %d at the other", a1.others.runningAt(at), a1.others.failingAt(at), b1.others.runningAt(at))
+	}
+}
