--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -95,7 +95,7 @@
 	counted atomic.Pointer[headcount]
 	// lists makes the changes of lists that others need.
 	lists catalog.History
-	// listed is the newest list that was told to an instance of version 0.3.0 or older.
+	// listed is the newest list that was told to an instance of an earlier version.
 	listed atomic.Pointer[document.List]
 	// made are the numbers of the newest state and list that were made here, and not learned from others.
 	madeState, madeList atomic.Uint64
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -78,7 +78,7 @@
 	// Documents holds the documents that were met lately, so that news of them come as
 	// differences.
 	Documents document.Cache
-	// Lists is the same for lists of endpoints from control instances of version 0.3.0 and older.
+	// Lists is the same for lists of endpoints from control instances of an earlier version.
 	Lists document.Cache
 
 	state   atomic.Pointer[fleetpb.State]
