--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -170,8 +170,8 @@
 	return c.watch.Documents.PackState(s, req.GetHeld())
 }
 
-// putList puts a list into a reply: what changed for a compact sender, and whole or packed for one of version 0.3.0 or
-// older.
+// putList puts a list into a reply: what changed for a compact sender, and whole or packed for one of an earlier
+// version.
 func (c *Controller) putList(r *fleetpb.WatchReply, l *catalog.List, req *fleetpb.WatchRequest) {
 	if req.GetCompact() {
 		change, err := c.lists.Change(req.GetListSum(), l)
