stores: a program whose settled tokens fill its budget is refused at once

Cause: a turn over the budget was tried three times, each with a reservation at a quorum and a release at all stores. Change: no retry if settled tokens alone exceed the budget, as these are final; the entry instance remembers such programs for their retention and answers without the stores.

--- a/rockbarrow/ledger/reservations.go
+++ b/rockbarrow/ledger/reservations.go
@@ -30,6 +30,18 @@
 	return n
 }
 
+// SettledTokens returns the sum of the tokens of settled turns. Settlements are
+// final, so the sum of a program never decreases.
+func (t *ReservationSet) SettledTokens() uint64 {
+	var n uint64
+	for _, r := range t.byTurn {
+		if r.GetSettled() {
+			n += r.GetTokens()
+		}
+	}
+	return n
+}
+
 // mergeReservations returns the newer of two reservations of one turn. A
 // settlement replaces a reservation.
 func mergeReservations(a, b *fleetpb.Reservation) *fleetpb.Reservation {
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -20,7 +20,8 @@
 
 const (
 	// maxBudgetAttempts is the number of attempts for a turn that exceeds the
-	// budget: concurrent reservations may each see the other and both fail.
+	// budget only because of turns in progress: concurrent reservations may each
+	// see the other and both fail.
 	maxBudgetAttempts = 3
 	// budgetRetryDelay is the delay between these attempts.
 	budgetRetryDelay = 25 * time.Millisecond
@@ -40,6 +41,7 @@
 
 	health      health
 	sampleCache sampleCache
+	spent       spentPrograms
 }
 
 // Turn describes a turn to reserve tokens for.
@@ -86,6 +88,9 @@
 // Reserve durably reserves the turn's maximum tokens and returns its history.
 // After an error the reservation is released in the background.
 func (c *Client) Reserve(ctx context.Context, t Turn) (*Grant, error) {
+	if err := c.spent.check(time.Now(), t); err != nil {
+		return nil, err
+	}
 	for attempt := 1; ; attempt++ {
 		t.reservation = fmt.Sprintf("%s/%d", t.ID, attempt)
 		g, err := c.reserve(ctx, t)
@@ -93,6 +98,10 @@
 		if !errors.As(err, &over) || attempt == maxBudgetAttempts {
 			return g, err
 		}
+		if over.isFinal() {
+			c.spent.record(time.Now(), t.Program, over.Settled, t.Retention)
+			return nil, err
+		}
 		if !wait.For(ctx, budgetRetryDelay) {
 			return nil, err
 		}
@@ -102,14 +111,14 @@
 func (c *Client) reserve(ctx context.Context, t Turn) (*Grant, error) {
 	g := &Grant{turn: t, home: t.Program}
 	seen := newTurnIndex(c.TurnCache)
-	used, err := c.reserveTokens(ctx, g, seen)
+	used, settled, err := c.reserveTokens(ctx, g, seen)
 	if err != nil {
 		c.release(ctx, t)
 		return nil, err
 	}
 	if t.Budget > 0 && used+t.MaxTokens > t.Budget {
 		c.release(ctx, t)
-		return nil, &OverBudgetError{Budget: t.Budget, Used: used, MaxTokens: t.MaxTokens}
+		return nil, &OverBudgetError{Budget: t.Budget, Used: used, MaxTokens: t.MaxTokens, Settled: settled}
 	}
 	if t.Previous == "" {
 		return g, nil
@@ -123,9 +132,9 @@
 	return g, nil
 }
 
-// reserveTokens writes the reservation to a quorum and returns the tokens used
-// or reserved by the program's other turns.
-func (c *Client) reserveTokens(ctx context.Context, g *Grant, seen *turnIndex) (used uint64, err error) {
+// reserveTokens writes the reservation to a quorum. It returns the tokens used or
+// reserved by the program's other turns, and the settled part of them.
+func (c *Client) reserveTokens(ctx context.Context, g *Grant, seen *turnIndex) (used, settled uint64, err error) {
 	t := g.turn
 	for {
 		view := c.Watch.State().GetView()
@@ -151,10 +160,10 @@
 				}
 			})
 		if outcome == quorumReached {
-			return total.TokensExcept(t.reservation), nil
+			return total.TokensExcept(t.reservation), total.SettledTokens(), nil
 		}
 		if outcome == aborted || !waitRetry(ctx) {
-			return 0, &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
+			return 0, 0, &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
 		}
 	}
 }
--- a/rockbarrow/stores/errors.go
+++ b/rockbarrow/stores/errors.go
@@ -9,8 +9,14 @@
 	// Budget is the program's budget, Used the tokens spent or reserved by its
 	// other turns, and MaxTokens the tokens that this turn may generate.
 	Budget, Used, MaxTokens uint64
+	// Settled is the part of Used that is final; the rest may be released.
+	Settled uint64
 }
 
+// isFinal reports whether the turn exceeds the budget whatever becomes of the
+// turns in progress.
+func (e *OverBudgetError) isFinal() bool { return e.Settled+e.MaxTokens > e.Budget }
+
 func (e *OverBudgetError) Error() string {
 	return fmt.Sprintf("stores: budget exceeded: %d tokens used, %d requested, budget %d", e.Used, e.MaxTokens, e.Budget)
 }
--- a/rockbarrow/stores/turns_test.go
+++ b/rockbarrow/stores/turns_test.go
@@ -73,6 +73,26 @@
 	g.noError(g.runTurn(g.newClient(), turn("5"), 100))
 }
 
+// Guards against retries and store calls for a program whose settled tokens leave no room:
+// looping programs ask many times.
+func TestSpentBudgetIsRefusedWithoutTheStores(t *testing.T) {
+	g := newTestCluster(t)
+	turn := func(id string) stores.Turn {
+		return stores.Turn{ID: id, Program: "p", MaxTokens: 100, Budget: 150, Retention: time.Minute}
+	}
+	g.noError(g.runTurn(g.client, turn("1"), 100))
+	c := g.newClient()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for i, ctx := range []context.Context{context.Background(), ended} {
+		// The second call could not reach any store.
+		var over *stores.OverBudgetError
+		if _, err := c.Reserve(ctx, turn(fmt.Sprint("2-", i))); !errors.As(err, &over) || over.Settled != 100 {
+			t.Errorf("call %d: %v, want an OverBudgetError with 100 settled tokens", i, err)
+		}
+	}
+}
+
 func TestConcurrentTurnsNeverExceedTheBudget(t *testing.T) {
 	g := newTestCluster(t)
 	var running sync.WaitGroup
