placement: choose by expected time where endpoints differ in speed

Endpoints were chosen by calls in flight alone, and a run stayed on its last endpoint whatever its load.

Entry instances now measure the decoding time per token of each completed stream. They report it with ended calls, control instances aggregate it per incarnation with a half-life of 2 s and send it back with the loads. While the 80th percentile of a service is at least 1.25 times the 20th (until it falls below 1.15), the shortest expected time in a draw wins, and a run moves if that is below 0.75 of the time of staying.

Control instances stop to report a token time 2 s after the last sample, so that entry instances can tell a rest from a constant speed; 3 s later it moves half way to the median. Streams whose client reads slowly give no sample.

Tests of placement, watch, relay, controller and entry pass with the race detector.

--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -28,6 +28,12 @@
 	minFailureWeight = 0.01 * failureSmoothing
 	// minOutcomeWeight is the weight below which an endpoint's outcomes are dropped.
 	minOutcomeWeight = 0.01
+	// minTokens is the decayed number of tokens from which an endpoint's decoding time is known:
+	// some two calls, so that a short pause in one of them does not count as its speed.
+	minTokens = 50
+	// tokenSampleTTL is how long after its last sample an endpoint's decoding time is reported.
+	// Entry instances keep it, and let it fade after three more seconds.
+	tokenSampleTTL = outcomeHalfLife
 )
 
 // loads aggregates the reports of entry instances about endpoints, both received directly and
@@ -54,7 +60,10 @@
 // outcomes counts successful and failed calls at one endpoint, with exponential decay.
 type outcomes struct {
 	answered, failed float64
-	updatedAt        time.Time
+	// tokens were decoded within micros microseconds.
+	tokens, micros float64
+	// updatedAt is when the counts decayed last, sampledAt when tokens were last added.
+	updatedAt, sampledAt time.Time
 }
 
 // record records a report of an entry instance. Set relay if the instance reports to no other
@@ -132,7 +141,7 @@
 // addOutcomes counts ended calls; the caller holds mu.
 func (l *loads) addOutcomes(now time.Time, uses []*fleetpb.EndpointUse) {
 	for _, u := range uses {
-		if u.GetAnswered() == 0 && u.GetFailed() == 0 {
+		if u.GetAnswered() == 0 && u.GetFailed() == 0 && u.GetDecodedTokens() == 0 {
 			continue
 		}
 		key := incarnationOfUse(u)
@@ -144,6 +153,11 @@
 		o.decay(now)
 		o.answered += float64(u.GetAnswered())
 		o.failed += float64(u.GetFailed())
+		if n := u.GetDecodedTokens(); n > 0 {
+			o.tokens += float64(n)
+			o.micros += float64(u.GetDecodeUs())
+			o.sampledAt = now
+		}
 	}
 }
 
@@ -151,12 +165,18 @@
 	weight := math.Exp2(-now.Sub(o.updatedAt).Seconds() / outcomeHalfLife.Seconds())
 	o.answered *= weight
 	o.failed *= weight
+	o.tokens *= weight
+	o.micros *= weight
 	o.updatedAt = now
 }
 
-// failurePercent returns the weighted share of failed calls in percent.
-func (o outcomes) failurePercent() uint32 {
-	return uint32(100 * o.failed / (o.answered + o.failed + failureSmoothing))
+// tokenMicros returns the decoding time per token in microseconds, zero if it is not known or if
+// there was no sample lately.
+func (o outcomes) tokenMicros(now time.Time) uint32 {
+	if o.tokens < minTokens || now.Sub(o.sampledAt) > tokenSampleTTL {
+		return 0
+	}
+	return uint32(math.Round(o.micros / o.tokens))
 }
 
 // expire drops instances that have stopped reporting and outcomes of negligible weight.
@@ -170,7 +190,7 @@
 	}
 	for endpoint, o := range l.outcomes {
 		o.decay(now)
-		if o.answered+o.failed < minOutcomeWeight {
+		if o.answered+o.failed+o.tokens < minOutcomeWeight {
 			delete(l.outcomes, endpoint)
 		}
 	}
@@ -178,13 +198,20 @@
 
 // endpointLoad is the load of one endpoint, identified by its index in a list.
 type endpointLoad struct {
-	index   int
-	running uint32
-	recent  outcomes
+	index            int
+	running, tokenUS uint32
+	// answered and failed are decayed numbers of ended calls.
+	answered, failed float64
+}
+
+// failurePercent returns the weighted share of failed calls in percent.
+func (k endpointLoad) failurePercent() uint32 {
+	return uint32(100 * k.failed / (k.answered + k.failed + failureSmoothing))
 }
 
 // forEntry returns the loads of the endpoints in a list for an entry instance, without its own
-// running calls. A sparse result omits endpoints with neither running nor failed calls.
+// running calls. A sparse result omits endpoints with neither running nor failed calls nor a known
+// decoding time.
 func (l *loads) forEntry(now time.Time, entry string, list *catalog.List, sparse bool) *fleetpb.EndpointLoads {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -192,25 +219,26 @@
 	out := &fleetpb.EndpointLoads{ListNumber: list.Number(), Sparse: sparse}
 	if !sparse {
 		n := len(list.Proto().GetEndpoints())
-		out.Running, out.Failing = make([]uint32, n), make([]uint32, n)
+		out.Running, out.Failing, out.TokenUs = make([]uint32, n), make([]uint32, n), make([]uint32, n)
 		for _, k := range known {
-			out.Running[k.index], out.Failing[k.index] = k.running, k.recent.failurePercent()
+			out.Running[k.index], out.Failing[k.index], out.TokenUs[k.index] = k.running, k.failurePercent(), k.tokenUS
 		}
 		return out
 	}
 	for _, k := range known {
-		if failing := k.recent.failurePercent(); k.running > 0 || failing > 0 {
+		if failing := k.failurePercent(); k.running > 0 || failing > 0 || k.tokenUS > 0 {
 			out.Index = append(out.Index, uint32(k.index))
 			out.Running = append(out.Running, k.running)
 			out.Failing = append(out.Failing, failing)
+			out.TokenUs = append(out.TokenUs, k.tokenUS)
 		}
 	}
 	return out
 }
 
 // collect returns the loads of the endpoints in a list in ascending order of index; the caller
-// holds mu. Its cost depends on the number of endpoints with running or failed calls, not on the
-// length of the list.
+// holds mu. Its cost depends on the number of endpoints with running or recently ended calls, not
+// on the length of the list.
 func (l *loads) collect(now time.Time, entry string, list *catalog.List) []endpointLoad {
 	var own map[incarnation.ID]uint32
 	if r := l.reporters[entry]; r != nil {
@@ -223,12 +251,12 @@
 		}
 	}
 	for key, o := range l.outcomes {
-		if o.failed < minFailureWeight {
+		if o.failed < minFailureWeight && o.tokens < minTokens {
 			continue
 		}
 		if i, ok := indexOfIncarnation(list, key); ok {
 			o.decay(now)
-			out = append(out, endpointLoad{index: i, recent: *o})
+			out = append(out, endpointLoad{index: i, answered: o.answered, failed: o.failed, tokenUS: o.tokenMicros(now)})
 		}
 	}
 	slices.SortFunc(out, func(a, b endpointLoad) int { return a.index - b.index })
@@ -242,8 +270,9 @@
 		if n > 0 && sorted[n-1].index == k.index {
 			last := &sorted[n-1]
 			last.running += k.running
-			last.recent.answered += k.recent.answered
-			last.recent.failed += k.recent.failed
+			last.answered += k.answered
+			last.failed += k.failed
+			last.tokenUS = max(last.tokenUS, k.tokenUS)
 			continue
 		}
 		sorted[n] = k
--- a/rockbarrow/controller/loads_test.go
+++ b/rockbarrow/controller/loads_test.go
@@ -3,6 +3,7 @@
 package controller
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -85,3 +86,58 @@
 		t.Errorf("%v, want six calls", got)
 	}
 }
+
+func timedUse(endpoint string, tokens uint32, us uint64) []*fleetpb.EndpointUse {
+	return []*fleetpb.EndpointUse{{Endpoint: endpoint, Answered: 1, DecodedTokens: tokens, DecodeUs: us}}
+}
+
+// The decoding time must be that over all instances, follow a change within about a second, and be left
+// out while it rests on too little.
+func TestDecodingTimeIsAggregated(t *testing.T) {
+	var l loads
+	now := time.Unix(100, 0)
+	tokenUS := func(after time.Duration, sparse bool) []uint32 {
+		return l.forEntry(now.Add(after), "new", twoEndpoints(), sparse).GetTokenUs()
+	}
+	l.record(now, "1", timedUse("x", 30, 60_000), false)
+	l.record(now, "1", timedUse("y", 60, 60_000), false)
+	if got := tokenUS(0, false); !slices.Equal(got, []uint32{0, 1000}) {
+		t.Errorf("%v, want a time for y only, which has enough tokens", got)
+	}
+	l.recordRelayed(now, "control-2", nil, timedUse("x", 30, 30_000))
+	if got := tokenUS(0, true); !slices.Equal(got, []uint32{1500, 1000}) {
+		t.Errorf("%v, want 1500 and 1000", got)
+	}
+	for i := range 5 {
+		l.record(now.Add(time.Duration(i)*200*time.Millisecond), "1", timedUse("x", 60, 300_000), false)
+	}
+	if got := tokenUS(time.Second, true); len(got) == 0 || got[0] < 4000 {
+		t.Errorf("%v a second after x became slow, want at least 4000", got)
+	}
+	if got := tokenUS(time.Second+tokenSampleTTL, true); len(got) != 0 {
+		t.Errorf("%v without recent samples, want none", got)
+	}
+}
+
+// BenchmarkLoadsForEntry measures one sparse report about 1,000 endpoints with calls, as each entry instance
+// gets it every 0.3 s.
+func BenchmarkLoadsForEntry(b *testing.B) {
+	for _, timed := range []uint32{0, 75} {
+		b.Run(fmt.Sprintf("tokens=%d", timed), func(b *testing.B) {
+			var l loads
+			var listed fleetpb.EndpointList
+			now := time.Unix(100, 0)
+			var uses []*fleetpb.EndpointUse
+			for i := range 1000 {
+				id := fmt.Sprintf("e%04d", i)
+				listed.Endpoints = append(listed.Endpoints, &fleetpb.Endpoint{Id: id})
+				uses = append(uses, &fleetpb.EndpointUse{Endpoint: id, Running: 2, Answered: 1, DecodedTokens: timed, DecodeUs: 1000 * uint64(timed)})
+			}
+			l.record(now, "1", uses, false)
+			list := catalog.New(&listed)
+			for b.Loop() {
+				l.forEntry(now, "2", list, true)
+			}
+		})
+	}
+}
--- a/rockbarrow/entry/admission_test.go
+++ b/rockbarrow/entry/admission_test.go
@@ -43,7 +43,7 @@
 				ended <- e.Serve(t.Context(), newTurn("r", fmt.Sprint("gate", n), program, 10_000), &fakeWriter{})
 			}()
 		}
-		e.sessions.record("known", "", incarnation.ID{EndpointID: "x"})
+		e.sessions.record("known", "", incarnation.ID{EndpointID: "x"}, 0)
 		const slots = 12 // three endpoints with four each
 		for n := range slots {
 			serve(n, "known")
@@ -96,7 +96,7 @@
 		e.Watch.UpdateState(&fleetpb.State{Number: 3, Configuration: &fleetpb.Configuration{Version: 2}, View: view})
 		e.Watch.UpdateList(endpointList(2, "x", "y", "z"), time.Now())
 		e.refresh()
-		e.sessions.record("known", "", incarnation.ID{EndpointID: "x"})
+		e.sessions.record("known", "", incarnation.ID{EndpointID: "x"}, 0)
 		ended := make(chan Outcome, 1)
 		go func() { ended <- e.Serve(t.Context(), newTurn("r", "1", "known", 100), &fakeWriter{}) }()
 		awaitWaiting(t, e)
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -59,9 +59,13 @@
 	avoid []incarnation.ID
 	// previous is the endpoint that served the previous turn.
 	previous incarnation.ID
+	// previousTokens are those of the session's last prompt and answer, 0 if unknown.
+	previousTokens uint64
 	// chosen and endpoint are the endpoint that the request was sent to last.
-	chosen     *placement.Endpoint
-	endpoint   incarnation.ID
+	chosen   *placement.Endpoint
+	endpoint incarnation.ID
+	// sentAt is when the request was sent to it.
+	sentAt     time.Time
 	status     int
 	listNumber uint64
 	listAgeMS  int64
@@ -151,7 +155,7 @@
 	return f.Choose(now, placement.Request{
 		Class:        placement.Class{Service: x.service.GetName()},
 		PromptTokens: int64(x.request.PromptTokens), OutputTokens: int64(x.request.MaxAnswerTokens),
-		LastEndpoint: x.previous, AvoidEndpoints: x.avoid, Domain: x.entry.Domain, AvoidDomains: x.entry.domains.avoided(now),
+		LastEndpoint: x.previous, LastTokens: int64(x.previousTokens), AvoidEndpoints: x.avoid, Domain: x.entry.Domain, AvoidDomains: x.entry.domains.avoided(now),
 	}, newRand())
 }
 
@@ -175,19 +179,19 @@
 	stalls.setDomain(p.Domain())
 	x.chosen, x.endpoint = p, p.Life()
 	x.dispatches++
-	sent := time.Now()
+	x.sentAt = time.Now()
 	resp, err := x.entry.Sender.Send(attemptCtx, EndpointRequest{
 		Request: x.request, Body: x.body, Endpoint: p.Config(), Incarnation: x.endpoint, Deadline: x.deadline,
 		Priority: x.endpointPriority(), MaxConnections: x.connectionLimit(),
 		Stream: x.handling.streamed, ResumeAfter: x.events.lastID,
 		Customer: x.customer.GetName(), StripKey: x.table.CustomerCount() > 0 || x.route.GetKeyed(),
 	})
-	done := func(r placement.Result) { p.Done(time.Now(), r) }
+	done := func(r placement.Result) { choice.Done(time.Now(), r) }
 	unreached := x.recordReachability(p, err)
 	if err != nil {
 		var notExecuted *NotExecutedError
 		// An endpoint at capacity has not failed, nor has one whose client disconnected early.
-		clientLeft := ctx.Err() != nil && time.Since(sent) < hangTimeout
+		clientLeft := ctx.Err() != nil && time.Since(x.sentAt) < hangTimeout
 		busy := errors.As(err, &notExecuted) && notExecuted.Busy
 		if !busy && !clientLeft {
 			p.RecordConnectionLoss()
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"rockbarrow.dev/rockbarrow/placement"
 )
@@ -81,19 +82,22 @@
 	defer resp.Body.Close()
 	x.startEventStream(resp)
 	buf := make([]byte, readBufferSize)
+	timer := streamTimer{sent: x.sentAt, startCount: x.events.count}
 	for {
 		n, err := resp.Body.Read(buf)
 		x.events.scan(buf[:n])
 		if complete := x.events.takeComplete(); len(complete) > 0 {
 			stalls.recordProgress()
+			timer.recordEvents(time.Now(), x.events.count)
 			if writeErr := x.writer.Write(complete); writeErr != nil {
 				done(placement.Result{OK: true})
 				return Aborted{Reason: "the client left: " + writeErr.Error()}, nil
 			}
+			timer.recordWritten(time.Now())
 		}
 		switch {
 		case err == io.EOF && x.events.isComplete():
-			done(placement.Result{OK: true})
+			done(placement.Result{OK: true, Stream: timer.timing(x.events.count, x.service.GetTokensPerEvent())})
 			return Completed{}, nil
 		case err == io.EOF:
 			return nil, x.responseLost(done, placement.Result{}, "the stream ended inside an event")
--- a/rockbarrow/entry/loads.go
+++ b/rockbarrow/entry/loads.go
@@ -24,7 +24,7 @@
 		if u == (placement.Usage{}) {
 			continue
 		}
-		out = append(out, watch.EndpointUse{Life: p.Life(), Running: u.Running, Answered: u.Answered, Failed: u.Failed, Lost: u.LostConnections})
+		out = append(out, watch.EndpointUse{Life: p.Life(), Running: u.Running, Answered: u.Answered, Failed: u.Failed, Lost: u.LostConnections, DecodedTokens: u.DecodedTokens, DecodeMicros: u.DecodeMicros})
 	}
 	return out
 }
@@ -46,7 +46,11 @@
 		known := f.Endpoint(p.GetId())
 		// A stale list and its loads may be of an ended incarnation.
 		if known != nil && known.Life().Matches(incarnation.ID{EndpointID: p.GetId(), StartMS: p.GetBornMs()}) {
-			loads = append(loads, placement.RemoteLoad{Endpoint: known, Running: l.GetRunning()[i], FailingPercent: l.GetFailing()[i]})
+			load := placement.RemoteLoad{Endpoint: known, Running: l.GetRunning()[i], FailingPercent: l.GetFailing()[i]}
+			if i < len(l.GetTokenUs()) { // Older control instances send none.
+				load.TokenMicros = l.GetTokenUs()[i]
+			}
+			loads = append(loads, load)
 		}
 		return true
 	}
--- a/rockbarrow/entry/sessions.go
+++ b/rockbarrow/entry/sessions.go
@@ -18,37 +18,52 @@
 type sessionEndpoints struct {
 	mu sync.Mutex
 	// recent gets new entries. Once full, it replaces older.
-	recent, older map[sessionKey]incarnation.ID
+	recent, older map[sessionKey]servedTurn
 }
 
 // sessionKey identifies a session of a program. An empty session stands for the whole program.
 type sessionKey struct{ program, session string }
 
-// record notes which endpoint served a turn.
-func (s *sessionEndpoints) record(program, session string, endpoint incarnation.ID) {
+// servedTurn is the last turn of a session.
+type servedTurn struct {
+	endpoint incarnation.ID
+	// tokens are those of its prompt and answer, which the endpoint has cached.
+	tokens uint64
+}
+
+// record notes which endpoint served a turn, and the tokens of its prompt and answer.
+func (s *sessionEndpoints) record(program, session string, endpoint incarnation.ID, tokens uint64) {
 	if program == "" {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.recent == nil || len(s.recent) >= maxSessions {
-		s.recent, s.older = map[sessionKey]incarnation.ID{}, s.recent
+		s.recent, s.older = map[sessionKey]servedTurn{}, s.recent
 	}
-	s.recent[sessionKey{program, session}] = endpoint
-	s.recent[sessionKey{program, ""}] = endpoint
+	// How much of the program's prompt another session starts with is unknown.
+	s.recent[sessionKey{program, ""}] = servedTurn{endpoint: endpoint}
+	s.recent[sessionKey{program, session}] = servedTurn{endpoint: endpoint, tokens: tokens}
 }
 
 // lookup returns the endpoint that served a session last. For a new session it is the last
 // endpoint of the program, whose prompt the session starts with. Without either it is fallback.
-func (s *sessionEndpoints) lookup(program, session string, fallback incarnation.ID) incarnation.ID {
+// The tokens are those of the session's last prompt and answer, 0 if unknown.
+func (s *sessionEndpoints) lookup(program, session string, fallback incarnation.ID) (endpoint incarnation.ID, tokens uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, key := range []sessionKey{{program, session}, {program, ""}} {
-		for _, generation := range []map[sessionKey]incarnation.ID{s.recent, s.older} {
-			if e := generation[key]; e.EndpointID != "" {
-				return e
+	own := sessionKey{program, session}
+	for _, key := range []sessionKey{own, {program, ""}} {
+		for _, generation := range []map[sessionKey]servedTurn{s.recent, s.older} {
+			t := generation[key]
+			switch {
+			case t.endpoint.EndpointID == "":
+			case key == own:
+				return t.endpoint, t.tokens
+			default:
+				return t.endpoint, 0
 			}
 		}
 	}
-	return fallback
+	return fallback, 0
 }
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -37,7 +37,7 @@
 	if x.handling.history {
 		x.body = x.buildPrompt(grant)
 	} else {
-		x.previous = x.entry.sessions.lookup(x.request.Program, x.request.Session, grant.Endpoint())
+		x.previous, x.previousTokens = x.entry.sessions.lookup(x.request.Program, x.request.Session, grant.Endpoint())
 	}
 	return nil
 }
@@ -111,7 +111,7 @@
 	case x.streamStarted && completed && x.handling.history:
 		return x.storeTurn(ctx)
 	case x.streamStarted || completed:
-		x.entry.sessions.record(x.request.Program, x.request.Session, x.endpoint)
+		x.entry.sessions.record(x.request.Program, x.request.Session, x.endpoint, x.request.PromptTokens+x.spentTokens(completed))
 		x.entry.Stores.SettleAsync(ctx, x.grant, x.spentTokens(completed), x.endpoint)
 	}
 	return o
--- a/rockbarrow/placement/class.go
+++ b/rockbarrow/placement/class.go
@@ -14,6 +14,8 @@
 	endpoints []*Endpoint
 	// slots is the number of calls that the endpoints run at once, queueSlots how many more may wait there.
 	slots, queueSlots int
+	// speeds are the measurements of the class's service.
+	speeds *serviceSpeeds
 }
 
 func (c *classEndpoints) candidates() []*Endpoint {
@@ -33,7 +35,7 @@
 func (f *Fleet) addToClass(of Class, e *Endpoint) {
 	c := f.classes[of]
 	if c == nil {
-		c = &classEndpoints{}
+		c = &classEndpoints{speeds: f.tracked.speedsOf(of.Service)}
 		f.classes[of] = c
 	}
 	c.endpoints = append(c.endpoints, e)
@@ -97,6 +99,7 @@
 	}
 	for class, added := range addedByClass {
 		next.classes[class] = f.classes[class].update(added, removed)
+		next.classes[class].speeds = next.tracked.speedsOf(class.Service)
 	}
 	next.tracked.prune(next)
 	return next
--- a/rockbarrow/placement/doc.go
+++ b/rockbarrow/placement/doc.go
@@ -9,9 +9,11 @@
 // the queued work, the uncached part of the prompt, and the output at the
 // measured decoding speed. It adds the time to recompute a prefix that another
 // candidate has cached. [Weights] sets the relative weight of the two parts.
-// The [Spread] policy needs no measured speeds: it keeps a run on its last
-// endpoint while that is available and healthy, and otherwise chooses the least
-// loaded of a few.
+// The [Spread] policy keeps a run on its last endpoint while that is available
+// and healthy, and otherwise chooses the least loaded of a few. While the
+// endpoints of a service are known to decode at different speeds, it compares
+// the expected times of the call instead, and also moves a run if it would take
+// considerably less time elsewhere.
 //
 // A [Fleet] is an immutable index of the endpoints of one configuration
 // version or of one endpoint list. Mutable state is kept in atomic fields of its
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -76,6 +76,10 @@
 	used atomic.Bool
 	// remote is the state reported by other instances.
 	remote remoteState
+	// decodedTokens and decodeMicros add up the samples of this instance's completed streams.
+	decodedTokens, decodeMicros atomic.Uint64
+	// tokens is the decoding time that control instances report.
+	tokens tokenTime
 }
 
 // unresponsiveAfter is how long an endpoint with calls in flight may send no
@@ -213,6 +217,8 @@
 	// TimeToFirstToken and Duration, up to the last token, are zero if there was none.
 	TimeToFirstToken, Duration time.Duration
 	OutputTokens               int64
+	// Stream is the timing of a completed event stream.
+	Stream StreamTiming
 }
 
 // FirstToken records that a call has its first token: its uncached prompt tokens
@@ -230,6 +236,10 @@
 	if !r.Refused {
 		e.answered.Add(1)
 	}
+	if s := r.Stream; s.DecodedTokens > 0 && s.DecodeTime > 0 {
+		e.decodedTokens.Add(uint64(s.DecodedTokens))
+		e.decodeMicros.Add(uint64(s.DecodeTime.Microseconds()))
+	}
 	e.failures.Store(0)
 	e.ejections.Store(0)
 	if r.TimeToFirstToken > 0 && r.ComputedTokens > 16 {
--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -27,7 +27,8 @@
 	// back to LeastLoaded.
 	Sticky
 	// Spread keeps a run on its last endpoint while that is available and healthy,
-	// and otherwise balances calls by utilization. It needs no measured speeds.
+	// and otherwise balances calls by utilization, or by expected time while the
+	// measured speeds of the endpoints differ.
 	Spread
 )
 
@@ -56,6 +57,9 @@
 	Prefixes []CachedPrefix
 	// LastEndpoint answered the run's previous call; its ID is empty if there is none.
 	LastEndpoint incarnation.ID
+	// LastTokens are those of the session's last prompt and answer, which LastEndpoint has
+	// cached; 0 if unknown.
+	LastTokens int64
 	// AvoidEndpoints have already failed the call.
 	AvoidEndpoints []incarnation.ID
 	// Domain is the failure domain of this instance, and AvoidDomains lists failure
@@ -76,6 +80,10 @@
 	uncachedTokens int64
 	cachedTokens   int64
 	cost           float64
+	// hadFreeSlot is true if a slot was free at the endpoint before this call.
+	hadFreeSlot bool
+	// speeds gets the timing of the call; nil for policies other than Spread.
+	speeds *serviceSpeeds
 }
 
 // Endpoint returns the chosen endpoint.
@@ -87,6 +95,14 @@
 // CachedTokens returns the prompt tokens that the endpoint is expected to have cached.
 func (c Choice) CachedTokens() int64 { return c.cachedTokens }
 
+// Done releases the slot and records the result at the endpoint and its service.
+func (c Choice) Done(now time.Time, r Result) {
+	c.endpoint.Done(now, r)
+	if r.OK && !r.Refused && c.speeds != nil {
+		c.speeds.record(c, r.Stream)
+	}
+}
+
 // CostMS returns the estimated cost in milliseconds, 0 for policies other than Cost.
 func (c Choice) CostMS() float64 { return c.cost }
 
@@ -147,6 +163,7 @@
 	e.prefillMicros.Store(prev.prefillMicros.Load())
 	e.stepMicros.Store(prev.stepMicros.Load())
 	e.bestStep.Store(prev.bestStep.Load())
+	e.tokens.micros.Store(prev.tokens.micros.Load())
 	return e
 }
 
--- a/rockbarrow/placement/remote.go
+++ b/rockbarrow/placement/remote.go
@@ -62,6 +62,9 @@
 	Running, Answered, Failed uint64
 	// LostConnections counts calls and idle connections closed without a response.
 	LostConnections uint64
+	// DecodedTokens were received after the first events of completed streams, within
+	// DecodeMicros.
+	DecodedTokens, DecodeMicros uint64
 }
 
 // Usage returns the counts of this instance.
@@ -69,5 +72,6 @@
 	return Usage{
 		Running:  uint64(max(0, e.inFlight.Load())),
 		Answered: e.answered.Load(), Failed: e.failed.Load(), LostConnections: e.lostConnections.Load(),
+		DecodedTokens: e.decodedTokens.Load(), DecodeMicros: e.decodeMicros.Load(),
 	}
 }
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -38,34 +38,52 @@
 func (f *Fleet) SetWindowStart(start uint64) { f.windowStart = start }
 
 // chooseSpread keeps the run on its last endpoint if possible. Otherwise it
-// compares a few endpoints from the window and returns the least loaded one.
-// It does not compare all of them, because the load of other instances is known
-// with a delay of 0.3 s: all instances would choose the same endpoint.
+// compares a few endpoints from the window and returns the least loaded one, or
+// the one with the shortest expected time while the service's endpoints are known
+// to differ in speed. It does not compare all of them, because the load of other
+// instances is known with a delay of 0.3 s: all instances would choose the same
+// endpoint.
 func (f *Fleet) chooseSpread(now int64, list []*Endpoint, req Request, r *rand.Rand) (Choice, bool) {
-	if last := f.Endpoint(req.LastEndpoint.EndpointID); last != nil && last.Life().Matches(req.LastEndpoint) && containsEndpoint(list, last) && last.canKeepRun(now, req) {
-		return Choice{endpoint: last, cachedTokens: req.PromptTokens}, true
-	}
 	if len(list) == 0 {
 		return Choice{}, false
 	}
-	d := candidateDraw{now: now, req: req, localLeft: drawSize, anyLeft: drawSize}
+	speeds := f.classes[req.Class].speeds
+	d := candidateDraw{now: now, req: req, localLeft: drawSize, anyLeft: drawSize, scanLeft: len(list)}
+	d.estimate, d.timed = speeds.estimate(req)
+	last := f.Endpoint(req.LastEndpoint.EndpointID)
+	stays := last != nil && last.Life().Matches(req.LastEndpoint) && containsEndpoint(list, last) && last.canKeepRun(now, req)
+	if stays && !d.timed {
+		return Choice{endpoint: last, cachedTokens: req.PromptTokens, speeds: speeds}, true
+	}
+	if d.timed {
+		d.scanLeft = min(d.scanLeft, maxTimedCandidates)
+	}
 	start := int(f.windowStart%uint64(len(list))) + r.IntN(min(len(list), windowSize))
 	for i := range list {
-		d.consider(list[(start+i)%len(list)])
-		if d.localLeft == 0 && d.anyLeft == 0 {
+		if d.isDone() {
 			break
 		}
+		d.consider(list[(start+i)%len(list)])
+	}
+	if stays {
+		stayMicros := d.estimate.micros(last, d.load(last), req.uncachedAtLast())
+		if d.best == nil || d.bestScore >= moveFactor*stayMicros {
+			speeds.stayed.Add(1)
+			return Choice{endpoint: last, cachedTokens: req.PromptTokens, speeds: speeds}, true
+		}
+		speeds.moved.Add(1)
 	}
 	if d.best == nil {
 		return Choice{}, false
 	}
-	return Choice{endpoint: d.best, uncachedTokens: req.PromptTokens}, true
+	return Choice{endpoint: d.best, uncachedTokens: req.PromptTokens, speeds: speeds, hadFreeSlot: d.best.utilization(now) < 1}, true
 }
 
 // canKeepRun reports whether a run may stay on its last endpoint, which has its
-// prompt cached. Load is not considered: moving the run costs a prefill that
+// prompt cached. Load is not considered here: moving the run costs a prefill that
 // delays the whole batch elsewhere and evicts the cache of another run, which
-// then moves too (docs/POLICY.md).
+// then moves too (docs/POLICY.md). Where endpoints differ in speed, moveFactor
+// applies in addition.
 func (e *Endpoint) canKeepRun(now int64, req Request) bool {
 	switch {
 	case isAvoided(req, e), slices.Contains(req.AvoidDomains, e.domain):
@@ -87,7 +105,18 @@
 // different offsets per instance, so that all endpoints are used evenly.
 const windowSize = 24
 
-// candidateDraw keeps the least loaded of the endpoints considered so far.
+const (
+	// moveFactor is the fraction of the expected time of staying below which the
+	// expected time elsewhere moves a run. It is hysteresis: without it, runs flap
+	// between equal endpoints.
+	moveFactor = 0.75
+	// maxTimedCandidates bounds the endpoints whose expected time is calculated for
+	// one choice, full ones included, which bounds its processor time.
+	maxTimedCandidates = 48
+)
+
+// candidateDraw keeps the least loaded of the endpoints considered so far, or the
+// one with the shortest expected time.
 type candidateDraw struct {
 	now int64
 	req Request
@@ -95,21 +124,33 @@
 	// failure domain, and anyLeft that of further ones from any. Full,
 	// unresponsive, failing and probably unreachable endpoints are not counted.
 	localLeft, anyLeft int
-	best               *Endpoint
-	bestLoad           float64
+	// scanLeft is the number of candidates still to be looked at, if one was found.
+	scanLeft int
+	// timed is true if endpoints are compared by the expected time from estimate.
+	timed    bool
+	estimate callEstimate
+	best     *Endpoint
+	// bestScore is the load of best, or the expected time in microseconds.
+	bestScore float64
+}
+
+func (d *candidateDraw) isDone() bool {
+	return d.localLeft == 0 && d.anyLeft == 0 || d.best != nil && d.scanLeft <= 0
 }
 
 func (d *candidateDraw) consider(e *Endpoint) {
+	d.scanLeft--
 	local := e.domain == d.req.Domain
 	if d.anyLeft == 0 && !local || !e.isAvailable(d.now) || isAvoided(d.req, e) {
 		return
 	}
-	load := e.utilization(d.now) + domainPenalty(e, d.req) + failureRateWeight*e.remote.failureRateAt(d.now)
-	if e.isUnresponsive(d.now) {
-		load += unreachableLoad
+	load := d.load(e)
+	score := load
+	if d.timed {
+		score = d.estimate.micros(e, load, d.req.PromptTokens)
 	}
-	if d.best == nil || load < d.bestLoad {
-		d.best, d.bestLoad = e, load
+	if d.best == nil || score < d.bestScore {
+		d.best, d.bestScore = e, score
 	}
 	if load >= 1 {
 		return
@@ -121,6 +162,16 @@
 	}
 }
 
+// load returns an endpoint's utilization, increased by its failure domain, failures and
+// unresponsiveness.
+func (d *candidateDraw) load(e *Endpoint) float64 {
+	load := e.utilization(d.now) + domainPenalty(e, d.req) + failureRateWeight*e.remote.failureRateAt(d.now)
+	if e.isUnresponsive(d.now) {
+		load += unreachableLoad
+	}
+	return load
+}
+
 // domainPenalty returns the load added for an endpoint's failure domain.
 func domainPenalty(e *Endpoint, req Request) float64 {
 	switch {
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -14,6 +14,27 @@
 	mu sync.Mutex
 	// used endpoints have had calls from this instance; remotelyLoaded ones were in the last report of other instances.
 	used, remotelyLoaded []*Endpoint
+	// timed endpoints have a known token time.
+	timed []*Endpoint
+	// speeds maps the names of services to their measurements.
+	speeds map[string]*serviceSpeeds
+	// loadsAt is when the last report of other instances arrived.
+	loadsAt time.Time
+}
+
+// speedsOf returns the measurements of a service.
+func (t *trackedEndpoints) speedsOf(service string) *serviceSpeeds {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.speeds[service]
+	if s == nil {
+		if t.speeds == nil {
+			t.speeds = map[string]*serviceSpeeds{}
+		}
+		s = &serviceSpeeds{}
+		t.speeds[service] = s
+	}
+	return s
 }
 
 // markUsed adds an endpoint on its first call.
@@ -32,6 +53,7 @@
 	defer t.mu.Unlock()
 	stale := func(e *Endpoint) bool { return f.Endpoint(e.name) != e }
 	t.used, t.remotelyLoaded = slices.DeleteFunc(slices.Clone(t.used), stale), slices.DeleteFunc(slices.Clone(t.remotelyLoaded), stale)
+	t.timed = slices.DeleteFunc(t.timed, stale)
 }
 
 // snapshot returns both lists. They must not be changed.
@@ -47,11 +69,12 @@
 	return used
 }
 
-// RemoteLoad is the load of an endpoint as reported by other instances: their calls in flight, and the recent failure
-// rate over all instances in percent.
+// RemoteLoad is the load of an endpoint as reported by other instances: their calls in flight, the recent failure
+// rate over all instances in percent, and the decoding time per token, 0 if nothing new is known of it.
 type RemoteLoad struct {
 	Endpoint                *Endpoint
 	Running, FailingPercent uint32
+	TokenMicros             uint32
 }
 
 // SetRemoteLoads replaces the loads reported by other instances. Endpoints that are not listed have no remote load.
@@ -67,6 +90,40 @@
 		l.Endpoint.setRemoteLoad(now, l.Running, l.FailingPercent)
 		t.remotelyLoaded = append(t.remotelyLoaded, l.Endpoint)
 	}
+	t.updateTokenTimes(now, loads)
+}
+
+// updateTokenTimes applies the token times of a report; the caller holds mu. Endpoints without a
+// new one keep their last for unsampledPeriod.
+func (t *trackedEndpoints) updateTokenTimes(now time.Time, loads []RemoteLoad) {
+	for _, l := range loads {
+		if l.TokenMicros == 0 {
+			continue
+		}
+		l.Endpoint.tokens.micros.Store(l.TokenMicros)
+		l.Endpoint.tokens.reportedAt.Store(now.UnixNano())
+		if !l.Endpoint.tokens.tracked.Swap(true) {
+			t.timed = append(t.timed, l.Endpoint)
+		}
+	}
+	// After a gap in the reports, only the time since it counts.
+	resumed := now.Sub(t.loadsAt) > remoteStateTTL
+	t.loadsAt = now
+	known := make(map[string][]uint32, len(t.speeds))
+	for _, e := range t.timed {
+		service := e.config.GetService()
+		if resumed {
+			e.tokens.reportedAt.Store(now.UnixNano())
+		}
+		if now.UnixNano()-e.tokens.reportedAt.Load() >= int64(unsampledPeriod) {
+			e.tokens.micros.Store((e.tokens.micros.Load() + t.speeds[service].median.Load()) / 2)
+			e.tokens.reportedAt.Store(now.UnixNano())
+		}
+		known[service] = append(known[service], e.tokens.micros.Load())
+	}
+	for service, s := range t.speeds {
+		s.setTokenTimes(known[service])
+	}
 }
 
 // Slots returns how many calls this instance may have at the usable endpoints of a
--- a/rockbarrow/relay/relay_test.go
+++ b/rockbarrow/relay/relay_test.go
@@ -20,7 +20,7 @@
 
 func endedRequest(endpoint string, answered uint32) *fleetpb.WatchRequest {
 	r := watchRequest("entry-1", fleetpb.Role_ROLE_ENTRY)
-	r.Uses = []*fleetpb.EndpointUse{{Endpoint: endpoint, Answered: answered}}
+	r.Uses = []*fleetpb.EndpointUse{{Endpoint: endpoint, Answered: answered, DecodedTokens: 50 * answered, DecodeUs: 90_000 * uint64(answered)}}
 	return r
 }
 
@@ -137,7 +137,7 @@
 	// The sender has not received the reply.
 	r.RecordCall(start, endedRequest("x", 4))
 	second, uses := f.ApplyRelayed(start, "control-1", r.Since(start, first, nil))
-	if len(uses) != 1 || uses[0].GetAnswered() != 4 {
+	if len(uses) != 1 || uses[0].GetAnswered() != 4 || uses[0].GetDecodedTokens() != 200 || uses[0].GetDecodeUs() != 360_000 {
 		t.Errorf("%v, want only the new calls", uses)
 	}
 	if again, uses := f.ApplyRelayed(start, "control-1", lost); len(uses) != 0 || again != second {
--- a/rockbarrow/relay/reports.go
+++ b/rockbarrow/relay/reports.go
@@ -100,9 +100,10 @@
 func (r *Reports) addEnded(now time.Time, uses []*fleetpb.EndpointUse) {
 	var ended []*fleetpb.EndpointUse
 	for _, u := range uses {
-		if u.GetAnswered() > 0 || u.GetFailed() > 0 || u.GetLost() > 0 {
+		if u.GetAnswered() > 0 || u.GetFailed() > 0 || u.GetLost() > 0 || u.GetDecodedTokens() > 0 || u.GetDecodeUs() > 0 {
 			ended = append(ended, &fleetpb.EndpointUse{
 				Endpoint: u.GetEndpoint(), BornMs: u.GetBornMs(), Answered: u.GetAnswered(), Failed: u.GetFailed(), Lost: u.GetLost(),
+				DecodedTokens: u.GetDecodedTokens(), DecodeUs: u.GetDecodeUs(),
 			})
 		}
 	}
--- a/rockbarrow/watch/uses.go
+++ b/rockbarrow/watch/uses.go
@@ -18,6 +18,8 @@
 	Running, Answered, Failed uint64
 	// Lost counts calls and connections that ended without an answer.
 	Lost uint64
+	// DecodedTokens were received after the first events of completed streams, within DecodeMicros.
+	DecodedTokens, DecodeMicros uint64
 }
 
 // reportedUses is what has been reported to control instances. Each call is
@@ -31,15 +33,17 @@
 	for _, u := range uses {
 		next[u.Life] = u
 		before := r.lookup(u.Life)
-		if before.Answered > u.Answered || before.Failed > u.Failed || before.Lost > u.Lost {
+		if before.Answered > u.Answered || before.Failed > u.Failed || before.Lost > u.Lost ||
+			before.DecodedTokens > u.DecodedTokens || before.DecodeMicros > u.DecodeMicros {
 			// The endpoint's counters were reset.
 			before = EndpointUse{}
 		}
 		n := &fleetpb.EndpointUse{
 			Endpoint: u.Life.EndpointID, BornMs: u.Life.StartMS, Running: uint32(u.Running),
 			Answered: uint32(u.Answered - before.Answered), Failed: uint32(u.Failed - before.Failed), Lost: uint32(u.Lost - before.Lost),
+			DecodedTokens: uint32(u.DecodedTokens - before.DecodedTokens), DecodeUs: u.DecodeMicros - before.DecodeMicros,
 		}
-		if n.Running > 0 || n.Answered > 0 || n.Failed > 0 || n.Lost > 0 {
+		if n.Running > 0 || n.Answered > 0 || n.Failed > 0 || n.Lost > 0 || n.DecodedTokens > 0 || n.DecodeUs > 0 {
 			out = append(out, n)
 		}
 	}
--- a/rockbarrow/watch/uses_test.go
+++ b/rockbarrow/watch/uses_test.go
@@ -25,13 +25,15 @@
 		now  EndpointUse
 		want *fleetpb.EndpointUse
 	}{
-		{"first report", EndpointUse{e, 1, 3, 1, 0}, &fleetpb.EndpointUse{Running: 1, Answered: 3, Failed: 1}},
-		{"one more", EndpointUse{e, 0, 4, 1, 0}, &fleetpb.EndpointUse{Answered: 1}},
-		{"nothing new", EndpointUse{e, 0, 4, 1, 0}, nil},
-		{"counters reset", EndpointUse{e, 0, 2, 0, 0}, &fleetpb.EndpointUse{Answered: 2}},
-		{"start time becomes known", EndpointUse{born, 0, 3, 0, 0}, &fleetpb.EndpointUse{Answered: 1}},
-		{"connection lost", EndpointUse{born, 0, 3, 0, 2}, &fleetpb.EndpointUse{Lost: 2}},
-		{"endpoint restarted", EndpointUse{again, 0, 3, 0, 0}, &fleetpb.EndpointUse{Answered: 3}},
+		{"first report", EndpointUse{e, 1, 3, 1, 0, 0, 0}, &fleetpb.EndpointUse{Running: 1, Answered: 3, Failed: 1}},
+		{"one more", EndpointUse{e, 0, 4, 1, 0, 0, 0}, &fleetpb.EndpointUse{Answered: 1}},
+		{"nothing new", EndpointUse{e, 0, 4, 1, 0, 0, 0}, nil},
+		{"counters reset", EndpointUse{e, 0, 2, 0, 0, 0, 0}, &fleetpb.EndpointUse{Answered: 2}},
+		{"start time becomes known", EndpointUse{born, 0, 3, 0, 0, 0, 0}, &fleetpb.EndpointUse{Answered: 1}},
+		{"connection lost", EndpointUse{born, 0, 3, 0, 2, 0, 0}, &fleetpb.EndpointUse{Lost: 2}},
+		{"tokens decoded", EndpointUse{born, 0, 3, 0, 2, 60, 90_000}, &fleetpb.EndpointUse{DecodedTokens: 60, DecodeUs: 90_000}},
+		{"more tokens decoded", EndpointUse{born, 0, 4, 0, 2, 100, 150_000}, &fleetpb.EndpointUse{Answered: 1, DecodedTokens: 40, DecodeUs: 60_000}},
+		{"endpoint restarted", EndpointUse{again, 0, 3, 0, 0, 0, 0}, &fleetpb.EndpointUse{Answered: 3}},
 	}
 	for _, s := range steps {
 		got := report(s.now)
@@ -41,7 +43,8 @@
 			}
 			continue
 		}
-		if len(got) != 1 || got[0].GetRunning() != s.want.GetRunning() || got[0].GetAnswered() != s.want.GetAnswered() || got[0].GetFailed() != s.want.GetFailed() || got[0].GetLost() != s.want.GetLost() || got[0].GetBornMs() != s.now.Life.StartMS {
+		if len(got) != 1 || got[0].GetRunning() != s.want.GetRunning() || got[0].GetAnswered() != s.want.GetAnswered() || got[0].GetFailed() != s.want.GetFailed() || got[0].GetLost() != s.want.GetLost() ||
+			got[0].GetDecodedTokens() != s.want.GetDecodedTokens() || got[0].GetDecodeUs() != s.want.GetDecodeUs() || got[0].GetBornMs() != s.now.Life.StartMS {
 			t.Errorf("%s: %v, want %v", s.name, got, s.want)
 		}
 	}
