controller: operators see the speeds of endpoints

What choices by expected time rest on could not be seen from outside. One metric per endpoint would be too many, so control instances answer a new call Speeds, which rockctl speeds shows: decoding time per token, the tokens it rests on, calls in flight and failures of each endpoint with calls lately. Entry instances log one line per service every 10 s and count runs_moved and runs_stayed. Both use the loop that checks reachability; no timer is added.

Tests of placement, entry, controller, watch and relay pass with the race detector, those of rockctl, rockbench/emulator and rockbench/pattern without.

--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -28,8 +28,8 @@
 	minFailureWeight = 0.01 * failureSmoothing
 	// minOutcomeWeight is the weight below which an endpoint's outcomes are dropped.
 	minOutcomeWeight = 0.01
-	// minTokens is the decayed number of tokens from which an endpoint's decoding time is known:
-	// some two calls, so that a short pause in one of them does not count as its speed.
+	// minTokens is the decayed number of tokens from which an endpoint's decoding time is known,
+	// about one answer.
 	minTokens = 50
 	// tokenSampleTTL is how long after its last sample an endpoint's decoding time is reported.
 	// Entry instances keep it, and let it fade after three more seconds.
@@ -206,7 +206,11 @@
 
 // failurePercent returns the weighted share of failed calls in percent.
 func (k endpointLoad) failurePercent() uint32 {
-	return uint32(100 * k.failed / (k.answered + k.failed + failureSmoothing))
+	return failurePercent(k.answered, k.failed)
+}
+
+func failurePercent(answered, failed float64) uint32 {
+	return uint32(100 * failed / (answered + failed + failureSmoothing))
 }
 
 // forEntry returns the loads of the endpoints in a list for an entry instance, without its own
--- a/rockbarrow/controller/loads_test.go
+++ b/rockbarrow/controller/loads_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -141,3 +143,23 @@
 		})
 	}
 }
+
+// Operators must see an endpoint that has calls but no known decoding time, and none without calls.
+func TestSpeedsForOperators(t *testing.T) {
+	var l loads
+	now := time.Unix(100, 0)
+	l.record(now, "1", timedUse("x", 100, 250_000), false)
+	l.record(now, "2", []*fleetpb.EndpointUse{use("x", 3, 0, 0), use("y", 1, 0, 3), use("z", 1, 0, 0)}, false)
+	got := l.speeds(now, twoEndpoints())
+	want := &fleetpb.SpeedsReply{ListNumber: 7, Endpoints: []*fleetpb.EndpointSpeed{
+		{Endpoint: "x", TokenUs: 2500, Tokens: 100, Running: 3}, {Endpoint: "y", Running: 1, Failing: 50},
+	}}
+	if !proto.Equal(got, want) {
+		t.Errorf("%v, want %v", got, want)
+	}
+	l.record(now, "2", nil, false)
+	later := now.Add(20 * outcomeHalfLife)
+	if got := l.speeds(later, twoEndpoints()).GetEndpoints(); len(got) != 0 {
+		t.Errorf("%v long after the last call, want none", got)
+	}
+}
--- a/rockbarrow/entry/domain_health.go
+++ b/rockbarrow/entry/domain_health.go
@@ -87,6 +87,7 @@
 		select {
 		case <-t.C:
 			e.updateReachability()
+			e.reportSpeeds(time.Now())
 			wasReady = e.logReady(wasReady)
 		case <-ctx.Done():
 			return
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -75,7 +75,9 @@
 	// storesLostSince is when Stores.Reachable was first seen to be false, in nanoseconds since
 	// 1970, zero while it is true.
 	storesLostSince atomic.Int64
-	inFlight        atomic.Int64
+	// speeds is used by runReachability only.
+	speeds   speedReporter
+	inFlight atomic.Int64
 }
 
 // Init prepares the entry for NotifyChanged. It must be called before the watch client runs.
--- a/rockbarrow/entry/stream_timer_test.go
+++ b/rockbarrow/entry/stream_timer_test.go
@@ -5,10 +5,14 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
+
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/schema/fleetpb"
@@ -127,3 +131,34 @@
 		t.Errorf("the program's own session: %v with %d tokens, want x with 300", e, n)
 	}
 }
+
+// Counters and log lines must have each run once, and a log line appears every 10 s.
+func TestSpeedsAreReported(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	metrics := tally.NewTestScope("", nil)
+	var lines strings.Builder
+	logger := logrus.New()
+	logger.SetOutput(&lines)
+	e.Metrics, e.Log = metrics, logrus.NewEntry(logger)
+	f := e.fleet.Load()
+	var loads []placement.RemoteLoad
+	for i, p := range f.Endpoints() {
+		loads = append(loads, placement.RemoteLoad{Endpoint: p, TokenMicros: uint32(1000 * (i + 1))})
+	}
+	now := time.Now()
+	f.SetRemoteLoads(now, loads)
+	e.reportSpeeds(now)
+	req := placement.Request{Class: placement.Class{Service: "s"}, PromptTokens: 100, OutputTokens: 100}
+	req.LastEndpoint = f.Endpoints()[0].Life()
+	for i := range 3 {
+		c, _ := f.Choose(now, req, newRand())
+		c.Done(now, placement.Result{OK: true})
+		e.reportSpeeds(now.Add(time.Duration(i+1) * 4 * time.Second))
+	}
+	if got := metrics.Snapshot().Counters()["runs_stayed+"]; got == nil || got.Value() != 3 {
+		t.Errorf("counter runs_stayed is %v, want 3", got)
+	}
+	if n := strings.Count(lines.String(), "speeds of endpoints"); n != 2 || !strings.Contains(lines.String(), "runs_stayed=3") {
+		t.Errorf("%d lines, want 2, the second with 3 runs:\n%s", n, lines.String())
+	}
+}
--- a/rockbarrow/placement/speeds.go
+++ b/rockbarrow/placement/speeds.go
@@ -5,6 +5,7 @@
 import (
 	"math"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -91,6 +92,37 @@
 	s.uneven.Store(ratio >= unevenRatio || ratio >= evenRatio && s.uneven.Load())
 }
 
+// SpeedSummary describes the endpoints of one service.
+type SpeedSummary struct {
+	Service string
+	// Known is the number of endpoints with a known token time. LowMicros and HighMicros are the
+	// 20th and 80th percentiles of these.
+	Known, LowMicros, HighMicros uint32
+	// Uneven is true while endpoints are chosen by expected time.
+	Uneven bool
+	// RunsMoved and RunsStayed count decisions by expected time since the process started.
+	RunsMoved, RunsStayed uint64
+}
+
+// Speeds describes the services with a known token time, ordered by name.
+func (f *Fleet) Speeds() []SpeedSummary {
+	t := f.tracked
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []SpeedSummary
+	for service, s := range t.speeds {
+		if s.low.Load() == 0 {
+			continue
+		}
+		out = append(out, SpeedSummary{
+			Service: service, Known: s.known.Load(), LowMicros: s.low.Load(), HighMicros: s.high.Load(),
+			Uneven: s.uneven.Load(), RunsMoved: s.moved.Load(), RunsStayed: s.stayed.Load(),
+		})
+	}
+	slices.SortFunc(out, func(a, b SpeedSummary) int { return strings.Compare(a.Service, b.Service) })
+	return out
+}
+
 // percentile returns a quantile of a sorted list by nearest rank.
 func percentile(sorted []uint32, q float64) uint32 {
 	return sorted[int(math.Round(q*float64(len(sorted)-1)))]
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -111,8 +111,8 @@
 	// between equal endpoints.
 	moveFactor = 0.75
 	// maxTimedCandidates bounds the endpoints whose expected time is calculated for
-	// one choice, full ones included, which bounds its processor time.
-	maxTimedCandidates = 48
+	// one choice, full ones included, so that a choice takes under 5 us.
+	maxTimedCandidates = 32
 )
 
 // candidateDraw keeps the least loaded of the endpoints considered so far, or the
--- a/rockctl/main.go
+++ b/rockctl/main.go
@@ -63,6 +63,7 @@
 	{name: "explain", help: "show where each turn of a run ran, under which version and why", args: []string{"RUN"}, run: explain},
 	{name: "audit", help: "show the audit trail", options: auditOptions, run: audit},
 	{name: "customers", help: "show customers, their keys' digests and what they have used; --address is a control instance's peer address", run: showCustomers},
+	{name: "speeds", help: "show endpoints with their decoding time per token, calls and failures; --address is a control instance's peer address", run: showSpeeds},
 	{name: "keys-init", help: "make a development authority in a folder", options: keysOptions, run: keysInit},
 	{name: "keys-issue", help: "issue a certificate of the authority in a folder", args: []string{"NAME"}, options: keysOptions, run: keysIssue},
 	{name: "keys-hash", help: "print how a caller's bearer key is stored", args: []string{"KEY"}, run: keysHash},
