entry: later turns on routes without history are no first turns

Change: a streamed turn that may be a first one is charged as for a program in progress. If neither this instance's sessions nor the reservation at the stores know the program, a second question (AdmitRequest with no requests) checks whether a new program may start; if not, the reservation is released, the charge refunded, and the answer is 429. First turns of sub-agents on routes with history are asked for in the same way. A turn that is not reserved is known by this instance's sessions only.

--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -63,23 +63,48 @@
 	if x.customer == nil {
 		return nil
 	}
+	firstTurn := x.mayBeFirstTurn()
+	x.askStores = firstTurn && x.handling.reserved && x.request.Program != ""
 	start := time.Now()
-	d := x.entry.Quota.Admit(ctx, start, x.customer, x.isFirstTurn())
+	d := x.entry.Quota.Admit(ctx, start, x.customer, firstTurn && !x.askStores)
 	x.ownTime += time.Since(start)
 	x.entry.recordCustomerMetrics(x.customer.GetName(), d)
+	o := quotaOutcome(d)
+	x.charged = o == nil
+	return o
+}
+
+// checkNewProgram checks whether a new program may start, once the stores have been asked whether the request's program
+// is new. The request is charged already. It returns a non-nil outcome if the program is refused.
+func (x *exchange) checkNewProgram(ctx context.Context) Outcome {
+	if !x.askStores || x.grant.Endpoint().EndpointID != "" {
+		return nil
+	}
+	start := time.Now()
+	d := x.entry.Quota.AdmitProgram(ctx, start, x.customer)
+	x.ownTime += time.Since(start)
+	o := quotaOutcome(d)
+	if o != nil {
+		x.entry.recordCustomerMetrics(x.customer.GetName(), d)
+	}
+	return o
+}
+
+// quotaOutcome returns the outcome of a request that is not admitted, or nil.
+func quotaOutcome(d quota.Decision) Outcome {
 	switch d := d.(type) {
 	case quota.Refused:
 		return Rejected{Status: http.StatusTooManyRequests, RetryAfter: max(d.RetryAfter, shortRetryAfter), Reason: "the customer is at its limit"}
 	case quota.Unavailable:
 		return Rejected{Status: http.StatusServiceUnavailable, RetryAfter: longRetryAfter, Reason: "the customer's limit could not be looked up"}
 	}
-	x.charged = true
 	return nil
 }
 
-// isFirstTurn reports whether the request is the first turn of a new program.
-func (x *exchange) isFirstTurn() bool {
-	return x.handling.streamed && x.request.PreviousTurn == "" && x.request.LastEventID == ""
+// mayBeFirstTurn reports whether the request is the first turn of a new program, as far as this instance knows. On routes
+// without stored history, later turns do not name the previous one.
+func (x *exchange) mayBeFirstTurn() bool {
+	return x.handling.streamed && x.request.PreviousTurn == "" && x.request.LastEventID == "" && !x.entry.sessions.hasProgram(x.request.Program)
 }
 
 // refundQuota returns the charge of a request that was not executed.
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -36,10 +36,12 @@
 	// customer is the authenticated customer, or nil.
 	customer *fleetpb.Customer
 	// charged is true once the request was charged to the customer's quota.
-	charged  bool
-	handling handling
-	writer   ResponseWriter
-	deadline time.Time
+	charged bool
+	// askStores is true if the request is a first turn unless the stores know its program.
+	askStores bool
+	handling  handling
+	writer    ResponseWriter
+	deadline  time.Time
 
 	// grant is the reservation at the stores, or nil.
 	grant *stores.Grant
--- /dev/null
+++ b/rockbarrow/entry/programs_test.go
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/quota"
+	"rockbarrow.dev/rockbarrow/routing"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// programEntry is a new entry instance with stores, whose quota calls to control are recorded.
+type programEntry struct {
+	*Entry
+	sender *fakeSender
+	calls  []*fleetpb.AdmitRequest
+}
+
+// newProgramEntry returns an instance at which control refuses new programs for the given time, if it is not zero, and
+// admits everything else.
+func newProgramEntry(t *testing.T, view *fleetpb.View, refuse time.Duration) *programEntry {
+	p := &programEntry{sender: &fakeSender{responses: []func(EndpointRequest) (*Response, error){respond(200, events(1, 3))}}}
+	p.Entry = newStreamEntry(t, view, p.sender)
+	d := streamDocument()
+	d.Version, d.Customers = 2, keyedDocument(2).Customers
+	d.Customers[0].RequestsPerSecond = 10
+	for _, r := range d.Routes {
+		r.Keyed = true
+	}
+	p.applyDocument(t, d)
+	p.Quota = &quota.Limiter{
+		Params: quota.Params{Window: 5 * time.Second}, Mode: quota.Central{}, EntryCount: func() int { return 1 },
+		AskControl: func(_ context.Context, req *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
+			p.calls = append(p.calls, req)
+			if req.GetNewProgram() && refuse > 0 {
+				return "control", &fleetpb.AdmitReply{RetryAfterMs: uint64(refuse.Milliseconds())}, nil
+			}
+			return "control", &fleetpb.AdmitReply{Granted: true}, nil
+		},
+	}
+	return p
+}
+
+// serve serves a turn of customer a, and returns its status and outcome.
+func (p *programEntry) serve(t *testing.T, path, id, program string, budget uint64) (int, Outcome) {
+	r := newTurn(path, id, program, budget)
+	r.Key, r.HasKey = routing.DigestKey("ka"), true
+	w := &fakeWriter{}
+	o := p.Serve(t.Context(), r, w)
+	return statusOf(o, w), o
+}
+
+// asked returns the quota calls since the last one, as charged requests with n for a check of a new program.
+func (p *programEntry) asked() string {
+	out := ""
+	for _, c := range p.calls {
+		out += fmt.Sprint(c.GetRequests())
+		if c.GetNewProgram() {
+			out += "n"
+		}
+		out += " "
+	}
+	p.calls = nil
+	return out
+}
+
+// TestLaterTurnsAreNoNewPrograms guards against refusing programs in progress on routes without history, whose later
+// turns do not name the previous one, at the limit for new programs.
+func TestLaterTurnsAreNoNewPrograms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		for _, test := range []struct {
+			name, path string
+			budget     uint64
+			// first and same are the quota calls for the first turn and for a later one at the same instance,
+			// other those for a later one at another instance.
+			first, same, other string
+		}{
+			{"with a budget", "r", 500, "1 0n ", "1 ", "1 "},
+			{"with history, as sub-agents' first turns", "k", 500, "1 0n ", "1 ", "1 "},
+			{"unknown to the stores", "r", 0, "1n ", "1 ", "1n "},
+		} {
+			program := "later" + test.path + fmt.Sprint(test.budget)
+			a := newProgramEntry(t, view, 0)
+			if got, o := a.serve(t, test.path, program+"1", program, test.budget); got != 200 || a.sender.requests == nil {
+				t.Fatalf("%s: the first turn got %d %+v", test.name, got, o)
+			}
+			if got := a.asked(); got != test.first {
+				t.Errorf("%s: quota calls of the first turn %q, want %q", test.name, got, test.first)
+			}
+			synctest.Wait()
+			for _, later := range []struct {
+				p    *programEntry
+				want string
+			}{{a, test.same}, {newProgramEntry(t, view, time.Second), test.other}} {
+				got, o := later.p.serve(t, test.path, program+later.want, program, test.budget)
+				if calls := later.p.asked(); calls != later.want || got != 200 && test.budget > 0 {
+					t.Errorf("%s: a later turn got %d %+v with quota calls %q, want %q", test.name, got, o, calls, later.want)
+				}
+			}
+		}
+	})
+}
+
+// TestRefusedNewProgramIsUndone guards against a refused first turn that runs, keeps its reservation or its charge, or
+// has no retry time.
+func TestRefusedNewProgramIsUndone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProgramEntry(t, startStores(t), 700*time.Millisecond)
+		_, o := p.serve(t, "r", "1", "new", 9)
+		if r, ok := o.(Rejected); !ok || r.Status != http.StatusTooManyRequests || r.RetryAfter != 700*time.Millisecond || len(p.sender.requests) > 0 {
+			t.Errorf("%+v after %d dispatches", o, len(p.sender.requests))
+		}
+		if got := p.asked(); got != "1 0n " {
+			t.Errorf("quota calls %q", got)
+		}
+		// Fits only without the first reservation.
+		awaitBudget(t, p.Entry, "new", 9, 9)
+		if got, _ := p.serve(t, "once", "2", "", 0); got != 200 || p.asked() != "" {
+			t.Errorf("the next request got %d, or was charged although the refused one was refunded", got)
+		}
+	})
+}
--- a/rockbarrow/entry/sessions.go
+++ b/rockbarrow/entry/sessions.go
@@ -52,3 +52,8 @@
 	}
 	return fallback
 }
+
+// hasProgram reports whether an endpoint served a turn of the program.
+func (s *sessionEndpoints) hasProgram(program string) bool {
+	return program != "" && s.lookup(program, "", incarnation.ID{}).EndpointID != ""
+}
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -34,6 +34,9 @@
 		return o
 	}
 	x.grant = grant
+	if o := x.checkNewProgram(ctx); o != nil {
+		return x.settle(ctx, o)
+	}
 	if x.handling.history {
 		x.body = x.buildPrompt(grant)
 	} else {
@@ -101,10 +104,14 @@
 // before its response ends. Others only count tokens and are settled in the background: an
 // unsettled reservation counts in full.
 func (x *exchange) settle(ctx context.Context, o Outcome) Outcome {
+	_, completed := o.(Completed)
 	if x.grant == nil {
+		if x.streamStarted && x.customer != nil {
+			// The stores do not know this program.
+			x.entry.sessions.record(x.request.Program, x.request.Session, x.endpoint)
+		}
 		return o
 	}
-	_, completed := o.(Completed)
 	switch {
 	case !x.mayHaveRun:
 		x.entry.Stores.Release(ctx, x.grant)
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -83,7 +83,8 @@
 	return earlier + float64(cc.window.count(age, c.Params.Window)) + limit*c.missing
 }
 
-// Admit admits either all n requests of a customer or none of them.
+// Admit admits either all n requests of a customer or none of them. With n = 0, it decides on a new program whose first
+// request is already counted.
 func (c *Counter) Admit(now time.Time, customer *fleetpb.Customer, n uint32, newProgram bool) Decision {
 	limit, ok := c.Params.limit(customer)
 	if !ok {
@@ -96,9 +97,13 @@
 	if newProgram {
 		allowed = newProgramShare * limit
 	}
-	if used := c.effectiveCount(now, cc, limit); used > 0 && used+float64(n) > allowed {
-		cc.refused += uint64(n)
-		return Refused{RetryAfter: c.retryAfter(now, cc, allowed-float64(n), customer.GetRequestsPerSecond())}
+	used := c.effectiveCount(now, cc, limit)
+	if n == 0 {
+		used = max(0, used-1)
+	}
+	if added := float64(max(1, n)); used > 0 && used+added > allowed {
+		cc.refused += uint64(max(1, n))
+		return Refused{RetryAfter: c.retryAfter(now, cc, allowed-added, customer.GetRequestsPerSecond())}
 	}
 	cc.window.add(now.Sub(c.started), c.Params.Window, n)
 	return Granted{}
--- a/rockbarrow/quota/limiter.go
+++ b/rockbarrow/quota/limiter.go
@@ -138,6 +138,49 @@
 	return Refused{RetryAfter: after}
 }
 
+// AdmitProgram decides whether a new program may start whose first request has already been admitted as if the program
+// were in progress.
+func (l *Limiter) AdmitProgram(ctx context.Context, now time.Time, customer *fleetpb.Customer) Decision {
+	limit, ok := l.Params.limit(customer)
+	if !ok {
+		return Granted{}
+	}
+	a := l.account(customer.GetName())
+	if d := a.admitProgramLocally(l, now, customer.GetName(), limit); d != nil {
+		return d
+	}
+	_, reply, err := l.AskControl(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), NewProgram: true})
+	if err != nil || reply.GetUnsure() || reply.GetGranted() {
+		return Granted{} // without control, the charge of the request is the only limit
+	}
+	after := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
+	a.block(now, after, true)
+	return Refused{RetryAfter: after}
+}
+
+// admitProgramLocally is AdmitProgram without asking a control instance. It returns nil if one must be asked.
+func (a *account) admitProgramLocally(l *Limiter, now time.Time, customer string, limit float64) Decision {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	switch l.Mode.(type) {
+	case Central:
+		return nil
+	case Even, Estimated:
+		return Granted{}
+	}
+	if now.Before(a.blockedNew) {
+		return Refused{RetryAfter: a.blockedNew.Sub(now)}
+	}
+	if u := l.latest.Load(); u == nil || now.Sub(u.requestedAt) > updateTTL {
+		return nil
+	}
+	a.refreshAllowance(l, now, customer, limit)
+	if a.knownCount < newProgramShare*limit {
+		return Granted{}
+	}
+	return nil
+}
+
 // admitLocally decides without asking a control instance, or returns nil.
 func (a *account) admitLocally(l *Limiter, now time.Time, customer string, limit float64, newProgram bool) Decision {
 	a.mu.Lock()
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -373,3 +373,21 @@
 		}
 	}
 }
+
+// A customer whose limit is one request must be able to start a program whose first request is already counted.
+func TestCountedFirstTurnIsNoOtherProgram(t *testing.T) {
+	clk, n, c := newClock(), &Counter{Params: params}, customer(0.2, 0)
+	n.Start(clk.now)
+	clk.advance(params.Window)
+	n.Admit(clk.now, c, 1, false)
+	if _, ok := n.Admit(clk.now, c, 0, true).(Granted); !ok {
+		t.Error("the only program was refused for its own first request")
+	}
+	n.Admit(clk.now, c, 1, false)
+	if _, ok := n.Admit(clk.now, c, 0, true).(Refused); !ok {
+		t.Error("a second program was admitted beyond the limit")
+	}
+	if got := n.Usage(clk.now, c).Requests; got != 2 {
+		t.Errorf("%d requests are counted, want 2", got)
+	}
+}
