quota: programs commit the requests that they need

Cause: a customer's new programs were admitted up to nine tenths of its limit whatever they would need, so that a burst of long programs ran into the limit midway, after thousands of requests served in vain. Change: each entry instance measures, by route, how many requests a program makes (moving averages over 10 s) and sends it with the first turn. The counter keeps the needs of the programs admitted within the window and refuses a new one that does not fit beside them, with the time until enough have expired. A program without a request for 2 s, or past its Finish-Ms, returns the rest; to see this, questions to control carry a hash of the program. A limit below four needs admits one program at a time. First turns ask control above a quarter of the limit, or if the local allowance is less than the need. The charge of a refused first turn is removed where it was counted; a refund at this instance alone left up to one request of the limit used up by each refused program.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -160,7 +160,7 @@
 	c.proposalSlot = make(chan struct{}, 1)
 	c.listTag = rand.Uint64N(1 << tagBits)
 	c.processID = rand.Uint64()
-	c.quotas.Params = c.QuotaTerms
+	c.quotas.Params, c.quotas.Process = c.QuotaTerms, c.processID
 	c.quotas.Start(time.Now())
 	c.update = make(chan struct{})
 	return nil
--- a/rockbarrow/controller/customers.go
+++ b/rockbarrow/controller/customers.go
@@ -47,11 +47,11 @@
 		// The customer is not known yet, or was removed.
 		return &fleetpb.AdmitReply{Unsure: true}, nil
 	}
-	switch d := c.quotas.Admit(time.Now(), customer, req.GetRequests(), req.GetNewProgram()).(type) {
+	switch d := c.quotas.AdmitRequest(time.Now(), customer, req).(type) {
 	case quota.Granted:
-		return &fleetpb.AdmitReply{Granted: true}, nil
+		return &fleetpb.AdmitReply{Granted: true, Process: c.processID}, nil
 	case quota.Refused:
-		return &fleetpb.AdmitReply{RetryAfterMs: uint64(d.RetryAfter.Milliseconds())}, nil
+		return &fleetpb.AdmitReply{RetryAfterMs: uint64(d.RetryAfter.Milliseconds()), Committed: d.Committed, Uncounted: d.Uncounted}, nil
 	}
 	return &fleetpb.AdmitReply{Unsure: true}, nil
 }
@@ -75,7 +75,7 @@
 		u := c.quotas.Usage(now, h.Customer)
 		s := &fleetpb.CustomerStatus{
 			Name: h.GetName(), Priority: h.GetPriority(), RequestsPerSecond: h.GetRequestsPerSecond(), Burst: h.GetBurst(),
-			Requests: u.Requests, Limit: u.Limit, Refused: u.Refused,
+			Requests: u.Requests, Limit: u.Limit, Refused: u.Refused, Committed: u.Committed,
 		}
 		for _, k := range h.Digests[:min(len(h.Digests), maxReportedCustomers)] {
 			s.KeyDigests = append(s.KeyDigests, hex.EncodeToString(k[:keyDigestPrefix]))
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rockbarrow.dev/rockbarrow/quota"
 )
 
@@ -66,25 +68,43 @@
 	firstTurn := x.mayBeFirstTurn()
 	x.askStores = firstTurn && x.handling.reserved && x.request.Program != ""
 	start := time.Now()
-	d := x.entry.Quota.Admit(ctx, start, x.customer, firstTurn && !x.askStores)
+	d := x.entry.Quota.AdmitRequest(ctx, start, x.customer, x.quotaRequest(start, firstTurn && !x.askStores))
 	x.ownTime += time.Since(start)
 	x.entry.recordCustomerMetrics(x.customer.GetName(), d)
 	o := quotaOutcome(d)
-	x.charged = o == nil
+	x.charge, x.charged = d.(quota.Granted)
+	x.firstTurn = firstTurn && !x.askStores
 	return o
 }
 
+// quotaRequest returns the request as the quota needs it.
+func (x *exchange) quotaRequest(now time.Time, firstTurn bool) quota.Request {
+	r := quota.Request{NewProgram: firstTurn}
+	if x.request.Program != "" {
+		r.Program = xxhash.Sum64String(x.request.Program)
+	}
+	if firstTurn {
+		r.Need = x.entry.needs.Need(now, x.route.GetName())
+		if x.request.HasTimeToFinish {
+			r.TimeToFinish = max(time.Millisecond, x.request.TimeToFinish-now.Sub(x.request.Arrived))
+		}
+	}
+	return r
+}
+
 // checkNewProgram checks whether a new program may start, once the stores have been asked whether the request's program
 // is new. The request is charged already. It returns a non-nil outcome if the program is refused.
 func (x *exchange) checkNewProgram(ctx context.Context) Outcome {
 	if !x.askStores || x.grant.Endpoint().EndpointID != "" {
 		return nil
 	}
+	x.firstTurn = true
 	start := time.Now()
-	d := x.entry.Quota.AdmitProgram(ctx, start, x.customer)
+	d := x.entry.Quota.AdmitProgram(ctx, start, x.customer, x.quotaRequest(start, true), x.charge)
 	x.ownTime += time.Since(start)
 	o := quotaOutcome(d)
 	if o != nil {
+		x.charged = false
 		x.entry.recordCustomerMetrics(x.customer.GetName(), d)
 	}
 	return o
@@ -94,7 +114,11 @@
 func quotaOutcome(d quota.Decision) Outcome {
 	switch d := d.(type) {
 	case quota.Refused:
-		return Rejected{Status: http.StatusTooManyRequests, RetryAfter: max(d.RetryAfter, shortRetryAfter), Reason: "the customer is at its limit"}
+		reason := "the customer is at its limit"
+		if d.Committed {
+			reason = "the customer's programs in progress need the rest of its limit"
+		}
+		return Rejected{Status: http.StatusTooManyRequests, RetryAfter: max(d.RetryAfter, shortRetryAfter), Reason: reason}
 	case quota.Unavailable:
 		return Rejected{Status: http.StatusServiceUnavailable, RetryAfter: longRetryAfter, Reason: "the customer's limit could not be looked up"}
 	}
@@ -107,10 +131,17 @@
 	return x.handling.streamed && x.request.PreviousTurn == "" && x.request.LastEventID == "" && !x.entry.sessions.hasProgram(x.request.Program)
 }
 
-// refundQuota returns the charge of a request that was not executed.
-func (x *exchange) refundQuota() {
-	if x.charged && !x.mayHaveRun {
-		x.entry.Quota.Refund(time.Now(), x.customer)
+// settleQuota returns the charge of a request that was not executed. Others are counted to measure the needs of programs.
+func (x *exchange) settleQuota() {
+	now := time.Now()
+	switch {
+	case !x.charged:
+	case !x.mayHaveRun:
+		x.entry.Quota.Refund(now, x.customer)
+	case x.handling.streamed:
+		x.entry.needs.RecordTurn(now, x.route.GetName(), x.firstTurn)
+	case x.request.Program != "" || x.request.HasTimeToFinish:
+		x.entry.needs.RecordToolCall(now)
 	}
 }
 
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -70,6 +70,7 @@
 	stopped                       atomic.Bool
 	domains                       domainHealth
 	sessions                      sessionEndpoints
+	needs                         quota.Needs
 	limiters                      serviceLimiters
 	customerScopes, outcomeScopes taggedScopes
 	// storesLostSince is when Stores.Reachable was first seen to be false, in nanoseconds since
@@ -203,7 +204,7 @@
 	if o := x.chargeQuota(ctx); o != nil {
 		return e.finish(x, o)
 	}
-	defer x.refundQuota()
+	defer x.settleQuota()
 	return e.finish(x, x.serve(ctx))
 }
 
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -12,6 +12,7 @@
 
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/rockbarrow/quota"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/schema/fleetpb"
@@ -37,8 +38,12 @@
 	customer *fleetpb.Customer
 	// charged is true once the request was charged to the customer's quota.
 	charged bool
+	// charge is the grant of the quota if askStores is true.
+	charge quota.Granted
 	// askStores is true if the request is a first turn unless the stores know its program.
 	askStores bool
+	// firstTurn is true once the request is known to be a first turn.
+	firstTurn bool
 	handling  handling
 	writer    ResponseWriter
 	deadline  time.Time
--- a/rockbarrow/entry/programs_test.go
+++ b/rockbarrow/entry/programs_test.go
@@ -127,3 +127,33 @@
 		}
 	})
 }
+
+// TestNeedOfProgramsReachesControl guards against a control instance that does not learn how many requests a program
+// will make, and against a refusal that names the wrong cause.
+func TestNeedOfProgramsReachesControl(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProgramEntry(t, startStores(t), 0)
+		for n := range 6 {
+			p.serve(t, "r", fmt.Sprint("turn", n), "first", 500)
+			tool := newKeyedRequest("ka", "/once/1")
+			tool.Program = "first"
+			p.Serve(t.Context(), tool, &fakeWriter{})
+		}
+		p.asked()
+		p.sender.responses = []func(EndpointRequest) (*Response, error){notExecuted}
+		p.serve(t, "once", "other", "first", 0)
+		r := newTurn("r", "next", "second", 500)
+		r.Key, r.HasKey = routing.DigestKey("ka"), true
+		r.Arrived, r.TimeToFinish, r.HasTimeToFinish = time.Now(), 3*time.Second, true
+		p.Serve(t.Context(), r, &fakeWriter{})
+		// One turn more is counted: 7 turns of 2 programs, 6 tool calls of 7 turns.
+		got := p.calls[len(p.calls)-1]
+		if want := float32(7) / 2 * 13 / 7; got.GetNeed() < want-0.01 || got.GetNeed() > want+0.01 || got.GetProgram() == 0 || got.GetFinishMs() != 3000 {
+			t.Errorf("asked %v, want a need of %v", got, want)
+		}
+	})
+	o, ok := quotaOutcome(quota.Refused{Committed: true}).(Rejected)
+	if !ok || o.Status != http.StatusTooManyRequests || o.Reason != "the customer's programs in progress need the rest of its limit" {
+		t.Errorf("%+v", o)
+	}
+}
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -12,6 +12,8 @@
 // Counter counts the requests of all customers on a control instance. Set Params before Start.
 type Counter struct {
 	Params Params
+	// Process is that of the control instance, zero if unknown.
+	Process uint64
 
 	mu      sync.Mutex
 	started time.Time
@@ -26,9 +28,12 @@
 	window slidingWindow
 	// earlier counts requests admitted before this counter started, as reported by limiters.
 	earlier slidingWindow
-	// lastRetryAt is the retry time given to the last refused client.
-	lastRetryAt time.Time
-	refused     uint64
+	// programs are the commitments of new programs that this counter has admitted.
+	programs commitments
+	// lastRetryAt is the retry time given to the last refused client, and lastProgramRetryAt that given to the last one
+	// whose program did not fit beside the commitments.
+	lastRetryAt, lastProgramRetryAt time.Time
+	refused                         uint64
 }
 
 // Start starts counting. The requests admitted before are unknown, and assumed to be at the limit until they leave the
@@ -83,9 +88,15 @@
 	return earlier + float64(cc.window.count(age, c.Params.Window)) + limit*c.missing
 }
 
-// Admit admits either all n requests of a customer or none of them. With n = 0, it decides on a new program whose first
-// request is already counted.
+// Admit admits either all n requests of a customer or none of them.
 func (c *Counter) Admit(now time.Time, customer *fleetpb.Customer, n uint32, newProgram bool) Decision {
+	return c.AdmitRequest(now, customer, &fleetpb.AdmitRequest{Requests: n, NewProgram: newProgram})
+}
+
+// AdmitRequest admits either all requests that an entry instance asks for or none of them. Without requests, it decides
+// on a new program whose first request is already counted.
+func (c *Counter) AdmitRequest(now time.Time, customer *fleetpb.Customer, req *fleetpb.AdmitRequest) Decision {
+	n, newProgram := req.GetRequests(), req.GetNewProgram()
 	limit, ok := c.Params.limit(customer)
 	if !ok {
 		return Granted{}
@@ -97,18 +108,64 @@
 	if newProgram {
 		allowed = newProgramShare * limit
 	}
-	used := c.effectiveCount(now, cc, limit)
+	age, used := now.Sub(c.started), c.effectiveCount(now, cc, limit)
 	if n == 0 {
 		used = max(0, used-1)
 	}
+	var refused *Refused
 	if added := float64(max(1, n)); used > 0 && used+added > allowed {
+		refused = &Refused{RetryAfter: c.retryAfter(now, cc, allowed-added, customer.GetRequestsPerSecond())}
+	} else if newProgram && !c.fits(now, cc, req, limit) {
+		refused = &Refused{RetryAfter: c.programRetryAfter(now, cc, limit, neededRequests(req), customer.GetRequestsPerSecond()), Committed: true}
+	}
+	if refused != nil {
 		cc.refused += uint64(max(1, n))
-		return Refused{RetryAfter: c.retryAfter(now, cc, allowed-added, customer.GetRequestsPerSecond())}
+		if n == 0 && c.Process != 0 && req.GetCountedBy() == c.Process {
+			refused.Uncounted = cc.window.remove(age, c.Params.Window)
+		}
+		return *refused
+	}
+	cc.window.add(age, c.Params.Window, n)
+	if newProgram {
+		finish := time.Duration(req.GetFinishMs()) * time.Millisecond
+		cc.programs.add(age, c.Params.Window, req.GetProgram(), neededRequests(req), n, finish)
+	} else {
+		cc.programs.use(age, c.Params.Window, req.GetProgram(), n)
 	}
-	cc.window.add(now.Sub(c.started), c.Params.Window, n)
 	return Granted{}
 }
 
+// neededRequests returns the expected number of requests of a new program.
+func neededRequests(req *fleetpb.AdmitRequest) float64 { return max(1, float64(req.GetNeed())) }
+
+// fits reports whether a new program fits beside the commitments. Within a window from the start, these are incomplete
+// and do not count. The caller must hold mu.
+func (c *Counter) fits(now time.Time, cc *customerCount, req *fleetpb.AdmitRequest, limit float64) bool {
+	age := now.Sub(c.started)
+	cc.programs.advance(age, c.Params.Window)
+	return age < c.Params.Window || cc.programs.fits(req.GetProgram(), neededRequests(req), limit)
+}
+
+// programRetryAfter returns the retry time for a client whose program does not fit beside the commitments. Successive
+// clients get increasing times, at the rate of such programs. The caller must hold mu.
+func (c *Counter) programRetryAfter(now time.Time, cc *customerCount, limit, need, perSecond float64) time.Duration {
+	next := now.Add(cc.programs.timeUntil(now.Sub(c.started), c.Params.Window, limit-need))
+	step := time.Duration(need / perSecond * float64(time.Second))
+	next = later(next, cc.lastProgramRetryAt.Add(step))
+	if latest := now.Add(c.Params.Window); next.After(latest) {
+		next = latest
+	}
+	cc.lastProgramRetryAt = next
+	return max(0, next.Sub(now))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // retryAfter returns the retry time for a refused client. Successive clients get increasing times, at the customer's
 // rate. The caller must hold mu.
 func (c *Counter) retryAfter(now time.Time, cc *customerCount, left, perSecond float64) time.Duration {
@@ -124,9 +181,9 @@
 	return max(0, next.Sub(now))
 }
 
-// reportThreshold is the fraction of its limit above which a customer's count is sent to limiters. Limiters assume this
-// fraction for all others, which keeps updates small.
-const reportThreshold = 0.5
+// reportThreshold is the fraction of its limit above which a customer's count is sent to limiters, which ask for its new
+// programs then. The others are left out, which keeps updates small.
+const reportThreshold = 0.25
 
 // Counts returns the request counts of customers above reportThreshold, and removes customers without requests. The
 // function customer returns a customer by name, or nil.
@@ -159,6 +216,8 @@
 	Refused uint64
 	// Limit is zero if there is none.
 	Limit float64
+	// Committed is how many requests the programs admitted within the window are expected to need in all.
+	Committed float64
 }
 
 // Usage returns the usage of a customer.
@@ -171,5 +230,6 @@
 		return Usage{Limit: limit}
 	}
 	age := now.Sub(c.started)
-	return Usage{Requests: cc.window.count(age, c.Params.Window), Refused: cc.refused, Limit: limit}
+	cc.programs.advance(age, c.Params.Window)
+	return Usage{Requests: cc.window.count(age, c.Params.Window), Refused: cc.refused, Limit: limit, Committed: cc.programs.total}
 }
--- a/rockbarrow/quota/limiter.go
+++ b/rockbarrow/quota/limiter.go
@@ -25,6 +25,8 @@
 	refundTTL = 500 * time.Millisecond
 	// refusalTTL is how long a refusal is cached.
 	refusalTTL = 200 * time.Millisecond
+	// assumedCount is the fraction of its limit that a customer is assumed to use at least.
+	assumedCount = 0.5
 )
 
 // AdmitFunc asks a control instance to admit requests. It returns the name of the instance that replied, for
@@ -84,13 +86,18 @@
 	// the requests admitted since then.
 	allowance       int
 	allowanceUpdate *countUpdate
-	// knownCount is the customer's count in allowanceUpdate.
-	knownCount float64
+	// knownCount is the customer's count in allowanceUpdate, at least assumedCount. reportedCount is zero if it was not
+	// reported.
+	knownCount, reportedCount float64
 	// refunds is the number of requests that did not run; others may take their place until refundsUntil.
 	refunds      int
 	refundsUntil time.Time
 	// blockedNew and blockedAll are the times until which new programs, or all requests, are refused locally.
 	blockedNew, blockedAll time.Time
+	// blockedNeed is the need from which new programs are refused until blockedNew. They are told to retry at retryNewAt.
+	blockedNeed          float64
+	retryNewAt           time.Time
+	blockedByCommitments bool
 }
 
 func (l *Limiter) elapsed(now time.Time) time.Duration {
@@ -117,78 +124,41 @@
 
 // Admit decides on one request of a customer.
 func (l *Limiter) Admit(ctx context.Context, now time.Time, customer *fleetpb.Customer, newProgram bool) Decision {
+	return l.AdmitRequest(ctx, now, customer, Request{NewProgram: newProgram})
+}
+
+// AdmitRequest decides on one request of a customer.
+func (l *Limiter) AdmitRequest(ctx context.Context, now time.Time, customer *fleetpb.Customer, r Request) Decision {
 	limit, ok := l.Params.limit(customer)
 	if !ok {
 		return Granted{}
 	}
 	a := l.account(customer.GetName())
-	if d := a.admitLocally(l, now, customer.GetName(), limit, newProgram); d != nil {
+	if a.takeRefund(now) {
+		g := Granted{charge{refund: true}}
+		if !r.NewProgram {
+			return g
+		}
+		return l.AdmitProgram(ctx, now, customer, r, g)
+	}
+	if d := a.admitLocally(l, now, customer.GetName(), limit, r); d != nil {
 		return d
 	}
-	control, reply, err := l.AskControl(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), Requests: 1, NewProgram: newProgram})
+	control, reply, err := l.AskControl(ctx, r.toControl(customer.GetName(), 1))
 	switch {
 	case err != nil || reply.GetUnsure():
 		return a.admitWithoutControl(l, now, customer.GetName(), limit)
 	case reply.GetGranted():
 		a.grant(l, now, control)
-		return Granted{}
-	}
-	after := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
-	a.block(now, after, newProgram)
-	return Refused{RetryAfter: after}
-}
-
-// AdmitProgram decides whether a new program may start whose first request has already been admitted as if the program
-// were in progress.
-func (l *Limiter) AdmitProgram(ctx context.Context, now time.Time, customer *fleetpb.Customer) Decision {
-	limit, ok := l.Params.limit(customer)
-	if !ok {
-		return Granted{}
-	}
-	a := l.account(customer.GetName())
-	if d := a.admitProgramLocally(l, now, customer.GetName(), limit); d != nil {
-		return d
-	}
-	_, reply, err := l.AskControl(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), NewProgram: true})
-	if err != nil || reply.GetUnsure() || reply.GetGranted() {
-		return Granted{} // without control, the charge of the request is the only limit
-	}
-	after := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
-	a.block(now, after, true)
-	return Refused{RetryAfter: after}
-}
-
-// admitProgramLocally is AdmitProgram without asking a control instance. It returns nil if one must be asked.
-func (a *account) admitProgramLocally(l *Limiter, now time.Time, customer string, limit float64) Decision {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	switch l.Mode.(type) {
-	case Central:
-		return nil
-	case Even, Estimated:
-		return Granted{}
-	}
-	if now.Before(a.blockedNew) {
-		return Refused{RetryAfter: a.blockedNew.Sub(now)}
-	}
-	if u := l.latest.Load(); u == nil || now.Sub(u.requestedAt) > updateTTL {
-		return nil
-	}
-	a.refreshAllowance(l, now, customer, limit)
-	if a.knownCount < newProgramShare*limit {
-		return Granted{}
+		return Granted{charge{control: control, process: reply.GetProcess()}}
 	}
-	return nil
+	return a.block(now, reply, r)
 }
 
 // admitLocally decides without asking a control instance, or returns nil.
-func (a *account) admitLocally(l *Limiter, now time.Time, customer string, limit float64, newProgram bool) Decision {
+func (a *account) admitLocally(l *Limiter, now time.Time, customer string, limit float64, r Request) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.refunds > 0 && now.Before(a.refundsUntil) {
-		a.refunds-- // the request that did not run is already counted
-		return Granted{}
-	}
 	switch l.Mode.(type) {
 	case Central:
 		return nil
@@ -197,20 +167,23 @@
 	case Estimated:
 		return a.admitByEstimate(l, now, customer, limit)
 	}
-	blocked := a.blockedAll
-	if newProgram && a.blockedNew.After(blocked) {
-		blocked = a.blockedNew
+	if a.isBlocked(now, r) && a.blockedNew.After(a.blockedAll) {
+		return a.cachedRefusal(now)
 	}
-	if now.Before(blocked) {
-		return Refused{RetryAfter: blocked.Sub(now)}
+	if now.Before(a.blockedAll) {
+		return Refused{RetryAfter: a.blockedAll.Sub(now)}
 	}
 	a.refreshAllowance(l, now, customer, limit)
-	if a.allowance > 0 && !(newProgram && a.knownCount >= newProgramShare*limit) {
+	switch {
+	case r.NewProgram && !a.useProgramAllowance(limit, r.requests()):
+		return nil
+	case !r.NewProgram && a.allowance <= 0:
+		return nil
+	case !r.NewProgram:
 		a.allowance--
-		a.count(l, now)
-		return Granted{}
 	}
-	return nil
+	a.count(l, now)
+	return Granted{charge{allowance: a.allowanceUpdate}}
 }
 
 // refreshAllowance computes the allowance from the latest update, once per update. The caller must hold mu.
@@ -224,7 +197,8 @@
 		return
 	}
 	a.allowanceUpdate = u
-	a.knownCount = max(float64(u.counts[customer]), reportThreshold*limit)
+	a.reportedCount = float64(u.counts[customer])
+	a.knownCount = max(a.reportedCount, assumedCount*limit)
 	counterLimit := l.Params.counterLimit(limit)
 	left := max(0, min(counterLimit-a.knownCount, l.Params.hardLimit(limit)-counterLimit))
 	whole, fraction := math.Modf(left / float64(unreportedShares*max(1, l.EntryCount())))
@@ -247,15 +221,22 @@
 	a.count(l, now)
 }
 
-func (a *account) block(now time.Time, after time.Duration, newProgram bool) {
+// block caches a refusal and returns it.
+func (a *account) block(now time.Time, reply *fleetpb.AdmitReply, r Request) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	after := time.Duration(reply.GetRetryAfterMs()) * time.Millisecond
 	until := now.Add(min(after, refusalTTL))
-	if newProgram {
-		a.blockedNew = until
-	} else {
+	switch {
+	case !r.NewProgram:
 		a.blockedAll = until
+	case reply.GetCommitted():
+		// A program with a smaller need may still fit. Similar ones are told the time of this one.
+		a.blockedNew, a.blockedNeed, a.retryNewAt, a.blockedByCommitments = until, similarNeed*r.Need, now.Add(after), true
+	default:
+		a.blockedNew, a.blockedNeed, a.retryNewAt, a.blockedByCommitments = until, 0, until, false
 	}
+	return Refused{RetryAfter: after, Committed: reply.GetCommitted()}
 }
 
 // admitWithoutControl decides when no control instance can be reached, or when the one asked is unsure.
@@ -319,6 +300,11 @@
 	a := l.account(customer.GetName())
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.refund(now)
+}
+
+// refund is Refund of the limiter. The caller must hold mu.
+func (a *account) refund(now time.Time) {
 	if !now.Before(a.refundsUntil) {
 		a.refunds = 0
 	}
@@ -326,6 +312,17 @@
 	a.refundsUntil = now.Add(refundTTL)
 }
 
+// takeRefund reports whether a request may take the place of one that did not run, which is already counted.
+func (a *account) takeRefund(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.refunds == 0 || !now.Before(a.refundsUntil) {
+		return false
+	}
+	a.refunds--
+	return true
+}
+
 // AdmittedRequests is the number of admitted requests of a customer.
 type AdmittedRequests struct {
 	Customer string
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -13,7 +13,9 @@
 // add up only on average. Beyond its share, a limiter asks a control instance for each request. All limiters ask the
 // same control instance while they can reach the same ones.
 //
-// Programs in progress have priority: the first turn of a new program must leave a part of the limit free.
+// Programs in progress have priority: the first turn of a new program must leave a part of the limit free. A new program
+// is admitted only if the requests that it is expected to make, its need, fit into the limit beside the needs of the
+// programs admitted within the window, its commitments. The counter keeps them, and limiters ask it for new programs.
 package quota
 
 import (
@@ -58,12 +60,27 @@
 type Decision interface{ decision() }
 
 // Granted means that the requests are admitted and counted.
-type Granted struct{}
+type Granted struct{ charge charge }
+
+// charge tells where a limiter's request is counted.
+type charge struct {
+	// refund is true if the request took the place of another one.
+	refund bool
+	// control and process are the control instance that counted it, if one did.
+	control string
+	process uint64
+	// allowance is the update that allowed it, if one did.
+	allowance *countUpdate
+}
 
 // Refused means that the customer is at its limit.
 type Refused struct {
 	// RetryAfter is the time until a request is expected to be admitted.
 	RetryAfter time.Duration
+	// Committed is true if the limit is not used up, but the customer's programs in progress need the rest.
+	Committed bool
+	// Uncounted is true if the counter no longer counts the first request of the refused program.
+	Uncounted bool
 }
 
 // Unavailable means that no control instance could decide.
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -165,7 +165,7 @@
 }
 
 func newCluster(n int, mode Mode, c *fleetpb.Customer) *cluster {
-	cl := &cluster{customer: c, clock: newClock(), counter: &Counter{Params: params}, reported: make([]uint64, n), partitioned: map[int]bool{}}
+	cl := &cluster{customer: c, clock: newClock(), counter: &Counter{Params: params, Process: 7}, reported: make([]uint64, n), partitioned: map[int]bool{}}
 	cl.counter.Start(cl.clock.now)
 	cl.clock.advance(params.Window)
 	for i := range n {
@@ -175,11 +175,11 @@
 				if cl.partitioned[i] {
 					return "", nil, errors.New("partitioned")
 				}
-				switch d := cl.counter.Admit(cl.clock.now, cl.customer, req.GetRequests(), req.GetNewProgram()).(type) {
+				switch d := cl.counter.AdmitRequest(cl.clock.now, cl.customer, req).(type) {
 				case Granted:
-					return "control", &fleetpb.AdmitReply{Granted: true}, nil
+					return "control", &fleetpb.AdmitReply{Granted: true, Process: cl.counter.Process}, nil
 				case Refused:
-					return "control", &fleetpb.AdmitReply{RetryAfterMs: uint64(d.RetryAfter.Milliseconds())}, nil
+					return "control", &fleetpb.AdmitReply{RetryAfterMs: uint64(d.RetryAfter.Milliseconds()), Committed: d.Committed, Uncounted: d.Uncounted}, nil
 				}
 				return "control", &fleetpb.AdmitReply{Unsure: true}, nil
 			},
@@ -194,7 +194,7 @@
 		return
 	}
 	for _, u := range cl.limiters[i].Admitted("control") {
-		cl.counter.Add(cl.clock.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - cl.reported[i])}})
+		cl.counter.Add(cl.clock.now, []*fleetpb.CustomerUse{{Customer: u.Customer, Requests: uint32(u.Requests - min(u.Requests, cl.reported[i]))}})
 		cl.reported[i] = u.Requests
 	}
 	cl.limiters[i].SetCounts(cl.clock.now, cl.counter.Counts(cl.clock.now, func(string) *fleetpb.Customer { return cl.customer }))
--- a/rockbarrow/quota/window.go
+++ b/rockbarrow/quota/window.go
@@ -41,6 +41,19 @@
 	w.sum += n
 }
 
+// remove removes one of the newest requests. It reports whether there is one.
+func (w *slidingWindow) remove(at, span time.Duration) bool {
+	w.advance(at, span)
+	for age := range int64(buckets + 1) {
+		if n := &w.counts[(w.last-age+buckets+1)%(buckets+1)]; *n > 0 {
+			*n--
+			w.sum--
+			return true
+		}
+	}
+	return false
+}
+
 // count returns the requests within the window.
 func (w *slidingWindow) count(at, span time.Duration) uint32 {
 	w.advance(at, span)
