rockctl: customers show the requests that programs commit

Cause: operators cannot see why a new program is refused while the limit is not used up. Change: a column COMMITTED, the expected requests of the programs that began within the window.

--- a/rockctl/customers.go
+++ b/rockctl/customers.go
@@ -21,14 +21,14 @@
 }
 
 func customerRows(w io.Writer, r *fleetpb.CustomersReply) {
-	fmt.Fprintln(w, "CUSTOMER\tPRIORITY\tUSED\tLIMIT\tREFUSED\tRATE\tBURST\tKEYS")
+	fmt.Fprintln(w, "CUSTOMER\tPRIORITY\tUSED\tLIMIT\tCOMMITTED\tREFUSED\tRATE\tBURST\tKEYS")
 	for _, c := range r.GetCustomers() {
 		limit := "none"
 		if c.GetLimit() > 0 {
 			limit = fmt.Sprintf("%.0f", c.GetLimit())
 		}
-		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%d\t%g\t%g\t%s\n", c.GetName(), c.GetPriority(), c.GetRequests(), limit,
-			c.GetRefused(), c.GetRequestsPerSecond(), c.GetBurst(), strings.Join(c.GetKeyDigests(), " "))
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\t%.0f\t%d\t%g\t%g\t%s\n", c.GetName(), c.GetPriority(), c.GetRequests(), limit,
+			c.GetCommitted(), c.GetRefused(), c.GetRequestsPerSecond(), c.GetBurst(), strings.Join(c.GetKeyDigests(), " "))
 	}
 	if n := r.GetLeftOut(); n > 0 {
 		fmt.Fprintf(w, "\n%d customers more\n", n)
