quota: a burst of first turns does not make programs look short

Cause: with turns and first turns averaged alike, a burst adds first turns before their later turns, and an instance has only some four first turns in its average. Change: first turns enter the average with the mean delay of the later turns, as estimated from the time that programs have to finish, and half a program is added to the samples in place of one turn of each kind. TestNeedsDuringABurst fails without the delay. Tests of quota and entry pass with the race detector.

--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -139,7 +139,7 @@
 	case !x.mayHaveRun:
 		x.entry.Quota.Refund(now, x.customer)
 	case x.handling.streamed:
-		x.entry.needs.RecordTurn(now, x.route.GetName(), x.firstTurn)
+		x.entry.needs.RecordTurn(now, x.route.GetName(), x.firstTurn, x.request.TimeToFinish)
 	case x.request.Program != "" || x.request.HasTimeToFinish:
 		x.entry.needs.RecordToolCall(now)
 	}
