rockbench: quotas with programs that commit their needs

Cause: the bound of quotas was only tested with programs without needs. Change: two scenarios in which each program needs ten requests, one at ten times the demand, one with all control instances restarted; a test of the controller that needs, refusals and what operators see pass through its calls.

--- a/rockbarrow/controller/customers_test.go
+++ b/rockbarrow/controller/customers_test.go
@@ -174,3 +174,40 @@
 		t.Errorf("operators see %v", a)
 	}
 }
+
+// Control must keep the needs of programs, show them to operators, and no longer count a refused program's first request.
+func TestProgramsCommitTheirNeeds(t *testing.T) {
+	p := startCluster(t)[0]
+	p.controller.quotas.Params = quota.Params{Window: 1024 * time.Second}
+	p.controller.quotas.Start(time.Now().Add(-time.Hour))
+	putConfiguration(t, p, 1, keyedDocument(t, 1))
+	waitFor(t, func() bool { return p.controller.RoutingTable().CustomerCount() == 2 })
+	admit := func(req *fleetpb.AdmitRequest) *fleetpb.AdmitReply {
+		req.Customer = "a"
+		r, err := p.controller.Admit(t.Context(), req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	begin := func(program uint64) *fleetpb.AdmitReply {
+		first := admit(&fleetpb.AdmitRequest{Requests: 1, Program: program})
+		if !first.GetGranted() || first.GetProcess() == 0 {
+			t.Errorf("the first request of program %d: %v", program, first)
+		}
+		return admit(&fleetpb.AdmitRequest{NewProgram: true, Program: program, Need: 7, CountedBy: first.GetProcess()})
+	}
+	if r := begin(1); !r.GetGranted() {
+		t.Errorf("the first program: %v", r)
+	}
+	if r := begin(2); r.GetGranted() || !r.GetCommitted() || !r.GetUncounted() || r.GetRetryAfterMs() == 0 {
+		t.Errorf("a program that needs more than is left: %v", r)
+	}
+	got, err := p.controller.Customers(t.Context(), &fleetpb.CustomersRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a := got.GetCustomers()[0]; a.GetRequests() != 1 || a.GetCommitted() != 7 || a.GetRefused() != 1 {
+		t.Errorf("operators see %v", a)
+	}
+}
--- a/rockbench/quotas/quotas.go
+++ b/rockbench/quotas/quotas.go
@@ -55,6 +55,8 @@
 	Forget        bool
 	// Lowered is the rate and the burst during the trouble, if it is not 0.
 	Lowered float64
+	// Need is the expected number of requests of each program, if it is not 0.
+	Need float64
 }
 
 // All returns the scenarios.
@@ -66,6 +68,8 @@
 		{Name: "half of the load", Rate: 353, Burst: 353, Demand: 300, Entries: entries, X: 1},
 		{Name: "few, ten times", Rate: 3, Burst: 3, Demand: 2.5, Entries: entries, X: 10},
 		{Name: "half, ten times", Rate: 353, Burst: 353, Demand: 300, Entries: entries, X: 10},
+		{Name: "half, ten times, with needs", Rate: 353, Burst: 353, Demand: 300, Entries: entries, X: 10, Need: 1 / (1 - turnShare)},
+		{Name: "control lost, with needs", Rate: 353, Burst: 353, Demand: 300, Entries: entries, X: 2, Forget: true, Need: 1 / (1 - turnShare)},
 		{Name: "burst at one domain", Rate: 353, Burst: 353, Demand: 200, Entries: entries, X: 3, Near: 19},
 		{Name: "a domain cut off", Rate: 353, Burst: 353, Demand: 300, Entries: entries, X: 2, Apart: 19},
 		{Name: "instances killed", Rate: 353, Burst: 353, Demand: 300, Entries: entries, X: 2, Killed: 6},
@@ -177,11 +181,11 @@
 			if t.apart {
 				return "", nil, errors.New("quotas: cut off")
 			}
-			switch d := p.counter.Admit(p.now, p.customer, req.GetRequests(), req.GetNewProgram()).(type) {
+			switch d := p.counter.AdmitRequest(p.now, p.customer, req).(type) {
 			case quota.Granted:
 				return "control", &fleetpb.AdmitReply{Granted: true}, nil
 			case quota.Refused:
-				return "control", &fleetpb.AdmitReply{RetryAfterMs: uint64(d.RetryAfter.Milliseconds())}, nil
+				return "control", &fleetpb.AdmitReply{RetryAfterMs: uint64(d.RetryAfter.Milliseconds()), Committed: d.Committed}, nil
 			}
 			return "control", &fleetpb.AdmitReply{Unsure: true}, nil
 		},
@@ -248,7 +252,8 @@
 	if owed {
 		p.owed++
 	}
-	if _, ok := t.Admit(context.Background(), p.now, p.customer, newProgram).(quota.Granted); !ok {
+	ask := quota.Request{NewProgram: newProgram, Program: uint64(p.requests), Need: p.scenario.Need}
+	if _, ok := t.AdmitRequest(context.Background(), p.now, p.customer, ask).(quota.Granted); !ok {
 		p.refused++
 		if newProgram {
 			p.refusedNew++
