limiter: new programs start by the free slots of all instances

Turns of programs in progress are never refused by this. After an overload the level rises by at most 1 a second, because otherwise all clients that return start before the next report. Requests that wait share one ticker for each service in place of one each.

--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -8,8 +8,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"rockbarrow.dev/rockbarrow/limiter"
 	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/rockbarrow/routing"
 )
 
 // resizeInterval is how often a service's slots are recounted. It is several times shorter than
@@ -29,62 +32,98 @@
 		s.byService = map[string]*serviceLimiter{}
 	}
 	if s.byService[service] == nil {
-		s.byService[service] = &serviceLimiter{waiting: map[limiter.ID]chan limiter.Action{}}
+		s.byService[service] = &serviceLimiter{service: service, waiting: map[limiter.ID]chan limiter.Action{}}
 	}
 	return s.byService[service]
 }
 
 // serviceLimiter is the concurrency limiter of one service and its waiting requests.
 type serviceLimiter struct {
+	service string
 	mu      sync.Mutex
 	limiter limiter.Limiter
 	lastID  limiter.ID
 	// waiting holds a channel for each waiting request, buffered for its one action.
 	waiting map[limiter.ID]chan limiter.Action
 	resized time.Time
+	// resizing is true while runResizing runs.
+	resizing bool
+	// table is the configuration that priorities are of.
+	table      *routing.Table
+	priorities []uint32
 }
 
 // acquire waits for a slot and returns the function that releases it. Without a slot the
 // function is nil, and the action is a [limiter.Reject], or nil if ctx ended.
-func (l *serviceLimiter) acquire(ctx context.Context, slots func() int, a limiter.Arrived) (func(), limiter.Action) {
-	action := l.enqueue(&a, slots)
-	// The number of slots also changes while no request arrives or finishes.
-	tick := time.NewTicker(resizeInterval)
-	defer tick.Stop()
-	for {
+func (l *serviceLimiter) acquire(ctx context.Context, capacity capacityFunc, a limiter.Arrived) (func(), limiter.Action) {
+	action := l.enqueue(&a, capacity)
+	select {
+	case act := <-action:
+		return l.releaseFunc(act), act
+	case <-ctx.Done():
+		l.handle(limiter.Cancelled{ID: a.ID})
 		select {
 		case act := <-action:
-			return l.releaseFunc(act), act
-		case <-tick.C:
-			l.resize(slots)
-		case <-ctx.Done():
-			l.handle(limiter.Cancelled{ID: a.ID})
-			select {
-			case act := <-action:
-				// The slot was granted while ctx ended.
-				if release := l.releaseFunc(act); release != nil {
-					release()
-				}
-			default:
+			// The slot was granted while ctx ended.
+			if release := l.releaseFunc(act); release != nil {
+				release()
 			}
-			return nil, nil
+		default:
 		}
+		return nil, nil
 	}
 }
 
 // enqueue assigns the request an id and adds it to the limiter. The channel delivers its action.
-func (l *serviceLimiter) enqueue(a *limiter.Arrived, slots func() int) <-chan limiter.Action {
-	l.resize(slots)
+func (l *serviceLimiter) enqueue(a *limiter.Arrived, capacity capacityFunc) <-chan limiter.Action {
 	action := make(chan limiter.Action, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	l.resizeLocked(now, capacity)
 	l.lastID++
 	a.ID = l.lastID
 	l.waiting[a.ID] = action
-	l.handleLocked(time.Now(), *a)
+	l.handleLocked(now, *a)
+	if len(l.waiting) > 0 && !l.resizing {
+		l.resizing = true
+		go l.runResizing(capacity)
+	}
 	return action
 }
 
+// admit reports whether the shared level lets a new program start, and otherwise the rejection.
+func (l *serviceLimiter) admit(capacity capacityFunc, a limiter.Arrived) (limiter.Reject, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.resizeLocked(now, capacity)
+	return l.limiter.Admit(now, a)
+}
+
+// runResizing recounts the slots while requests wait, because their number also changes while no request arrives
+// or finishes.
+func (l *serviceLimiter) runResizing(capacity capacityFunc) {
+	tick := time.NewTicker(resizeInterval)
+	defer tick.Stop()
+	for range tick.C {
+		if !l.resizeForWaiting(capacity) {
+			return
+		}
+	}
+}
+
+// resizeForWaiting recounts the slots, or returns false if no request waits.
+func (l *serviceLimiter) resizeForWaiting(capacity capacityFunc) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resizing = len(l.waiting) > 0
+	if l.resizing {
+		l.resizeLocked(time.Now(), capacity)
+	}
+	return l.resizing
+}
+
 // releaseFunc returns the function that releases the slot granted by an action, or nil if it
 // granted none.
 func (l *serviceLimiter) releaseFunc(act limiter.Action) func() {
@@ -96,16 +135,24 @@
 	return func() { l.handle(limiter.Finished{ID: id}) }
 }
 
-// resize recounts the slots unless that was done within resizeInterval.
-func (l *serviceLimiter) resize(slots func() int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	now := time.Now()
+// capacityFunc returns the current capacity of a service and the configuration.
+type capacityFunc func() (placement.Capacity, *routing.Table)
+
+// resizeLocked recounts the slots unless that was done within resizeInterval. The caller holds mu.
+func (l *serviceLimiter) resizeLocked(now time.Time, capacity capacityFunc) {
 	if now.Sub(l.resized) < resizeInterval {
 		return
 	}
 	l.resized = now
-	l.handleLocked(now, limiter.Resized{Slots: slots()})
+	c, t := capacity()
+	r := limiter.Resized{Slots: c.Slots}
+	if c.SharedSlots > 0 {
+		if l.table != t {
+			l.table, l.priorities = t, t.StreamPriorities(l.service)
+		}
+		r.Shared = limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Priorities: l.priorities}
+	}
+	l.handleLocked(now, r)
 }
 
 func (l *serviceLimiter) handle(e limiter.Event) {
@@ -134,31 +181,73 @@
 	}
 }
 
+// admit refuses a new program that the shared level of its service has no room for. It returns a
+// non-nil outcome if so. Where only the stores' reply to the reservation shows whether the program is new, the level
+// is applied after it.
+func (x *exchange) admit() Outcome {
+	r := x.request
+	if !x.isLimited() || r.PreviousTurn != "" || r.LastEventID != "" {
+		return nil
+	}
+	if x.entry.sessions.lookup(r.Program, r.Session, x.previous).EndpointID != "" {
+		x.admitted = true
+		return nil
+	}
+	if x.handling.reserved && !x.handling.history {
+		return nil
+	}
+	service := x.service.GetName()
+	reject, ok := x.entry.limiters.get(service).admit(x.entry.capacityOf(service), x.arrival())
+	if !ok {
+		return rejectedBySlots(reject)
+	}
+	x.admitted = true
+	return nil
+}
+
+// isLimited reports whether the request needs a concurrency slot.
+func (x *exchange) isLimited() bool { return x.handling.streamed && x.service.GetSlots() > 0 }
+
 // acquireSlot waits for a concurrency slot and returns the function that releases it. Without a
 // slot it returns a non-nil outcome.
 func (x *exchange) acquireSlot(ctx context.Context) (func(), Outcome) {
-	if !x.handling.streamed || x.service.GetSlots() == 0 {
+	if !x.isLimited() {
 		return func() {}, nil
 	}
-	release, act := x.entry.limiters.get(x.service.GetName()).acquire(ctx, x.slots, x.arrival())
+	service := x.service.GetName()
+	release, act := x.entry.limiters.get(service).acquire(ctx, x.entry.capacityOf(service), x.arrival())
 	if release != nil {
 		return release, nil
 	}
 	if reject, ok := act.(limiter.Reject); ok {
-		return nil, Rejected{Status: http.StatusServiceUnavailable, RetryAfter: reject.RetryAfter, Reason: "all places at endpoints are taken by programs under way"}
+		return nil, rejectedBySlots(reject)
 	}
 	return nil, Rejected{Status: http.StatusServiceUnavailable, RetryAfter: longRetryAfter, Reason: "no place at an endpoint within its time"}
 }
 
+// rejectedBySlots returns the outcome of a request that the limiter rejected.
+func rejectedBySlots(r limiter.Reject) Rejected {
+	reason := "all places at endpoints are taken by programs under way"
+	if r.ByLevel {
+		reason = "the endpoints have no room for new programs of this priority"
+	}
+	return Rejected{Status: http.StatusServiceUnavailable, RetryAfter: r.RetryAfter, Reason: reason}
+}
+
 // arrival describes the request to its limiter.
 func (x *exchange) arrival() limiter.Arrived {
 	r := x.request
 	elapsed := time.Since(r.Arrived)
+	program := r.Program
+	if program == "" {
+		program = r.ID
+	}
 	return limiter.Arrived{
 		InProgress: r.PreviousTurn != "" || x.previous.EndpointID != "" || r.LastEventID != "",
 		Remaining:  r.TimeToFinish - elapsed, HasDeadline: r.HasTimeToFinish,
 		MaxWait: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - elapsed, ClientTimeout: x.firstEventTimeout() - elapsed,
 		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRequestsPerSecond(),
+		Program: xxhash.Sum64String(program), RoutePriority: x.route.GetPriority(), Admitted: x.admitted,
 	}
 }
 
@@ -171,8 +260,10 @@
 	return total
 }
 
-// slots returns how many requests this instance may have running at the service's endpoints.
-func (x *exchange) slots() int {
-	f := x.entry.fleet.Load()
-	return f.Slots(time.Now(), placement.Class{Service: x.service.GetName()}, x.entry.Watch.EntryCount())
+// capacityOf returns a function that counts the slots of a service. It is called while requests wait, and keeps none
+// of them.
+func (e *Entry) capacityOf(service string) capacityFunc {
+	return func() (placement.Capacity, *routing.Table) {
+		return e.fleet.Load().Capacity(time.Now(), placement.Class{Service: service}, e.Watch.EntryCount()), e.table.Load()
+	}
 }
--- a/rockbarrow/entry/admission_test.go
+++ b/rockbarrow/entry/admission_test.go
@@ -111,3 +111,55 @@
 		}
 	})
 }
+
+// shareSlots makes e one of four entry instances, where the others have the given number of calls at each of the three
+// endpoints with four slots.
+func shareSlots(e *Entry, running uint32) {
+	e.Decode = func([]byte) (*fleetpb.Document, error) {
+		d := streamDocument()
+		d.Version, d.Services[0].Slots = 2, 1
+		return d, nil
+	}
+	s := e.Watch.State()
+	e.Watch.ApplyReply(&fleetpb.WatchReply{Entries: 4, State: &fleetpb.State{Number: s.GetNumber() + 1, Configuration: &fleetpb.Configuration{Version: 2}, View: s.GetView()}})
+	e.refresh()
+	e.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{running, running, running}, Failing: make([]uint32, 3)})
+}
+
+// TestLevelRefusesBeforeTheReservation checks that a program that is certainly new costs the stores nothing if it is
+// refused: no store runs, so that a reservation would fail for another reason.
+func TestLevelRefusesBeforeTheReservation(t *testing.T) {
+	e := newEntry(t, &fakeSender{})
+	shareSlots(e, 4)
+	got, ok := e.Serve(t.Context(), newTurn("k", "1", "new", 100), &fakeWriter{}).(Rejected)
+	if !ok || got.Status != http.StatusServiceUnavailable || got.RetryAfter <= 0 || !strings.Contains(got.Reason, "no room for new programs") {
+		t.Errorf("%+v", got)
+	}
+}
+
+// TestLevelRefusesOnlyNewPrograms checks that a turn of a program in progress is served while the endpoints are full,
+// and that the stores tell it from a new program.
+func TestLevelRefusesOnlyNewPrograms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){respond(200, events(1, 3))}}
+		e := newStreamEntry(t, startStores(t), s)
+		shareSlots(e, 0)
+		serve := func(id, program string) Outcome {
+			return e.Serve(t.Context(), newTurn("r", id, program, 100), &fakeWriter{})
+		}
+		if o := serve("1", "early"); o != (Completed{}) {
+			t.Fatalf("%#v with free slots", o)
+		}
+		awaitSettled(t, e, "early", 9)
+		time.Sleep(resizeInterval)
+		e.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{4, 4, 4}, Failing: make([]uint32, 3)})
+		if got, ok := serve("2", "late").(Rejected); !ok || !strings.Contains(got.Reason, "no room for new programs") || len(s.requests) != 1 {
+			t.Errorf("%+v for a new program, %d requests were sent", got, len(s.requests))
+		}
+		awaitSettled(t, e, "late", 0)
+		e.sessions = sessionEndpoints{}
+		if o := serve("3", "early"); o != (Completed{}) {
+			t.Errorf("%#v for a program in progress", o)
+		}
+	})
+}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -69,6 +69,8 @@
 	ownTime time.Duration
 	// waitTime is the time spent waiting for a concurrency slot.
 	waitTime time.Duration
+	// admitted is true once the shared level has admitted the request's program, or if an earlier turn of it is known.
+	admitted bool
 }
 
 // splitKey returns the key that selects a service by weight, so that the turns of a program
@@ -91,6 +93,9 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 		defer cancel()
 	}
+	if o := x.admit(); o != nil {
+		return o
+	}
 	if o := x.prepare(ctx); o != nil {
 		return o
 	}
--- a/rockbarrow/limiter/event.go
+++ b/rockbarrow/limiter/event.go
@@ -28,6 +28,12 @@
 	// Customer, which may be empty, shares slots with others by Weight; 0 counts as 1.
 	Customer string
 	Weight   float64
+	// Program is a hash of the program's id, which is the same at all instances, and RoutePriority the priority
+	// of its route, without that of the customer. Both decide whether a new program is within the shared level.
+	Program       uint64
+	RoutePriority uint32
+	// Admitted is true if [Limiter.Admit] has admitted the program.
+	Admitted bool
 }
 
 // Finished reports that a request has released its slot.
@@ -36,8 +42,11 @@
 // Cancelled reports that a queued request is no longer wanted.
 type Cancelled struct{ ID ID }
 
-// Resized sets the number of slots of this instance.
-type Resized struct{ Slots int }
+// Resized sets the number of slots of this instance and the use of those of all instances.
+type Resized struct {
+	Slots  int
+	Shared Shared
+}
 
 func (Arrived) event()   {}
 func (Finished) event()  {}
@@ -55,6 +64,8 @@
 	ID ID
 	// RetryAfter is the time until a slot is expected to be free.
 	RetryAfter time.Duration
+	// ByLevel is true if the endpoints of all instances have too few free slots for a new program.
+	ByLevel bool
 }
 
 func (Start) action()  {}
--- /dev/null
+++ b/rockbarrow/limiter/level.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+
+package limiter
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Shared is the use of a service's slots by all instances. Each instance decides by it which new
+// programs may start, so that instances with few slots each decide alike.
+type Shared struct {
+	// Slots is the number of slots at usable endpoints; zero if new programs are admitted by
+	// the slots of this instance alone.
+	Slots int
+	// InFlight is the number of calls at these endpoints, those of this instance included.
+	InFlight int
+	// Priorities are the distinct priorities of the service's routes in ascending order.
+	Priorities []uint32
+}
+
+const (
+	// fullLevel is the level at which all new programs start, those of the least urgent priority included.
+	fullLevel = 2
+	// levelRise is by how much the level that programs are admitted by rises in a second. The programs that wait to
+	// return would otherwise all start before the next load report shows the first of them.
+	levelRise = 1
+)
+
+// sharedLevel admits new programs by the free slots of all instances. The zero value admits all.
+type sharedLevel struct {
+	Shared
+	// counted is the number of this instance's running requests at the time of InFlight.
+	counted int
+	// risen is the level that was reached at risenAt, from 0 to fullLevel.
+	risen   float64
+	risenAt time.Time
+}
+
+// limit returns the bound that levelRise sets to the level.
+func (s sharedLevel) limit(now time.Time) float64 {
+	if s.Slots == 0 || s.risen == fullLevel {
+		return math.Inf(1)
+	}
+	return s.risen + levelRise*now.Sub(s.risenAt).Seconds()
+}
+
+// margin is the width of the band of free slots within which the admitted share of programs rises
+// from none to all. With n calls in flight, their number has a standard deviation of the square root of n.
+func (s sharedLevel) margin() float64 { return math.Sqrt(float64(s.Slots)) }
+
+// rank returns the position of a route priority among those of the service, from 0 for the
+// most urgent to 1 for the least.
+func (s sharedLevel) rank(priority uint32) float64 {
+	last := len(s.Priorities) - 1
+	if last < 1 {
+		return 0
+	}
+	at, _ := slices.BinarySearch(s.Priorities, priority)
+	return float64(min(at, last)) / float64(last)
+}
+
+// Level returns the free slots of all instances in relation to the margin: at 1 or more, all new programs
+// of the most urgent priority start, at 0 or less none. The result is false if the level does not apply.
+func (l *Limiter) Level() (float64, bool) {
+	s := l.shared
+	if s.Slots == 0 {
+		return 0, false
+	}
+	free := s.Slots - s.InFlight - (len(l.running) - s.counted) - len(l.waiting)
+	return float64(free) / s.margin(), true
+}
+
+// setShared replaces the use of the slots of all instances.
+func (l *Limiter) setShared(now time.Time, s Shared) {
+	limit := l.shared.limit(now)
+	l.shared = sharedLevel{Shared: s, counted: len(l.running), risenAt: now}
+	level, _ := l.Level()
+	l.shared.risen = max(0, min(level, limit, fullLevel))
+}
+
+// Admit reports whether the level lets a new program start, and otherwise the rejection.
+func (l *Limiter) Admit(now time.Time, e Arrived) (Reject, bool) {
+	level, ok := l.Level()
+	if !ok || e.InProgress {
+		return Reject{}, true
+	}
+	rank := l.shared.rank(e.RoutePriority)
+	if groupOf(e) == groupOverdue {
+		rank = 1
+	}
+	if fraction(e.Program) < min(level, l.shared.limit(now))-rank {
+		return Reject{}, true
+	}
+	return Reject{ID: e.ID, RetryAfter: l.retryAfter(now, minReturn), ByLevel: true}, false
+}
+
+// minReturn is the shortest retry time of a program that the level refuses. Half an interval of load reports passes
+// before the level reflects calls that have ended elsewhere.
+const minReturn = 150 * time.Millisecond
+
+// fraction maps a hash to [0, 1).
+func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
--- a/rockbarrow/limiter/limiter.go
+++ b/rockbarrow/limiter/limiter.go
@@ -15,7 +15,8 @@
 // Limiter assigns the slots of one service to requests. The zero value has no slots
 // until it is [Resized].
 type Limiter struct {
-	slots int
+	slots  int
+	shared sharedLevel
 	// running maps requests with a slot to their start times.
 	running map[ID]time.Time
 	// waiting is the queue, ordered by compareRequests.
@@ -92,6 +93,7 @@
 		l.remove(e.ID)
 	case Resized:
 		l.slots = e.Slots
+		l.setShared(now, e.Shared)
 	}
 	return append(out, l.startWaiting(now)...)
 }
@@ -133,6 +135,11 @@
 func (l *Limiter) Waiting() int { return len(l.waiting) }
 
 func (l *Limiter) arrive(now time.Time, e Arrived) []Action {
+	if !e.Admitted {
+		if reject, ok := l.Admit(now, e); !ok {
+			return []Action{reject}
+		}
+	}
 	l.arrivals++
 	w := &queuedRequest{id: e.ID, group: groupOf(e), priority: e.Priority, virtual: l.clock.StartTag(l.virtualTimes[e.Customer]), arrival: l.arrivals}
 	if e.HasDeadline {
@@ -216,10 +223,11 @@
 // hasSlot reports whether a request of a group may start now. Groups other than
 // groupInProgress leave the square root of the slots free: turns of programs in
 // progress arrive at random, and with n slots in use on average their number has a
-// standard deviation of the square root of n.
+// standard deviation of the square root of n. Where new programs are admitted by the
+// shared level, its margin takes the place of that reserve.
 func (l *Limiter) hasSlot(g priorityGroup) bool {
 	slots := l.slots
-	if g != groupInProgress {
+	if g == groupOverdue || g == groupNew && l.shared.Slots == 0 {
 		slots = max(min(1, slots), slots-int(math.Sqrt(float64(slots))))
 	}
 	return len(l.running) < slots
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -14,6 +14,8 @@
 	mu sync.Mutex
 	// used endpoints have had calls from this instance; remotelyLoaded ones were in the last report of other instances.
 	used, remotelyLoaded []*Endpoint
+	// reportedAt is the time of the last report.
+	reportedAt time.Time
 }
 
 // markUsed adds an endpoint on its first call.
@@ -62,6 +64,7 @@
 	for _, e := range t.remotelyLoaded {
 		e.setRemoteLoad(now, 0, 0)
 	}
+	t.reportedAt = now
 	t.remotelyLoaded = make([]*Endpoint, 0, len(loads))
 	for _, l := range loads {
 		l.Endpoint.setRemoteLoad(now, l.Running, l.FailingPercent)
@@ -78,8 +81,14 @@
 		return 0
 	}
 	at := now.UnixNano()
-	slots, all, remote := c.slots, c.slots+c.queueSlots, 0
 	used, remotelyLoaded := f.tracked.snapshot()
+	slots, all := c.usableSlots(at, class, used)
+	return min(slots, max(1, all/instances, all-remoteCalls(at, class, remotelyLoaded)))
+}
+
+// usableSlots returns the slots at usable endpoints, without and with those of their queues.
+func (c *classEndpoints) usableSlots(at int64, class Class, used []*Endpoint) (slots, all int) {
+	slots, all = c.slots, c.slots+c.queueSlots
 	for _, e := range used {
 		// Only endpoints with calls from this instance can be ejected or unresponsive.
 		if e.config.GetService() == class.Service && !e.config.GetDraining() && !e.isUsable(at) {
@@ -88,12 +97,18 @@
 			all -= n + queueSlots(n)
 		}
 	}
+	return slots, all
+}
+
+// remoteCalls returns the calls of other instances at usable endpoints.
+func remoteCalls(at int64, class Class, remotelyLoaded []*Endpoint) int {
+	n := 0
 	for _, e := range remotelyLoaded {
 		if e.config.GetService() == class.Service && e.isUsable(at) {
-			remote += int(e.remote.inFlightAt(at))
+			n += int(e.remote.inFlightAt(at))
 		}
 	}
-	return min(slots, max(1, all/instances, all-remote))
+	return n
 }
 
 // isUsable reports whether the endpoint's slots count as capacity.
--- a/rockbarrow/routing/table.go
+++ b/rockbarrow/routing/table.go
@@ -3,6 +3,7 @@
 package routing
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -57,6 +58,23 @@
 	return s
 }
 
+// StreamPriorities returns the distinct priorities of the routes that stream from a service, in ascending
+// order. It takes time proportional to the number of all routes.
+func (t *Table) StreamPriorities(service string) []uint32 {
+	var out []uint32
+	t.orEmpty().routes.each(func(_ []byte, r *fleetpb.Route) bool {
+		uses := func(s *fleetpb.Share) bool { return s.GetService() == service }
+		if r.GetKind() != fleetpb.RouteKind_ROUTE_KIND_STREAM || !slices.ContainsFunc(r.GetShares(), uses) {
+			return true
+		}
+		if at, known := slices.BinarySearch(out, r.GetPriority()); !known {
+			out = slices.Insert(out, at, r.GetPriority())
+		}
+		return true
+	})
+	return out
+}
+
 // Match returns the route of a host with the longest prefix of path. If no route
 // has the host with its port, the port is ignored. The lookup takes time
 // proportional to the length of host and path.
--- a/rockbench/emulator/entry.go
+++ b/rockbench/emulator/entry.go
@@ -50,11 +50,12 @@
 	}
 	e.waiting[a.id] = a
 	now := e.world.clock.time()
-	places := e.fleet.Slots(now, placement.Class{Service: service}, len(e.world.entries))
-	e.handle(limiter.Resized{Slots: places})
+	c := e.fleet.Capacity(now, placement.Class{Service: service}, len(e.world.entries))
+	e.handle(limiter.Resized{Slots: c.Slots, Shared: limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Priorities: e.world.priorities}})
 	e.handle(limiter.Arrived{
 		ID: a.id, InProgress: t.line.last.EndpointID != "", Remaining: t.program.due - e.world.clock.now, HasDeadline: true,
 		MaxWait: ms(t.program.kind.ObjectiveMS), ClientTimeout: clientPatience, Priority: t.program.kind.Priority,
+		Program: t.program.hash, RoutePriority: t.program.kind.Priority,
 	})
 }
 
@@ -100,6 +101,7 @@
 			continue
 		}
 		if a.engine.offer(a.call) {
+			e.world.countCall()
 			return
 		}
 		a.place.Done(now, placement.Result{OK: true, Refused: true})
@@ -141,6 +143,7 @@
 }
 
 func (a *attempt) done(r placement.Result) {
+	a.entry.world.inFlight--
 	a.place.Done(a.entry.world.clock.time(), r)
 	a.leave()
 }
--- a/rockbench/emulator/program.go
+++ b/rockbench/emulator/program.go
@@ -24,7 +24,9 @@
 
 // program is one agent program.
 type program struct {
-	world   *world
+	world *world
+	// hash identifies the program.
+	hash    uint64
 	kind    *Kind
 	entry   *entry
 	began   time.Duration
--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -48,6 +49,8 @@
 	// TurnP50 and TurnP99 are the times of answered turns in milliseconds.
 	TurnP50 int64 `json:"turn_p50_ms"`
 	TurnP99 int64 `json:"turn_p99_ms"`
+	// MostInFlight is the most calls that were at the engines at once.
+	MostInFlight int `json:"most_in_flight"`
 }
 
 // drain is how long programs may go on after the last arrival.
@@ -76,6 +79,10 @@
 	// peak bounds the rate of arrivals.
 	peak  float64
 	lines int
+	// priorities are the distinct priorities of the kinds in ascending order.
+	priorities []uint32
+	// inFlight is the number of calls at the engines.
+	inFlight int
 }
 
 // Play runs a deployment.
@@ -86,6 +93,11 @@
 		rand:  rand.New(rand.NewPCG(r.Seed, 1)),
 		times: hdrhistogram.New(1, 120_000, 3),
 	}
+	for _, k := range r.Deployment.Kinds {
+		w.priorities = append(w.priorities, k.Priority)
+	}
+	slices.Sort(w.priorities)
+	w.priorities = slices.Compact(w.priorities)
 	for i := range r.Deployment.Engine.Count {
 		name := fmt.Sprintf("engine-%03d", i)
 		w.names = append(w.names, name)
@@ -170,6 +182,7 @@
 	p := &program{
 		world: w, kind: k, entry: w.drawEntry(k), began: w.clock.now,
 		runaway: w.rand.Float64() < k.Runaway,
+		hash:    rand.NewPCG(uint64(w.result.Programs), 0).Uint64(),
 	}
 	l, idle := w.drawLine(p, w.drawTurns(p), true)
 	l.done = p.ended
@@ -256,6 +269,12 @@
 	}
 }
 
+// countCall counts a call that an engine has taken.
+func (w *world) countCall() {
+	w.inFlight++
+	w.result.MostInFlight = max(w.result.MostInFlight, w.inFlight)
+}
+
 // last reports whether a program came in the last quarter of the day.
 func (w *world) last(p *program) bool { return p.began.Seconds() >= 0.75*w.deployment.Seconds }
 
