limiter: refused programs are told to return one after the other

Cause: the retry times of programs that the shared level refuses followed the slots of the one instance, and a program that returned had no advantage over one that came for the first time. Change: an instance schedules the programs that it refused at the rate of its own starts of the last 5 s times the number of instances, 0.15 to 1 s from now and within a third of the time that the client has left. A program that returns within 2 s of the time it was told has 0.25 added to the compared share; one that returns earlier has not.

--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -150,7 +150,7 @@
 		if l.table != t {
 			l.table, l.priorities = t, t.StreamPriorities(l.service)
 		}
-		r.Shared = limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Priorities: l.priorities}
+		r.Shared = limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Instances: c.Instances, Priorities: l.priorities}
 	}
 	l.handleLocked(now, r)
 }
--- a/rockbarrow/limiter/level.go
+++ b/rockbarrow/limiter/level.go
@@ -16,6 +16,8 @@
 	Slots int
 	// InFlight is the number of calls at these endpoints, those of this instance included.
 	InFlight int
+	// Instances is the number of instances.
+	Instances int
 	// Priorities are the distinct priorities of the service's routes in ascending order.
 	Priorities []uint32
 }
@@ -90,15 +92,11 @@
 	if groupOf(e) == groupOverdue {
 		rank = 1
 	}
-	if fraction(e.Program) < min(level, l.shared.limit(now))-rank {
+	if fraction(e.Program) < min(level, l.shared.limit(now))-rank+l.returns.bonus(now, e.Program) {
 		return Reject{}, true
 	}
-	return Reject{ID: e.ID, RetryAfter: l.retryAfter(now, minReturn), ByLevel: true}, false
+	return Reject{ID: e.ID, RetryAfter: l.returns.add(now, e.Program, l.shared.Instances, e.Remaining), ByLevel: true}, false
 }
 
-// minReturn is the shortest retry time of a program that the level refuses. Half an interval of load reports passes
-// before the level reflects calls that have ended elsewhere.
-const minReturn = 150 * time.Millisecond
-
 // fraction maps a hash to [0, 1).
 func fraction(hash uint64) float64 { return float64(hash>>11) / (1 << 53) }
--- a/rockbarrow/limiter/limiter.go
+++ b/rockbarrow/limiter/limiter.go
@@ -29,6 +29,8 @@
 	meanServiceTime time.Duration
 	// lastRetryAt is the retry time given to the last rejected client.
 	lastRetryAt time.Time
+	// returns are the programs that the shared level refused.
+	returns returnSchedule
 	// clock and virtualTimes, by customer, implement fair queueing of new programs.
 	clock        fair.VirtualClock
 	virtualTimes map[string]float64
@@ -212,6 +214,7 @@
 		}
 		l.running[w.id] = now
 		if w.group == groupNew {
+			l.returns.recordStart(now)
 			l.clock.Advance(w.virtual)
 		}
 		l.startRates[w.group].add(now)
--- a/rockbarrow/limiter/rate.go
+++ b/rockbarrow/limiter/rate.go
@@ -14,7 +14,11 @@
 
 // slidingRate measures the rate of events over a sliding window. The zero value is ready
 // to use.
-type slidingRate struct{ events []time.Time }
+type slidingRate struct {
+	events []time.Time
+	// window is rateWindow if zero.
+	window time.Duration
+}
 
 // add records an event.
 func (r *slidingRate) add(now time.Time) {
@@ -34,11 +38,18 @@
 	if len(r.events) == maxRateEvents {
 		return maxRateEvents / max(1e-3, now.Sub(r.events[0]).Seconds())
 	}
-	return float64(len(r.events)) / rateWindow.Seconds()
+	return float64(len(r.events)) / r.length().Seconds()
+}
+
+func (r *slidingRate) length() time.Duration {
+	if r.window == 0 {
+		return rateWindow
+	}
+	return r.window
 }
 
 func (r *slidingRate) trim(now time.Time) {
-	for len(r.events) > 0 && now.Sub(r.events[0]) > rateWindow {
+	for len(r.events) > 0 && now.Sub(r.events[0]) > r.length() {
 		r.events = r.events[1:]
 	}
 }
--- a/rockbarrow/placement/capacity.go
+++ b/rockbarrow/placement/capacity.go
@@ -13,8 +13,8 @@
 	// Slots is how many calls this instance may have at the endpoints.
 	Slots int
 	// SharedSlots is the number of slots of all usable endpoints, SharedInFlight the number of calls there of all
-	// instances. Both are zero unless new programs are admitted by them.
-	SharedSlots, SharedInFlight int
+	// instances, and Instances their number. All are zero unless new programs are admitted by them.
+	SharedSlots, SharedInFlight, Instances int
 }
 
 // Capacity returns the capacity of a service among the given number of instances. An instance with few slots that hears
@@ -31,7 +31,7 @@
 		return Capacity{Slots: min(slots, max(1, all/instances))}
 	}
 	remote := remoteCalls(at, class, remotelyLoaded)
-	out := Capacity{Slots: min(slots, max(1, all/instances, all-remote)), SharedSlots: slots, SharedInFlight: remote}
+	out := Capacity{Slots: min(slots, max(1, all/instances, all-remote)), SharedSlots: slots, SharedInFlight: remote, Instances: instances}
 	for _, e := range used {
 		if e.config.GetService() == class.Service && e.isUsable(at) {
 			out.SharedInFlight += int(e.InFlight())
--- a/rockbarrow/placement/capacity_test.go
+++ b/rockbarrow/placement/capacity_test.go
@@ -38,7 +38,7 @@
 		}
 		f.SetRemoteLoads(now, loads)
 		later := now.Add(time.Duration(r.IntN(2)) * 1300 * time.Millisecond)
-		want := Capacity{Slots: f.Slots(later, class, 40)}
+		want := Capacity{Slots: f.Slots(later, class, 40), Instances: 40}
 		for _, e := range f.Endpoints() {
 			if at := later.UnixNano(); e.isUsable(at) {
 				want.SharedSlots += 6
@@ -60,7 +60,7 @@
 		t.Errorf("%+v before the first report, want %+v", got, evenShare)
 	}
 	f.SetRemoteLoads(now, []RemoteLoad{{Endpoint: f.Endpoint("e0003"), Running: 4}})
-	if got, want := f.Capacity(now, class, 80), (Capacity{Slots: 210, SharedSlots: 210, SharedInFlight: 4}); got != want {
+	if got, want := f.Capacity(now, class, 80), (Capacity{Slots: 210, SharedSlots: 210, SharedInFlight: 4, Instances: 80}); got != want {
 		t.Errorf("%+v, want %+v", got, want)
 	}
 	if got, want := f.Capacity(now, class, 26), (Capacity{Slots: 210}); got != want {
--- a/rockbench/emulator/entry.go
+++ b/rockbench/emulator/entry.go
@@ -51,7 +51,7 @@
 	e.waiting[a.id] = a
 	now := e.world.clock.time()
 	c := e.fleet.Capacity(now, placement.Class{Service: service}, len(e.world.entries))
-	e.handle(limiter.Resized{Slots: c.Slots, Shared: limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Priorities: e.world.priorities}})
+	e.handle(limiter.Resized{Slots: c.Slots, Shared: limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Instances: c.Instances, Priorities: e.world.priorities}})
 	e.handle(limiter.Arrived{
 		ID: a.id, InProgress: t.line.last.EndpointID != "", Remaining: t.program.due - e.world.clock.now, HasDeadline: true,
 		MaxWait: ms(t.program.kind.ObjectiveMS), ClientTimeout: clientPatience, Priority: t.program.kind.Priority,
