entry: metrics of the shared admission level

Cause: operators could not see why new programs are refused while instances have free slots. Change: gauge admission_level by service, the free slots of all instances over their square root (not a number while the level does not apply), and counter refused_by_level by service. Measured: tests of entry and limiter, with the race detector for those of the level.

--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -4,11 +4,13 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/uber-go/tally/v4"
 
 	"rockbarrow.dev/rockbarrow/limiter"
 	"rockbarrow.dev/rockbarrow/placement"
@@ -32,14 +34,13 @@
 		s.byService = map[string]*serviceLimiter{}
 	}
 	if s.byService[service] == nil {
-		s.byService[service] = &serviceLimiter{service: service, waiting: map[limiter.ID]chan limiter.Action{}}
+		s.byService[service] = &serviceLimiter{waiting: map[limiter.ID]chan limiter.Action{}}
 	}
 	return s.byService[service]
 }
 
 // serviceLimiter is the concurrency limiter of one service and its waiting requests.
 type serviceLimiter struct {
-	service string
 	mu      sync.Mutex
 	limiter limiter.Limiter
 	lastID  limiter.ID
@@ -55,8 +56,8 @@
 
 // acquire waits for a slot and returns the function that releases it. Without a slot the
 // function is nil, and the action is a [limiter.Reject], or nil if ctx ended.
-func (l *serviceLimiter) acquire(ctx context.Context, capacity capacityFunc, a limiter.Arrived) (func(), limiter.Action) {
-	action := l.enqueue(&a, capacity)
+func (l *serviceLimiter) acquire(ctx context.Context, c capacityCounter, a limiter.Arrived) (func(), limiter.Action) {
+	action := l.enqueue(&a, c)
 	select {
 	case act := <-action:
 		return l.releaseFunc(act), act
@@ -75,51 +76,51 @@
 }
 
 // enqueue assigns the request an id and adds it to the limiter. The channel delivers its action.
-func (l *serviceLimiter) enqueue(a *limiter.Arrived, capacity capacityFunc) <-chan limiter.Action {
+func (l *serviceLimiter) enqueue(a *limiter.Arrived, c capacityCounter) <-chan limiter.Action {
 	action := make(chan limiter.Action, 1)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.resizeLocked(now, capacity)
+	l.resizeLocked(now, c)
 	l.lastID++
 	a.ID = l.lastID
 	l.waiting[a.ID] = action
 	l.handleLocked(now, *a)
 	if len(l.waiting) > 0 && !l.resizing {
 		l.resizing = true
-		go l.runResizing(capacity)
+		go l.runResizing(c)
 	}
 	return action
 }
 
 // admit reports whether the shared level lets a new program start, and otherwise the rejection.
-func (l *serviceLimiter) admit(capacity capacityFunc, a limiter.Arrived) (limiter.Reject, bool) {
+func (l *serviceLimiter) admit(c capacityCounter, a limiter.Arrived) (limiter.Reject, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	l.resizeLocked(now, capacity)
+	l.resizeLocked(now, c)
 	return l.limiter.Admit(now, a)
 }
 
 // runResizing recounts the slots while requests wait, because their number also changes while no request arrives
 // or finishes.
-func (l *serviceLimiter) runResizing(capacity capacityFunc) {
+func (l *serviceLimiter) runResizing(c capacityCounter) {
 	tick := time.NewTicker(resizeInterval)
 	defer tick.Stop()
 	for range tick.C {
-		if !l.resizeForWaiting(capacity) {
+		if !l.resizeForWaiting(c) {
 			return
 		}
 	}
 }
 
 // resizeForWaiting recounts the slots, or returns false if no request waits.
-func (l *serviceLimiter) resizeForWaiting(capacity capacityFunc) bool {
+func (l *serviceLimiter) resizeForWaiting(c capacityCounter) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.resizing = len(l.waiting) > 0
 	if l.resizing {
-		l.resizeLocked(time.Now(), capacity)
+		l.resizeLocked(time.Now(), c)
 	}
 	return l.resizing
 }
@@ -135,24 +136,27 @@
 	return func() { l.handle(limiter.Finished{ID: id}) }
 }
 
-// capacityFunc returns the current capacity of a service and the configuration.
-type capacityFunc func() (placement.Capacity, *routing.Table)
-
 // resizeLocked recounts the slots unless that was done within resizeInterval. The caller holds mu.
-func (l *serviceLimiter) resizeLocked(now time.Time, capacity capacityFunc) {
+func (l *serviceLimiter) resizeLocked(now time.Time, c capacityCounter) {
 	if now.Sub(l.resized) < resizeInterval {
 		return
 	}
 	l.resized = now
-	c, t := capacity()
-	r := limiter.Resized{Slots: c.Slots}
-	if c.SharedSlots > 0 {
-		if l.table != t {
-			l.table, l.priorities = t, t.StreamPriorities(l.service)
+	n := c.count(now)
+	r := limiter.Resized{Slots: n.Slots}
+	if n.SharedSlots > 0 {
+		if t := c.entry.table.Load(); l.table != t {
+			l.table, l.priorities = t, t.StreamPriorities(c.service)
 		}
-		r.Shared = limiter.Shared{Slots: c.SharedSlots, InFlight: c.SharedInFlight, Instances: c.Instances, Priorities: l.priorities}
+		r.Shared = limiter.Shared{Slots: n.SharedSlots, InFlight: n.SharedInFlight, Instances: n.Instances, Priorities: l.priorities}
 	}
+	_, applied := l.limiter.Level()
 	l.handleLocked(now, r)
+	if level, ok := l.limiter.Level(); ok {
+		c.scope().Gauge("admission_level").Update(level)
+	} else if applied {
+		c.scope().Gauge("admission_level").Update(math.NaN())
+	}
 }
 
 func (l *serviceLimiter) handle(e limiter.Event) {
@@ -196,10 +200,10 @@
 	if x.handling.reserved && !x.handling.history {
 		return nil
 	}
-	service := x.service.GetName()
-	reject, ok := x.entry.limiters.get(service).admit(x.entry.capacityOf(service), x.arrival())
+	c := x.capacityCounter()
+	reject, ok := x.entry.limiters.get(c.service).admit(c, x.arrival())
 	if !ok {
-		return rejectedBySlots(reject)
+		return x.rejectedBySlots(reject)
 	}
 	x.admitted = true
 	return nil
@@ -214,21 +218,26 @@
 	if !x.isLimited() {
 		return func() {}, nil
 	}
-	service := x.service.GetName()
-	release, act := x.entry.limiters.get(service).acquire(ctx, x.entry.capacityOf(service), x.arrival())
+	c := x.capacityCounter()
+	release, act := x.entry.limiters.get(c.service).acquire(ctx, c, x.arrival())
 	if release != nil {
 		return release, nil
 	}
 	if reject, ok := act.(limiter.Reject); ok {
-		return nil, rejectedBySlots(reject)
+		return nil, x.rejectedBySlots(reject)
 	}
 	return nil, Rejected{Status: http.StatusServiceUnavailable, RetryAfter: longRetryAfter, Reason: "no place at an endpoint within its time"}
 }
 
-// rejectedBySlots returns the outcome of a request that the limiter rejected.
-func rejectedBySlots(r limiter.Reject) Rejected {
+func (x *exchange) capacityCounter() capacityCounter {
+	return capacityCounter{entry: x.entry, service: x.service.GetName()}
+}
+
+// rejectedBySlots counts a request that the limiter rejected, and returns its outcome.
+func (x *exchange) rejectedBySlots(r limiter.Reject) Rejected {
 	reason := "all places at endpoints are taken by programs under way"
 	if r.ByLevel {
+		x.capacityCounter().scope().Counter("refused_by_level").Inc(1)
 		reason = "the endpoints have no room for new programs of this priority"
 	}
 	return Rejected{Status: http.StatusServiceUnavailable, RetryAfter: r.RetryAfter, Reason: reason}
@@ -260,10 +269,17 @@
 	return total
 }
 
-// capacityOf returns a function that counts the slots of a service. It is called while requests wait, and keeps none
-// of them.
-func (e *Entry) capacityOf(service string) capacityFunc {
-	return func() (placement.Capacity, *routing.Table) {
-		return e.fleet.Load().Capacity(time.Now(), placement.Class{Service: service}, e.Watch.EntryCount()), e.table.Load()
-	}
+// capacityCounter counts the slots of a service. It is used while requests wait, and keeps none of them.
+type capacityCounter struct {
+	entry   *Entry
+	service string
+}
+
+func (c capacityCounter) count(now time.Time) placement.Capacity {
+	return c.entry.fleet.Load().Capacity(now, placement.Class{Service: c.service}, c.entry.Watch.EntryCount())
+}
+
+// scope returns the scope of the service's metrics.
+func (c capacityCounter) scope() tally.Scope {
+	return c.entry.serviceScopes.get(c.entry.Metrics, "service", c.service)
 }
--- a/rockbarrow/entry/admission_test.go
+++ b/rockbarrow/entry/admission_test.go
@@ -12,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -138,11 +140,13 @@
 }
 
 // TestLevelRefusesOnlyNewPrograms checks that a turn of a program in progress is served while the endpoints are full,
-// and that the stores tell it from a new program.
+// that the stores tell it from a new program, and that operators can see the refusal.
 func TestLevelRefusesOnlyNewPrograms(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){respond(200, events(1, 3))}}
 		e := newStreamEntry(t, startStores(t), s)
+		metrics := tally.NewTestScope("", nil)
+		e.Metrics = metrics
 		shareSlots(e, 0)
 		serve := func(id, program string) Outcome {
 			return e.Serve(t.Context(), newTurn("r", id, program, 100), &fakeWriter{})
@@ -157,6 +161,10 @@
 			t.Errorf("%+v for a new program, %d requests were sent", got, len(s.requests))
 		}
 		awaitSettled(t, e, "late", 0)
+		refused, level := metrics.Snapshot().Counters()["refused_by_level+service=s"], metrics.Snapshot().Gauges()["admission_level+service=s"]
+		if refused == nil || refused.Value() != 1 || level == nil || level.Value() != 0 {
+			t.Errorf("the counter is %v and the gauge %v, want 1 and 0", refused, level)
+		}
 		e.sessions = sessionEndpoints{}
 		if o := serve("3", "early"); o != (Completed{}) {
 			t.Errorf("%#v for a program in progress", o)
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -72,6 +72,7 @@
 	sessions                      sessionEndpoints
 	limiters                      serviceLimiters
 	customerScopes, outcomeScopes taggedScopes
+	serviceScopes                 taggedScopes
 	// storesLostSince is when Stores.Reachable was first seen to be false, in nanoseconds since
 	// 1970, zero while it is true.
 	storesLostSince atomic.Int64
