--- a/rockbarrow/entry/sessions.go
+++ b/rockbarrow/entry/sessions.go
@@ -70,5 +70,6 @@
 
 // hasProgram reports whether an endpoint served a turn of the program.
 func (s *sessionEndpoints) hasProgram(program string) bool {
-	return program != "" && s.lookup(program, "", incarnation.ID{}).EndpointID != ""
+	last, _ := s.lookup(program, "", incarnation.ID{})
+	return program != "" && last.EndpointID != ""
 }
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -108,7 +108,7 @@
 	if x.grant == nil {
 		if x.streamStarted && x.customer != nil {
 			// The stores do not know this program.
-			x.entry.sessions.record(x.request.Program, x.request.Session, x.endpoint)
+			x.entry.sessions.record(x.request.Program, x.request.Session, x.endpoint, x.request.PromptTokens+x.spentTokens(completed))
 		}
 		return o
 	}
