--- a/rockbench/emulator/deployment.go
+++ b/rockbench/emulator/deployment.go
@@ -29,7 +29,7 @@
 	Slow     []Slow    `toml:"slow"`
 }
 
-// Engine describes the model engines, which are all alike.
+// Engine describes the model engines, which are all alike but for their speeds.
 type Engine struct {
 	Count int `toml:"count"`
 	// Slots is the size of a batch, Queue how many calls wait beside it.
@@ -46,6 +46,16 @@
 	// between two steps.
 	ReadPerMS float64 `toml:"read_per_ms"`
 	Piece     int     `toml:"piece"`
+	// Speeds are multiples of all these times, which the engines have in turn; empty means 1.
+	Speeds []float64 `toml:"speeds"`
+}
+
+// speed returns the multiple of an engine.
+func (e *Engine) speed(i int) float64 {
+	if len(e.Speeds) == 0 {
+		return 1
+	}
+	return e.Speeds[i%len(e.Speeds)]
 }
 
 // Kind is a kind of program.
--- a/rockbench/emulator/engine.go
+++ b/rockbench/emulator/engine.go
@@ -25,8 +25,8 @@
 	running    []*call
 	queue      []*call
 	stepping   bool
-	// slow is how many times as long a step takes.
-	slow float64
+	// speed is the engine's own multiple of the time of a step, slow that of a fault.
+	speed, slow float64
 	// down is true between two lives.
 	down bool
 	// tokens counts the prompt tokens that were read.
@@ -90,7 +90,7 @@
 	if decoding > 0 {
 		took += d.StepMS + d.StepPerCallMS*float64(decoding) + d.StepPerKMS*float64(context)/1000
 	}
-	e.clock.after(ms(took*e.slow), e.stepped)
+	e.clock.after(ms(took*e.speed*e.slow), e.stepped)
 }
 
 func (e *engine) stepped() {
--- a/rockbench/emulator/entry.go
+++ b/rockbench/emulator/entry.go
@@ -30,13 +30,15 @@
 
 // attempt is one try of a turn at an entry.
 type attempt struct {
-	id     limiter.ID
-	entry  *entry
-	turn   *turn
-	place  *placement.Endpoint
-	engine *engine
-	call   *call
-	over   bool
+	id              limiter.ID
+	entry           *entry
+	turn            *turn
+	place           *placement.Endpoint
+	engine          *engine
+	call            *call
+	over            bool
+	choice          placement.Choice
+	sentAt, firstAt time.Duration
 }
 
 // serve takes a turn.
@@ -86,12 +88,12 @@
 	var avoid []incarnation.ID
 	for range len(e.world.engines) {
 		choice, ok := e.fleet.Choose(now, placement.Request{
-			Class: placement.Class{Service: service}, PromptTokens: int64(t.prompt), OutputTokens: int64(t.output), LastEndpoint: t.line.last, AvoidEndpoints: avoid,
+			Class: placement.Class{Service: service}, PromptTokens: int64(t.prompt), OutputTokens: int64(t.output), LastEndpoint: t.line.last, LastTokens: int64(t.line.lastTokens), AvoidEndpoints: avoid,
 		}, e.rand)
 		if !ok {
 			break
 		}
-		a.place = choice.Endpoint()
+		a.place, a.choice, a.sentAt = choice.Endpoint(), choice, e.world.clock.now
 		a.engine = e.world.engines[a.place.Name()]
 		a.call = &call{line: t.line, prompt: t.prompt, output: t.output, first: a.first, ended: a.ended, lost: a.lost}
 		if a.engine.down {
@@ -114,13 +116,17 @@
 // first is called with the first token: the client waits on from now.
 func (a *attempt) first() {
 	a.place.RecordResponse(a.entry.world.clock.time())
-	a.call.first = nil
+	a.call.first, a.firstAt = nil, a.entry.world.clock.now
 }
 
 func (a *attempt) ended() {
 	a.over = true
-	a.turn.line.last = a.place.Life()
-	a.done(placement.Result{OK: true})
+	a.turn.line.last, a.turn.line.lastTokens = a.place.Life(), a.turn.prompt+a.turn.output
+	now := a.entry.world.clock.now
+	a.choice.Done(a.entry.world.clock.time(), placement.Result{OK: true, Stream: placement.StreamTiming{
+		FirstEvent: a.firstAt - a.sentAt, AnswerTokens: int64(a.turn.output), DecodedTokens: int64(a.turn.output - 1), DecodeTime: now - a.firstAt,
+	}})
+	a.leave()
 	a.turn.answered()
 }
 
--- a/rockbench/emulator/program.go
+++ b/rockbench/emulator/program.go
@@ -41,9 +41,10 @@
 	// parent is the line that it came from, zero if none; prefix names its shared part.
 	parent, prefix, shared int
 	// context is its tokens so far, last the engine that served it last.
-	context int
-	last    incarnation.ID
-	left    []step
+	context    int
+	last       incarnation.ID
+	lastTokens int
+	left       []step
 	// done is called when all turns are answered.
 	done func()
 }
--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -74,14 +74,47 @@
 	// demands are the programs that are owed.
 	demands []demand
 	// peak bounds the rate of arrivals.
-	peak  float64
-	lines int
+	peak     float64
+	lines    int
+	decoding map[string]*decoding
+}
+
+// decoding is the decayed tokens of an engine and the time that they took, as control instances add them up, and
+// what entries had reported before.
+type decoding struct{ tokens, micros, reportedTokens, reportedMicros float64 }
+
+// decodingDecay is what is left of decoding after each interval of news of 300 ms with a half-life of 2 s, and
+// minDecodedTokens the tokens from which it is told.
+const (
+	decodingDecay    = 0.9
+	minDecodedTokens = 50
+)
+
+// decodingTime returns an engine's time to decode a token in microseconds as it is told to entries, 0 if unknown.
+func (w *world) decodingTime(name string) uint32 {
+	var tokens, micros float64
+	for _, e := range w.entries {
+		u := e.fleet.Endpoint(name).Usage()
+		tokens, micros = tokens+float64(u.DecodedTokens), micros+float64(u.DecodeMicros)
+	}
+	d := w.decoding[name]
+	if d == nil {
+		d = &decoding{}
+		w.decoding[name] = d
+	}
+	d.tokens = d.tokens*decodingDecay + max(0, tokens-d.reportedTokens)
+	d.micros = d.micros*decodingDecay + max(0, micros-d.reportedMicros)
+	d.reportedTokens, d.reportedMicros = tokens, micros
+	if d.tokens < minDecodedTokens {
+		return 0
+	}
+	return uint32(d.micros / d.tokens)
 }
 
 // Play runs a deployment.
 func (r Run) Play() Result {
 	w := &world{
-		deployment: r.Deployment, limited: r.Limited, engines: map[string]*engine{}, policy: r.Policy, byName: r.ByName,
+		deployment: r.Deployment, limited: r.Limited, engines: map[string]*engine{}, decoding: map[string]*decoding{}, policy: r.Policy, byName: r.ByName,
 		peak:  r.Deployment.peak(),
 		rand:  rand.New(rand.NewPCG(r.Seed, 1)),
 		times: hdrhistogram.New(1, 120_000, 3),
@@ -89,7 +122,7 @@
 	for i := range r.Deployment.Engine.Count {
 		name := fmt.Sprintf("engine-%03d", i)
 		w.names = append(w.names, name)
-		w.engines[name] = &engine{deployment: &r.Deployment.Engine, clock: &w.clock, name: name, slow: 1}
+		w.engines[name] = &engine{deployment: &r.Deployment.Engine, clock: &w.clock, name: name, speed: r.Deployment.Engine.speed(i), slow: 1}
 		w.listed = append(w.listed, placement.ListedEndpoint{BornMS: 1, Config: &configpb.Endpoint{
 			Name: name, Service: service, MaxCalls: uint32(r.Deployment.Engine.Slots), Domain: "domain", Address: name,
 		}})
@@ -150,11 +183,15 @@
 			all[name] += e.fleet.Endpoint(name).InFlight()
 		}
 	}
+	times := make(map[string]uint32, len(w.names))
+	for _, name := range w.names {
+		times[name] = w.decodingTime(name)
+	}
 	for _, e := range w.entries {
 		loads := make([]placement.RemoteLoad, 0, len(w.names))
 		for _, name := range w.names {
 			p := e.fleet.Endpoint(name)
-			loads = append(loads, placement.RemoteLoad{Endpoint: p, Running: uint32(all[name] - p.InFlight())})
+			loads = append(loads, placement.RemoteLoad{Endpoint: p, Running: uint32(all[name] - p.InFlight()), TokenMicros: times[name]})
 		}
 		// It arrives later, as it stood now.
 		fleet := e.fleet
