placement: the calls of other instances are summed once for each report

Cause: the capacity behind the shared admission level went through all reported endpoints, 33 us for 1,000 of them, and a request pays for it at most every 50 ms. Change: the sums by service are made when a report or an endpoint list arrives; the capacity goes only through the endpoints that this instance has used. A test covers the priorities that the level ranks.

--- a/rockbarrow/placement/capacity.go
+++ b/rockbarrow/placement/capacity.go
@@ -25,24 +25,24 @@
 		return Capacity{Slots: f.Slots(now, class, instances)}
 	}
 	at := now.UnixNano()
-	used, remotelyLoaded := f.tracked.snapshot()
-	slots, all := c.usableSlots(at, class, used)
-	if !f.tracked.isReportFresh(now) {
-		return Capacity{Slots: min(slots, max(1, all/instances))}
-	}
-	remote := remoteCalls(at, class, remotelyLoaded)
-	out := Capacity{Slots: min(slots, max(1, all/instances, all-remote)), SharedSlots: slots, SharedInFlight: remote, Instances: instances}
+	slots, all, own := c.slots, c.slots+c.queueSlots, 0
+	remote, reported := f.tracked.reported(now, class.Service)
+	used, _ := f.tracked.snapshot()
 	for _, e := range used {
-		if e.config.GetService() == class.Service && e.isUsable(at) {
-			out.SharedInFlight += int(e.InFlight())
+		// Only endpoints with calls from this instance can be ejected or unresponsive.
+		switch {
+		case e.config.GetService() != class.Service || e.config.GetDraining():
+		case e.isUsable(at):
+			own += int(e.InFlight())
+		default:
+			n := int(e.maxCalls())
+			slots -= n
+			all -= n + queueSlots(n)
+			remote -= int(e.remote.inFlightAt(at))
 		}
 	}
-	return out
-}
-
-// isReportFresh reports whether the calls of other instances are known.
-func (t *trackedEndpoints) isReportFresh(now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Sub(t.reportedAt) < remoteStateTTL
+	if !reported {
+		return Capacity{Slots: min(slots, max(1, all/instances))}
+	}
+	return Capacity{Slots: min(slots, max(1, all/instances, all-remote)), SharedSlots: slots, SharedInFlight: remote + own, Instances: instances}
 }
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -14,8 +14,27 @@
 	mu sync.Mutex
 	// used endpoints have had calls from this instance; remotelyLoaded ones were in the last report of other instances.
 	used, remotelyLoaded []*Endpoint
-	// reportedAt is the time of the last report.
-	reportedAt time.Time
+	// reportedAt is the time of the last report, and remoteCalls its calls by service, without those at endpoints that
+	// are configured as draining.
+	reportedAt  time.Time
+	remoteCalls map[string]int
+}
+
+// countRemoteCalls sets remoteCalls. The caller holds mu.
+func (t *trackedEndpoints) countRemoteCalls() {
+	t.remoteCalls = map[string]int{}
+	for _, e := range t.remotelyLoaded {
+		if !e.config.GetDraining() {
+			t.remoteCalls[e.config.GetService()] += int(e.remote.inFlight.Load())
+		}
+	}
+}
+
+// reported returns the calls of other instances by the last report, or false if it has expired.
+func (t *trackedEndpoints) reported(now time.Time, service string) (calls int, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.remoteCalls[service], now.Sub(t.reportedAt) < remoteStateTTL
 }
 
 // markUsed adds an endpoint on its first call.
@@ -34,6 +53,7 @@
 	defer t.mu.Unlock()
 	stale := func(e *Endpoint) bool { return f.Endpoint(e.name) != e }
 	t.used, t.remotelyLoaded = slices.DeleteFunc(slices.Clone(t.used), stale), slices.DeleteFunc(slices.Clone(t.remotelyLoaded), stale)
+	t.countRemoteCalls()
 }
 
 // snapshot returns both lists. They must not be changed.
@@ -70,6 +90,7 @@
 		l.Endpoint.setRemoteLoad(now, l.Running, l.FailingPercent)
 		t.remotelyLoaded = append(t.remotelyLoaded, l.Endpoint)
 	}
+	t.countRemoteCalls()
 }
 
 // Slots returns how many calls this instance may have at the usable endpoints of a
@@ -81,14 +102,8 @@
 		return 0
 	}
 	at := now.UnixNano()
+	slots, all, remote := c.slots, c.slots+c.queueSlots, 0
 	used, remotelyLoaded := f.tracked.snapshot()
-	slots, all := c.usableSlots(at, class, used)
-	return min(slots, max(1, all/instances, all-remoteCalls(at, class, remotelyLoaded)))
-}
-
-// usableSlots returns the slots at usable endpoints, without and with those of their queues.
-func (c *classEndpoints) usableSlots(at int64, class Class, used []*Endpoint) (slots, all int) {
-	slots, all = c.slots, c.slots+c.queueSlots
 	for _, e := range used {
 		// Only endpoints with calls from this instance can be ejected or unresponsive.
 		if e.config.GetService() == class.Service && !e.config.GetDraining() && !e.isUsable(at) {
@@ -97,18 +112,12 @@
 			all -= n + queueSlots(n)
 		}
 	}
-	return slots, all
-}
-
-// remoteCalls returns the calls of other instances at usable endpoints.
-func remoteCalls(at int64, class Class, remotelyLoaded []*Endpoint) int {
-	n := 0
 	for _, e := range remotelyLoaded {
 		if e.config.GetService() == class.Service && e.isUsable(at) {
-			n += int(e.remote.inFlightAt(at))
+			remote += int(e.remote.inFlightAt(at))
 		}
 	}
-	return n
+	return min(slots, max(1, all/instances, all-remote))
 }
 
 // isUsable reports whether the endpoint's slots count as capacity.
--- a/rockbarrow/routing/routing_test.go
+++ b/rockbarrow/routing/routing_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,3 +73,21 @@
 		t.Errorf("a request takes %v among %d routes, %v among ten", many/100, routes, few/100)
 	}
 }
+
+// Priorities of other services, or of routes that start no programs, would shift the ranks of a service's programs.
+func TestStreamPrioritiesAreThoseOfTheService(t *testing.T) {
+	d := &fleetpb.Document{Version: 1, Services: []*fleetpb.Service{{Name: "s"}, {Name: "other"}}}
+	for i, priority := range []uint32{2, 0, 2, 1, 3} {
+		r := newRoute(fmt.Sprint("r", i), "h", fmt.Sprintf("/%d/", i))
+		r.Priority, r.Kind = priority, fleetpb.RouteKind_ROUTE_KIND_STREAM
+		d.Routes = append(d.Routes, r)
+	}
+	d.Routes[3].Shares[0].Service, d.Routes[4].Kind = "other", fleetpb.RouteKind_ROUTE_KIND_ONCE
+	table, _, err := (*Table)(nil).ApplyDocument(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := table.StreamPriorities("s"); !slices.Equal(got, []uint32{0, 2}) {
+		t.Errorf("%v, want 0 and 2", got)
+	}
+}
