stores: reservations and settlements share one stream for each store

Cause: a turn makes some eight unary calls to stores. Each opens an HTTP/2 stream with headers and trailers, starts a goroutine on both sides, and sets two timers at the entry instance. Change: the RPC Store.Calls carries the small calls of an entry instance to a store. The caller sends directly, the reply is handled by the stream's one receiver, and one timer for each stream replaces those of the calls: stores still count as unreachable after 250 ms, and calls fail after 800 ms. Large calls, replies with turns, lookups and calls while a stream is not open are unary as before, as are all calls to stores of older versions. When a stream breaks, its calls fail as unary calls do; when a store ends it, calls without a reply were not handled and are repeated.

--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -79,6 +79,7 @@
 type poolConn struct {
 	*grpc.ClientConn
 	lastUsed time.Time
+	detector *silenceDetector
 }
 
 // idleTimeout is how long an unused connection is kept.
@@ -99,6 +100,7 @@
 	if dialer == nil {
 		dialer = connectDefault
 	}
+	detector := &silenceDetector{pool: p, address: address}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialer),
@@ -110,7 +112,7 @@
 		grpc.WithStaticStreamWindowSize(windowSize), grpc.WithStaticConnWindowSize(windowSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageSize), grpc.MaxCallSendMsgSize(maxMessageSize)),
 		grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0),
-		grpc.WithUnaryInterceptor((&silenceDetector{pool: p, address: address}).intercept),
+		grpc.WithUnaryInterceptor(detector.intercept), grpc.WithStreamInterceptor(detector.interceptStream),
 	)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial: %s", address)
@@ -118,7 +120,7 @@
 	if p.conns == nil {
 		p.conns = map[string]*poolConn{}
 	}
-	p.conns[address] = &poolConn{ClientConn: c, lastUsed: time.Now()}
+	p.conns[address] = &poolConn{ClientConn: c, lastUsed: time.Now(), detector: detector}
 	return c, nil
 }
 
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -46,6 +46,8 @@
 	completeEpoch atomic.Uint64
 	// viewChanged wakes the copier.
 	viewChanged chan struct{}
+	// stopping is closed when Run ends. It ends the streams of calls.
+	stopping chan struct{}
 }
 
 // HasRecords reports whether a data directory holds records.
@@ -53,7 +55,7 @@
 
 // Open replays the records on disk. The returned function closes the log.
 func (s *Store) Open() (func(), error) {
-	s.viewChanged = make(chan struct{}, 1)
+	s.viewChanged, s.stopping = make(chan struct{}, 1), make(chan struct{})
 	now := time.Now()
 	log, stop, err := durable.OpenLog(s.DataDir, func(b []byte) error { return s.replay(now, b) })
 	if err != nil {
@@ -126,7 +128,9 @@
 }
 
 // Run copies records when the view changes and removes expired ones until ctx ends.
+// It must be called once.
 func (s *Store) Run(ctx context.Context) {
+	defer close(s.stopping)
 	c := &copier{store: s}
 	go c.loop(ctx)
 	t := time.NewTicker(expiryInterval)
--- a/rockbarrow/stores/bench_test.go
+++ b/rockbarrow/stores/bench_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/dial"
+	"rockbarrow.dev/rockbarrow/store"
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
@@ -41,6 +42,10 @@
 	return &fleetpb.LookupReply{Status: &fleetpb.StoreStatus{Epoch: req.GetEpoch(), WholeEpoch: req.GetEpoch()}}, nil
 }
 
+func (a acceptingStore) Calls(stream fleetpb.Store_CallsServer) error {
+	return (&store.Store{}).ServeCalls(stream, a)
+}
+
 // newAcceptingClient returns a client of five accepting stores.
 func newAcceptingClient(b *testing.B) *stores.Client {
 	view := &fleetpb.View{Epoch: 1, Copies: 5}
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -39,6 +39,7 @@
 	HedgeDelay time.Duration
 
 	health      health
+	streams     callStreams
 	sampleCache sampleCache
 }
 
@@ -133,16 +134,13 @@
 		var total ledger.ReservationSet
 		needChain := t.Previous != "" && seen.get(t.Previous) == nil
 		members, first := c.initialQuorum(view, tracker.Members())
-		preferred := c.preferredMember(members)
+		op := &reservation{turn: t, epoch: view.GetEpoch()}
+		if needChain {
+			op.chainFrom = c.preferredMember(members)
+		}
 		outcome, reason := callQuorum(ctx, c, tracker, members, first, func() bool { return tracker.HasWriteQuorum() && tracker.HasReadQuorum() },
 			func() bool { return c.quorumLost(t.Program) },
-			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
-				r, err := s.Reserve(ctx, &fleetpb.ReserveRequest{
-					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: t.Program, Turn: t.reservation, Tokens: t.MaxTokens,
-					Previous: t.Previous, Chain: needChain && m == preferred, RetainMs: uint64(t.Retention.Milliseconds()),
-				})
-				return r, r.GetStatus(), err
-			},
+			storeRequest[*fleetpb.ReserveReply]{unary: op.unary, call: op.call, reply: op.reply},
 			func(r *fleetpb.ReserveReply) {
 				total.Merge(r.GetReservations())
 				seen.add(r.GetChain())
@@ -272,14 +270,9 @@
 		view := c.Watch.State().GetView()
 		tracker := ledger.NewQuorumTracker(view, program)
 		members := tracker.Members()
+		op := &settlement{request: req, epoch: view.GetEpoch()}
 		outcome, reason := callQuorum(ctx, c, tracker, members, len(members), tracker.HasWriteQuorum, nil,
-			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
-				r, err := s.Settle(ctx, &fleetpb.SettleRequest{
-					Epoch: view.GetEpoch(), Storage: m.GetStorage(), Program: req.GetProgram(),
-					Reservation: req.GetReservation(), Turn: req.GetTurn(), RetainMs: req.GetRetainMs(),
-				})
-				return r, r.GetStatus(), err
-			},
+			storeRequest[*fleetpb.SettleReply]{unary: op.unary, call: op.call, reply: op.reply},
 			func(*fleetpb.SettleReply) {})
 		if outcome == quorumReached {
 			return nil
--- a/rockbarrow/stores/cluster_test.go
+++ b/rockbarrow/stores/cluster_test.go
@@ -73,6 +73,9 @@
 	return c.Store.Reserve(ctx, req)
 }
 
+// Calls serves a stream of calls, whose Reserve calls are counted too.
+func (c *countingStore) Calls(s fleetpb.Store_CallsServer) error { return c.Store.ServeCalls(s, c) }
+
 // start runs the store. Its directory and address stay the same across restarts.
 func (ts *testStore) start() {
 	address := ts.member.GetAddress()
--- a/rockbarrow/stores/hedge_test.go
+++ b/rockbarrow/stores/hedge_test.go
@@ -78,7 +78,7 @@
 		begun := time.Now()
 		names := make(chan string, len(v.GetMembers()))
 		outcome, reason := callQuorum(t.Context(), c, tracker, v.GetMembers(), 3, tracker.HasWriteQuorum, nil,
-			func(ctx context.Context, _ fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
+			storeRequest[*fleetpb.SettleReply]{unary: func(ctx context.Context, _ fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
 				names <- m.GetInstance()
 				s, ok := scripts[int(m.GetStorage())-1]
 				if !ok {
@@ -86,7 +86,7 @@
 				}
 				<-time.After(s.latency)
 				return nil, &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1, Refused: s.refused}, s.err
-			},
+			}},
 			func(*fleetpb.SettleReply) {})
 		took = time.Since(begun)
 		if outcome != quorumReached {
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -100,10 +100,10 @@
 		found := false
 		members := tracker.Members()
 		outcome, reason := callQuorum(ctx, c, tracker, members, len(members), func() bool { return found || absent() }, nil,
-			func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.LookupReply, *fleetpb.StoreStatus, error) {
+			storeRequest[*fleetpb.LookupReply]{unary: func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.LookupReply, *fleetpb.StoreStatus, error) {
 				r, err := s.Lookup(ctx, &fleetpb.LookupRequest{Epoch: view.GetEpoch(), Storage: m.GetStorage(), Turn: id})
 				return r, r.GetStatus(), err
-			},
+			}},
 			func(r *fleetpb.LookupReply) {
 				seen.add(r.GetChain())
 				found = found || r.GetFound()
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rockbarrow.dev/rockbarrow/ledger"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
@@ -37,10 +39,50 @@
 type storeCall[R any] struct {
 	client  *Client
 	member  *fleetpb.Member
-	call    func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
+	request storeRequest[R]
 	results chan<- response[R]
 }
 
+// start sends the call on the stream to its store, or else as a unary call.
+func (c *storeCall[R]) start(ctx context.Context) {
+	if c.request.call != nil {
+		if s := c.client.stream(c.member.GetAddress()); s != nil {
+			done := func(r *fleetpb.StoreCallReply, started time.Time, err error) { c.streamDone(ctx, r, started, err) }
+			if call := c.request.call(c.member); call != nil && s.send(call, &streamedCall{slow: c.slow, done: done}) {
+				return
+			}
+		}
+	}
+	go c.run(ctx)
+}
+
+func (c *storeCall[R]) slow(started time.Time) {
+	(&responseTimeout{client: c.client, member: c.member, started: started}).run()
+}
+
+// streamDone handles the end of a call on a stream.
+func (c *storeCall[R]) streamDone(ctx context.Context, r *fleetpb.StoreCallReply, started time.Time, err error) {
+	var notHandled *notHandledError
+	if errors.As(err, &notHandled) {
+		go c.run(ctx)
+		return
+	}
+	result := response[R]{member: c.member}
+	if err == nil {
+		result.reply, result.status = c.request.reply(r)
+	}
+	c.finish(result, started, err)
+}
+
+// finish records the result of the call and passes it on.
+func (c *storeCall[R]) finish(r response[R], started time.Time, err error) {
+	if err == nil || !processStalled(started, callTimeout) {
+		c.client.recordResult(c.member, err)
+	}
+	r.err = err
+	c.results <- r
+}
+
 // run calls the store. It continues after the quorum was reached without this
 // store, so that the store receives the record too.
 func (c *storeCall[R]) run(ctx context.Context) {
@@ -51,14 +93,10 @@
 	r := response[R]{member: c.member}
 	conn, err := c.client.Pool.Get(c.member.GetAddress())
 	if err == nil {
-		r.reply, r.status, err = c.call(ctx, fleetpb.NewStoreClient(conn), c.member)
+		r.reply, r.status, err = c.request.unary(ctx, fleetpb.NewStoreClient(conn), c.member)
 	}
 	timer.Stop()
-	if err == nil || !processStalled(timeout.started, callTimeout) {
-		c.client.recordResult(c.member, err)
-	}
-	r.err = err
-	c.results <- r
+	c.finish(r, timeout.started, err)
 }
 
 // callOutcome is the result of one attempt to reach a quorum.
@@ -75,8 +113,8 @@
 
 // quorumCall is a call to the members of a quorum tracker.
 type quorumCall[R any] struct {
-	client *Client
-	call   func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
+	client  *Client
+	request storeRequest[R]
 	// responses is buffered for all members, so that late calls never block.
 	responses chan response[R]
 	// unsent are the members that were not called yet, sent counts the others.
@@ -87,7 +125,7 @@
 // send calls the next n members that were not called yet.
 func (q *quorumCall[R]) send(ctx context.Context, n int) {
 	for _, m := range q.unsent[:n] {
-		go (&storeCall[R]{client: q.client, member: m, call: q.call, results: q.responses}).run(ctx)
+		(&storeCall[R]{client: q.client, member: m, request: q.request, results: q.responses}).start(ctx)
 	}
 	q.unsent, q.sent = q.unsent[n:], q.sent+n
 }
@@ -100,10 +138,10 @@
 // unreachable never aborts.
 func callQuorum[R any](
 	ctx context.Context, c *Client, t *ledger.QuorumTracker, members []*fleetpb.Member, first int, done, unreachable func() bool,
-	call func(context.Context, fleetpb.StoreClient, *fleetpb.Member) (R, *fleetpb.StoreStatus, error),
+	request storeRequest[R],
 	onReply func(R),
 ) (callOutcome, string) {
-	q := &quorumCall[R]{client: c, call: call, responses: make(chan response[R], len(members)), unsent: members}
+	q := &quorumCall[R]{client: c, request: request, responses: make(chan response[R], len(members)), unsent: members}
 	q.send(ctx, first)
 	hedge := time.NewTimer(cmp.Or(c.HedgeDelay, defaultHedgeDelay))
 	defer hedge.Stop()
--- /dev/null
+++ b/rockbarrow/stores/requests.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: MIT
+
+package stores
+
+import (
+	"context"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// storeRequest is a request to the stores of a quorum.
+type storeRequest[R any] struct {
+	// unary sends the request to a store as a call of its own.
+	unary func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
+	// call returns the request to a store for the stream of calls, or nil if it may
+	// only be sent as a call of its own; reply extracts the result. Both are nil if
+	// that holds for all stores.
+	call  func(m *fleetpb.Member) *fleetpb.StoreCall
+	reply func(r *fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus)
+}
+
+// reservation is the request that reserves the tokens of a turn.
+type reservation struct {
+	turn  Turn
+	epoch uint64
+	// chainFrom is the store that returns the preceding turns, or nil.
+	chainFrom *fleetpb.Member
+}
+
+func (o *reservation) request(m *fleetpb.Member) *fleetpb.ReserveRequest {
+	return &fleetpb.ReserveRequest{
+		Epoch: o.epoch, Storage: m.GetStorage(), Program: o.turn.Program, Turn: o.turn.reservation, Tokens: o.turn.MaxTokens,
+		Previous: o.turn.Previous, Chain: o.returnsChain(m), RetainMs: uint64(o.turn.Retention.Milliseconds()),
+	}
+}
+
+func (o *reservation) returnsChain(m *fleetpb.Member) bool {
+	return o.chainFrom != nil && m == o.chainFrom
+}
+
+func (o *reservation) unary(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
+	r, err := s.Reserve(ctx, o.request(m))
+	return r, r.GetStatus(), err
+}
+
+// call returns nil if the reply contains turns, which may be large.
+func (o *reservation) call(m *fleetpb.Member) *fleetpb.StoreCall {
+	if o.returnsChain(m) {
+		return nil
+	}
+	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Reserve{Reserve: o.request(m)}}
+}
+
+func (o *reservation) reply(r *fleetpb.StoreCallReply) (*fleetpb.ReserveReply, *fleetpb.StoreStatus) {
+	return r.GetReserve(), r.GetReserve().GetStatus()
+}
+
+// settlement is the request that settles a reservation, stores a turn, or both.
+type settlement struct {
+	// request lacks the epoch and the storage.
+	request *fleetpb.SettleRequest
+	epoch   uint64
+}
+
+func (o *settlement) requestTo(m *fleetpb.Member) *fleetpb.SettleRequest {
+	return &fleetpb.SettleRequest{
+		Epoch: o.epoch, Storage: m.GetStorage(), Program: o.request.GetProgram(),
+		Reservation: o.request.GetReservation(), Turn: o.request.GetTurn(), RetainMs: o.request.GetRetainMs(),
+	}
+}
+
+func (o *settlement) unary(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
+	r, err := s.Settle(ctx, o.requestTo(m))
+	return r, r.GetStatus(), err
+}
+
+func (o *settlement) call(m *fleetpb.Member) *fleetpb.StoreCall {
+	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Settle{Settle: o.requestTo(m)}}
+}
+
+func (o *settlement) reply(r *fleetpb.StoreCallReply) (*fleetpb.SettleReply, *fleetpb.StoreStatus) {
+	return r.GetSettle(), r.GetSettle().GetStatus()
+}
--- /dev/null
+++ b/rockbarrow/stores/stream.go
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: MIT
+
+package stores
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+const (
+	// maxStreamedCall in bytes is the size up to which a call is sent on the stream,
+	// so that small calls do not wait behind large ones.
+	maxStreamedCall = 8 << 10
+	// maxUnanswered in bytes limits the calls of a stream that have no reply. It is
+	// below the 64 KB that gRPC takes from a stream before sending blocks.
+	maxUnanswered = 48 << 10
+	// reopenDelay is the time before a stream that failed is opened again, and
+	// unsupportedDelay that for a store of a version without streams.
+	reopenDelay      = 200 * time.Millisecond
+	unsupportedDelay = 30 * time.Second
+)
+
+// callStreams holds the streams of calls to stores. The zero value is ready to use.
+type callStreams struct {
+	mu        sync.Mutex
+	byAddress map[string]*callStream
+}
+
+// stream returns the stream to a store, or nil if unary calls must be used. It opens
+// the stream in the background, so that it never waits for a connection.
+func (c *Client) stream(address string) *callStream {
+	conn, err := c.Pool.Get(address)
+	if err != nil {
+		return nil
+	}
+	c.streams.mu.Lock()
+	defer c.streams.mu.Unlock()
+	s := c.streams.byAddress[address]
+	if s == nil || s.conn != conn || s.mayReopen(time.Now()) {
+		if c.streams.byAddress == nil {
+			c.streams.byAddress = map[string]*callStream{}
+		}
+		s = &callStream{client: c, address: address, conn: conn, pending: map[uint64]*streamedCall{}}
+		c.streams.byAddress[address] = s
+		go s.run()
+	}
+	return s
+}
+
+// remove forgets a stream of an address without an open connection.
+func (c *callStreams) remove(s *callStream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byAddress[s.address] == s {
+		delete(c.byAddress, s.address)
+	}
+}
+
+// callStream carries calls to one store over one connection.
+type callStream struct {
+	client  *Client
+	address string
+	conn    *grpc.ClientConn
+
+	mu sync.Mutex
+	// stream is nil until the store has confirmed it, and once it has ended.
+	stream fleetpb.Store_CallsClient
+	lastID uint64
+	// pending holds the calls without a reply by id, including those that have
+	// timed out: their bytes may still wait to be sent.
+	pending    map[uint64]*streamedCall
+	unanswered int
+	// timer calls checkTimeouts while calls are pending. timerSet is false while it
+	// is not running.
+	timer    *time.Timer
+	timerSet bool
+	// reopenAt is when another stream may replace this one, zero until it has ended.
+	reopenAt time.Time
+}
+
+// streamedCall is a call that has no reply yet.
+type streamedCall struct {
+	started time.Time
+	size    int
+	// slow is called once if there is no reply within unresponsiveAfter.
+	slow func(started time.Time)
+	// done is called once with the reply or an error. It must not block.
+	done func(r *fleetpb.StoreCallReply, started time.Time, err error)
+	// reported is true once slow was called, timedOut once done was called with a
+	// timeout.
+	reported, timedOut bool
+}
+
+// notHandledError reports that a store ended the stream without handling a call.
+type notHandledError struct{}
+
+func (e *notHandledError) Error() string { return "the store ended the stream of calls" }
+
+func (s *callStream) mayReopen(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.reopenAt.IsZero() && now.After(s.reopenAt)
+}
+
+// send sends a call unless the stream is not open, the call is too large or too
+// much is unanswered. It never blocks.
+func (s *callStream) send(call *fleetpb.StoreCall, p *streamedCall) bool {
+	p.size = proto.Size(call)
+	if p.size > maxStreamedCall {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stream == nil || s.unanswered+p.size > maxUnanswered {
+		return false
+	}
+	s.lastID++
+	call.Id = s.lastID
+	if s.stream.Send(call) != nil {
+		// The stream has ended before the call was sent; run handles the others.
+		return false
+	}
+	p.started = time.Now()
+	s.pending[call.GetId()] = p
+	s.unanswered += p.size
+	s.setTimer(unresponsiveAfter)
+	return true
+}
+
+// run opens the stream and receives replies until it ends.
+func (s *callStream) run() {
+	stream, err := fleetpb.NewStoreClient(s.conn).Calls(context.Background())
+	if err == nil {
+		// Stores of older versions answer with an error here.
+		_, err = stream.Recv()
+	}
+	if err != nil {
+		s.end(err)
+		return
+	}
+	s.mu.Lock()
+	s.stream = stream
+	s.mu.Unlock()
+	for {
+		r, err := stream.Recv()
+		if err != nil {
+			s.end(err)
+			return
+		}
+		s.receive(r)
+	}
+}
+
+func (s *callStream) receive(r *fleetpb.StoreCallReply) {
+	s.mu.Lock()
+	p, late := s.pending[r.GetId()], false
+	if p != nil {
+		late = p.timedOut
+		delete(s.pending, r.GetId())
+		s.unanswered -= p.size
+	}
+	s.mu.Unlock()
+	if p == nil || late {
+		return
+	}
+	if reason, failed := r.GetReply().(*fleetpb.StoreCallReply_Error); failed {
+		p.done(nil, p.started, errors.New(reason.Error))
+		return
+	}
+	p.done(r, p.started, nil)
+}
+
+// end fails the pending calls as the loss of their connection fails unary calls.
+// Calls that the store certainly did not handle may be repeated.
+func (s *callStream) end(err error) {
+	s.mu.Lock()
+	var failed []*streamedCall
+	for _, p := range s.pending {
+		if !p.timedOut {
+			failed = append(failed, p)
+		}
+	}
+	s.pending, s.stream = nil, nil
+	s.reopenAt = time.Now().Add(reopenDelay)
+	if status.Code(err) == codes.Unimplemented {
+		s.reopenAt = time.Now().Add(unsupportedDelay)
+	}
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+	s.mu.Unlock()
+	if status.Code(err) == codes.Canceled {
+		s.client.streams.remove(s)
+	}
+	if err == io.EOF {
+		err = &notHandledError{}
+	}
+	for _, p := range failed {
+		p.done(nil, p.started, err)
+	}
+}
+
+// setTimer makes checkTimeouts run after d unless it is scheduled already. One
+// timer for each stream, instead of two for each call, avoids most wake-ups of
+// idle threads. s.mu must be held.
+func (s *callStream) setTimer(d time.Duration) {
+	if s.timerSet {
+		return
+	}
+	s.timerSet = true
+	if s.timer == nil {
+		s.timer = time.AfterFunc(d, s.checkTimeouts)
+		return
+	}
+	s.timer.Reset(d)
+}
+
+// checkTimeouts reports calls that are unanswered for unresponsiveAfter, fails
+// those unanswered for callTimeout, and schedules the next check.
+func (s *callStream) checkTimeouts() {
+	now := time.Now()
+	next := time.Duration(-1)
+	var slow, failed []*streamedCall
+	s.mu.Lock()
+	s.timerSet = false
+	for _, p := range s.pending {
+		age := now.Sub(p.started)
+		due := unresponsiveAfter
+		switch {
+		case p.timedOut:
+			continue
+		case age >= callTimeout:
+			p.reported, p.timedOut = true, true
+			failed = append(failed, p)
+			continue
+		case age >= unresponsiveAfter && !p.reported:
+			p.reported = true
+			slow = append(slow, p)
+		}
+		if p.reported {
+			due = callTimeout
+		}
+		if next < 0 || due-age < next {
+			next = due - age
+		}
+	}
+	if next >= 0 {
+		s.setTimer(next)
+	}
+	s.mu.Unlock()
+	for _, p := range slow {
+		p.slow(p.started)
+	}
+	for _, p := range failed {
+		s.client.Pool.ReportTimeout(s.address, s.conn, p.started)
+		p.done(nil, p.started, status.FromContextError(context.DeadlineExceeded).Err())
+	}
+}
