stores: one timer for the timeouts of all streamed calls

Cause: each stream had a timer that fired four times a second while calls were made, and each firing wakes an idle process; an entry instance has a stream to each store that it calls. Change: the streams of an instance share one timer, set to the earliest timeout. Stores still count as unreachable after 250 ms, and calls still fail after 800 ms, to the millisecond (TestStreamedCallTimeouts).

--- a/rockbarrow/stores/stream.go
+++ b/rockbarrow/stores/stream.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"io"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,6 +36,15 @@
 type callStreams struct {
 	mu        sync.Mutex
 	byAddress map[string]*callStream
+	// open holds the streams that may have pending calls.
+	open map[*callStream]bool
+
+	timerMu sync.Mutex
+	// timer calls checkTimeouts at timerDue, which is zero while no call is pending.
+	// One timer for all calls, instead of two for each, avoids most wake-ups of an
+	// idle process.
+	timer    *time.Timer
+	timerDue time.Time
 }
 
 // stream returns the stream to a store, or nil if unary calls must be used. It opens
@@ -57,15 +68,57 @@
 	return s
 }
 
-// remove forgets a stream of an address without an open connection.
-func (c *callStreams) remove(s *callStream) {
+func (c *callStreams) add(s *callStream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open == nil {
+		c.open = map[*callStream]bool{}
+	}
+	c.open[s] = true
+}
+
+// remove forgets a stream that has ended. If its connection was closed, there may
+// be no further call to its address.
+func (c *callStreams) remove(s *callStream, closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.byAddress[s.address] == s {
+	delete(c.open, s)
+	if closed && c.byAddress[s.address] == s {
 		delete(c.byAddress, s.address)
 	}
 }
 
+// checkBy makes checkTimeouts run at due or earlier.
+func (c *callStreams) checkBy(due time.Time) {
+	c.timerMu.Lock()
+	defer c.timerMu.Unlock()
+	if !c.timerDue.IsZero() && !due.Before(c.timerDue) {
+		return
+	}
+	c.timerDue = due
+	if c.timer == nil {
+		c.timer = time.AfterFunc(time.Until(due), c.checkTimeouts)
+		return
+	}
+	c.timer.Reset(time.Until(due))
+}
+
+// checkTimeouts handles the timeouts of all streams and schedules the next check.
+func (c *callStreams) checkTimeouts() {
+	c.timerMu.Lock()
+	c.timerDue = time.Time{}
+	c.timerMu.Unlock()
+	c.mu.Lock()
+	streams := slices.Collect(maps.Keys(c.open))
+	c.mu.Unlock()
+	now := time.Now()
+	for _, s := range streams {
+		if next := s.checkTimeouts(now); !next.IsZero() {
+			c.checkBy(next)
+		}
+	}
+}
+
 // callStream carries calls to one store over one connection.
 type callStream struct {
 	client  *Client
@@ -80,10 +133,6 @@
 	// timed out: their bytes may still wait to be sent.
 	pending    map[uint64]*streamedCall
 	unanswered int
-	// timer calls checkTimeouts while calls are pending. timerSet is false while it
-	// is not running.
-	timer    *time.Timer
-	timerSet bool
 	// reopenAt is when another stream may replace this one, zero until it has ended.
 	reopenAt time.Time
 }
@@ -133,7 +182,7 @@
 	p.started = time.Now()
 	s.pending[call.GetId()] = p
 	s.unanswered += p.size
-	s.setTimer(unresponsiveAfter)
+	s.client.streams.checkBy(p.started.Add(unresponsiveAfter))
 	return true
 }
 
@@ -148,6 +197,7 @@
 		s.end(err)
 		return
 	}
+	s.client.streams.add(s)
 	s.mu.Lock()
 	s.stream = stream
 	s.mu.Unlock()
@@ -195,13 +245,8 @@
 	if status.Code(err) == codes.Unimplemented {
 		s.reopenAt = time.Now().Add(unsupportedDelay)
 	}
-	if s.timer != nil {
-		s.timer.Stop()
-	}
 	s.mu.Unlock()
-	if status.Code(err) == codes.Canceled {
-		s.client.streams.remove(s)
-	}
+	s.client.streams.remove(s, status.Code(err) == codes.Canceled)
 	if err == io.EOF {
 		err = &notHandledError{}
 	}
@@ -210,53 +255,34 @@
 	}
 }
 
-// setTimer makes checkTimeouts run after d unless it is scheduled already. One
-// timer for each stream, instead of two for each call, avoids most wake-ups of
-// idle threads. s.mu must be held.
-func (s *callStream) setTimer(d time.Duration) {
-	if s.timerSet {
-		return
-	}
-	s.timerSet = true
-	if s.timer == nil {
-		s.timer = time.AfterFunc(d, s.checkTimeouts)
-		return
-	}
-	s.timer.Reset(d)
-}
-
-// checkTimeouts reports calls that are unanswered for unresponsiveAfter, fails
-// those unanswered for callTimeout, and schedules the next check.
-func (s *callStream) checkTimeouts() {
-	now := time.Now()
-	next := time.Duration(-1)
+// checkTimeouts reports calls that are unanswered for unresponsiveAfter and fails
+// those unanswered for callTimeout. It returns when the next check is due, zero if
+// no call is pending.
+func (s *callStream) checkTimeouts(now time.Time) (next time.Time) {
 	var slow, failed []*streamedCall
 	s.mu.Lock()
-	s.timerSet = false
 	for _, p := range s.pending {
 		age := now.Sub(p.started)
-		due := unresponsiveAfter
-		switch {
-		case p.timedOut:
+		if p.timedOut {
 			continue
-		case age >= callTimeout:
+		}
+		if age >= callTimeout {
 			p.reported, p.timedOut = true, true
 			failed = append(failed, p)
 			continue
-		case age >= unresponsiveAfter && !p.reported:
-			p.reported = true
-			slow = append(slow, p)
 		}
-		if p.reported {
-			due = callTimeout
+		due := p.started.Add(unresponsiveAfter)
+		if age >= unresponsiveAfter {
+			due = p.started.Add(callTimeout)
+			if !p.reported {
+				p.reported = true
+				slow = append(slow, p)
+			}
 		}
-		if next < 0 || due-age < next {
-			next = due - age
+		if next.IsZero() || due.Before(next) {
+			next = due
 		}
 	}
-	if next >= 0 {
-		s.setTimer(next)
-	}
 	s.mu.Unlock()
 	for _, p := range slow {
 		p.slow(p.started)
@@ -265,4 +291,5 @@
 		s.client.Pool.ReportTimeout(s.address, s.conn, p.started)
 		p.done(nil, p.started, status.FromContextError(context.DeadlineExceeded).Err())
 	}
+	return next
 }
--- a/rockbarrow/stores/stream_test.go
+++ b/rockbarrow/stores/stream_test.go
@@ -34,6 +34,12 @@
 	return nil
 }
 
+func newRecordedStream(r *recordedStream) *callStream {
+	s := &callStream{client: &Client{Pool: &dial.Pool{}}, stream: r, pending: map[uint64]*streamedCall{}}
+	s.client.streams.add(s)
+	return s
+}
+
 func callOfSize(n int) *fleetpb.StoreCall {
 	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Reserve{Reserve: &fleetpb.ReserveRequest{Turn: strings.Repeat("t", n)}}}
 }
@@ -42,7 +48,7 @@
 // whose store is not marked in time, when a store does not answer.
 func TestStreamedCallTimeouts(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := &callStream{client: &Client{Pool: &dial.Pool{}}, stream: &recordedStream{}, pending: map[uint64]*streamedCall{}}
+		s := newRecordedStream(&recordedStream{})
 		slow, done := make(chan time.Duration, 4), make(chan time.Duration, 4)
 		begun := time.Now()
 		for range 2 {
@@ -81,7 +87,7 @@
 func TestStreamLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		stream := &recordedStream{}
-		s := &callStream{client: &Client{Pool: &dial.Pool{}}, stream: stream, pending: map[uint64]*streamedCall{}}
+		s := newRecordedStream(stream)
 		p := func() *streamedCall {
 			return &streamedCall{slow: func(time.Time) {}, done: func(*fleetpb.StoreCallReply, time.Time, error) {}}
 		}
