--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -47,6 +47,10 @@
 	// streamWorkers is the number of goroutines that a server reuses for calls, which
 	// avoids growing a stack for each. Further calls get their own goroutines.
 	streamWorkers = 8
+	// windowSize in bytes is the flow-control window of connections and calls. A fixed
+	// one disables gRPC's bandwidth estimation, which otherwise sends a ping and awaits
+	// its answer for each message received, on both sides.
+	windowSize = 1 << 20
 	// maxMessageSize in bytes fits a configuration of some thousand routes.
 	maxMessageSize = 32 << 20
 )
@@ -75,6 +79,7 @@
 type poolConn struct {
 	*grpc.ClientConn
 	lastUsed time.Time
+	detector *silenceDetector
 }
 
 // idleTimeout is how long an unused connection is kept.
@@ -95,6 +100,7 @@
 	if dialer == nil {
 		dialer = connectDefault
 	}
+	detector := &silenceDetector{pool: p, address: address}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialer),
@@ -103,9 +109,10 @@
 			MinConnectTimeout: connectTimeout,
 		}),
 		grpc.WithReadBufferSize(bufferSize), grpc.WithWriteBufferSize(bufferSize),
+		grpc.WithStaticStreamWindowSize(windowSize), grpc.WithStaticConnWindowSize(windowSize),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageSize), grpc.MaxCallSendMsgSize(maxMessageSize)),
 		grpc.WithDisableServiceConfig(), grpc.WithIdleTimeout(0),
-		grpc.WithUnaryInterceptor((&silenceDetector{pool: p, address: address}).intercept),
+		grpc.WithUnaryInterceptor(detector.intercept), grpc.WithStreamInterceptor(detector.interceptStream),
 	)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dial: %s", address)
@@ -113,7 +120,7 @@
 	if p.conns == nil {
 		p.conns = map[string]*poolConn{}
 	}
-	p.conns[address] = &poolConn{ClientConn: c, lastUsed: time.Now()}
+	p.conns[address] = &poolConn{ClientConn: c, lastUsed: time.Now(), detector: detector}
 	return c, nil
 }
 
@@ -166,6 +173,7 @@
 	return grpc.NewServer(
 		grpc.NumStreamWorkers(streamWorkers),
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
+		grpc.StaticStreamWindowSize(windowSize), grpc.StaticConnWindowSize(windowSize),
 		grpc.MaxRecvMsgSize(maxMessageSize), grpc.MaxSendMsgSize(maxMessageSize),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
 	)
