placement: slow endpoints without calls keep the choice by expected time

Cause: in calm times slow endpoints get no calls, their token times moved to the median after some seconds, and the service counted as even until they were measured again. Change: percentiles go by the last measured times; a time moves after 10 s instead of 3.

--- a/rockbarrow/placement/speeds.go
+++ b/rockbarrow/placement/speeds.go
@@ -16,9 +16,9 @@
 	// With a ratio of 1.3, balance is worth more than speed (docs/design/hard-load.md).
 	unevenRatio, evenRatio = 1.5, 1.35
 	// unsampledPeriod is how long reports may have no token time for an endpoint before it
-	// moves half way to the median, so that a recovered endpoint gets calls again. Control
-	// instances stop to report it 2 s after the last sample, which makes 5 s in all.
-	unsampledPeriod = 3 * time.Second
+	// moves half way to the median, so that a recovered endpoint gets calls again. A program
+	// that is placed at one that is still slow stays there and ends late.
+	unsampledPeriod = 10 * time.Second
 	// maxFormulaLoad is the utilization up to which the waiting time follows the queueing formula.
 	// Beyond, it grows linearly: the formula has a pole at 1.
 	maxFormulaLoad = 0.95
@@ -33,6 +33,8 @@
 // is unknown.
 type tokenTime struct {
 	micros atomic.Uint32
+	// measured is the last reported one, which does not move towards the median.
+	measured atomic.Uint32
 	// reportedAt is when it was last reported or moved, in Unix nanoseconds.
 	reportedAt atomic.Int64
 	// tracked is set once the endpoint is in trackedEndpoints.timed.
--- a/rockbarrow/placement/speeds_test.go
+++ b/rockbarrow/placement/speeds_test.go
@@ -219,12 +219,15 @@
 		t.Errorf("%d us after lost reports, want 3000", got)
 	}
 	for i, want := range []uint32{3000, 3000, 2000, 2000, 2000, 1500} {
-		now = now.Add(time.Second)
+		now = now.Add(unsampledPeriod/3 + time.Millisecond)
 		f.SetRemoteLoads(now, []RemoteLoad{fast})
 		if got := slow.Load(); got != want {
-			t.Errorf("%d us after %d s without samples, want %d", got, i+1, want)
+			t.Errorf("%d us after %d thirds of the period without samples, want %d", got, i+1, want)
 		}
 	}
+	if s := f.classes[Class{Service: "s"}].speeds; !s.uneven.Load() {
+		t.Error("endpoints count as equally fast because slow ones get no calls")
+	}
 }
 
 func TestPrefillFit(t *testing.T) {
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -122,6 +122,7 @@
 			continue
 		}
 		l.Endpoint.tokens.micros.Store(l.TokenMicros)
+		l.Endpoint.tokens.measured.Store(l.TokenMicros)
 		l.Endpoint.tokens.reportedAt.Store(now.UnixNano())
 		if !l.Endpoint.tokens.tracked.Swap(true) {
 			t.timed = append(t.timed, l.Endpoint)
@@ -140,7 +141,7 @@
 			e.tokens.micros.Store((e.tokens.micros.Load() + t.speeds[service].median.Load()) / 2)
 			e.tokens.reportedAt.Store(now.UnixNano())
 		}
-		known[service] = append(known[service], e.tokens.micros.Load())
+		known[service] = append(known[service], e.tokens.measured.Load())
 	}
 	for service, s := range t.speeds {
 		s.setTokenTimes(known[service])
