--- a/rockbarrow/placement/speeds_test.go
+++ b/rockbarrow/placement/speeds_test.go
@@ -218,11 +218,12 @@
 	if got := slow.Load(); got != 3000 {
 		t.Errorf("%d us after lost reports, want 3000", got)
 	}
-	for i, want := range []uint32{3000, 3000, 2000, 2000, 2000, 1500} {
-		now = now.Add(unsampledPeriod/3 + time.Millisecond)
+	for i := 1; i <= 20; i++ {
+		now = now.Add(time.Second)
 		f.SetRemoteLoads(now, []RemoteLoad{fast})
+		want := map[int]uint32{0: 3000, 1: 2000, 2: 1500}[i/int(unsampledPeriod.Seconds())]
 		if got := slow.Load(); got != want {
-			t.Errorf("%d us after %d thirds of the period without samples, want %d", got, i+1, want)
+			t.Errorf("%d us after %d s without samples, want %d", got, i, want)
 		}
 	}
 	if s := f.classes[Class{Service: "s"}].speeds; !s.uneven.Load() {
