controller: a load report looks up each endpoint once

Token times put most endpoints with running calls into the outcomes too, so that a report searched the list and sorted twice as many entries. Running calls and outcomes of an incarnation now make one entry.

--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -179,6 +179,20 @@
 	return uint32(math.Round(o.micros / o.tokens))
 }
 
+// isSignificant reports whether o, which may be nil, affects a load.
+func (o *outcomes) isSignificant() bool {
+	return o != nil && (o.failed >= minFailureWeight || o.tokens >= minTokens)
+}
+
+// load returns k with the outcomes added.
+func (o *outcomes) load(now time.Time, k endpointLoad) endpointLoad {
+	if o.isSignificant() {
+		o.decay(now)
+		k.answered, k.failed, k.tokenUS = o.answered, o.failed, o.tokenMicros(now)
+	}
+	return k
+}
+
 // expire drops instances that have stopped reporting and outcomes of negligible weight.
 func (l *loads) expire(now time.Time) {
 	l.mu.Lock()
@@ -251,16 +265,15 @@
 	out := make([]endpointLoad, 0, len(l.running))
 	for key, n := range l.running {
 		if i, ok := indexOfIncarnation(list, key); ok {
-			out = append(out, endpointLoad{index: i, running: n - own[key]})
+			out = append(out, l.outcomes[key].load(now, endpointLoad{index: i, running: n - own[key]}))
 		}
 	}
 	for key, o := range l.outcomes {
-		if o.failed < minFailureWeight && o.tokens < minTokens {
+		if _, included := l.running[key]; included || !o.isSignificant() {
 			continue
 		}
 		if i, ok := indexOfIncarnation(list, key); ok {
-			o.decay(now)
-			out = append(out, endpointLoad{index: i, answered: o.answered, failed: o.failed, tokenUS: o.tokenMicros(now)})
+			out = append(out, o.load(now, endpointLoad{index: i}))
 		}
 	}
 	slices.SortFunc(out, func(a, b endpointLoad) int { return a.index - b.index })
