limiter: urgent programs keep more room, and some calls may wait at endpoints

Change: the least urgent priority starts at a level of 3 in place of 1, the slots count 1.25 times, and the level rises by 2 a second.

--- a/rockbarrow/limiter/level.go
+++ b/rockbarrow/limiter/level.go
@@ -23,11 +23,14 @@
 }
 
 const (
+	// rankSpacing is the distance of the levels at which the most and the least urgent priority start. The most
+	// urgent one keeps enough free slots that few of its programs are refused in a burst of others.
+	rankSpacing = 3
 	// fullLevel is the level at which all new programs start, those of the least urgent priority included.
-	fullLevel = 2
+	fullLevel = 1 + rankSpacing
 	// levelRise is by how much the level that programs are admitted by rises in a second. The programs that wait to
 	// return would otherwise all start before the next load report shows the first of them.
-	levelRise = 1
+	levelRise = 2
 )
 
 // sharedLevel admits new programs by the free slots of all instances. The zero value admits all.
@@ -52,15 +55,15 @@
 // from none to all. With n calls in flight, their number has a standard deviation of the square root of n.
 func (s sharedLevel) margin() float64 { return math.Sqrt(float64(s.Slots)) }
 
-// rank returns the position of a route priority among those of the service, from 0 for the
-// most urgent to 1 for the least.
+// rank returns the level from which programs of a route priority start, from 0 for the most urgent one of the
+// service to rankSpacing for the least.
 func (s sharedLevel) rank(priority uint32) float64 {
 	last := len(s.Priorities) - 1
 	if last < 1 {
 		return 0
 	}
 	at, _ := slices.BinarySearch(s.Priorities, priority)
-	return float64(min(at, last)) / float64(last)
+	return rankSpacing * float64(min(at, last)) / float64(last)
 }
 
 // Level returns the free slots of all instances in relation to the margin: at 1 or more, all new programs
@@ -90,7 +93,7 @@
 	}
 	rank := l.shared.rank(e.RoutePriority)
 	if groupOf(e) == groupOverdue {
-		rank = 1
+		rank = rankSpacing
 	}
 	if fraction(e.Program) < min(level, l.shared.limit(now))-rank+l.returns.bonus(now, e.Program) {
 		return Reject{}, true
--- a/rockbarrow/placement/capacity.go
+++ b/rockbarrow/placement/capacity.go
@@ -8,11 +8,15 @@
 // With fewer, chance decides how many programs arrive at each instance.
 const minOwnSlots = 4
 
+// sharedQueueShare is the number of calls that may wait at endpoints before new programs are refused, as a fraction of
+// the slots. It is less than queueShare, which also serves programs in progress.
+const sharedQueueShare = 0.25
+
 // Capacity is what a service's endpoints can take, as one entry instance sees it.
 type Capacity struct {
 	// Slots is how many calls this instance may have at the endpoints.
 	Slots int
-	// SharedSlots is the number of slots of all usable endpoints, SharedInFlight the number of calls there of all
+	// SharedSlots is the number of slots of all usable endpoints and some places in their queues, SharedInFlight the number of calls there of all
 	// instances, and Instances their number. All are zero unless new programs are admitted by them.
 	SharedSlots, SharedInFlight, Instances int
 }
@@ -44,5 +48,5 @@
 	if !reported {
 		return Capacity{Slots: min(slots, max(1, all/instances))}
 	}
-	return Capacity{Slots: min(slots, max(1, all/instances, all-remote)), SharedSlots: slots, SharedInFlight: remote + own, Instances: instances}
+	return Capacity{Slots: min(slots, max(1, all/instances, all-remote)), SharedSlots: slots + int(sharedQueueShare*float64(slots)), SharedInFlight: remote + own, Instances: instances}
 }
