entry: a stream is checked for stalls only once it pauses

Cause: each attempt was checked every 200 ms, though nothing counts as a stall before a pause of 400 ms; each check wakes an idle process. Change: the next check is when the pause could reach 400 ms, and every 200 ms from then on. Stalls are found no later than before.

--- a/rockbarrow/entry/stalls.go
+++ b/rockbarrow/entry/stalls.go
@@ -14,7 +14,8 @@
 	// unreachableStallTimeout is the pause after which an attempt at an endpoint in an
 	// unreachable failure domain is cancelled. It still lets responses in transit arrive.
 	unreachableStallTimeout = 400 * time.Millisecond
-	// stallCheckInterval is how often an attempt is checked.
+	// stallCheckInterval is how often an attempt is checked once it has paused for
+	// unreachableStallTimeout. Earlier checks would only wake the process.
 	stallCheckInterval = 200 * time.Millisecond
 )
 
@@ -48,10 +49,14 @@
 		// The request can't be repeated, so it waits for a response until its deadline.
 		return d, func() {}
 	}
+	d.start()
+	return d, d.stop
+}
+
+func (d *stallDetector) start() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.timer = time.AfterFunc(stallCheckInterval, d.check)
-	return d, d.stop
+	d.timer = time.AfterFunc(unreachableStallTimeout, d.check)
 }
 
 func (d *stallDetector) stop() {
@@ -82,10 +87,15 @@
 	if d.stopped {
 		return
 	}
-	if d.isStalled(time.Since(d.lastProgress)) {
+	pause := time.Since(d.lastProgress)
+	if d.isStalled(pause) {
 		d.cancel()
 		return
 	}
+	if pause < unreachableStallTimeout {
+		d.timer.Reset(unreachableStallTimeout - pause)
+		return
+	}
 	d.timer.Reset(stallCheckInterval)
 }
 
--- a/rockbarrow/entry/stalls_test.go
+++ b/rockbarrow/entry/stalls_test.go
@@ -95,3 +95,33 @@
 		}
 	}
 }
+
+// TestStallIsDetectedInTime guards against checks that are late because of the events before
+// a pause.
+func TestStallIsDetectedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		far := &domainHealth{}
+		far.setUnreachable([]string{"far"})
+		for _, test := range []struct {
+			detector *stallDetector
+			want     time.Duration
+		}{
+			{&stallDetector{domains: &domainHealth{}, domain: "near", canResume: true}, stallTimeout},
+			{&stallDetector{domains: far, domain: "far"}, unreachableStallTimeout},
+		} {
+			d := test.detector
+			cancelled := make(chan time.Time, 1)
+			d.cancel, d.lastProgress = func() { cancelled <- time.Now() }, time.Now()
+			d.start()
+			for range 7 {
+				<-time.After(170 * time.Millisecond)
+				d.recordProgress()
+			}
+			last := time.Now()
+			if got := (<-cancelled).Sub(last); got < test.want || got > test.want+stallCheckInterval {
+				t.Errorf("cancelled %v after the last event, want %v", got, test.want)
+			}
+			d.stop()
+		}
+	})
+}
