entry: the last event of a stream is sent together with its end

Cause: the server writes the last chunk of a response only after the handler returns, so the last event and the end took two writes and packets even if the endpoint sent them together. Change: if the end was received with the last event and no turn has to be stored before the response ends, the last event is written without a flush of its own; the server sends both at once.

--- a/rockbarrow/entry/api.go
+++ b/rockbarrow/entry/api.go
@@ -102,6 +102,9 @@
 	Start(status int, h http.Header, length int64)
 	// Write sends a part of the body and flushes it.
 	Write(b []byte) error
+	// WriteLast sends the last part of the body, which may be flushed together with
+	// the end of the response.
+	WriteLast(b []byte) error
 }
 
 // NotExecutedError reports that an endpoint did not execute a request and never will,
--- a/rockbarrow/entry/entry_test.go
+++ b/rockbarrow/entry/entry_test.go
@@ -70,10 +70,13 @@
 type fakeWriter struct {
 	status int
 	body   bytes.Buffer
+	// last is true if the end of the body may be flushed with the end of the response.
+	last bool
 }
 
 func (w *fakeWriter) Start(status int, _ http.Header, _ int64) { w.status = status }
 func (w *fakeWriter) Write(b []byte) error                     { _, err := w.body.Write(b); return err }
+func (w *fakeWriter) WriteLast(b []byte) error                 { w.last = true; return w.Write(b) }
 
 func discardLogger() *logrus.Entry {
 	log := logrus.New()
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -86,7 +86,12 @@
 		x.events.scan(buf[:n])
 		if complete := x.events.takeComplete(); len(complete) > 0 {
 			stalls.recordProgress()
-			if writeErr := x.writer.Write(complete); writeErr != nil {
+			write := x.writer.Write
+			if err == io.EOF && x.events.isComplete() && !x.handling.history {
+				// The response ends right after this. A turn with history is stored before.
+				write = x.writer.WriteLast
+			}
+			if writeErr := write(complete); writeErr != nil {
 				done(placement.Result{OK: true})
 				return Aborted{Reason: "the client left: " + writeErr.Error()}, nil
 			}
--- a/rockbarrow/entry/streams_test.go
+++ b/rockbarrow/entry/streams_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -228,6 +229,7 @@
 
 func (w *stepWriter) Start(int, http.Header, int64) {}
 func (w *stepWriter) Write(b []byte) error          { w.seen <- string(b); return nil }
+func (w *stepWriter) WriteLast(b []byte) error      { return w.Write(b) }
 
 // TestClientDisconnectCancelsRequest checks a disconnect before the first event.
 func TestClientDisconnectCancelsRequest(t *testing.T) {
@@ -335,3 +337,30 @@
 		}
 	})
 }
+
+// TestLastEventIsFlushedWithTheEnd guards against a last event that waits for the storage of
+// its turn, or for an end that has not been received.
+func TestLastEventIsFlushedWithTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		view := startStores(t)
+		for _, test := range []struct {
+			path, body string
+			withEnd    bool
+			want       bool
+		}{{"plain", events(1, 3), true, true}, {"plain", events(1, 3), false, false}, {"k", events(1, 3), true, false}} {
+			s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){func(r EndpointRequest) (*Response, error) {
+				resp, err := respond(200, test.body)(r)
+				if test.withEnd {
+					resp.Body = io.NopCloser(iotest.DataErrReader(resp.Body))
+				}
+				return resp, err
+			}}}
+			w := &fakeWriter{}
+			id := fmt.Sprint(test.path, test.withEnd)
+			o := newStreamEntry(t, view, s).Serve(t.Context(), newTurn(test.path, id, id, 0), w)
+			if o != (Completed{}) || w.body.String() != test.body || w.last != test.want {
+				t.Errorf("%s, end received %v: %v, %d bytes, flushed with the end %v, want %v", test.path, test.withEnd, o, w.body.Len(), w.last, test.want)
+			}
+		}
+	})
+}
