dial: a test that streams leave stalled connections

Streams report their timeouts themselves; without the report they would stay on a stalled connection, and without the time of the last message a connection in use would be replaced.

--- a/rockbarrow/dial/silence_test.go
+++ b/rockbarrow/dial/silence_test.go
@@ -100,3 +100,43 @@
 		t.Errorf("the stalled connection was not replaced: %v", err)
 	}
 }
+
+// TestStreamTimeoutReplacesAStalledConnection guards against streams that stay on a stalled
+// connection, and against the loss of one that still carries messages.
+func TestStreamTimeoutReplacesAStalledConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := NewServer()
+	grpc_health_v1.RegisterHealthServer(g, health.NewServer())
+	go g.Serve(l)
+	t.Cleanup(g.Stop)
+	pool := &Pool{}
+	t.Cleanup(pool.Close)
+	address := l.Addr().String()
+	get := func() *grpc.ClientConn {
+		c, err := pool.Get(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	c := get()
+	sent := time.Now()
+	stream, err := grpc_health_v1.NewHealthClient(c).Watch(t.Context(), &grpc_health_v1.HealthCheckRequest{})
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool.ReportTimeout(address, c, sent)
+	if get() != c {
+		t.Error("a connection was replaced that received a message since the call")
+	}
+	pool.ReportTimeout(address, c, time.Now())
+	if get() == c {
+		t.Error("a connection was kept that received nothing since the call")
+	}
+}
