membudget: budgets for the bytes held for slow readers

Nothing bounds the bytes that an entry instance buffers for clients and endpoints that read slowly.

Add a budget of the instance and accounts of requests. Bodies wait up to 0.25 s for room; responses may hold 256 KB; a sixteenth of the budget is a reserve for bodies being read. While only the reserve is left, clients that have accepted nothing for longer than their route's pause are disconnected, the one with the most bytes first, and no more than needed.

--- /dev/null
+++ b/rockbarrow/membudget/account.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: MIT
+
+package membudget
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// maxBodyWait is how long a request's body waits for room in total.
+const maxBodyWait = 250 * time.Millisecond
+
+// UsedUpError reports that the instance's budget has no room for a request's body.
+type UsedUpError struct{ Bytes int64 }
+
+func (e *UsedUpError) Error() string {
+	return fmt.Sprintf("membudget: no room for %d bytes", e.Bytes)
+}
+
+// Account is the part of a budget that one request holds. Close releases it.
+type Account struct {
+	budget *Budget
+	client Client
+
+	// The budget's mutex guards the fields below.
+
+	// bodyBytes are those of the request's body, aheadBytes those of its response.
+	bodyBytes, aheadBytes int64
+	// waited is how long the body has waited for room.
+	waited time.Duration
+	// pause is how long the client may accept nothing while the budget is used up, zero for any
+	// time.
+	pause time.Duration
+	// progress is when the client last accepted bytes. It is valid while the client is blocked.
+	progress time.Time
+	// cut is true once the client is to be disconnected.
+	cut, closed bool
+}
+
+func (a *Account) bytes() int64 { return a.bodyBytes + a.aheadBytes }
+
+// ChargeBody charges bytes of the request's body and waits for room. The error is a [UsedUpError]
+// or that of ctx.
+func (a *Account) ChargeBody(ctx context.Context, n int64) error {
+	if a == nil {
+		return nil
+	}
+	c := a.startCharge(n)
+	if c == nil {
+		return nil
+	}
+	start := time.Now()
+	t := time.NewTimer(maxBodyWait - a.waited)
+	defer t.Stop()
+	var err error
+	select {
+	case <-c.granted:
+	case <-t.C:
+		err = &UsedUpError{Bytes: n}
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	return a.endCharge(c, time.Since(start), err)
+}
+
+// startCharge charges bytes if there is room, or returns the charge that waits for it.
+func (a *Account) startCharge(n int64) *charge {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiting) == 0 && b.held+n <= b.MaxBytes {
+		a.bodyBytes += n
+		b.add(n)
+		return nil
+	}
+	c := &charge{account: a, bytes: n, granted: make(chan struct{})}
+	b.waiting = append(b.waiting, c)
+	return c
+}
+
+// endCharge removes a charge that was not granted. It returns nil if the charge was granted.
+func (a *Account) endCharge(c *charge, waited time.Duration, err error) error {
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a.waited += waited
+	i := slices.Index(b.waiting, c)
+	if i < 0 {
+		return nil
+	}
+	b.waiting = slices.Delete(b.waiting, i, i+1)
+	// Smaller charges behind this one may fit.
+	b.add(0)
+	if _, ok := err.(*UsedUpError); ok {
+		b.countRefusal()
+	}
+	return err
+}
+
+// ReleaseBody releases bytes of the request's body.
+func (a *Account) ReleaseBody(n int64) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if !a.closed {
+		a.bodyBytes -= n
+		a.budget.add(-n)
+	}
+}
+
+// TryAhead charges bytes of the response that the client has not accepted. It reports false if the
+// request's budget has no room or that of the instance is used up.
+func (a *Account) TryAhead(n int64) bool {
+	if a == nil {
+		return true
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed || a.aheadBytes+n > requestBytes || b.held+n > b.usableBytes() {
+		return false
+	}
+	a.aheadBytes += n
+	b.add(n)
+	return true
+}
+
+// ReleaseAhead releases bytes of the response.
+func (a *Account) ReleaseAhead(n int64) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	if !a.closed {
+		a.aheadBytes -= n
+		a.budget.add(-n)
+	}
+}
+
+// SetPause sets how long the client may accept nothing while the budget is used up.
+func (a *Account) SetPause(d time.Duration) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.pause = d
+}
+
+// SetBlocked notes that the client accepts no more bytes.
+func (a *Account) SetBlocked(now time.Time) {
+	if a == nil {
+		return
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed {
+		return
+	}
+	if b.blocked == nil {
+		b.blocked = map[*Account]bool{}
+	}
+	b.blocked[a], a.progress = true, now
+}
+
+// RecordProgress notes that a blocked client has accepted bytes.
+func (a *Account) RecordProgress(now time.Time) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.progress = now
+}
+
+// ClearBlocked notes that the client has accepted all bytes.
+func (a *Account) ClearBlocked() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	delete(a.budget.blocked, a)
+}
+
+// Close releases all bytes. Later charges and releases do nothing.
+func (a *Account) Close() {
+	if a == nil {
+		return
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed {
+		return
+	}
+	a.closed = true
+	delete(b.blocked, a)
+	b.add(-a.bytes())
+}
--- /dev/null
+++ b/rockbarrow/membudget/budget.go
@@ -0,0 +1,159 @@
+// SPDX-License-Identifier: MIT
+
+package membudget
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+const (
+	// requestBytes is what one request may hold beyond its body, in bytes.
+	requestBytes = 256 << 10
+	// reserveDivisor is the fraction of the budget, as 1/n, that is left to bodies being read when
+	// the budget counts as used up. It exceeds the largest body in instances with 112 MB.
+	reserveDivisor = 16
+	// checkInterval is the interval at which slow clients are looked for while the budget is used
+	// up. Bodies wait several times longer.
+	checkInterval = 50 * time.Millisecond
+)
+
+// Client is the client of a request.
+type Client interface {
+	// Disconnect closes the client's connection. It must not block.
+	Disconnect()
+}
+
+// Budget is the memory budget of an instance. Set the exported fields before the first call.
+type Budget struct {
+	// MaxBytes limits the bytes that all requests hold.
+	MaxBytes int64
+	Metrics  tally.Scope
+
+	mu   sync.Mutex
+	held int64
+	// waiting are the charges that wait for room, the oldest first.
+	waiting []*charge
+	// blocked are the accounts whose client does not accept more bytes.
+	blocked map[*Account]bool
+	// checking is true while a check for slow clients is scheduled.
+	checking bool
+}
+
+// charge is a charge that waits for room.
+type charge struct {
+	account *Account
+	bytes   int64
+	// granted is closed once the bytes are charged.
+	granted chan struct{}
+}
+
+// Held returns the bytes that all requests hold.
+func (b *Budget) Held() int64 {
+	if b == nil {
+		return 0
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.held
+}
+
+// Admit reports whether a new request may start. It counts refusals.
+func (b *Budget) Admit() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.isUsedUp() {
+		b.countRefusal()
+		return false
+	}
+	return true
+}
+
+// Open returns the account of a new request. The client may be nil.
+func (b *Budget) Open(c Client) *Account {
+	if b == nil {
+		return nil
+	}
+	return &Account{budget: b, client: c}
+}
+
+// isUsedUp reports whether only the reserve is left.
+func (b *Budget) isUsedUp() bool { return b.held > b.usableBytes() }
+
+// usableBytes returns the budget without its reserve.
+func (b *Budget) usableBytes() int64 { return b.MaxBytes - b.MaxBytes/reserveDivisor }
+
+func (b *Budget) countRefusal() { b.Metrics.Counter("refused_by_memory").Inc(1) }
+
+// add changes the held bytes, grants waiting charges that fit, and schedules a check if the
+// budget is used up.
+func (b *Budget) add(n int64) {
+	b.held += n
+	for len(b.waiting) > 0 && b.held+b.waiting[0].bytes <= b.MaxBytes {
+		c := b.waiting[0]
+		b.waiting = b.waiting[1:]
+		b.held += c.bytes
+		c.account.bodyBytes += c.bytes
+		close(c.granted)
+	}
+	b.Metrics.Gauge("held_bytes").Update(float64(b.held))
+	if b.isUsedUp() && !b.checking {
+		b.checking = true
+		time.AfterFunc(checkInterval, b.check)
+	}
+}
+
+// check disconnects slow clients if the budget is still used up, and schedules the next check.
+func (b *Budget) check() {
+	for _, a := range b.takeSlow(time.Now()) {
+		a.client.Disconnect()
+	}
+}
+
+// takeSlow marks and returns the clients to disconnect at now.
+func (b *Budget) takeSlow(now time.Time) []*Account {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.checking = b.isUsedUp()
+	if !b.checking {
+		return nil
+	}
+	time.AfterFunc(checkInterval, b.check)
+	// left are the bytes held once the clients that were disconnected have released theirs.
+	left := b.held
+	for a := range b.blocked {
+		if a.cut {
+			left -= a.bytes()
+		}
+	}
+	var out []*Account
+	for left > b.usableBytes() {
+		a := b.largestSlow(now)
+		if a == nil {
+			break
+		}
+		a.cut = true
+		left -= a.bytes()
+		out = append(out, a)
+		b.Metrics.Counter("clients_cut_slow").Inc(1)
+	}
+	return out
+}
+
+// largestSlow returns the account with the most bytes whose client has accepted nothing for longer
+// than its pause, nil if there is none.
+func (b *Budget) largestSlow(now time.Time) *Account {
+	var out *Account
+	for a := range b.blocked {
+		slow := !a.cut && a.client != nil && a.pause > 0 && now.Sub(a.progress) > a.pause
+		if slow && (out == nil || a.bytes() > out.bytes()) {
+			out = a
+		}
+	}
+	return out
+}
