entry: answers and histories are charged to the memory budget

Answers that are no event stream were read into up to 256 KB for each request, and prompts with history were copied without any limit. Both are charged now if the request has an account. An answer that the budget has no room for is forwarded as it is read; a prompt waits up to 0.25 s and is then refused with 503 before it is sent. The concurrency slot of a buffered answer is released before it is written, so that slow clients don't occupy it. The data of events is kept only for turns that are stored with their history.

--- a/rockbarrow/entry/api.go
+++ b/rockbarrow/entry/api.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/incarnation"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/fleetpb"
@@ -49,6 +50,8 @@
 	// Key is the digest of the customer's key. It is valid only if HasKey is true.
 	Key    routing.KeyDigest
 	HasKey bool
+	// Memory is charged for what the request holds; nil means no limit.
+	Memory *membudget.Account
 }
 
 // EndpointRequest is a client's request as it is sent to one endpoint.
--- a/rockbarrow/entry/event_scanner.go
+++ b/rockbarrow/entry/event_scanner.go
@@ -11,6 +11,8 @@
 // stream may come from several endpoints in succession; events that an earlier one has sent
 // are dropped. The zero value is ready to use.
 type eventScanner struct {
+	// dropOutput is true if output is not needed.
+	dropOutput bool
 	// output is the data of all events, each followed by a line feed.
 	output []byte
 	// count is the number of complete events.
@@ -83,7 +85,9 @@
 		s.complete = append(s.complete, s.partial...)
 		if s.hasData {
 			s.count++
-			s.output = append(s.output, s.data...)
+			if !s.dropOutput {
+				s.output = append(s.output, s.data...)
+			}
 		}
 		if s.id != "" {
 			s.lastID = s.id
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -80,6 +80,8 @@
 	listAgeMS  int64
 	// ownTime is the time spent on quotas and stores, without the endpoints.
 	ownTime time.Duration
+	// releaseSlot releases the concurrency slot once, nil if the end of serve releases it.
+	releaseSlot func()
 	// waitTime is the time spent waiting for a concurrency slot.
 	waitTime time.Duration
 	// admitted is true once the shared level has admitted the request's program, or if an earlier turn of it is known.
@@ -118,7 +120,7 @@
 	if o != nil {
 		return x.settle(ctx, o)
 	}
-	defer release()
+	defer x.setSlot(release)()
 	for {
 		o, err := x.attempt(ctx)
 		if err != nil {
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -42,7 +42,8 @@
 		// The client has the header of an event stream.
 		return nil, x.responseLost(done, placement.Result{}, "resumed with status "+http.StatusText(resp.Status))
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
+	answer, err := x.readAnswer(resp)
+	defer answer.release()
 	if err != nil {
 		x.recordLost(ctx)
 		return nil, x.responseLost(done, placement.Result{}, err.Error())
@@ -52,17 +53,18 @@
 		return nil, x.responseLost(done, placement.Result{}, http.StatusText(resp.Status))
 	}
 	x.status = resp.Status
-	if len(body) <= maxBufferedBody {
+	if answer.complete {
 		done(placement.Result{OK: !failed})
-		x.writer.Start(resp.Status, resp.Header, int64(len(body)))
-		return x.write(body), nil
+		x.endSlot()
+		x.writer.Start(resp.Status, resp.Header, int64(len(answer.body)))
+		return x.write(answer.body), nil
 	}
 	x.writer.Start(resp.Status, resp.Header, resp.ContentLength)
-	if o := x.write(body); o != (Completed{}) {
+	if o := x.write(answer.body); o != (Completed{}) {
 		done(placement.Result{OK: true})
 		return o, nil
 	}
-	_, err = io.Copy(newBodyWriter(x.writer), resp.Body)
+	_, err = io.CopyBuffer(newBodyWriter(x.writer), resp.Body, answer.copyBuffer())
 	done(placement.Result{OK: err == nil})
 	if err != nil {
 		x.recordLost(ctx)
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -39,6 +39,9 @@
 	}
 	x.newSession = x.entry.sessions.isNewSession(x.request.Program, x.request.Session)
 	if x.handling.history {
+		if o := x.chargeHistory(ctx, grant); o != nil {
+			return x.settle(ctx, o)
+		}
 		x.body = x.buildPrompt(grant)
 	} else {
 		x.previous, x.previousTokens = x.entry.sessions.lookup(x.request.Program, x.request.Session, grant.Endpoint())
