membudget: tests wait for the checks they look at

The race detector reported reads of the test beside a check. The test waits for the goroutines of its bubble now.

go test -race ./rockbarrow/membudget passes.

--- a/rockbarrow/membudget/budget_test.go
+++ b/rockbarrow/membudget/budget_test.go
@@ -39,6 +39,12 @@
 	return c
 }
 
+// advance lets time pass in a bubble and waits for the checks due in it.
+func advance(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
 // TestLimits guards against read-ahead beyond the request's budget or into the reserve, against
 // new requests when only the reserve is left, and against releases that are counted twice.
 func TestLimits(t *testing.T) {
@@ -105,7 +111,7 @@
 		large := slowClient(t, b, 500*kb, time.Second)
 		patient := slowClient(t, b, 600*kb, time.Minute)
 		reading := slowClient(t, b, 100*kb, time.Second)
-		time.Sleep(5 * time.Second)
+		advance(5 * time.Second)
 		if small.cut || large.cut {
 			t.Fatal("a client was disconnected while there was room")
 		}
@@ -115,7 +121,7 @@
 		if err := rest.ChargeBody(t.Context(), 150*kb); err != nil {
 			t.Fatal(err)
 		}
-		time.Sleep(2 * checkInterval)
+		advance(2 * checkInterval)
 		if !large.cut || small.cut || patient.cut || reading.cut {
 			t.Errorf("large %v, small %v, patient %v, reading %v", large.cut, small.cut, patient.cut, reading.cut)
 		}
