limiter: the most urgent programs are not refused by the shared level

Change: the most urgent priority always starts, the least urgent at a level of 2, and the slots count 1.1 times.

--- a/rockbarrow/limiter/level.go
+++ b/rockbarrow/limiter/level.go
@@ -23,9 +23,8 @@
 }
 
 const (
-	// rankSpacing is the distance of the levels at which the most and the least urgent priority start. The most
-	// urgent one keeps enough free slots that few of its programs are refused in a burst of others.
-	rankSpacing = 3
+	// rankSpacing is the level from which programs of the least urgent priority start.
+	rankSpacing = 2
 	// fullLevel is the level at which all new programs start, those of the least urgent priority included.
 	fullLevel = 1 + rankSpacing
 	// levelRise is by how much the level that programs are admitted by rises in a second. The programs that wait to
@@ -56,7 +55,7 @@
 func (s sharedLevel) margin() float64 { return math.Sqrt(float64(s.Slots)) }
 
 // rank returns the level from which programs of a route priority start, from 0 for the most urgent one of the
-// service to rankSpacing for the least.
+// service, which always starts, to rankSpacing for the least.
 func (s sharedLevel) rank(priority uint32) float64 {
 	last := len(s.Priorities) - 1
 	if last < 1 {
@@ -92,8 +91,12 @@
 		return Reject{}, true
 	}
 	rank := l.shared.rank(e.RoutePriority)
-	if groupOf(e) == groupOverdue {
+	switch {
+	case groupOf(e) == groupOverdue:
 		rank = rankSpacing
+	case rank == 0:
+		// The most urgent programs would be refused for the slots that others took in a burst just before.
+		return Reject{}, true
 	}
 	if fraction(e.Program) < min(level, l.shared.limit(now))-rank+l.returns.bonus(now, e.Program) {
 		return Reject{}, true
--- a/rockbarrow/placement/capacity.go
+++ b/rockbarrow/placement/capacity.go
@@ -10,7 +10,7 @@
 
 // sharedQueueShare is the number of calls that may wait at endpoints before new programs are refused, as a fraction of
 // the slots. It is less than queueShare, which also serves programs in progress.
-const sharedQueueShare = 0.25
+const sharedQueueShare = 0.1
 
 // Capacity is what a service's endpoints can take, as one entry instance sees it.
 type Capacity struct {
