--- a/rockbarrow/entry/admission_test.go
+++ b/rockbarrow/entry/admission_test.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"fmt"
-	"math"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"testing"
