entry: programs that do not run hold no commitments

A program was committed at control before the admission level was applied, and kept its commitment when it was refused for lack of room (503).

Programs that are certainly new are now checked by the level before the quota is charged, and the others right after the reservation, before the check for new programs. If a first turn does not run after all, the entry instance tells control (AdmitRequest.ended), without the client waiting for it. A first turn that was repeated elsewhere keeps the commitment. Older control instances take the message for a request of size zero.

A program beyond its customer's limit may now get 503 from the level instead of 429.

--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -185,10 +185,10 @@
 	}
 }
 
-// admit refuses a new program that the shared level of its service has no room for. It returns a
-// non-nil outcome if so. Where only the stores' reply to the reservation shows whether the program is new, the level
-// is applied after it.
-func (x *exchange) admit() Outcome {
+// admitNew applies the shared level to a program that is certainly new, before it costs the customer's quota or the
+// stores anything. It returns a non-nil outcome if the program is refused. Where only the stores' reply to the
+// reservation shows whether the program is new, checkLevel applies the level after it.
+func (x *exchange) admitNew() Outcome {
 	r := x.request
 	if !x.isLimited() || r.PreviousTurn != "" || r.LastEventID != "" {
 		return nil
@@ -200,8 +200,20 @@
 	if x.handling.reserved && !x.handling.history {
 		return nil
 	}
-	c := x.capacityCounter()
-	reject, ok := x.entry.limiters.get(c.service).admit(c, x.arrival())
+	return x.checkLevel()
+}
+
+// checkLevel refuses a new program that the shared level of its service has no room for. It returns a non-nil outcome
+// if so.
+func (x *exchange) checkLevel() Outcome {
+	if !x.isLimited() || x.admitted {
+		return nil
+	}
+	c, a := x.capacityCounter(), x.arrival()
+	if a.InProgress {
+		return nil
+	}
+	reject, ok := x.entry.limiters.get(c.service).admit(c, a)
 	if !ok {
 		return x.rejectedBySlots(reject)
 	}
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -103,8 +103,8 @@
 	d := x.entry.Quota.AdmitProgram(ctx, start, x.customer, x.quotaRequest(start, true), x.charge)
 	x.ownTime += time.Since(start)
 	o := quotaOutcome(d)
+	x.charge, x.charged = d.(quota.Granted)
 	if o != nil {
-		x.charged = false
 		x.entry.recordCustomerMetrics(x.customer.GetName(), d)
 	}
 	return o
@@ -138,6 +138,9 @@
 	case !x.charged:
 	case !x.mayHaveRun:
 		x.entry.Quota.Refund(now, x.customer)
+		if x.charge.HasCommitment() {
+			go x.runEndProgram()
+		}
 	case x.handling.streamed:
 		x.entry.needs.RecordTurn(now, x.route.GetName(), x.firstTurn, x.request.TimeToFinish)
 	case x.request.Program != "" || x.request.HasTimeToFinish:
@@ -145,6 +148,11 @@
 	}
 }
 
+// runEndProgram tells control that the request, a first turn, has not run. The client's response does not wait for it.
+func (x *exchange) runEndProgram() {
+	x.entry.Quota.EndProgram(context.Background(), x.customer, x.charge)
+}
+
 const (
 	// routePriorities is the number of route priorities within each customer priority, on the endpoints' scale.
 	routePriorities = 3
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -38,7 +38,7 @@
 	customer *fleetpb.Customer
 	// charged is true once the request was charged to the customer's quota.
 	charged bool
-	// charge is the grant of the quota if askStores is true.
+	// charge is the grant of the quota.
 	charge quota.Granted
 	// askStores is true if the request is a first turn unless the stores know its program.
 	askStores bool
@@ -106,9 +106,6 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 		defer cancel()
 	}
-	if o := x.admit(); o != nil {
-		return o
-	}
 	if o := x.prepare(ctx); o != nil {
 		return o
 	}
--- a/rockbarrow/entry/programs_test.go
+++ b/rockbarrow/entry/programs_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,7 +57,8 @@
 	return statusOf(o, w), o
 }
 
-// asked returns the quota calls since the last one, as charged requests with n for a check of a new program.
+// asked returns the quota calls since the last one, as charged requests with n for a check of a new program and e for the
+// end of one.
 func (p *programEntry) asked() string {
 	out := ""
 	for _, c := range p.calls {
@@ -64,6 +66,9 @@
 		if c.GetNewProgram() {
 			out += "n"
 		}
+		if c.GetEnded() {
+			out += "e"
+		}
 		out += " "
 	}
 	p.calls = nil
@@ -128,6 +133,47 @@
 	})
 }
 
+// TestRefusedProgramHoldsNoCommitment guards against programs that control commits a part of the limit to although the
+// endpoints have no room for them, so that others are refused without reason.
+func TestRefusedProgramHoldsNoCommitment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newProgramEntry(t, startStores(t), 0)
+		p.sender.responses = []func(EndpointRequest) (*Response, error){notExecuted}
+		for path, want := range map[string]string{"r": "1 0n 0e ", "k": "1 0n 0e "} {
+			got, _ := p.serve(t, path, path, "unsent"+path, 9)
+			synctest.Wait()
+			if calls := p.asked(); got != http.StatusServiceUnavailable || calls != want {
+				t.Errorf("%s: an endpoint that has no room gave %d with quota calls %q, want %q", path, got, calls, want)
+			}
+			time.Sleep(time.Second)
+		}
+		s := p.Watch.State()
+		p.Decode = func([]byte) (*fleetpb.Document, error) {
+			d := streamDocument()
+			d.Version, d.Customers, d.Services[0].Slots = 3, keyedDocument(3).Customers, 1
+			d.Customers[0].RequestsPerSecond = 10
+			for _, r := range d.Routes {
+				r.Keyed = true
+			}
+			return d, nil
+		}
+		p.Watch.ApplyReply(&fleetpb.WatchReply{Entries: 4, State: &fleetpb.State{Number: s.GetNumber() + 1, Configuration: &fleetpb.Configuration{Version: 3}, View: s.GetView()}})
+		p.refresh()
+		p.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{4, 4, 4}, Failing: make([]uint32, 3)})
+		for path, want := range map[string]string{"r": "1 ", "k": ""} {
+			_, o := p.serve(t, path, path, "level"+path, 9)
+			synctest.Wait()
+			if r, ok := o.(Rejected); !ok || !strings.Contains(r.Reason, "no room for new programs") {
+				t.Errorf("%s: %+v", path, o)
+			}
+			if calls := p.asked(); calls != want {
+				t.Errorf("%s: quota calls %q, want %q", path, calls, want)
+			}
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // TestNeedOfProgramsReachesControl guards against a control instance that does not learn how many requests a program
 // will make, and against a refusal that names the wrong cause.
 func TestNeedOfProgramsReachesControl(t *testing.T) {
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -34,15 +34,19 @@
 		return o
 	}
 	x.grant = grant
-	if o := x.checkNewProgram(ctx); o != nil {
-		return x.settle(ctx, o)
-	}
 	x.newSession = x.entry.sessions.isNewSession(x.request.Program, x.request.Session)
 	if x.handling.history {
 		x.body = x.buildPrompt(grant)
 	} else {
 		x.previous, x.previousTokens = x.entry.sessions.lookup(x.request.Program, x.request.Session, grant.Endpoint())
 	}
+	// A program that the level refuses must not hold a part of its customer's limit.
+	if o := x.checkLevel(); o != nil {
+		return x.settle(ctx, o)
+	}
+	if o := x.checkNewProgram(ctx); o != nil {
+		return x.settle(ctx, o)
+	}
 	return nil
 }
 
--- a/rockbarrow/quota/commitments.go
+++ b/rockbarrow/quota/commitments.go
@@ -24,7 +24,9 @@
 	program uint64
 	// need is the expected number of requests, used how many are known, and committed the part of the total.
 	need, used, committed float64
-	lastRequest           time.Duration
+	// firstTurns counts how often the first turn was admitted and not cancelled.
+	firstTurns  int
+	lastRequest time.Duration
 	// finish is when the program ends at the latest, and expires when the commitment leaves the window.
 	finish, expires time.Duration
 	// ended is true if the program is taken to have ended, so that only the used requests are committed.
@@ -134,12 +136,12 @@
 // add commits the requests of a new program and counts n of them; if n is zero, the first one is counted already. The
 // program ends within finish at the latest, zero if that is unknown.
 func (s *commitments) add(at, span time.Duration, program uint64, need float64, n uint32, finish time.Duration) {
-	used := float64(max(1, n))
+	used, firstTurns := float64(max(1, n)), 1
 	if old := s.byProgram[program]; old != nil {
-		used = old.used + float64(n)
+		used, firstTurns = old.used+float64(n), old.firstTurns+1
 		s.remove(old, span)
 	}
-	c := &commitment{program: program, need: need, used: used, lastRequest: at, expires: at + span}
+	c := &commitment{program: program, need: need, used: used, firstTurns: firstTurns, lastRequest: at, expires: at + span}
 	c.finish = c.expires
 	if finish > 0 {
 		c.finish = at + finish
@@ -176,6 +178,17 @@
 	}
 }
 
+// cancel removes the commitment of a program whose first turn did not run, unless it was repeated and others may run.
+func (s *commitments) cancel(span time.Duration, program uint64) {
+	c := s.byProgram[program]
+	if c == nil {
+		return
+	}
+	if c.firstTurns--; c.firstTurns == 0 {
+		s.remove(c, span)
+	}
+}
+
 // timeUntil returns the time until enough commitments have expired for at most left requests to remain.
 func (s *commitments) timeUntil(at, span time.Duration, left float64) time.Duration {
 	width := span / buckets
--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -94,7 +94,7 @@
 }
 
 // AdmitRequest admits either all requests that an entry instance asks for or none of them. Without requests, it decides
-// on a new program whose first request is already counted.
+// on a new program whose first request is already counted, or is told that the program has ended.
 func (c *Counter) AdmitRequest(now time.Time, customer *fleetpb.Customer, req *fleetpb.AdmitRequest) Decision {
 	n, newProgram := req.GetRequests(), req.GetNewProgram()
 	limit, ok := c.Params.limit(customer)
@@ -104,6 +104,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cc := c.countOf(customer.GetName())
+	if req.GetEnded() {
+		cc.programs.cancel(c.Params.Window, req.GetProgram())
+		return Granted{}
+	}
 	allowed := c.Params.counterLimit(limit)
 	if newProgram {
 		allowed = newProgramShare * limit
--- a/rockbarrow/quota/limiter.go
+++ b/rockbarrow/quota/limiter.go
@@ -150,7 +150,11 @@
 		return a.admitWithoutControl(l, now, customer.GetName(), limit)
 	case reply.GetGranted():
 		a.grant(l, now, control)
-		return Granted{charge{control: control, process: reply.GetProcess()}}
+		g := Granted{charge{control: control, process: reply.GetProcess()}}
+		if r.NewProgram {
+			g.charge.committed = r.Program
+		}
+		return g
 	}
 	return a.block(now, reply, r)
 }
--- a/rockbarrow/quota/programs.go
+++ b/rockbarrow/quota/programs.go
@@ -64,15 +64,27 @@
 	if first.charge.control != "" && (err != nil || control != first.charge.control) {
 		first = a.countAgain(first)
 	}
-	if err != nil || reply.GetUnsure() || reply.GetGranted() {
+	if err != nil || reply.GetUnsure() {
 		return first // without control, the charge of the request is the only limit
 	}
+	if reply.GetGranted() {
+		first.charge.committed = r.Program
+		return first
+	}
 	a.mu.Lock()
 	a.undo(l, now, first.charge, reply.GetUncounted())
 	a.mu.Unlock()
 	return a.block(now, reply, r)
 }
 
+// EndProgram tells a control instance that a first turn did not run, so that others can use what was committed to its
+// program. If that fails, the commitment ends like that of any program without requests.
+func (l *Limiter) EndProgram(ctx context.Context, customer *fleetpb.Customer, g Granted) {
+	if g.HasCommitment() {
+		l.AskControl(ctx, &fleetpb.AdmitRequest{Customer: customer.GetName(), Program: g.charge.committed, Ended: true})
+	}
+}
+
 // countAgain reports a granted request to the control instance that counted it as one admitted locally, since the instance
 // may have refused the program and removed the request without its reply being received.
 func (a *account) countAgain(g Granted) Granted {
--- a/rockbarrow/quota/programs_test.go
+++ b/rockbarrow/quota/programs_test.go
@@ -157,6 +157,42 @@
 	committed(0)
 }
 
+// Programs that are granted and then refused for another reason, and that retry, must not hold the limit meanwhile. A first
+// turn that runs at another instance keeps its commitment.
+func TestProgramsThatDidNotRunHoldNoCommitments(t *testing.T) {
+	c := customer(40, 0)
+	cl := newCluster(2, Shared{}, c)
+	l := cl.limiters[0]
+	begin := func(l *Limiter, program uint64) Granted {
+		t.Helper()
+		d := l.AdmitRequest(t.Context(), cl.clock.now, c, Request{NewProgram: true, Program: program, Need: 33})
+		if _, ok := d.(Granted); !ok {
+			t.Errorf("program %d: %+v", program, d)
+		}
+		g, _ := d.(Granted)
+		return g
+	}
+	committed := func(want float64) {
+		t.Helper()
+		if got := cl.counter.Usage(cl.clock.now, c).Committed; got != want {
+			t.Errorf("%v requests are committed, want %v", got, want)
+		}
+	}
+	for range 12 {
+		for p := range uint64(7) {
+			g := begin(l, p+1)
+			l.Refund(cl.clock.now, c)
+			l.EndProgram(t.Context(), c, g)
+		}
+		committed(0)
+		cl.clock.advance(400 * time.Millisecond)
+		cl.exchange(0)
+	}
+	begin(cl.limiters[1], 9)
+	l.EndProgram(t.Context(), c, begin(l, 9))
+	committed(33)
+}
+
 // Clients that retry at the time they are told must find room, whichever commitments expire first.
 func TestRetryAfterOfCommittedLimit(t *testing.T) {
 	clk, c := newClock(), customer(20, 0)
@@ -208,9 +244,9 @@
 	}{
 		{33, Refused{RetryAfter: 900 * time.Millisecond, Committed: true}, 1},
 		{31, Refused{RetryAfter: 900 * time.Millisecond, Committed: true}, 1},
-		{9, Granted{}, 2},
+		{9, Granted{charge{committed: 5}}, 2},
 	} {
-		if d := l.AdmitProgram(t.Context(), clk.now, c, Request{Need: test.need}, Granted{}); d != test.want || l.asked != test.asked {
+		if d := l.AdmitProgram(t.Context(), clk.now, c, Request{Program: 5, Need: test.need}, Granted{}); d != test.want || l.asked != test.asked {
 			t.Errorf("step %d: %+v after %d calls, want %+v after %d", i, d, l.asked, test.want, test.asked)
 		}
 	}
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -71,8 +71,14 @@
 	process uint64
 	// allowance is the update that allowed it, if one did.
 	allowance *countUpdate
+	// committed is the program to which a control instance has committed a part of the limit with this request, zero
+	// if there is none.
+	committed uint64
 }
 
+// HasCommitment reports whether a control instance must be told with [Limiter.EndProgram] if the request does not run.
+func (g Granted) HasCommitment() bool { return g.charge.committed != 0 }
+
 // Refused means that the customer is at its limit.
 type Refused struct {
 	// RetryAfter is the time until a request is expected to be admitted.
