entry: the quota and the level agree on first turns of routes with history

On routes with stored history, the admission level took a streamed request without Previous for a first turn, while the quota asked the stores for the program. Both now take it for a first turn unless this instance has served the program. No store is asked, since later turns name the previous one, and sub-agents' first turns that of their parent.

The test case for routes with history expected the stores to be asked. It now expects the check of a new program at another instance, its refusal, and that a turn which names a previous one is served as a follow-up.

--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	firstTurn := x.mayBeFirstTurn()
-	x.askStores = firstTurn && x.handling.reserved && x.request.Program != ""
+	x.askStores = firstTurn && x.handling.reserved && !x.handling.history && x.request.Program != ""
 	start := time.Now()
 	d := x.entry.Quota.AdmitRequest(ctx, start, x.customer, x.quotaRequest(start, firstTurn && !x.askStores))
 	x.ownTime += time.Since(start)
@@ -126,7 +126,8 @@
 }
 
 // mayBeFirstTurn reports whether the request is the first turn of a new program, as far as this instance knows. On routes
-// without stored history, later turns do not name the previous one.
+// with stored history, later turns name the previous one, and sub-agents' first turns that of their parent. On others, the
+// stores may know the program.
 func (x *exchange) mayBeFirstTurn() bool {
 	return x.handling.streamed && x.request.PreviousTurn == "" && x.request.LastEventID == "" && !x.entry.sessions.hasProgram(x.request.Program)
 }
