entry: the admission level applies only to reserved turns

Without a reservation nothing tells a later turn of a program from a new program at another instance, and without a customer not even at the instance that served the first turn, so that programs in progress were refused while the endpoints were full. The level now leaves such requests to the slots of the instance. The test refused the unreserved turn before this change.

--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -187,17 +187,19 @@
 
 // admitNew applies the shared level to a program that is certainly new, before it costs the customer's quota or the
 // stores anything. It returns a non-nil outcome if the program is refused. Where only the stores' reply to the
-// reservation shows whether the program is new, checkLevel applies the level after it.
+// reservation shows whether the program is new, checkLevel applies the level after it. Without a reservation the level
+// does not apply, because nothing would tell later turns of a program from new programs at other instances.
 func (x *exchange) admitNew() Outcome {
 	r := x.request
 	if !x.isLimited() || r.PreviousTurn != "" || r.LastEventID != "" {
 		return nil
 	}
-	if last, _ := x.entry.sessions.lookup(r.Program, r.Session, x.previous); last.EndpointID != "" {
+	last, _ := x.entry.sessions.lookup(r.Program, r.Session, x.previous)
+	if last.EndpointID != "" || !x.handling.reserved {
 		x.admitted = true
 		return nil
 	}
-	if x.handling.reserved && !x.handling.history {
+	if !x.handling.history {
 		return nil
 	}
 	return x.checkLevel()
--- a/rockbarrow/entry/admission_test.go
+++ b/rockbarrow/entry/admission_test.go
@@ -171,3 +171,19 @@
 		}
 	})
 }
+
+// TestLevelNeedsReservations guards against refusing later turns of programs for which no tokens are reserved: they are
+// unknown at other instances, and without a customer also at the one that served the first turn.
+func TestLevelNeedsReservations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){respond(200, events(1, 3))}}
+		e := newStreamEntry(t, startStores(t), s)
+		shareSlots(e, 4)
+		if o := e.Serve(t.Context(), newTurn("r", "1", "unreserved", 0), &fakeWriter{}); o != (Completed{}) {
+			t.Errorf("%#v", o)
+		}
+		if o, ok := e.Serve(t.Context(), newTurn("r", "2", "reserved", 100), &fakeWriter{}).(Rejected); !ok {
+			t.Errorf("%#v for a reserved program while the endpoints are full", o)
+		}
+	})
+}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -82,7 +82,7 @@
 	ownTime time.Duration
 	// waitTime is the time spent waiting for a concurrency slot.
 	waitTime time.Duration
-	// admitted is true once the shared level has admitted the request's program, or if an earlier turn of it is known.
+	// admitted is true once the shared level has admitted the request's program, or if the level does not apply to it.
 	admitted bool
 }
 
