quota: refunds end with the counts of their requests

A refund that was taken and given back started its time anew, so that it outlived the count of the request it came from: after 9 s of one refused request per update, the test saw 321 requests run at once with a hard limit of 240. A refund now has the time when its request was charged, keeps it when it is taken and given back, and is dropped refundTTL after that. The test now stays within the hard limit.

A request that waited longer than refundTTL for a slot before it was refused no longer lets another one run in its place.

--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -138,7 +138,7 @@
 	switch {
 	case !x.charged:
 	case !x.mayHaveRun:
-		x.entry.Quota.Refund(now, x.customer)
+		x.entry.Quota.Refund(now, x.customer, x.charge)
 		if x.charge.HasCommitment() {
 			go x.runEndProgram()
 		}
--- a/rockbarrow/quota/limiter.go
+++ b/rockbarrow/quota/limiter.go
@@ -6,6 +6,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +22,8 @@
 	// unreportedShares is how many allowances an instance may use before the counter learns of the first one: two
 	// before its report is sent, and one after that.
 	unreportedShares = 3
-	// refundTTL is how long a request that did not run allows another one in its place.
+	// refundTTL is how long after its charge a request that did not run allows another one in its place. Its count
+	// leaves the window at most that much too early for the other one.
 	refundTTL = 500 * time.Millisecond
 	// refusalTTL is how long a refusal is cached.
 	refusalTTL = 200 * time.Millisecond
@@ -89,9 +91,8 @@
 	// knownCount is the customer's count in allowanceUpdate, at least assumedCount. reportedCount is zero if it was not
 	// reported.
 	knownCount, reportedCount float64
-	// refunds is the number of requests that did not run; others may take their place until refundsUntil.
-	refunds      int
-	refundsUntil time.Time
+	// refunds are the times when requests were charged that did not run. Others may take their place.
+	refunds []time.Time
 	// blockedNew and blockedAll are the times until which new programs, or all requests, are refused locally.
 	blockedNew, blockedAll time.Time
 	// blockedNeed is the need from which new programs are refused until blockedNew. They are told to retry at retryNewAt.
@@ -134,8 +135,8 @@
 		return Granted{}
 	}
 	a := l.account(customer.GetName())
-	if a.takeRefund(now) {
-		g := Granted{charge{refund: true}}
+	if at, ok := a.takeRefund(now); ok {
+		g := Granted{charge{at: at, refund: true}}
 		if !r.NewProgram {
 			return g
 		}
@@ -150,7 +151,7 @@
 		return a.admitWithoutControl(l, now, customer.GetName(), limit)
 	case reply.GetGranted():
 		a.grant(l, now, control)
-		g := Granted{charge{control: control, process: reply.GetProcess()}}
+		g := Granted{charge{at: now, control: control, process: reply.GetProcess()}}
 		if r.NewProgram {
 			g.charge.committed = r.Program
 		}
@@ -187,7 +188,7 @@
 		a.allowance--
 	}
 	a.count(l, now)
-	return Granted{charge{allowance: a.allowanceUpdate}}
+	return Granted{charge{at: now, allowance: a.allowanceUpdate}}
 }
 
 // refreshAllowance computes the allowance from the latest update, once per update. The caller must hold mu.
@@ -265,7 +266,7 @@
 		return Refused{RetryAfter: a.window.timeUntil(l.elapsed(now), l.Params.Window, whole-1)}
 	}
 	a.count(l, now)
-	return Granted{}
+	return Granted{charge{at: now}}
 }
 
 // admitByEstimate decides by the latest update. The caller must hold mu.
@@ -282,7 +283,7 @@
 	}
 	a.allowance++
 	a.count(l, now)
-	return Granted{}
+	return Granted{charge{at: now}}
 }
 
 // CountRetry counts a request that may run a second time, at another endpoint.
@@ -297,34 +298,39 @@
 }
 
 // Refund returns the grant of a request that has not run and will not run.
-func (l *Limiter) Refund(now time.Time, customer *fleetpb.Customer) {
+func (l *Limiter) Refund(now time.Time, customer *fleetpb.Customer, g Granted) {
 	if _, ok := l.Params.limit(customer); !ok {
 		return
 	}
 	a := l.account(customer.GetName())
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.refund(now)
+	a.refund(now, g.charge)
 }
 
 // refund is Refund of the limiter. The caller must hold mu.
-func (a *account) refund(now time.Time) {
-	if !now.Before(a.refundsUntil) {
-		a.refunds = 0
-	}
-	a.refunds++
-	a.refundsUntil = now.Add(refundTTL)
+func (a *account) refund(now time.Time, c charge) {
+	a.refunds = append(a.refunds, c.at)
+	a.dropExpiredRefunds(now)
+}
+
+// dropExpiredRefunds keeps refunds from outliving the counts of their requests. The caller must hold mu.
+func (a *account) dropExpiredRefunds(now time.Time) {
+	a.refunds = slices.DeleteFunc(a.refunds, func(at time.Time) bool { return now.Sub(at) >= refundTTL })
 }
 
-// takeRefund reports whether a request may take the place of one that did not run, which is already counted.
-func (a *account) takeRefund(now time.Time) bool {
+// takeRefund returns when a request was charged that did not run, and whose place another one may take. It returns false
+// if there is none.
+func (a *account) takeRefund(now time.Time) (at time.Time, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.refunds == 0 || !now.Before(a.refundsUntil) {
-		return false
+	a.dropExpiredRefunds(now)
+	if len(a.refunds) == 0 {
+		return time.Time{}, false
 	}
-	a.refunds--
-	return true
+	at = a.refunds[0]
+	a.refunds = slices.Delete(a.refunds, 0, 1)
+	return at, true
 }
 
 // AdmittedRequests is the number of admitted requests of a customer.
--- a/rockbarrow/quota/programs.go
+++ b/rockbarrow/quota/programs.go
@@ -91,14 +91,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.granted[g.charge.control]--
-	return Granted{}
+	return Granted{charge{at: g.charge.at}}
 }
 
 // undo removes the charge of a request that will not run. The flag uncounted tells that the control instance that counted
 // it has removed it. Otherwise, another request may take its place. The caller must hold mu.
 func (a *account) undo(l *Limiter, now time.Time, c charge, uncounted bool) {
 	if c.refund || c.control != "" && !uncounted {
-		a.refund(now)
+		a.refund(now, c)
 		return
 	}
 	if c.control != "" {
--- a/rockbarrow/quota/programs_test.go
+++ b/rockbarrow/quota/programs_test.go
@@ -181,7 +181,7 @@
 	for range 12 {
 		for p := range uint64(7) {
 			g := begin(l, p+1)
-			l.Refund(cl.clock.now, c)
+			l.Refund(cl.clock.now, c, g)
 			l.EndProgram(t.Context(), c, g)
 		}
 		committed(0)
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -64,6 +64,8 @@
 
 // charge tells where a limiter's request is counted.
 type charge struct {
+	// at is when it was charged, or when the request was whose place it took.
+	at time.Time
 	// refund is true if the request took the place of another one.
 	refund bool
 	// control and process are the control instance that counted it, if one did.
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -342,20 +342,58 @@
 // A refund admits one request, and expires after refundTTL.
 func TestRefundExpires(t *testing.T) {
 	clk, l, c := newClock(), newStubLimiter(refused), customer(3, 3)
-	l.Refund(clk.now, c)
+	l.Refund(clk.now, c, Granted{charge{at: clk.now}})
 	if _, ok := l.Admit(t.Context(), clk.now, c, false).(Granted); !ok || l.asked != 0 {
 		t.Error("a refund did not admit a request")
 	}
 	if _, ok := l.Admit(t.Context(), clk.now, c, false).(Refused); !ok {
 		t.Error("a refund admitted two requests")
 	}
-	l.Refund(clk.now, c)
+	l.Refund(clk.now, c, Granted{charge{at: clk.now}})
 	clk.advance(refundTTL)
 	if _, ok := l.Admit(t.Context(), clk.now, c, false).(Refused); !ok {
 		t.Error("an expired refund admitted a request")
 	}
 }
 
+// Refunds that are taken and given back must not outlive the counts of their requests. Otherwise, requests that are not
+// counted run beyond the limit.
+func TestRefundsEndWithTheirCounts(t *testing.T) {
+	c := customer(40, 0)
+	cl := newCluster(1, Shared{}, c)
+	l := cl.limiters[0]
+	admit := func() (Granted, bool) {
+		g, ok := l.AdmitRequest(t.Context(), cl.clock.now, c, Request{}).(Granted)
+		return g, ok
+	}
+	var all []Granted
+	for range 100 {
+		if g, ok := admit(); ok {
+			all = append(all, g)
+		}
+	}
+	for _, g := range all {
+		l.Refund(cl.clock.now, c, g)
+	}
+	for range 30 {
+		cl.clock.advance(updateInterval)
+		cl.exchange(0)
+		if g, ok := admit(); ok {
+			l.Refund(cl.clock.now, c, g)
+		}
+	}
+	limit, _ := params.limit(c)
+	ran := 0
+	for range 1000 {
+		if _, ok := admit(); ok {
+			ran++
+		}
+	}
+	if float64(ran) > params.hardLimit(limit) {
+		t.Errorf("%d requests ran at once, want at most %v", ran, params.hardLimit(limit))
+	}
+}
+
 // BenchmarkAdmit measures a local decision for one of 1,000 customers.
 func BenchmarkAdmit(b *testing.B) {
 	limiter := &Limiter{Params: params, Mode: Even{}, Instance: "e", EntryCount: func() int { return 1 }}
