quota: programs with a known time to finish end after four seconds without requests

Follow-ups that take a refund or the local allowance are not known to control, which therefore took programs in progress for ended after 2 s and admitted others in their place: in the test, a commitment of 33 requests fell to 1 while the program ran. Where the time to finish is known, a program now ends by that, or after 4 s without a request that control has seen, so that one that ends early gives its rest back before the window ends. Without a known time, 2 s still apply.

--- a/rockbarrow/quota/commitments.go
+++ b/rockbarrow/quota/commitments.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// idleEnd is how long after its last request a program is taken to have ended.
-	idleEnd = 2 * time.Second
+	// idleEnd is how long after its last known request a program is taken to have ended whose time to finish is unknown,
+	// and lateIdleEnd that of others. Follow-ups that take a refund or a local allowance are not known to the counter, so
+	// that a program may be in progress for longer than idleEnd.
+	idleEnd     = 2 * time.Second
+	lateIdleEnd = 4 * time.Second
 	// smallLimit is the number of programs below which a limit admits one program at a time in any case. A customer
 	// whose limit is less than one program needs would otherwise never be served.
 	smallLimit = 4
@@ -27,8 +30,9 @@
 	// firstTurns counts how often the first turn was admitted and not cancelled.
 	firstTurns  int
 	lastRequest time.Duration
-	// finish is when the program ends at the latest, and expires when the commitment leaves the window.
-	finish, expires time.Duration
+	// finish is when the program ends at the latest, idle the time without requests after which it has ended, and expires
+	// when the commitment leaves the window.
+	finish, idle, expires time.Duration
 	// ended is true if the program is taken to have ended, so that only the used requests are committed.
 	ended bool
 	// check is when the state changes at the earliest, and index the position in the heap.
@@ -37,7 +41,7 @@
 }
 
 // end returns when the program is taken to have ended.
-func (c *commitment) end() time.Duration { return min(c.finish, c.lastRequest+idleEnd) }
+func (c *commitment) end() time.Duration { return min(c.finish, c.lastRequest+c.idle) }
 
 // commitmentHeap is a [heap.Interface] with the commitment that changes first at the top.
 type commitmentHeap []*commitment
@@ -142,9 +146,9 @@
 		s.remove(old, span)
 	}
 	c := &commitment{program: program, need: need, used: used, firstTurns: firstTurns, lastRequest: at, expires: at + span}
-	c.finish = c.expires
+	c.finish, c.idle = c.expires, idleEnd
 	if finish > 0 {
-		c.finish = at + finish
+		c.finish, c.idle = at+finish, lateIdleEnd
 	}
 	c.check = min(c.expires, c.end())
 	heap.Push(&s.byCheck, c)
--- a/rockbarrow/quota/programs_test.go
+++ b/rockbarrow/quota/programs_test.go
@@ -193,6 +193,33 @@
 	committed(33)
 }
 
+// A program whose follow-ups are not known to the counter, as they take refunds, must keep its commitment while it may be
+// in progress, and one that has ended early must not keep it for the whole window.
+func TestUnknownFollowUpsKeepCommitment(t *testing.T) {
+	c := customer(40, 0)
+	cl := newCluster(1, Shared{}, c)
+	l := cl.limiters[0]
+	l.AdmitRequest(t.Context(), cl.clock.now, c, Request{NewProgram: true, Program: 1, Need: 33, TimeToFinish: 10 * time.Second})
+	begin := cl.clock.now
+	for cl.clock.now.Sub(begin) < params.Window {
+		want := 33.0
+		if cl.clock.now.Sub(begin) >= lateIdleEnd {
+			want = 1
+		}
+		if got := cl.counter.Usage(cl.clock.now, c).Committed; got != want {
+			t.Errorf("%v requests are committed after %v, want %v", got, cl.clock.now.Sub(begin), want)
+		}
+		if g, ok := l.AdmitRequest(t.Context(), cl.clock.now, c, Request{Program: 50}).(Granted); ok {
+			l.Refund(cl.clock.now, c, g)
+		}
+		if d, ok := l.AdmitRequest(t.Context(), cl.clock.now, c, Request{Program: 1}).(Granted); !ok || !d.charge.refund {
+			t.Fatalf("%+v, want a follow-up in the place of another request", d)
+		}
+		cl.clock.advance(updateInterval)
+		cl.exchange(0)
+	}
+}
+
 // Clients that retry at the time they are told must find room, whichever commitments expire first.
 func TestRetryAfterOfCommittedLimit(t *testing.T) {
 	clk, c := newClock(), customer(20, 0)
