quota: a first turn asks lost control once

If no control instance could decide on the charge of a first turn, the check of its program asked again and waited for the same timeouts a second time (two calls in the test, now one). The even share of the limit that admitted the request is then the only limit.

--- a/rockbarrow/quota/limiter.go
+++ b/rockbarrow/quota/limiter.go
@@ -248,8 +248,9 @@
 func (a *account) admitWithoutControl(l *Limiter, now time.Time, customer string, limit float64) Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if d, ok := a.admitEvenly(l, now, customer, limit).(Granted); ok {
-		return d
+	if g, ok := a.admitEvenly(l, now, customer, limit).(Granted); ok {
+		g.charge.withoutControl = true
+		return g
 	}
 	return Unavailable{}
 }
--- a/rockbarrow/quota/programs.go
+++ b/rockbarrow/quota/programs.go
@@ -53,6 +53,9 @@
 	if !ok {
 		return Granted{}
 	}
+	if first.charge.withoutControl {
+		return first // asking again would take as long as the first time
+	}
 	a := l.account(customer.GetName())
 	r.NewProgram = true
 	if d := a.admitProgramLocally(l, now, customer.GetName(), limit, r, first.charge); d != nil {
--- a/rockbarrow/quota/programs_test.go
+++ b/rockbarrow/quota/programs_test.go
@@ -298,6 +298,20 @@
 	}
 }
 
+// Without control, a first turn must not wait for it twice.
+func TestFirstTurnAsksLostControlOnce(t *testing.T) {
+	clk, c := newClock(), customer(20, 0)
+	l, asked := newStubLimiter(granted), 0
+	l.AskControl = func(context.Context, *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
+		asked++
+		return "", nil, errors.New("timeout")
+	}
+	g, _ := l.AdmitRequest(t.Context(), clk.now, c, Request{Program: 1}).(Granted)
+	if d, ok := l.AdmitProgram(t.Context(), clk.now, c, Request{Program: 1, Need: 9}, g).(Granted); !ok || asked != 1 {
+		t.Errorf("%+v after %d calls, want a grant after one", d, asked)
+	}
+}
+
 // Needs must differ by route, include tool calls, start at today's rule and follow a change within some 10 s.
 func TestNeedsAreMeasured(t *testing.T) {
 	clk, n := newClock(), &Needs{}
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -73,6 +73,8 @@
 	process uint64
 	// allowance is the update that allowed it, if one did.
 	allowance *countUpdate
+	// withoutControl is true if no control instance could decide.
+	withoutControl bool
 	// committed is the program to which a control instance has committed a part of the limit with this request, zero
 	// if there is none.
 	committed uint64
