placement: changed endpoints keep their token time tracked

An endpoint whose limits change is replaced by a new one with the same token time, but this was neither counted among the known times nor moved to the median without samples: in the test, a slow endpoint stayed at 3000 us where an unchanged one moved to 2000 us after 10 s. The measured time and its age are now copied, and the new endpoint takes the old one's place in the list of timed endpoints.

--- a/rockbarrow/placement/fleet.go
+++ b/rockbarrow/placement/fleet.go
@@ -165,7 +165,7 @@
 	e.prefillMicros.Store(prev.prefillMicros.Load())
 	e.stepMicros.Store(prev.stepMicros.Load())
 	e.bestStep.Store(prev.bestStep.Load())
-	e.tokens.micros.Store(prev.tokens.micros.Load())
+	e.tokens.copyFrom(&prev.tokens)
 	return e
 }
 
--- a/rockbarrow/placement/speeds.go
+++ b/rockbarrow/placement/speeds.go
@@ -41,6 +41,13 @@
 	tracked atomic.Bool
 }
 
+// copyFrom sets the time of an endpoint that replaces another one. It is not tracked yet.
+func (t *tokenTime) copyFrom(old *tokenTime) {
+	t.micros.Store(old.micros.Load())
+	t.measured.Store(old.measured.Load())
+	t.reportedAt.Store(old.reportedAt.Load())
+}
+
 // TokenMicros returns the decoding time per token in microseconds over all instances, 0 if unknown.
 func (e *Endpoint) TokenMicros() uint32 { return e.tokens.micros.Load() }
 
--- a/rockbarrow/placement/speeds_test.go
+++ b/rockbarrow/placement/speeds_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/schema/configpb"
 )
@@ -234,6 +236,26 @@
 	}
 }
 
+// An endpoint whose limits change must keep its measured token time among the known ones, and still move to the median;
+// otherwise a slow one that gets no calls stays slow for ever.
+func TestChangedEndpointKeepsItsTokenTime(t *testing.T) {
+	now := time.Unix(100, 0)
+	f := timedFleet(now, 1000, 3000)
+	cfg := proto.Clone(f.Endpoint("e20").Config()).(*configpb.Endpoint)
+	cfg.MaxCalls = 8
+	f = f.Next(now, []ListedEndpoint{{Config: cfg}}, nil)
+	for range 10 {
+		now = now.Add(time.Second)
+		f.SetRemoteLoads(now, []RemoteLoad{{Endpoint: f.Endpoint("e01"), TokenMicros: 1000}})
+	}
+	if got, unchanged := f.Endpoint("e20").TokenMicros(), f.Endpoint("e21").TokenMicros(); got != 2000 || got != unchanged {
+		t.Errorf("%d us after 10 s without samples, and %d us at an unchanged endpoint, want 2000", got, unchanged)
+	}
+	if n := f.classes[Class{Service: "s"}].speeds.known.Load(); n != 24 {
+		t.Errorf("%d token times are known, want 24", n)
+	}
+}
+
 func TestPrefillFit(t *testing.T) {
 	var p, falling, constant prefillFit
 	r := rand.New(rand.NewPCG(1, 1))
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -66,12 +66,17 @@
 	t.used = append(t.used, e)
 }
 
-// prune removes the endpoints that are not in a fleet.
+// prune removes the endpoints that are not in a fleet. One that was replaced with its token time stays in timed.
 func (t *trackedEndpoints) prune(f *Fleet) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stale := func(e *Endpoint) bool { return f.Endpoint(e.name) != e }
 	t.used, t.remotelyLoaded = slices.DeleteFunc(slices.Clone(t.used), stale), slices.DeleteFunc(slices.Clone(t.remotelyLoaded), stale)
+	for i, e := range t.timed {
+		if next := f.Endpoint(e.name); next != nil && next.TokenMicros() > 0 && !next.tokens.tracked.Swap(true) {
+			t.timed[i] = next
+		}
+	}
 	t.timed = slices.DeleteFunc(t.timed, stale)
 	t.countRemoteCalls()
 }
