limiter: the level does not rise while it does not apply

The bound on the rise of the level was lifted by a gap in the load reports, or by a change of the number of instances around the threshold of four slots. All programs that waited to return then started at once: in the test of a gap of 5 s during an overload, all programs were admitted right after it. The level that was reached is now kept over such a gap and rises from there, by 1 in a second: 0.05 of the programs are admitted after 50 ms, and 0.55 after 550 ms.

--- a/rockbarrow/limiter/level.go
+++ b/rockbarrow/limiter/level.go
@@ -35,14 +35,15 @@
 	Shared
 	// counted is the number of this instance's running requests at the time of InFlight.
 	counted int
-	// risen is the level that was reached at risenAt, from 0 to fullLevel.
-	risen   float64
-	risenAt time.Time
+	// risen is the level that was reached at risenAt, from 0 to fullLevel. It is valid if hasRisen is true.
+	risen    float64
+	risenAt  time.Time
+	hasRisen bool
 }
 
 // limit returns the bound that levelRise sets to the level.
 func (s sharedLevel) limit(now time.Time) float64 {
-	if s.Slots == 0 || s.risen == fullLevel {
+	if !s.hasRisen || s.risen == fullLevel {
 		return math.Inf(1)
 	}
 	return s.risen + levelRise*now.Sub(s.risenAt).Seconds()
@@ -74,12 +75,14 @@
 	return float64(free) / s.margin(), true
 }
 
-// setShared replaces the use of the slots of all instances.
+// setShared replaces the use of the slots of all instances. While the level does not apply, for instance for lack of
+// reports, it does not rise: the programs that wait to return would otherwise all start once it applies again.
 func (l *Limiter) setShared(now time.Time, s Shared) {
-	limit := l.shared.limit(now)
-	l.shared = sharedLevel{Shared: s, counted: len(l.running), risenAt: now}
-	level, _ := l.Level()
-	l.shared.risen = max(0, min(level, limit, fullLevel))
+	old := l.shared
+	l.shared = sharedLevel{Shared: s, counted: len(l.running), risen: old.risen, risenAt: now, hasRisen: old.hasRisen}
+	if level, ok := l.Level(); ok {
+		l.shared.risen, l.shared.hasRisen = max(0, min(level, old.limit(now), fullLevel)), true
+	}
 }
 
 // Admit reports whether the level lets a new program start, and otherwise the rejection.
--- a/rockbarrow/limiter/level_test.go
+++ b/rockbarrow/limiter/level_test.go
@@ -107,6 +107,24 @@
 	}
 }
 
+// A gap in the reports during an overload must not let all that wait start at once when it ends.
+func TestLevelDoesNotRiseWithoutReports(t *testing.T) {
+	l := sharedLimiter(100, -20)
+	for i := range 100 {
+		l.Handle(start.Add(time.Duration(i)*50*time.Millisecond), Resized{Slots: 6})
+	}
+	for _, test := range []struct {
+		after time.Duration
+		want  float64
+	}{{5 * time.Second, 0.05}, {5500 * time.Millisecond, 0.55}} {
+		now := start.Add(test.after)
+		l.Handle(now, Resized{Slots: 100, Shared: Shared{Slots: 100, InFlight: 10}})
+		if got := admitted(l, now, Arrived{}); math.Abs(got-test.want) > 0.05 {
+			t.Errorf("%v after the overload, of which 5 s without reports, %.2f are admitted, want %.2f", test.after, got, test.want)
+		}
+	}
+}
+
 // BenchmarkAdmit decides on a new program while 1,000 requests wait.
 func BenchmarkAdmit(b *testing.B) {
 	l := sharedLimiter(1, 1010)
