controller: decode times count without tokens in the same report

An entry instance may report tokens and their decode time in successive reports, and the time was dropped if a report had no tokens: in the test, 60 tokens in 90 ms gave 1000 us per token instead of 1500.

--- a/rockbarrow/controller/loads.go
+++ b/rockbarrow/controller/loads.go
@@ -141,7 +141,7 @@
 // addOutcomes counts ended calls; the caller holds mu.
 func (l *loads) addOutcomes(now time.Time, uses []*fleetpb.EndpointUse) {
 	for _, u := range uses {
-		if u.GetAnswered() == 0 && u.GetFailed() == 0 && u.GetDecodedTokens() == 0 {
+		if u.GetAnswered() == 0 && u.GetFailed() == 0 && u.GetDecodedTokens() == 0 && u.GetDecodeUs() == 0 {
 			continue
 		}
 		key := incarnationOfUse(u)
@@ -153,9 +153,10 @@
 		o.decay(now)
 		o.answered += float64(u.GetAnswered())
 		o.failed += float64(u.GetFailed())
-		if n := u.GetDecodedTokens(); n > 0 {
-			o.tokens += float64(n)
-			o.micros += float64(u.GetDecodeUs())
+		// Tokens and their time may be in successive reports, as an entry instance does not read both at once.
+		o.tokens += float64(u.GetDecodedTokens())
+		o.micros += float64(u.GetDecodeUs())
+		if u.GetDecodedTokens() > 0 {
 			o.sampledAt = now
 		}
 	}
--- a/rockbarrow/controller/loads_test.go
+++ b/rockbarrow/controller/loads_test.go
@@ -106,7 +106,9 @@
 	if got := tokenUS(0, false); !slices.Equal(got, []uint32{0, 1000}) {
 		t.Errorf("%v, want a time for y only, which has enough tokens", got)
 	}
-	l.recordRelayed(now, "control-2", nil, timedUse("x", 30, 30_000))
+	// The next report has the time of tokens in this one.
+	l.recordRelayed(now, "control-2", nil, timedUse("x", 30, 0))
+	l.recordRelayed(now, "control-2", nil, []*fleetpb.EndpointUse{{Endpoint: "x", DecodeUs: 30_000}})
 	if got := tokenUS(0, true); !slices.Equal(got, []uint32{1500, 1000}) {
 		t.Errorf("%v, want 1500 and 1000", got)
 	}
