placement: the choice by expected time begins with a quarter of the times known

After a start the first two token times could turn it on for all endpoints, whose speeds were not known yet. Of 24 endpoints, two known times turned it on before, and six are needed now.

--- a/rockbarrow/placement/speeds.go
+++ b/rockbarrow/placement/speeds.go
@@ -15,6 +15,9 @@
 	// endpoints are chosen by expected time, evenRatio the one below which they no longer are.
 	// With a ratio of 1.3, balance is worth more than speed (docs/design/hard-load.md).
 	unevenRatio, evenRatio = 1.5, 1.35
+	// minKnownShare is the fraction of a service's endpoints whose token times must be known before
+	// endpoints are chosen by expected time. The percentiles of a few show little of the others.
+	minKnownShare = 0.25
 	// unsampledPeriod is how long reports may have no token time for an endpoint before it
 	// moves half way to the median, so that a recovered endpoint gets calls again. A program
 	// that is placed at one that is still slow stays there and ends late.
@@ -86,8 +89,9 @@
 	}
 }
 
-// setTokenTimes updates the percentiles from the token times of the service's endpoints.
-func (s *serviceSpeeds) setTokenTimes(micros []uint32) {
+// setTokenTimes updates the percentiles from the known token times of the service's endpoints, of
+// which there are n.
+func (s *serviceSpeeds) setTokenTimes(micros []uint32, n int) {
 	s.known.Store(uint32(len(micros)))
 	if len(micros) == 0 {
 		s.uneven.Store(false)
@@ -99,7 +103,8 @@
 	s.median.Store(percentile(micros, 0.5))
 	s.high.Store(high)
 	ratio := float64(high) / float64(low)
-	s.uneven.Store(ratio >= unevenRatio || ratio >= evenRatio && s.uneven.Load())
+	begins := ratio >= unevenRatio && float64(len(micros)) >= minKnownShare*float64(n)
+	s.uneven.Store(begins || ratio >= evenRatio && s.uneven.Load())
 }
 
 // SpeedSummary describes the endpoints of one service.
--- a/rockbarrow/placement/speeds_test.go
+++ b/rockbarrow/placement/speeds_test.go
@@ -210,6 +210,23 @@
 	}
 }
 
+// The first token times, after a start for instance, must not decide on the choice among endpoints that are not known yet.
+func TestFewKnownTokenTimesChangeNoChoice(t *testing.T) {
+	now := time.Unix(100, 0)
+	f := timedFleet(now, 0, 0)
+	s := f.classes[Class{Service: "s"}].speeds
+	for known := range 8 {
+		var loads []RemoteLoad
+		for k, e := range f.Endpoints()[:known] {
+			loads = append(loads, RemoteLoad{Endpoint: e, TokenMicros: uint32(1000 * (1 + k%2))})
+		}
+		f.SetRemoteLoads(now, loads)
+		if got, want := s.uneven.Load(), known >= 6; got != want {
+			t.Errorf("%d of 24 token times are known: uneven is %v, want %v", known, got, want)
+		}
+	}
+}
+
 // An endpoint without samples must be tried again, but a loss of reports must change nothing.
 func TestUnsampledEndpointMovesToTheMedian(t *testing.T) {
 	now := time.Unix(100, 0)
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -116,12 +116,12 @@
 		t.remotelyLoaded = append(t.remotelyLoaded, l.Endpoint)
 	}
 	t.countRemoteCalls()
-	t.updateTokenTimes(now, loads)
+	t.updateTokenTimes(now, f, loads)
 }
 
-// updateTokenTimes applies the token times of a report; the caller holds mu. Endpoints without a
+// updateTokenTimes applies the token times of a report for a fleet; the caller holds mu. Endpoints without a
 // new one keep their last for unsampledPeriod.
-func (t *trackedEndpoints) updateTokenTimes(now time.Time, loads []RemoteLoad) {
+func (t *trackedEndpoints) updateTokenTimes(now time.Time, f *Fleet, loads []RemoteLoad) {
 	for _, l := range loads {
 		if l.TokenMicros == 0 {
 			continue
@@ -149,7 +149,7 @@
 		known[service] = append(known[service], e.tokens.measured.Load())
 	}
 	for service, s := range t.speeds {
-		s.setTokenTimes(known[service])
+		s.setTokenTimes(known[service], len(f.classes[Class{Service: service}].candidates()))
 	}
 }
 
