--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -185,23 +185,37 @@
 	}
 }
 
-// admit refuses a new program that the shared level of its service has no room for. It returns a
-// non-nil outcome if so. Where only the stores' reply to the reservation shows whether the program is new, the level
-// is applied after it.
-func (x *exchange) admit() Outcome {
+// admitNew applies the shared level to a program that is certainly new, before it costs the customer's quota or the
+// stores anything. It returns a non-nil outcome if the program is refused. Where only the stores' reply to the
+// reservation shows whether the program is new, checkLevel applies the level after it. Without a reservation the level
+// does not apply, because nothing would tell later turns of a program from new programs at other instances.
+func (x *exchange) admitNew() Outcome {
 	r := x.request
 	if !x.isLimited() || r.PreviousTurn != "" || r.LastEventID != "" {
 		return nil
 	}
-	if last, _ := x.entry.sessions.lookup(r.Program, r.Session, x.previous); last.EndpointID != "" {
+	last, _ := x.entry.sessions.lookup(r.Program, r.Session, x.previous)
+	if last.EndpointID != "" || !x.handling.reserved {
 		x.admitted = true
 		return nil
 	}
-	if x.handling.reserved && !x.handling.history {
+	if !x.handling.history {
 		return nil
 	}
-	c := x.capacityCounter()
-	reject, ok := x.entry.limiters.get(c.service).admit(c, x.arrival())
+	return x.checkLevel()
+}
+
+// checkLevel refuses a new program that the shared level of its service has no room for. It returns a non-nil outcome
+// if so.
+func (x *exchange) checkLevel() Outcome {
+	if !x.isLimited() || x.admitted {
+		return nil
+	}
+	c, a := x.capacityCounter(), x.arrival()
+	if a.InProgress {
+		return nil
+	}
+	reject, ok := x.entry.limiters.get(c.service).admit(c, a)
 	if !ok {
 		return x.rejectedBySlots(reject)
 	}
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	firstTurn := x.mayBeFirstTurn()
-	x.askStores = firstTurn && x.handling.reserved && x.request.Program != ""
+	x.askStores = firstTurn && x.handling.reserved && !x.handling.history && x.request.Program != ""
 	start := time.Now()
 	d := x.entry.Quota.AdmitRequest(ctx, start, x.customer, x.quotaRequest(start, firstTurn && !x.askStores))
 	x.ownTime += time.Since(start)
@@ -103,8 +103,8 @@
 	d := x.entry.Quota.AdmitProgram(ctx, start, x.customer, x.quotaRequest(start, true), x.charge)
 	x.ownTime += time.Since(start)
 	o := quotaOutcome(d)
+	x.charge, x.charged = d.(quota.Granted)
 	if o != nil {
-		x.charged = false
 		x.entry.recordCustomerMetrics(x.customer.GetName(), d)
 	}
 	return o
@@ -126,7 +126,8 @@
 }
 
 // mayBeFirstTurn reports whether the request is the first turn of a new program, as far as this instance knows. On routes
-// without stored history, later turns do not name the previous one.
+// with stored history, later turns name the previous one, and sub-agents' first turns that of their parent. On others, the
+// stores may know the program.
 func (x *exchange) mayBeFirstTurn() bool {
 	return x.handling.streamed && x.request.PreviousTurn == "" && x.request.LastEventID == "" && !x.entry.sessions.hasProgram(x.request.Program)
 }
@@ -137,7 +138,10 @@
 	switch {
 	case !x.charged:
 	case !x.mayHaveRun:
-		x.entry.Quota.Refund(now, x.customer)
+		x.entry.Quota.Refund(now, x.customer, x.charge)
+		if x.charge.HasCommitment() {
+			go x.runEndProgram()
+		}
 	case x.handling.streamed:
 		x.entry.needs.RecordTurn(now, x.route.GetName(), x.firstTurn, x.request.TimeToFinish)
 	case x.request.Program != "" || x.request.HasTimeToFinish:
@@ -145,6 +149,11 @@
 	}
 }
 
+// runEndProgram tells control that the request, a first turn, has not run. The client's response does not wait for it.
+func (x *exchange) runEndProgram() {
+	x.entry.Quota.EndProgram(context.Background(), x.customer, x.charge)
+}
+
 const (
 	// routePriorities is the number of route priorities within each customer priority, on the endpoints' scale.
 	routePriorities = 3
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -38,7 +38,7 @@
 	customer *fleetpb.Customer
 	// charged is true once the request was charged to the customer's quota.
 	charged bool
-	// charge is the grant of the quota if askStores is true.
+	// charge is the grant of the quota.
 	charge quota.Granted
 	// askStores is true if the request is a first turn unless the stores know its program.
 	askStores bool
@@ -84,7 +84,7 @@
 	releaseSlot func()
 	// waitTime is the time spent waiting for a concurrency slot.
 	waitTime time.Duration
-	// admitted is true once the shared level has admitted the request's program, or if an earlier turn of it is known.
+	// admitted is true once the shared level has admitted the request's program, or if the level does not apply to it.
 	admitted bool
 }
 
@@ -108,9 +108,6 @@
 		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
 		defer cancel()
 	}
-	if o := x.admit(); o != nil {
-		return o
-	}
 	if o := x.prepare(ctx); o != nil {
 		return o
 	}
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -66,12 +66,17 @@
 	t.used = append(t.used, e)
 }
 
-// prune removes the endpoints that are not in a fleet.
+// prune removes the endpoints that are not in a fleet. One that was replaced with its token time stays in timed.
 func (t *trackedEndpoints) prune(f *Fleet) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stale := func(e *Endpoint) bool { return f.Endpoint(e.name) != e }
 	t.used, t.remotelyLoaded = slices.DeleteFunc(slices.Clone(t.used), stale), slices.DeleteFunc(slices.Clone(t.remotelyLoaded), stale)
+	for i, e := range t.timed {
+		if next := f.Endpoint(e.name); next != nil && next.TokenMicros() > 0 && !next.tokens.tracked.Swap(true) {
+			t.timed[i] = next
+		}
+	}
 	t.timed = slices.DeleteFunc(t.timed, stale)
 	t.countRemoteCalls()
 }
@@ -111,12 +116,12 @@
 		t.remotelyLoaded = append(t.remotelyLoaded, l.Endpoint)
 	}
 	t.countRemoteCalls()
-	t.updateTokenTimes(now, loads)
+	t.updateTokenTimes(now, f, loads)
 }
 
-// updateTokenTimes applies the token times of a report; the caller holds mu. Endpoints without a
+// updateTokenTimes applies the token times of a report for a fleet; the caller holds mu. Endpoints without a
 // new one keep their last for unsampledPeriod.
-func (t *trackedEndpoints) updateTokenTimes(now time.Time, loads []RemoteLoad) {
+func (t *trackedEndpoints) updateTokenTimes(now time.Time, f *Fleet, loads []RemoteLoad) {
 	for _, l := range loads {
 		if l.TokenMicros == 0 {
 			continue
@@ -144,7 +149,7 @@
 		known[service] = append(known[service], e.tokens.measured.Load())
 	}
 	for service, s := range t.speeds {
-		s.setTokenTimes(known[service])
+		s.setTokenTimes(known[service], len(f.classes[Class{Service: service}].candidates()))
 	}
 }
 
--- a/rockbarrow/quota/commitments.go
+++ b/rockbarrow/quota/commitments.go
@@ -8,8 +8,11 @@
 )
 
 const (
-	// idleEnd is how long after its last request a program is taken to have ended.
-	idleEnd = 2 * time.Second
+	// idleEnd is how long after its last known request a program is taken to have ended whose time to finish is unknown,
+	// and lateIdleEnd that of others. Follow-ups that take a refund or a local allowance are not known to the counter, so
+	// that a program may be in progress for longer than idleEnd.
+	idleEnd     = 2 * time.Second
+	lateIdleEnd = 4 * time.Second
 	// smallLimit is the number of programs below which a limit admits one program at a time in any case. A customer
 	// whose limit is less than one program needs would otherwise never be served.
 	smallLimit = 4
@@ -24,9 +27,12 @@
 	program uint64
 	// need is the expected number of requests, used how many are known, and committed the part of the total.
 	need, used, committed float64
-	lastRequest           time.Duration
-	// finish is when the program ends at the latest, and expires when the commitment leaves the window.
-	finish, expires time.Duration
+	// firstTurns counts how often the first turn was admitted and not cancelled.
+	firstTurns  int
+	lastRequest time.Duration
+	// finish is when the program ends at the latest, idle the time without requests after which it has ended, and expires
+	// when the commitment leaves the window.
+	finish, idle, expires time.Duration
 	// ended is true if the program is taken to have ended, so that only the used requests are committed.
 	ended bool
 	// check is when the state changes at the earliest, and index the position in the heap.
@@ -35,7 +41,7 @@
 }
 
 // end returns when the program is taken to have ended.
-func (c *commitment) end() time.Duration { return min(c.finish, c.lastRequest+idleEnd) }
+func (c *commitment) end() time.Duration { return min(c.finish, c.lastRequest+c.idle) }
 
 // commitmentHeap is a [heap.Interface] with the commitment that changes first at the top.
 type commitmentHeap []*commitment
@@ -134,15 +140,15 @@
 // add commits the requests of a new program and counts n of them; if n is zero, the first one is counted already. The
 // program ends within finish at the latest, zero if that is unknown.
 func (s *commitments) add(at, span time.Duration, program uint64, need float64, n uint32, finish time.Duration) {
-	used := float64(max(1, n))
+	used, firstTurns := float64(max(1, n)), 1
 	if old := s.byProgram[program]; old != nil {
-		used = old.used + float64(n)
+		used, firstTurns = old.used+float64(n), old.firstTurns+1
 		s.remove(old, span)
 	}
-	c := &commitment{program: program, need: need, used: used, lastRequest: at, expires: at + span}
-	c.finish = c.expires
+	c := &commitment{program: program, need: need, used: used, firstTurns: firstTurns, lastRequest: at, expires: at + span}
+	c.finish, c.idle = c.expires, idleEnd
 	if finish > 0 {
-		c.finish = at + finish
+		c.finish, c.idle = at+finish, lateIdleEnd
 	}
 	c.check = min(c.expires, c.end())
 	heap.Push(&s.byCheck, c)
@@ -176,6 +182,17 @@
 	}
 }
 
+// cancel removes the commitment of a program whose first turn did not run, unless it was repeated and others may run.
+func (s *commitments) cancel(span time.Duration, program uint64) {
+	c := s.byProgram[program]
+	if c == nil {
+		return
+	}
+	if c.firstTurns--; c.firstTurns == 0 {
+		s.remove(c, span)
+	}
+}
+
 // timeUntil returns the time until enough commitments have expired for at most left requests to remain.
 func (s *commitments) timeUntil(at, span time.Duration, left float64) time.Duration {
 	width := span / buckets
--- a/rockbarrow/quota/quota.go
+++ b/rockbarrow/quota/quota.go
@@ -64,6 +64,8 @@
 
 // charge tells where a limiter's request is counted.
 type charge struct {
+	// at is when it was charged, or when the request was whose place it took.
+	at time.Time
 	// refund is true if the request took the place of another one.
 	refund bool
 	// control and process are the control instance that counted it, if one did.
@@ -71,8 +73,16 @@
 	process uint64
 	// allowance is the update that allowed it, if one did.
 	allowance *countUpdate
+	// withoutControl is true if no control instance could decide.
+	withoutControl bool
+	// committed is the program to which a control instance has committed a part of the limit with this request, zero
+	// if there is none.
+	committed uint64
 }
 
+// HasCommitment reports whether a control instance must be told with [Limiter.EndProgram] if the request does not run.
+func (g Granted) HasCommitment() bool { return g.charge.committed != 0 }
+
 // Refused means that the customer is at its limit.
 type Refused struct {
 	// RetryAfter is the time until a request is expected to be admitted.
