--- a/rockbarrow/entry/programs_test.go
+++ b/rockbarrow/entry/programs_test.go
@@ -166,12 +166,15 @@
 			d.Customers[0].RequestsPerSecond = 10
 			for _, r := range d.Routes {
 				r.Keyed = true
+				if r.GetName() != "plain" {
+					r.Priority = 1 // programs of the most urgent priority are not refused by the level
+				}
 			}
 			return d, nil
 		}
 		p.Watch.ApplyReply(&fleetpb.WatchReply{Entries: 4, State: &fleetpb.State{Number: s.GetNumber() + 1, Configuration: &fleetpb.Configuration{Version: 3}, View: s.GetView()}})
 		p.refresh()
-		p.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{4, 4, 4}, Failing: make([]uint32, 3)})
+		p.ReceiveLoads(&fleetpb.EndpointLoads{ListNumber: 1, Running: []uint32{5, 5, 5}, Failing: make([]uint32, 3)})
 		for path, want := range map[string]string{"r": "1 ", "k": ""} {
 			_, o := p.serve(t, path, path, "level"+path, 9)
 			synctest.Wait()
--- a/rockbarrow/limiter/level_test.go
+++ b/rockbarrow/limiter/level_test.go
@@ -116,10 +116,10 @@
 	for _, test := range []struct {
 		after time.Duration
 		want  float64
-	}{{5 * time.Second, 0.05}, {5500 * time.Millisecond, 0.55}} {
+	}{{5 * time.Second, 0}, {5500 * time.Millisecond, 0.1}, {5750 * time.Millisecond, 0.6}} {
 		now := start.Add(test.after)
-		l.Handle(now, Resized{Slots: 100, Shared: Shared{Slots: 100, InFlight: 10}})
-		if got := admitted(l, now, Arrived{}); math.Abs(got-test.want) > 0.05 {
+		l.Handle(now, Resized{Slots: 100, Shared: Shared{Slots: 100, InFlight: 10, Priorities: []uint32{0, 2, 5}}})
+		if got := admitted(l, now, Arrived{RoutePriority: 2}); math.Abs(got-test.want) > 0.05 {
 			t.Errorf("%v after the overload, of which 5 s without reports, %.2f are admitted, want %.2f", test.after, got, test.want)
 		}
 	}
