stores: a call that can't be encoded fails alone

A request id that is not valid UTF-8 can't be sent in a protobuf message. gRPC ends the stream when it fails to encode a call, so one such request failed the calls of all others to its stores, and its stores counted as unreachable.

A stream encodes a call before it takes it. A call that can't be encoded, on a stream or alone, fails with an error of its own, is not retried and leaves the health of its store as it is.

--- a/rockbarrow/stores/errors.go
+++ b/rockbarrow/stores/errors.go
@@ -2,7 +2,11 @@
 
 package stores
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+)
 
 // OverBudgetError reports that a turn exceeds the token budget of its program.
 type OverBudgetError struct {
@@ -37,3 +41,16 @@
 func (e *UnavailableError) Error() string {
 	return fmt.Sprintf("stores: unavailable under view %d: %s", e.Epoch, e.Reason)
 }
+
+// encodingError reports a call that can't be encoded, for instance because a string
+// is not valid UTF-8. It is not sent to any store.
+type encodingError struct{ reason error }
+
+func (e *encodingError) Error() string { return "stores: encoding the call: " + e.reason.Error() }
+
+func (e *encodingError) Unwrap() error { return e.reason }
+
+func isEncodingError(err error) bool {
+	var encoding *encodingError
+	return errors.As(err, &encoding)
+}
--- /dev/null
+++ b/rockbarrow/stores/faults_test.go
@@ -0,0 +1,63 @@
+// SPDX-License-Identifier: MIT
+
+package stores
+
+import (
+	"context"
+	"testing"
+
+	"rockbarrow.dev/rockbarrow/store"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// blockingStore answers reservations once released.
+type blockingStore struct {
+	fleetpb.UnimplementedStoreServer
+	started chan struct{}
+	release chan struct{}
+}
+
+func (s *blockingStore) Reserve(context.Context, *fleetpb.ReserveRequest) (*fleetpb.ReserveReply, error) {
+	s.started <- struct{}{}
+	<-s.release
+	return &fleetpb.ReserveReply{Status: &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1}}, nil
+}
+
+func (s *blockingStore) Calls(stream fleetpb.Store_CallsServer) error {
+	return (&store.Store{}).ServeCalls(stream, s)
+}
+
+// TestUnencodableCall guards against a request with an invalid id that fails the calls
+// of other requests to the same store, or marks the store as unreachable.
+func TestUnencodableCall(t *testing.T) {
+	const good = 5
+	fake := &blockingStore{started: make(chan struct{}, good), release: make(chan struct{})}
+	c := newTestClient(t)
+	m, _ := serveStore(t, fake)
+	s := c.stream(m.GetAddress())
+	s.awaitOpened()
+	op := &reservation{turn: Turn{ID: "t", reservation: "\xff"}, epoch: 1}
+	results := make(chan response[*fleetpb.ReserveReply], 2)
+	call := &storeCall[*fleetpb.ReserveReply]{client: c, member: m, request: storeRequest[*fleetpb.ReserveReply]{unary: op.unary}, results: results}
+	call.start(t.Context())
+	if err := (<-results).err; !isEncodingError(err) || c.health.isKnown(m.GetStorage()) {
+		t.Errorf("a unary call ended with %v; health of the store recorded: %v", err, c.health.isKnown(m.GetStorage()))
+	}
+	var pending []<-chan response[*fleetpb.ReserveReply]
+	for range good {
+		pending = append(pending, startReservation(t, c, m, "t/1"))
+		<-fake.started
+	}
+	if err := (<-startReservation(t, c, m, "\xff")).err; !isEncodingError(err) {
+		t.Errorf("a call on the stream ended with %v", err)
+	}
+	close(fake.release)
+	for _, p := range pending {
+		if err := (<-p).err; err != nil {
+			t.Errorf("another call ended with %v", err)
+		}
+	}
+	if c.stream(m.GetAddress()) != s {
+		t.Error("the stream was replaced")
+	}
+}
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -101,8 +101,9 @@
 		members := tracker.Members()
 		outcome, reason := callQuorum(ctx, c, tracker, members, len(members), func() bool { return found || absent() }, nil,
 			storeRequest[*fleetpb.LookupReply]{unary: func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.LookupReply, *fleetpb.StoreStatus, error) {
-				r, err := s.Lookup(ctx, &fleetpb.LookupRequest{Epoch: view.GetEpoch(), Storage: m.GetStorage(), Turn: id})
-				return r, r.GetStatus(), err
+				req := &fleetpb.LookupRequest{Epoch: view.GetEpoch(), Storage: m.GetStorage(), Turn: id}
+				r, err := s.Lookup(ctx, req)
+				return r, r.GetStatus(), unaryError(req, err)
 			}},
 			func(r *fleetpb.LookupReply) {
 				seen.add(r.GetChain())
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -48,7 +48,7 @@
 	if c.request.call != nil {
 		if s := c.client.stream(c.member.GetAddress()); s != nil {
 			done := func(r *fleetpb.StoreCallReply, started time.Time, err error) { c.streamDone(ctx, r, started, err) }
-			if call := c.request.call(c.member); call != nil && s.send(call, &streamedCall{slow: c.slow, done: done}) {
+			if c.send(s, &streamedCall{slow: c.slow, done: done}) {
 				return
 			}
 		}
@@ -56,6 +56,20 @@
 	go c.run(ctx)
 }
 
+// send reports whether the call was sent on the stream or has failed.
+func (c *storeCall[R]) send(s *callStream, p *streamedCall) bool {
+	call := c.request.call(c.member)
+	if call == nil {
+		return false
+	}
+	sent, err := s.send(call, p)
+	if err != nil {
+		c.finish(response[R]{member: c.member}, time.Now(), err)
+		return true
+	}
+	return sent
+}
+
 func (c *storeCall[R]) slow(started time.Time) {
 	(&responseTimeout{client: c.client, member: c.member, started: started}).run()
 }
@@ -74,8 +88,14 @@
 	c.finish(result, started, err)
 }
 
-// finish records the result of the call and passes it on.
+// finish records the result of the call and passes it on. A call that could not be
+// encoded has not reached its store and says nothing about it.
 func (c *storeCall[R]) finish(r response[R], started time.Time, err error) {
+	if isEncodingError(err) {
+		r.err = err
+		c.results <- r
+		return
+	}
 	if err == nil || !processStalled(started, callTimeout) {
 		c.client.recordResult(c.member, err)
 	}
@@ -160,6 +180,9 @@
 			continue
 		case got := <-q.responses:
 			received++
+			if isEncodingError(got.err) {
+				return aborted, got.err.Error()
+			}
 			if refusal := refusalReason(got.status, got.err); refusal != "" {
 				t.Refuse(got.member.GetStorage())
 				reason = got.member.GetInstance() + ": " + refusal
--- a/rockbarrow/stores/requests.go
+++ b/rockbarrow/stores/requests.go
@@ -5,6 +5,10 @@
 import (
 	"context"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -19,6 +23,18 @@
 	reply func(r *fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus)
 }
 
+// unaryError returns the error of a unary call, an [encodingError] if the request
+// could not be encoded: gRPC uses the same code for that and for faults of the store.
+func unaryError(req proto.Message, err error) error {
+	if status.Code(err) != codes.Internal {
+		return err
+	}
+	if _, reason := proto.Marshal(req); reason != nil {
+		return &encodingError{reason: reason}
+	}
+	return err
+}
+
 // reservation is the request that reserves the tokens of a turn.
 type reservation struct {
 	turn  Turn
@@ -39,8 +55,9 @@
 }
 
 func (o *reservation) unary(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
-	r, err := s.Reserve(ctx, o.request(m))
-	return r, r.GetStatus(), err
+	req := o.request(m)
+	r, err := s.Reserve(ctx, req)
+	return r, r.GetStatus(), unaryError(req, err)
 }
 
 // call returns nil if the reply contains turns, which may be large.
@@ -70,8 +87,9 @@
 }
 
 func (o *settlement) unary(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
-	r, err := s.Settle(ctx, o.requestTo(m))
-	return r, r.GetStatus(), err
+	req := o.requestTo(m)
+	r, err := s.Settle(ctx, req)
+	return r, r.GetStatus(), unaryError(req, err)
 }
 
 func (o *settlement) call(m *fleetpb.Member) *fleetpb.StoreCall {
--- a/rockbarrow/stores/stream.go
+++ b/rockbarrow/stores/stream.go
@@ -129,6 +129,8 @@
 	// stream is nil until the store has confirmed it, and once it has ended.
 	stream fleetpb.Store_CallsClient
 	lastID uint64
+	// encoded is the buffer of send.
+	encoded []byte
 	// pending holds the calls without a reply by id, including those that have
 	// timed out: their bytes may still wait to be sent.
 	pending    map[uint64]*streamedCall
@@ -162,28 +164,32 @@
 }
 
 // send sends a call unless the stream is not open, the call is too large or too
-// much is unanswered. It never blocks.
-func (s *callStream) send(call *fleetpb.StoreCall, p *streamedCall) bool {
+// much is unanswered. It never blocks. It returns an [encodingError] if the call
+// can't be sent at all; gRPC would end the stream, with the calls of other requests.
+func (s *callStream) send(call *fleetpb.StoreCall, p *streamedCall) (sent bool, err error) {
 	p.size = proto.Size(call)
 	if p.size > maxStreamedCall {
-		return false
+		return false, nil
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stream == nil || s.unanswered+p.size > maxUnanswered {
-		return false
+		return false, nil
+	}
+	if s.encoded, err = (proto.MarshalOptions{UseCachedSize: true}).MarshalAppend(s.encoded[:0], call); err != nil {
+		return false, &encodingError{reason: err}
 	}
 	s.lastID++
 	call.Id = s.lastID
 	if s.stream.Send(call) != nil {
 		// The stream has ended before the call was sent; run handles the others.
-		return false
+		return false, nil
 	}
 	p.started = time.Now()
 	s.pending[call.GetId()] = p
 	s.unanswered += p.size
 	s.client.streams.checkBy(p.started.Add(unresponsiveAfter))
-	return true
+	return true, nil
 }
 
 // run opens the stream and receives replies until it ends.
--- a/rockbarrow/stores/stream_test.go
+++ b/rockbarrow/stores/stream_test.go
@@ -61,8 +61,8 @@
 					done <- time.Since(begun)
 				},
 			}
-			if !s.send(callOfSize(10), p) {
-				t.Fatal("the call was not sent")
+			if sent, err := s.send(callOfSize(10), p); !sent {
+				t.Fatalf("the call was not sent: %v", err)
 			}
 			<-time.After(100 * time.Millisecond)
 		}
@@ -91,7 +91,7 @@
 		p := func() *streamedCall {
 			return &streamedCall{slow: func(time.Time) {}, done: func(*fleetpb.StoreCallReply, time.Time, error) {}}
 		}
-		if s.send(callOfSize(maxStreamedCall), p()) {
+		if sent, _ := s.send(callOfSize(maxStreamedCall), p()); sent {
 			t.Error("a large call was sent on the stream")
 		}
 		for range 100 {
@@ -164,28 +164,10 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
 			fake := &scriptedStore{supported: test.supported, end: test.end}
-			g := dial.NewServer()
-			fleetpb.RegisterStoreServer(g, fake)
-			go g.Serve(l)
-			t.Cleanup(g.Stop)
-			log := logrus.New()
-			log.SetOutput(io.Discard)
-			pool := &dial.Pool{}
-			t.Cleanup(pool.Close)
-			c := &Client{Watch: &watch.Client{Self: &fleetpb.Member{}, Log: logrus.NewEntry(log)}, Pool: pool}
-			m := &fleetpb.Member{Instance: "store", Storage: 1, Address: l.Addr().String()}
-			op := &reservation{turn: Turn{ID: "t", reservation: "t/1"}, epoch: 1}
-			call := func() error {
-				results := make(chan response[*fleetpb.ReserveReply], 1)
-				request := storeRequest[*fleetpb.ReserveReply]{unary: op.unary, call: op.call, reply: op.reply}
-				(&storeCall[*fleetpb.ReserveReply]{client: c, member: m, request: request, results: results}).start(t.Context())
-				return (<-results).err
-			}
+			c := newTestClient(t)
+			m, _ := serveStore(t, fake)
+			call := func() error { return (<-startReservation(t, c, m, "t/1")).err }
 			c.stream(m.GetAddress()).awaitOpened()
 			if err := call(); err != nil {
 				t.Fatalf("once the stream is open: %v", err)
@@ -200,6 +182,38 @@
 	}
 }
 
+// newTestClient returns a client without a view.
+func newTestClient(t *testing.T) *Client {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	pool := &dial.Pool{}
+	t.Cleanup(pool.Close)
+	return &Client{Watch: &watch.Client{Self: &fleetpb.Member{}, Log: logrus.NewEntry(log)}, Pool: pool}
+}
+
+// serveStore serves a store on loopback until the returned function is called or the
+// test ends.
+func serveStore(t *testing.T, s fleetpb.StoreServer) (*fleetpb.Member, func()) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := dial.NewServer()
+	fleetpb.RegisterStoreServer(g, s)
+	go g.Serve(l)
+	t.Cleanup(g.Stop)
+	return &fleetpb.Member{Instance: "store", Storage: 1, Address: l.Addr().String()}, g.Stop
+}
+
+// startReservation starts a reservation at one store.
+func startReservation(t *testing.T, c *Client, m *fleetpb.Member, turn string) <-chan response[*fleetpb.ReserveReply] {
+	op := &reservation{turn: Turn{ID: "t", Program: "p", reservation: turn}, epoch: 1}
+	results := make(chan response[*fleetpb.ReserveReply], 1)
+	request := storeRequest[*fleetpb.ReserveReply]{unary: op.unary, call: op.call, reply: op.reply}
+	(&storeCall[*fleetpb.ReserveReply]{client: c, member: m, request: request, results: results}).start(t.Context())
+	return results
+}
+
 // awaitOpened waits until the stream is open or has failed.
 func (s *callStream) awaitOpened() {
 	for opened := false; !opened; {
