stores: streams to stores that have disappeared are forgotten

A stream that ended before its connection was closed stayed in the map of streams until the next call to its address, with its connection. For a store that is gone there is no such call. Each stream is now removed once another may be opened; until then its entry only keeps the delay.

TestEndedStreamsAreForgotten fails without the removal.

--- a/rockbarrow/stores/faults_test.go
+++ b/rockbarrow/stores/faults_test.go
@@ -5,6 +5,11 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rockbarrow.dev/rockbarrow/store"
 	"rockbarrow.dev/schema/fleetpb"
@@ -61,3 +66,42 @@
 		t.Error("the stream was replaced")
 	}
 }
+
+func (c *callStreams) count() (byAddress, open int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.byAddress), len(c.open)
+}
+
+// TestEndedStreamsAreForgotten guards against streams and connections that are kept for
+// each store that has disappeared, and against streams that are reopened too early.
+func TestEndedStreamsAreForgotten(t *testing.T) {
+	tests := map[string]struct {
+		end   error
+		after time.Duration
+	}{
+		"broken":            {status.Error(codes.Unavailable, "broken"), reopenDelay},
+		"connection closed": {status.Error(codes.Canceled, "closed"), reopenDelay},
+		"old version":       {status.Error(codes.Unimplemented, "old"), unsupportedDelay},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newRecordedStream(&recordedStream{})
+				all := &s.client.streams
+				all.byAddress = map[string]*callStream{s.address: s}
+				s.end(test.end)
+				<-time.After(test.after - time.Millisecond)
+				synctest.Wait()
+				if byAddress, open := all.count(); byAddress != 1 || open != 0 {
+					t.Errorf("before the delay has passed: %d streams by address, %d open", byAddress, open)
+				}
+				<-time.After(2 * time.Millisecond)
+				synctest.Wait()
+				if byAddress, _ := all.count(); byAddress != 0 {
+					t.Error("the stream is kept after the delay")
+				}
+			})
+		})
+	}
+}
--- a/rockbarrow/stores/stream.go
+++ b/rockbarrow/stores/stream.go
@@ -34,7 +34,9 @@
 
 // callStreams holds the streams of calls to stores. The zero value is ready to use.
 type callStreams struct {
-	mu        sync.Mutex
+	mu sync.Mutex
+	// byAddress holds the streams that are open or being opened, and those that have
+	// ended until another may be opened.
 	byAddress map[string]*callStream
 	// open holds the streams that may have pending calls.
 	open map[*callStream]bool
@@ -57,7 +59,7 @@
 	c.streams.mu.Lock()
 	defer c.streams.mu.Unlock()
 	s := c.streams.byAddress[address]
-	if s == nil || s.conn != conn || s.mayReopen(time.Now()) {
+	if s == nil || s.conn != conn {
 		if c.streams.byAddress == nil {
 			c.streams.byAddress = map[string]*callStream{}
 		}
@@ -77,13 +79,20 @@
 	c.open[s] = true
 }
 
-// remove forgets a stream that has ended. If its connection was closed, there may
-// be no further call to its address.
-func (c *callStreams) remove(s *callStream, closed bool) {
+// remove removes a stream that has ended. Another one may be opened after a delay.
+func (c *callStreams) remove(s *callStream, reopenDelay time.Duration) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	delete(c.open, s)
-	if closed && c.byAddress[s.address] == s {
+	c.mu.Unlock()
+	// There may be no further call to the address, so that a check at the next call
+	// would keep the connection of each store that disappears.
+	time.AfterFunc(reopenDelay, func() { c.forget(s) })
+}
+
+func (c *callStreams) forget(s *callStream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byAddress[s.address] == s {
 		delete(c.byAddress, s.address)
 	}
 }
@@ -135,8 +144,7 @@
 	// timed out: their bytes may still wait to be sent.
 	pending    map[uint64]*streamedCall
 	unanswered int
-	// reopenAt is when another stream may replace this one, zero until it has ended.
-	reopenAt time.Time
+	ended      bool
 }
 
 // streamedCall is a call that has no reply yet.
@@ -157,12 +165,6 @@
 
 func (e *notHandledError) Error() string { return "the store ended the stream of calls" }
 
-func (s *callStream) mayReopen(now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.reopenAt.IsZero() && now.After(s.reopenAt)
-}
-
 // send sends a call unless the stream is not open, the call is too large or too
 // much is unanswered. It never blocks. It returns an [encodingError] if the call
 // can't be sent at all; gRPC would end the stream, with the calls of other requests.
@@ -247,12 +249,13 @@
 		}
 	}
 	s.pending, s.stream = nil, nil
-	s.reopenAt = time.Now().Add(reopenDelay)
+	s.ended = true
+	s.mu.Unlock()
+	delay := reopenDelay
 	if status.Code(err) == codes.Unimplemented {
-		s.reopenAt = time.Now().Add(unsupportedDelay)
+		delay = unsupportedDelay
 	}
-	s.mu.Unlock()
-	s.client.streams.remove(s, status.Code(err) == codes.Canceled)
+	s.client.streams.remove(s, delay)
 	if err == io.EOF {
 		err = &notHandledError{}
 	}
--- a/rockbarrow/stores/stream_test.go
+++ b/rockbarrow/stores/stream_test.go
@@ -218,7 +218,7 @@
 func (s *callStream) awaitOpened() {
 	for opened := false; !opened; {
 		s.mu.Lock()
-		opened = s.stream != nil || !s.reopenAt.IsZero()
+		opened = s.stream != nil || s.ended
 		s.mu.Unlock()
 		runtime.Gosched()
 	}
