stores: a reply of another kind than its call is an error

The status of a missing reply is that of success, so a reply on a stream that was empty, of an unknown kind or of that of another call counted as an acknowledged write. Such a reply is now an error of its call, and is handled like any other.

TestUnexpectedReplies fails without the check (six cases). go test ./stores passes, its tests of streams twice with the race detector.

--- a/rockbarrow/stores/errors.go
+++ b/rockbarrow/stores/errors.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/pkg/errors"
+
+	"rockbarrow.dev/schema/fleetpb"
 )
 
 // OverBudgetError reports that a turn exceeds the token budget of its program.
@@ -54,3 +56,11 @@
 	var encoding *encodingError
 	return errors.As(err, &encoding)
 }
+
+// unexpectedReplyError reports a reply on a stream that is not of the kind of its call.
+// A missing reply must not pass for an acknowledgement: its status is that of success.
+type unexpectedReplyError struct{ reply *fleetpb.StoreCallReply }
+
+func (e *unexpectedReplyError) Error() string {
+	return fmt.Sprintf("stores: unexpected reply of type %T", e.reply.GetReply())
+}
--- a/rockbarrow/stores/faults_test.go
+++ b/rockbarrow/stores/faults_test.go
@@ -8,8 +8,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/store"
 	"rockbarrow.dev/schema/fleetpb"
@@ -105,3 +108,45 @@
 		})
 	}
 }
+
+// TestUnexpectedReplies guards against replies without a result that count as
+// acknowledged writes.
+func TestUnexpectedReplies(t *testing.T) {
+	reserved := &fleetpb.StoreCallReply{Reply: &fleetpb.StoreCallReply_Reserve{Reserve: &fleetpb.ReserveReply{}}}
+	settled := &fleetpb.StoreCallReply{Reply: &fleetpb.StoreCallReply_Settle{Settle: &fleetpb.SettleReply{}}}
+	unknown := &fleetpb.StoreCallReply{}
+	if err := proto.Unmarshal(protowire.AppendVarint(protowire.AppendTag(nil, 15, protowire.VarintType), 1), unknown); err != nil {
+		t.Fatal(err)
+	}
+	tests := []struct {
+		name            string
+		reply           *fleetpb.StoreCallReply
+		reserve, settle bool
+	}{
+		{name: "reserved", reply: reserved, reserve: true},
+		{name: "settled", reply: settled, settle: true},
+		{name: "empty", reply: &fleetpb.StoreCallReply{}},
+		{name: "unknown", reply: unknown},
+	}
+	for _, test := range tests {
+		if acked := replyAcked(t, (&reservation{}).reply, test.reply); acked != test.reserve {
+			t.Errorf("%s: a reservation is acknowledged: %v, want %v", test.name, acked, test.reserve)
+		}
+		if acked := replyAcked(t, (&settlement{}).reply, test.reply); acked != test.settle {
+			t.Errorf("%s: a settlement is acknowledged: %v, want %v", test.name, acked, test.settle)
+		}
+	}
+}
+
+// replyAcked reports whether a reply on a stream acknowledges its call.
+func replyAcked[R any](t *testing.T, reply func(*fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus, error), r *fleetpb.StoreCallReply) bool {
+	results := make(chan response[R], 1)
+	call := &storeCall[R]{client: newTestClient(t), member: &fleetpb.Member{Storage: 1}, request: storeRequest[R]{reply: reply}, results: results}
+	call.streamDone(t.Context(), r, time.Now(), nil)
+	got := <-results
+	var unexpected *unexpectedReplyError
+	if got.err != nil && !errors.As(got.err, &unexpected) {
+		t.Errorf("the call ended with %v", got.err)
+	}
+	return refusalReason(got.status, got.err) == ""
+}
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -83,7 +83,7 @@
 	}
 	result := response[R]{member: c.member}
 	if err == nil {
-		result.reply, result.status = c.request.reply(r)
+		result.reply, result.status, err = c.request.reply(r)
 	}
 	c.finish(result, started, err)
 }
--- a/rockbarrow/stores/requests.go
+++ b/rockbarrow/stores/requests.go
@@ -17,10 +17,10 @@
 	// unary sends the request to a store as a call of its own.
 	unary func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
 	// call returns the request to a store for the stream of calls, or nil if it may
-	// only be sent as a call of its own; reply extracts the result. Both are nil if
-	// that holds for all stores.
+	// only be sent as a call of its own; reply extracts the result, or returns an
+	// [unexpectedReplyError]. Both are nil if that holds for all stores.
 	call  func(m *fleetpb.Member) *fleetpb.StoreCall
-	reply func(r *fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus)
+	reply func(r *fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus, error)
 }
 
 // unaryError returns the error of a unary call, an [encodingError] if the request
@@ -68,8 +68,12 @@
 	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Reserve{Reserve: o.request(m)}}
 }
 
-func (o *reservation) reply(r *fleetpb.StoreCallReply) (*fleetpb.ReserveReply, *fleetpb.StoreStatus) {
-	return r.GetReserve(), r.GetReserve().GetStatus()
+func (o *reservation) reply(r *fleetpb.StoreCallReply) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
+	got := r.GetReserve()
+	if got == nil {
+		return nil, nil, &unexpectedReplyError{reply: r}
+	}
+	return got, got.GetStatus(), nil
 }
 
 // settlement is the request that settles a reservation, stores a turn, or both.
@@ -96,6 +100,10 @@
 	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Settle{Settle: o.requestTo(m)}}
 }
 
-func (o *settlement) reply(r *fleetpb.StoreCallReply) (*fleetpb.SettleReply, *fleetpb.StoreStatus) {
-	return r.GetSettle(), r.GetSettle().GetStatus()
+func (o *settlement) reply(r *fleetpb.StoreCallReply) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
+	got := r.GetSettle()
+	if got == nil {
+		return nil, nil, &unexpectedReplyError{reply: r}
+	}
+	return got, got.GetStatus(), nil
 }
