--- a/rockbarrow/stores/errors.go
+++ b/rockbarrow/stores/errors.go
@@ -2,7 +2,13 @@
 
 package stores
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
 
 // OverBudgetError reports that a turn exceeds the token budget of its program.
 type OverBudgetError struct {
@@ -37,3 +43,24 @@
 func (e *UnavailableError) Error() string {
 	return fmt.Sprintf("stores: unavailable under view %d: %s", e.Epoch, e.Reason)
 }
+
+// encodingError reports a call that can't be encoded, for instance because a string
+// is not valid UTF-8. It is not sent to any store.
+type encodingError struct{ reason error }
+
+func (e *encodingError) Error() string { return "stores: encoding the call: " + e.reason.Error() }
+
+func (e *encodingError) Unwrap() error { return e.reason }
+
+func isEncodingError(err error) bool {
+	var encoding *encodingError
+	return errors.As(err, &encoding)
+}
+
+// unexpectedReplyError reports a reply on a stream that is not of the kind of its call.
+// A missing reply must not pass for an acknowledgement: its status is that of success.
+type unexpectedReplyError struct{ reply *fleetpb.StoreCallReply }
+
+func (e *unexpectedReplyError) Error() string {
+	return fmt.Sprintf("stores: unexpected reply of type %T", e.reply.GetReply())
+}
--- a/rockbarrow/stores/requests.go
+++ b/rockbarrow/stores/requests.go
@@ -5,6 +5,10 @@
 import (
 	"context"
 
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -13,10 +17,22 @@
 	// unary sends the request to a store as a call of its own.
 	unary func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (R, *fleetpb.StoreStatus, error)
 	// call returns the request to a store for the stream of calls, or nil if it may
-	// only be sent as a call of its own; reply extracts the result. Both are nil if
-	// that holds for all stores.
+	// only be sent as a call of its own; reply extracts the result, or returns an
+	// [unexpectedReplyError]. Both are nil if that holds for all stores.
 	call  func(m *fleetpb.Member) *fleetpb.StoreCall
-	reply func(r *fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus)
+	reply func(r *fleetpb.StoreCallReply) (R, *fleetpb.StoreStatus, error)
+}
+
+// unaryError returns the error of a unary call, an [encodingError] if the request
+// could not be encoded: gRPC uses the same code for that and for faults of the store.
+func unaryError(req proto.Message, err error) error {
+	if status.Code(err) != codes.Internal {
+		return err
+	}
+	if _, reason := proto.Marshal(req); reason != nil {
+		return &encodingError{reason: reason}
+	}
+	return err
 }
 
 // reservation is the request that reserves the tokens of a turn.
@@ -39,8 +55,9 @@
 }
 
 func (o *reservation) unary(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
-	r, err := s.Reserve(ctx, o.request(m))
-	return r, r.GetStatus(), err
+	req := o.request(m)
+	r, err := s.Reserve(ctx, req)
+	return r, r.GetStatus(), unaryError(req, err)
 }
 
 // call returns nil if the reply contains turns, which may be large.
@@ -51,8 +68,12 @@
 	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Reserve{Reserve: o.request(m)}}
 }
 
-func (o *reservation) reply(r *fleetpb.StoreCallReply) (*fleetpb.ReserveReply, *fleetpb.StoreStatus) {
-	return r.GetReserve(), r.GetReserve().GetStatus()
+func (o *reservation) reply(r *fleetpb.StoreCallReply) (*fleetpb.ReserveReply, *fleetpb.StoreStatus, error) {
+	got := r.GetReserve()
+	if got == nil {
+		return nil, nil, &unexpectedReplyError{reply: r}
+	}
+	return got, got.GetStatus(), nil
 }
 
 // settlement is the request that settles a reservation, stores a turn, or both.
@@ -70,14 +91,19 @@
 }
 
 func (o *settlement) unary(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
-	r, err := s.Settle(ctx, o.requestTo(m))
-	return r, r.GetStatus(), err
+	req := o.requestTo(m)
+	r, err := s.Settle(ctx, req)
+	return r, r.GetStatus(), unaryError(req, err)
 }
 
 func (o *settlement) call(m *fleetpb.Member) *fleetpb.StoreCall {
 	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Settle{Settle: o.requestTo(m)}}
 }
 
-func (o *settlement) reply(r *fleetpb.StoreCallReply) (*fleetpb.SettleReply, *fleetpb.StoreStatus) {
-	return r.GetSettle(), r.GetSettle().GetStatus()
+func (o *settlement) reply(r *fleetpb.StoreCallReply) (*fleetpb.SettleReply, *fleetpb.StoreStatus, error) {
+	got := r.GetSettle()
+	if got == nil {
+		return nil, nil, &unexpectedReplyError{reply: r}
+	}
+	return got, got.GetStatus(), nil
 }
