--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -93,8 +93,8 @@
 	return action
 }
 
-// admit reports whether the shared level lets a new program start, and otherwise the rejection.
-func (l *serviceLimiter) admit(c capacityCounter, a limiter.Arrived) (limiter.Reject, bool) {
+// admitByLevel reports whether the shared level lets a new program start, and otherwise the rejection.
+func (l *serviceLimiter) admitByLevel(c capacityCounter, a limiter.Arrived) (limiter.Reject, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -185,20 +185,17 @@
 	}
 }
 
-// admitNew applies the shared level to a program that is certainly new, before it costs the customer's quota or the
-// stores anything. It returns a non-nil outcome if the program is refused. Where only the stores' reply to the
+// precheckLevel applies the shared level to a program that is certainly new, before it costs the customer's quota or
+// the stores anything. It returns a non-nil outcome if the program is refused. Where only the stores' reply to the
 // reservation shows whether the program is new, checkLevel applies the level after it. Without a reservation the level
 // does not apply, because nothing would tell later turns of a program from new programs at other instances.
-func (x *exchange) admitNew() Outcome {
+func (x *exchange) precheckLevel() Outcome {
 	r := x.request
 	if !x.isLimited() || r.PreviousTurn != "" || r.LastEventID != "" {
 		return nil
 	}
 	last, _ := x.entry.sessions.lookup(r.Program, r.Session, x.previous)
-	if last.EndpointID != "" || !x.handling.reserved {
-		x.admitted = true
-		return nil
-	}
+	x.known = last.EndpointID != ""
 	if !x.handling.history {
 		return nil
 	}
@@ -208,21 +205,24 @@
 // checkLevel refuses a new program that the shared level of its service has no room for. It returns a non-nil outcome
 // if so.
 func (x *exchange) checkLevel() Outcome {
-	if !x.isLimited() || x.admitted {
+	if !x.isLimited() || !x.needsLevel() {
 		return nil
 	}
 	c, a := x.capacityCounter(), x.arrival()
 	if a.InProgress {
 		return nil
 	}
-	reject, ok := x.entry.limiters.get(c.service).admit(c, a)
+	reject, ok := x.entry.limiters.get(c.service).admitByLevel(c, a)
 	if !ok {
 		return x.rejectedBySlots(reject)
 	}
-	x.admitted = true
+	x.passedLevel = true
 	return nil
 }
 
+// needsLevel reports whether the shared level must still admit the request, should it be of a new program.
+func (x *exchange) needsLevel() bool { return x.handling.reserved && !x.known && !x.passedLevel }
+
 // isLimited reports whether the request needs a concurrency slot.
 func (x *exchange) isLimited() bool { return x.handling.streamed && x.service.GetSlots() > 0 }
 
@@ -270,7 +270,7 @@
 		Remaining:  r.TimeToFinish - elapsed, HasDeadline: r.HasTimeToFinish,
 		MaxWait: time.Duration(x.route.GetObjectiveMs())*time.Millisecond - elapsed, ClientTimeout: x.firstEventTimeout() - elapsed,
 		Priority: x.priority(), Customer: x.customer.GetName(), Weight: x.customer.GetRequestsPerSecond(),
-		Program: xxhash.Sum64String(program), RoutePriority: x.route.GetPriority(), Admitted: x.admitted,
+		Program: xxhash.Sum64String(program), RoutePriority: x.route.GetPriority(), Admitted: !x.needsLevel(),
 	}
 }
 
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -204,7 +204,7 @@
 	if o := x.prepareResumption(); o != nil {
 		return e.finish(x, o)
 	}
-	if o := x.admitNew(); o != nil {
+	if o := x.precheckLevel(); o != nil {
 		return e.finish(x, o)
 	}
 	if o := x.chargeQuota(ctx); o != nil {
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -82,8 +82,10 @@
 	ownTime time.Duration
 	// waitTime is the time spent waiting for a concurrency slot.
 	waitTime time.Duration
-	// admitted is true once the shared level has admitted the request's program, or if the level does not apply to it.
-	admitted bool
+	// known is true if this instance knows an earlier turn of the request's program.
+	known bool
+	// passedLevel is true once the shared level has admitted the request's program.
+	passedLevel bool
 }
 
 // splitKey returns the key that selects a service by weight, so that the turns of a program
--- a/rockbarrow/limiter/event.go
+++ b/rockbarrow/limiter/event.go
@@ -32,7 +32,7 @@
 	// of its route, without that of the customer. Both decide whether a new program is within the shared level.
 	Program       uint64
 	RoutePriority uint32
-	// Admitted is true if [Limiter.Admit] has admitted the program.
+	// Admitted is true if [Limiter.Admit] has admitted the program, or if the shared level does not apply to it.
 	Admitted bool
 }
 
