--- a/rockbarrow/quota/needs.go
+++ b/rockbarrow/quota/needs.go
@@ -16,10 +16,11 @@
 	// sampleCorrection is added to the decayed number of programs. The mean of a quotient by a small random number is
 	// too high; half a program removes that.
 	sampleCorrection = 0.5
-	// turnLag is how long after its first turn a program's later turns come on average, as a fraction of the time that
-	// it has to finish: half of the time that it takes on idle endpoints, which is some 0.7 of that.
+	// turnLag is the mean delay of a program's later turns after its first one, as a fraction of its time to finish. On
+	// idle endpoints, a program takes some 0.7 of its time to finish, and its turns are spread evenly over that, so that
+	// the mean delay is half of it.
 	turnLag = 0.35
-	// lagWeight is the weight of a new program in a route's average of turnLag.
+	// lagWeight is the weight of a new program in a route's moving average of that delay.
 	lagWeight = 0.1
 )
 
