--- a/rockbarrow/store/stream_test.go
+++ b/rockbarrow/store/stream_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/pkg/errors"
 
@@ -87,3 +88,28 @@
 		t.Errorf("%d replies, want %d", len(stream.replies), calls)
 	}
 }
+
+// TestCallsAfterTheStop guards against calls that are started after the store has
+// stopped: their clients take them for not handled and send them again.
+func TestCallsAfterTheStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		stream := &channelStream{ctx: t.Context(), calls: make(chan *fleetpb.StoreCall), replies: make(chan *fleetpb.StoreCallReply, 3)}
+		h := &blockingHandler{started: make(chan struct{}, 2), release: make(chan struct{})}
+		s := &Store{stopping: make(chan struct{})}
+		ended := make(chan error, 1)
+		go func() { ended <- s.ServeCalls(stream, h) }()
+		stream.calls <- &fleetpb.StoreCall{Id: 1, Call: &fleetpb.StoreCall_Reserve{}}
+		<-h.started
+		close(s.stopping)
+		synctest.Wait()
+		stream.calls <- &fleetpb.StoreCall{Id: 2, Call: &fleetpb.StoreCall_Reserve{}}
+		synctest.Wait()
+		if len(h.started) > 0 {
+			t.Error("a call was started after the stop")
+		}
+		close(h.release)
+		if err := <-ended; err != nil || len(stream.replies) != 2 {
+			t.Errorf("the stream ended with %v after %d replies, want the first and that to one call", err, len(stream.replies))
+		}
+	})
+}
