entry: the tests of programs wait for messages to control

The end of a program that did not run is sent without waiting for it, and the test stub recorded calls without a lock: the race detector reported TestNeedOfProgramsReachesControl. The stub now has a lock, and the test waits for the message before it reads the calls, and takes the one before it, which is the question about the new program as before.

--- a/rockbarrow/entry/programs_test.go
+++ b/rockbarrow/entry/programs_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,6 +21,7 @@
 type programEntry struct {
 	*Entry
 	sender *fakeSender
+	mu     sync.Mutex
 	calls  []*fleetpb.AdmitRequest
 }
 
@@ -38,7 +40,9 @@
 	p.Quota = &quota.Limiter{
 		Params: quota.Params{Window: 5 * time.Second}, Mode: quota.Central{}, EntryCount: func() int { return 1 },
 		AskControl: func(_ context.Context, req *fleetpb.AdmitRequest) (string, *fleetpb.AdmitReply, error) {
+			p.mu.Lock()
 			p.calls = append(p.calls, req)
+			p.mu.Unlock()
 			if req.GetNewProgram() && refuse > 0 {
 				return "control", &fleetpb.AdmitReply{RetryAfterMs: uint64(refuse.Milliseconds())}, nil
 			}
@@ -60,6 +64,8 @@
 // asked returns the quota calls since the last one, as charged requests with n for a check of a new program and e for the
 // end of one.
 func (p *programEntry) asked() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	out := ""
 	for _, c := range p.calls {
 		out += fmt.Sprint(c.GetRequests())
@@ -204,8 +210,10 @@
 		r.Key, r.HasKey = routing.DigestKey("ka"), true
 		r.Arrived, r.TimeToFinish, r.HasTimeToFinish = time.Now(), 3*time.Second, true
 		p.Serve(t.Context(), r, &fakeWriter{})
-		// Half a program and half a turn more are counted: 5 later turns of 1.5 programs, 6 tool calls of 6.5 turns.
-		got := p.calls[len(p.calls)-1]
+		synctest.Wait()
+		// Half a program and half a turn more are counted: 5 later turns of 1.5 programs, 6 tool calls of 6.5 turns. The
+		// last call is the end of the program, as its first turn does not run.
+		got := p.calls[len(p.calls)-2]
 		if want := float32(1+5/1.5) * (1 + 6/6.5); got.GetNeed() < want-0.01 || got.GetNeed() > want+0.01 || got.GetProgram() == 0 || got.GetFinishMs() != 3000 {
 			t.Errorf("asked %v, want a need of %v", got, want)
 		}
