code: comments that give reasons are back

Nothing else changes. Facts that no longer hold, or that seemed doubtful for today's code, are left out, such as the time to copy the records of a store.

The figures that follow from arithmetic, from other constants or from docs/ were checked against these. Durations, costs and sizes measured earlier, such as 5 ms for a call to a store, were taken over and not measured again.

Tests were not run.

--- a/rockbarrow/control/state.go
+++ b/rockbarrow/control/state.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxOutcomes bounds the number of stored outcomes and thereby the period in
-	// which a resent command is recognized.
+	// which a resent command is recognized: two months at 460 commands a day.
 	maxOutcomes = 32_768
 	// maxAuditRecords bounds the length of the audit trail.
 	maxAuditRecords = 65_536
--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -24,7 +24,8 @@
 )
 
 // documentCacheSize is the number of configuration documents, and of endpoint lists, kept as bases
-// for deltas. It covers a few seconds of rapid changes.
+// for deltas. It covers a few seconds of rapid changes. A document of a thousand routes or of three
+// thousand endpoints takes some 250 KB.
 const documentCacheSize = 8
 
 // EndpointSource reads the list of endpoints from the platform.
--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -23,7 +23,7 @@
 	// considered stale.
 	stallThreshold = time.Second
 	// settlePeriod is how long the set of stores must be unchanged before the first view is formed,
-	// so that it includes all stores that start together.
+	// so that it includes all stores that start together, within 0.3 s of each other.
 	settlePeriod = 1200 * time.Millisecond
 	// rankTimeout is how recently a control instance must have called to be ranked. Instances
 	// call every peerLongPoll.
@@ -33,13 +33,15 @@
 	confirmDelay = 250 * time.Millisecond
 	// changeTimeout bounds a single change of the state.
 	changeTimeout = 1500 * time.Millisecond
-	// seedWait is how long to wait for all seeds after a start.
+	// seedWait is how long to wait for all seeds after a start. Instances start within 0.3 s of
+	// each other.
 	seedWait = 2 * time.Second
 	// fallbackDelay is when instances other than the first in rank start trying to bootstrap the
 	// deployment, on average in one of fallbackOdds checks to avoid colliding rounds.
 	fallbackDelay = 6 * time.Second
 	fallbackOdds  = 8
-	// unformedLogInterval is the interval between log messages while no deployment is known.
+	// unformedLogInterval is the interval between log messages while no deployment is known. The
+	// first start of a deployment takes half a second.
 	unformedLogInterval = 2 * time.Second
 )
 
--- a/rockbarrow/controller/incarnations.go
+++ b/rockbarrow/controller/incarnations.go
@@ -27,7 +27,8 @@
 	// minProbeInterval and maxProbeInterval bound the interval between probes of one endpoint. The
 	// interval doubles with each probe that finds no restart, since an endpoint may keep losing
 	// single responses or closing idle connections. It is reset by a restart, and after
-	// probeBackoffReset without a probe.
+	// probeBackoffReset without a probe. A restart may go unnoticed for as long as
+	// maxProbeInterval.
 	minProbeInterval  = time.Second
 	maxProbeInterval  = 16 * time.Second
 	probeBackoffReset = 2 * maxProbeInterval
@@ -37,7 +38,7 @@
 	// publishInterval is the minimum interval between published results while further probes are
 	// pending.
 	publishInterval = time.Second
-	// maxConcurrentProbes limits the probes in flight.
+	// maxConcurrentProbes limits the probes in flight. A probe takes about 10 ms.
 	maxConcurrentProbes = 8
 	// unsupportedThreshold is the number of consecutive endpoints of a service without a start time
 	// after which the other endpoints of the service are probed only after lost calls.
--- a/rockbarrow/controller/learning.go
+++ b/rockbarrow/controller/learning.go
@@ -11,10 +11,12 @@
 )
 
 const (
-	// learnTimeout bounds one round during startup.
+	// learnTimeout bounds one round during startup: a round trip between failure domains (3 ms), two
+	// fsyncs (1 ms each) and the scheduling of processes that all start at once.
 	learnTimeout = 150 * time.Millisecond
 	// minLearnRetryDelay is the shortest delay between such rounds; the longest is twice that. It
-	// exceeds the usual duration of a round, so that instances do not keep preempting each other.
+	// exceeds the usual duration of a round, about 10 ms, so that instances do not keep preempting
+	// each other.
 	minLearnRetryDelay = 20 * time.Millisecond
 )
 
--- a/rockbarrow/controller/rounds.go
+++ b/rockbarrow/controller/rounds.go
@@ -16,12 +16,13 @@
 
 const (
 	// maxRoundBackoff is the maximum random delay after a preempted round, so that two proposers do
-	// not keep preempting each other.
+	// not keep preempting each other. A round takes about 10 ms.
 	maxRoundBackoff = 40 * time.Millisecond
-	// voteTimeout bounds one request to an acceptor, including its write to disk.
+	// voteTimeout bounds one request to an acceptor, including its write to disk. An fsync takes
+	// 1 ms, and seconds on a stalled disk.
 	voteTimeout = 1500 * time.Millisecond
 	// eventBufferSize exceeds the number of replies in a round (two per acceptor, with at most two
-	// sets of nine voters), so that senders never block.
+	// sets of nine voters), so that senders never block. Nine voters tolerate four losses.
 	eventBufferSize = 64
 	// roundTimeout bounds one round.
 	roundTimeout = 2 * time.Second
--- a/rockbarrow/controller/tables.go
+++ b/rockbarrow/controller/tables.go
@@ -21,7 +21,7 @@
 )
 
 // maxTableChanges is the number of table changes kept for instances that lag behind, enough for
-// about ten seconds of rapid changes.
+// about ten seconds at three changes per second. A change of 1,400 routes takes some 14 KB.
 const maxTableChanges = 32
 
 // tables builds the routing table of each new configuration on behalf of all entry instances, and
--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -94,8 +94,9 @@
 	return req.GetRole() != fleetpb.Role_ROLE_STORE && c.watch.List().Version().Number() > req.GetListNumber()
 }
 
-// memberSummaryTTL is how long a member summary is reused. Counting for each call would make the
-// work grow with the square of the number of instances.
+// memberSummaryTTL is how long a member summary is reused: a third of the time between two calls of
+// an instance. Counting for each call would make the work grow with the square of the number of
+// instances.
 const memberSummaryTTL = 100 * time.Millisecond
 
 // memberSummary is an immutable summary of the present instances as included in replies.
--- a/rockbarrow/controller/votes.go
+++ b/rockbarrow/controller/votes.go
@@ -12,7 +12,8 @@
 )
 
 // voteStore persists an acceptor's record in two cells. Promises are frequent, as every read and
-// change needs one, so they are written separately from the much larger accepted value.
+// change needs one, so they are written separately, in some hundred bytes, from the much larger
+// accepted value.
 type voteStore struct {
 	// value holds a whole record; promise holds a record without accepted ballot and state. The
 	// newer of the two promises is in force, and a deployment exists if either record says so.
--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -22,14 +22,17 @@
 )
 
 const (
-	// unackedTimeout is how long sent data may stay unacknowledged: far above a round
-	// trip, and well below the time within which a change must be in force.
+	// unackedTimeout is how long sent data may stay unacknowledged: some hundred times
+	// a round trip between failure domains (3 ms), and well below the seconds within
+	// which a change must be in force.
 	unackedTimeout = 900 * time.Millisecond
-	// connectTimeout bounds one connection attempt. It is shorter than the system's
-	// retransmission of a lost SYN, so that a new attempt is faster.
+	// connectTimeout bounds one connection attempt, which takes a round trip (3 ms) and
+	// some scheduling. The system retransmits a lost SYN only after a second, so that a
+	// new attempt is faster.
 	connectTimeout = 200 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay between attempts. Both are short, so
-	// that a client's retries reach a peer that has just restarted.
+	// that a client's retries reach a peer that has just restarted. An attempt costs
+	// both sides about 0.1 ms.
 	minBackoff = 50 * time.Millisecond
 	maxBackoff = 150 * time.Millisecond
 	// keepAliveInterval is how often an idle connection is probed, the shortest
@@ -82,7 +85,7 @@
 	detector *silenceDetector
 }
 
-// idleTimeout is how long an unused connection is kept.
+// idleTimeout is how long an unused connection is kept. Its peer was removed or moved.
 const idleTimeout = time.Minute
 
 // Get returns the connection to an address. It is established in the background.
--- a/rockbarrow/document/difference.go
+++ b/rockbarrow/document/difference.go
@@ -15,7 +15,7 @@
 	// identifies its base.
 	dictionaryID = 1
 	// maxDocumentSize in bytes bounds a decompressed document, at twice the size that
-	// operators may send.
+	// operators may send, which is about ten thousand routes.
 	maxDocumentSize = 32 << 20
 	// maxWindowSize in bytes bounds the encoder's memory. Matches farther back are
 	// not found and are sent again.
--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -18,7 +18,7 @@
 )
 
 // resizeInterval is how often a service's slots are recounted. It is several times shorter than
-// the interval of load reports from other instances.
+// the interval of load reports from other instances, 0.3 s.
 const resizeInterval = 50 * time.Millisecond
 
 // serviceLimiters holds the limiter of each service. The zero value is ready to use.
--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -13,7 +13,8 @@
 )
 
 // denialFreshness is how recently the table must have been confirmed as the newest one to deny an unknown key. It is
-// shorter than the time within which a configuration must apply everywhere.
+// shorter than the time within which a configuration must apply everywhere, and spans a few of the confirmations, which
+// arrive every 0.3 s.
 const denialFreshness = 1500 * time.Millisecond
 
 // HasCustomers reports whether the current configuration has customers.
--- a/rockbarrow/entry/draining.go
+++ b/rockbarrow/entry/draining.go
@@ -12,7 +12,8 @@
 )
 
 // readmitDelay is how long an endpoint that was draining must be listed as ready before it gets requests, unless it is a
-// new incarnation. Lists may arrive out of order when control instances read them at about the same time.
+// new incarnation. Lists may arrive out of order when control instances read them at about the same time:
+// the later reading may be the older one by the time that a reading takes, up to 0.9 s for each page.
 const readmitDelay = 3 * time.Second
 
 // drainTracker remembers draining endpoints, so that an older list does not bring them back. A new incarnation under the
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -218,7 +218,8 @@
 
 const (
 	// initTimeout is how long a request waits for an instance that has just started to load
-	// its configuration and endpoint list.
+	// its configuration and endpoint list. That takes about 100 ms, and up to 700 ms after a
+	// power loss of all instances.
 	initTimeout      = 900 * time.Millisecond
 	initPollInterval = 20 * time.Millisecond
 )
--- a/rockbarrow/entry/sessions.go
+++ b/rockbarrow/entry/sessions.go
@@ -8,8 +8,8 @@
 	"rockbarrow.dev/rockbarrow/incarnation"
 )
 
-// maxSessions bounds each of the two generations of remembered sessions. An entry takes
-// some 100 bytes.
+// maxSessions bounds each of the two generations of remembered sessions, at a few times the
+// programs in progress at one instance. An entry takes some 100 bytes.
 const maxSessions = 8192
 
 // sessionEndpoints remembers which endpoint served each session last, for programs whose
--- a/rockbarrow/entry/stalls.go
+++ b/rockbarrow/entry/stalls.go
@@ -9,13 +9,17 @@
 
 const (
 	// stallTimeout is the pause after which a resumable stream is resumed at another
-	// endpoint. It exceeds pauses under load and is below the timeouts of clients.
+	// endpoint. It is about ten times the pauses under load and half of the shortest
+	// pause after which clients give up a stream.
 	stallTimeout = time.Second
 	// unreachableStallTimeout is the pause after which an attempt at an endpoint in an
-	// unreachable failure domain is cancelled. It still lets responses in transit arrive.
+	// unreachable failure domain is cancelled. It exceeds nearly all pauses under load, so
+	// that responses in transit still arrive. The connection itself shows a partition only
+	// after 2 s.
 	unreachableStallTimeout = 400 * time.Millisecond
 	// stallCheckInterval is how often an attempt is checked once it has paused for
-	// unreachableStallTimeout. Earlier checks would only wake the process.
+	// unreachableStallTimeout. Earlier checks would only wake the process: it takes about
+	// 0.5 s until a failure domain is known to be unreachable.
 	stallCheckInterval = 200 * time.Millisecond
 )
 
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// reserveTimeout bounds the reservation of a turn. It leaves time for a change of the
-	// stores' view.
+	// reserveTimeout bounds the reservation of a turn, which takes about 6 ms. It leaves
+	// time for a change of the stores' view, which takes up to a few hundred milliseconds.
 	reserveTimeout = time.Second
 	// minSettleTimeout is the least time for settling a turn, even if its deadline is near,
 	// because the response fails if the turn is not stored.
--- a/rockbarrow/entry/updates.go
+++ b/rockbarrow/entry/updates.go
@@ -22,8 +22,8 @@
 	"rockbarrow.dev/schema/fleetpb"
 )
 
-// fetchRetryInterval is the pause between tries to fetch a table. Each try asks all control
-// instances.
+// fetchRetryInterval is the pause between tries to fetch a table, well over ten round trips.
+// Each try asks all control instances.
 const fetchRetryInterval = 50 * time.Millisecond
 
 // signal wakes the goroutine that handles one kind of update.
--- a/rockbarrow/incarnation/incarnation.go
+++ b/rockbarrow/incarnation/incarnation.go
@@ -7,6 +7,8 @@
 //
 // Start times only tell incarnations apart. They are not ordered, because the clock may be set back between two
 // starts: a [Tracker] takes the start time that it sees first as the newer one and ignores ended incarnations.
+// The counters of an endpoint don't tell incarnations apart either: lower counters with the same start time are an
+// older report of the same incarnation.
 package incarnation
 
 import (
@@ -28,7 +30,8 @@
 }
 
 const (
-	// maxEnded bounds the ended incarnations that are remembered for each endpoint.
+	// maxEnded bounds the ended incarnations that are remembered for each endpoint. A report that is late by
+	// more restarts would be many seconds old.
 	maxEnded = 16
 	// expireAfter is how long an endpoint is remembered after its last observation. Delayed reports are at
 	// most a few seconds old.
--- a/rockbarrow/membership/peer.go
+++ b/rockbarrow/membership/peer.go
@@ -9,7 +9,8 @@
 )
 
 // LivenessTimeout is how long after its last call an instance counts as present. It
-// allows for several missed or failed heartbeats.
+// allows for several missed or failed heartbeats: an instance calls every 0.3 s, and
+// at most 0.55 s and a retry delay apart while calls fail.
 const LivenessTimeout = 2500 * time.Millisecond
 
 // Peer is an instance as seen by a control instance.
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -21,7 +21,7 @@
 	// domainLostTimeout is how long a whole failure domain must be silent before its
 	// stores count as lost. It exceeds the platform's bound of 8 s on network
 	// partitions: groups keep their quorum meanwhile, and replacing the stores would
-	// move records twice.
+	// move records twice. Stores get some more seconds to return after a partition.
 	domainLostTimeout = 15 * time.Second
 )
 
--- a/rockbarrow/placement/cost.go
+++ b/rockbarrow/placement/cost.go
@@ -11,7 +11,8 @@
 	// nearEqualFactor is the largest ratio of two costs that are treated as equal.
 	nearEqualFactor = 1.05
 	// maxPricedCandidates bounds the time of a choice: larger classes are
-	// sampled. Candidates with a cached prefix are always priced.
+	// sampled, and a sample of this size finds a candidate near the best.
+	// Candidates with a cached prefix are always priced.
 	maxPricedCandidates = 96
 )
 
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -16,8 +16,9 @@
 	// survive a network partition.
 	crossDomainLoad = 0.34
 	// crossDomainPromptLoad replaces crossDomainLoad for calls with a prompt.
-	// These are batched, so that each additional call slows down the others and
-	// balance matters more than locality.
+	// These are batched, so that each additional call slows down the others by a few
+	// hundredths and balance matters more than locality. A value of 0.1 gave no gain
+	// (docs/ROUNDS.md, 12).
 	crossDomainPromptLoad = 0.03
 	// unreachableLoad is added for avoided failure domains and unresponsive
 	// endpoints. It exceeds any real load.
@@ -97,7 +98,8 @@
 // drawSize is the number of endpoints compared from the local failure domain, and
 // the number compared in addition to these from any failure domain. A larger draw
 // makes better use of the reported load; a smaller one spreads calls better while
-// reports are stale.
+// reports are stale. Comparing all endpoints was no better in the one trial of it
+// (docs/ROUNDS.md, 9).
 const drawSize = 3
 
 // windowSize is the number of consecutive endpoints where an instance starts its
@@ -196,7 +198,8 @@
 // queueShare is the number of calls that may wait at an endpoint, as a fraction of
 // its slots. Without a queue, endpoints are idle until other instances learn of
 // finished calls, which takes 0.3 s; with a longer one, programs wait that should
-// be rejected (docs/POLICY.md).
+// be rejected. The alternatives measured are the square root of the slots and as
+// many as the slots (docs/POLICY.md).
 const queueShare = 0.5
 
 // queueSlots returns the number of calls that may wait at an endpoint with n slots.
--- a/rockbarrow/routing/keys.go
+++ b/rockbarrow/routing/keys.go
@@ -8,8 +8,8 @@
 	"slices"
 )
 
-// keySize is the size in bytes of a truncated key digest. Chance collisions are
-// negligible for any realistic number of keys.
+// keySize is the size in bytes of a truncated key digest. Two of 100,000 keys
+// collide by chance once in 10^19 configurations.
 const keySize = 12
 
 // KeyDigest is the truncated SHA-256 of a customer's key.
@@ -23,7 +23,7 @@
 
 const (
 	// fanOut is the width of both levels of a key index. Changing a key copies one
-	// node of each level and one bucket.
+	// node of each level and one bucket, which holds about 25 of 100,000 keys.
 	fanOut     = 64
 	fanOutBits = 6
 )
--- a/rockbarrow/routing/update.go
+++ b/rockbarrow/routing/update.go
@@ -130,7 +130,8 @@
 	return t, nil
 }
 
-// targetPartBytes is the approximate size of a part before compression, small enough for slow links.
+// targetPartBytes is the approximate size of a part before compression, small enough for slow links: 64 KB take 17 ms
+// at 30 Mbit/s.
 const targetPartBytes = 64 << 10
 
 // SplitChange splits a change into parts, so that receivers can observe progress and
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -23,7 +23,8 @@
 	// budget only because of turns in progress: concurrent reservations may each
 	// see the other and both fail.
 	maxBudgetAttempts = 3
-	// budgetRetryDelay is the delay between these attempts.
+	// budgetRetryDelay is the delay between these attempts. A reservation takes
+	// about 5 ms.
 	budgetRetryDelay = 25 * time.Millisecond
 )
 
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -14,7 +14,8 @@
 
 const (
 	// unresponsiveAfter is how long a call may stay unanswered before its store
-	// counts as unreachable. It is well above the usual latency of a call.
+	// counts as unreachable. A call usually takes about 5 ms, and
+	// 50 ms under a burst.
 	unresponsiveAfter = 250 * time.Millisecond
 	// probeInterval is the time between probes of an unreachable store,
 	// probeTimeout the time limit of one probe.
--- a/rockbarrow/stores/quorum.go
+++ b/rockbarrow/stores/quorum.go
@@ -17,13 +17,13 @@
 
 const (
 	// callTimeout limits one call to one store: a round trip between failure
-	// domains, an fsync and queueing under load.
+	// domains (3 ms), an fsync (1 ms) and queueing under bursts.
 	callTimeout = 800 * time.Millisecond
 	// retryDelay is the delay before a quorum call is retried, under a newer view
 	// or while stores are still copying.
 	retryDelay = 15 * time.Millisecond
 	// defaultHedgeDelay is the default of [Client.HedgeDelay], above the usual
-	// latency of a call.
+	// latency of a call, about 5 ms.
 	defaultHedgeDelay = 10 * time.Millisecond
 )
 
--- a/rockbarrow/watch/customers.go
+++ b/rockbarrow/watch/customers.go
@@ -61,7 +61,8 @@
 }
 
 const (
-	// admitTimeout bounds one Admit call.
+	// admitTimeout bounds one Admit call: a round trip between failure domains (at most 3 ms) and
+	// the scheduling of the control instance's process.
 	admitTimeout = 120 * time.Millisecond
 	// maxAdmitAttempts is how many control instances are asked in turn.
 	maxAdmitAttempts = 2
--- a/rockbarrow/watch/table.go
+++ b/rockbarrow/watch/table.go
@@ -16,8 +16,9 @@
 )
 
 // partTimeout is how long to wait for the next part of a table before asking
-// another control instance. It exceeds the transfer of one part over a slow link
-// plus a retransmission. Progress is bounded rather than the whole transfer, so that
+// another control instance. A part of 64 KB takes 17 ms on a link of 30 Mbit/s, a
+// retransmission 200 ms, and a control instance takes about 0.2 s to build a table
+// of 10,000 routes. Progress is bounded rather than the whole transfer, so that
 // a large table on a slow link completes.
 const partTimeout = 400 * time.Millisecond
 
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -29,7 +29,7 @@
 
 const (
 	// longPollTimeout is how long a call waits for an update. A shorter wait
-	// costs more calls.
+	// costs more calls, each about 0.1 ms of processor time on both sides.
 	longPollTimeout = 300 * time.Millisecond
 	// answerSlack is how long an answer may take beyond the long poll's timeout.
 	answerSlack = 250 * time.Millisecond
