stores: the tests of streams wait for their connection

On a busy machine the first connection attempt may time out. The stream then ends as broken, where the tests expect it to be open or not supported, and TestStreamedCallsOfStores/old_version fails. The tests now wait until the connection is ready before the stream is opened.

--- a/rockbarrow/stores/faults_test.go
+++ b/rockbarrow/stores/faults_test.go
@@ -42,8 +42,7 @@
 	fake := &blockingStore{started: make(chan struct{}, good), release: make(chan struct{})}
 	c := newTestClient(t)
 	m, _ := serveStore(t, fake)
-	s := c.stream(m.GetAddress())
-	s.awaitOpened()
+	s := openStream(t, c, m)
 	op := &reservation{turn: Turn{ID: "t", reservation: "\xff"}, epoch: 1}
 	results := make(chan response[*fleetpb.ReserveReply], 2)
 	call := &storeCall[*fleetpb.ReserveReply]{client: c, member: m, request: storeRequest[*fleetpb.ReserveReply]{unary: op.unary}, results: results}
--- a/rockbarrow/stores/stream_test.go
+++ b/rockbarrow/stores/stream_test.go
@@ -16,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/status"
 
 	"rockbarrow.dev/rockbarrow/dial"
@@ -168,7 +169,7 @@
 			c := newTestClient(t)
 			m, _ := serveStore(t, fake)
 			call := func() error { return (<-startReservation(t, c, m, "t/1")).err }
-			c.stream(m.GetAddress()).awaitOpened()
+			openStream(t, c, m)
 			if err := call(); err != nil {
 				t.Fatalf("once the stream is open: %v", err)
 			}
@@ -214,6 +215,24 @@
 	return results
 }
 
+// openStream waits until the stream to a store is open or not supported. On a busy
+// machine, a connection attempt may time out, which would end the stream.
+func openStream(t *testing.T, c *Client, m *fleetpb.Member) *callStream {
+	conn, err := c.Pool.Get(m.GetAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.Connect()
+	for state := conn.GetState(); state != connectivity.Ready; state = conn.GetState() {
+		if !conn.WaitForStateChange(t.Context(), state) {
+			t.Fatalf("the connection is %v", state)
+		}
+	}
+	s := c.stream(m.GetAddress())
+	s.awaitOpened()
+	return s
+}
+
 // awaitOpened waits until the stream is open or has failed.
 func (s *callStream) awaitOpened() {
 	for opened := false; !opened; {
