stores: large replies to reservations are not sent on the stream

A reply holds all reservations of its program. One with thousands of them delays the small replies to other requests behind it on the stream. If the reservations in a program's last reply exceed 8 KB, the bound of calls on the stream, its reservations are sent as single calls until a reply is small again. Settlements stay on the stream, as their replies are always small.

TestLargeRepliesAreNotStreamed fails if the size is ignored, is never forgotten or every reply counts as large. The delay itself was not measured. go test ./stores passes, the new test three times with the race detector.

--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -43,6 +43,7 @@
 	streams     callStreams
 	sampleCache sampleCache
 	spent       spentPrograms
+	large       largePrograms
 }
 
 // Turn describes a turn to reserve tokens for.
@@ -143,7 +144,7 @@
 		var total ledger.ReservationSet
 		needChain := t.Previous != "" && seen.get(t.Previous) == nil
 		members, first := c.initialQuorum(view, tracker.Members())
-		op := &reservation{turn: t, epoch: view.GetEpoch()}
+		op := &reservation{turn: t, epoch: view.GetEpoch(), large: c.large.has(t.Program)}
 		if needChain {
 			op.chainFrom = c.preferredMember(members)
 		}
@@ -151,6 +152,7 @@
 			func() bool { return c.quorumLost(t.Program) },
 			storeRequest[*fleetpb.ReserveReply]{unary: op.unary, call: op.call, reply: op.reply},
 			func(r *fleetpb.ReserveReply) {
+				c.large.record(t.Program, r)
 				total.Merge(r.GetReservations())
 				seen.add(r.GetChain())
 				if r.GetEndpoint() != "" {
--- a/rockbarrow/stores/reopen_test.go
+++ b/rockbarrow/stores/reopen_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 	"google.golang.org/grpc/test/bufconn"
@@ -19,7 +21,8 @@
 	"rockbarrow.dev/schema/fleetpb"
 )
 
-// countingStore counts the streams that clients open and the reservations.
+// countingStore counts the streams that clients open and the reservations that
+// arrive on streams. It replies with as many reservations as set.
 type countingStore struct {
 	fleetpb.UnimplementedStoreServer
 	// old is true if the store is of a version without streams, silent if it does not
@@ -27,15 +30,22 @@
 	old, silent bool
 	// broken ends one stream with an error for each element.
 	broken           chan struct{}
-	opened, reserved atomic.Int64
+	reservations     int
+	opened, streamed atomic.Int64
 }
 
 func (s *countingStore) Reserve(ctx context.Context, _ *fleetpb.ReserveRequest) (*fleetpb.ReserveReply, error) {
-	s.reserved.Add(1)
 	if s.silent {
 		<-ctx.Done()
 	}
-	return &fleetpb.ReserveReply{Status: &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1}}, nil
+	if method, _ := grpc.Method(ctx); method == fleetpb.Store_Calls_FullMethodName {
+		s.streamed.Add(1)
+	}
+	r := &fleetpb.ReserveReply{Status: &fleetpb.StoreStatus{Epoch: 1, WholeEpoch: 1}}
+	for i := range s.reservations {
+		r.Reservations = append(r.Reservations, &fleetpb.Reservation{Turn: fmt.Sprint("turn-", i), Tokens: 1, Settled: true, Endpoint: "endpoint"})
+	}
+	return r, nil
 }
 
 func (s *countingStore) Calls(stream fleetpb.Store_CallsServer) error {
@@ -166,3 +176,32 @@
 		}
 	})
 }
+
+// TestLargeRepliesAreNotStreamed guards against programs with many reservations whose
+// replies delay those to other calls on the stream.
+func TestLargeRepliesAreNotStreamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := &countingStore{}
+		c, m := serveInMemory(t, fake)
+		c.Watch.UpdateState(&fleetpb.State{Number: 1, View: &fleetpb.View{Epoch: 1, Copies: 1, Members: []*fleetpb.Member{m}}})
+		// The stream is opened by the first call.
+		steps := []struct {
+			program      string
+			reservations int
+			streamed     bool
+		}{
+			{"a", 1, false}, {"a", 1, true}, {"a", 3000, true}, {"a", 3000, false}, {"b", 1, true}, {"a", 1, false}, {"a", 1, true},
+		}
+		for i, step := range steps {
+			fake.reservations = step.reservations
+			before := fake.streamed.Load()
+			if _, err := c.Reserve(t.Context(), Turn{ID: fmt.Sprint("turn-", i), Program: step.program, Retention: time.Minute}); err != nil {
+				t.Fatal(err)
+			}
+			synctest.Wait()
+			if streamed := fake.streamed.Load() > before; streamed != step.streamed {
+				t.Errorf("call %d: on the stream: %v, want %v", i, streamed, step.streamed)
+			}
+		}
+	})
+}
--- a/rockbarrow/stores/requests.go
+++ b/rockbarrow/stores/requests.go
@@ -41,6 +41,8 @@
 	epoch uint64
 	// chainFrom is the store that returns the preceding turns, or nil.
 	chainFrom *fleetpb.Member
+	// large is true if the program's last reply was large.
+	large bool
 }
 
 func (o *reservation) request(m *fleetpb.Member) *fleetpb.ReserveRequest {
@@ -60,9 +62,10 @@
 	return r, r.GetStatus(), unaryError(req, err)
 }
 
-// call returns nil if the reply contains turns, which may be large.
+// call returns nil if the reply contains turns, which may be large, or probably many
+// reservations.
 func (o *reservation) call(m *fleetpb.Member) *fleetpb.StoreCall {
-	if o.returnsChain(m) {
+	if o.large || o.returnsChain(m) {
 		return nil
 	}
 	return &fleetpb.StoreCall{Call: &fleetpb.StoreCall_Reserve{Reserve: o.request(m)}}
