--- a/rockbarrow/placement/speeds_test.go
+++ b/rockbarrow/placement/speeds_test.go
@@ -362,3 +362,22 @@
 		})
 	}
 }
+
+// Without reports all instances would send their calls to the same fast endpoints.
+func TestLostReportsEndTheChoiceByTime(t *testing.T) {
+	now, r := time.Unix(100, 0), rand.New(rand.NewPCG(1, 1))
+	for _, test := range []struct {
+		after       time.Duration
+		least, most int
+	}{{remoteStateTTL - time.Millisecond, 0, 2}, {remoteStateTTL, 8, 24}} {
+		f, slow := timedFleet(now, 1300, 3200), 0
+		for range 48 {
+			if c, _ := f.Choose(now.Add(test.after), timedRequest(""), r); c.Endpoint().tokens.micros.Load() == 3200 {
+				slow++
+			}
+		}
+		if slow < test.least || slow > test.most {
+			t.Errorf("%v after the last report %d of 48 calls are at slow endpoints, want %d to %d", test.after, slow, test.least, test.most)
+		}
+	}
+}
--- a/rockbarrow/placement/spread.go
+++ b/rockbarrow/placement/spread.go
@@ -50,7 +50,10 @@
 	}
 	speeds := f.classes[req.Class].speeds
 	d := candidateDraw{now: now, req: req, localLeft: drawSize, anyLeft: drawSize, scanLeft: len(list)}
-	d.estimate, d.timed = speeds.estimate(req)
+	if f.tracked.isReportFresh(now) {
+		// Without the calls of other instances, all would choose the same fast endpoints.
+		d.estimate, d.timed = speeds.estimate(req)
+	}
 	last := f.Endpoint(req.LastEndpoint.EndpointID)
 	stays := last != nil && last.Life().Matches(req.LastEndpoint) && containsEndpoint(list, last) && last.canKeepRun(now, req)
 	if stays && !(d.timed && req.NewSession) {
--- a/rockbarrow/placement/tracked.go
+++ b/rockbarrow/placement/tracked.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,10 +19,11 @@
 	timed []*Endpoint
 	// speeds maps the names of services to their measurements.
 	speeds map[string]*serviceSpeeds
-	// loadsAt is the time of the last report of other instances, and remoteCalls its calls by service, without those at
-	// endpoints that are configured as draining.
-	loadsAt     time.Time
+	// remoteCalls are the calls of other instances by service in their last report, without those at endpoints that are
+	// configured as draining.
 	remoteCalls map[string]int
+	// loadsAt is the time of that report in Unix nanoseconds. It is written under mu.
+	loadsAt atomic.Int64
 }
 
 // speedsOf returns the measurements of a service.
@@ -53,7 +55,12 @@
 func (t *trackedEndpoints) reported(now time.Time, service string) (calls int, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.remoteCalls[service], now.Sub(t.loadsAt) < remoteStateTTL
+	return t.remoteCalls[service], t.isReportFresh(now.UnixNano())
+}
+
+// isReportFresh reports whether the calls of other instances are known.
+func (t *trackedEndpoints) isReportFresh(now int64) bool {
+	return now-t.loadsAt.Load() < int64(remoteStateTTL)
 }
 
 // markUsed adds an endpoint on its first call.
@@ -134,8 +141,8 @@
 		}
 	}
 	// After a gap in the reports, only the time since it counts.
-	resumed := now.Sub(t.loadsAt) > remoteStateTTL
-	t.loadsAt = now
+	resumed := !t.isReportFresh(now.UnixNano())
+	t.loadsAt.Store(now.UnixNano())
 	known := make(map[string][]uint32, len(t.speeds))
 	for _, e := range t.timed {
 		service := e.config.GetService()
