quota: a restarted counter holds the assumed use of the limit for a second

The counter lets what it does not know of leave the window at an even rate from its start, but the requests came shortly before the loss; since turns of programs in progress may use the whole limit, less room is left for that. Change: the whole limit counts as used for a second, then it leaves by the end of the window.

--- a/rockbarrow/quota/counter.go
+++ b/rockbarrow/quota/counter.go
@@ -83,11 +83,21 @@
 // that were admitted before the counter started: lost instances cannot report them. The caller must hold mu.
 func (c *Counter) effectiveCount(now time.Time, cc *customerCount, limit float64) float64 {
 	age := now.Sub(c.started)
-	unknown := limit * (1 - age.Seconds()/c.Params.Window.Seconds())
+	unknown := limit * c.unknownShare(age)
 	earlier := max(unknown, float64(cc.earlier.count(age, c.Params.Window)))
 	return earlier + float64(cc.window.count(age, c.Params.Window)) + limit*c.missing
 }
 
+// restartHold is how long after its start a counter assumes that the whole limit was used just before. Requests before a
+// loss of all instances may have come in its last second, and then leave the window later than an even rate would.
+const restartHold = time.Second
+
+// unknownShare returns the fraction of a limit that requests from before the start may still use at an age of the counter.
+func (c *Counter) unknownShare(age time.Duration) float64 {
+	hold := min(restartHold, c.Params.Window/2)
+	return max(0, min(1, float64(c.Params.Window-age)/float64(c.Params.Window-hold)))
+}
+
 // Admit admits either all n requests of a customer or none of them.
 func (c *Counter) Admit(now time.Time, customer *fleetpb.Customer, n uint32, newProgram bool) Decision {
 	return c.AdmitRequest(now, customer, &fleetpb.AdmitRequest{Requests: n, NewProgram: newProgram})
--- a/rockbarrow/quota/quota_test.go
+++ b/rockbarrow/quota/quota_test.go
@@ -429,3 +429,22 @@
 		t.Errorf("%d requests are counted, want 2", got)
 	}
 }
+
+// Requests that came in the last second before all instances were lost leave the window only a window later, so that a
+// counter must not let the limit be used again at an even rate from its start on.
+func TestRestartedCounterHoldsTheLimit(t *testing.T) {
+	n := &Counter{Params: params}
+	for _, test := range []struct {
+		age  time.Duration
+		want float64
+	}{{0, 1}, {restartHold, 1}, {(params.Window + restartHold) / 2, 0.5}, {params.Window, 0}, {2 * params.Window, 0}} {
+		if got := n.unknownShare(test.age); math.Abs(got-test.want) > 1e-9 {
+			t.Errorf("%v after the start %v of the limit may be used by earlier requests, want %v", test.age, got, test.want)
+		}
+	}
+	// A window shorter than the hold must still end.
+	short := &Counter{Params: Params{Window: time.Second}}
+	if got := short.unknownShare(time.Second); got != 0 {
+		t.Errorf("%v of the limit after a window of a second, want 0", got)
+	}
+}
