--- a/rockbarrow/limiter/level.go
+++ b/rockbarrow/limiter/level.go
@@ -66,8 +66,8 @@
 	return rankSpacing * float64(min(at, last)) / float64(last)
 }
 
-// Level returns the free slots of all instances in relation to the margin: at 1 or more, all new programs
-// of the most urgent priority start, at 0 or less none. The result is false if the level does not apply.
+// Level returns the free slots of all instances in relation to the margin. New programs of the least urgent priority
+// start from rankSpacing on, and all of them from fullLevel on. The result is false if the level does not apply.
 func (l *Limiter) Level() (float64, bool) {
 	s := l.shared
 	if s.Slots == 0 {
--- a/rockbench/emulator/world.go
+++ b/rockbench/emulator/world.go
@@ -86,18 +86,18 @@
 	decoding map[string]*decoding
 }
 
-// decoding is the decayed tokens of an engine and the time that they took, as control instances add them up, and
-// what entries had reported before.
+// decoding holds the decayed tokens of an engine and the time that they took, as control instances add them up, and the
+// totals of the last report.
 type decoding struct{ tokens, micros, reportedTokens, reportedMicros float64 }
 
-// decodingDecay is what is left of decoding after each interval of news of 300 ms with a half-life of 2 s, and
-// minDecodedTokens the tokens from which it is told.
+// decodingDecay is the weight that remains after each report interval of 300 ms with a half-life of 2 s, and
+// minDecodedTokens the number of tokens from which the time is reported, as by control instances.
 const (
 	decodingDecay    = 0.9
 	minDecodedTokens = 50
 )
 
-// decodingTime returns an engine's time to decode a token in microseconds as it is told to entries, 0 if unknown.
+// decodingTime returns an engine's time to decode a token in microseconds as it is reported to entries, 0 if unknown.
 func (w *world) decodingTime(name string) uint32 {
 	var tokens, micros float64
 	for _, e := range w.entries {
