--- a/rockbarrow/placement/doc.go
+++ b/rockbarrow/placement/doc.go
@@ -12,8 +12,8 @@
 // The [Spread] policy keeps a run on its last endpoint while that is available
 // and healthy, and otherwise chooses the least loaded of a few. While the
 // endpoints of a service are known to decode at different speeds, it compares
-// the expected times of the call instead, and also moves a run if it would take
-// considerably less time elsewhere.
+// the expected times of the call instead, and a new session of a program starts
+// elsewhere if that takes considerably less time.
 //
 // A [Fleet] is an immutable index of the endpoints of one configuration
 // version or of one endpoint list. Mutable state is kept in atomic fields of its
