--- a/rockbarrow/placement/speeds.go
+++ b/rockbarrow/placement/speeds.go
@@ -193,7 +193,7 @@
 	return c.fullWait + overloadWait*(load-maxFormulaLoad)
 }
 
-// queueWait is Sakasegawa's approximation of the waiting time in an M/M/c queue with a utilization
+// queueWait is Sakasegawa's approximation (1977) of the waiting time in an M/M/c queue with a utilization
 // below 1, in service times.
 func queueWait(utilization float64, slots uint32) float64 {
 	c := float64(slots)
