requestlog, controller: logs tell where a configuration's time went and what a voter restored

Cause: the logs of an incident could not tell a version that was late at control from one that was late in the making of its table or at an entry instance, nor which version a voter came back with. Change: rockbench requests prints a table of versions; a voter logs the votes that it restored. Measured: TestVersionsTellWhichStageWasLate.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -157,6 +157,10 @@
 		c.acceptor.Restore(record)
 		c.savedRecord.Store(record)
 		c.observeRound(record.GetPromised().GetRound())
+		c.Log.WithFields(logrus.Fields{
+			"state": record.GetState().GetNumber(), "config_version": record.GetState().GetConfiguration().GetVersion(),
+			"accepted_round": record.GetAccepted().GetRound(), "promised_round": record.GetPromised().GetRound(),
+		}).Info("votes were restored")
 	}
 	c.proposalSlot = make(chan struct{}, 1)
 	c.listTag = rand.Uint64N(1 << tagBits)
--- a/rockbench/requestlog/lives.go
+++ b/rockbench/requestlog/lives.go
@@ -58,6 +58,10 @@
 	Message        string
 	// Ready goes with StepReady.
 	Ready bool
+	// Call and Status are of an operator's call, ConfigVersion and State of a configuration and a state.
+	Call                 string
+	Status               int
+	ConfigVersion, State uint64
 }
 
 // Lives tells how long instances took from their starts to each step. Add events in the
--- a/rockbench/requestlog/read.go
+++ b/rockbench/requestlog/read.go
@@ -44,6 +44,10 @@
 	Message  string    `json:"msg"`
 	Ready    bool      `json:"ready"`
 	Time     time.Time `json:"time"`
+	Call     string    `json:"call"`
+	Status   int       `json:"status"`
+	Version  uint64    `json:"config_version"`
+	State    uint64    `json:"state"`
 }
 
 // ReadEvents calls yield with each line of an instance about itself, and passes over what
@@ -61,7 +65,10 @@
 		if err := json.Unmarshal(b[at:], &e); err != nil {
 			return errors.Wrapf(err, "requestlog: line %d", n)
 		}
-		yield(Event{At: stamp(b[:at], e.Time), Instance: e.Instance, Role: e.Role, Message: e.Message, Ready: e.Ready})
+		yield(Event{
+			At: stamp(b[:at], e.Time), Instance: e.Instance, Role: e.Role, Message: e.Message, Ready: e.Ready,
+			Call: e.Call, Status: e.Status, ConfigVersion: e.Version, State: e.State,
+		})
 	}
 	return errors.Wrap(s.Err(), "requestlog")
 }
--- a/rockbench/requestlog/requestlog_test.go
+++ b/rockbench/requestlog/requestlog_test.go
@@ -122,3 +122,36 @@
 		_ = ReadEvents(strings.NewReader(s), lives.Add)
 	})
 }
+
+// TestVersionsTellWhichStageWasLate: an incident's logs could not tell whether a version was late at control, in the making of
+// its table or at an entry, nor which version a voter came back with.
+func TestVersionsTellWhichStageWasLate(t *testing.T) {
+	const log = `  1.0 c1 {"msg":"an operator's call","role":"control","instance":"c1","call":"POST /v1/config/replace","status":200,"config_version":7}
+  1.2 c2 {"msg":"an operator's call","role":"control","instance":"c2","call":"POST /v1/config/replace","status":200,"config_version":7}
+  1.1 c2 {"msg":"a newer state is in force","role":"control","instance":"c2","config_version":7,"state":9}
+  1.3 e1 {"msg":"a newer state is in force","role":"entry","instance":"e1","config_version":7,"state":9}
+  1.1 c1 {"msg":"the routing table of a configuration is made","role":"control","instance":"c1","config_version":7}
+  1.4 e1 {"msg":"a configuration is in force","role":"entry","instance":"e1","config_version":7}
+  2.9 e2 {"msg":"a configuration is in force","role":"entry","instance":"e2","config_version":7}
+  3.0 c1 {"msg":"an operator's call","role":"control","instance":"c1","call":"POST /v1/config/replace","status":400,"config_version":8}
+  5.0 c2 {"msg":"votes were restored","role":"control","instance":"c2","config_version":6,"state":8}
+`
+	var versions Versions
+	if err := ReadEvents(strings.NewReader(log), versions.Add); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := versions.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")[1:]
+	for i, want := range []string{
+		"7 1s c1 0 2 300ms 300ms 1 100ms 100ms 2 1.9s 1.9s e2",
+		"8 - - 1 0 - - 0 - - 0 - - -",
+		"restored 5s c2 version 6 state 8",
+	} {
+		if got := strings.Join(strings.Fields(rows[i]), " "); got != want {
+			t.Errorf("row %d: %s, want %s", i, got, want)
+		}
+	}
+}
--- a/rockbench/requests.go
+++ b/rockbench/requests.go
@@ -13,8 +13,8 @@
 	"rockbarrow.dev/rockbench/requestlog"
 )
 
-// runRequests prints how the requests in a log ended, what went wrong with programs, and
-// how instances started; "-" is standard input.
+// runRequests prints how the requests in a log ended, what went wrong with programs, how
+// instances started, and how configurations came into force; "-" is standard input.
 func runRequests(out io.Writer, file string) error {
 	b, err := readLog(file)
 	if err != nil {
@@ -30,10 +30,15 @@
 	if err != nil {
 		return err
 	}
-	if err := requestlog.ReadEvents(bytes.NewReader(b), lives.Add); err != nil {
+	var versions requestlog.Versions
+	err = requestlog.ReadEvents(bytes.NewReader(b), func(e requestlog.Event) {
+		lives.Add(e)
+		versions.Add(e)
+	})
+	if err != nil {
 		return err
 	}
-	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives} {
+	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives, &versions} {
 		if err := t.Write(out); err != nil {
 			return err
 		}
