--- a/rockbarrow/durable/cell.go
+++ b/rockbarrow/durable/cell.go
@@ -15,8 +15,9 @@
 // Cell is one value on a disk. A [Cell.Save] that fails leaves the value before
 // it in force.
 type Cell struct {
-	// dir and name give the two files, name-0 and name-1.
-	dir, name string
+	// folder and name give the two files, name-0 and name-1.
+	folder folder
+	name   string
 
 	mu sync.Mutex
 	// seq is the number of the newest whole value; its parity names its file.
@@ -39,13 +40,14 @@
 // OpenCell reads the value that a folder holds under a name. The value of a new
 // cell is nil.
 func OpenCell(dir, name string) (*Cell, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, errors.Wrap(err, "durable: make the data folder")
+	f, err := openFolder(dir)
+	if err != nil {
+		return nil, err
 	}
-	c := &Cell{dir: dir, name: name}
+	c := &Cell{folder: f, name: name}
 	found := 0
 	for i := range uint64(2) {
-		b, err := os.ReadFile(c.path(i))
+		b, err := f.read(c.file(i))
 		if errors.Is(err, os.ErrNotExist) {
 			continue
 		}
@@ -65,7 +67,7 @@
 // HasCell reports whether a folder holds a cell of a name.
 func HasCell(dir, name string) (bool, error) {
 	for i := range uint64(2) {
-		_, err := os.Stat((&Cell{dir: dir, name: name}).path(i))
+		_, err := os.Stat(filepath.Join(dir, cellFile(name, i)))
 		if err == nil {
 			return true, nil
 		}
@@ -89,9 +91,10 @@
 	c.seq, c.value = seq, payload[8:]
 }
 
-func (c *Cell) path(seq uint64) string {
-	return filepath.Join(c.dir, c.name+"-"+string('0'+byte(seq%2)))
-}
+// file returns the name of the file that holds a value.
+func (c *Cell) file(seq uint64) string { return cellFile(c.name, seq) }
+
+func cellFile(name string, seq uint64) string { return name + "-" + string('0'+byte(seq%2)) }
 
 // Value returns the newest saved value; the caller must not change it.
 func (c *Cell) Value() []byte {
@@ -107,25 +110,9 @@
 	seq := c.seq + 1
 	payload := binary.BigEndian.AppendUint64(nil, seq)
 	payload = append(payload, value...)
-	if err := writeSynced(c.path(seq), appendFrame(nil, payload)); err != nil {
+	if err := c.folder.replace(c.file(seq), appendFrame(nil, payload)); err != nil {
 		return err
 	}
 	c.seq, c.value = seq, value
 	return nil
 }
-
-// writeSynced replaces a file's content and syncs it.
-func writeSynced(path string, b []byte) error {
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, 0o600)
-	if err != nil {
-		return errors.Wrap(err, "durable: open a cell")
-	}
-	_, err = f.Write(b)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closed := f.Close(); err == nil {
-		err = closed
-	}
-	return errors.Wrap(err, "durable: write a cell")
-}
--- a/rockbarrow/durable/compaction.go
+++ b/rockbarrow/durable/compaction.go
@@ -3,8 +3,6 @@
 package durable
 
 import (
-	"os"
-	"path/filepath"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,7 +34,7 @@
 // rewrite writes all live records, and then some frames, to a segment of their own and removes the older
 // ones. A removal that does not last costs nothing, as records may be replayed twice.
 func (l *Log) rewrite(frames []byte) error {
-	old, err := segments(l.dir)
+	old, err := segments(l.folder.dir)
 	if err != nil {
 		return err
 	}
@@ -50,7 +48,7 @@
 	}
 	l.live = l.size - before
 	for _, s := range old {
-		if err := os.Remove(filepath.Join(l.dir, s.name)); err != nil {
+		if err := l.folder.remove(s.name); err != nil {
 			// What is written holds; the next compaction removes the rest.
 			l.compactAfter = time.Now().Add(compactPause)
 			l.report(errors.Wrap(err, "durable: remove a segment"))
--- a/rockbarrow/durable/durable_test.go
+++ b/rockbarrow/durable/durable_test.go
@@ -99,7 +99,7 @@
 		}
 	}
 	// The file of the newest value is torn: the value before it is in force.
-	if err := os.Truncate(c.path(c.seq), 5); err != nil {
+	if err := os.Truncate(c.folder.path(c.file(c.seq)), 5); err != nil {
 		t.Fatal(err)
 	}
 	c, err = OpenCell(dir, "cell")
@@ -121,7 +121,7 @@
 		}
 	}
 	for i := range uint64(2) {
-		if err := os.Truncate(c.path(i), 5); err != nil {
+		if err := os.Truncate(c.folder.path(c.file(i)), 5); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/rockbarrow/durable/log.go
+++ b/rockbarrow/durable/log.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,7 +58,7 @@
 	// Compacted is told of each compaction, from the log's own goroutine; may be nil.
 	Compacted func(Compaction)
 
-	dir     string
+	folder  folder
 	queue   chan *pending
 	closing chan struct{}
 	closed  chan struct{}
@@ -98,10 +97,11 @@
 // OpenLog replays the records of a folder, in the order in which they were
 // written, and opens the log for more. The returned function closes it.
 func OpenLog(dir string, replay func([]byte) error) (*Log, func(), error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return nil, nil, errors.Wrap(err, "durable: make the data folder")
+	f, err := openFolder(dir)
+	if err != nil {
+		return nil, nil, err
 	}
-	l := &Log{dir: dir, queue: make(chan *pending, maxWaiting), closing: make(chan struct{}), closed: make(chan struct{})}
+	l := &Log{folder: f, queue: make(chan *pending, maxWaiting), closing: make(chan struct{}), closed: make(chan struct{})}
 	kept, err := segments(dir)
 	if err != nil {
 		return nil, nil, err
@@ -239,15 +239,15 @@
 	if l.file == nil {
 		return
 	}
-	name := l.file.Name()
-	info, err := os.Stat(name)
+	name := segmentName(l.number)
+	info, err := os.Stat(l.folder.path(name))
 	l.file.Close()
 	l.file = nil
 	if l.synced {
 		return
 	}
 	// If the disk refuses that too, the segment is read and compacted as others are.
-	if os.Remove(name) == nil && err == nil {
+	if l.folder.remove(name) == nil && err == nil {
 		l.size -= info.Size()
 	}
 }
@@ -264,7 +264,7 @@
 	if err != nil {
 		return errors.Wrap(err, "durable: write a segment")
 	}
-	if err := l.file.Sync(); err != nil {
+	if err := l.folder.syncFile(l.file); err != nil {
 		return errors.Wrap(err, "durable: sync a segment")
 	}
 	l.synced = true
@@ -274,8 +274,7 @@
 // open starts the next segment. Its name lasts with its first sync.
 func (l *Log) open() error {
 	l.number++
-	path := filepath.Join(l.dir, fmt.Sprintf("%s%0*d", segmentID, segmentDigits, l.number))
-	f, err := os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+	f, err := l.folder.create(segmentName(l.number), os.O_EXCL|os.O_APPEND)
 	if err != nil {
 		return errors.Wrap(err, "durable: open a segment")
 	}
--- a/rockbarrow/durable/segment.go
+++ b/rockbarrow/durable/segment.go
@@ -4,8 +4,8 @@
 
 import (
 	"cmp"
+	"fmt"
 	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,6 +31,10 @@
 	number uint64
 }
 
+func segmentName(number uint64) string {
+	return fmt.Sprintf("%s%0*d", segmentID, segmentDigits, number)
+}
+
 // segments returns those of a folder, oldest first. What else is there has another owner and is left alone.
 func segments(dir string) ([]segment, error) {
 	list, err := os.ReadDir(dir)
@@ -61,7 +65,7 @@
 // the segment was never synced; a later segment starts anew.
 func (l *Log) replay(s segment, replay func([]byte) error) error {
 	l.number = max(l.number, s.number)
-	b, err := os.ReadFile(filepath.Join(l.dir, s.name))
+	b, err := l.folder.read(s.name)
 	if err != nil {
 		return errors.Wrap(err, "durable: read a segment")
 	}
