durable, disk, keys: names of files outlive a loss of power, and so does what was read back

What callers saw: after a loss of power of all control instances an acknowledged version may come back older, or nobody answers. Cause: no folder was ever synced, so that a vote, a promise, an identity or a segment of records that was made once stayed uncovered for its whole life. The same class once more: a process that was killed between a write and its sync read the bytes back after its start and told them to others, as a promise, a vote or a record. Change: a folder syncs its names when it is opened, after the first sync of each new file, and after each removal of a segment; files are synced before they are read back. Folders that are made are synced in the one above them. The own interface's database and keys go the same way. Why it works: nothing leaves a Cell or a Log, by a read or an acknowledgement, before the file and its name were synced.

--- a/rockbarrow/disk/store.go
+++ b/rockbarrow/disk/store.go
@@ -24,6 +24,7 @@
 	bolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
+	"rockbarrow.dev/rockbarrow/durable"
 	"rockbarrow.dev/rockbarrow/journal"
 	"rockbarrow.dev/rockbarrow/peer/wire"
 	"rockbarrow.dev/schema/peerpb"
@@ -127,7 +128,7 @@
 // Open opens or makes the file. The returned function writes what waits, syncs
 // and closes.
 func Open(dir string, storage uint64) (*Store, func() error, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := durable.MakeDir(dir); err != nil {
 		return nil, nil, errors.Wrap(err, "disk: data folder")
 	}
 	db, err := bolt.Open(filepath.Join(dir, fileName), 0o600, &bolt.Options{Timeout: lockWait, FreelistType: bolt.FreelistMapType})
@@ -135,7 +136,12 @@
 		return nil, nil, errors.Wrap(err, "disk: open")
 	}
 	s := &Store{db: db, queue: make(chan write, maxBatch)}
-	if err := s.prepare(storage); err != nil {
+	err = s.prepare(storage)
+	if err == nil {
+		// The library syncs the file and not its name.
+		err = durable.SyncDir(dir)
+	}
+	if err != nil {
 		db.Close()
 		return nil, nil, err
 	}
--- a/rockbarrow/durable/cell.go
+++ b/rockbarrow/durable/cell.go
@@ -16,7 +16,7 @@
 // it in force.
 type Cell struct {
 	// folder and name give the two files, name-0 and name-1.
-	folder folder
+	folder *folder
 	name   string
 
 	mu sync.Mutex
--- a/rockbarrow/durable/compaction.go
+++ b/rockbarrow/durable/compaction.go
@@ -32,7 +32,7 @@
 func (c Compaction) After() int64 { return c.after }
 
 // rewrite writes all live records, and then some frames, to a segment of their own and removes the older
-// ones. A removal that does not last costs nothing, as records may be replayed twice.
+// ones. If that is undone, what comes back are the last of the older segments, without a gap.
 func (l *Log) rewrite(frames []byte) error {
 	old, err := segments(l.folder.dir)
 	if err != nil {
@@ -48,7 +48,11 @@
 	}
 	l.live = l.size - before
 	for _, s := range old {
-		if err := l.folder.remove(s.name); err != nil {
+		err := l.folder.remove(s.name)
+		if err == nil {
+			err = l.folder.sync()
+		}
+		if err != nil {
 			// What is written holds; the next compaction removes the rest.
 			l.compactAfter = time.Now().Add(compactPause)
 			l.report(errors.Wrap(err, "durable: remove a segment"))
--- a/rockbarrow/durable/folder.go
+++ b/rockbarrow/durable/folder.go
@@ -5,45 +5,152 @@
 import (
 	"os"
 	"path/filepath"
+	"sync"
 
 	"github.com/pkg/errors"
 )
 
-// folder makes, reads and removes the files of one directory.
+// folder makes, reads and removes the files of one directory. What it returned from read, and what was written before a
+// syncFile, outlives a loss of power, together with the file's name.
 type folder struct {
 	dir   string
 	trace *trace
+
+	mu sync.Mutex
+	// lasting holds the names that were there at a sync of the directory.
+	lasting map[string]bool
+}
+
+// openFolder makes a directory if it is missing, and syncs it.
+func openFolder(dir string) (*folder, error) {
+	if err := MakeDir(dir); err != nil {
+		return nil, err
+	}
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "durable: list the data folder")
+	}
+	f := &folder{dir: dir, trace: traceOf(dir), lasting: map[string]bool{}}
+	// Names that an earlier process made, or removed, may not be synced yet.
+	if err := f.sync(); err != nil {
+		return nil, err
+	}
+	for _, e := range entries {
+		f.lasting[e.Name()] = true
+	}
+	return f, nil
+}
+
+// MakeDir makes a directory and those above it that are missing, and syncs their names.
+func MakeDir(dir string) error {
+	if entries, err := os.ReadDir(dir); err == nil {
+		if len(entries) == 0 {
+			// An earlier process may have been killed before it synced the name. One that others made may be under a
+			// directory that can't be synced, and lasts by them.
+			_ = SyncDir(filepath.Dir(dir))
+		}
+		return nil
+	}
+	parent := filepath.Dir(dir)
+	if parent != dir {
+		if err := MakeDir(parent); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
+		return errors.Wrap(err, "durable: make a folder")
+	}
+	return SyncDir(parent)
+}
+
+// SyncDir makes the names in a directory last, and removals from it.
+func SyncDir(dir string) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return errors.Wrap(err, "durable: sync a folder")
+	}
+	defer d.Close()
+	return errors.Wrap(d.Sync(), "durable: sync a folder")
+}
+
+// writeAndClose writes a file's content, syncs and closes it.
+func writeAndClose(f *os.File, b []byte, sync func() error) error {
+	_, err := f.Write(b)
+	if err == nil {
+		err = sync()
+	}
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	return err
 }
 
-// openFolder makes a directory if it is missing.
-func openFolder(dir string) (folder, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return folder{}, errors.Wrap(err, "durable: make the data folder")
+// WriteFile writes and syncs a file and its name.
+func WriteFile(path string, b []byte, perm os.FileMode) error {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_WRONLY|os.O_TRUNC, perm)
+	if err != nil {
+		return errors.Wrap(err, "durable: write a file")
 	}
-	return folder{dir: dir, trace: traceOf(dir)}, nil
+	if err := writeAndClose(f, b, f.Sync); err != nil {
+		return errors.Wrap(err, "durable: write a file")
+	}
+	return SyncDir(filepath.Dir(path))
 }
 
-func (f folder) path(name string) string { return filepath.Join(f.dir, name) }
+func (f *folder) path(name string) string { return filepath.Join(f.dir, name) }
 
 // create opens a file for writing and makes it if it is missing; flags are further ones of os.OpenFile.
-func (f folder) create(name string, flags int) (*os.File, error) {
+func (f *folder) create(name string, flags int) (*os.File, error) {
 	f.trace.opened(name)
 	return os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|flags, 0o600)
 }
 
-// syncFile syncs a file of the folder.
-func (f folder) syncFile(file *os.File) error {
+// syncFile syncs a file of the folder and, once for each file that is new, its name.
+func (f *folder) syncFile(file *os.File) error {
 	if err := file.Sync(); err != nil {
 		return err
 	}
 	f.trace.synced(file)
+	name := filepath.Base(file.Name())
+	f.mu.Lock()
+	lasts := f.lasting[name]
+	f.mu.Unlock()
+	if lasts {
+		return nil
+	}
+	if err := f.sync(); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.lasting[name] = true
+	f.mu.Unlock()
 	return nil
 }
 
-// read returns the content of a file.
-func (f folder) read(name string) ([]byte, error) { return os.ReadFile(f.path(name)) }
+// sync makes all names of the folder last, and all removals.
+func (f *folder) sync() error {
+	return f.trace.folderSynced(func() error { return SyncDir(f.dir) })
+}
 
-func (f folder) remove(name string) error {
+// read syncs a file and returns its content: a process that was killed may have left what was never synced, and whoever
+// reads it may tell others.
+func (f *folder) read(name string) ([]byte, error) {
+	file, err := os.Open(f.path(name))
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	if err := f.syncFile(file); err != nil {
+		return nil, err
+	}
+	return os.ReadFile(f.path(name))
+}
+
+// remove removes a file. That lasts once the folder is synced.
+func (f *folder) remove(name string) error {
+	f.mu.Lock()
+	delete(f.lasting, name)
+	f.mu.Unlock()
 	if f.trace != nil {
 		return f.trace.remove(name)
 	}
@@ -51,17 +158,11 @@
 }
 
 // replace writes and syncs the whole content of a file.
-func (f folder) replace(name string, b []byte) error {
+func (f *folder) replace(name string, b []byte) error {
 	file, err := f.create(name, os.O_TRUNC)
 	if err != nil {
 		return errors.Wrap(err, "durable: open a cell")
 	}
-	_, err = file.Write(b)
-	if err == nil {
-		err = f.syncFile(file)
-	}
-	if closed := file.Close(); err == nil {
-		err = closed
-	}
+	err = writeAndClose(file, b, func() error { return f.syncFile(file) })
 	return errors.Wrap(err, "durable: write a cell")
 }
--- a/rockbarrow/durable/log.go
+++ b/rockbarrow/durable/log.go
@@ -58,7 +58,7 @@
 	// Compacted is told of each compaction, from the log's own goroutine; may be nil.
 	Compacted func(Compaction)
 
-	folder  folder
+	folder  *folder
 	queue   chan *pending
 	closing chan struct{}
 	closed  chan struct{}
@@ -271,7 +271,7 @@
 	return nil
 }
 
-// open starts the next segment. Its name lasts with its first sync.
+// open starts the next segment.
 func (l *Log) open() error {
 	l.number++
 	f, err := l.folder.create(segmentName(l.number), os.O_EXCL|os.O_APPEND)
--- a/rockbarrow/durable/powerloss/powerloss.go
+++ b/rockbarrow/durable/powerloss/powerloss.go
@@ -72,8 +72,8 @@
 	synced int64
 }
 
-// Apply loses power: it undoes, drawn from r, some of what no sync covers, and drops the notes. No process may use the
-// folder. It returns what was undone.
+// Apply loses power: it undoes, drawn from r, some of what no sync covers. No process may use the folder. It returns what
+// was undone.
 func Apply(dir string, r *rand.Rand) ([]string, error) {
 	b, err := os.ReadFile(tracePath(dir))
 	if err != nil {
@@ -90,7 +90,31 @@
 			undone = append(undone, what+" "+name)
 		}
 	}
-	return undone, Forget(dir)
+	if err := Forget(dir); err != nil {
+		return undone, err
+	}
+	return undone, noteAll(dir)
+}
+
+// noteAll notes that all that is in a folder lasts.
+func noteAll(dir string) error {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return errors.Wrap(err, "powerloss")
+	}
+	for _, e := range entries {
+		info, err := e.Info()
+		if err == nil {
+			err = Note(dir, Opened, e.Name(), 0)
+		}
+		if err == nil {
+			err = Note(dir, Synced, e.Name(), info.Size())
+		}
+		if err != nil {
+			return errors.Wrap(err, "powerloss")
+		}
+	}
+	return Note(dir, FolderSynced, "-", 0)
 }
 
 func parse(trace string) (files map[string]*file, order []string) {
--- a/rockbarrow/durable/trace.go
+++ b/rockbarrow/durable/trace.go
@@ -60,6 +60,20 @@
 	return os.Rename(filepath.Join(t.dir, name), powerloss.Aside(t.dir, name))
 }
 
+// folderSynced syncs the directory and notes that all names in it last.
+func (t *trace) folderSynced(sync func() error) error {
+	if t == nil {
+		return sync()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	err := sync()
+	if err == nil {
+		t.note(powerloss.FolderSynced, "-", 0)
+	}
+	return err
+}
+
 func (t *trace) note(what powerloss.Event, name string, size int64) {
 	t.check(powerloss.Note(t.dir, what, name, size))
 }
--- a/rockbarrow/keys/authority.go
+++ b/rockbarrow/keys/authority.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"rockbarrow.dev/rockbarrow/durable"
 )
 
 // caName is the file name of an authority, without its ending.
@@ -29,7 +31,7 @@
 
 // NewAuthority makes an authority and writes it to a folder.
 func NewAuthority(dir string, life time.Duration) (*Authority, error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := durable.MakeDir(dir); err != nil {
 		return nil, errors.Wrap(err, "keys: folder")
 	}
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -125,8 +127,8 @@
 	}
 	certPEM := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
 	keyPEM := pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: keyDER})
-	if err := os.WriteFile(filepath.Join(dir, name+".pem"), certPEM, 0o644); err != nil {
+	if err := durable.WriteFile(filepath.Join(dir, name+".pem"), certPEM, 0o644); err != nil {
 		return errors.Wrap(err, "keys: write")
 	}
-	return errors.Wrap(os.WriteFile(filepath.Join(dir, name+".key"), keyPEM, 0o600), "keys: write")
+	return errors.Wrap(durable.WriteFile(filepath.Join(dir, name+".key"), keyPEM, 0o600), "keys: write")
 }
