controller, watch: an acknowledged change is known to all control instances that answer

Cause: that a version is chosen only the proposer knew; it acknowledged at that moment. The others found out by a tick, a delay, a chance and a round; entries heard it from their primary, or else at the end of another's long poll; tables were asked of the primary first, 0.4 s long. Change: operators' changes (configurations, evacuations, retirements) are acknowledged once the control instances heard in the last second report the state, or after 0.2 s, which is logged with who lacks it. Tables are asked first of whoever knows the state and answered last. Why it works: what one loss can take is known to others before anybody counts on it; no timer is left between them and the entries.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -86,6 +86,7 @@
 	// votes persists the acceptor's record.
 	votes        *voteStore
 	presence     presence
+	spread       spread
 	loads        loads
 	incarnations incarnationTracker
 	// listMu serializes the numbering and publishing of lists.
@@ -218,17 +219,16 @@
 }
 
 // PutConfiguration applies a configuration unless the current one has the same or a higher version. It returns
-// once a majority of the voters has stored the outcome.
+// once a majority of the voters has stored the outcome and other control instances know it, see order.
 func (c *Controller) PutConfiguration(ctx context.Context, version uint64, doc []byte) error {
 	digest := document.Digest(doc)
-	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
+	return c.order(ctx, func(s *fleetpb.State) *fleetpb.State {
 		if s.GetNumber() == 0 || version <= s.GetConfiguration().GetVersion() {
 			return nil
 		}
 		s.Configuration = &fleetpb.Configuration{Version: version, Document: doc, Digest: digest}
 		return s
 	})
-	return err
 }
 
 // Read returns the newest state stored by a majority of the voters.
--- a/rockbarrow/controller/evacuations.go
+++ b/rockbarrow/controller/evacuations.go
@@ -19,7 +19,7 @@
 }
 
 // Evacuate stops new work from being sent to the endpoints of a failure domain. It returns once a
-// majority of the voters has stored the evacuation, and is idempotent. It returns an
+// majority of the voters has stored the evacuation and other control instances know it, and is idempotent. It returns an
 // [UnknownDomainError] if the domain does not exist.
 func (c *Controller) Evacuate(ctx context.Context, domain string) error {
 	return c.updateEvacuations(ctx, domain, func(list []*fleetpb.Evacuation) []*fleetpb.Evacuation {
@@ -48,7 +48,7 @@
 	if !slices.Contains(c.FailureDomains, domain) {
 		return &UnknownDomainError{Name: domain}
 	}
-	_, err := c.Change(ctx, func(s *fleetpb.State) *fleetpb.State {
+	return c.order(ctx, func(s *fleetpb.State) *fleetpb.State {
 		list := next(s.GetEvacuations())
 		if s.GetNumber() == 0 || len(list) == len(s.GetEvacuations()) {
 			return nil
@@ -56,5 +56,4 @@
 		s.Evacuations = list
 		return s
 	})
-	return err
 }
--- a/rockbarrow/watch/table.go
+++ b/rockbarrow/watch/table.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,20 +76,27 @@
 	return errors.As(err, &base) || errors.As(err, &digest)
 }
 
-// tableSources returns the control instances that answer, the primary first.
+// tableSources returns the control instances that answer. Those that know the newest state come first, and
+// among them whoever answered last, as it is the least likely to have stalled.
 func (c *Client) tableSources(now time.Time) []*target {
-	first := c.primary(now)
-	if first == nil {
-		return nil
-	}
-	out := []*target{first}
+	state := c.State().GetNumber()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	var out []*target
 	for _, t := range c.targets {
-		if t != first && t.answered && now.Sub(t.lastAnswer) < unreachableAfter {
+		if t.answeredWithin(now, unreachableAfter) {
 			out = append(out, t)
 		}
 	}
+	slices.SortFunc(out, func(a, b *target) int {
+		if current := a.stateNumber >= state; current != (b.stateNumber >= state) {
+			if current {
+				return -1
+			}
+			return 1
+		}
+		return b.lastAnswer.Compare(a.lastAnswer)
+	})
 	return out
 }
 
--- a/rockbarrow/watch/table_test.go
+++ b/rockbarrow/watch/table_test.go
@@ -221,3 +221,25 @@
 		t.Errorf("version %d after %d calls, %v", got.Version(), calls, err)
 	}
 }
+
+// TestATableIsAskedOfWhoAnsweredLast guards against a table that is late because the primary was frozen: it was asked first,
+// though another control instance had just told of the version.
+func TestATableIsAskedOfWhoAnsweredLast(t *testing.T) {
+	before, after, change, whole := tables(t)
+	frozen := &fakeControl{table: func(*fleetpb.TableRequest, grpc.ServerStreamingServer[fleetpb.TablePart]) error {
+		t.Error("the instance that answered earlier is asked first")
+		return nil
+	}}
+	c := newTestClient(t, frozen, serveParts(change, whole))
+	c.state.Store(&fleetpb.State{Number: 7})
+	for _, o := range c.targets {
+		if c.isLocal(o) {
+			o.lastAnswer, o.stateNumber = o.lastAnswer.Add(-time.Second), 6
+		} else {
+			o.stateNumber = 7
+		}
+	}
+	if got, err := c.FetchTable(t.Context(), before, 2); err != nil || !bytes.Equal(got.Digest(), after.Digest()) {
+		t.Errorf("version %d, %v", got.Version(), err)
+	}
+}
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -46,7 +46,7 @@
 	relayedSequence uint64
 	// customerReport is what it has been told of admitted requests.
 	customerReport customerReport
-	// stateNumber and listNumber are the newest versions that it has reported.
+	// stateNumber and listNumber are the newest versions that it has reported. Only its loop writes them.
 	stateNumber, listNumber uint64
 	// needsWhole is true after an update from it could not be decoded: the next one
 	// must not be a difference.
@@ -128,7 +128,9 @@
 	if uses != nil {
 		c.setReported(uses)
 	}
+	c.mu.Lock()
 	t.stateNumber, t.listNumber = r.GetStateNumber(), r.GetListNumber()
+	c.mu.Unlock()
 	size, arrived := 0, time.Now()
 	if r.GetState() != nil || r.GetPackedList() != nil || r.GetListChange() != nil {
 		size = proto.Size(r)
