soak: rules of configurations are judged while faults last, and power is lost

Nothing lost power. Change: each entry instance is asked all the time for routes that the newest versions added or removed, also to services that are new with them, on kept connections. The processes of the soak note what they sync; five new faults lose the power of all, of control, of a domain, and of all others while one disk is lost.

--- a/rockbarrow/durable/folder.go
+++ b/rockbarrow/durable/folder.go
@@ -8,13 +8,15 @@
 	"sync"
 
 	"github.com/pkg/errors"
+
+	"rockbarrow.dev/rockbarrow/durable/powerloss"
 )
 
 // folder makes, reads and removes the files of one directory. What it returned from read, and what was written before a
 // syncFile, outlives a loss of power, together with the file's name.
 type folder struct {
 	dir   string
-	trace *trace
+	trace *powerloss.Trace
 
 	mu sync.Mutex
 	// lasting holds the names that were there at a sync of the directory.
@@ -101,7 +103,7 @@
 
 // create opens a file for writing and makes it if it is missing; flags are further ones of os.OpenFile.
 func (f *folder) create(name string, flags int) (*os.File, error) {
-	f.trace.opened(name)
+	f.trace.Opened(name)
 	return os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|flags, 0o600)
 }
 
@@ -110,7 +112,7 @@
 	if err := file.Sync(); err != nil {
 		return err
 	}
-	f.trace.synced(file)
+	f.trace.Synced(file)
 	name := filepath.Base(file.Name())
 	f.mu.Lock()
 	lasts := f.lasting[name]
@@ -129,7 +131,7 @@
 
 // sync makes all names of the folder last, and all removals.
 func (f *folder) sync() error {
-	return f.trace.folderSynced(func() error { return SyncDir(f.dir) })
+	return f.trace.SyncFolder(func() error { return SyncDir(f.dir) })
 }
 
 // read syncs a file and returns its content: a process that was killed may have left what was never synced, and whoever
@@ -152,7 +154,7 @@
 	delete(f.lasting, name)
 	f.mu.Unlock()
 	if f.trace != nil {
-		return f.trace.remove(name)
+		return f.trace.Remove(name)
 	}
 	return os.Remove(f.path(name))
 }
--- a/rockbarrow/durable/powerloss_test.go
+++ b/rockbarrow/durable/powerloss_test.go
@@ -30,6 +30,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	tracesMu.Lock()
+	defer tracesMu.Unlock()
+	delete(traces, dir)
 	return undone
 }
 
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -55,14 +55,19 @@
 	{"a store's disk is full", fullDisk(func(f *fleet) []*instance { return f.stores })},
 	{"a control instance's disk is full", fullDisk(func(f *fleet) []*instance { return f.control })},
 	{"a process starts while its addresses are held", heldAddresses},
-	{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.control })},
+	{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.control }, killed)},
 	{"all instances of a failure domain are killed", endDomain},
+	{"power of all control instances is lost", endAll(func(f *fleet) []*instance { return f.control }, powerLost)},
+	{"power of a failure domain is lost", losePowerOfDomain},
+	{"power is lost everywhere", endAll((*fleet).all, powerLost)},
 }
 
 // diskFaults lose a disk. Two never come at once, as one loss is tolerated.
 var diskFaults = []fault{
 	{"wipe a store", wipeOne(func(f *fleet) []*instance { return f.stores })},
 	{"wipe a control instance", wipeOne(func(f *fleet) []*instance { return f.control })},
+	{"wipe a store while all others lose power", wipeAmidLoss(func(f *fleet) []*instance { return f.stores })},
+	{"wipe a control instance while all others lose power", wipeAmidLoss(func(f *fleet) []*instance { return f.control })},
 }
 
 type choose func(f *fleet) []*instance
@@ -109,13 +114,32 @@
 			return
 		}
 		defer in.claimed.Unlock()
-		in.stop(syscall.SIGKILL)
-		if err := in.wipe(); err != nil {
-			f.ledger.AddViolation("%v", err)
+		loseDisk(ctx, f, in, last)
+	}
+}
+
+func loseDisk(ctx context.Context, f *fleet, in *instance, last time.Duration) {
+	in.stop(syscall.SIGKILL)
+	if err := in.wipe(); err != nil {
+		f.ledger.AddViolation("%v", err)
+	}
+	wait.For(ctx, last)
+	f.restart(in)
+	wait.For(context.WithoutCancel(ctx), lossWait)
+}
+
+// wipeAmidLoss loses one disk, and the power of all other instances at that moment.
+func wipeAmidLoss(from choose) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+		in := claim(r, from(f))
+		if in == nil {
+			return
 		}
-		wait.For(ctx, last)
-		f.restart(in)
-		wait.For(context.WithoutCancel(ctx), lossWait)
+		defer in.claimed.Unlock()
+		in.expectEnd()
+		in.signal(syscall.SIGKILL)
+		endAll((*fleet).all, powerLost)(ctx, f, r, last)
+		loseDisk(ctx, f, in, 0)
 	}
 }
 
@@ -263,9 +287,18 @@
 	}
 }
 
-// endAll kills some processes at one moment and starts them again within a second.
-func endAll(from choose) func(context.Context, *fleet, *rand.Rand, time.Duration) {
-	return func(ctx context.Context, f *fleet, _ *rand.Rand, last time.Duration) {
+// ending is how processes end together.
+type ending int
+
+const (
+	// killed leaves the disks as they are, powerLost what was synced.
+	killed ending = iota
+	powerLost
+)
+
+// endAll ends some processes at one moment and starts them again within a second.
+func endAll(from choose, how ending) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
 		var claimed []*instance
 		for _, in := range from(f) {
 			if in.claimed.TryLock() {
@@ -279,6 +312,11 @@
 		}
 		for _, in := range claimed {
 			in.stop(syscall.SIGKILL)
+			if how == powerLost {
+				if err := in.losePower(r); err != nil {
+					f.ledger.AddViolation("%s: %v", in.plan.Instance, err)
+				}
+			}
 		}
 		wait.For(ctx, min(last, time.Second))
 		for _, in := range claimed {
@@ -288,10 +326,19 @@
 }
 
 func endDomain(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
-	domain := f.control[r.IntN(len(f.control))].plan.FailureDomain
-	endAll(func(f *fleet) []*instance {
+	endAll(drawDomain(r), killed)(ctx, f, r, last)
+}
+
+func losePowerOfDomain(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	endAll(drawDomain(r), powerLost)(ctx, f, r, last)
+}
+
+// drawDomain chooses all instances of one failure domain.
+func drawDomain(r *rand.Rand) choose {
+	return func(f *fleet) []*instance {
+		domain := f.control[r.IntN(len(f.control))].plan.FailureDomain
 		return slices.DeleteFunc(f.all(), func(in *instance) bool { return in.plan.FailureDomain != domain })
-	})(ctx, f, r, last)
+	}
 }
 
 func (f *fleet) restart(in *instance) {
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -31,6 +31,9 @@
 	grace = 8
 	// readyWithin bounds the start of the fleet.
 	readyWithin = 60 * time.Second
+	// freshEvery is how many versions there are for one with a new service, and freshEndpoints how many endpoints
+	// that gets.
+	freshEvery, freshEndpoints = 3, 2
 	// seedOfRoutes sets the draws of routes apart from those of faults and programs.
 	seedOfRoutes = 1 << 32
 	// seedOfUpgrades does the same for upgrades, seedOfStarts for first starts and
@@ -40,6 +43,8 @@
 	seedOfOperators = 4 << 32
 	// seedOfCustomers does the same for keys that come and go.
 	seedOfCustomers = 5 << 32
+	// seedOfProbes does the same for questions of what is in force.
+	seedOfProbes = 6 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -57,14 +62,17 @@
 	// mu guards endpoints and lives.
 	mu        sync.Mutex
 	endpoints []*standin.Endpoint
-	list      *standin.List
-	listens   net.Listener
-	ledger    *standin.Recorder
-	operator  *standin.Operator
+	// fresh are endpoints of services that came with a later version. No fault has them.
+	fresh    []*standin.Endpoint
+	list     *standin.List
+	listens  net.Listener
+	ledger   *standin.Recorder
+	operator *standin.Operator
 	// configuring is held while a configuration is sent, and while one has to stay.
 	configuring sync.Mutex
 	version     uint64
 	routes      *routes
+	history     history
 	// customers are those of the configuration, nil if it has none.
 	customers *customers
 	// lives counts the endpoints made, so that each has an id of its own.
@@ -76,7 +84,9 @@
 // build compiles the product into a folder.
 func build(ctx context.Context, dir string) (string, error) {
 	out := filepath.Join(dir, "rockbarrow")
-	cmd := exec.CommandContext(ctx, "go", "build", "-o", out, "rockbarrow.dev/platform")
+	// The processes note what they sync, for losses of power.
+	trace := "-X rockbarrow.dev/rockbarrow/durable.tracing=on"
+	cmd := exec.CommandContext(ctx, "go", "build", "-ldflags", trace, "-o", out, "rockbarrow.dev/platform")
 	if b, err := cmd.CombinedOutput(); err != nil {
 		return "", errors.Wrapf(err, "soak: build: %s", b)
 	}
@@ -170,7 +180,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endpoints = append(f.endpoints, e)
-	f.list.Set(f.endpoints...)
+	f.publish()
 	return nil
 }
 
@@ -186,7 +196,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endpoints = slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return e == old })
-	f.list.Set(f.endpoints...)
+	f.publish()
 }
 
 // plan gives each instance its address, folder and proxy.
@@ -293,12 +303,14 @@
 
 // sendNext is deploy for who holds configuring.
 func (f *fleet) sendNext(ctx context.Context) error {
-	f.version++
-	f.routes.change()
+	if err := f.change(); err != nil {
+		return err
+	}
 	f.customers.change()
 	if err := f.operator.Deploy(ctx, f.document(f.version)); err != nil {
 		return err
 	}
+	f.history.acknowledge(f.version)
 	f.customers.acknowledged(time.Now())
 	return nil
 }
@@ -308,13 +320,52 @@
 func (f *fleet) race(ctx context.Context) error {
 	f.configuring.Lock()
 	defer f.configuring.Unlock()
-	f.version++
-	f.routes.change()
+	if err := f.change(); err != nil {
+		return err
+	}
 	one, other := f.document(f.version), f.document(f.version)
 	other.Limits.BodyBytes *= 2
-	return f.operator.DeployConcurrently(ctx, one, other)
+	err := f.operator.DeployConcurrently(ctx, one, other)
+	if err == nil {
+		f.history.acknowledge(f.version)
+	}
+	return err
+}
+
+// change makes the next version.
+func (f *fleet) change() error {
+	f.version++
+	added, removed := f.routes.change()
+	if f.routes.r.IntN(freshEvery) == 0 {
+		path, err := f.addFreshService()
+		if err != nil {
+			return err
+		}
+		added = append(added, path)
+	}
+	f.history.send(f.version, added, removed)
+	return nil
 }
 
+// addFreshService adds a route to a service that is new in the next version, and endpoints of it.
+func (f *fleet) addFreshService() (path string, err error) {
+	service := fmt.Sprint("fresh-", f.version)
+	for d := range freshEndpoints {
+		e := f.newEndpoint(service+fmt.Sprint("-", d), service, fmt.Sprint("domain-", d))
+		if err := e.Start(anyPort); err != nil {
+			return "", errors.Wrap(err, "soak: endpoint")
+		}
+		f.mu.Lock()
+		f.fresh = append(f.fresh, e)
+		f.publish()
+		f.mu.Unlock()
+	}
+	return f.routes.addTo(service), nil
+}
+
+// publish puts all endpoints in the list. The caller holds mu.
+func (f *fleet) publish() { f.list.Set(append(slices.Clone(f.endpoints), f.fresh...)...) }
+
 // document returns the configuration of a version.
 func (f *fleet) document(version uint64) *fleetpb.Document {
 	route := func(name, service string, kind fleetpb.RouteKind) *fleetpb.Route {
@@ -333,10 +384,10 @@
 		Version:   version,
 		Customers: f.customers.document(),
 		Limits:    &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
-		Services: []*fleetpb.Service{
-			{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
-			{Name: "tool", MaxConnections: 300},
-		},
+		Services: append(f.routes.services(),
+			&fleetpb.Service{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
+			&fleetpb.Service{Name: "tool", MaxConnections: 300},
+		),
 		Routes: append(f.routes.document(), work...),
 	}
 }
@@ -351,7 +402,7 @@
 		}
 		in.log.Close()
 	}
-	for _, e := range f.endpoints {
+	for _, e := range append(f.endpoints, f.fresh...) {
 		e.Close()
 	}
 	if f.listens != nil {
--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"rockbarrow.dev/platform/settings"
+	"rockbarrow.dev/rockbarrow/durable/powerloss"
 )
 
 // instance is one process of the product.
@@ -32,11 +34,13 @@
 	proxy  *proxy
 
 	// claimed is held while a fault has the instance.
-	claimed sync.Mutex
+	claimed holds
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
+	// lives counts the processes.
+	lives int
 	// reader is the end of the process's log that the soak reads.
 	reader *os.File
 	// meant is true while the process is meant to run; one that ends by itself
@@ -80,6 +84,7 @@
 		return errors.Wrap(err, "soak: start")
 	}
 	in.cmd, in.exited, in.meant = cmd, make(chan struct{}), true
+	in.lives++
 	go (&reaper{instance: in, cmd: cmd, exited: in.exited}).run()
 	// Only the very first start is one.
 	in.plan.Bootstrap = false
@@ -153,6 +158,13 @@
 	return in.cmd.Process.Pid, true
 }
 
+// life numbers the process that runs, or ran last.
+func (in *instance) life() int {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.lives
+}
+
 // signal sends a signal to the process that the soak started.
 func (in *instance) signal(s syscall.Signal) {
 	in.mu.Lock()
@@ -239,7 +251,19 @@
 	if err := os.RemoveAll(in.plan.DataDir); err != nil {
 		return errors.Wrap(err, "soak: wipe")
 	}
-	return nil
+	return powerloss.Forget(in.plan.DataDir)
+}
+
+// losePower undoes some of what the process, which has ended, did not sync.
+func (in *instance) losePower(r *rand.Rand) error {
+	if in.plan.DataDir == "" {
+		return nil
+	}
+	undone, err := powerloss.Apply(in.plan.DataDir, r)
+	if len(undone) > 0 {
+		fmt.Fprintf(in.log, "soak: power is lost: %s\n", undone)
+	}
+	return err
 }
 
 var probe = &http.Client{Timeout: 500 * time.Millisecond}
--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -85,7 +85,7 @@
 	defer f.mu.Unlock()
 	f.endpoints = slices.Clone(f.endpoints)
 	f.endpoints[slices.Index(f.endpoints, old)] = next
-	f.list.Set(f.endpoints...)
+	f.publish()
 }
 
 // checkEndpoints breaks a promise unless each life that runs gets requests once the faults are over.
--- a/rockbench/soak/recovery_test.go
+++ b/rockbench/soak/recovery_test.go
@@ -103,3 +103,32 @@
 		t.Fatal(err)
 	}
 }
+
+// TestAnAcknowledgedVersionOutlivesALossOfPower guards against a deployment that comes back older, or not at all, after the
+// power of all its instances was lost: names of files were never synced, so that votes and identities could be gone.
+func TestAnAcknowledgedVersionOutlivesALossOfPower(t *testing.T) {
+	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: 4})
+	if stop != nil {
+		t.Cleanup(stop)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := rand.New(rand.NewPCG(1, 0))
+	for range 3 {
+		if err := f.deploy(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		endAll((*fleet).all, powerLost)(t.Context(), f, r, 0)
+		if len(f.failures()) > 0 {
+			t.Fatal(f.failures())
+		}
+		for !f.operator.Check(t.Context()) {
+			wait.For(t.Context(), holdTick)
+		}
+	}
+	f.checkRoutes(t.Context())
+	for _, b := range append(f.ledger.Violations(), f.failures()...) {
+		t.Error(b)
+	}
+}
--- a/rockbench/soak/routes.go
+++ b/rockbench/soak/routes.go
@@ -28,32 +28,71 @@
 	// next numbers the routes, so that none comes back.
 	next       int
 	live, gone []string
+	// fresh holds the services of routes that don't go to the tools.
+	fresh map[string]string
 }
 
-// change adds some routes and takes some away.
-func (x *routes) change() {
+// change adds some routes and takes some away. The first one stays.
+func (x *routes) change() (added, removed []string) {
+	if x.next == 0 {
+		x.live = append(x.live, firstRoute)
+	}
 	most := fewRoutes
 	if x.r.IntN(manyEvery) == 0 {
 		most = manyRoutes
 	}
-	for range min(len(x.live), x.r.IntN(most)) {
-		i := x.r.IntN(len(x.live))
-		x.gone = append(x.gone, x.live[i])
+	for range min(len(x.live)-1, x.r.IntN(most)) {
+		i := 1 + x.r.IntN(len(x.live)-1)
+		removed = append(removed, x.live[i])
 		x.live = slices.Delete(x.live, i, i+1)
 	}
 	for range 1 + x.r.IntN(most) {
-		x.live = append(x.live, fmt.Sprintf("/extra-%d/", x.next))
-		x.next++
+		added = append(added, x.add())
+	}
+	x.gone = append(x.gone, removed...)
+	return added, removed
+}
+
+// add adds a route.
+func (x *routes) add() string {
+	path := fmt.Sprintf("/extra-%d/", x.next)
+	x.next++
+	x.live = append(x.live, path)
+	return path
+}
+
+// addTo adds a route to a service that no other route goes to.
+func (x *routes) addTo(service string) string {
+	if x.fresh == nil {
+		x.fresh = map[string]string{}
 	}
+	path := x.add()
+	x.fresh[path] = service
+	return path
+}
+
+// services returns those of routes that are there.
+func (x *routes) services() []*fleetpb.Service {
+	var out []*fleetpb.Service
+	for _, path := range x.live {
+		if name, ok := x.fresh[path]; ok {
+			out = append(out, &fleetpb.Service{Name: name, MaxConnections: 300})
+		}
+	}
+	return out
 }
 
 // document returns them as a configuration holds them.
 func (x *routes) document() []*fleetpb.Route {
 	var out []*fleetpb.Route
 	for _, prefix := range x.live {
+		service, ok := x.fresh[prefix]
+		if !ok {
+			service = "tool"
+		}
 		out = append(out, &fleetpb.Route{
 			Name: prefix, Host: host, Prefix: prefix, Kind: fleetpb.RouteKind_ROUTE_KIND_REPEATABLE, TimeoutMs: 2000, ObjectiveMs: 200,
-			MaxAttempts: 2, Shares: []*fleetpb.Share{{Service: "tool", Weight: 1}},
+			MaxAttempts: 2, Shares: []*fleetpb.Share{{Service: service, Weight: 1}},
 		})
 	}
 	return out
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -91,6 +91,13 @@
 		running.Go(func() { w.loop(faulty, finish) })
 	}
 	running.Go(func() { s.operate(faulty) })
+	for i, e := range s.fleet.entries {
+		p := &prober{
+			fleet: s.fleet, entry: e, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfProbes+uint64(i))),
+			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		}
+		running.Go(func() { p.run(faulty) })
+	}
 	if c := s.fleet.customers; c != nil {
 		running.Go(func() { c.press(faulty, s.entries(), rand.New(rand.NewPCG(s.cfg.Seed, seedOfCustomers+1))) })
 	}
