store: a view is served and a copy is reported only once they are on disk

A store that loses power right then comes back in the view before, whose writes it then takes, or without the mark that its copy is whole, after control has ended the move by it. Cause: the first call of a newer view fenced the older one; calls that came while that was being written, or after the disk had refused it, went on at once. A copy was reported before its record was synced, also where the disk refused that. Change: fenced holds the newest view whose fence is on disk, and only calls under it are served. A copy's mark is among the live records first, then synced, then reported.

--- a/rockbarrow/store/copier.go
+++ b/rockbarrow/store/copier.go
@@ -77,8 +77,12 @@
 			return err
 		}
 	}
+	s.copiedEpoch.Store(v.GetEpoch())
+	if err := s.append(ctx, []*fleetpb.Record{{Kind: &fleetpb.Record_WholeEpoch{WholeEpoch: v.GetEpoch()}}}); err != nil {
+		return err
+	}
 	s.completeEpoch.Store(v.GetEpoch())
-	return s.append(ctx, []*fleetpb.Record{{Kind: &fleetpb.Record_WholeEpoch{WholeEpoch: v.GetEpoch()}}})
+	return nil
 }
 
 // nothingToCopy reports whether the store has all records already: the first view
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -38,12 +38,16 @@
 	mu    sync.Mutex
 	state ledger.StateMachine
 	// epoch is the newest known view; calls under older views are refused. It
-	// is durable and never decreases.
+	// never decreases.
 	epoch uint64
+	// fenced is the newest view of which the disk holds that older ones are
+	// refused. Only calls under this one are served.
+	fenced atomic.Uint64
 
-	// completeEpoch is the newest view for which this store holds all records of
-	// its groups, or zero. It is durable, as acknowledged records are.
-	completeEpoch atomic.Uint64
+	// copiedEpoch is the newest view for which this store holds all records of
+	// its groups, or zero. It is among the live records, and completeEpoch, which
+	// is reported, follows once it is on disk.
+	copiedEpoch, completeEpoch atomic.Uint64
 	// viewChanged wakes the copier.
 	viewChanged chan struct{}
 	// stopping is closed when Run ends. It ends the streams of calls.
@@ -61,6 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.fenced.Store(s.epoch)
 	log.Live = s.liveRecords
 	log.Failed = func(err error) {
 		s.Log.WithError(err).WithField("refused_bytes", log.Refused()).Error("records were not written")
@@ -86,6 +91,7 @@
 		s.epoch = max(s.epoch, k.Epoch)
 	case *fleetpb.Record_WholeEpoch:
 		s.completeEpoch.Store(max(s.completeEpoch.Load(), k.WholeEpoch))
+		s.copiedEpoch.Store(s.completeEpoch.Load())
 	default:
 		s.state.Apply(now, r)
 	}
@@ -106,7 +112,7 @@
 	epoch := s.epoch
 	s.mu.Unlock()
 	yield(s.encode(&fleetpb.Record{Kind: &fleetpb.Record_Epoch{Epoch: epoch}}))
-	yield(s.encode(&fleetpb.Record{Kind: &fleetpb.Record_WholeEpoch{WholeEpoch: s.completeEpoch.Load()}}))
+	yield(s.encode(&fleetpb.Record{Kind: &fleetpb.Record_WholeEpoch{WholeEpoch: s.copiedEpoch.Load()}}))
 }
 
 func (s *Store) programNames() []string {
@@ -182,7 +188,7 @@
 	switch {
 	case epoch < known:
 		return s.refusal(fleetpb.StoreStatus_REFUSED_STALE_VIEW), nil
-	case epoch == known:
+	case epoch <= s.fenced.Load():
 		return nil, nil
 	}
 	if err := s.fence(ctx, epoch); err != nil {
@@ -191,17 +197,25 @@
 	return nil, nil
 }
 
-// fence durably refuses calls under views older than epoch.
+// fence durably refuses calls under views older than epoch. Calls that come meanwhile wait for the disk too.
 func (s *Store) fence(ctx context.Context, epoch uint64) error {
+	if epoch <= s.fenced.Load() {
+		return nil
+	}
 	s.mu.Lock()
 	old := s.epoch
 	s.epoch = max(s.epoch, epoch)
 	s.mu.Unlock()
-	if epoch <= old {
-		return nil
+	if epoch > old {
+		s.Log.WithFields(logrus.Fields{"view": epoch, "before": old}).Info("a newer view fences older ones")
 	}
-	s.Log.WithFields(logrus.Fields{"view": epoch, "before": old}).Info("a newer view fences older ones")
-	return s.log.Append(ctx, s.encode(&fleetpb.Record{Kind: &fleetpb.Record_Epoch{Epoch: epoch}}))
+	if err := s.log.Append(ctx, s.encode(&fleetpb.Record{Kind: &fleetpb.Record_Epoch{Epoch: epoch}})); err != nil {
+		return err
+	}
+	for fenced := s.fenced.Load(); fenced < epoch && !s.fenced.CompareAndSwap(fenced, epoch); {
+		fenced = s.fenced.Load()
+	}
+	return nil
 }
 
 func (s *Store) refusal(why fleetpb.StoreStatus_Refused) *fleetpb.StoreStatus {
