config: the outcome of a command is told once other control instances have its version

On the own interface a version is late, until the next leader publishes it, if its leader is lost right after it told the outcome. Cause: pushes ran in the background of the answer. Measured: without the wait TestAnOutcomeIsToldOnceOtherControlInstancesHaveIt fails at its first version (0 of 3 instances have it). Tests of config and matrix pass.

--- a/rockbarrow/config/lead.go
+++ b/rockbarrow/config/lead.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -156,11 +157,52 @@
 func (s *Source) publish(doc *configpb.Document, appliedIndex uint64) {
 	s.Update(doc, appliedIndex)
 	reply := &peerpb.PullReply{Version: doc.GetVersion(), Document: doc, FoldedIndex: appliedIndex}
+	spread := &sync.WaitGroup{}
 	for _, i := range s.View().Instances() {
-		if i.Instance() != s.Instance && i.State() != roster.Dead {
-			go (&push{source: s, instance: i.Instance(), reply: reply}).run()
+		if i.Instance() == s.Instance || i.State() == roster.Dead {
+			continue
 		}
+		p := &push{source: s, instance: i.Instance(), reply: reply}
+		if i.Control() {
+			p.done = spread
+			spread.Add(1)
+		}
+		go p.run()
 	}
+	s.leaderMu.Lock()
+	s.spread = spread
+	s.leaderMu.Unlock()
+}
+
+// awaitSpread waits until the other control instances have the newest version that this one published, or spreadTimeout
+// has passed. If an outcome is told before, its version may be lost with this instance until the next one leads.
+func (s *Source) awaitSpread(ctx context.Context) {
+	s.leaderMu.Lock()
+	spread := s.spread
+	s.leaderMu.Unlock()
+	if spread == nil {
+		return
+	}
+	done := make(chan struct{})
+	go (&spreadWait{spread: spread, done: done}).run()
+	timeout := time.NewTimer(spreadTimeout)
+	defer timeout.Stop()
+	select {
+	case <-done:
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+}
+
+// spreadWait closes done once pushes have ended, each within callTimeout.
+type spreadWait struct {
+	spread *sync.WaitGroup
+	done   chan struct{}
+}
+
+func (w *spreadWait) run() {
+	w.spread.Wait()
+	close(w.done)
 }
 
 // push sends a version to one peer. A lost push is made up for by the peer's
@@ -169,9 +211,14 @@
 	source   *Source
 	instance string
 	reply    *peerpb.PullReply
+	// done is told of the end of a push to a control instance, and nil for others.
+	done *sync.WaitGroup
 }
 
 func (p *push) run() {
+	if p.done != nil {
+		defer p.done.Done()
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := p.source.Peers.Push(ctx, p.instance, p.reply); err != nil {
@@ -272,6 +319,7 @@
 		if out == nil {
 			return nil, &UndeterminedError{CommandID: req.GetCommandId()}
 		}
+		s.awaitSpread(ctx)
 		return out, nil
 	case <-ctx.Done():
 		s.respond(id, nil)
--- a/rockbarrow/config/lead_test.go
+++ b/rockbarrow/config/lead_test.go
@@ -3,13 +3,17 @@
 package config
 
 import (
+	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"rockbarrow.dev/rockbarrow/control"
 	"rockbarrow.dev/rockbarrow/journal"
 	"rockbarrow.dev/rockbarrow/roster"
+	"rockbarrow.dev/schema/configpb"
+	"rockbarrow.dev/schema/peerpb"
 )
 
 // TestLearnIndexAfterChangeOfVoters checks that a change of the voters, which
@@ -53,3 +57,31 @@
 		t.Fatalf("peers can learn up to entry %d, the leader applied %d", got, want)
 	}
 }
+
+// countingPeers count the pushes that have arrived.
+type countingPeers struct {
+	fakePeers
+	arrived atomic.Int64
+}
+
+func (c *countingPeers) Push(context.Context, string, *peerpb.PullReply) error {
+	c.arrived.Add(1)
+	return nil
+}
+
+// TestAnOutcomeIsToldOnceOtherControlInstancesHaveIt guards against a version that is in force late because its leader was lost
+// right after it had told the outcome, and alone knew it.
+func TestAnOutcomeIsToldOnceOtherControlInstancesHaveIt(t *testing.T) {
+	s := newTestSource(t, nil)
+	peers := &countingPeers{}
+	s.Peers = peers
+	const control = 3
+	for version := uint64(1); version <= 50; version++ {
+		peers.arrived.Store(0)
+		s.publish(&configpb.Document{Version: version}, version)
+		s.awaitSpread(t.Context())
+		if got := peers.arrived.Load(); got < control {
+			t.Fatalf("%d instances have version %d, want the %d control instances", got, version, control)
+		}
+	}
+}
