--- a/rockbarrow/config/lead.go
+++ b/rockbarrow/config/lead.go
@@ -157,35 +157,35 @@
 func (s *Source) publish(doc *configpb.Document, appliedIndex uint64) {
 	s.Update(doc, appliedIndex)
 	reply := &peerpb.PullReply{Version: doc.GetVersion(), Document: doc, FoldedIndex: appliedIndex}
-	spread := &sync.WaitGroup{}
+	pushes := &sync.WaitGroup{}
 	for _, i := range s.View().Instances() {
 		if i.Instance() == s.Instance || i.State() == roster.Dead {
 			continue
 		}
 		p := &push{source: s, instance: i.Instance(), reply: reply}
 		if i.Control() {
-			p.done = spread
-			spread.Add(1)
+			p.done = pushes
+			pushes.Add(1)
 		}
 		go p.run()
 	}
 	s.leaderMu.Lock()
-	s.spread = spread
+	s.propagation = pushes
 	s.leaderMu.Unlock()
 }
 
-// awaitSpread waits until the other control instances have the newest version that this one published, or spreadTimeout
-// has passed. If an outcome is told before, its version may be lost with this instance until the next one leads.
-func (s *Source) awaitSpread(ctx context.Context) {
+// awaitPropagation waits until the other control instances have the newest version that this one published, or propagationTimeout
+// has passed. Otherwise a failure of this instance right after the reply would hide the version until the next one leads.
+func (s *Source) awaitPropagation(ctx context.Context) {
 	s.leaderMu.Lock()
-	spread := s.spread
+	pushes := s.propagation
 	s.leaderMu.Unlock()
-	if spread == nil {
+	if pushes == nil {
 		return
 	}
 	done := make(chan struct{})
-	go (&spreadWait{spread: spread, done: done}).run()
-	timeout := time.NewTimer(spreadTimeout)
+	go (&propagationWait{pushes: pushes, done: done}).run()
+	timeout := time.NewTimer(propagationTimeout)
 	defer timeout.Stop()
 	select {
 	case <-done:
@@ -194,14 +194,14 @@
 	}
 }
 
-// spreadWait closes done once pushes have ended, each within callTimeout.
-type spreadWait struct {
-	spread *sync.WaitGroup
+// propagationWait closes done once pushes have ended, each within callTimeout.
+type propagationWait struct {
+	pushes *sync.WaitGroup
 	done   chan struct{}
 }
 
-func (w *spreadWait) run() {
-	w.spread.Wait()
+func (w *propagationWait) run() {
+	w.pushes.Wait()
 	close(w.done)
 }
 
@@ -211,7 +211,7 @@
 	source   *Source
 	instance string
 	reply    *peerpb.PullReply
-	// done is told of the end of a push to a control instance, and nil for others.
+	// done counts the pushes to control instances in progress; nil for other instances.
 	done *sync.WaitGroup
 }
 
@@ -319,7 +319,7 @@
 		if out == nil {
 			return nil, &UndeterminedError{CommandID: req.GetCommandId()}
 		}
-		s.awaitSpread(ctx)
+		s.awaitPropagation(ctx)
 		return out, nil
 	case <-ctx.Done():
 		s.respond(id, nil)
--- a/rockbarrow/config/lead_test.go
+++ b/rockbarrow/config/lead_test.go
@@ -69,8 +69,8 @@
 	return nil
 }
 
-// TestAnOutcomeIsToldOnceOtherControlInstancesHaveIt guards against a version that is in force late because its leader was lost
-// right after it had told the outcome, and alone knew it.
+// TestAnOutcomeIsToldOnceOtherControlInstancesHaveIt guards against a version that takes effect late because its leader failed
+// right after the reply and no other control instance had the version.
 func TestAnOutcomeIsToldOnceOtherControlInstancesHaveIt(t *testing.T) {
 	s := newTestSource(t, nil)
 	peers := &countingPeers{}
@@ -79,7 +79,7 @@
 	for version := uint64(1); version <= 50; version++ {
 		peers.arrived.Store(0)
 		s.publish(&configpb.Document{Version: version}, version)
-		s.awaitSpread(t.Context())
+		s.awaitPropagation(t.Context())
 		if got := peers.arrived.Load(); got < control {
 			t.Fatalf("%d instances have version %d, want the %d control instances", got, version, control)
 		}
--- a/rockbarrow/config/source.go
+++ b/rockbarrow/config/source.go
@@ -52,8 +52,8 @@
 	callTimeout = 2 * time.Second
 	// campaignBackoff is the minimum time between two campaigns.
 	campaignBackoff = time.Second
-	// spreadTimeout bounds how long the outcome of a command waits for other control instances to have its version.
-	spreadTimeout = 200 * time.Millisecond
+	// propagationTimeout bounds how long the outcome of a command waits until other control instances have its version.
+	propagationTimeout = 200 * time.Millisecond
 )
 
 // PeerClient sends requests to other instances.
@@ -122,8 +122,8 @@
 	// pending holds the response channels of undecided commands.
 	pending      map[control.RequestID]chan *recordpb.ControlOutcome
 	nextCampaign time.Time
-	// spread are the pushes of the newest published version to control instances.
-	spread *sync.WaitGroup
+	// propagation counts the pushes of the newest published version to control instances in progress.
+	propagation *sync.WaitGroup
 }
 
 // Start initializes the source with the configuration and the replica loaded
--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -86,7 +86,7 @@
 	// votes persists the acceptor's record.
 	votes        *voteStore
 	presence     presence
-	spread       spread
+	propagation  propagation
 	loads        loads
 	incarnations incarnationTracker
 	// listMu serializes the numbering and publishing of lists.
@@ -219,10 +219,10 @@
 }
 
 // PutConfiguration applies a configuration unless the current one has the same or a higher version. It returns
-// once a majority of the voters has stored the outcome and other control instances know it, see order.
+// once a majority of the voters has stored the outcome and other control instances know it, see applyCommand.
 func (c *Controller) PutConfiguration(ctx context.Context, version uint64, doc []byte) error {
 	digest := document.Digest(doc)
-	return c.order(ctx, func(s *fleetpb.State) *fleetpb.State {
+	return c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
 		if s.GetNumber() == 0 || version <= s.GetConfiguration().GetVersion() {
 			return nil
 		}
--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -232,7 +232,7 @@
 	var refused error
 	now := time.Now()
 	stores := c.presence.members(now, fleetpb.Role_ROLE_STORE, membership.LivenessTimeout)
-	err := c.order(ctx, func(s *fleetpb.State) *fleetpb.State {
+	err := c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
 		refused = membership.CheckRetire(s, stores, name, c.FaultTolerance+1)
 		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			return nil
--- a/rockbarrow/controller/evacuations.go
+++ b/rockbarrow/controller/evacuations.go
@@ -48,7 +48,7 @@
 	if !slices.Contains(c.FailureDomains, domain) {
 		return &UnknownDomainError{Name: domain}
 	}
-	return c.order(ctx, func(s *fleetpb.State) *fleetpb.State {
+	return c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
 		list := next(s.GetEvacuations())
 		if s.GetNumber() == 0 || len(list) == len(s.GetEvacuations()) {
 			return nil
--- a/rockbarrow/controller/spread_test.go
+++ b/rockbarrow/controller/propagation_test.go
@@ -10,8 +10,8 @@
 	"rockbarrow.dev/schema/fleetpb"
 )
 
-// TestAnAcknowledgedVersionIsKnownToAllThatAnswer guards against a configuration that is late because the instance that
-// acknowledged it was killed or frozen right then: it alone knew that the version was chosen.
+// TestAnAcknowledgedVersionIsKnownToAllThatAnswer guards against a configuration that takes effect late because only the
+// instance that acknowledged it, and then failed, knew that it was chosen.
 func TestAnAcknowledgedVersionIsKnownToAllThatAnswer(t *testing.T) {
 	cluster := startCluster(t)
 	for _, p := range cluster {
@@ -27,7 +27,7 @@
 	}
 }
 
-// TestAnAcknowledgementDoesNotWaitForTheSilent guards against one frozen control instance that holds up all changes.
+// TestAnAcknowledgementDoesNotWaitForTheSilent guards against an unresponsive control instance that blocks all changes.
 func TestAnAcknowledgementDoesNotWaitForTheSilent(t *testing.T) {
 	cluster := startCluster(t)
 	c := cluster[0].controller
@@ -38,8 +38,8 @@
 	}
 }
 
-// TestEachFollowedInstanceTellsOfNews guards against an entry instance that waits for its primary, which was frozen, and hears
-// of a newer configuration from others only at the end of their long polls.
+// TestEachFollowedInstanceTellsOfNews guards against an entry instance whose primary stalled, and that is notified of a newer
+// configuration by the others only at the end of their long polls.
 func TestEachFollowedInstanceTellsOfNews(t *testing.T) {
 	c := startCluster(t)[0].controller
 	follower := &fleetpb.WatchRequest{Role: fleetpb.Role_ROLE_ENTRY, StateNumber: c.State().GetNumber()}
--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -49,7 +49,7 @@
 		c.incarnations.probeAfterLoss(now, req.GetUses())
 		c.quotas.Add(now, req.GetCustomerUses())
 	case fleetpb.Role_ROLE_CONTROL:
-		c.recordSpread(req)
+		c.propagation.record(req.GetSender().GetInstance(), req.GetStateNumber())
 		if req.GetRelayed() != nil {
 			c.loads.recordRelayed(now, req.GetSender().GetInstance(), req.GetRelayed().GetRunning(), ended)
 			c.incarnations.probeAfterLoss(now, ended)
@@ -77,8 +77,8 @@
 }
 
 // hasUpdateFor reports whether there is a state or list that the sender wants and lacks. A sender
-// that gets updates from another control instance is told that there is a newer state, since the
-// other one may have stalled. While its call waits, a control instance is notified only of updates
+// that gets updates from another control instance is notified of a newer state too, since the other
+// one may have stalled. While its call waits, a control instance is notified only of updates
 // that originated here; it receives others from their origin or with its next call.
 func (c *Controller) hasUpdateFor(req *fleetpb.WatchRequest, first bool) bool {
 	if !req.GetWantsNews() {
--- a/rockbarrow/durable/compaction.go
+++ b/rockbarrow/durable/compaction.go
@@ -32,7 +32,7 @@
 func (c Compaction) After() int64 { return c.after }
 
 // rewrite writes all live records, and then some frames, to a segment of their own and removes the older
-// ones. If that is undone, what comes back are the last of the older segments, without a gap.
+// ones. After a power loss, a suffix of the older segments may reappear, without gaps.
 func (l *Log) rewrite(frames []byte) error {
 	old, err := segments(l.folder.dir)
 	if err != nil {
--- a/rockbarrow/durable/folder.go
+++ b/rockbarrow/durable/folder.go
@@ -12,18 +12,18 @@
 	"rockbarrow.dev/rockbarrow/durable/powerloss"
 )
 
-// folder makes, reads and removes the files of one directory. What it returned from read, and what was written before a
-// syncFile, outlives a loss of power, together with the file's name.
+// folder manages the files of one directory. Content that read has returned, or that was written before a call of
+// syncFile, survives a power loss, and so does the name of its file.
 type folder struct {
 	dir   string
 	trace *powerloss.Trace
 
 	mu sync.Mutex
-	// lasting holds the names that were there at a sync of the directory.
-	lasting map[string]bool
+	// persisted holds the names that a sync of the directory covers.
+	persisted map[string]bool
 }
 
-// openFolder makes a directory if it is missing, and syncs it.
+// openFolder opens a directory, or creates it, and syncs it.
 func openFolder(dir string) (*folder, error) {
 	if err := MakeDir(dir); err != nil {
 		return nil, err
@@ -32,23 +32,23 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "durable: list the data folder")
 	}
-	f := &folder{dir: dir, trace: traceOf(dir), lasting: map[string]bool{}}
-	// Names that an earlier process made, or removed, may not be synced yet.
+	f := &folder{dir: dir, trace: traceOf(dir), persisted: map[string]bool{}}
+	// An earlier process may have ended before it synced the names that it created or removed.
 	if err := f.sync(); err != nil {
 		return nil, err
 	}
 	for _, e := range entries {
-		f.lasting[e.Name()] = true
+		f.persisted[e.Name()] = true
 	}
 	return f, nil
 }
 
-// MakeDir makes a directory and those above it that are missing, and syncs their names.
+// MakeDir creates a directory with its missing parents, and syncs their names.
 func MakeDir(dir string) error {
 	if entries, err := os.ReadDir(dir); err == nil {
 		if len(entries) == 0 {
-			// An earlier process may have been killed before it synced the name. One that others made may be under a
-			// directory that can't be synced, and lasts by them.
+			// An earlier process may have been killed before it synced the name. A directory that others created
+			// may have a parent that this process can't sync.
 			_ = SyncDir(filepath.Dir(dir))
 		}
 		return nil
@@ -60,12 +60,12 @@
 		}
 	}
 	if err := os.Mkdir(dir, 0o700); err != nil && !errors.Is(err, os.ErrExist) {
-		return errors.Wrap(err, "durable: make a folder")
+		return errors.Wrap(err, "durable: create a folder")
 	}
 	return SyncDir(parent)
 }
 
-// SyncDir makes the names in a directory last, and removals from it.
+// SyncDir persists the names in a directory, and removals from it.
 func SyncDir(dir string) error {
 	d, err := os.Open(dir)
 	if err != nil {
@@ -101,13 +101,13 @@
 
 func (f *folder) path(name string) string { return filepath.Join(f.dir, name) }
 
-// create opens a file for writing and makes it if it is missing; flags are further ones of os.OpenFile.
+// create opens a file for writing and creates it if it is missing; flags are additional flags of os.OpenFile.
 func (f *folder) create(name string, flags int) (*os.File, error) {
 	f.trace.Opened(name)
 	return os.OpenFile(f.path(name), os.O_CREATE|os.O_WRONLY|flags, 0o600)
 }
 
-// syncFile syncs a file of the folder and, once for each file that is new, its name.
+// syncFile syncs a file of the folder and, the first time, its name.
 func (f *folder) syncFile(file *os.File) error {
 	if err := file.Sync(); err != nil {
 		return err
@@ -115,27 +115,27 @@
 	f.trace.Synced(file)
 	name := filepath.Base(file.Name())
 	f.mu.Lock()
-	lasts := f.lasting[name]
+	persisted := f.persisted[name]
 	f.mu.Unlock()
-	if lasts {
+	if persisted {
 		return nil
 	}
 	if err := f.sync(); err != nil {
 		return err
 	}
 	f.mu.Lock()
-	f.lasting[name] = true
+	f.persisted[name] = true
 	f.mu.Unlock()
 	return nil
 }
 
-// sync makes all names of the folder last, and all removals.
+// sync persists all names of the folder, and all removals.
 func (f *folder) sync() error {
 	return f.trace.SyncFolder(func() error { return SyncDir(f.dir) })
 }
 
-// read syncs a file and returns its content: a process that was killed may have left what was never synced, and whoever
-// reads it may tell others.
+// read syncs a file and returns its content. A killed process may have left content that was never synced, and the caller
+// may act on it.
 func (f *folder) read(name string) ([]byte, error) {
 	file, err := os.Open(f.path(name))
 	if err != nil {
@@ -148,10 +148,10 @@
 	return os.ReadFile(f.path(name))
 }
 
-// remove removes a file. That lasts once the folder is synced.
+// remove removes a file. The removal is persistent after the next sync.
 func (f *folder) remove(name string) error {
 	f.mu.Lock()
-	delete(f.lasting, name)
+	delete(f.persisted, name)
 	f.mu.Unlock()
 	if f.trace != nil {
 		return f.trace.Remove(name)
--- a/rockbarrow/durable/powerloss/powerloss.go
+++ b/rockbarrow/durable/powerloss/powerloss.go
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: MIT
 
-// Package powerloss does to a data folder what a loss of power may do: names that were made or removed since the last
-// sync of the folder survive or are lost, each on its own, and so are bytes that were not synced.
+// Package powerloss simulates the effect of a power loss on a data folder, for tests. Names that were created or removed since the
+// last sync of the folder survive or are lost independently of each other, and so do bytes that were not synced.
 //
-// Processes of a build for such tests note their operations beside the folder ([Trace]). After they were killed,
-// [Apply] undoes some of what no sync covers.
+// Processes of a test build record their operations next to the folder ([Trace]). After they were killed, [Apply] undoes a random
+// part of what no sync covers.
 package powerloss
 
 import (
@@ -15,7 +15,7 @@
 	"github.com/pkg/errors"
 )
 
-// Forget drops the notes of a folder, as after its disk was lost.
+// Forget removes the trace of a folder, as after the loss of its disk.
 func Forget(dir string) error {
 	for _, d := range []string{traceDir(dir), asideDir(dir)} {
 		if err := os.RemoveAll(d); err != nil {
@@ -25,8 +25,7 @@
 	return nil
 }
 
-// Apply loses power: it undoes, drawn from r, some of what no sync covers. No process may use the folder. It returns what
-// was undone.
+// Apply undoes a part, drawn from r, of what no sync covers, and returns descriptions of it. No process may use the folder.
 func Apply(dir string, r *rand.Rand) (undone []string, err error) {
 	files, order, err := read(dir)
 	if err != nil {
@@ -41,17 +40,17 @@
 			undone = append(undone, what+" "+name)
 		}
 	}
-	// All that is left lasts, and the next process syncs the folder before it notes anything else.
+	// The next process syncs what is left before it records anything else.
 	return undone, Forget(dir)
 }
 
-// undo does to one file what may happen to it, and returns what that was.
+// undo applies the power loss to one file, and returns what it did.
 func undo(dir, name string, f *file, r *rand.Rand) (string, error) {
 	path, chance := filepath.Join(dir, name), r.IntN(2) == 0
 	switch {
-	case f.exists && !f.lasts && chance:
+	case f.exists && !f.persisted && chance:
 		return "lost", ignoreMissing(os.Remove(path))
-	case !f.exists && f.lasts && chance:
+	case !f.exists && f.persisted && chance:
 		return "restored", ignoreMissing(os.Rename(aside(dir, name), path))
 	case !f.exists:
 		return "", nil
@@ -63,7 +62,7 @@
 	return "cut", os.Truncate(path, f.synced+r.Int64N(info.Size()-f.synced+1))
 }
 
-// ignoreMissing passes over a file that is not there, as the process was killed between a note and its operation.
+// ignoreMissing drops errors about a missing file: the process may have been killed between a record and its operation.
 func ignoreMissing(err error) error {
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
--- a/rockbarrow/durable/trace.go
+++ b/rockbarrow/durable/trace.go
@@ -9,17 +9,17 @@
 	"rockbarrow.dev/rockbarrow/durable/powerloss"
 )
 
-// tracing is set by the linker, to any text, in builds for tests of a loss of power. Processes then note beside each
-// data folder what was synced.
+// tracing is set to any text by the linker, in builds for tests of power loss. Processes then record next to each data
+// folder what was synced.
 var tracing string
 
-// traces are those of the process by directory, as the files of a directory may have several owners.
+// traces holds the traces of this process by directory, since the files of a directory may have several owners.
 var (
 	tracesMu sync.Mutex
 	traces   = map[string]*powerloss.Trace{}
 )
 
-// traceOf returns the trace of a directory, or nil if the process notes nothing.
+// traceOf returns the trace of a directory, or nil if tracing is off.
 func traceOf(dir string) *powerloss.Trace {
 	if tracing == "" {
 		return nil
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -40,8 +40,8 @@
 	// epoch is the newest known view; calls under older views are refused. It
 	// never decreases.
 	epoch uint64
-	// fenced is the newest view of which the disk holds that older ones are
-	// refused. Only calls under this one are served.
+	// fenced is the newest view whose fence is on disk. Only calls under this
+	// view are served.
 	fenced atomic.Uint64
 
 	// copiedEpoch is the newest view for which this store holds all records of
@@ -197,7 +197,7 @@
 	return nil, nil
 }
 
-// fence durably refuses calls under views older than epoch. Calls that come meanwhile wait for the disk too.
+// fence durably refuses calls under views older than epoch. Concurrent calls wait for the disk too.
 func (s *Store) fence(ctx context.Context, epoch uint64) error {
 	if epoch <= s.fenced.Load() {
 		return nil
--- a/rockbarrow/watch/table.go
+++ b/rockbarrow/watch/table.go
@@ -76,8 +76,8 @@
 	return errors.As(err, &base) || errors.As(err, &digest)
 }
 
-// tableSources returns the control instances that answer. Those that know the newest state come first, and
-// among them whoever answered last, as it is the least likely to have stalled.
+// tableSources returns the responsive control instances. Those that know the newest state come first, the most
+// recently heard one at the front, as it is the least likely to have stalled.
 func (c *Client) tableSources(now time.Time) []*target {
 	state := c.State().GetNumber()
 	c.mu.Lock()
--- a/rockbarrow/watch/table_test.go
+++ b/rockbarrow/watch/table_test.go
@@ -222,8 +222,8 @@
 	}
 }
 
-// TestATableIsAskedOfWhoAnsweredLast guards against a table that is late because the primary was frozen: it was asked first,
-// though another control instance had just told of the version.
+// TestATableIsAskedOfWhoAnsweredLast guards against a table that is late because a stalled primary was asked before the control
+// instance that had announced the version.
 func TestATableIsAskedOfWhoAnsweredLast(t *testing.T) {
 	before, after, change, whole := tables(t)
 	frozen := &fakeControl{table: func(*fleetpb.TableRequest, grpc.ServerStreamingServer[fleetpb.TablePart]) error {
--- a/rockbench/requestlog/versions.go
+++ b/rockbench/requestlog/versions.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// The messages that tell how far a configuration has come.
+// Messages about a configuration on its way to the entry instances.
 const (
 	operatorCall = "an operator's call"
 	tableMade    = "the routing table of a configuration is made"
@@ -24,21 +24,21 @@
 // replaceCall is the call that sends a configuration.
 const replaceCall = "POST /v1/config/replace"
 
-// stage is how far a configuration has come at one instance.
+// stage is a step of a configuration at one instance.
 type stage int
 
 // The stages, in the order of the table.
 const (
-	// heard is the first state with the configuration, made a control instance's routing table of it, and inForce an
-	// entry instance's use.
+	// heard is the receipt of a state with the configuration, made the completion of a control instance's routing table, and
+	// inForce the activation at an entry instance.
 	heard stage = iota
 	made
 	inForce
 	stages
 )
 
-// Versions tells how long each configuration took from its first acknowledgement until it was heard and in force, and
-// which state voters restored after a start. Add events in any order. The zero value is ready.
+// Versions measures how long each configuration took from its first acknowledgement through its stages, and lists the
+// states that voters restored at their starts. Events may be added in any order. The zero value is ready.
 type Versions struct {
 	versions map[uint64]*version
 	restores []Event
@@ -50,8 +50,7 @@
 	acknowledged time.Duration
 	by           string
 	refused      int
-	// reached holds the first time of each stage by instance. An instance of a later life that reaches it again is late
-	// by its start only.
+	// reached holds the first time of each stage by instance. Later times belong to restarted instances.
 	reached [stages]map[string]time.Duration
 }
 
@@ -82,7 +81,7 @@
 	return t.versions[n]
 }
 
-// answer notes an answer to an operator.
+// answer records a reply to an operator.
 func (v *version) answer(e Event) {
 	switch {
 	case e.Status == http.StatusOK && (v.by == "" || e.At < v.acknowledged):
--- a/rockbench/soak/holds.go
+++ b/rockbench/soak/holds.go
@@ -7,10 +7,10 @@
 	"time"
 )
 
-// contact is how long an instance must have been free of faults for rules with a time bound to hold for it.
+// contact is how long an instance must have been undisturbed for rules with a time bound to apply to it.
 const contact = 3 * time.Second
 
-// holds is a lock that a fault has on an instance. It remembers when it was held.
+// holds is the lock that a fault takes on an instance. It records when it was held.
 type holds struct {
 	lock sync.Mutex
 
@@ -50,7 +50,7 @@
 	h.lock.Unlock()
 }
 
-// freeSince reports whether no fault has had the instance since a time, or within contact before it.
+// freeSince reports whether the instance has been undisturbed since contact before a time.
 func (h *holds) freeSince(at time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -19,30 +19,30 @@
 	// rollbackSlack how long after its effect was seen an older one may still be (rollbackSlackMs).
 	applyWithin   = 2 * time.Second
 	rollbackSlack = 250 * time.Millisecond
-	// probeEvery is how often each entry instance is asked what it routes by, and recentChanges how many of the newest
-	// configurations the questions are about.
+	// probeEvery is the pause between two probes of an entry instance, and recentChanges how many of the newest
+	// configurations they test.
 	probeEvery    = 50 * time.Millisecond
 	recentChanges = 4
-	// enoughProbes of added routes must be answered before their share of successes is judged, which may be a
-	// quarter of that of the first route at the least.
+	// The success rate of added routes is checked from enoughProbes answers on. It must be at least that of the first route
+	// divided by leastShare.
 	enoughProbes, leastShare = 20, 4
 	// firstRoute is in all configurations.
 	firstRoute = "/first/"
 )
 
-// place is a route of its own path that one configuration adds and a later one may remove.
+// place is a path that one configuration adds a route for, and that a later one may remove.
 type place struct {
 	path           string
 	added, removed uint64
 }
 
-// history tells which configurations were sent and acknowledged, and what they changed.
+// history holds the configurations that were sent, what they changed, and when they were acknowledged.
 type history struct {
 	mu sync.Mutex
-	// places are in the order of their addition, and changed holds those that each version added or removed.
+	// changed holds the places that each version added or removed.
 	places  map[string]*place
 	changed [][]*place
-	// acknowledged holds when versions were, in their order.
+	// acknowledged is ordered by time.
 	acknowledged []acknowledgement
 }
 
@@ -51,7 +51,7 @@
 	at      time.Time
 }
 
-// send notes what a version changes, before it is sent.
+// send records what a version changes, before it is sent.
 func (h *history) send(version uint64, added, removed []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -90,14 +90,14 @@
 	return *changed[r.IntN(len(changed))], true
 }
 
-// state returns a place as it is now.
+// state returns the current state of a place.
 func (h *history) state(path string) place {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	return *h.places[path]
 }
 
-// dueBy reports whether a version, or a later one, was acknowledged long enough before a time to be in force.
+// dueBy reports whether a version must be in force at a time: it, or a later one, was acknowledged applyWithin before.
 func (h *history) dueBy(version uint64, at time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -109,8 +109,8 @@
 	return false
 }
 
-// prober asks one entry instance what it routes by while faults last, and judges each answer by the versions that were
-// acknowledged when the question was sent, and by what the instance has shown before.
+// prober sends requests to one entry instance while faults last. Each response must match a version that may be in force, given
+// the acknowledgements at the time of the request and the versions seen at the instance before.
 type prober struct {
 	fleet  *fleet
 	entry  *instance
@@ -118,9 +118,9 @@
 	client *http.Client
 	n      int
 
-	// life is the process that the fields below tell of.
+	// life is the process to which shown and settled belong.
 	life int
-	// shown is the newest version whose effect was seen, and settled the one that was seen rollbackSlack ago.
+	// shown is the newest version whose effect was seen, and settled holds all such versions in ascending order.
 	shown   uint64
 	settled []seen
 	// first and added count the answers of the first route and of added ones that were due.
@@ -149,8 +149,8 @@
 	}
 }
 
-// ask sends a request and returns the status of the answer, zero if there is none. Free is false if a fault had the instance, or
-// it is another process than before.
+// ask sends a request and returns the status of the response, zero if there is none. Free is false if the instance was disturbed
+// or restarted.
 func (p *prober) ask(ctx context.Context, path string) (sent time.Time, status int, free bool) {
 	p.n++
 	life := p.entry.life()
@@ -173,7 +173,6 @@
 }
 
 func (p *prober) probe(ctx context.Context, path string) {
-	// What is settled is so before the request is sent.
 	settled := p.settledVersion()
 	sent, status, free := p.ask(ctx, path)
 	h := &p.fleet.history
@@ -201,8 +200,8 @@
 	p.fleet.ledger.AddViolation("%s: %s "+what, p.entry.plan.Instance, at.path, applyWithin, version)
 }
 
-// checkOrder breaks a promise if an answer is that of a version older than one that is settled, and notes which version
-// it shows. A place is routed from the version that adds it until the one that removes it.
+// checkOrder records a violation if a response belongs to a version older than the settled one, and updates the versions seen. A
+// place is routed from the version that adds it until the one that removes it.
 func (p *prober) checkOrder(at place, routed bool, settled uint64) {
 	removed := at.removed != 0
 	switch {
@@ -242,7 +241,7 @@
 	}
 }
 
-// controlFreeSince reports whether faults left most control instances alone since a time.
+// controlFreeSince reports whether most control instances have been undisturbed since a time.
 func (f *fleet) controlFreeSince(at time.Time) bool {
 	free := 0
 	for _, c := range f.control {
