--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -167,7 +167,12 @@
 }
 
 func (p *prober) probeFirst(ctx context.Context) {
-	if _, status, free := p.ask(ctx, firstRoute); free && status != 0 {
+	_, status, free := p.ask(ctx, firstRoute)
+	if status == http.StatusNotFound {
+		// An instance without a configuration answers 503.
+		p.fleet.ledger.AddViolation("%s: 404 for a route of all configurations", p.entry.plan.Instance)
+	}
+	if free && status != 0 {
 		p.first.add(status)
 	}
 }
