--- a/rockbench/soak/doc.go
+++ b/rockbench/soak/doc.go
@@ -3,8 +3,9 @@
 // Package soak runs the real programs as separate processes and breaks things
 // from outside while agent programs go on: it delays, resets, silences and cuts
 // connections one way with a proxy in front of each instance, and pauses, kills,
-// stops, wipes and restarts processes by signals. The promises are checked while
-// it runs, from what clients, endpoints and the operator see.
+// stops, wipes and restarts processes by signals. A power loss kills processes and
+// undoes a part of what they had not synced (package powerloss). The promises are
+// checked while it runs, from what clients, endpoints and the operator see.
 //
 // Everything listens on loopback addresses, one for each instance. Only processes
 // that the soak started are ever signalled.
