--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -19,9 +19,9 @@
 	// rollbackSlack how long after its effect was seen an older one may still be (rollbackSlackMs).
 	applyWithin   = 2 * time.Second
 	rollbackSlack = 250 * time.Millisecond
-	// probeEvery is the pause between two probes of an entry instance, and recentChanges how many of the newest
+	// probeInterval is the pause between two probes of an entry instance, and recentChanges how many of the newest
 	// configurations they test.
-	probeEvery    = 50 * time.Millisecond
+	probeInterval    = 50 * time.Millisecond
 	recentChanges = 4
 	// The success rate of added routes is checked from enoughProbes answers on. It must be at least that of the first route
 	// divided by leastShare.
@@ -137,7 +137,7 @@
 
 func (p *prober) run(ctx context.Context) {
 	defer p.client.CloseIdleConnections()
-	for wait.For(ctx, probeEvery) {
+	for wait.For(ctx, probeInterval) {
 		p.probeFirst(ctx)
 		if at, ok := p.fleet.history.draw(p.r); ok {
 			p.probe(ctx, at.path)
