--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -21,7 +21,7 @@
 	rollbackSlack = 250 * time.Millisecond
 	// probeInterval is the pause between two probes of an entry instance, and recentChanges how many of the newest
 	// configurations they test.
-	probeInterval    = 50 * time.Millisecond
+	probeInterval = 50 * time.Millisecond
 	recentChanges = 4
 	// The success rate of added routes is checked from enoughProbes answers on. It must be at least that of the first route
 	// divided by leastShare.
