--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// applyWithin is how long after its acknowledgement a configuration must be in force everywhere (configApplyMs), and
-	// rollbackSlack how long after its effect was seen an older one may still be (rollbackSlackMs).
+	// applyWithin is how long after its acknowledgement a configuration must be in force everywhere, and rollbackSlack how
+	// long after its effect was seen an older one may still be.
 	applyWithin   = 2 * time.Second
 	rollbackSlack = 250 * time.Millisecond
 	// probeInterval is the pause between two probes of an entry instance, and recentChanges how many of the newest
