standin, soak: requests that crash endpoints, and a test that fails

On the current code a turn ends an endpoint at each attempt of its client (six of six), and a repeatable request is run by four endpoints within 0.4 s, after which none is left and 721 of 936 tool calls of innocent programs fail. Its opposite, endpoints that end by chance under popular requests, passes (14,051 of 14,051 served) and has to go on passing.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -168,7 +168,7 @@
 func (f *fleet) newEndpoint(id, service, domain string) *standin.Endpoint {
 	return &standin.Endpoint{
 		ID: id, Service: service, Domain: domain, Slots: 64,
-		ServiceTime: 4 * time.Millisecond, Stream: service == "model", Recorder: f.ledger,
+		ServiceTime: 4 * time.Millisecond, Stream: service == "model", Recorder: f.ledger, OnCrash: f.replaceCrashed,
 	}
 }
 
--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -123,3 +123,22 @@
 		f.ledger.AddViolation("%s, born %d, got no request in %v after the faults", e.ID, e.StartMS, usedWithin)
 	}
 }
+
+// backAfter is the time from the crash of an endpoint to the start of another one in its place, and the time for which the
+// list still shows the crashed one.
+const backAfter = 1500 * time.Millisecond
+
+// replaceCrashed starts another endpoint, under a new id, in the place of one that has crashed.
+func (f *fleet) replaceCrashed(old *standin.Endpoint) {
+	time.AfterFunc(backAfter, func() {
+		f.removeEndpoint(old)
+		if _, err := f.addEndpoint(old.Service, old.Domain); err != nil {
+			f.ledger.AddViolation("%v", err)
+		}
+	})
+}
+
+// endByChance ends an endpoint in the middle of whatever it does.
+func (f *fleet) endByChance(r *rand.Rand) {
+	f.endpoint(r).End()
+}
