entry, execution, requestlog: logs tell which requests were in progress at endpoints that ended

Now each execution is logged with its endpoint's incarnation and its outcome, under a key that all attempts of a request share, and an end names the requests that were in progress. No decision depends on it yet.

--- a/rockbarrow/entry/api.go
+++ b/rockbarrow/entry/api.go
@@ -130,6 +130,8 @@
 	Endpoint, Reason string
 	// NoResponse is true if the network gave no response at all.
 	NoResponse bool
+	// Answered is true if the endpoint gave a whole response, which was not forwarded.
+	Answered bool
 }
 
 func (e *OutcomeUnknownError) Error() string {
--- a/rockbarrow/entry/draining.go
+++ b/rockbarrow/entry/draining.go
@@ -33,6 +33,9 @@
 // ids returns the ids of the tracked endpoints in order.
 func (d *drainTracker) ids() []string { return slices.Sorted(maps.Keys(d.byID)) }
 
+// isDraining reports whether an endpoint was listed as draining.
+func (d *drainTracker) isDraining(id string) bool { return d.byID[id] != nil }
+
 // update processes the changed endpoints of a list together with the tracked ones (present), and those that were removed
 // from it (absent). It returns the present endpoints that may get requests, and those that are draining for the first
 // time. The current incarnations are passed separately because a stale list may contain ended ones. A non-zero wait is
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
 
+	"rockbarrow.dev/rockbarrow/execution"
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/lease"
 	"rockbarrow.dev/rockbarrow/quota"
@@ -43,6 +44,8 @@
 	Watch  *watch.Client
 	Stores *stores.Client
 	Sender Sender
+	// Prober finds out whether an endpoint that lost a response has ended; nil leaves it to the list.
+	Prober Prober
 	// Decode parses whole configurations and FetchTable gets incremental updates. Without
 	// FetchTable, every configuration must contain its document.
 	Decode     DecodeFunc
@@ -70,6 +73,7 @@
 	stopped                       atomic.Bool
 	domains                       domainHealth
 	sessions                      sessionEndpoints
+	executions                    execution.Tracker
 	needs                         quota.Needs
 	limiters                      serviceLimiters
 	customerScopes, outcomeScopes taggedScopes
@@ -255,12 +259,14 @@
 	if !e.Log.Logger.IsLevelEnabled(level) {
 		return o
 	}
-	e.Log.WithFields(logrus.Fields{
+	fields := logrus.Fields{
 		"request": r.ID, "program": r.Program, "previous": r.PreviousTurn, "route": x.route.GetName(),
 		"service": x.service.GetName(), "customer": x.customer.GetName(), "endpoint": x.endpoint.EndpointID, "offers": x.dispatches, "status": status,
 		"reason": reason, "config_version": x.table.Version(), "list": x.listNumber, "list_age_ms": x.listAgeMS,
 		"took_ms": took.Milliseconds(), "own_ms": x.ownTime.Milliseconds(), "waited_ms": x.waitTime.Milliseconds(), "left_ms": r.TimeToFinish.Milliseconds(),
-	}).Log(level, "request ended")
+	}
+	x.logExecutions(fields)
+	e.Log.WithFields(fields).Log(level, "request ended")
 	return o
 }
 
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -6,12 +6,15 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"rockbarrow.dev/rockbarrow/execution"
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/placement"
+	"rockbarrow.dev/rockbarrow/quarantine"
 	"rockbarrow.dev/rockbarrow/quota"
 	"rockbarrow.dev/rockbarrow/routing"
 	"rockbarrow.dev/rockbarrow/stores"
@@ -70,6 +73,13 @@
 	newSession bool
 	// previousTokens are those of the session's last prompt and answer, 0 if unknown.
 	previousTokens uint64
+	// execution is the one in progress, or nil, and executions are all of the request.
+	execution  *execution.Execution
+	executions []*execution.Execution
+	// bodyLost is true if the endpoint broke off a response that was forwarded in part.
+	bodyLost bool
+	keysOnce sync.Once
+	keys     quarantine.Keys
 	// chosen and endpoint are the endpoint that the request was sent to last.
 	chosen   *placement.Endpoint
 	endpoint incarnation.ID
@@ -122,6 +132,7 @@
 	defer x.setSlot(release)()
 	for {
 		o, err := x.attempt(ctx)
+		x.finishExecution(ctx, o, err)
 		if err != nil {
 			o = x.afterFailure(ctx, err)
 		}
@@ -195,6 +206,7 @@
 	x.chosen, x.endpoint = p, p.Life()
 	x.dispatches++
 	x.sentAt = time.Now()
+	x.beginExecution(x.sentAt)
 	resp, err := x.entry.Sender.Send(attemptCtx, EndpointRequest{
 		Request: x.request, Body: x.body, Endpoint: p.Config(), Incarnation: x.endpoint, Deadline: x.deadline,
 		Priority: x.endpointPriority(), MaxConnections: x.connectionLimit(),
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -20,12 +20,19 @@
 )
 
 // responseLost releases the slot of an endpoint whose response was lost and returns the error.
-func (x *exchange) responseLost(done func(placement.Result), r placement.Result, reason string) error {
+func (x *exchange) responseLost(done func(placement.Result), r placement.Result, reason string) *OutcomeUnknownError {
 	done(r)
 	x.avoid = append(x.avoid, x.endpoint)
 	return &OutcomeUnknownError{Endpoint: x.endpoint.EndpointID, Reason: reason}
 }
 
+// responseUnusable is responseLost for a whole response that can't be forwarded.
+func (x *exchange) responseUnusable(done func(placement.Result), status int, reason string) error {
+	err := x.responseLost(done, placement.Result{}, reason+http.StatusText(status))
+	err.Answered = true
+	return err
+}
+
 // recordLost counts a response that the endpoint broke off. After a disconnect of the client it
 // does nothing.
 func (x *exchange) recordLost(ctx context.Context) {
@@ -40,7 +47,7 @@
 	defer resp.Body.Close()
 	if x.streamStarted {
 		// The client has the header of an event stream.
-		return nil, x.responseLost(done, placement.Result{}, "resumed with status "+http.StatusText(resp.Status))
+		return nil, x.responseUnusable(done, resp.Status, "resumed with status ")
 	}
 	answer, err := x.readAnswer(resp)
 	defer answer.release()
@@ -50,7 +57,7 @@
 	}
 	failed := resp.Status >= http.StatusInternalServerError
 	if failed && x.canFailOver() {
-		return nil, x.responseLost(done, placement.Result{}, http.StatusText(resp.Status))
+		return nil, x.responseUnusable(done, resp.Status, "")
 	}
 	x.status = resp.Status
 	if answer.complete {
@@ -68,6 +75,7 @@
 	done(placement.Result{OK: err == nil})
 	if err != nil {
 		x.recordLost(ctx)
+		x.bodyLost = true
 		return Aborted{Reason: err.Error()}, nil
 	}
 	return Completed{}, nil
--- a/rockbarrow/entry/updates.go
+++ b/rockbarrow/entry/updates.go
@@ -190,6 +190,11 @@
 	slices.SortFunc(present, func(a, b *fleetpb.Endpoint) int { return strings.Compare(a.GetId(), b.GetId()) })
 	present = slices.CompactFunc(present, func(a, b *fleetpb.Endpoint) bool { return a == b })
 	incarnations := e.currentIncarnations(now, present, to.Number())
+	for _, p := range absent {
+		if !p.GetDraining() && !e.draining.isDraining(p.GetId()) {
+			e.endpointEnded(p.GetId(), p.GetService(), nil, "it left the list")
+		}
+	}
 	usable, draining, wait := e.draining.update(now, present, absent, incarnations)
 	e.readmitAt = time.Time{}
 	if wait > 0 {
@@ -234,6 +239,7 @@
 		if restarted {
 			e.Log.WithFields(logrus.Fields{"endpoint": current.EndpointID, "born_ms": current.StartMS, "list": list}).
 				Info("an endpoint has started again under its id")
+			e.endpointEnded(p.GetId(), p.GetService(), &current, "it started again")
 		}
 		out[p.GetId()] = current
 	}
--- /dev/null
+++ b/rockbarrow/execution/tracker.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: MIT
+
+// Package execution tracks which requests are in progress at which endpoints, so that an endpoint that ends can be
+// connected with the requests that it was executing.
+package execution
+
+import (
+	"sync"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/incarnation"
+	"rockbarrow.dev/rockbarrow/quarantine"
+)
+
+const (
+	// lostFor is how long an execution without a known outcome is remembered: the endpoint's end may become known
+	// only when it leaves the list.
+	lostFor = 6 * time.Second
+	// maxLost bounds the remembered executions of one endpoint, at a few times its usual slots.
+	maxLost = 256
+)
+
+// Result is how an execution ended.
+type Result int
+
+// The results. An execution is Lost if the response broke off or did not come, and Abandoned if the client left.
+const (
+	Running Result = iota
+	Completed
+	NotExecuted
+	Lost
+	Abandoned
+)
+
+func (r Result) String() string {
+	return [...]string{"running", "completed", "not executed", "lost", "abandoned"}[r]
+}
+
+// Request is a request that is executed. Its methods are safe for concurrent use.
+type Request interface {
+	RequestID() string
+	Keys() quarantine.Keys
+}
+
+// Execution is one request at one endpoint.
+type Execution struct {
+	request  Request
+	endpoint incarnation.ID
+	start    time.Time
+
+	// The tracker's mu guards the fields below.
+
+	// id and keys are set once the execution is over without an outcome; request is nil then.
+	id     string
+	keys   quarantine.Keys
+	result Result
+	// end is when the execution was over.
+	end time.Time
+	// endpointEnded is true once the end of the endpoint was connected with the execution.
+	endpointEnded bool
+}
+
+// Participant is a request that was in progress at an endpoint that ended.
+type Participant struct {
+	RequestID string
+	Keys      quarantine.Keys
+	// Endpoint is the incarnation that ended.
+	Endpoint incarnation.ID
+	// Exposure is how long it had been in progress there.
+	Exposure time.Duration
+}
+
+// Tracker holds the executions of one instance. The zero value is ready to use.
+type Tracker struct {
+	mu sync.Mutex
+	// byEndpoint holds the executions that are running or were lost lately, by the endpoint's id.
+	byEndpoint map[string][]*Execution
+}
+
+// Begin records that a request is sent to an endpoint.
+func (t *Tracker) Begin(now time.Time, r Request, endpoint incarnation.ID) *Execution {
+	x := &Execution{request: r, endpoint: endpoint, start: now}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byEndpoint == nil {
+		t.byEndpoint = map[string][]*Execution{}
+	}
+	t.byEndpoint[endpoint.EndpointID] = append(t.byEndpoint[endpoint.EndpointID], x)
+	return x
+}
+
+// Finish records the result of an execution.
+func (t *Tracker) Finish(now time.Time, x *Execution, r Result) {
+	unknown := r == Lost || r == Abandoned
+	var keys quarantine.Keys
+	if unknown {
+		keys = x.request.Keys()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if x.result != Running {
+		return
+	}
+	x.result, x.end = r, now
+	if unknown {
+		x.id, x.keys = x.request.RequestID(), keys
+	}
+	x.request = nil
+	t.compact(now, x.endpoint.EndpointID)
+}
+
+// compact drops the executions of an endpoint whose outcome is known or which are too old; the caller holds mu.
+func (t *Tracker) compact(now time.Time, endpoint string) {
+	list := t.byEndpoint[endpoint]
+	kept, lost := list[:0], 0
+	for i := len(list) - 1; i >= 0; i-- {
+		if x := list[i]; x.result != Running {
+			lost++
+		}
+	}
+	for _, x := range list {
+		if x.result == Running {
+			kept = append(kept, x)
+			continue
+		}
+		unknown := x.result == Lost || x.result == Abandoned
+		if unknown && now.Sub(x.end) < lostFor && lost <= maxLost {
+			kept = append(kept, x)
+			continue
+		}
+		lost--
+	}
+	clear(list[len(kept):])
+	if len(kept) == 0 {
+		delete(t.byEndpoint, endpoint)
+		return
+	}
+	t.byEndpoint[endpoint] = kept
+}
+
+// EndpointEnded returns the requests that were in progress at incarnations of an endpoint that ended, and that no earlier call
+// returned. The current incarnation, if any, goes on. Requests that completed there are not among them.
+func (t *Tracker) EndpointEnded(now time.Time, endpoint string, current *incarnation.ID) []Participant {
+	var out []Participant
+	for _, x := range t.claim(now, endpoint, current) {
+		p := Participant{RequestID: x.id, Keys: x.keys, Endpoint: x.endpoint, Exposure: now.Sub(x.start)}
+		if x.request != nil {
+			p.RequestID, p.Keys = x.request.RequestID(), x.request.Keys()
+		} else {
+			p.Exposure = x.end.Sub(x.start)
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+// claim marks the executions at ended incarnations and returns copies of them.
+func (t *Tracker) claim(now time.Time, endpoint string, current *incarnation.ID) []Execution {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.compact(now, endpoint)
+	var out []Execution
+	for _, x := range t.byEndpoint[endpoint] {
+		if x.endpointEnded || current != nil && x.endpoint.Matches(*current) {
+			continue
+		}
+		x.endpointEnded = true
+		out = append(out, *x)
+	}
+	return out
+}
+
+// Summary describes an execution for logs.
+type Summary struct {
+	Endpoint string `json:"endpoint"`
+	BornMS   uint64 `json:"born_ms"`
+	TookMS   int64  `json:"took_ms"`
+	Result   string `json:"result"`
+	// Ended is true if the endpoint is known to have ended meanwhile.
+	Ended bool `json:"ended"`
+}
+
+// Summarize describes executions for logs.
+func (t *Tracker) Summarize(list []*Execution) []Summary {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Summary
+	for _, x := range list {
+		out = append(out, Summary{
+			Endpoint: x.endpoint.EndpointID, BornMS: x.endpoint.StartMS, TookMS: max(0, x.end.Sub(x.start).Milliseconds()),
+			Result: x.result.String(), Ended: x.endpointEnded,
+		})
+	}
+	return out
+}
--- a/rockbench/requestlog/doc.go
+++ b/rockbench/requestlog/doc.go
@@ -2,6 +2,7 @@
 
 // Package requestlog reads the logs of a deployment and tells how requests ended, why, and
 // where their time went ([Table]), what went wrong with programs ([Programs]), and how
-// long instances took from their starts until they served ([Lives]), and where the time of
-// a configuration went until it was in force ([Versions]).
+// long instances took from their starts until they served ([Lives]), where the time of
+// a configuration went until it was in force ([Versions]), and which requests were in progress
+// at endpoints that ended ([Ends]).
 package requestlog
--- a/rockbench/requestlog/lives.go
+++ b/rockbench/requestlog/lives.go
@@ -62,6 +62,11 @@
 	Call                 string
 	Status               int
 	ConfigVersion, State uint64
+	// Endpoint and BornMS are an endpoint that ended, InProgress how many requests it had, and Keys those of some of them.
+	Endpoint   string
+	BornMS     uint64
+	InProgress int
+	Keys       []string
 }
 
 // Lives tells how long instances took from their starts to each step. Add events in the
--- a/rockbench/requestlog/read.go
+++ b/rockbench/requestlog/read.go
@@ -33,8 +33,12 @@
 	Own    int64 `json:"own_ms"`
 	Waited int64 `json:"waited_ms"`
 	// Left was left of the program's time when the request came.
-	Left    int64  `json:"left_ms"`
-	Message string `json:"msg"`
+	Left  int64  `json:"left_ms"`
+	Route string `json:"route"`
+	// Key identifies the request over all its attempts. It and Executions are empty if it completed at its first endpoint.
+	Key        string      `json:"key"`
+	Executions []Execution `json:"executions"`
+	Message    string      `json:"msg"`
 }
 
 // event is what a line about an instance holds.
@@ -48,6 +52,13 @@
 	Status   int       `json:"status"`
 	Version  uint64    `json:"config_version"`
 	State    uint64    `json:"state"`
+	Endpoint string    `json:"endpoint"`
+	BornMS   uint64    `json:"born_ms"`
+	// InProgress is how many requests an endpoint that ended had, and Participants are some of them.
+	InProgress   int `json:"in_progress"`
+	Participants []struct {
+		Key string `json:"key"`
+	} `json:"participants"`
 }
 
 // ReadEvents calls yield with each line of an instance about itself, and passes over what
@@ -65,10 +76,14 @@
 		if err := json.Unmarshal(b[at:], &e); err != nil {
 			return errors.Wrapf(err, "requestlog: line %d", n)
 		}
-		yield(Event{
+		out := Event{
 			At: stamp(b[:at], e.Time), Instance: e.Instance, Role: e.Role, Message: e.Message, Ready: e.Ready,
-			Call: e.Call, Status: e.Status, ConfigVersion: e.Version, State: e.State,
-		})
+			Call: e.Call, Status: e.Status, ConfigVersion: e.Version, State: e.State, Endpoint: e.Endpoint, BornMS: e.BornMS, InProgress: e.InProgress,
+		}
+		for _, r := range e.Participants {
+			out.Keys = append(out.Keys, r.Key)
+		}
+		yield(out)
 	}
 	return errors.Wrap(s.Err(), "requestlog")
 }
--- a/rockbench/requests.go
+++ b/rockbench/requests.go
@@ -14,7 +14,8 @@
 )
 
 // runRequests prints how the requests in a log ended, what went wrong with programs, how
-// instances started, and how configurations came into force; "-" is standard input.
+// instances started, how configurations came into force, and which requests were in progress at
+// endpoints that ended; "-" is standard input.
 func runRequests(out io.Writer, file string) error {
 	b, err := readLog(file)
 	if err != nil {
@@ -23,9 +24,11 @@
 	var table requestlog.Table
 	var programs requestlog.Programs
 	var lives requestlog.Lives
+	var ends requestlog.Ends
 	err = requestlog.Read(bytes.NewReader(b), func(l requestlog.Line) {
 		table.Add(l)
 		programs.Add(l)
+		ends.Add(l)
 	})
 	if err != nil {
 		return err
@@ -34,11 +37,12 @@
 	err = requestlog.ReadEvents(bytes.NewReader(b), func(e requestlog.Event) {
 		lives.Add(e)
 		versions.Add(e)
+		ends.AddEvent(e)
 	})
 	if err != nil {
 		return err
 	}
-	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives, &versions} {
+	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives, &versions, &ends} {
 		if err := t.Write(out); err != nil {
 			return err
 		}
