rockctl, controller: operators see suspects with their evidence, and clear them

rockctl suspects shows each request or content under which endpoints ended: its key, as the refusal tells it, its state and each end with the endpoint and the time. rockctl clear-suspect lifts a refusal at all control instances that answer, and entry instances follow at once.

--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -145,7 +145,10 @@
 			known = true
 		}
 	}
-	return &fleetpb.ClearSuspectReply{Known: known}, nil
+	if !known {
+		return nil, status.Error(codes.NotFound, "no such key is suspected")
+	}
+	return &fleetpb.ClearSuspectReply{Known: true}, nil
 }
 
 // relayClear passes a lift on to another control instance, and reports whether it knew the key.
--- a/rockbarrow/entry/domain_health.go
+++ b/rockbarrow/entry/domain_health.go
@@ -88,6 +88,7 @@
 		case <-t.C:
 			e.updateReachability()
 			e.reportSpeeds(time.Now())
+			e.Metrics.Gauge("suspects").Update(float64(e.suspects.Len()))
 			wasReady = e.logReady(wasReady)
 		case <-ctx.Done():
 			return
--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -343,10 +343,13 @@
 }
 
 // Empty reports whether there are no suspects.
-func (r *Registry) Empty() bool {
+func (r *Registry) Empty() bool { return r.Len() == 0 }
+
+// Len returns the number of suspects.
+func (r *Registry) Len() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.suspects) == 0
+	return len(r.suspects)
 }
 
 // Knows reports whether a request is suspected, and how many endpoints are known to have ended under it.
--- a/rockctl/main.go
+++ b/rockctl/main.go
@@ -64,6 +64,8 @@
 	{name: "audit", help: "show the audit trail", options: auditOptions, run: audit},
 	{name: "customers", help: "show customers, their keys' digests and what they have used; --address is a control instance's peer address", run: showCustomers},
 	{name: "speeds", help: "show endpoints with their decoding time per token, calls and failures; --address is a control instance's peer address", run: showSpeeds},
+	{name: "suspects", help: "show requests under which endpoints ended, with their evidence; --address is a control instance's peer address", run: showSuspects},
+	{name: "clear-suspect", help: "let a request be sent again that is refused because endpoints ended under it; --address as for suspects", args: []string{"KEY"}, run: clearSuspect},
 	{name: "keys-init", help: "make a development authority in a folder", options: keysOptions, run: keysInit},
 	{name: "keys-issue", help: "issue a certificate of the authority in a folder", args: []string{"NAME"}, options: keysOptions, run: keysIssue},
 	{name: "keys-hash", help: "print how a caller's bearer key is stored", args: []string{"KEY"}, run: keysHash},
