entry: without control a suspect is not sent, and its ends are reported later

Cause: an entry instance that reached no control instance decided alone, up to the last end but one, as each other one did; what it could not report was dropped. Fix: a suspect waits for control, with 503 and the promise that the attempt has not run; within an attempt it is not sent again. Unreported ends are reported again each 0.2 s until one control instance knows them. TestWithoutControlASuspectIsNotSent failed before (two sent, nothing reported). What remains: instances that never heard of an end, all without control, send one request to one endpoint each.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -81,8 +81,10 @@
 	// suspects is this instance's copy of what control instances know.
 	suspects quarantine.Registry
 	// endsMu is held while the participants of an end are claimed and reported.
-	endsMu                        sync.Mutex
-	reports                       suspectReports
+	endsMu  sync.Mutex
+	reports suspectReports
+	// unreported are ends that no control instance was told of. Only runSuspectReports uses it.
+	unreported                    pendingReport
 	needs                         quota.Needs
 	limiters                      serviceLimiters
 	customerScopes, outcomeScopes taggedScopes
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -23,6 +23,9 @@
 	// long it does: a few times the duration of most executions.
 	trialPollInterval = 30 * time.Millisecond
 	maxTrialWait      = 300 * time.Millisecond
+	// reportRetryInterval is how often ends are reported again that no control instance was told of, and maxUnreported bounds them.
+	reportRetryInterval = 200 * time.Millisecond
+	maxUnreported       = 256
 	// maxOccupied is how many endpoints a suspect leaves to other suspects.
 	maxOccupied = 2
 )
@@ -134,8 +137,7 @@
 	}
 }
 
-// ask asks a control instance about a suspect. If none answers, it decides by what is known here: the request may be sent
-// unless the next end would be the last one permitted.
+// ask asks a control instance about a suspect. If none answers, the suspect is not sent: other instances may send it, too.
 func (x *exchange) ask(ctx context.Context, p *placement.Endpoint) quarantine.Decision {
 	now, keys, e := time.Now(), x.Keys(), x.entry
 	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: e.Watch.Self.GetInstance() + "/" + x.request.ID, Insist: x.occupied >= maxOccupied, Until: x.deadline}
@@ -145,10 +147,7 @@
 	})
 	if err != nil {
 		e.Log.WithError(err).WithField("key", keys.Request.String()).Warn("no control instance decides on a suspect")
-		if ends, _ := e.suspects.Knows(now, keys); ends >= quarantine.MaxEnds-1 {
-			return quarantine.Held{RetryAfter: longRetryAfter}
-		}
-		return e.suspects.Ask(now, q)
+		return quarantine.Held{RetryAfter: longRetryAfter}
 	}
 	e.suspects.Merge(now, reply.GetSuspects(), true)
 	switch reply.GetDecision() {
@@ -193,6 +192,8 @@
 	done []chan struct{}
 }
 
+func (p pendingReport) len() int { return len(p.ends) + len(p.completed) + len(p.finished) }
+
 // finishedTrial is a suspect's execution whose outcome says nothing.
 type finishedTrial struct {
 	keys     quarantine.Keys
@@ -234,10 +235,17 @@
 
 // runSuspectReports tells control instances of ends and outcomes until ctx ends.
 func (e *Entry) runSuspectReports(ctx context.Context) {
+	retry := time.NewTicker(reportRetryInterval)
+	defer retry.Stop()
 	for {
 		select {
 		case <-e.reports.ready:
 			e.sendReport(ctx, e.reports.take())
+		case <-retry.C:
+			if e.unreported.len() > 0 {
+				e.reports.add(e.unreported)
+				e.unreported = pendingReport{}
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -250,7 +258,7 @@
 			close(done)
 		}
 	}()
-	if len(p.ends)+len(p.completed)+len(p.finished) == 0 {
+	if p.len() == 0 {
 		return
 	}
 	now := time.Now()
@@ -267,6 +275,8 @@
 	suspects, err := e.SuspectControl.ReportEnds(ctx, report)
 	if err != nil {
 		e.Log.WithError(err).WithField("ends", len(p.ends)).Warn("no control instance was told of endpoints that ended")
+		e.unreported.ends = append(e.unreported.ends, p.ends...)
+		e.unreported.ends = e.unreported.ends[max(0, len(e.unreported.ends)-maxUnreported):]
 		return
 	}
 	e.suspects.Merge(time.Now(), suspects, true)
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,13 +26,13 @@
 // fakeControl decides like a control instance, unless it is cut off.
 type fakeControl struct {
 	registry quarantine.Registry
-	cutOff   bool
-	calls    int
+	cutOff   atomic.Bool
+	calls    atomic.Int64
 }
 
 func (c *fakeControl) ReportEnds(_ context.Context, r *fleetpb.EndReport) ([]*fleetpb.Suspect, error) {
-	c.calls++
-	if c.cutOff {
+	c.calls.Add(1)
+	if c.cutOff.Load() {
 		return nil, context.DeadlineExceeded
 	}
 	now := time.Now()
@@ -53,8 +54,8 @@
 }
 
 func (c *fakeControl) RequestTrial(_ context.Context, r *fleetpb.TrialRequest) (*fleetpb.TrialReply, error) {
-	c.calls++
-	if c.cutOff {
+	c.calls.Add(1)
+	if c.cutOff.Load() {
 		return nil, context.DeadlineExceeded
 	}
 	now := time.Now()
@@ -119,17 +120,24 @@
 	}
 }
 
-// TestWithoutControlASuspectIsNotSentToItsLastEndpoint: an instance that is cut off stops before the bound, and promises that
-// the attempt has not run.
-func TestWithoutControlASuspectIsNotSentToItsLastEndpoint(t *testing.T) {
+// TestWithoutControlASuspectIsNotSent: an instance that is cut off can't know what others send, and promises that the attempt has
+// not run. The end is reported once control is back.
+func TestWithoutControlASuspectIsNotSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){slowReset}}
-		e := newSuspectEntry(t, s, &fakeControl{cutOff: true})
+		control := &fakeControl{}
+		control.cutOff.Store(true)
+		e := newSuspectEntry(t, s, control)
 		last := 0
 		for _, id := range []string{"1", "2", "3", "4", "5"} {
 			last = serveAttempt(t, e, "/once/1", id)
 		}
-		if len(s.requests) != quarantine.MaxEnds-1 || last != http.StatusServiceUnavailable {
+		control.cutOff.Store(false)
+		time.Sleep(time.Second)
+		if control.registry.Len() == 0 {
+			t.Error("the end was never reported")
+		}
+		if len(s.requests) != 1 || last != http.StatusServiceUnavailable {
 			t.Errorf("sent to %d endpoints, status %d at last", len(s.requests), last)
 		}
 	})
@@ -148,9 +156,9 @@
 		if !e.suspects.Empty() || !control.registry.Empty() {
 			t.Error("still suspected")
 		}
-		calls := control.calls
-		if got := serveAttempt(t, e, "/repeat/1", "2"); got != http.StatusOK || control.calls != calls {
-			t.Errorf("status %d, %d calls to control", got, control.calls-calls)
+		calls := control.calls.Load()
+		if got := serveAttempt(t, e, "/repeat/1", "2"); got != http.StatusOK || control.calls.Load() != calls {
+			t.Errorf("status %d, %d calls to control", got, control.calls.Load()-calls)
 		}
 	})
 }
@@ -161,7 +169,7 @@
 	control := &fakeControl{}
 	e := newSuspectEntry(t, s, control)
 	e.Prober = nil
-	if got := serveAttempt(t, e, "/repeat/1", "1"); got != http.StatusOK || control.calls != 0 {
-		t.Errorf("status %d, %d calls to control", got, control.calls)
+	if got := serveAttempt(t, e, "/repeat/1", "1"); got != http.StatusOK || control.calls.Load() != 0 {
+		t.Errorf("status %d, %d calls to control", got, control.calls.Load())
 	}
 }
