standin, soak: requests that crash endpoints, and endpoints that end by chance

The soak sends requests that end the endpoint that runs them, on each kind of route, two to five attempts each, while all its faults go on, and endpoints end by chance beside them. It breaks a promise if more than three endpoints end under one request, if one is sent on after that, or if a request of a program is refused for good. An end does not wait for another fault that replaces the endpoint: then it is a lost answer.

--- a/rockbench/soak/crashing_test.go
+++ b/rockbench/soak/crashing_test.go
@@ -134,7 +134,7 @@
 	r := rand.New(rand.NewPCG(3, 0))
 	for range chanceCrashes {
 		waitFor(ctx, chanceEvery)
-		f.endByChance(r)
+		f.endpoint(r).End()
 	}
 	stop()
 	running.Wait()
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -48,6 +48,7 @@
 	{"an endpoint is replaced", replaceEndpoint},
 	{"an endpoint starts again under its id", restartEndpoint},
 	{"an endpoint starts again and again at its address", bounceEndpoint},
+	{"an endpoint ends by chance", crashEndpoint},
 	{"another writer's entries are in the list", foreignList},
 	{"new settings", hangUp},
 	{"settings are half written", tornSettings},
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -45,6 +45,8 @@
 	seedOfCustomers = 5 << 32
 	// seedOfProbes does the same for questions of what is in force.
 	seedOfProbes = 6 << 32
+	// seedOfCrashes does the same for requests that crash endpoints.
+	seedOfCrashes = 7 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -59,9 +61,13 @@
 	control []*instance
 	stores  []*instance
 	entries []*instance
-	// mu guards endpoints and lives.
+	// mu guards endpoints, crashed and lives.
 	mu        sync.Mutex
 	endpoints []*standin.Endpoint
+	// crashed are endpoints that have crashed, some of which are still listed.
+	crashed map[*standin.Endpoint]bool
+	// replacements are under way for crashed endpoints.
+	replacements sync.WaitGroup
 	// fresh are endpoints of services that came with a later version. No fault has them.
 	fresh    []*standin.Endpoint
 	list     *standin.List
@@ -97,7 +103,8 @@
 // ends it.
 func newFleet(ctx context.Context, cfg Config) (*fleet, func(), error) {
 	f := &fleet{
-		dir: cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
+		crashed: map[*standin.Endpoint]bool{},
+		dir:     cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))},
 	}
 	if cfg.Before == "" {
@@ -168,7 +175,7 @@
 func (f *fleet) newEndpoint(id, service, domain string) *standin.Endpoint {
 	return &standin.Endpoint{
 		ID: id, Service: service, Domain: domain, Slots: 64,
-		ServiceTime: 4 * time.Millisecond, Stream: service == "model", Recorder: f.ledger, OnCrash: f.replaceCrashed,
+		ServiceTime: 4 * time.Millisecond, Stream: service == "model", Recorder: f.ledger, OnCrash: f.crash,
 	}
 }
 
@@ -184,11 +191,15 @@
 	return nil
 }
 
-// endpoint draws one.
+// endpoint draws one that has not crashed, if there is any.
 func (f *fleet) endpoint(r *rand.Rand) *standin.Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.endpoints[r.IntN(len(f.endpoints))]
+	list := slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return f.crashed[e] })
+	if len(list) == 0 {
+		list = f.endpoints
+	}
+	return list[r.IntN(len(list))]
 }
 
 // removeEndpoint takes one off the list.
--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -128,17 +128,38 @@
 // list still shows the crashed one.
 const backAfter = 1500 * time.Millisecond
 
-// replaceCrashed starts another endpoint, under a new id, in the place of one that has crashed.
-func (f *fleet) replaceCrashed(old *standin.Endpoint) {
-	time.AfterFunc(backAfter, func() {
-		f.removeEndpoint(old)
-		if _, err := f.addEndpoint(old.Service, old.Domain); err != nil {
-			f.ledger.AddViolation("%v", err)
-		}
-	})
+// crash ends an endpoint and starts another one in its place, unless a fault has replaced it or is about to.
+func (f *fleet) crash(e *standin.Endpoint) bool {
+	if !f.replacing.TryLock() {
+		return false
+	}
+	defer f.replacing.Unlock()
+	f.mu.Lock()
+	listed := slices.Contains(f.endpoints, e)
+	f.crashed[e] = listed
+	f.mu.Unlock()
+	if !listed {
+		// Its listener may be that of the next one.
+		return false
+	}
+	e.Close()
+	f.replacements.Go((&replacement{fleet: f, old: e}).run)
+	return true
 }
 
-// endByChance ends an endpoint in the middle of whatever it does.
-func (f *fleet) endByChance(r *rand.Rand) {
-	f.endpoint(r).End()
+// replacement puts an endpoint with a new id in the place of one that has crashed.
+type replacement struct {
+	fleet *fleet
+	old   *standin.Endpoint
 }
+
+func (r *replacement) run() {
+	time.Sleep(backAfter)
+	r.fleet.removeEndpoint(r.old)
+	if _, err := r.fleet.addEndpoint(r.old.Service, r.old.Domain); err != nil {
+		r.fleet.ledger.AddViolation("%v", err)
+	}
+}
+
+// crashEndpoint ends one by chance, in the middle of whatever it does.
+func crashEndpoint(_ context.Context, f *fleet, r *rand.Rand, _ time.Duration) { f.endpoint(r).End() }
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -98,6 +98,8 @@
 		}
 		running.Go(func() { p.run(faulty) })
 	}
+	c := &crasher{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfCrashes))}
+	running.Go(func() { c.loop(faulty) })
 	if c := s.fleet.customers; c != nil {
 		running.Go(func() { c.press(faulty, s.entries(), rand.New(rand.NewPCG(s.cfg.Seed, seedOfCustomers+1))) })
 	}
@@ -111,6 +113,7 @@
 		running.Go(func() { d.loop(faulty) })
 	}
 	running.Wait()
+	s.fleet.replacements.Wait()
 	s.fleet.customers.check()
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.AddViolation("no control instance is sure of the configuration after the faults")
@@ -189,6 +192,36 @@
 	}
 }
 
+// crashPause is the longest pause between requests that crash endpoints.
+const crashPause = 3 * time.Second
+
+// crasher sends requests that crash endpoints, one after another. The ledger tells if one is run by more than it may.
+type crasher struct {
+	soak *soak
+	r    *rand.Rand
+}
+
+func (c *crasher) loop(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for n := 0; wait.For(ctx, time.Duration(c.r.Int64N(int64(crashPause)))); n++ {
+		path := []string{"/turn/", "/once/", "/repeat/"}[c.r.IntN(3)]
+		q := &standin.CrashingRequest{
+			Name: fmt.Sprintf("crashing-%d-%d", c.soak.cfg.Seed, n), Host: host, Path: path, Entries: c.soak.entries(), Attempts: 2 + c.r.IntN(4),
+			Repeatable: path == "/repeat/", Rand: c.r, Recorder: c.soak.fleet.ledger, Client: client,
+		}
+		if path == "/turn/" {
+			q.Tokens = crashTokens
+		}
+		q.Customer, q.Secret = c.soak.fleet.customers.of(n)
+		for _, a := range q.Run(ctx) {
+			c.soak.fleet.ledger.Count(fmt.Sprint("requests that crash endpoints with status ", a.Status))
+		}
+	}
+}
+
+// crashTokens is the limit of tokens of such a turn.
+const crashTokens = 15
+
 func (s *soak) entries() []string {
 	var out []string
 	for _, e := range s.fleet.entries {
