watch, entry: suspects are sent as before while control instances are of an earlier version

What callers would have seen: during an upgrade, after any end of an endpoint, requests that were in progress there got 503 for a minute, as control instances of an earlier version answer neither reports nor questions about suspects. Cause: such an answer counted like none, and without control a suspect is not sent. Fix: if all that answer say that they don't know the call, suspects are sent like other requests; one that fails in another way still counts.

--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -10,11 +10,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rockbarrow.dev/rockbarrow/execution"
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/quarantine"
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -137,7 +140,8 @@
 	}
 }
 
-// ask asks a control instance about a suspect. If none answers, the suspect is not sent: other instances may send it, too.
+// ask asks a control instance about a suspect. If none answers, the suspect is not sent: other instances may send it, too. Where all
+// are of an earlier version, it is sent like other requests.
 func (x *exchange) ask(ctx context.Context, p *placement.Endpoint) quarantine.Decision {
 	now, keys, e := time.Now(), x.Keys(), x.entry
 	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: e.Watch.Self.GetInstance() + "/" + x.request.ID, Insist: x.occupied >= maxOccupied, Until: x.deadline}
@@ -145,6 +149,10 @@
 		Keys: keys.Proto(), Service: x.service.GetName(), Endpoint: q.Endpoint.EndpointID, BornMs: q.Endpoint.StartMS,
 		Asker: q.Asker, UntilMs: uint64(max(0, q.Until.Sub(now).Milliseconds())), Known: e.suspects.Of(now, keys), Insist: q.Insist,
 	})
+	var unsupported *watch.UnsupportedError
+	if errors.As(err, &unsupported) {
+		return quarantine.Free{}
+	}
 	if err != nil {
 		e.Log.WithError(err).WithField("key", keys.Request.String()).Warn("no control instance decides on a suspect")
 		return quarantine.Held{RetryAfter: longRetryAfter}
@@ -273,6 +281,10 @@
 		report.Finished = append(report.Finished, &fleetpb.FinishedTrial{Keys: f.keys.Proto(), Endpoint: f.endpoint.EndpointID, BornMs: f.endpoint.StartMS})
 	}
 	suspects, err := e.SuspectControl.ReportEnds(ctx, report)
+	var unsupported *watch.UnsupportedError
+	if errors.As(err, &unsupported) {
+		return
+	}
 	if err != nil {
 		e.Log.WithError(err).WithField("ends", len(p.ends)).Warn("no control instance was told of endpoints that ended")
 		e.unreported.ends = append(e.unreported.ends, p.ends...)
--- a/rockbarrow/watch/suspects.go
+++ b/rockbarrow/watch/suspects.go
@@ -12,6 +12,8 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -20,6 +22,24 @@
 // instance's process. A client's next attempt comes 100 ms after the last one.
 const suspectTimeout = 100 * time.Millisecond
 
+// UnsupportedError reports that the control instances that answer are of an earlier version, which knows no suspects.
+type UnsupportedError struct{}
+
+func (e *UnsupportedError) Error() string {
+	return "watch: control instances of an earlier version know no suspects"
+}
+
+// worseError returns the more telling one of two errors of calls about suspects, where the first may be nil.
+func worseError(known, err error) error {
+	if status.Code(err) != codes.Unimplemented {
+		return err
+	}
+	if known == nil {
+		return &UnsupportedError{}
+	}
+	return known
+}
+
 // suspectCursor is how much of a control instance's suspects is known.
 type suspectCursor struct{ process, sequence uint64 }
 
@@ -61,22 +81,30 @@
 	addresses := c.presentControl(time.Now())
 	var mu sync.Mutex
 	var out []*fleetpb.Suspect
-	err := errors.New("watch: no control instance is reachable")
+	var failed error
+	told := 0
 	var calls sync.WaitGroup
 	for _, a := range addresses {
 		calls.Go(func() {
-			reply, callErr := c.reportEnds(ctx, a, report)
+			reply, err := c.reportEnds(ctx, a, report)
 			mu.Lock()
 			defer mu.Unlock()
-			if callErr == nil {
-				out, err = append(out, reply.GetSuspects()...), nil
-			} else if err != nil {
-				err = callErr
+			if err != nil {
+				failed = worseError(failed, err)
+				return
 			}
+			told++
+			out = append(out, reply.GetSuspects()...)
 		})
 	}
 	calls.Wait()
-	return out, err
+	switch {
+	case told > 0:
+		return out, nil
+	case failed == nil:
+		return nil, errors.New("watch: no control instance is reachable")
+	}
+	return nil, failed
 }
 
 func (c *Client) reportEnds(ctx context.Context, address string, report *fleetpb.EndReport) (*fleetpb.EndReportReply, error) {
@@ -91,15 +119,19 @@
 
 // RequestTrial asks a control instance whether a suspect may be sent to an endpoint. All senders that reach the same control
 // instances ask the same one about a service.
-func (c *Client) RequestTrial(ctx context.Context, req *fleetpb.TrialRequest) (reply *fleetpb.TrialReply, err error) {
-	err = errors.New("watch: no control instance is reachable")
+func (c *Client) RequestTrial(ctx context.Context, req *fleetpb.TrialRequest) (*fleetpb.TrialReply, error) {
+	var failed error
 	for _, address := range c.trialOrder(req.GetService(), time.Now()) {
-		reply, err = c.requestTrial(ctx, address, req)
+		reply, err := c.requestTrial(ctx, address, req)
 		if err == nil {
 			return reply, nil
 		}
+		failed = worseError(failed, err)
+	}
+	if failed == nil {
+		failed = errors.New("watch: no control instance is reachable")
 	}
-	return nil, err
+	return nil, failed
 }
 
 func (c *Client) requestTrial(ctx context.Context, address string, req *fleetpb.TrialRequest) (*fleetpb.TrialReply, error) {
