--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -98,8 +98,11 @@
 		}
 		running.Go(func() { p.run(faulty) })
 	}
-	c := &crasher{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfCrashes))}
-	running.Go(func() { c.loop(faulty) })
+	if s.cfg.Before == "" {
+		// Instances of an earlier version send such a request on, whatever others know of it.
+		c := &crasher{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfCrashes))}
+		running.Go(func() { c.loop(faulty) })
+	}
 	if c := s.fleet.customers; c != nil {
 		running.Go(func() { c.press(faulty, s.entries(), rand.New(rand.NewPCG(s.cfg.Seed, seedOfCustomers+1))) })
 	}
