--- a/rockbarrow/quarantine/chance.go
+++ b/rockbarrow/quarantine/chance.go
@@ -219,7 +219,7 @@
 // Withdraw removes an end that turned out to be none, and what followed from it.
 func (r *Registry) Withdraw(now time.Time, id incarnation.ID) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	for _, e := range r.ends[id.EndpointID] {
 		if e.id.Matches(id) {
 			e.explained, e.causedBy = true, Key{}
--- a/rockbarrow/quarantine/message.go
+++ b/rockbarrow/quarantine/message.go
@@ -150,7 +150,7 @@
 // evidence is, and decided on here. Malformed keys are skipped.
 func (r *Registry) Merge(now time.Time, list []*fleetpb.Suspect, verdicts bool) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.init()
 	for _, p := range list {
 		if key, err := keyFromBytes(p.GetKey()); err == nil {
--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -5,6 +5,7 @@
 import (
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rockbarrow.dev/rockbarrow/incarnation"
@@ -160,6 +161,9 @@
 	// Follower is true for a copy that refuses only what another registry does. Set it before the first call.
 	Follower bool
 
+	// size is the number of suspects.
+	size atomic.Int64
+
 	mu       sync.Mutex
 	suspects map[Key]*suspect
 	// ends holds recent ends by the endpoint's id.
@@ -185,7 +189,7 @@
 // RecordEnd records an end, and returns the verdicts that follow from it.
 func (r *Registry) RecordEnd(now time.Time, e End) []Verdict {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	r.init()
 	known := r.endOf(e)
 	var touched []*suspect
@@ -243,7 +247,7 @@
 // Completed clears a request that completed, and identical content with it.
 func (r *Registry) Completed(now time.Time, k Keys) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	for _, key := range k.all() {
 		r.clear(now, key)
 	}
@@ -252,7 +256,7 @@
 // Clear clears one key, and reports whether it was suspected.
 func (r *Registry) Clear(now time.Time, key Key) bool {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
 	return r.clear(now, key)
 }
 
@@ -342,24 +346,23 @@
 	}
 }
 
-// Empty reports whether there are no suspects.
+// Empty reports whether there are no suspects. Each request asks it.
 func (r *Registry) Empty() bool { return r.Len() == 0 }
 
 // Len returns the number of suspects.
-func (r *Registry) Len() int {
+func (r *Registry) Len() int { return int(r.size.Load()) }
+
+// Suspects reports whether a request is suspected.
+func (r *Registry) Suspects(now time.Time, k Keys) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.suspects)
+	return len(r.suspectsOf(now, k)) > 0
 }
 
-// Knows reports whether a request is suspected, and how many endpoints are known to have ended under it.
-func (r *Registry) Knows(now time.Time, k Keys) (ends int, suspected bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, s := range r.suspectsOf(now, k) {
-		ends, suspected = max(ends, s.count()), true
-	}
-	return ends, suspected
+// unlock notes the number of suspects and unlocks mu.
+func (r *Registry) unlock() {
+	r.size.Store(int64(len(r.suspects)))
+	r.mu.Unlock()
 }
 
 // suspectsOf returns the suspects that a request matches; the caller holds mu.
