quarantine: a registry that is full drops an eighth of its suspects at a time

With 4,096 suspects each reported end sorted all of them, by a rank that counts overlaps: 25 ms for each, so that a client that makes new suspects on purpose would have kept a control instance busy.

--- a/rockbarrow/quarantine/memory.go
+++ b/rockbarrow/quarantine/memory.go
@@ -22,12 +22,7 @@
 	maps.DeleteFunc(r.cleared, func(_ Key, c clearance) bool { return now.Sub(c.at) > clearedTTL })
 	r.evictEnds(now)
 	if len(r.suspects) > maxSuspects {
-		list := slices.SortedFunc(maps.Values(r.suspects), func(a, b *suspect) int {
-			return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.updated.Compare(b.updated))
-		})
-		for _, s := range list[:len(list)-maxSuspects] {
-			delete(r.suspects, s.key)
-		}
+		r.evictSuspects()
 	}
 	for key := range r.cleared {
 		if len(r.cleared) <= maxCleared {
@@ -37,6 +32,24 @@
 	}
 }
 
+// evictSuspects drops an eighth of the suspects, so that most reports find room. The caller holds mu.
+func (r *Registry) evictSuspects() {
+	type ranked struct {
+		suspect *suspect
+		rank    int
+	}
+	list := make([]ranked, 0, len(r.suspects))
+	for _, s := range r.suspects {
+		list = append(list, ranked{suspect: s, rank: s.rank()})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), a.suspect.updated.Compare(b.suspect.updated))
+	})
+	for _, l := range list[:len(list)-maxSuspects*7/8] {
+		delete(r.suspects, l.suspect.key)
+	}
+}
+
 // rank is higher for suspects that are to be kept longer.
 func (s *suspect) rank() int {
 	if !s.refusedAt.IsZero() {
