quarantine: an end that was none is withdrawn also after a verdict by it

What callers would have seen: a request refused for ten minutes although one of the endpoints that it was refused for had never ended. Cause: with the verdict its ends are marked as explained, and explained ends were left out of those that the list is checked for. TestAFalseEndIsWithdrawn failed before; only ends that are withdrawn already are left out now.

--- a/rockbarrow/controller/suspects_test.go
+++ b/rockbarrow/controller/suspects_test.go
@@ -101,3 +101,22 @@
 		}
 	}
 }
+
+// TestAFalseEndIsWithdrawn guards against a verdict by a report that was wrong: an endpoint that is still listed long after its
+// end has not ended.
+func TestAFalseEndIsWithdrawn(t *testing.T) {
+	p := startSingle(t)
+	waitFor(t, func() bool { return len(p.controller.Endpoints().List().GetEndpoints()) == 2 })
+	c, keys := p.controller, suspectKeys()
+	endUnder(t, c, keys, "x", "gone-1", "gone-2")
+	if d := decisionOf(t, c, keys); d != fleetpb.TrialReply_DECISION_REFUSED {
+		t.Fatalf("decision %v", d)
+	}
+	// The list is as new as its last reading.
+	later := time.Now().Add(falseEndAge)
+	c.watch.UpdateListVersion(c.watch.List().Version(), later)
+	c.withdrawFalseEnds(later)
+	if d := decisionOf(t, c, keys); d == fleetpb.TrialReply_DECISION_REFUSED {
+		t.Errorf("decision %v though %s is still listed", d, "x")
+	}
+}
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -173,3 +174,30 @@
 		t.Errorf("status %d, %d calls to control", got, control.calls.Load())
 	}
 }
+
+// TestTheListShowsEnds guards against ends that no connection shows: an endpoint that leaves the list ended with the requests that
+// lost their responses there, unless it was draining.
+func TestTheListShowsEnds(t *testing.T) {
+	for _, draining := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){slowReset}}
+			control := &fakeControl{}
+			e := newSuspectEntry(t, s, control)
+			e.Prober = nil
+			serveAttempt(t, e, "/once/1", "1")
+			lost := s.requests[0].Endpoint.GetName()
+			if draining {
+				e.Watch.UpdateList(endpointList(2, lost), time.Now())
+				e.refresh()
+			}
+			l := endpointList(3)
+			l.Endpoints = slices.DeleteFunc(l.Endpoints, func(p *fleetpb.Endpoint) bool { return p.GetId() == lost })
+			e.Watch.UpdateList(l, time.Now())
+			e.refresh()
+			synctest.Wait()
+			if reported := control.registry.Len() > 0; reported == draining {
+				t.Errorf("draining %v: reported %v", draining, reported)
+			}
+		})
+	}
+}
--- a/rockbarrow/quarantine/chance.go
+++ b/rockbarrow/quarantine/chance.go
@@ -233,6 +233,9 @@
 	}
 }
 
+// isWithdrawn reports whether the end turned out to be none.
+func (e *ended) isWithdrawn() bool { return e.explained && e.causedBy == Key{} }
+
 // EndedBefore returns the incarnations that are known to have ended before some time.
 func (r *Registry) EndedBefore(t time.Time) []incarnation.ID {
 	r.mu.Lock()
@@ -240,7 +243,7 @@
 	var out []incarnation.ID
 	for _, list := range r.ends {
 		for _, e := range list {
-			if e.at.Before(t) && !e.explained {
+			if e.at.Before(t) && !e.isWithdrawn() {
 				out = append(out, e.id)
 			}
 		}
