soak: a fleet that stops waits for endpoints that take the place of crashed ones

The stop waits for replacements once all processes have ended. Three runs of both tests after it: passed.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -413,6 +413,8 @@
 		}
 		in.log.Close()
 	}
+	// Nobody sends requests any more that crash endpoints.
+	f.replacements.Wait()
 	for _, e := range append(f.endpoints, f.fresh...) {
 		e.Close()
 	}
