--- a/rockbench/soak/crashing_test.go
+++ b/rockbench/soak/crashing_test.go
@@ -143,9 +143,31 @@
 	if n := refused.Load(); n > 0 {
 		t.Errorf("%d popular requests were refused for endpoints that ended by chance", n)
 	}
+	for _, l := range refusedForEnds(t, f) {
+		t.Errorf("refused for endpoints that ended by chance: %s, %d: %s", l.Request, l.Status, l.Reason)
+	}
 	reportAll(t, f)
 }
 
+// refusedForEnds returns the requests that were refused, or asked to come back, because endpoints ended under them.
+func refusedForEnds(t *testing.T, f *fleet) (out []requestlog.Line) {
+	for _, in := range f.entries {
+		b, err := os.ReadFile(in.log.Name())
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = requestlog.Read(bytes.NewReader(b), func(l requestlog.Line) {
+			if strings.Contains(l.Reason, "endpoints ended") || strings.Contains(l.Reason, "being tried") {
+				out = append(out, l)
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return out
+}
+
 // waitFor waits for some time or for the end of ctx.
 func waitFor(ctx context.Context, d time.Duration) { wait.For(ctx, d) }
 
