quarantine: an endpoint that is ending ends once

Cause: an ending endpoint accepted connections and reset them for some milliseconds; as its start time was not known yet, each execution that began after an earlier loss counted as one at its next incarnation. Fix: an endpoint is back 0.5 s after its end at the earliest.

--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -22,6 +22,9 @@
 	holdTime = 10 * time.Second
 	// verdictTTL is how long a request is refused. After that, a new build or another endpoint gets a chance.
 	verdictTTL = 10 * time.Minute
+	// restartTime is the least time in which an endpoint is back. Until then, an endpoint that is ending may accept connections
+	// and reset them.
+	restartTime = 500 * time.Millisecond
 	// trialSlack is how long the outcome of a trial is waited for beyond the request's deadline.
 	trialSlack = time.Second
 	// maxSuspects, maxEnds and maxCleared bound the memory, at some hundred bytes each, and maxEvidence that of one suspect.
@@ -227,13 +230,13 @@
 }
 
 // isSame reports whether both are of one end. An endpoint whose start time is unknown may have ended again: an execution that
-// began after the earlier end met a later one.
+// began restartTime after the earlier end met a later one.
 func (e evidence) isSame(o evidence) bool {
 	if !e.endpoint.Matches(o.endpoint) {
 		return false
 	}
 	known := e.endpoint.StartMS != 0 && o.endpoint.StartMS != 0
-	return known || e.at.Add(-e.exposure).Before(o.at) && o.at.Add(-o.exposure).Before(e.at) || e.at.Equal(o.at)
+	return known || e.at.Add(-e.exposure).Before(o.at.Add(restartTime)) && o.at.Add(-o.exposure).Before(e.at.Add(restartTime))
 }
 
 // touch notes a change of a suspect; the caller holds mu.
@@ -467,7 +470,7 @@
 func (r *Registry) endOf(e End) *ended {
 	for _, known := range r.ends[e.Endpoint.EndpointID] {
 		sameStart := known.id.StartMS != 0 && e.Endpoint.StartMS != 0
-		if known.id.Matches(e.Endpoint) && (sameStart || e.firstStart().Before(known.at)) {
+		if known.id.Matches(e.Endpoint) && (sameStart || e.firstStart().Before(known.at.Add(restartTime))) {
 			if e.At.Before(known.at) {
 				known.at = e.At
 			}
--- a/rockbarrow/quarantine/registry_test.go
+++ b/rockbarrow/quarantine/registry_test.go
@@ -261,6 +261,21 @@
 	}
 }
 
+// TestAnEndingEndpointEndsOnce guards against refusing a popular request for one end: an endpoint whose start time is not known yet
+// accepts connections and resets them while it ends, one execution after the other.
+func TestAnEndingEndpointEndsOnce(t *testing.T) {
+	w := newWorld(t)
+	popular := KeysOf(Sender{}, []byte("popular"), Content{Method: "POST", Host: "h", Target: "/t", Body: []byte("popular")})
+	at := w.freshEndpoint()
+	for range 10 {
+		w.now = w.now.Add(20 * time.Millisecond)
+		w.end(at, time.Millisecond, popular)
+	}
+	if d := w.registry.Lookup(w.now, popular); d != (Busy{}) {
+		t.Errorf("%T after one end", d)
+	}
+}
+
 // TestContentWithoutABodyHasNoKey: everybody may send it, so that one deadly sender would stop all.
 func TestContentWithoutABodyHasNoKey(t *testing.T) {
 	k := KeysOf(Sender{Program: "p"}, nil, Content{Method: "GET", Host: "h", Target: "/t"})
