--- /dev/null
+++ b/rockbarrow/quarantine/ask.go
@@ -0,0 +1,148 @@
+// SPDX-License-Identifier: MIT
+
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/incarnation"
+)
+
+// Decision is the answer to [Registry.Ask] and [Registry.Lookup]: [Free], [Granted], [Busy], [Occupied], [Held] or [Refused].
+type Decision interface{ decision() }
+
+// Free means that no endpoint is known to have ended under the request.
+type Free struct{}
+
+// Granted means that the suspect may be sent to the endpoint, and that its outcome must be reported.
+type Granted struct{}
+
+// Busy means that the suspect is in progress at as many endpoints as may still end under it.
+type Busy struct{}
+
+// Occupied means that another suspect is being tried at the endpoint.
+type Occupied struct{}
+
+// Held means that the request is not sent for some time: it has met as many ends as it may, which may be chance.
+type Held struct{ RetryAfter time.Duration }
+
+// Refused means that the request is not sent any more.
+type Refused struct {
+	// Key is the refused one.
+	Key Key
+	// Endpoints are the ended incarnations.
+	Endpoints []incarnation.ID
+}
+
+func (Free) decision()     {}
+func (Granted) decision()  {}
+func (Busy) decision()     {}
+func (Occupied) decision() {}
+func (Held) decision()     {}
+func (Refused) decision()  {}
+
+// Lookup returns what is known of a request, without a grant: [Free], [Refused], [Held], or [Busy] for another suspect.
+func (r *Registry) Lookup(now time.Time, k Keys) Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.suspectsOf(now, k)
+	if len(list) == 0 {
+		return Free{}
+	}
+	if s := firstRefused(list); s != nil {
+		return s.refusal()
+	}
+	if hold := longestHold(now, list); hold > 0 {
+		return Held{RetryAfter: hold}
+	}
+	return Busy{}
+}
+
+// Question asks for a request to be sent to an endpoint.
+type Question struct {
+	Keys     Keys
+	Endpoint incarnation.ID
+	// Asker identifies the client's attempt: if it asks again, its earlier trial is over.
+	Asker string
+	// Insist is true if the suspect may share the endpoint with others: there may be more suspects than endpoints.
+	Insist bool
+	// Until is when the execution is over at the latest.
+	Until time.Time
+}
+
+// Ask decides whether a request may be sent to an endpoint. A suspect that is granted must be reported by [Registry.RecordEnd],
+// [Registry.Completed] or [Registry.Finish] in time. Until then it counts like an end.
+func (r *Registry) Ask(now time.Time, q Question) Decision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	list := r.suspectsOf(now, q.Keys)
+	if len(list) == 0 {
+		return Free{}
+	}
+	if s := firstRefused(list); s != nil {
+		return s.refusal()
+	}
+	if hold := longestHold(now, list); hold > 0 {
+		return Held{RetryAfter: hold}
+	}
+	for _, s := range list {
+		s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.asker == q.Asker || !now.Before(t.until) })
+		if len(s.trials) >= max(1, MaxEnds-s.count()) {
+			return Busy{}
+		}
+	}
+	others := r.trialsAt(now, q.Endpoint)
+	if len(others) > 0 && !q.Insist {
+		return Occupied{}
+	}
+	for _, t := range others {
+		t.alone = false
+	}
+	for _, s := range list {
+		s.trials = append(s.trials, &trial{asker: q.Asker, endpoint: q.Endpoint, until: q.Until.Add(trialSlack), alone: len(others) == 0})
+	}
+	return Granted{}
+}
+
+// Finish ends the trial of a request at an endpoint whose outcome says nothing. A later trial at another endpoint goes on.
+func (r *Registry) Finish(k Keys, endpoint incarnation.ID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range k.all() {
+		if s := r.suspects[key]; s != nil {
+			s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.endpoint.Matches(endpoint) })
+		}
+	}
+}
+
+func firstRefused(list []*suspect) *suspect {
+	for _, s := range list {
+		if !s.refusedAt.IsZero() {
+			return s
+		}
+	}
+	return nil
+}
+
+// longestHold returns how much longer suspects are held.
+func longestHold(now time.Time, list []*suspect) (hold time.Duration) {
+	for _, s := range list {
+		if s.count() >= MaxEnds {
+			hold = max(hold, s.lastEnd().Add(holdTime).Sub(now))
+		}
+	}
+	return hold
+}
+
+// trialsAt returns the trials at an endpoint; the caller holds mu.
+func (r *Registry) trialsAt(now time.Time, endpoint incarnation.ID) (out []*trial) {
+	for _, s := range r.suspects {
+		for _, t := range s.trials {
+			if now.Before(t.until) && t.endpoint.Matches(endpoint) {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
