--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -63,10 +63,13 @@
 func (p *program) turn(ctx context.Context, entry *machine, input []byte) bool {
 	for again := 0; again <= turnRetries; again++ {
 		if again > 0 {
-			time.Sleep(100*time.Millisecond + rand.N(300*time.Millisecond))
+			pause(ctx, 100*time.Millisecond+rand.N(300*time.Millisecond))
 		}
 		end := time.Now().Add(timeLimit)
 		for retry := 0; retry <= 1; retry++ {
+			if ctx.Err() != nil {
+				return false
+			}
 			a := p.send(ctx, entry, input, time.Until(end))
 			switch {
 			case a.whole && a.status == http.StatusOK:
@@ -81,7 +84,7 @@
 				if a.retry > time.Until(end)/3 {
 					continue
 				}
-				time.Sleep(a.retry)
+				pause(ctx, a.retry)
 				continue
 			case a.status >= 400 && a.status < 500:
 				return false
@@ -93,6 +96,16 @@
 	return false
 }
 
+// pause waits until d has passed or ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (p *program) accept(a attempt, input []byte) {
 	p.previous, p.answeredAt = a.id, a.ended
 	p.history = append(p.history, input...)
--- a/review/harness/judge.go
+++ b/review/harness/judge.go
@@ -24,11 +24,15 @@
 	diskDown = 1200 * time.Millisecond
 )
 
-// beginPrograms runs the first turns of programs, and returns the programs whose turn was answered whole.
+// beginPrograms runs the first turns of up to n programs until ctx ends, and returns the programs whose turn was answered
+// whole.
 func (w *world) beginPrograms(ctx context.Context, n int, name string) []*program {
 	entries := w.of(entryRole)
 	var out []*program
 	for i := range n {
+		if ctx.Err() != nil {
+			break
+		}
 		p := &program{name: fmt.Sprintf("%s-%d", name, i), record: w.record}
 		if p.turn(ctx, entries[i%len(entries)], fmt.Appendf(nil, "%s turn 0\n", p.name)) {
 			out = append(out, p)
--- a/review/harness/lastcopy.go
+++ b/review/harness/lastcopy.go
@@ -31,7 +31,9 @@
 		stores[2].kill()
 		killed := time.Now()
 		w.record.print("the process of %s is killed", stores[2].name())
-		lines = append(lines, w.beginPrograms(ctx, 3, "meanwhile")...)
+		until, cancel := context.WithDeadline(ctx, killed.Add(wipeAfter))
+		lines = append(lines, w.beginPrograms(until, 20, "meanwhile")...)
+		cancel()
 		time.Sleep(wipeAfter - time.Since(killed))
 		if err := w.loseDisk(stores[1]); err != nil {
 			return "", err
