stores: log which stores an absent turn was concluded from

Three explanations were possible and no log or metric told them apart: a read quorum of the prior members alone during the change, an entry instance that still acted on the view before, or an incomplete store that counted. The line has the view, whether it has prior members and the stores that answered.

--- a/rockbarrow/ledger/tracker.go
+++ b/rockbarrow/ledger/tracker.go
@@ -52,6 +52,17 @@
 	t.complete[storage] = wholeEpoch+1 >= t.epoch
 }
 
+// Answered returns the instance names of the stores that answered the call.
+func (t *QuorumTracker) Answered() []string {
+	var out []string
+	for _, m := range t.Members() {
+		if t.acked[m.GetStorage()] {
+			out = append(out, m.GetInstance())
+		}
+	}
+	return out
+}
+
 // Refuse counts a store that refused or failed the call.
 func (t *QuorumTracker) Refuse(storage uint64) { t.refused[storage] = true }
 
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/ledger"
 	"rockbarrow.dev/schema/fleetpb"
@@ -113,6 +114,9 @@
 			return nil
 		}
 		if outcome == quorumReached {
+			c.Watch.Log.WithFields(logrus.Fields{
+				"turn": id, "view": view.GetEpoch(), "view_change": len(view.GetPrior()) > 0, "answered_by": tracker.Answered(),
+			}).Info("turn is unknown to its stores")
 			return &UnknownTurnError{Turn: id}
 		}
 		if outcome == aborted || !waitRetry(ctx) {
