ledger: a read quorum covers the new members of a view change, a write quorum fences the prior ones

Cause: during a change a write counted with the new group alone, and absence with the prior group alone. The two need not share a store: of two prior members one was a read quorum, also one that had missed the write; of three, any two. The same cause, found by enumeration: a client that still acts on the view before proves absence with stores that no write of the new view has fenced.

Now a read quorum is one of the authoritative group, whose stores hold the records from before, and a write quorum of the current group, which records under the view are written to. A write during a change counts once a read quorum of the prior group has answered under the new view too. A write quorum of any view then meets the fences of the next one, so that a client of an older view can prove nothing after the first write under a newer one. Lookups on all stores follow the same rule, and a lookup ends at once when the quorum of the home program is lost, as reservations do.

TestQuorumsDuringViewChange asserted the fault (a read quorum of the prior group alone); it now wants none without the new group, and both with majorities of both.

--- a/rockbarrow/ledger/ledger_test.go
+++ b/rockbarrow/ledger/ledger_test.go
@@ -57,12 +57,12 @@
 	if tracker.HasWriteQuorum() {
 		t.Error("write quorum without the new group")
 	}
-	if !tracker.HasReadQuorum() {
-		t.Error("no read quorum although the old group answered")
+	if tracker.HasReadQuorum() {
+		t.Error("read quorum without the new group, to which records are written")
 	}
 	tracker.Ack(4, 0)
-	if !tracker.HasWriteQuorum() {
-		t.Error("no write quorum with majorities of both groups")
+	if !tracker.HasWriteQuorum() || !tracker.HasReadQuorum() {
+		t.Error("no quorums with majorities of both groups")
 	}
 	// A store that has not copied its records must not count toward the read quorum.
 	tracker = NewQuorumTracker(&fleetpb.View{Epoch: 3, Members: all[1:], Copies: 3}, "p")
--- a/rockbarrow/ledger/tracker.go
+++ b/rockbarrow/ledger/tracker.go
@@ -66,16 +66,21 @@
 // Refuse counts a store that refused or failed the call.
 func (t *QuorumTracker) Refuse(storage uint64) { t.refused[storage] = true }
 
-// HasWriteQuorum reports whether the record is durable. During a view change the
-// quorum is that of the new group, which keeps the record; reads call both groups.
+// HasWriteQuorum reports whether the record is durable. The quorum is that of the
+// current group, which keeps the record. During a view change a read quorum of the
+// prior group must have answered too: it has fenced the prior view, under which the
+// record could otherwise still be found absent.
 func (t *QuorumTracker) HasWriteQuorum() bool {
-	return count(t.current, t.acked) >= WriteQuorum(len(t.current))
+	return count(t.current, t.acked) >= WriteQuorum(len(t.current)) && count(t.prior, t.acked) >= ReadQuorum(len(t.prior))
 }
 
 // HasReadQuorum reports whether a record that no store returned is certainly absent.
+// The authoritative group covers records from before the view. A write quorum of the
+// current group covers records written under the view, and includes a store that
+// refuses the call once a later view may have writes.
 func (t *QuorumTracker) HasReadQuorum() bool {
 	group := t.authoritativeGroup()
-	return len(group) > 0 && count(group, t.complete) >= ReadQuorum(len(group))
+	return len(group) > 0 && count(group, t.complete) >= ReadQuorum(len(group)) && count(t.current, t.acked) >= WriteQuorum(len(t.current))
 }
 
 // authoritativeGroup returns the group that holds all records from before this view.
@@ -89,7 +94,8 @@
 // HasReadQuorumInAllGroups reports whether a record that no store returned is
 // absent from every group: each has a read quorum among the stores that answered.
 func (t *QuorumTracker) HasReadQuorumInAllGroups(copies int) bool {
-	return ReadQuorumInAllGroups(t.authoritativeGroup(), copies, func(storage uint64) bool { return t.complete[storage] })
+	return ReadQuorumInAllGroups(t.authoritativeGroup(), copies, func(storage uint64) bool { return t.complete[storage] }) &&
+		writeQuorumInAllGroups(t.current, copies, func(storage uint64) bool { return t.acked[storage] })
 }
 
 // QuorumLost reports whether a quorum can no longer be reached.
--- a/rockbarrow/stores/cluster_test.go
+++ b/rockbarrow/stores/cluster_test.go
@@ -18,6 +18,7 @@
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/store"
 	"rockbarrow.dev/rockbarrow/stores"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -38,6 +39,8 @@
 	watch        *watch.Client
 	stop         func()
 	reserveCalls callCounter
+	// lookupDelay is how long the store waits before it answers a lookup.
+	lookupDelay time.Duration
 }
 
 // callCounter counts the Reserve calls to a store by program.
@@ -64,7 +67,8 @@
 // countingStore is a store whose Reserve calls are counted.
 type countingStore struct {
 	*store.Store
-	calls *callCounter
+	calls       *callCounter
+	lookupDelay time.Duration
 }
 
 // Reserve counts the call and forwards it to the store.
@@ -73,6 +77,14 @@
 	return c.Store.Reserve(ctx, req)
 }
 
+// Lookup answers after the store's delay.
+func (c *countingStore) Lookup(ctx context.Context, req *fleetpb.LookupRequest) (*fleetpb.LookupReply, error) {
+	if !wait.For(ctx, c.lookupDelay) {
+		return nil, ctx.Err()
+	}
+	return c.Store.Lookup(ctx, req)
+}
+
 // Calls serves a stream of calls, whose Reserve calls are counted too.
 func (c *countingStore) Calls(s fleetpb.Store_CallsServer) error { return c.Store.ServeCalls(s, c) }
 
@@ -100,7 +112,7 @@
 	ts.store = s
 	ts.watch.OnChange = s.Wake
 	g := dial.NewServer()
-	fleetpb.RegisterStoreServer(g, &countingStore{Store: s, calls: &ts.reserveCalls})
+	fleetpb.RegisterStoreServer(g, &countingStore{Store: s, calls: &ts.reserveCalls, lookupDelay: ts.lookupDelay})
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { s.Run(ctx) })
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -79,7 +79,7 @@
 // fetchTurn looks a turn up in the group of the expected home program, then on
 // all stores: a program may continue a turn of another program.
 func (c *Client) fetchTurn(ctx context.Context, id, home string, seen *turnIndex) error {
-	err := c.lookupTurn(ctx, id, seen, func(v *fleetpb.View) (*ledger.QuorumTracker, func() bool) {
+	err := c.lookupTurn(ctx, id, home, seen, func(v *fleetpb.View) (*ledger.QuorumTracker, func() bool) {
 		t := ledger.NewQuorumTracker(v, home)
 		return t, t.HasReadQuorum
 	})
@@ -87,20 +87,22 @@
 	if !errors.As(err, &unknown) {
 		return err
 	}
-	return c.lookupTurn(ctx, id, seen, func(v *fleetpb.View) (*ledger.QuorumTracker, func() bool) {
+	return c.lookupTurn(ctx, id, home, seen, func(v *fleetpb.View) (*ledger.QuorumTracker, func() bool) {
 		t := ledger.NewAllStoresTracker(v)
 		return t, func() bool { return t.HasReadQuorumInAllGroups(int(v.GetCopies())) }
 	})
 }
 
-// lookupTurn queries stores for a turn until one has it or a read quorum does not.
-func (c *Client) lookupTurn(ctx context.Context, id string, seen *turnIndex, newTracker func(*fleetpb.View) (*ledger.QuorumTracker, func() bool)) error {
+// lookupTurn queries stores for a turn until one has it or a read quorum does not. It
+// gives up if the group of the home program has lost its quorum.
+func (c *Client) lookupTurn(ctx context.Context, id, home string, seen *turnIndex, newTracker func(*fleetpb.View) (*ledger.QuorumTracker, func() bool)) error {
 	for {
 		view := c.Watch.State().GetView()
 		tracker, absent := newTracker(view)
 		found := false
 		members := tracker.Members()
-		outcome, reason := callQuorum(ctx, c, tracker, members, len(members), func() bool { return found || absent() }, nil,
+		outcome, reason := callQuorum(ctx, c, tracker, members, len(members), func() bool { return found || absent() },
+			func() bool { return c.quorumLost(home) },
 			storeRequest[*fleetpb.LookupReply]{unary: func(ctx context.Context, s fleetpb.StoreClient, m *fleetpb.Member) (*fleetpb.LookupReply, *fleetpb.StoreStatus, error) {
 				req := &fleetpb.LookupRequest{Epoch: view.GetEpoch(), Storage: m.GetStorage(), Turn: id}
 				r, err := s.Lookup(ctx, req)
--- /dev/null
+++ b/rockbarrow/stores/viewchange_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: MIT
+
+package stores_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/stores"
+	"rockbarrow.dev/schema/fleetpb"
+)
+
+// TestTurnIsFoundDuringAViewChange guards against 404 for a turn that was answered whole:
+// it was written to the new members during a view change, and one of two prior members,
+// which was down meanwhile, denied it alone.
+func TestTurnIsFoundDuringAViewChange(t *testing.T) {
+	g := newTestCluster(t)
+	all := g.state.GetView().GetMembers()
+	g.changeView(func(v *fleetpb.View) { v.Prior, v.Members = all, all[:2] })
+	g.awaitCopied(2, g.stores[:2]...)
+	g.changeView(func(v *fleetpb.View) { v.Prior = nil })
+	g.awaitCopied(3, g.stores[:2]...)
+
+	g.stores[0].stop()
+	g.changeView(func(v *fleetpb.View) { v.Prior, v.Members = all[:2], all })
+	g.noError(g.runTurn(g.client, stores.Turn{ID: "1", Program: "p", MaxTokens: 10, Budget: 30}, 10))
+
+	// The store that missed the turn answers first.
+	for _, s := range g.stores[1:] {
+		s.stop()
+		s.lookupDelay = 100 * time.Millisecond
+		s.start()
+	}
+	g.stores[0].start()
+	g.publishState()
+	c := g.newClient()
+	c.Domain = g.stores[0].member.GetFailureDomain()
+	for _, id := range []string{"2", "3"} {
+		// Program q looks the turn up on all stores.
+		program := map[string]string{"2": "p", "3": "q"}[id]
+		grant, err := c.Reserve(context.Background(), stores.Turn{ID: id, Program: program, Previous: "1", MaxTokens: 10, Budget: 30})
+		g.noError(err)
+		if want := "in 1\nout 1\n"; historyText(grant) != want {
+			t.Errorf("program %s: history %q, want %q", program, historyText(grant), want)
+		}
+		c = g.newClient()
+		c.Domain = g.stores[0].member.GetFailureDomain()
+	}
+}
