membership: a member that is gone leaves the view also without a spare

One store had been emptied and another one had been gone for good; its successor was there.

Cause: a view of fewer members than copies takes in each new store at once, also the successor of a member that does not count as lost yet. A lost member only ever left for a spare, and none was left, so the machine that was gone stayed one of three members. Two of three are a read quorum, so that after the next lost disk no copy ever had its sources.

Now a member that has been silent for 5.5 s (as long as a whole failure domain may be cut off, if that is silent, or if the groups are not the whole view) leaves a view that has no spare for it, once all others are present. They copy the records among them, since a smaller group copies all of them, and a further loss leaves a read quorum. The view never shrinks to where a write would reach too few stores to survive the tolerated losses. A store that returns becomes a member again.

Control's voters were looked at: a lost voter leaves for a spare, and a smaller set of voters gains no tolerance from a majority of fewer, so they keep their rule.

--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -23,6 +23,10 @@
 	// partitions: groups keep their quorum meanwhile, and replacing the stores would
 	// move records twice. Stores get some more seconds to return after a partition.
 	domainLostTimeout = 15 * time.Second
+	// goneTimeout is how long a member must be silent to leave a view that has no spare
+	// for it. It exceeds an outage of a few seconds, after which the member would copy
+	// all records again.
+	goneTimeout = 5500 * time.Millisecond
 )
 
 // Planner computes the next reconfiguration step. A new one is created on each tick; the
@@ -156,7 +160,28 @@
 	for len(out) < p.Copies && len(spares) > 0 {
 		out, spares = append(out, spares[0]), spares[1:]
 	}
-	return p.dropLost(out)
+	return p.dropLost(p.dropGone(out))
+}
+
+// dropGone removes members that have been silent for long and have no spare, so that the
+// records are copied among the others and a further loss leaves a read quorum. The view
+// keeps its members if a record would then be written to too few stores to survive the
+// tolerated losses, or if another member is silent and could not copy.
+func (p Planner) dropGone(members []*fleetpb.Member) []*fleetpb.Member {
+	var rest []*fleetpb.Member
+	for _, m := range members {
+		if p.isStoreGone(m, len(members)) {
+			continue
+		}
+		if peer, ok := findPeer(p.Stores, m.GetStorage()); !ok || !p.isPresent(peer) {
+			return members
+		}
+		rest = append(rest, m)
+	}
+	if ledger.WriteQuorum(min(p.Copies, len(rest))) <= ledger.MaxWriteFailures(p.Copies) {
+		return members
+	}
+	return rest
 }
 
 // dropLost removes lost members if the remaining ones are too few for a write quorum
@@ -225,11 +250,26 @@
 	if p.LiveDomains[m.GetFailureDomain()] {
 		return true
 	}
-	silent := p.Uptime
+	return p.silence(m) > domainLostTimeout
+}
+
+// isStoreGone reports whether a store has been silent long enough to leave a view of n
+// members. The limit is longer if the groups are not the whole view, since a store that
+// left it returns only as a spare.
+func (p Planner) isStoreGone(m *fleetpb.Member, n int) bool {
+	limit := goneTimeout
+	if n > p.Copies {
+		limit = domainLostTimeout
+	}
+	return p.isStoreLost(m) && p.silence(m) > limit
+}
+
+// silence returns how long a store has been silent, as far as this instance has observed.
+func (p Planner) silence(m *fleetpb.Member) time.Duration {
 	if peer, ok := findPeer(p.Stores, m.GetStorage()); ok {
-		silent = p.Now.Sub(peer.LastSeen)
+		return p.Now.Sub(peer.LastSeen)
 	}
-	return silent > domainLostTimeout
+	return p.Uptime
 }
 
 func findPeer(peers []Peer, storage uint64) (Peer, bool) {
