membership: a retirement counts only the stores that are present

Cause: CheckRetire counted all members as remaining, also one that is gone for good, and every running store outside of the view, also one that is retired itself and only waits to be removed.

Now a store counts if it is present and neither leaving nor retired. A control instance that has just started can't tell silent members from those it has not heard yet, and counts them. CheckRetire is a method of the planner, which knows both.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -81,6 +81,8 @@
 	QuotaTerms quota.Params
 
 	watch *watch.Client
+	// startedAt is when Open was called. Silence before it was not observed.
+	startedAt time.Time
 	// processID identifies this process to entry instances, so that they detect a restart.
 	processID uint64
 	quotas    quota.Counter
@@ -135,6 +137,7 @@
 
 // Open loads the votes from disk. The instance answers vote requests once Open has returned.
 func (c *Controller) Open() error {
+	c.startedAt = time.Now()
 	votes, record, err := openVotes(c.DataDir)
 	if err != nil {
 		return err
--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -49,7 +49,6 @@
 // first state, changes the members and voters, and determines whether accepted values were chosen.
 type coordinator struct {
 	controller *Controller
-	startedAt  time.Time
 	lastTick   time.Time
 	// unconfirmedSince is when the own vote was first seen to be newer than the known state, or
 	// when the last round to confirm it began, plus a random delay of less than confirmDelay. It
@@ -63,8 +62,8 @@
 }
 
 func (d *coordinator) loop(ctx context.Context) {
-	d.startedAt, d.lastTick = time.Now(), time.Now()
-	d.lastLogged = d.startedAt
+	d.lastTick = time.Now()
+	d.lastLogged = d.lastTick
 	for wait.For(ctx, coordinatorInterval) {
 		now := time.Now()
 		if now.Sub(d.lastTick) > stallThreshold {
@@ -93,7 +92,7 @@
 		return
 	}
 	seed := slices.Contains(c.InitialSeeds, c.Self.GetAddress())
-	if first && seed || now.Sub(d.startedAt) > fallbackDelay && rand.N(fallbackOdds) == 0 {
+	if first && seed || now.Sub(c.startedAt) > fallbackDelay && rand.N(fallbackOdds) == 0 {
 		d.bootstrap(ctx, now)
 	}
 }
@@ -144,7 +143,7 @@
 		return
 	}
 	reachable := reachableSeeds(seeds)
-	if 2*len(reachable) <= len(seeds) || len(reachable) < len(seeds) && now.Sub(d.startedAt) < seedWait {
+	if 2*len(reachable) <= len(seeds) || len(reachable) < len(seeds) && now.Sub(c.startedAt) < seedWait {
 		return
 	}
 	voters := initialVoters(reachable, c.controlMembers(now, rankTimeout), 2*c.FaultTolerance+1)
@@ -178,22 +177,27 @@
 // reconcile performs the next step towards the planned view and voters.
 func (d *coordinator) reconcile(ctx context.Context, now time.Time) {
 	c := d.controller
-	p := membership.Planner{
-		Now:          now,
-		Stores:       c.presence.members(now, fleetpb.Role_ROLE_STORE, expireAfter),
-		Control:      c.presence.members(now, fleetpb.Role_ROLE_CONTROL, expireAfter),
-		LiveDomains:  c.presence.presentDomains(now, c.Self.GetFailureDomain()),
-		Copies:       2*c.FaultTolerance + 1,
-		StoresStable: d.settled(now),
-		Self:         c.Self,
-		Uptime:       now.Sub(d.startedAt),
-	}
+	p := c.planner(now)
+	p.StoresStable = d.settled(now)
 	if p.Next(c.State()) == nil {
 		return
 	}
 	d.applyChange(ctx, "members", p.Next)
 }
 
+// planner returns a planner with what this instance knows now, without StoresStable.
+func (c *Controller) planner(now time.Time) membership.Planner {
+	return membership.Planner{
+		Now:         now,
+		Stores:      c.presence.members(now, fleetpb.Role_ROLE_STORE, expireAfter),
+		Control:     c.presence.members(now, fleetpb.Role_ROLE_CONTROL, expireAfter),
+		LiveDomains: c.presence.presentDomains(now, c.Self.GetFailureDomain()),
+		Copies:      2*c.FaultTolerance + 1,
+		Self:        c.Self,
+		Uptime:      now.Sub(c.startedAt),
+	}
+}
+
 // settled reports whether the number of present stores has been stable for settlePeriod.
 func (d *coordinator) settled(now time.Time) bool {
 	n := len(d.controller.presence.members(now, fleetpb.Role_ROLE_STORE, membership.LivenessTimeout))
@@ -230,10 +234,9 @@
 // Retire requests that a store be drained of its runs. It is idempotent.
 func (c *Controller) Retire(ctx context.Context, name string) error {
 	var refused error
-	now := time.Now()
-	stores := c.presence.members(now, fleetpb.Role_ROLE_STORE, membership.LivenessTimeout)
+	p := c.planner(time.Now())
 	err := c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
-		refused = membership.CheckRetire(s, stores, name, c.FaultTolerance+1)
+		refused = p.CheckRetire(s, name, c.FaultTolerance+1)
 		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			return nil
 		}
--- a/rockbarrow/membership/retire.go
+++ b/rockbarrow/membership/retire.go
@@ -22,31 +22,33 @@
 }
 
 // CheckRetire returns an error if a store can't be retired, because it is unknown or
-// because fewer stores than needed would remain.
-func CheckRetire(s *fleetpb.State, present []Peer, name string, needed int) error {
-	if slices.Contains(s.GetRetired(), name) || slices.Contains(s.GetView().GetLeaving(), name) {
+// because fewer stores than needed would remain. Only present stores count, or all
+// members while silent ones can't count as lost.
+func (p Planner) CheckRetire(s *fleetpb.State, name string, needed int) error {
+	v := s.GetView()
+	if slices.Contains(s.GetRetired(), name) || slices.Contains(v.GetLeaving(), name) {
 		return nil
 	}
-	known, remaining := false, 0
-	count := func(m *fleetpb.Member) {
-		switch {
-		case m.GetInstance() == name:
-			known = true
-		case !slices.Contains(s.GetView().GetLeaving(), m.GetInstance()):
-			remaining++
-		}
-	}
-	for _, m := range s.GetView().GetMembers() {
-		count(m)
+	present := map[string]bool{}
+	for _, peer := range p.Stores {
+		present[peer.Member.GetInstance()] = p.isPresent(peer)
 	}
-	for _, p := range present {
-		if !hasInstance(s.GetView().GetMembers(), p.Member.GetInstance()) {
-			count(p.Member)
+	known := present[name]
+	for _, m := range v.GetMembers() {
+		known = known || m.GetInstance() == name
+		if p.Uptime <= minUptime {
+			present[m.GetInstance()] = true
 		}
 	}
 	if !known {
 		return &UnknownStoreError{Name: name}
 	}
+	remaining := 0
+	for instance, ok := range present {
+		if ok && instance != name && !slices.Contains(v.GetLeaving(), instance) && !slices.Contains(s.GetRetired(), instance) {
+			remaining++
+		}
+	}
 	if remaining < needed {
 		return &TooFewStoresError{Remaining: remaining, Needed: needed}
 	}
