ledger: a store is complete through a view change that begins right behind another

A deployment may refuse every turn for good when a view change begins before the stores have heard that the one before has ended, for example as all processes were killed in between.

Cause: a store counted as complete only for the view right before. The view that ends a change has nothing to copy, but a store that never heard of it stays complete for the change alone, one epoch too old for the next one. If that holds for all, no store serves copies and none is ever complete again.

Now a store that copied for a view change counts as complete also during the next one: the same members hold the same records, and writes in between reached a write quorum of them as in any view. Quorums, copies and the choice of what to copy use one function.

Failed before: TestViewChangeRightBehindAnotherEnds ('store-0 has not copied' after 10 s).

--- a/rockbarrow/ledger/copying.go
+++ b/rockbarrow/ledger/copying.go
@@ -4,6 +4,21 @@
 
 import "rockbarrow.dev/schema/fleetpb"
 
+// IsComplete reports whether a store that copied its records for an epoch holds all
+// records of its groups from before a view.
+func IsComplete(v *fleetpb.View, copiedEpoch uint64) bool {
+	return isComplete(v.GetEpoch(), len(v.GetPrior()) > 0, copiedEpoch)
+}
+
+// isComplete accepts copies for the view before. During a view change it accepts those
+// for the change before, too, after which the same members had nothing to copy.
+func isComplete(epoch uint64, changing bool, copiedEpoch uint64) bool {
+	if changing {
+		return copiedEpoch+2 >= epoch
+	}
+	return copiedEpoch+1 >= epoch
+}
+
 // MustCopy reports whether a member must copy a program's records during a view
 // change. It must if it is in the program's new group and was not in the old one.
 // If the group has shrunk, all its members copy, since a smaller quorum must then
--- a/rockbarrow/ledger/tracker.go
+++ b/rockbarrow/ledger/tracker.go
@@ -44,12 +44,11 @@
 }
 
 // Ack counts a store that answered the call; if the call is a write, the store has
-// synced the record. The store counts toward the read quorum only if it was complete
-// for the view or the one right before it: during a view change the old group
-// answers reads, afterwards the members, which have copied its records.
+// synced the record. The store counts toward the read quorum only if it is complete
+// for the records from before the view, as [IsComplete] tells.
 func (t *QuorumTracker) Ack(storage, wholeEpoch uint64) {
 	t.acked[storage] = true
-	t.complete[storage] = wholeEpoch+1 >= t.epoch
+	t.complete[storage] = isComplete(t.epoch, len(t.prior) > 0, wholeEpoch)
 }
 
 // Answered returns the instance names of the stores that answered the call.
--- a/rockbarrow/store/copier.go
+++ b/rockbarrow/store/copier.go
@@ -88,21 +88,21 @@
 // nothingToCopy reports whether the store has all records already: the first view
 // has no earlier records, and when a view change ends its members have copied them.
 func (c *copier) nothingToCopy(v *fleetpb.View) bool {
-	return v.GetEpoch() == 1 || c.isNextView(v) && len(v.GetPrior()) == 0
+	return v.GetEpoch() == 1 || c.isComplete(v) && len(v.GetPrior()) == 0
 }
 
-// isNextView reports whether the store was complete for the view right before v.
-// If the store missed a view change, it may lack groups that it was assigned then.
-func (c *copier) isNextView(v *fleetpb.View) bool {
+// isComplete reports whether the store held all records of its groups right before v.
+// If it missed a view change, it may lack groups that it was assigned then.
+func (c *copier) isComplete(v *fleetpb.View) bool {
 	completeEpoch := c.store.completeEpoch.Load()
-	return completeEpoch > 0 && completeEpoch+1 == v.GetEpoch()
+	return completeEpoch > 0 && ledger.IsComplete(v, completeEpoch)
 }
 
 // copyAll copies from the source members until their records include a read
 // quorum of every group; a few sources may be missing.
 func (c *copier) copyAll(ctx context.Context, v *fleetpb.View) error {
 	s := c.store
-	all := !c.isNextView(v)
+	all := !c.isComplete(v)
 	if c.epoch != v.GetEpoch() {
 		c.epoch, c.copiedFrom = v.GetEpoch(), map[uint64]bool{}
 	}
@@ -239,6 +239,8 @@
 	return stream.Send(&fleetpb.CopyReply{Status: s.status(), Records: batch, Last: true})
 }
 
-// canServeCopies reports whether this store is complete for a view or for the
-// view right before it.
-func (s *Store) canServeCopies(v *fleetpb.View) bool { return s.completeEpoch.Load()+1 >= v.GetEpoch() }
+// canServeCopies reports whether this store holds all records of its groups from before
+// a view.
+func (s *Store) canServeCopies(v *fleetpb.View) bool {
+	return ledger.IsComplete(v, s.completeEpoch.Load())
+}
--- a/rockbarrow/stores/viewchange_test.go
+++ b/rockbarrow/stores/viewchange_test.go
@@ -48,3 +48,28 @@
 		c.Domain = g.stores[0].member.GetFailureDomain()
 	}
 }
+
+// TestViewChangeRightBehindAnotherEnds guards against a deployment that never serves again:
+// no store had heard of the end of a view change when the next one began, so that none
+// counted as complete and all waited for each other's records.
+func TestViewChangeRightBehindAnotherEnds(t *testing.T) {
+	g := newTestCluster(t)
+	g.noError(g.runTurn(g.client, stores.Turn{ID: "1", Program: "p", MaxTokens: 10, Budget: 30}, 10))
+	all := g.state.GetView().GetMembers()
+	g.changeView(func(v *fleetpb.View) { v.Prior, v.Members = all, all[:2] })
+	g.awaitCopied(2, g.stores[:2]...)
+	// The view that ends the change is published to nobody.
+	g.state.View.Epoch++
+	g.changeView(func(v *fleetpb.View) { v.Prior, v.Members = all[:2], all })
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for _, s := range g.stores {
+		for s.store.CompleteEpoch() < 4 {
+			if err := ctx.Err(); err != nil {
+				t.Fatalf("%s has not copied: %v", s.member.GetInstance(), err)
+			}
+			sleepBriefly()
+		}
+	}
+	g.noError(g.runTurn(g.newClient(), stores.Turn{ID: "2", Program: "p", Previous: "1", MaxTokens: 10, Budget: 30}, 10))
+}
