membership, ledger: a view change keeps the number of copies, or goes to other members

Records could be lost with one disk: a view change ended without the copy of a new member that had been lost meanwhile, or a view shrank with the copy of one store while the other was down. The store that was to leave was then told as retired and removed with its disk, so that some records were on one disk only.

Cause: finishViewChange asked only whether every group has a read quorum that has copied.

Now a member may be missing at the end only if it has nothing to copy: a prior member, in a view that does not shrink. A change that waits for the copy of a lost member goes on to other members instead, under a new epoch. The records of the attempt before were written to its members, so these stay in the view as abandoned: reads, writes and copies need a read quorum of each abandoned group as well, and all members copy all records of their groups, since such a record may have reached one of them only. The view names the epoch of its prior members, by which a store is complete, and a store that copies all records of its groups copies those of its prior groups too, for which it counts as complete from then on.

Stores and entry instances of earlier versions know nothing of abandoned members: while an upgrade is under way, an absence that they conclude during such a change proves less.

Failed before: TestViewChangeKeepsTheNumberOfCopies ('a store was emptied while its successor had copied nothing') and TestSmallerViewWaitsForAllCopies. TestNoReadQuorumMissesAWriteOfAnAbandonedViewChange enumerates three views of up to three of four stores each; TestAbandonedViewChangeKeepsItsRecords fails without the rule that all copy ('the store that was down lacks the turn').

--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -219,7 +219,8 @@
 	c.Log.WithFields(logrus.Fields{
 		"change": what, "state": s.GetNumber(), "view": s.GetView().GetEpoch(),
 		"stores": instanceNames(s.GetView().GetMembers()), "prior": instanceNames(s.GetView().GetPrior()),
-		"voters": instanceNames(s.GetVoters()), "prior_voters": instanceNames(s.GetPriorVoters()),
+		"abandoned": len(s.GetView().GetAbandoned()),
+		"voters":    instanceNames(s.GetVoters()), "prior_voters": instanceNames(s.GetPriorVoters()),
 	}).Info("deployment changed")
 }
 
--- a/rockbarrow/ledger/copying.go
+++ b/rockbarrow/ledger/copying.go
@@ -6,43 +6,57 @@
 
 // IsComplete reports whether a store that copied its records for an epoch holds all
 // records of its groups from before a view.
+//
+// Outside of a view change, that takes the copies for the change before. During one,
+// it takes those for the change that led to the prior view: when that ended, the same
+// members had nothing to copy.
 func IsComplete(v *fleetpb.View, copiedEpoch uint64) bool {
-	return isComplete(v.GetEpoch(), len(v.GetPrior()) > 0, copiedEpoch)
+	if len(v.GetPrior()) > 0 {
+		return copiedEpoch+1 >= PriorEpoch(v)
+	}
+	return copiedEpoch+1 >= v.GetEpoch()
 }
 
-// isComplete accepts copies for the view before. During a view change it accepts those
-// for the change before, too, after which the same members had nothing to copy.
-func isComplete(epoch uint64, changing bool, copiedEpoch uint64) bool {
-	if changing {
-		return copiedEpoch+2 >= epoch
+// PriorEpoch returns the epoch of the view of the prior members.
+func PriorEpoch(v *fleetpb.View) uint64 {
+	if v.GetPriorEpoch() > 0 {
+		return v.GetPriorEpoch()
 	}
-	return copiedEpoch+1 >= epoch
+	return v.GetEpoch() - 1
 }
 
 // MustCopy reports whether a member must copy a program's records during a view
 // change. It must if it is in the program's new group and was not in the old one.
 // If the group has shrunk, all its members copy, since a smaller quorum must then
-// find every record. If all is true, a member copies all records of its groups.
+// find every record. They do so too if an attempt at the change was abandoned, as its
+// records may have reached a single member. If all is true, a member copies all records
+// of its groups, also those of its prior groups, for which it then counts as complete.
 func MustCopy(v *fleetpb.View, storage uint64, program string, all bool) bool {
 	present := Group(v.GetMembers(), program, int(v.GetCopies()))
-	if !hasStorage(present, storage) {
-		return false
-	}
-	if all || len(v.GetPrior()) == 0 {
+	prior := Group(v.GetPrior(), program, int(v.GetCopies()))
+	switch {
+	case !hasStorage(present, storage):
+		return all && hasStorage(prior, storage)
+	case all || len(v.GetPrior()) == 0 || len(v.GetAbandoned()) > 0:
 		return true
 	}
-	prior := Group(v.GetPrior(), program, int(v.GetCopies()))
 	return !hasStorage(prior, storage) || len(present) < len(prior)
 }
 
 // CopySources returns the members from which the store with the given storage copies.
 func CopySources(v *fleetpb.View, storage uint64) []*fleetpb.Member {
 	var from []*fleetpb.Member
-	for _, m := range authoritativeMembers(v) {
-		if m.GetStorage() != storage {
-			from = append(from, m)
+	add := func(list []*fleetpb.Member) {
+		for _, m := range list {
+			if m.GetStorage() != storage && !hasStorage(from, m.GetStorage()) {
+				from = append(from, m)
+			}
 		}
 	}
+	add(authoritativeMembers(v))
+	for _, set := range v.GetAbandoned() {
+		add(set.GetMembers())
+	}
 	return from
 }
 
--- a/rockbarrow/ledger/coverage.go
+++ b/rockbarrow/ledger/coverage.go
@@ -42,8 +42,28 @@
 	return cappedSilent
 }
 
-// SourcesSufficient reports whether the stores that responded together hold all
-// durable records from before the view.
+// SourcesSufficient reports whether the complete stores that responded together hold all
+// durable records from before the view, but for those of abandoned attempts at it.
 func SourcesSufficient(v *fleetpb.View, responded func(storage uint64) bool) bool {
 	return ReadQuorumInAllGroups(authoritativeMembers(v), int(v.GetCopies()), responded)
 }
+
+// AbandonedSufficient reports whether the stores that responded together hold all durable
+// records of the abandoned attempts at a view change.
+func AbandonedSufficient(v *fleetpb.View, responded func(storage uint64) bool) bool {
+	for _, set := range v.GetAbandoned() {
+		if !ReadQuorumInAllGroups(set.GetMembers(), int(v.GetCopies()), responded) {
+			return false
+		}
+	}
+	return true
+}
+
+// MemberLists returns all lists of stores that a view names.
+func MemberLists(v *fleetpb.View) [][]*fleetpb.Member {
+	out := [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()}
+	for _, set := range v.GetAbandoned() {
+		out = append(out, set.GetMembers())
+	}
+	return out
+}
--- a/rockbarrow/ledger/viewchange_test.go
+++ b/rockbarrow/ledger/viewchange_test.go
@@ -72,6 +72,60 @@
 	}
 }
 
+// TestNoReadQuorumMissesAWriteOfAnAbandonedViewChange guards against the loss of records
+// that were written during a view change which then went to other members.
+func TestNoReadQuorumMissesAWriteOfAnAbandonedViewChange(t *testing.T) {
+	all := newMembers("a", "b", "c", "d")
+	for prior := 1; prior < 1<<len(all); prior++ {
+		for first := 1; first < 1<<len(all); first++ {
+			for second := 1; second < 1<<len(all); second++ {
+				if bits.OnesCount(uint(prior)) > 3 || bits.OnesCount(uint(first)) > 3 || bits.OnesCount(uint(second)) > 3 {
+					continue
+				}
+				before := &fleetpb.View{Epoch: 3, Members: subset(all, prior), Copies: 3}
+				during := &fleetpb.View{Epoch: 4, Members: subset(all, first), Prior: before.GetMembers(), Copies: 3}
+				again := &fleetpb.View{
+					Epoch: 5, Members: subset(all, second), Prior: before.GetMembers(), PriorEpoch: 3, Copies: 3,
+					Abandoned: []*fleetpb.MemberSet{{Members: during.GetMembers()}},
+				}
+				var writes, reads [3][]int
+				for i, v := range []*fleetpb.View{before, during, again} {
+					for answered := range 1 << len(all) {
+						write, read := hasQuorums(v, all, answered)
+						if write {
+							writes[i] = append(writes[i], answered)
+						}
+						if read {
+							reads[i] = append(reads[i], answered)
+						}
+					}
+				}
+				// A store that answered a write refuses older views, and one that a read under a
+				// newer view asked must have the record.
+				for i := range writes {
+					for j := range reads {
+						for _, w := range writes[i] {
+							for _, r := range reads[j] {
+								if w&r == 0 {
+									t.Fatalf("stores %04b to %04b, then %04b: written under view %d to %04b, absent under view %d by %04b", prior, first, second, i+3, w, j+3, r)
+								}
+							}
+						}
+					}
+				}
+				for _, w := range writes[1] {
+					for responded := range 1 << len(all) {
+						from := func(storage uint64) bool { return responded&(1<<(storage-1)) != 0 }
+						if responded&w == 0 && SourcesSufficient(again, from) && AbandonedSufficient(again, from) {
+							t.Fatalf("stores %04b to %04b, then %04b: written to %04b, not copied from %04b", prior, first, second, w, responded)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
 // TestNoReadQuorumInAllGroupsMissesAWrite guards against the same for a turn whose
 // program is unknown, which is looked up on all stores.
 func TestNoReadQuorumInAllGroupsMissesAWrite(t *testing.T) {
--- a/rockbarrow/membership/losses_test.go
+++ b/rockbarrow/membership/losses_test.go
@@ -77,7 +77,7 @@
 	complete := f.copied[s] > 0 && ledger.IsComplete(v, f.copied[s])
 	if complete && len(v.GetPrior()) == 0 || ledger.SourcesSufficient(v, func(storage uint64) bool {
 		return f.alive[storage] != nil && ledger.IsComplete(v, f.copied[storage]) && (storage != s || complete)
-	}) {
+	}) && ledger.AbandonedSufficient(v, func(storage uint64) bool { return f.alive[storage] != nil }) {
 		f.copied[s] = v.GetEpoch()
 	}
 }
@@ -144,6 +144,59 @@
 	}
 }
 
+// TestViewChangeKeepsTheNumberOfCopies guards against a record that one lost disk takes
+// away: a view change ended without the copy of a member that had been lost meanwhile, and
+// the store that it was to replace was removed.
+func TestViewChangeKeepsTheNumberOfCopies(t *testing.T) {
+	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
+	f := newFleet(t, a, b, c)
+	f.start(d)
+	f.run(time.Second)
+	f.state.View.Leaving = []string{"c"}
+	f.run(250 * time.Millisecond)
+	if !hasInstance(f.state.GetView().GetMembers(), "d") {
+		t.Fatalf("view %v, want the spare in place of the leaving store", f.state.GetView())
+	}
+	// The spare is lost before it has copied.
+	f.stop(d)
+	f.copied[d.GetStorage()] = 0
+	f.run(4 * time.Second)
+	if len(f.state.GetRetired()) > 0 {
+		t.Errorf("a store was emptied while its successor had copied nothing: %v", f.state)
+	}
+	f.run(4 * time.Second)
+	if len(f.state.GetRetired()) == 0 {
+		t.Errorf("the store is not emptied without its successor: %v", f.state)
+	}
+	f.stop(c)
+	f.run(time.Second)
+	f.wantWritable()
+	for _, m := range f.state.GetView().GetMembers() {
+		if f.copied[m.GetStorage()]+1 < f.state.GetView().GetEpoch() {
+			t.Errorf("%s has not copied the records", m.GetInstance())
+		}
+	}
+}
+
+// TestSmallerViewWaitsForAllCopies guards against the loss of records by one disk: a view
+// shrank with the copy of a single store, while the other one was down.
+func TestSmallerViewWaitsForAllCopies(t *testing.T) {
+	a, b, c := member("a", 1), member("b", 2), member("c", 3)
+	f := newFleet(t, a, b, c)
+	f.run(time.Second)
+	f.state.View.Leaving = []string{"c"}
+	f.stop(b)
+	f.run(3 * time.Second)
+	if len(f.state.GetRetired()) > 0 {
+		t.Fatalf("a store was emptied while one of two had its records: %v", f.state)
+	}
+	f.start(b)
+	f.run(2 * time.Second)
+	if len(f.state.GetRetired()) == 0 {
+		t.Errorf("the store is not emptied: %v", f.state)
+	}
+}
+
 // TestStoreThatReturnsIsAMemberAgain guards against views that shrink with each outage.
 func TestStoreThatReturnsIsAMemberAgain(t *testing.T) {
 	a, b, c := member("a", 1), member("b", 2), member("c", 3)
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -61,7 +61,7 @@
 	case v == nil:
 		return p.firstView(s)
 	case len(v.GetPrior()) > 0:
-		return p.finishViewChange(s)
+		return p.finishViewChange(s) || p.abandonViewChange(s)
 	}
 	members := p.targetStores(s)
 	if register.SameMembers(members, v.GetMembers()) {
@@ -87,7 +87,8 @@
 }
 
 // finishViewChange ends a view change once the new members have copied their records.
-// A few members may be missing if every group still has a read quorum without them.
+// A few members may be missing if every group still has a read quorum without them and
+// none of them has records to copy, so that each record is on as many disks as before.
 func (p Planner) finishViewChange(s *fleetpb.State) bool {
 	v := s.GetView()
 	missing := 0
@@ -97,7 +98,7 @@
 			continue
 		}
 		// A present member is still copying.
-		if ok && p.isPresent(peer) {
+		if ok && p.isPresent(peer) || !p.holdsRecords(v, m) {
 			return false
 		}
 		missing++
@@ -105,12 +106,42 @@
 	if missing > 0 && !ledger.ReadQuorumInAllGroups(v.GetMembers(), p.Copies, p.hasCopied(v.GetEpoch())) {
 		return false
 	}
-	v.Prior = nil
+	v.Prior, v.Abandoned, v.PriorEpoch = nil, nil, 0
 	v.Epoch++
 	retireNonMembers(s)
 	return true
 }
 
+// holdsRecords reports whether a member has nothing to copy in a view change.
+func (p Planner) holdsRecords(v *fleetpb.View, m *fleetpb.Member) bool {
+	isShrinking := min(p.Copies, len(v.GetMembers())) < min(p.Copies, len(v.GetPrior()))
+	return register.ContainsStorage(v.GetPrior(), m.GetStorage()) && !isShrinking && len(v.GetAbandoned()) == 0
+}
+
+// abandonViewChange replaces a view change that waits for the copy of a lost member by
+// one to other members. The records of all attempts are copied.
+func (p Planner) abandonViewChange(s *fleetpb.State) bool {
+	v := s.GetView()
+	if !slices.ContainsFunc(v.GetMembers(), func(m *fleetpb.Member) bool {
+		return !p.hasCopied(v.GetEpoch())(m.GetStorage()) && p.isLost(p.Stores, m)
+	}) {
+		return false
+	}
+	members := p.targetStores(s)
+	if register.SameMembers(members, v.GetMembers()) {
+		return false
+	}
+	if !slices.ContainsFunc(v.GetAbandoned(), func(set *fleetpb.MemberSet) bool {
+		return register.SameMembers(set.GetMembers(), v.GetMembers())
+	}) {
+		v.Abandoned = append(v.Abandoned, &fleetpb.MemberSet{Members: v.GetMembers()})
+	}
+	v.PriorEpoch = ledger.PriorEpoch(v)
+	v.Members = members
+	v.Epoch++
+	return true
+}
+
 // hasCopied returns a function that reports whether a store has copied its records for
 // a view.
 func (p Planner) hasCopied(epoch uint64) func(storage uint64) bool {
--- a/rockbarrow/store/copier.go
+++ b/rockbarrow/store/copier.go
@@ -28,7 +28,7 @@
 type copier struct {
 	store *Store
 	// copiedFrom holds the stores whose records were copied for the view epoch, so
-	// that a retry calls only the others.
+	// that a retry calls only the others, and false for those that were incomplete.
 	copiedFrom map[uint64]bool
 	epoch      uint64
 }
@@ -102,21 +102,24 @@
 // quorum of every group; a few sources may be missing.
 func (c *copier) copyAll(ctx context.Context, v *fleetpb.View) error {
 	s := c.store
-	all := !c.isComplete(v)
+	complete := c.isComplete(v)
 	if c.epoch != v.GetEpoch() {
 		c.epoch, c.copiedFrom = v.GetEpoch(), map[uint64]bool{}
 	}
 	sufficient := func() bool {
 		return ledger.SourcesSufficient(v, func(storage uint64) bool {
 			// This store counts as a source only if it has not missed a view.
-			return c.copiedFrom[storage] || storage == s.Self.GetStorage() && !all
+			return c.copiedFrom[storage] || storage == s.Self.GetStorage() && complete
+		}) && ledger.AbandonedSufficient(v, func(storage uint64) bool {
+			_, copied := c.copiedFrom[storage]
+			return copied || storage == s.Self.GetStorage()
 		})
 	}
 	sources := c.remaining(ledger.CopySources(v, s.Self.GetStorage()))
 	results := make(chan transferResult, len(sources))
 	for _, m := range sources {
 		go (&transfer{store: s, from: m, results: results}).run(ctx, &fleetpb.CopyRequest{
-			Epoch: v.GetEpoch(), Storage: m.GetStorage(), View: v, Requester: s.Self, All: all,
+			Epoch: v.GetEpoch(), Storage: m.GetStorage(), View: v, Requester: s.Self, All: !complete,
 		})
 	}
 	lastErr := errors.New("store: no store to copy from")
@@ -129,7 +132,8 @@
 			lastErr = r.err
 			continue
 		}
-		c.copiedFrom[r.storage] = true
+		// Only prior members count as complete sources.
+		c.copiedFrom[r.storage] = ledger.IsComplete(v, r.completeEpoch) || !register.ContainsStorage(v.GetPrior(), r.storage)
 	}
 	if sufficient() {
 		return nil
@@ -152,35 +156,42 @@
 // transferResult is the result of the copy from a storage.
 type transferResult struct {
 	storage uint64
-	err     error
+	// completeEpoch is the newest view for which the source is complete.
+	completeEpoch uint64
+	err           error
 }
 
 func (t *transfer) run(ctx context.Context, req *fleetpb.CopyRequest) {
-	t.results <- transferResult{storage: t.from.GetStorage(), err: t.copy(ctx, req)}
+	epoch, err := t.copy(ctx, req)
+	t.results <- transferResult{storage: t.from.GetStorage(), completeEpoch: epoch, err: err}
 }
 
-func (t *transfer) copy(ctx context.Context, req *fleetpb.CopyRequest) error {
+// copy returns the newest view for which the source was complete when it began to send.
+func (t *transfer) copy(ctx context.Context, req *fleetpb.CopyRequest) (completeEpoch uint64, err error) {
 	conn, err := t.store.Pool.Get(t.from.GetAddress())
 	if err != nil {
-		return err
+		return 0, err
 	}
 	stream, err := fleetpb.NewStoreClient(conn).Copy(ctx, req)
 	if err != nil {
-		return errors.Wrapf(err, "store: copy from %s", t.from.GetInstance())
+		return 0, errors.Wrapf(err, "store: copy from %s", t.from.GetInstance())
 	}
-	for {
+	for first := true; ; first = false {
 		reply, err := stream.Recv()
 		if err != nil {
-			return errors.Wrapf(err, "store: copy from %s", t.from.GetInstance())
+			return 0, errors.Wrapf(err, "store: copy from %s", t.from.GetInstance())
 		}
 		if refusal := reply.GetStatus().GetRefused(); refusal != fleetpb.StoreStatus_REFUSED_NONE {
-			return errors.Errorf("store: %s refused to copy: %v", t.from.GetInstance(), refusal)
+			return 0, errors.Errorf("store: %s refused to copy: %v", t.from.GetInstance(), refusal)
+		}
+		if first {
+			completeEpoch = reply.GetStatus().GetWholeEpoch()
 		}
 		if err := t.store.applyCopied(ctx, reply.GetRecords()); err != nil {
-			return err
+			return 0, err
 		}
 		if reply.GetLast() {
-			return nil
+			return completeEpoch, nil
 		}
 	}
 }
@@ -211,10 +222,12 @@
 		return stream.Send(&fleetpb.CopyReply{Status: st, Last: true})
 	}
 	// An incomplete store must not serve as a source: the requester would take a
-	// record that is missing here for one that was never written.
-	if !s.canServeCopies(req.GetView()) {
+	// record that is missing here for one that was never written. It may for records of
+	// an abandoned view change; the requester counts it for these only.
+	if !s.canServeCopies(req.GetView()) && len(req.GetView().GetAbandoned()) == 0 {
 		return stream.Send(&fleetpb.CopyReply{Status: s.refusal(fleetpb.StoreStatus_REFUSED_STALE_VIEW), Last: true})
 	}
+	before := s.status()
 	var batch []*fleetpb.Record
 	bytes := 0
 	for _, name := range s.programNames() {
@@ -231,12 +244,12 @@
 		if bytes < copyBatchBytes {
 			continue
 		}
-		if err := stream.Send(&fleetpb.CopyReply{Status: s.status(), Records: batch}); err != nil {
+		if err := stream.Send(&fleetpb.CopyReply{Status: before, Records: batch}); err != nil {
 			return err
 		}
 		batch, bytes = nil, 0
 	}
-	return stream.Send(&fleetpb.CopyReply{Status: s.status(), Records: batch, Last: true})
+	return stream.Send(&fleetpb.CopyReply{Status: before, Records: batch, Last: true})
 }
 
 // canServeCopies reports whether this store holds all records of its groups from before
--- a/rockbarrow/stores/health.go
+++ b/rockbarrow/stores/health.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"rockbarrow.dev/rockbarrow/ledger"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
@@ -205,7 +206,7 @@
 	if !cutOff && c.health.noneUnreachable() {
 		return
 	}
-	for _, list := range [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()} {
+	for _, list := range ledger.MemberLists(v) {
 		for _, m := range list {
 			if c.health.isKnown(m.GetStorage()) && !slices.Contains(sample, m) {
 				probeIfNeeded(m)
--- a/rockbarrow/stores/reachability.go
+++ b/rockbarrow/stores/reachability.go
@@ -75,7 +75,15 @@
 func hasQuorum(v *fleetpb.View, program string, unreachable func(*fleetpb.Member) bool) bool {
 	copies := int(v.GetCopies())
 	present, prior := ledger.Group(v.GetMembers(), program, copies), ledger.Group(v.GetPrior(), program, copies)
-	return countUnreachable(present, unreachable) <= ledger.MaxWriteFailures(len(present)) && countUnreachable(prior, unreachable) <= ledger.MaxReadFailures(len(prior))
+	if countUnreachable(present, unreachable) > ledger.MaxWriteFailures(len(present)) {
+		return false
+	}
+	for _, set := range v.GetAbandoned() {
+		if group := ledger.Group(set.GetMembers(), program, copies); countUnreachable(group, unreachable) > ledger.MaxReadFailures(len(group)) {
+			return false
+		}
+	}
+	return countUnreachable(prior, unreachable) <= ledger.MaxReadFailures(len(prior))
 }
 
 func countUnreachable(group []*fleetpb.Member, unreachable func(*fleetpb.Member) bool) int {
--- a/rockbarrow/stores/sample.go
+++ b/rockbarrow/stores/sample.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"rockbarrow.dev/rockbarrow/ledger"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -34,7 +35,7 @@
 		return known.members
 	}
 	fresh := &sample{view: v}
-	for _, list := range [][]*fleetpb.Member{v.GetMembers(), v.GetPrior()} {
+	for _, list := range ledger.MemberLists(v) {
 		fresh.addPerDomain(list, self)
 	}
 	s.last.Store(fresh)
--- a/rockbarrow/stores/viewchange_test.go
+++ b/rockbarrow/stores/viewchange_test.go
@@ -73,3 +73,39 @@
 	}
 	g.noError(g.runTurn(g.newClient(), stores.Turn{ID: "2", Program: "p", Previous: "1", MaxTokens: 10, Budget: 30}, 10))
 }
+
+// TestAbandonedViewChangeKeepsItsRecords guards against the loss of turns that were written
+// during a view change, of which a new member was then lost.
+func TestAbandonedViewChangeKeepsItsRecords(t *testing.T) {
+	g := newTestCluster(t)
+	all := g.state.GetView().GetMembers()
+	g.changeView(func(v *fleetpb.View) { v.Prior, v.Members = all, all[:2] })
+	g.awaitCopied(2, g.stores[:2]...)
+	g.changeView(func(v *fleetpb.View) { v.Prior = nil })
+	g.awaitCopied(3, g.stores[:2]...)
+
+	// The turn reaches one prior member and the new one, which is lost.
+	g.stores[1].stop()
+	g.changeView(func(v *fleetpb.View) { v.Prior, v.Members = all[:2], all })
+	g.noError(g.runTurn(g.client, stores.Turn{ID: "1", Program: "p", MaxTokens: 10, Budget: 30}, 10))
+	g.stores[2].stop()
+	g.stores[1].start()
+	g.changeView(func(v *fleetpb.View) {
+		v.Abandoned = []*fleetpb.MemberSet{{Members: v.GetMembers()}}
+		v.Members, v.PriorEpoch = v.GetPrior(), 3
+	})
+	g.awaitCopied(5, g.stores[:2]...)
+	g.changeView(func(v *fleetpb.View) { v.Prior = nil })
+	g.awaitCopied(6, g.stores[:2]...)
+
+	r, err := g.stores[1].store.Lookup(t.Context(), &fleetpb.LookupRequest{Epoch: 6, Storage: 2, Turn: "1"})
+	g.noError(err)
+	if !r.GetFound() {
+		t.Errorf("the store that was down lacks the turn: %v", r)
+	}
+	grant, err := g.newClient().Reserve(t.Context(), stores.Turn{ID: "2", Program: "p", Previous: "1", MaxTokens: 10, Budget: 30})
+	g.noError(err)
+	if want := "in 1\nout 1\n"; historyText(grant) != want {
+		t.Errorf("history %q, want %q", historyText(grant), want)
+	}
+}
