membership, platform: control instances keep records while too few stores are present

Of two stores one was down for 4.8 s and the other one lost its disk meanwhile.

Cause: of two stores the silent one was dropped after 3.5 s, so that a single copy confirmed a record, though the loss of one disk is to be borne.

Weighed: (1) never to drop below the number of stores of which a write quorum survives the tolerated losses. It loses nothing, but with two stores left each outage of one ends service until it is back, up to 10 s, where one machine may be lost at any time. (2) To go on with what the other disk has, said loudly. It does not refuse for good, but what was confirmed meanwhile is lost. (3) A further durable copy on a control instance, which has a disk. Taken: (3), and (1) where no control instance can.

If members are lost and fewer remain than a write quorum needs to survive the tolerated losses, the planner replaces the lost ones by such standbys, in other failure domains first, which copy the records like any new member. They leave as soon as enough stores are back.

TestPlannerStores wanted the remaining one of two stores to go on alone, which is the fault; it now wants no step without a standby, and cases with standbys.

Failed before: TestOneOfTwoStoresDoesNotServeAlone without standbys, run on the commit before ('one of [instance:b] is enough for a write').

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -81,6 +81,10 @@
 	QuotaTerms quota.Params
 
 	watch *watch.Client
+	// standbyEpoch returns the newest view for which the standby store of this instance holds its
+	// records, and wakeStandby tells it of a new state. Both are nil if there is none.
+	standbyEpoch func() uint64
+	wakeStandby  func()
 	// startedAt is when Open was called. Silence before it was not observed.
 	startedAt time.Time
 	// processID identifies this process to entry instances, so that they detect a restart.
@@ -211,9 +215,20 @@
 // Endpoints returns the newest list of endpoints and the time at which it was read.
 func (c *Controller) Endpoints() *watch.ListSnapshot { return c.watch.List() }
 
+// ServeStandby announces that this instance can keep records in place of a store. It must be called
+// between Open and Run. copiedEpoch returns the newest view for which it holds its records, and wake
+// is called for each new state.
+func (c *Controller) ServeStandby(copiedEpoch func() uint64, wake func()) {
+	c.standbyEpoch, c.wakeStandby = copiedEpoch, wake
+	c.watch.CopiedEpoch, c.watch.Standby = copiedEpoch, true
+}
+
 // notifyWatchers wakes pending Watch calls.
 func (c *Controller) notifyWatchers() {
 	c.tables.wake()
+	if c.wakeStandby != nil {
+		c.wakeStandby()
+	}
 	c.wakeCalls()
 }
 
--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -187,7 +187,7 @@
 
 // planner returns a planner with what this instance knows now, without StoresStable.
 func (c *Controller) planner(now time.Time) membership.Planner {
-	return membership.Planner{
+	p := membership.Planner{
 		Now:         now,
 		Stores:      c.presence.members(now, fleetpb.Role_ROLE_STORE, expireAfter),
 		Control:     c.presence.members(now, fleetpb.Role_ROLE_CONTROL, expireAfter),
@@ -196,6 +196,15 @@
 		Self:        c.Self,
 		Uptime:      now.Sub(c.startedAt),
 	}
+	for _, peer := range p.Control {
+		if peer.Standby {
+			p.Standbys = append(p.Standbys, peer)
+		}
+	}
+	if c.standbyEpoch != nil {
+		p.Standbys = append(p.Standbys, membership.Peer{Member: c.Self, LastSeen: now, CopiedEpoch: c.standbyEpoch(), Standby: true})
+	}
+	return p
 }
 
 // settled reports whether the number of present stores has been stable for settlePeriod.
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -55,7 +55,7 @@
 		r.controlPeers = map[string]membership.Peer{}
 	}
 	name := req.GetSender().GetInstance()
-	r.controlPeers[name] = membership.Peer{Member: req.GetSender(), LastSeen: now, CopiedEpoch: req.GetCopiedEpoch()}
+	r.controlPeers[name] = membership.Peer{Member: req.GetSender(), LastSeen: now, CopiedEpoch: req.GetCopiedEpoch(), Standby: req.GetStandby()}
 	r.mu.Unlock()
 	if req.GetRelayed() == nil {
 		return 0, nil
--- a/rockbarrow/membership/losses_test.go
+++ b/rockbarrow/membership/losses_test.go
@@ -19,6 +19,7 @@
 	// stores holds all stores, alive the running ones, and copied the newest view for which
 	// each is complete.
 	stores, alive map[uint64]*fleetpb.Member
+	standbys      map[uint64]bool
 	copied        map[uint64]uint64
 	seen          map[uint64]time.Time
 }
@@ -26,7 +27,7 @@
 func newFleet(t *testing.T, members ...*fleetpb.Member) *fleet {
 	f := &fleet{
 		t: t, now: time.Unix(100, 0), state: newState(members...),
-		stores: map[uint64]*fleetpb.Member{}, alive: map[uint64]*fleetpb.Member{}, copied: map[uint64]uint64{}, seen: map[uint64]time.Time{},
+		standbys: map[uint64]bool{}, stores: map[uint64]*fleetpb.Member{}, alive: map[uint64]*fleetpb.Member{}, copied: map[uint64]uint64{}, seen: map[uint64]time.Time{},
 	}
 	for _, m := range members {
 		f.start(m)
@@ -61,7 +62,12 @@
 			f.copy(m)
 		}
 		for s, at := range f.seen {
-			p.Stores = append(p.Stores, Peer{Member: f.stores[s], LastSeen: at, CopiedEpoch: f.copied[s]})
+			peer := Peer{Member: f.stores[s], LastSeen: at, CopiedEpoch: f.copied[s], Standby: f.standbys[s]}
+			if peer.Standby {
+				p.Standbys = append(p.Standbys, peer)
+			} else {
+				p.Stores = append(p.Stores, peer)
+			}
 		}
 		if next := p.Next(f.state); next != nil {
 			f.state = next
@@ -144,6 +150,42 @@
 	}
 }
 
+// TestOneOfTwoStoresDoesNotServeAlone guards against the loss of all turns by one disk: of
+// two stores one became enough for a write while the other was down, and lost its disk.
+func TestOneOfTwoStoresDoesNotServeAlone(t *testing.T) {
+	a, b, c := member("a", 1), member("b", 2), member("c", 3)
+	wiped, control := member("b", 5), member("control-1", 200)
+	for _, hasStandby := range []bool{false, true} {
+		f := newFleet(t, a, b, c)
+		f.standbys[control.GetStorage()] = true
+		if hasStandby {
+			f.start(control)
+		}
+		f.retire(a)
+		f.stop(c)
+		f.run(5 * time.Second)
+		members := f.state.GetView().GetMembers()
+		if ledger.WriteQuorum(len(members)) < 2 {
+			t.Fatalf("one of %v is enough for a write", members)
+		}
+		if hasStandby {
+			f.wantWritable()
+		}
+		f.stop(b)
+		f.run(250 * time.Millisecond)
+		f.start(c)
+		f.run(time.Second)
+		f.start(wiped)
+		f.run(10 * time.Second)
+		f.wantWritable()
+		for _, m := range f.state.GetView().GetMembers() {
+			if m.GetStandby() {
+				t.Errorf("%s keeps records although both stores are back", m.GetInstance())
+			}
+		}
+	}
+}
+
 // TestViewChangeKeepsTheNumberOfCopies guards against a record that one lost disk takes
 // away: a view change ended without the copy of a member that had been lost meanwhile, and
 // the store that it was to replace was removed.
--- a/rockbarrow/membership/peer.go
+++ b/rockbarrow/membership/peer.go
@@ -20,4 +20,6 @@
 	LastSeen time.Time
 	// CopiedEpoch is the newest view for which a store holds all its records.
 	CopiedEpoch uint64
+	// Standby is true for a control instance that can keep records.
+	Standby bool
 }
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -35,6 +35,8 @@
 	Now     time.Time
 	Stores  []Peer
 	Control []Peer
+	// Standbys are the control instances that can keep records, Self included.
+	Standbys []Peer
 	// LiveDomains holds the failure domains of which any instance was seen lately.
 	LiveDomains map[string]bool
 	// Copies is the number of stores that keep a program's records.
@@ -93,7 +95,7 @@
 	v := s.GetView()
 	missing := 0
 	for _, m := range v.GetMembers() {
-		peer, ok := findPeer(p.Stores, m.GetStorage())
+		peer, ok := p.findKeeper(m.GetStorage())
 		if ok && peer.CopiedEpoch >= v.GetEpoch() {
 			continue
 		}
@@ -123,7 +125,7 @@
 func (p Planner) abandonViewChange(s *fleetpb.State) bool {
 	v := s.GetView()
 	if !slices.ContainsFunc(v.GetMembers(), func(m *fleetpb.Member) bool {
-		return !p.hasCopied(v.GetEpoch())(m.GetStorage()) && p.isLost(p.Stores, m)
+		return !p.hasCopied(v.GetEpoch())(m.GetStorage()) && p.isKeeperLost(m)
 	}) {
 		return false
 	}
@@ -146,7 +148,7 @@
 // a view.
 func (p Planner) hasCopied(epoch uint64) func(storage uint64) bool {
 	return func(storage uint64) bool {
-		peer, ok := findPeer(p.Stores, storage)
+		peer, ok := p.findKeeper(storage)
 		return ok && peer.CopiedEpoch >= epoch
 	}
 }
@@ -169,13 +171,15 @@
 }
 
 // targetStores returns the desired members: each current member in its position, with
-// its latest storage, or a spare in place of a leaving or lost one.
+// its latest storage, or a spare in place of a leaving or lost one, and standbys while
+// there are too few stores.
 func (p Planner) targetStores(s *fleetpb.State) []*fleetpb.Member {
 	v := s.GetView()
 	spares := p.spares(s)
 	var out []*fleetpb.Member
 	for _, m := range v.GetMembers() {
 		switch {
+		case m.GetStandby():
 		case slices.Contains(v.GetLeaving(), m.GetInstance()):
 			if len(spares) > 0 {
 				out, spares = append(out, spares[0]), spares[1:]
@@ -191,7 +195,7 @@
 	for len(out) < p.Copies && len(spares) > 0 {
 		out, spares = append(out, spares[0]), spares[1:]
 	}
-	return p.dropLost(p.dropGone(out))
+	return p.withStandbys(v, p.dropGone(out))
 }
 
 // dropGone removes members that have been silent for long and have no spare, so that the
@@ -209,27 +213,20 @@
 		}
 		rest = append(rest, m)
 	}
-	if ledger.WriteQuorum(min(p.Copies, len(rest))) <= ledger.MaxWriteFailures(p.Copies) {
+	if len(rest) < p.minMembers() {
 		return members
 	}
 	return rest
 }
 
-// dropLost removes lost members if the remaining ones are too few for a write quorum
-// but enough for a read quorum: of two stores, the remaining one continues alone, as it
-// holds every record. The other one returns as a spare and copies the records.
-func (p Planner) dropLost(members []*fleetpb.Member) []*fleetpb.Member {
-	var present []*fleetpb.Member
-	for _, m := range members {
-		if !p.isLost(p.Stores, m) {
-			present = append(present, m)
-		}
-	}
-	n := min(p.Copies, len(members))
-	if lost := len(members) - len(present); lost > ledger.MaxWriteFailures(n) && lost <= ledger.MaxReadFailures(n) {
-		return present
+// minMembers returns the smallest number of members of which a write quorum survives the
+// tolerated losses.
+func (p Planner) minMembers() int {
+	n := 1
+	for ledger.WriteQuorum(n) <= ledger.MaxWriteFailures(p.Copies) {
+		n++
 	}
-	return members
+	return n
 }
 
 // spares returns the present stores that are not members, leaving or retired.
@@ -272,6 +269,22 @@
 	return !ok || p.Now.Sub(peer.LastSeen) > lostTimeout
 }
 
+// isKeeperLost reports whether a member of a view is lost, a store or a standby.
+func (p Planner) isKeeperLost(m *fleetpb.Member) bool {
+	if m.GetStandby() {
+		return p.isLost(p.Standbys, m)
+	}
+	return p.isLost(p.Stores, m)
+}
+
+// findKeeper finds a store or a standby.
+func (p Planner) findKeeper(storage uint64) (Peer, bool) {
+	if peer, ok := findPeer(p.Stores, storage); ok {
+		return peer, true
+	}
+	return findPeer(p.Standbys, storage)
+}
+
 // isStoreLost reports whether a store has been silent long enough to be replaced. The
 // limit is longer if its whole failure domain is silent.
 func (p Planner) isStoreLost(m *fleetpb.Member) bool {
--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -36,6 +36,17 @@
 	return p
 }
 
+// withStandby adds a control instance that can keep records.
+func withStandby(p Planner, m *fleetpb.Member) Planner {
+	p.Standbys = append(p.Standbys, Peer{Member: m, LastSeen: p.Now, Standby: true})
+	return p
+}
+
+// standby returns the record of a control instance that is a member of a view.
+func standby(m *fleetpb.Member) *fleetpb.Member {
+	return &fleetpb.Member{Instance: m.GetInstance(), Storage: m.GetStorage(), Standby: true}
+}
+
 // silentFor adds a store that was last seen some time ago.
 func silentFor(p Planner, m *fleetpb.Member, silent time.Duration) Planner {
 	p.Stores = append(p.Stores, Peer{Member: m, LastSeen: p.Now.Add(-silent)})
@@ -71,7 +82,13 @@
 		{"a store that is gone and another one silent", silentFor(newPlanner(c), b, lostTimeout), newState(a, b, c), ""},
 		{"a store that is gone of more than the copies", silentFor(newPlanner(b, c, d), a, goneTimeout+time.Second), newState(a, b, c, d), ""},
 		{"a store that is gone for long of more than the copies", newPlanner(b, c, d), newState(a, b, c, d), "[b c d]"},
-		{"one of two lost", newPlanner(b), newState(a, b), "[b]"},
+		{"one of two lost", newPlanner(b), newState(a, b), ""},
+		{"one of two lost and a standby", withStandby(newPlanner(b), d), newState(a, b), "[b d]"},
+		{"both lost and standbys", withStandby(withStandby(newPlanner(), c), d), newState(a, b), ""},
+		{"one of two that returned", withStandby(newPlanner(a, b), d), newState(b, standby(d)), "[b a]"},
+		{"a lost standby", withStandby(newPlanner(b), c), newState(b, standby(d)), "[b c]"},
+		{"a lost store beside a standby", withStandby(withStandby(newPlanner(), c), d), newState(b, standby(d)), "[d c]"},
+		{"one store from the start", withStandby(newPlanner(b), d), newState(b), ""},
 		{"two of three lost", newPlanner(c), newState(a, b, c), ""},
 		{"too few stores and a spare", newPlanner(a, b, c), newState(a, b), "[a b c]"},
 	}
--- a/rockbarrow/store/copier.go
+++ b/rockbarrow/store/copier.go
@@ -198,6 +198,9 @@
 
 // applyCopied applies copied records and returns once the new ones are synced.
 func (s *Store) applyCopied(ctx context.Context, records []*fleetpb.Record) error {
+	if err := s.checkRoom(); err != nil {
+		return err
+	}
 	now := time.Now()
 	var added []*fleetpb.Record
 	s.mu.Lock()
--- a/rockbarrow/store/fence_test.go
+++ b/rockbarrow/store/fence_test.go
@@ -3,6 +3,7 @@
 package store
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -60,3 +61,33 @@
 		t.Errorf("view %d is reported", got)
 	}
 }
+
+// TestFullStoreRefusesRecords guards against a control instance that fills its disk or memory
+// with the records that it keeps in place of a store.
+func TestFullStoreRefusesRecords(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &Store{Self: &fleetpb.Member{Instance: "store", Storage: 7}, DataDir: t.TempDir(), Log: logrus.NewEntry(log), MaxTurnBytes: 100}
+	stop, err := s.Open()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	for i := range 4 {
+		turn := &fleetpb.Turn{Id: fmt.Sprint(i), Home: "p", Input: make([]byte, 60)}
+		r, err := s.Settle(t.Context(), &fleetpb.SettleRequest{Epoch: 1, Storage: 7, Program: "p", Turn: turn})
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := fleetpb.StoreStatus_REFUSED_NONE
+		if i >= 2 {
+			want = fleetpb.StoreStatus_REFUSED_DISK
+		}
+		if got := r.GetStatus().GetRefused(); got != want {
+			t.Errorf("turn %d: %v, want %v", i, got, want)
+		}
+	}
+	if _, turns, _ := s.state.Size(); turns != 2 {
+		t.Errorf("%d turns are held, want 2", turns)
+	}
+}
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,13 @@
 // expiryInterval is the interval between removals of expired records.
 const expiryInterval = 5 * time.Second
 
+// FullError reports that a store holds more turns than it may.
+type FullError struct{ HeldBytes, MaxBytes int64 }
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("store: turns of %d bytes are held, at most %d are allowed", e.HeldBytes, e.MaxBytes)
+}
+
 // Store is a store instance. The exported fields must be set before Open.
 type Store struct {
 	fleetpb.UnimplementedStoreServer
@@ -32,6 +40,8 @@
 	Pool    *dial.Pool
 	Log     *logrus.Entry
 	Metrics tally.Scope
+	// MaxTurnBytes limits the bytes of the turns held; more are refused. Zero means no limit.
+	MaxTurnBytes int64
 
 	log *durable.Log
 
@@ -156,6 +166,9 @@
 	s.state.Expire(time.Now())
 	programs, turns, bytes := s.state.Size()
 	s.mu.Unlock()
+	if err := s.checkRoom(); err != nil {
+		s.Log.WithError(err).Error("records are refused")
+	}
 	s.Metrics.Gauge("programs").Update(float64(programs))
 	s.Metrics.Gauge("turns").Update(float64(turns))
 	s.Metrics.Gauge("turn_bytes").Update(float64(bytes))
@@ -234,6 +247,10 @@
 // write applies and syncs records. It refuses if the view has changed meanwhile,
 // as the records may then be missing from copies.
 func (s *Store) write(ctx context.Context, epoch uint64, records ...*fleetpb.Record) *fleetpb.StoreStatus {
+	if err := s.checkRoom(); err != nil {
+		s.Log.WithError(err).Debug("a record was refused")
+		return s.refusal(fleetpb.StoreStatus_REFUSED_DISK)
+	}
 	now := time.Now()
 	s.mu.Lock()
 	for _, r := range records {
@@ -251,6 +268,18 @@
 	return st
 }
 
+func (s *Store) checkRoom() error {
+	if s.MaxTurnBytes == 0 {
+		return nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, _, held := s.state.Size(); held > s.MaxTurnBytes {
+		return &FullError{HeldBytes: held, MaxBytes: s.MaxTurnBytes}
+	}
+	return nil
+}
+
 // append writes records and returns once all are synced.
 func (s *Store) append(ctx context.Context, records []*fleetpb.Record) error {
 	payloads := make([][]byte, 0, len(records))
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -251,7 +251,7 @@
 	req := &fleetpb.WatchRequest{
 		Sender: c.Self, Role: c.Role,
 		StateNumber: c.State().GetNumber(), WaitMs: uint32(maxWait.Milliseconds()),
-		WithoutDocument: c.Role != fleetpb.Role_ROLE_CONTROL,
+		WithoutDocument: c.Role != fleetpb.Role_ROLE_CONTROL, Standby: c.Standby,
 	}
 	if l := c.List(); l != nil {
 		req.ListNumber = l.list.Number()
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -57,6 +57,8 @@
 	PartTimeout time.Duration
 	// CopiedEpoch returns the newest view for which the sender holds all its records; may be nil.
 	CopiedEpoch func() uint64
+	// Standby is true if the sender is a control instance that can keep records.
+	Standby bool
 	// Serves reports whether an entry instance accepts requests; may be nil.
 	Serves func() bool
 	// OnChange is called after each newer state or list; may be nil. It must not block.
