membership: a retirement keeps as many stores as a write quorum needs

With two losses to be survived, an operator could retire stores until three were left. A write quorum of three is two, so that two lost disks would take a confirmed record.

Cause: the bound was one more than the losses, which is right for one loss only. Now it is the smallest number of members of which a write quorum is larger than the losses, as for views that shrink.

Failed before: TestRetirementKeepsTheTolerance, with the bound of three that the controller passed.

--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -223,24 +223,41 @@
 	var few *TooFewStoresError
 	var unknown *UnknownStoreError
 	s := newState(a, b, c)
-	if err := newPlanner(a, b, c).CheckRetire(s, "x", 2); !errors.As(err, &unknown) {
+	if err := newPlanner(a, b, c).CheckRetire(s, "x"); !errors.As(err, &unknown) {
 		t.Errorf("%v for an unknown store, want an UnknownStoreError", err)
 	}
-	if err := newPlanner(a, b, c, d).CheckRetire(s, "a", 2); err != nil {
+	if err := newPlanner(a, b, c, d).CheckRetire(s, "a"); err != nil {
 		t.Errorf("%v with a spare, want none", err)
 	}
-	if err := newPlanner(a, b, c).CheckRetire(s, "a", 2); err != nil {
+	if err := newPlanner(a, b, c).CheckRetire(s, "a"); err != nil {
 		t.Errorf("%v when two stores would remain, want none", err)
 	}
 	s.View.Leaving = []string{"b"}
-	if err := newPlanner(a, b, c).CheckRetire(s, "a", 2); !errors.As(err, &few) || few.Remaining != 1 {
+	if err := newPlanner(a, b, c).CheckRetire(s, "a"); !errors.As(err, &few) || few.Remaining != 1 {
 		t.Errorf("%v when one store would remain, want a TooFewStoresError", err)
 	}
-	if err := newPlanner(a, b, c).CheckRetire(s, "b", 2); err != nil {
+	if err := newPlanner(a, b, c).CheckRetire(s, "b"); err != nil {
 		t.Errorf("%v for a repeated request, want none", err)
 	}
 }
 
+// TestRetirementKeepsTheTolerance guards against retirements after which a write quorum is
+// no larger than the losses to be survived.
+func TestRetirementKeepsTheTolerance(t *testing.T) {
+	a, b, c, d, e := member("a", 1), member("b", 2), member("c", 3), member("d", 4), member("e", 5)
+	p := newPlanner(a, b, c, d)
+	p.Copies = 5
+	var few *TooFewStoresError
+	if err := p.CheckRetire(newState(a, b, c, d), "a"); !errors.As(err, &few) || few.Needed != 4 {
+		t.Errorf("%v when three stores would remain for two losses, want a TooFewStoresError", err)
+	}
+	p = newPlanner(a, b, c, d, e)
+	p.Copies = 5
+	if err := p.CheckRetire(newState(a, b, c, d, e), "a"); err != nil {
+		t.Errorf("%v when four stores would remain for two losses, want none", err)
+	}
+}
+
 // TestRetirementCountsOnlyStoresThatArePresent guards against the loss of all records: a
 // retirement was granted with one store left, since a member that was gone and a store
 // that was retired already counted as remaining.
@@ -248,17 +265,17 @@
 	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
 	gone := silentFor(newPlanner(b, d), a, time.Minute)
 	var few *TooFewStoresError
-	if err := gone.CheckRetire(newState(a, b, d), "b", 2); !errors.As(err, &few) || few.Remaining != 1 {
+	if err := gone.CheckRetire(newState(a, b, d), "b"); !errors.As(err, &few) || few.Remaining != 1 {
 		t.Errorf("%v with a member that is gone, want a TooFewStoresError", err)
 	}
 	s := newState(a, b)
 	s.Retired = []string{"c"}
-	if err := newPlanner(a, b, c).CheckRetire(s, "a", 2); !errors.As(err, &few) || few.Remaining != 1 {
+	if err := newPlanner(a, b, c).CheckRetire(s, "a"); !errors.As(err, &few) || few.Remaining != 1 {
 		t.Errorf("%v with a store that is retired, want a TooFewStoresError", err)
 	}
 	started := newPlanner()
 	started.Uptime = time.Second
-	if err := started.CheckRetire(newState(a, b, c), "a", 2); err != nil {
+	if err := started.CheckRetire(newState(a, b, c), "a"); err != nil {
 		t.Errorf("%v right after the start of this control instance, want none", err)
 	}
 }
--- a/rockbarrow/membership/retire.go
+++ b/rockbarrow/membership/retire.go
@@ -22,9 +22,9 @@
 }
 
 // CheckRetire returns an error if a store can't be retired, because it is unknown or
-// because fewer stores than needed would remain. Only present stores count, or all
-// members while silent ones can't count as lost.
-func (p Planner) CheckRetire(s *fleetpb.State, name string, needed int) error {
+// because too few stores would remain for a write quorum to survive the tolerated losses.
+// Only present stores count, or all members while silent ones can't count as lost.
+func (p Planner) CheckRetire(s *fleetpb.State, name string) error {
 	v := s.GetView()
 	if slices.Contains(s.GetRetired(), name) || slices.Contains(v.GetLeaving(), name) {
 		return nil
@@ -49,7 +49,7 @@
 			remaining++
 		}
 	}
-	if remaining < needed {
+	if needed := p.minMembers(); remaining < needed {
 		return &TooFewStoresError{Remaining: remaining, Needed: needed}
 	}
 	return nil
