controller: silence counts only while a control instance hears most voters

Right after a network partition stores were replaced and moved back a second later (the review saw it in the logs of a zone cut with two stores). A control instance that had been cut off found every store silent for longer than the partition lasts and counted them as lost, before they had called it again.

Cause: the silence that it could have observed was bounded by the time since its start only.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -85,8 +85,9 @@
 	// records, and wakeStandby tells it of a new state. Both are nil if there is none.
 	standbyEpoch func() uint64
 	wakeStandby  func()
-	// startedAt is when Open was called. Silence before it was not observed.
-	startedAt time.Time
+	// observingSince is when this instance began to hear most voters without interruption. The
+	// silence of others before it proves nothing.
+	observingSince atomic.Pointer[time.Time]
 	// processID identifies this process to entry instances, so that they detect a restart.
 	processID uint64
 	quotas    quota.Counter
@@ -141,7 +142,7 @@
 
 // Open loads the votes from disk. The instance answers vote requests once Open has returned.
 func (c *Controller) Open() error {
-	c.startedAt = time.Now()
+	c.resetObservation(time.Now())
 	votes, record, err := openVotes(c.DataDir)
 	if err != nil {
 		return err
--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -49,6 +49,7 @@
 // first state, changes the members and voters, and determines whether accepted values were chosen.
 type coordinator struct {
 	controller *Controller
+	startedAt  time.Time
 	lastTick   time.Time
 	// unconfirmedSince is when the own vote was first seen to be newer than the known state, or
 	// when the last round to confirm it began, plus a random delay of less than confirmDelay. It
@@ -62,8 +63,8 @@
 }
 
 func (d *coordinator) loop(ctx context.Context) {
-	d.lastTick = time.Now()
-	d.lastLogged = d.lastTick
+	d.startedAt, d.lastTick = time.Now(), time.Now()
+	d.lastLogged = d.startedAt
 	for wait.For(ctx, coordinatorInterval) {
 		now := time.Now()
 		if now.Sub(d.lastTick) > stallThreshold {
@@ -79,6 +80,9 @@
 }
 
 func (d *coordinator) tick(ctx context.Context, now time.Time) {
+	if !d.controller.hearsMajority(now) {
+		d.controller.resetObservation(now)
+	}
 	d.confirmAccepted(ctx, now)
 	d.recordFormed()
 	d.logUnformed(now)
@@ -92,7 +96,7 @@
 		return
 	}
 	seed := slices.Contains(c.InitialSeeds, c.Self.GetAddress())
-	if first && seed || now.Sub(c.startedAt) > fallbackDelay && rand.N(fallbackOdds) == 0 {
+	if first && seed || now.Sub(d.startedAt) > fallbackDelay && rand.N(fallbackOdds) == 0 {
 		d.bootstrap(ctx, now)
 	}
 }
@@ -143,7 +147,7 @@
 		return
 	}
 	reachable := reachableSeeds(seeds)
-	if 2*len(reachable) <= len(seeds) || len(reachable) < len(seeds) && now.Sub(c.startedAt) < seedWait {
+	if 2*len(reachable) <= len(seeds) || len(reachable) < len(seeds) && now.Sub(d.startedAt) < seedWait {
 		return
 	}
 	voters := initialVoters(reachable, c.controlMembers(now, rankTimeout), 2*c.FaultTolerance+1)
@@ -185,6 +189,21 @@
 	d.applyChange(ctx, "members", p.Next)
 }
 
+// hearsMajority reports whether most voters have called this instance recently, or no
+// deployment is known yet.
+func (c *Controller) hearsMajority(now time.Time) bool {
+	voters, heard := c.State().GetVoters(), c.controlMembers(now, membership.LivenessTimeout)
+	n := 0
+	for _, v := range voters {
+		if register.ContainsStorage(heard, v.GetStorage()) {
+			n++
+		}
+	}
+	return len(voters) == 0 || 2*n > len(voters)
+}
+
+func (c *Controller) resetObservation(now time.Time) { c.observingSince.Store(&now) }
+
 // planner returns a planner with what this instance knows now, without StoresStable.
 func (c *Controller) planner(now time.Time) membership.Planner {
 	p := membership.Planner{
@@ -194,7 +213,7 @@
 		LiveDomains: c.presence.presentDomains(now, c.Self.GetFailureDomain()),
 		Copies:      2*c.FaultTolerance + 1,
 		Self:        c.Self,
-		Uptime:      now.Sub(c.startedAt),
+		Uptime:      now.Sub(*c.observingSince.Load()),
 	}
 	for _, peer := range p.Control {
 		if peer.Standby {
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -44,7 +44,8 @@
 	// StoresStable is true if the number of present stores has not changed lately.
 	StoresStable bool
 	Self         *fleetpb.Member
-	// Uptime is how long this instance has run, which bounds the silence it can observe.
+	// Uptime is how long this instance has heard most voters, which bounds the silence it can
+	// observe.
 	Uptime time.Duration
 }
 
