membership: a member that returns at another address is reached there

A store or voter that came back with its disk at another address was called at its old one for good, and a group with such a member could not bear another loss.

Cause: members are compared by storage, so that a new address alone never was a step. Now the planner writes the address of a present instance into the view and the voters, under the same epoch, since the storage identifies a member.

Failed before: TestMemberAtAnotherAddressIsFollowed.

--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -52,7 +52,7 @@
 // Next returns the state after the next step, or nil if no step is needed.
 func (p Planner) Next(s *fleetpb.State) *fleetpb.State {
 	s = register.CloneState(s)
-	if p.nextView(s) || p.nextVoters(s) {
+	if p.updateAddresses(s) || p.nextView(s) || p.nextVoters(s) {
 		return s
 	}
 	return nil
--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -307,3 +307,19 @@
 		}
 	}
 }
+
+// TestMemberAtAnotherAddressIsFollowed guards against a store or voter that can't be reached
+// for good: it returned with its disk at another address.
+func TestMemberAtAnotherAddressIsFollowed(t *testing.T) {
+	at := func(name string, storage uint64, address string) *fleetpb.Member {
+		return &fleetpb.Member{Instance: name, Storage: storage, Address: address}
+	}
+	s := newState(at("a", 1, "x:1"), at("b", 2, "y:1"))
+	s.Voters = []*fleetpb.Member{at("control-1", 101, "z:1")}
+	p := newPlanner(at("a", 1, "w:1"), at("b", 2, "y:1"))
+	p.Control = []Peer{{Member: at("control-1", 101, "z:2"), LastSeen: p.Now}}
+	next := p.Next(s)
+	if next == nil || next.GetView().GetEpoch() != 1 || next.GetView().GetMembers()[0].GetAddress() != "w:1" || next.GetVoters()[0].GetAddress() != "z:2" {
+		t.Errorf("state %v, want the new addresses under the same epoch", next)
+	}
+}
