membership: a view change waits for members that get other groups

Records could have one copy less than their group has stores after a view change with more members than copies: a prior member that was silent at its end may have been given groups of a store that left. With as many lost disks as are tolerated, such a record is gone.

Cause: a prior member counted as having nothing to copy. That holds only where its groups stay: if the groups are the whole view, or if the same instances are members as before. In other changes the end waits for the member, or the change goes to other members once it is lost. Records are served meanwhile.

Failed before: TestViewChangeWaitsForMembersWithNewGroups.

--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -115,10 +115,19 @@
 	return true
 }
 
-// holdsRecords reports whether a member has nothing to copy in a view change.
+// holdsRecords reports whether a member certainly has nothing to copy in a view change: it
+// was a member before and keeps its groups, none of which shrinks.
 func (p Planner) holdsRecords(v *fleetpb.View, m *fleetpb.Member) bool {
-	isShrinking := min(p.Copies, len(v.GetMembers())) < min(p.Copies, len(v.GetPrior()))
-	return register.ContainsStorage(v.GetPrior(), m.GetStorage()) && !isShrinking && len(v.GetAbandoned()) == 0
+	members, prior := v.GetMembers(), v.GetPrior()
+	isShrinking := min(p.Copies, len(members)) < min(p.Copies, len(prior))
+	keepsGroups := max(len(members), len(prior)) <= p.Copies || haveSameInstances(members, prior)
+	return register.ContainsStorage(prior, m.GetStorage()) && keepsGroups && !isShrinking && len(v.GetAbandoned()) == 0
+}
+
+// haveSameInstances reports whether two lists name the same instances, which then have the
+// same groups.
+func haveSameInstances(a, b []*fleetpb.Member) bool {
+	return len(a) == len(b) && !slices.ContainsFunc(a, func(m *fleetpb.Member) bool { return !hasInstance(b, m.GetInstance()) })
 }
 
 // abandonViewChange replaces a view change that waits for the copy of a lost member by
--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -183,6 +183,23 @@
 	}
 }
 
+// TestViewChangeWaitsForMembersWithNewGroups guards against records with one copy less than
+// their group has stores: a prior member was missing at the end of a view change that had
+// given it groups of a store that left.
+func TestViewChangeWaitsForMembersWithNewGroups(t *testing.T) {
+	a, b, c, d, e := member("a", 1), member("b", 2), member("c", 3), member("d", 4), member("e", 5)
+	s := newState(b, c, d, e)
+	s.View.Epoch, s.View.Prior, s.View.Leaving = 2, []*fleetpb.Member{a, b, c, d}, []string{"a"}
+	p := newPlanner(a, b, c, e)
+	for i := range p.Stores {
+		p.Stores[i].CopiedEpoch = 2
+	}
+	p = silentFor(p, d, LivenessTimeout+100*time.Millisecond)
+	if next := p.Next(s); next != nil {
+		t.Errorf("state %v, want no step while a member has not copied its new groups", next)
+	}
+}
+
 func TestViewChangeEndsAfterCopy(t *testing.T) {
 	a, b, c, d := member("a", 1), member("b", 2), member("c", 3), member("d", 4)
 	s := newState(d, b, c)
