membership, ledger: abandoned view changes copy no more than is needed

In large deployments a view change could have begun anew, with copies of all records by all members, over a lost member that its end does not wait for.

A change is abandoned only if the lost member has records to copy, or if no other member copies. And after an abandoned attempt all members copy all records only where a read quorum of the prior group is smaller than a write quorum (groups of two or four): a write of the attempt has been answered by a read quorum of it, and where the two are of one size the ordinary rule finds it. The enumeration now also compares what members hold after the end of a change with each read quorum and with the sources of the next change. Standbys in the failure domain of a lost store come after others.

Each mutation fails: without the rule for small read quorums TestNoReadQuorumMissesAWriteOfAnAbandonedViewChange ('lost after view 5'), without the new conditions TestViewChangeIsNotAbandonedWhileMembersCopy and TestStandbyAvoidsLostDomain, both of which failed before.

--- a/rockbarrow/ledger/copying.go
+++ b/rockbarrow/ledger/copying.go
@@ -28,16 +28,19 @@
 // MustCopy reports whether a member must copy a program's records during a view
 // change. It must if it is in the program's new group and was not in the old one.
 // If the group has shrunk, all its members copy, since a smaller quorum must then
-// find every record. They do so too if an attempt at the change was abandoned, as its
-// records may have reached a single member. If all is true, a member copies all records
-// of its groups, also those of its prior groups, for which it then counts as complete.
+// find every record. They do so too after an abandoned attempt at the change if a read
+// quorum of the old group is smaller than a write quorum: it is all that the records of
+// the attempt have surely reached. If all is true, a member copies all records of its
+// groups, also those of its prior groups, for which it then counts as complete.
 func MustCopy(v *fleetpb.View, storage uint64, program string, all bool) bool {
 	present := Group(v.GetMembers(), program, int(v.GetCopies()))
 	prior := Group(v.GetPrior(), program, int(v.GetCopies()))
 	switch {
 	case !hasStorage(present, storage):
 		return all && hasStorage(prior, storage)
-	case all || len(v.GetPrior()) == 0 || len(v.GetAbandoned()) > 0:
+	case all || len(v.GetPrior()) == 0:
+		return true
+	case len(v.GetAbandoned()) > 0 && ReadQuorum(len(prior)) < WriteQuorum(len(prior)):
 		return true
 	}
 	return !hasStorage(prior, storage) || len(present) < len(prior)
--- a/rockbarrow/ledger/viewchange_test.go
+++ b/rockbarrow/ledger/viewchange_test.go
@@ -72,6 +72,28 @@
 	}
 }
 
+// isFoundAfter reports whether a record that was written to a set of stores is found by
+// each read quorum once all members of a view change have copied and it has ended, and
+// is copied by the next change.
+func isFoundAfter(v *fleetpb.View, all []*fleetpb.Member, written int) bool {
+	holders := 0
+	for i, m := range all {
+		if hasStorage(v.GetMembers(), m.GetStorage()) && (written&(1<<i) != 0 || MustCopy(v, m.GetStorage(), "p", false)) {
+			holders |= 1 << i
+		}
+	}
+	after := &fleetpb.View{Epoch: v.GetEpoch() + 1, Members: v.GetMembers(), Copies: v.GetCopies()}
+	next := &fleetpb.View{Epoch: v.GetEpoch() + 2, Members: all, Prior: v.GetMembers(), Copies: v.GetCopies()}
+	for answered := range 1 << len(all) {
+		_, read := hasQuorums(after, all, answered)
+		copied := SourcesSufficient(next, func(storage uint64) bool { return answered&(1<<(storage-1)) != 0 })
+		if (read || copied) && answered&holders == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // TestNoReadQuorumMissesAWriteOfAnAbandonedViewChange guards against the loss of records
 // that were written during a view change which then went to other members.
 func TestNoReadQuorumMissesAWriteOfAnAbandonedViewChange(t *testing.T) {
@@ -113,6 +135,15 @@
 						}
 					}
 				}
+				for i, v := range []*fleetpb.View{during, again} {
+					for j := range i + 1 {
+						for _, w := range writes[j] {
+							if !isFoundAfter(v, all, w) {
+								t.Fatalf("stores %04b to %04b, then %04b: written under view %d to %04b, lost after view %d", prior, first, second, j+3, w, v.GetEpoch())
+							}
+						}
+					}
+				}
 				for _, w := range writes[1] {
 					for responded := range 1 << len(all) {
 						from := func(storage uint64) bool { return responded&(1<<(storage-1)) != 0 }
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -134,9 +134,7 @@
 // one to other members. The records of all attempts are copied.
 func (p Planner) abandonViewChange(s *fleetpb.State) bool {
 	v := s.GetView()
-	if !slices.ContainsFunc(v.GetMembers(), func(m *fleetpb.Member) bool {
-		return !p.hasCopied(v.GetEpoch())(m.GetStorage()) && p.isKeeperLost(m)
-	}) {
+	if !slices.ContainsFunc(v.GetMembers(), func(m *fleetpb.Member) bool { return p.blocksViewChange(v, m) }) {
 		return false
 	}
 	members := p.targetStores(s)
@@ -154,6 +152,18 @@
 	return true
 }
 
+// blocksViewChange reports whether a view change can't end as a member is lost.
+func (p Planner) blocksViewChange(v *fleetpb.View, m *fleetpb.Member) bool {
+	if p.hasCopied(v.GetEpoch())(m.GetStorage()) || !p.isKeeperLost(m) {
+		return false
+	}
+	isCopying := func(o *fleetpb.Member) bool {
+		peer, ok := p.findKeeper(o.GetStorage())
+		return ok && p.isPresent(peer) && peer.CopiedEpoch < v.GetEpoch()
+	}
+	return !p.holdsRecords(v, m) || !slices.ContainsFunc(v.GetMembers(), isCopying)
+}
+
 // hasCopied returns a function that reports whether a store has copied its records for
 // a view.
 func (p Planner) hasCopied(epoch uint64) func(storage uint64) bool {
--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -183,6 +183,40 @@
 	}
 }
 
+// TestViewChangeIsNotAbandonedWhileMembersCopy guards against copies that begin anew, over a
+// lost member that the end of the view change doesn't wait for.
+func TestViewChangeIsNotAbandonedWhileMembersCopy(t *testing.T) {
+	a, b, c, d, e := member("a", 1), member("b", 2), member("c", 3), member("d", 4), member("e", 5)
+	s := newState(a, b, d)
+	s.View.Epoch, s.View.Prior, s.View.Leaving = 2, []*fleetpb.Member{a, b, c}, []string{"c"}
+	p := newPlanner(a, c, d, e)
+	p.Stores[0].CopiedEpoch = 2
+	p = silentFor(p, b, lostTimeout+time.Second)
+	if next := p.Next(s); next != nil {
+		t.Errorf("state %v, want no step while a member copies", next)
+	}
+	p.Stores[2].CopiedEpoch = 2
+	if next := p.Next(s); next == nil || len(next.GetView().GetPrior()) > 0 {
+		t.Errorf("state %v, want the end of the view change", next)
+	}
+}
+
+// TestStandbyAvoidsLostDomain guards against a copy in the failure domain of a lost store.
+func TestStandbyAvoidsLostDomain(t *testing.T) {
+	in := func(m *fleetpb.Member, domain string) *fleetpb.Member {
+		m.FailureDomain = domain
+		return m
+	}
+	a, b := in(member("a", 1), "x"), in(member("b", 2), "y")
+	p := newPlanner(b)
+	for i, domain := range []string{"y", "x", "z"} {
+		p = withStandby(p, in(member("control-"+domain, uint64(200+i)), domain))
+	}
+	if next := p.Next(newState(a, b)); next == nil || memberNames(next) != "[b control-z]" {
+		t.Errorf("state %v, want a standby in the failure domain of no member", next)
+	}
+}
+
 // TestViewChangeWaitsForMembersWithNewGroups guards against records with one copy less than
 // their group has stores: a prior member was missing at the end of a view change that had
 // given it groups of a store that left.
--- a/rockbarrow/membership/standbys.go
+++ b/rockbarrow/membership/standbys.go
@@ -3,6 +3,7 @@
 package membership
 
 import (
+	"cmp"
 	"slices"
 
 	"google.golang.org/protobuf/proto"
@@ -16,9 +17,11 @@
 // record on enough disks. A single store would serve alone otherwise, and the loss of its
 // disk would take what it had confirmed. Standbys leave once there are enough stores.
 func (p Planner) withStandbys(v *fleetpb.View, members []*fleetpb.Member) []*fleetpb.Member {
-	var kept, serving []*fleetpb.Member
+	var kept, lost, serving []*fleetpb.Member
 	for _, m := range members {
-		if !p.isKeeperLost(m) {
+		if p.isKeeperLost(m) {
+			lost = append(lost, m)
+		} else {
 			kept = append(kept, m)
 		}
 	}
@@ -28,10 +31,10 @@
 		}
 	}
 	missing := p.minMembers() - len(kept)
-	if missing <= 0 || len(kept) == len(members) && len(serving) == 0 {
+	if missing <= 0 || len(lost) == 0 && len(serving) == 0 {
 		return members
 	}
-	standbys := p.chooseStandbys(serving, kept)
+	standbys := p.chooseStandbys(serving, kept, lost)
 	isReadable := ledger.ReadQuorumInAllGroups(v.GetMembers(), p.Copies, func(storage uint64) bool {
 		return slices.ContainsFunc(v.GetMembers(), func(m *fleetpb.Member) bool { return m.GetStorage() == storage && !p.isKeeperLost(m) })
 	})
@@ -42,20 +45,29 @@
 }
 
 // chooseStandbys returns the usable standbys in order of preference: those that already
-// keep records, then those in other failure domains than the remaining members.
-func (p Planner) chooseStandbys(serving, kept []*fleetpb.Member) []*fleetpb.Member {
+// keep records, then those in failure domains of no member, of a lost one and of others.
+func (p Planner) chooseStandbys(serving, kept, lost []*fleetpb.Member) []*fleetpb.Member {
 	out := slices.DeleteFunc(slices.Clone(serving), p.isKeeperLost)
-	for _, sameDomain := range []bool{false, true} {
-		for _, peer := range p.Standbys {
-			m := peer.Member
-			inDomain := slices.ContainsFunc(kept, func(o *fleetpb.Member) bool { return o.GetFailureDomain() == m.GetFailureDomain() })
-			if !p.isPresent(peer) || inDomain != sameDomain || register.ContainsStorage(out, m.GetStorage()) {
-				continue
-			}
-			m = proto.CloneOf(m)
-			m.Standby = true
-			out = append(out, m)
+	rank := func(domain string) int {
+		inDomain := func(m *fleetpb.Member) bool { return m.GetFailureDomain() == domain }
+		switch {
+		case slices.ContainsFunc(kept, inDomain):
+			return 2
+		case slices.ContainsFunc(lost, inDomain):
+			return 1
 		}
+		return 0
+	}
+	ranked := slices.SortedStableFunc(slices.Values(p.Standbys), func(a, b Peer) int {
+		return cmp.Compare(rank(a.Member.GetFailureDomain()), rank(b.Member.GetFailureDomain()))
+	})
+	for _, peer := range ranked {
+		if !p.isPresent(peer) || register.ContainsStorage(out, peer.Member.GetStorage()) {
+			continue
+		}
+		m := proto.CloneOf(peer.Member)
+		m.Standby = true
+		out = append(out, m)
 	}
 	return out
 }
