--- a/review/kit2/cluster.go
+++ b/review/kit2/cluster.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -285,6 +286,8 @@
 
 	mu      sync.Mutex
 	engines []*engine
+	// foreign are entries of other writers.
+	foreign []string
 }
 
 func startList(address string) (*listServer, error) {
@@ -306,18 +309,39 @@
 	s.engines = append(s.engines, e)
 }
 
+func (s *listServer) remove(e *engine) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.engines = slices.DeleteFunc(s.engines, func(o *engine) bool { return o == e })
+}
+
+func (s *listServer) addForeign(entry string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.foreign = append(s.foreign, entry)
+}
+
 // ServeHTTP answers with one page.
 func (s *listServer) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	instances := []map[string]any{}
+	entries := slices.Clone(s.foreign)
 	for _, e := range s.engines {
-		instances = append(instances, map[string]any{
-			"id": e.id, "service": e.service, "address": e.address(), "zone": e.zone, "version": "v1", "slots": e.slots, "state": "ready", "coldLeftMs": 0,
+		state := "ready"
+		if e.isDraining() {
+			state = "draining"
+		}
+		b, err := json.Marshal(map[string]any{
+			"id": e.id, "service": e.service, "address": e.address(), "zone": e.zone, "version": "v1", "slots": e.slots, "state": state, "coldLeftMs": 0,
 		})
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
+		entries = append(entries, string(b))
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(map[string]any{"instances": instances, "nextToken": nil})
+	fmt.Fprintf(w, `{"instances":[%s],"nextToken":null}`, strings.Join(entries, ","))
 }
 
 // record is what the case writes down.
--- a/review/kit2/engine.go
+++ b/review/kit2/engine.go
@@ -31,6 +31,40 @@
 	listener net.Listener
 	server   *http.Server
 	working  atomic.Int64
+
+	mu sync.Mutex
+	// drainingSince is when the engine was listed as draining, zero before. late counts the requests that came after
+	// drainMs.
+	drainingSince time.Time
+	late          int
+}
+
+// drain lists the engine as draining.
+func (e *engine) drain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.drainingSince = time.Now()
+}
+
+func (e *engine) isDraining() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.drainingSince.IsZero()
+}
+
+// arrive counts a request.
+func (e *engine) arrive() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.drainingSince.IsZero() && time.Since(e.drainingSince) > drainLimit+lag {
+		e.late++
+	}
+}
+
+func (e *engine) arrivedLate() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.late
 }
 
 // faults makes some engines faulty for some time: they then spoil one answer in every.
@@ -112,6 +146,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.arrive()
 	defer e.working.Add(-1)
 	if e.working.Add(1) > int64(e.slots) {
 		h.Set(wire.NotExecuted, "1")
--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -50,6 +50,8 @@
 	switch os.Args[1] {
 	case "endless":
 		code, summary = runEndless(os.Args[2], rec, trouble)
+	case "unread":
+		code, summary = runUnread(os.Args[2], rec, trouble)
 	case "rolling":
 		code, summary = runRolling(os.Args[2], rec, trouble)
 	}
