--- a/review/kit2/pipeline.go
+++ b/review/kit2/pipeline.go
@@ -38,10 +38,20 @@
 	outcomes  *outcomes
 }
 
-// request returns the bytes of a request with a work time.
-func (c *rollingConsumer) request(id string, work time.Duration) ([]byte, *http.Request) {
+// lookup returns the bytes of a request of an idempotent route, after which others may be pipelined, with a work time.
+func (c *rollingConsumer) lookup(id string, work time.Duration) ([]byte, *http.Request) {
+	req, _ := http.NewRequest(http.MethodGet, "http://ficu95.example/gono990/2f", nil)
+	return c.encode(req, id, work)
+}
+
+// booking returns the bytes of a request that may run once, with a work time.
+func (c *rollingConsumer) booking(id string, work time.Duration) ([]byte, *http.Request) {
 	body := bytes.Repeat([]byte("x"), 600)
 	req, _ := http.NewRequest(http.MethodPost, "http://ficu95.example/pule252/2f", bytes.NewReader(body))
+	return c.encode(req, id, work)
+}
+
+func (c *rollingConsumer) encode(req *http.Request, id string, work time.Duration) ([]byte, *http.Request) {
 	req.Header.Set(wire.RequestID, id)
 	req.Header.Set(wire.DeadlineMS, strconv.FormatInt(timeLimit.Milliseconds(), 10))
 	req.Header.Set(workHeader, work.String())
@@ -63,8 +73,8 @@
 	nc.SetDeadline(time.Now().Add(timeLimit + graceLimit))
 	c.exchange(nc, r, "first", shortWork)
 	short, long := fmt.Sprintf("%016x", rand.Uint64()), fmt.Sprintf("%016x", rand.Uint64())
-	a, reqA := c.request(short, shortWork)
-	b, reqB := c.request(long, longWork)
+	a, reqA := c.lookup(short, shortWork)
+	b, reqB := c.booking(long, longWork)
 	if c.pipelines {
 		a = append(a, b...)
 	}
@@ -79,7 +89,7 @@
 }
 
 func (c *rollingConsumer) exchange(nc net.Conn, r *bufio.Reader, id string, work time.Duration) {
-	b, req := c.request(fmt.Sprintf("%s-%016x", id, rand.Uint64()), work)
+	b, req := c.lookup(fmt.Sprintf("%s-%016x", id, rand.Uint64()), work)
 	nc.Write(b)
 	c.read(r, req, outcome{id: req.Header.Get(wire.RequestID), entry: c.entry.name, sentAt: time.Now()})
 }
