backend, entry: limit each part of an endpoint's response

Cause: http.ReadResponse reads a head without a limit, so that one such response takes an entry instance over its memory; it is killed with all requests in progress. The same held for the bodies of responses to other requests and of refusals, which were discarded to their end, and for lines, events, output and bodies in package entry.

Change: heads are limited as a whole and each anew, interim responses in number, discarded bodies in size; the rest of a refusal is awaited for 100 ms. Events, what a source sends without a new event, the output of a turn and forwarded bodies are limited, and buffers of a stream beyond 64 KB are charged to the memory budget.

Why it works: what an endpoint can make the instance hold no longer depends on how much it sends.

--- a/rockbarrow/entry/api.go
+++ b/rockbarrow/entry/api.go
@@ -118,12 +118,17 @@
 	Busy bool
 	// NoResponse is true if the network gave no response at all.
 	NoResponse bool
+	// Cause is an [OversizedError] if the refusal was too long, or nil.
+	Cause error
 }
 
 func (e *NotExecutedError) Error() string {
 	return fmt.Sprintf("entry: endpoint %s did not run it: %s", e.Endpoint, e.Reason)
 }
 
+// Unwrap returns the cause.
+func (e *NotExecutedError) Unwrap() error { return e.Cause }
+
 // OutcomeUnknownError reports that an endpoint may have executed a request whose response
 // was lost.
 type OutcomeUnknownError struct {
@@ -132,12 +137,17 @@
 	NoResponse bool
 	// Answered is true if the endpoint gave a whole response, which was not forwarded.
 	Answered bool
+	// Cause is the error that ended the response, or nil.
+	Cause error
 }
 
 func (e *OutcomeUnknownError) Error() string {
 	return fmt.Sprintf("entry: endpoint %s may have run it: %s", e.Endpoint, e.Reason)
 }
 
+// Unwrap returns the cause.
+func (e *OutcomeUnknownError) Unwrap() error { return e.Cause }
+
 // Outcome is how a request ended: [Completed], [Rejected] or [Aborted].
 type Outcome interface{ outcome() }
 
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -218,7 +218,7 @@
 	ctx, cancel := context.WithDeadline(ctx, x.deadline)
 	defer cancel()
 	x.handling = handlingOf(route, req)
-	x.events.dropOutput = !x.handling.history
+	x.events.dropOutput, x.events.maxOutput = !x.handling.history, x.turnLimit()
 	req.Memory.SetPause(time.Duration(route.GetPauseMs()) * time.Millisecond)
 	if o := x.authenticate(); o != nil {
 		return e.finish(x, o)
--- a/rockbarrow/entry/event_scanner.go
+++ b/rockbarrow/entry/event_scanner.go
@@ -19,6 +19,11 @@
 	count int
 	// lastID is the id of the last event that was passed to the client, or "".
 	lastID string
+	// maxOutput limits output in bytes; 0 means no limit.
+	maxOutput int
+	// passedBytes are those of all complete events with data. unpassedBytes are those of the current source since the last event
+	// with data that was not sent before.
+	passedBytes, unpassedBytes int64
 
 	// complete holds the bytes of complete events that were not taken yet, partial those of
 	// the current event.
@@ -35,6 +40,7 @@
 func (s *eventScanner) startSource() {
 	s.partial, s.line, s.data = s.partial[:0], s.line[:0], s.data[:0]
 	s.id, s.hasData = "", false
+	s.unpassedBytes = 0
 }
 
 // scan processes the next bytes of the stream.
@@ -44,10 +50,12 @@
 		if i < 0 {
 			s.line = append(s.line, b...)
 			s.partial = append(s.partial, b...)
+			s.unpassedBytes += int64(len(b))
 			return
 		}
 		s.line = append(s.line, b[:i]...)
 		s.partial = append(s.partial, b[:i+1]...)
+		s.unpassedBytes += int64(i + 1)
 		s.endLine(bytes.TrimSuffix(s.line, []byte("\r")))
 		s.line = s.line[:0]
 		b = b[i+1:]
@@ -85,6 +93,8 @@
 		s.complete = append(s.complete, s.partial...)
 		if s.hasData {
 			s.count++
+			s.passedBytes += int64(len(s.partial))
+			s.unpassedBytes = 0
 			if !s.dropOutput {
 				s.output = append(s.output, s.data...)
 			}
@@ -111,3 +121,20 @@
 func (s *eventScanner) isComplete() bool {
 	return (s.count > 0 || s.lastID != "") && len(s.partial) == 0
 }
+
+// checkLimits returns an [OversizedError] if an event or the output is too long, or if the source sends too much without a
+// new event. A source that resumes may repeat what was passed before.
+func (s *eventScanner) checkLimits() error {
+	switch {
+	case len(s.partial) > maxEventBytes || s.unpassedBytes > maxEventBytes+s.passedBytes:
+		return &OversizedError{Part: PartEvent, Limit: maxEventBytes}
+	case s.maxOutput > 0 && len(s.output) > s.maxOutput:
+		return &OversizedError{Part: PartTurn, Limit: int64(s.maxOutput)}
+	}
+	return nil
+}
+
+// heldBytes returns the size of all buffers.
+func (s *eventScanner) heldBytes() int {
+	return cap(s.output) + cap(s.complete) + cap(s.partial) + cap(s.line) + cap(s.data)
+}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -57,6 +57,8 @@
 	body []byte
 	// events scans the event stream of the response, across all endpoints that produced it.
 	events eventScanner
+	// streamCharge is what the buffers of events are charged to the memory budget, in bytes.
+	streamCharge int64
 	// streamStarted is true once the header of an event stream was forwarded.
 	streamStarted bool
 
@@ -155,8 +157,15 @@
 	defer stop()
 	resp, done, err := x.dispatch(ctx, attemptCtx, stalls)
 	if err != nil {
+		x.recordOversized(err)
 		return nil, err
 	}
+	if err := x.limitBody(resp); err != nil {
+		resp.Body.Close()
+		x.recordOversized(err)
+		x.recordLost(ctx)
+		return nil, x.responseLost(done, placement.Result{}, err.Error())
+	}
 	if x.handling.streamed && resp.Status == http.StatusOK {
 		return x.forwardEvents(ctx, resp, done, stalls)
 	}
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -52,6 +52,7 @@
 	answer, err := x.readAnswer(resp)
 	defer answer.release()
 	if err != nil {
+		x.recordOversized(err)
 		x.recordLost(ctx)
 		return nil, x.responseLost(done, placement.Result{}, err.Error())
 	}
@@ -74,6 +75,7 @@
 	_, err = io.CopyBuffer(newBodyWriter(x.writer), resp.Body, answer.copyBuffer())
 	done(placement.Result{OK: err == nil})
 	if err != nil {
+		x.recordOversized(err)
 		x.recordLost(ctx)
 		x.bodyLost = true
 		return Aborted{Reason: err.Error()}, nil
@@ -110,6 +112,12 @@
 			}
 			timer.recordWritten(time.Now())
 		}
+		if limitErr := x.events.checkLimits(); limitErr != nil {
+			err = limitErr
+		} else if chargeErr := x.chargeStream(ctx); chargeErr != nil {
+			done(placement.Result{OK: true})
+			return Aborted{Reason: "the stream was not buffered: " + chargeErr.Error()}, nil
+		}
 		switch {
 		case err == io.EOF && x.events.isComplete():
 			done(placement.Result{OK: true, Stream: timer.timing(x.events.count, x.service.GetTokensPerEvent())})
@@ -117,6 +125,7 @@
 		case err == io.EOF:
 			return nil, x.responseLost(done, placement.Result{}, "the stream ended inside an event")
 		case err != nil:
+			x.recordOversized(err)
 			x.recordLost(ctx)
 			return nil, x.responseLost(done, placement.Result{OK: ctx.Err() != nil}, "the stream broke off: "+err.Error())
 		}
