wire, list, controller: an entry that can't be read costs that entry

One entry of the platform's list had an id with four bytes that can't be read while the endpoints of a service were replaced: 228 requests reached draining endpoints too late, and once all were replaced none of 1,758 was served, though four idle ones were listed.

Cause: DecodePage had the page scanned as JSON as a whole before it looked at the entries, so that such a byte made the page, and with it the whole list, an error; the list before stayed in force for as long as the entry was listed. docs/DECISIONS.md had chosen this; the users' page says that the other entries hold.

Evidence: control logged "failed to read the list of endpoints" with "invalid character '\x01' in string literal".

Change: package jsonlist splits a list at the bounds of its elements with gjson, which validates nothing; each entry is decoded strictly by itself, and so is what is around the list. If that is no JSON, the bounds of an entry were not found: entries before it hold, the last of them is dropped, as it may have taken in what is behind it, and the rest is unknown. A page that can't be read is passed with the token behind it in the reading before. Control keeps the endpoints that an incomplete list does not name as they were and says so. The list of the own interface had the same fault.

Why it works: what can't be read no longer decides on what can, and is not taken for gone.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -32,7 +32,7 @@
 // EndpointSource reads the list of endpoints from the platform.
 type EndpointSource interface {
 	// Endpoints returns the whole list, still without a number, and the number of calls used to
-	// read it.
+	// read it. With a [catalog.IncompleteError], it returns the part that could be read.
 	Endpoints(ctx context.Context) (*fleetpb.EndpointList, error)
 }
 
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 	"google.golang.org/grpc"
 
+	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/dial"
 	"rockbarrow.dev/rockbarrow/durable"
 	"rockbarrow.dev/rockbarrow/register"
@@ -25,18 +27,30 @@
 type fakeEndpointSource struct {
 	mu   sync.Mutex
 	list []*fleetpb.Endpoint
+	// incomplete is true if a part of the list can't be read.
+	incomplete bool
 }
 
 func (l *fakeEndpointSource) Endpoints(context.Context) (*fleetpb.EndpointList, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return &fleetpb.EndpointList{Endpoints: l.list}, nil
+	out := &fleetpb.EndpointList{Endpoints: slices.Clone(l.list)}
+	if l.incomplete {
+		return out, &catalog.IncompleteError{Reason: "a page can't be read"}
+	}
+	return out, nil
 }
 
 func (l *fakeEndpointSource) set(list ...*fleetpb.Endpoint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.list = list
+	l.list, l.incomplete = list, false
+}
+
+func (l *fakeEndpointSource) setIncomplete(list ...*fleetpb.Endpoint) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list, l.incomplete = list, true
 }
 
 // testInstance is one control instance of a test.
@@ -257,6 +271,38 @@
 	}
 }
 
+// TestEndpointsOfAPartThatCannotBeReadAreKept guards against endpoints that are given up, and drains that are not taken over,
+// while a part of the list can't be read.
+func TestEndpointsOfAPartThatCannotBeReadAreKept(t *testing.T) {
+	cluster := startCluster(t)
+	list := cluster[0].list
+	list.set(&fleetpb.Endpoint{Id: "a"}, &fleetpb.Endpoint{Id: "b"}, &fleetpb.Endpoint{Id: "c"})
+	awaitList := func(want string) {
+		t.Helper()
+		for _, p := range cluster {
+			waitFor(t, func() bool {
+				got := ""
+				for _, e := range p.controller.Endpoints().List().GetEndpoints() {
+					got += e.GetId()
+					if e.GetDraining() {
+						got += "-"
+					}
+				}
+				return got == want
+			})
+		}
+	}
+	awaitList("abc")
+	list.setIncomplete(&fleetpb.Endpoint{Id: "d"}, &fleetpb.Endpoint{Id: "a", Draining: true})
+	awaitList("a-bcd")
+	// Nothing at all can be read.
+	list.setIncomplete()
+	list.setIncomplete(&fleetpb.Endpoint{Id: "b", Draining: true})
+	awaitList("a-b-cd")
+	list.set(&fleetpb.Endpoint{Id: "c"})
+	awaitList("c")
+}
+
 func TestAVoteThatWasNotSavedIsNotGiven(t *testing.T) {
 	c := &Controller{Self: &fleetpb.Member{Instance: "control", Storage: 1}, DataDir: t.TempDir(), Log: logrus.NewEntry(logrus.New())}
 	c.Log.Logger.SetOutput(io.Discard)
--- a/rockbarrow/controller/reader.go
+++ b/rockbarrow/controller/reader.go
@@ -8,6 +8,9 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
 	"rockbarrow.dev/rockbarrow/catalog"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
@@ -41,6 +44,8 @@
 type reader struct {
 	controller *Controller
 	failing    bool
+	// incomplete is true while a part of the list can't be read.
+	incomplete bool
 	// initialReadAt is when this instance reads the list if it has none by then.
 	initialReadAt time.Time
 	// outdatedSince is since when other instances are known to have a newer list, or zero.
@@ -104,6 +109,10 @@
 	// The list is at least as new as the start of the request.
 	requestedAt := time.Now()
 	read, err := c.EndpointSource.Endpoints(ctx)
+	var incomplete *catalog.IncompleteError
+	if errors.As(err, &incomplete) && len(read.GetEndpoints()) > 0 {
+		err = nil
+	}
 	if err != nil {
 		if !r.failing {
 			c.Log.WithError(err).Warn("failed to read the list of endpoints")
@@ -119,10 +128,29 @@
 	c.listMu.Lock()
 	defer c.listMu.Unlock()
 	known := c.watch.List().Version()
+	r.complete(read, known.Proto(), incomplete)
 	annotated := &fleetpb.EndpointList{Endpoints: c.incarnations.annotate(time.Now(), known.Proto(), read.GetEndpoints()), Calls: read.GetCalls()}
 	c.offerList(c.numberList(known, annotated), requestedAt)
 }
 
+// complete adds the known endpoints to a list of which a part could not be read.
+func (r *reader) complete(read, known *fleetpb.EndpointList, incomplete *catalog.IncompleteError) {
+	log := r.controller.Log
+	if incomplete == nil {
+		if r.incomplete {
+			log.Info("the whole list of endpoints can be read again")
+		}
+		r.incomplete = false
+		return
+	}
+	listed := len(read.GetEndpoints())
+	kept := catalog.Complete(read, known)
+	if !r.incomplete {
+		log.WithError(incomplete).WithFields(logrus.Fields{"listed": listed, "kept": kept}).Warn("a part of the list of endpoints can't be read")
+	}
+	r.incomplete = true
+}
+
 // numberList assigns a number to a reading: the known number if nothing changed, otherwise one
 // above every number seen. After a restart of all control instances, other instances still hold
 // lists and ignore lower numbers. The low bits are random per process, so that no two lists share a
--- a/rockbarrow/endpointlist/list.go
+++ b/rockbarrow/endpointlist/list.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -15,6 +16,7 @@
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/dispatch"
+	"rockbarrow.dev/rockbarrow/jsonlist"
 	"rockbarrow.dev/rockbarrow/roster"
 )
 
@@ -24,6 +26,12 @@
 	maxListSize = 4 << 20
 )
 
+// The fields of the list.
+const (
+	instancesField = "instances"
+	endpointsField = "endpoints"
+)
+
 // List is the platform's list.
 type List struct {
 	Instances []Entry `json:"instances"`
@@ -49,6 +57,9 @@
 	Roster     Roster
 	Dispatcher *dispatch.Dispatcher
 	Log        *logrus.Entry
+
+	// lastError describes the error of the last poll, "" if it had none.
+	lastError string
 }
 
 // Run polls until ctx ends.
@@ -64,14 +75,30 @@
 		case <-t.C:
 		}
 		list, err := p.fetch(ctx)
-		if err != nil {
-			p.Log.WithError(err).Debug("cannot read the platform's list")
-			continue
+		p.logError(err)
+		if list != nil {
+			p.apply(list)
 		}
-		p.apply(list)
 	}
 }
 
+// logError logs an error if it differs from that of the last poll.
+func (p *Poller) logError(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	if text == p.lastError {
+		return
+	}
+	p.lastError = text
+	if err != nil {
+		p.Log.WithError(err).Warn("cannot read the platform's list")
+		return
+	}
+	p.Log.Info("the platform's list can be read again")
+}
+
 func (p *Poller) fetch(ctx context.Context) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
@@ -90,13 +117,57 @@
 	return Decode(io.LimitReader(resp.Body, maxListSize))
 }
 
-// Decode decodes a list.
+// UnreadableError reports a list of which entries could not be read.
+type UnreadableError struct {
+	// Entries is the number of such entries, and Reason describes the last of them, or what is wrong with the whole list.
+	Entries int
+	Reason  string
+}
+
+func (e *UnreadableError) Error() string {
+	return fmt.Sprintf("endpointlist: %d entries can't be read: %s", e.Entries, e.Reason)
+}
+
+// Decode decodes a list. With an [UnreadableError], it returns the entries that could be read.
 func Decode(r io.Reader) (*List, error) {
-	var l List
-	if err := json.NewDecoder(r).Decode(&l); err != nil {
-		return nil, errors.Wrap(err, "endpointlist: decode")
+	b, err := io.ReadAll(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "endpointlist: read")
+	}
+	unreadable := &UnreadableError{}
+	object := jsonlist.Split(string(b), instancesField, endpointsField)
+	out := &List{
+		Instances: decodeEntries(object.Lists[instancesField], unreadable),
+		Endpoints: decodeEntries(object.Lists[endpointsField], unreadable),
+	}
+	if err := json.Unmarshal([]byte(object.Frame), &List{}); err != nil {
+		unreadable.Reason = err.Error()
+	}
+	if unreadable.Reason != "" {
+		return out, unreadable
+	}
+	return out, nil
+}
+
+func decodeEntries(list *jsonlist.List, unreadable *UnreadableError) []Entry {
+	if list == nil {
+		return nil
+	}
+	var out []Entry
+	for _, raw := range list.Elements {
+		var e Entry
+		if err := json.Unmarshal([]byte(raw), &e); err != nil {
+			unreadable.Entries++
+			unreadable.Reason = err.Error()
+			continue
+		}
+		out = append(out, e)
+	}
+	if n := len(list.Unreadable); n > 0 {
+		unreadable.Entries += n
+		unreadable.Reason = "not valid JSON"
 	}
-	return &l, nil
+	return out
 }
 
 // apply forwards the listed states. A listed endpoint that is not live takes no new
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -192,6 +192,7 @@
 	`{"id":"x-2","service":"tool","address":"nowhere","zone":"domain-0","slots":1,"state":"ready"}`,
 	`{"id":"x-3","service":"tool","address":"127.0.0.1:1","zone":"domain-0","slots":"many","state":"ready"}`,
 	`{"id":"x-4","service":"tool","address":"127.0.0.1:1","zone":"domain-0","slots":1,"state":"resting"}`,
+	"\x00\x01\xfe\xff", `nobody`, "{\"id\":\"\x01\x02\xfe\xff\",\"service\":\"\x03\"}", `{"id":"x-6","slots":1e999,"state":"\x"}`,
 	`{"id":"x-5","service":"nobody","address":"127.0.0.1:1","zone":"domain-0","slots":1,"state":"ready"}`,
 }
 
