--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -34,6 +34,8 @@
 const (
 	// maxAnswerBytes bounds the size of an answer.
 	maxAnswerBytes = 8 << 20
+	// maxHeadBytes bounds the headers of responses in bytes.
+	maxHeadBytes = 64 << 10
 	// streamStallTimeout bounds the time between two parts of an engine's
 	// stream.
 	streamStallTimeout = 20 * time.Second
@@ -139,7 +141,7 @@
 
 func (d *Daemon) backgroundTasks() []func(context.Context) {
 	out := []func(context.Context){d.membership.Run, d.source.Run, d.dispatcher.Run, d.host.Run}
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: maxHeadBytes}}
 	out = append(out, (&engine.Watcher{HTTP: client, Dispatcher: d.dispatcher, Every: enginePollInterval, Near: d.Settings.Domain, Log: d.Log}).Run)
 	if p := d.Settings.Platform; p.ListURL != "" {
 		out = append(out, (&endpointlist.Poller{
@@ -325,6 +327,8 @@
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 256,
 		IdleConnTimeout:     time.Minute,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	h := &http.Client{Transport: transport}
 	return &backend.Set{
--- a/rockbarrow/engine/client.go
+++ b/rockbarrow/engine/client.go
@@ -34,8 +34,12 @@
 	HeaderNotRun    = "Rockbarrow-Not-Run"
 )
 
-// maxLine bounds one line of a stream.
-const maxLine = 1 << 20
+const (
+	// maxLine bounds one line of a stream in bytes.
+	maxLine = 1 << 20
+	// streamFactor bounds a whole stream as a multiple of the answer's bound. A chunk has some 200 bytes beside its content.
+	streamFactor = 256
+)
 
 // Client calls engines. Set the exported fields before the first call.
 type Client struct {
@@ -118,7 +122,7 @@
 		return Refusal(a.Endpoint, resp)
 	}
 	r := &reading{client: c, attempt: a, emit: emit, stall: stall, start: start}
-	return r.all(resp.Body)
+	return r.all(http.MaxBytesReader(nil, resp.Body, streamFactor*int64(c.MaxAnswer)))
 }
 
 func (c *Client) request(ctx context.Context, a host.Attempt) (*http.Request, error) {
