jsonlist: entries behind one without recognizable bounds

The users' page says of entries with bytes that can't be read that the others hold.

Change: where the elements that gjson finds don't fill the list, or what is behind it is not the rest of an object, the list ends at the first bracket behind which encoding/json reads the object to its end, and the elements are the valid objects between commas. A page whose end is not found is incomplete, as before, and its last entry, which may have taken in what is behind it, is left out.

Why it works: a sound entry is always such an object, wherever the broken one ends. FuzzSplit checks for any bytes that both neighbours are found unless the list counts as incomplete or the page is valid JSON as a whole: 40 s, 1.3 million runs; FuzzEntryOfAnotherWriter the same for the decoded page: 30 s, 0.1 million.

TestEntriesAroundUnknownBoundsHold replaces TestEntriesBeforeUnknownBoundsHold and asks for more: all other entries and the token, at each place of the broken entry; the old code gave a PageError there. TestPageThatBreaksOffHasItsEntries has each prefix of a page.

--- a/rockbarrow/jsonlist/jsonlist.go
+++ b/rockbarrow/jsonlist/jsonlist.go
@@ -3,11 +3,12 @@
 // Package jsonlist splits lists in a JSON object into their elements although some of them can't be read.
 //
 // The elements are found by their quotes, brackets and commas, and are decoded by the caller one by one. The object around
-// the lists is returned with empty ones. If the bounds of an element were not found, the rest of its list is in the object,
-// which is not valid JSON then.
+// the lists is returned with empty ones. If the bounds of an element are not recognizable, the elements behind it are those
+// that are valid objects between commas.
 package jsonlist
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -15,13 +16,16 @@
 	"github.com/tidwall/gjson"
 )
 
+// maxElements limits the elements of a list, which take more memory than their text.
+const maxElements = 1 << 16
+
 // Object is an object whose lists were split.
 type Object struct {
 	// Lists are the lists by their fields. A field that is no list is missing.
 	Lists map[string]*List
 	// Frame is the text of the object with empty lists.
 	Frame string
-	// Incomplete is true if elements may be missing, as the frame is not valid JSON or a list is too long.
+	// Incomplete is true if elements may be missing, or the frame is not valid JSON.
 	Incomplete bool
 }
 
@@ -29,108 +33,80 @@
 type List struct {
 	// Elements are the elements in their order. They need not be valid JSON.
 	Elements []string
-	// Unreadable are elements that are neither objects, lists, strings nor other values, and elements that are not
-	// separated by commas.
+	// Unreadable are texts between the elements that are none.
 	Unreadable []string
 }
 
-// maxElements limits the elements of a list, which take more memory than their text.
-const maxElements = 1 << 16
-
 // Split splits the lists in some fields of an object.
 func Split(text string, fields ...string) *Object {
 	out := &Object{Lists: map[string]*List{}, Frame: text}
+	var found []located
 	for _, field := range fields {
-		found := gjson.Get(out.Frame, field)
-		if !found.IsArray() || found.Index == 0 {
-			continue
+		if r := gjson.Get(text, field); r.IsArray() && r.Index > 0 {
+			found = append(found, located{field: field, list: r})
 		}
-		l, full := splitList(found)
-		out.Lists[field] = l
-		out.Frame = out.Frame[:found.Index] + "[]" + out.Frame[found.Index+len(found.Raw):]
-		out.Incomplete = out.Incomplete || full
 	}
-	out.Incomplete = out.Incomplete || !json.Valid([]byte(out.Frame))
-	if out.Incomplete {
-		for _, l := range out.Lists {
-			l.dropLast()
-		}
+	// What is behind a list has to be readable to find its end.
+	slices.SortFunc(found, func(a, b located) int { return cmp.Compare(b.list.Index, a.list.Index) })
+	for _, f := range found {
+		out.split(f)
 	}
+	out.Incomplete = out.Incomplete || !json.Valid([]byte(out.Frame))
 	return out
 }
 
-// dropLast declares the last element unreadable, which may have taken in what is behind it.
-func (l *List) dropLast() {
-	if n := len(l.Elements); n > 0 {
-		l.Unreadable = append(l.Unreadable, l.Elements[n-1])
-		l.Elements = slices.Delete(l.Elements, n-1, n)
-	}
+// located is a list in a text.
+type located struct {
+	field string
+	list  gjson.Result
 }
 
-// splitList splits a list. It reports true if the list has too many elements, and returns the first of them.
-func splitList(list gjson.Result) (l *List, full bool) {
-	s := splitter{raw: list.Raw, end: 1}
-	list.ForEach(func(_, element gjson.Result) bool {
-		s.add(element.Raw)
-		full = len(s.elements)+len(s.unreadable) >= maxElements
-		return !full
-	})
-	if !full {
-		s.addGap(strings.TrimSuffix(s.raw[s.end:], "]"), false)
+// split splits a list and takes it out of the frame.
+func (o *Object) split(f located) {
+	text := o.Frame[f.list.Index:]
+	s := &splitter{raw: f.list.Raw, end: 1}
+	f.list.ForEach(func(_, element gjson.Result) bool { return s.add(element.Raw) })
+	l, size := &List{Elements: s.elements}, len(s.raw)
+	if !s.isWhole() || !isRest(text[size:]) {
+		r := &recovery{left: recoveryFactor*len(text) + minWork}
+		size = r.run(text)
+		l.Elements, l.Unreadable = r.elements, r.unreadable
+		o.Incomplete = o.Incomplete || r.incomplete
 	}
-	return &List{Elements: s.elements, Unreadable: s.unreadable}, full
+	if len(l.Elements)+len(l.Unreadable) > maxElements {
+		l.Elements, l.Unreadable = l.Elements[:min(len(l.Elements), maxElements)], nil
+		o.Incomplete = true
+	}
+	o.Lists[f.field] = l
+	o.Frame = o.Frame[:f.list.Index] + "[]" + text[size:]
 }
 
-// splitter checks what is between the elements of a list.
+// splitter collects the elements of a list up to one that is not separated by a comma.
 type splitter struct {
 	// raw is the list with its brackets, and end where the last element ends there.
-	raw string
-	end int
-	// last is the last element, which may be followed by bytes that belong to it. It is valid if hasLast is true.
-	last       string
-	hasLast    bool
-	elements   []string
-	unreadable []string
+	raw      string
+	end      int
+	elements []string
+	failed   bool
 }
 
-// add adds the next element.
-func (s *splitter) add(element string) {
+// add adds the next element, and reports whether to go on.
+func (s *splitter) add(element string) bool {
 	at := strings.Index(s.raw[s.end:], element)
-	if at < 0 {
-		s.unreadable = append(s.unreadable, element)
-		return
+	separator := ","
+	if len(s.elements) == 0 {
+		separator = ""
 	}
-	start := s.end + at
-	separated := s.addGap(s.raw[s.end:start], true)
-	s.last, s.hasLast, s.end = element, separated, start+len(element)
-	if !separated {
-		s.unreadable = append(s.unreadable, element)
+	if at < 0 || trimSpace(s.raw[s.end:s.end+at]) != separator || len(s.elements) > maxElements {
+		s.failed = true
+		return false
 	}
+	s.elements = append(s.elements, element)
+	s.end += at + len(element)
+	return true
 }
 
-// addGap handles the bytes between two elements, or before the end of the list. It reports whether the next element, if
-// there is one, is separated from them.
-func (s *splitter) addGap(gap string, next bool) (separated bool) {
-	parts := strings.Split(gap, ",")
-	first, others := parts[0], parts[1:]
-	isFirst := s.end == 1
-	joined := next && len(others) == 0 && !isFirst
-	switch {
-	case s.hasLast && (!isBlank(first) || joined):
-		s.unreadable = append(s.unreadable, s.last+first)
-	case s.hasLast:
-		s.elements = append(s.elements, s.last)
-	case isFirst && len(others) > 0 && !isBlank(first):
-		s.unreadable = append(s.unreadable, first)
-	}
-	s.hasLast = false
-	for i, part := range others {
-		if !isBlank(part) && (i < len(others)-1 || !next) {
-			s.unreadable = append(s.unreadable, part)
-		}
-	}
-	return !joined && isBlank(parts[len(parts)-1])
-}
+// isWhole reports whether the elements are all that is in the list.
+func (s *splitter) isWhole() bool { return !s.failed && trimSpace(s.raw[s.end:]) == "]" }
 
-// isBlank reports whether a text has only white space of JSON.
-func isBlank(text string) bool { return strings.Trim(text, " \t\r\n") == "" }
+func trimSpace(text string) string { return strings.Trim(text, " \t\r\n") }
