jsonlist: white space before broken elements is scanned once

What callers would see: a page of 2 MB of spaces and many objects behind an entry that can't be read keeps a control instance busy for minutes.

Cause: each object had all before it trimmed from both ends, so that the spaces at the beginning were scanned anew for each.

Each of the two phases of a recovery has its own work, too.

--- a/rockbarrow/jsonlist/jsonlist.go
+++ b/rockbarrow/jsonlist/jsonlist.go
@@ -68,7 +68,7 @@
 	f.list.ForEach(func(_, element gjson.Result) bool { return s.add(element.Raw) })
 	l, size := &List{Elements: s.elements}, len(s.raw)
 	if !s.isWhole() || !isRest(text[size:]) {
-		r := &recovery{left: recoveryFactor*len(text) + minWork}
+		r := &recovery{}
 		size = r.run(text)
 		l.Elements, l.Unreadable = r.elements, r.unreadable
 		o.Incomplete = o.Incomplete || r.incomplete
@@ -109,4 +109,7 @@
 // isWhole reports whether the elements are all that is in the list.
 func (s *splitter) isWhole() bool { return !s.failed && trimSpace(s.raw[s.end:]) == "]" }
 
-func trimSpace(text string) string { return strings.Trim(text, " \t\r\n") }
+// whiteSpace is that of JSON.
+const whiteSpace = " \t\r\n"
+
+func trimSpace(text string) string { return strings.Trim(text, whiteSpace) }
--- a/rockbarrow/jsonlist/recover.go
+++ b/rockbarrow/jsonlist/recover.go
@@ -24,7 +24,7 @@
 // recovery splits a list with an element whose bounds are not recognizable. Its elements are valid objects between commas, and
 // it ends at the first bracket behind which the object around it goes on to its end.
 type recovery struct {
-	// left is the work that is left.
+	// left is the work that is left, for the end and then for the elements.
 	left int
 	// incomplete is true if elements may be missing.
 	incomplete bool
@@ -35,7 +35,10 @@
 
 // run splits the list that a text begins with, and returns its size.
 func (r *recovery) run(text string) int {
+	work := recoveryFactor*len(text) + minWork
+	r.left = work
 	end := r.end(text)
+	r.left = work
 	if end < 0 {
 		r.incomplete = true
 		r.scan(text[1:], false)
@@ -106,7 +109,7 @@
 		}
 		// An object that is no element may have elements of its own, which are none of the list.
 		end := at + len(object)
-		before, behind := trimSpace(text[:at]), trimSpace(text[end:])
+		before, behind := strings.TrimRight(text[:at], whiteSpace), strings.TrimLeft(text[end:], whiteSpace)
 		begins := before == "" || strings.HasSuffix(before, ",")
 		ends := strings.HasPrefix(behind, ",") || behind == "" && endKnown
 		if begins && ends {
@@ -140,7 +143,7 @@
 
 // addGap adds what is between two elements, unless it is nothing.
 func (r *recovery) addGap(text string) {
-	if gap := strings.Trim(text, ", \t\r\n"); gap != "" {
+	if gap := strings.Trim(text, ","+whiteSpace); gap != "" {
 		r.unreadable = append(r.unreadable, gap)
 	}
 }
