entry, controller, requestlog: logs tell what an execution of a suspect rests on

Whether an execution was granted or its instance knew of no end, and how many ends were known then, could not be told. 'request ended' has granted and known_ends for each execution, the log of a decision known_ends and trials, and 'rockbench requests' sums them by request.

--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -86,6 +86,7 @@
 		return nil, status.Error(codes.InvalidArgument, err.Error())
 	}
 	c.suspects.Merge(now, req.GetKnown(), false)
+	known := c.suspects.Knowledge(now, k)
 	d := c.suspects.Ask(now, quarantine.Question{
 		Keys: k, Endpoint: incarnation.ID{EndpointID: req.GetEndpoint(), StartMS: req.GetBornMs()}, Asker: req.GetAsker(), Insist: req.GetInsist(),
 		Until: now.Add(min(time.Duration(req.GetUntilMs())*time.Millisecond, maxTrial)),
@@ -93,6 +94,7 @@
 	c.notifySuspects(before)
 	c.Log.WithFields(logrus.Fields{
 		"key": k.Request.String(), "endpoint": req.GetEndpoint(), "born_ms": req.GetBornMs(), "asker": req.GetAsker(), "decision": decisionProto(d).String(),
+		"known_ends": known.Ends, "trials": known.Trials,
 	}).Info("a suspect is to be sent")
 	out := &fleetpb.TrialReply{Decision: decisionProto(d), Suspects: c.suspects.Of(now, k)}
 	if h, ok := d.(quarantine.Held); ok {
--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -75,6 +75,9 @@
 func (x *exchange) beginExecution(now time.Time) {
 	x.execution = x.entry.executions.Begin(now, x, x.endpoint)
 	x.executions = append(x.executions, x.execution)
+	if !x.entry.suspects.Empty() {
+		x.entry.executions.SetBasis(x.execution, execution.Basis{Granted: x.onTrial, KnownEnds: x.entry.suspects.Knowledge(now, x.Keys()).Ends})
+	}
 }
 
 // finishExecution records how the execution of an attempt ended. If its response was lost, it finds out whether the endpoint
--- a/rockbarrow/execution/tracker.go
+++ b/rockbarrow/execution/tracker.go
@@ -60,6 +60,15 @@
 	end time.Time
 	// endpointEnded is true once the end of the endpoint was connected with the execution.
 	endpointEnded bool
+	basis         Basis
+}
+
+// Basis is what an instance rested on when it sent a request.
+type Basis struct {
+	// Granted is true if a control instance granted the execution. Otherwise the request was not suspected.
+	Granted bool
+	// KnownEnds is how many endpoints this instance knew to have ended under the request.
+	KnownEnds int
 }
 
 // Participant is a request that was in progress at an endpoint that ended.
@@ -94,6 +103,13 @@
 	return x
 }
 
+// SetBasis records what an execution rests on.
+func (t *Tracker) SetBasis(x *Execution, b Basis) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.basis = b
+}
+
 // Finish records the result of an execution, once.
 func (t *Tracker) Finish(now time.Time, x *Execution, r Result) {
 	var p Participant
@@ -182,6 +198,9 @@
 	Result   string `json:"result"`
 	// Ended is true if the endpoint is known to have ended meanwhile.
 	Ended bool `json:"ended"`
+	// Granted and KnownEnds are those of its [Basis].
+	Granted   bool `json:"granted"`
+	KnownEnds int  `json:"known_ends"`
 }
 
 // Summarize describes executions for logs.
@@ -192,7 +211,7 @@
 	for _, x := range list {
 		out = append(out, Summary{
 			Endpoint: x.endpoint.EndpointID, BornMS: x.endpoint.StartMS, TookMS: max(0, x.end.Sub(x.start).Milliseconds()),
-			Result: x.result.String(), Ended: x.endpointEnded,
+			Result: x.result.String(), Ended: x.endpointEnded, Granted: x.basis.Granted, KnownEnds: x.basis.KnownEnds,
 		})
 	}
 	return out
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -59,6 +59,22 @@
 	return Busy{}
 }
 
+// Knowledge is what a registry knows of a request. Of several suspects that it matches, it is the most.
+type Knowledge struct {
+	// Ends are the endpoints that ended under it, and Trials the executions whose outcome is not known.
+	Ends, Trials int
+}
+
+// Knowledge returns what is known of a request.
+func (r *Registry) Knowledge(now time.Time, k Keys) (out Knowledge) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.suspectsOf(now, k) {
+		out.Ends, out.Trials = max(out.Ends, len(s.evidence)), max(out.Trials, len(s.trials))
+	}
+	return out
+}
+
 // Question asks for a request to be sent to an endpoint.
 type Question struct {
 	Keys     Keys
--- a/rockbench/requestlog/ends.go
+++ b/rockbench/requestlog/ends.go
@@ -20,6 +20,9 @@
 	BornMS   uint64 `json:"born_ms"`
 	Result   string `json:"result"`
 	Ended    bool   `json:"ended"`
+	// Granted is true if a control instance granted it, and KnownEnds is how many ends its instance knew of.
+	Granted   bool `json:"granted"`
+	KnownEnds int  `json:"known_ends"`
 }
 
 // Ends connects endpoints that ended with the requests that were in progress there, over all attempts and instances. The zero
@@ -36,6 +39,9 @@
 	attempts, instances map[string]bool
 	// sent counts its executions, and most those of one attempt.
 	sent, most int
+	// granted are those that a control instance granted, and unaware those at instances that knew of no end. mostKnown is the
+	// largest number of ends that an instance knew of when it sent the request.
+	granted, unaware, mostKnown int
 	// ended are the incarnations that ended under it, and again is true if two of them have one id.
 	ended map[string]bool
 	again bool
@@ -68,6 +74,13 @@
 	r.sent += len(l.Executions)
 	r.most = max(r.most, len(l.Executions))
 	for _, x := range l.Executions {
+		if x.Granted {
+			r.granted++
+		}
+		if x.KnownEnds == 0 {
+			r.unaware++
+		}
+		r.mostKnown = max(r.mostKnown, x.KnownEnds)
 		if x.Ended {
 			r.addEnd(x.Endpoint, x.BornMS)
 		}
@@ -103,7 +116,7 @@
 // Write prints a row for each request under which two endpoints or more ended, those with most first.
 func (t *Ends) Write(w io.Writer) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "ended\tsent\tattempts\tinstances\tmost in one attempt\tsame id again\tlast status\tprogram\troute\tkey")
+	fmt.Fprintln(out, "ended\tsent\tgranted\tsent unaware\tmost known\tattempts\tinstances\tmost in one attempt\tsame id again\tlast status\tprogram\troute\tkey")
 	keys := slices.SortedFunc(maps.Keys(t.byKey), func(a, b string) int {
 		return cmp.Or(cmp.Compare(len(t.byKey[b].ended), len(t.byKey[a].ended)), cmp.Compare(a, b))
 	})
@@ -112,7 +125,7 @@
 		r := t.byKey[k]
 		byCount[len(r.ended)]++
 		if len(r.ended) > 1 && n < maxRows {
-			fmt.Fprintf(out, "%d\t%d\t%d\t%d\t%d\t%v\t%d\t%s\t%s\t%s\n", len(r.ended), r.sent, len(r.attempts), len(r.instances), r.most, r.again, r.lastStatus, r.program, r.route, k)
+			fmt.Fprintf(out, "%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%d\t%s\t%s\t%s\n", len(r.ended), r.sent, r.granted, r.unaware, r.mostKnown, len(r.attempts), len(r.instances), r.most, r.again, r.lastStatus, r.program, r.route, k)
 		}
 	}
 	if err := out.Flush(); err != nil {
--- a/rockbench/requestlog/requestlog_test.go
+++ b/rockbench/requestlog/requestlog_test.go
@@ -158,7 +158,7 @@
 
 // TestEndsAreCountedOverAttempts: one request ended an endpoint at each of two instances, under an id of its own each time.
 func TestEndsAreCountedOverAttempts(t *testing.T) {
-	const log = `{"msg":"request ended","instance":"a","request":"r-1","program":"p","key":"k","status":502,"executions":[{"endpoint":"e-1","born_ms":5,"result":"lost","ended":true},{"endpoint":"e-2","born_ms":6,"result":"lost","ended":false}]}
+	const log = `{"msg":"request ended","instance":"a","request":"r-1","program":"p","key":"k","status":502,"executions":[{"endpoint":"e-1","born_ms":5,"result":"lost","ended":true},{"endpoint":"e-2","born_ms":6,"result":"lost","ended":false,"granted":true,"known_ends":1}]}
 {"msg":"request ended","instance":"b","request":"r-2","program":"p","key":"k","status":502,"executions":[{"endpoint":"e-1","born_ms":9,"result":"lost","ended":false}]}
 {"msg":"an endpoint has ended with requests in progress","role":"entry","endpoint":"e-1","born_ms":9,"in_progress":2,"participants":[{"key":"k"},{"key":"other"}]}
 `
@@ -173,7 +173,7 @@
 	if err := ends.Write(&out); err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"2      3     2         2          2                    true           502          p", "1 endpoints ended with requests in progress; requests by ended endpoints: map[1:1 2:1]"} {
+	for _, want := range []string{"2      3     1        2             1           2         2          2                    true           502          p", "1 endpoints ended with requests in progress; requests by ended endpoints: map[1:1 2:1]"} {
 		if !strings.Contains(out.String(), want) {
 			t.Errorf("%s\nlacks %q", out.String(), want)
 		}
