standin, soak: requests that end endpoints, with patient clients and beside other ends

Only an endpoint that a fault is ending, or the last one of its service, is left alone now, and whatever ends an endpoint counts for the requests in progress there.

--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -170,7 +170,10 @@
 func replaceEndpoint(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
 	f.replacing.Lock()
 	defer f.replacing.Unlock()
-	old := f.endpoint(r)
+	old := f.take(r, phaseLeaving)
+	if old == nil {
+		return
+	}
 	if _, err := f.addEndpoint(old.Service, old.Domain); err != nil {
 		f.ledger.AddViolation("%v", err)
 		return
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -61,11 +61,11 @@
 	control []*instance
 	stores  []*instance
 	entries []*instance
-	// mu guards endpoints, crashed and lives.
+	// mu guards endpoints, phases and lives.
 	mu        sync.Mutex
 	endpoints []*standin.Endpoint
-	// crashed are endpoints that have crashed, some of which are still listed.
-	crashed map[*standin.Endpoint]bool
+	// phases are those of endpoints that don't stay, some of which are still listed.
+	phases map[*standin.Endpoint]phase
 	// replacements are under way for crashed endpoints.
 	replacements sync.WaitGroup
 	// fresh are endpoints of services that came with a later version. No fault has them.
@@ -103,8 +103,8 @@
 // ends it.
 func newFleet(ctx context.Context, cfg Config) (*fleet, func(), error) {
 	f := &fleet{
-		crashed: map[*standin.Endpoint]bool{},
-		dir:     cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
+		phases: map[*standin.Endpoint]phase{},
+		dir:    cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))},
 	}
 	if cfg.Before == "" {
@@ -191,11 +191,11 @@
 	return nil
 }
 
-// endpoint draws one that has not crashed, if there is any.
+// endpoint draws one that stays, if there is any.
 func (f *fleet) endpoint(r *rand.Rand) *standin.Endpoint {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	list := slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return f.crashed[e] })
+	list := slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return f.phases[e] != phaseStaying })
 	if len(list) == 0 {
 		list = f.endpoints
 	}
--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -32,13 +32,18 @@
 func restartEndpoint(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
 	f.replacing.Lock()
 	defer f.replacing.Unlock()
-	old := f.endpoint(r)
+	var old *standin.Endpoint
 	if r.IntN(2) == 0 {
-		leave(ctx, f, old, last)
-	} else {
+		if old = f.take(r, phaseLeaving); old != nil {
+			leave(ctx, f, old, last)
+		}
+	} else if old = f.take(r, phaseEnding); old != nil {
 		f.removeEndpoint(old)
 		old.Close()
 	}
+	if old == nil {
+		return
+	}
 	wait.For(ctx, last/4)
 	if err := f.startEndpoint(f.nextLife(old, r), anyPort); err != nil {
 		f.ledger.AddViolation("%v", err)
@@ -50,8 +55,11 @@
 func bounceEndpoint(ctx context.Context, f *fleet, r *rand.Rand, _ time.Duration) {
 	f.replacing.Lock()
 	defer f.replacing.Unlock()
-	old := f.endpoint(r)
+	old := f.take(r, phaseEnding)
 	for range 1 + r.IntN(mostStarts) {
+		if old == nil {
+			return
+		}
 		next := f.nextLife(old, r)
 		f.ledger.Count("starts of endpoints at their address")
 		if err := next.Replace(old); err != nil {
@@ -60,9 +68,10 @@
 			return
 		}
 		f.swapEndpoint(old, next)
-		old = next
 		wait.For(ctx, time.Duration(r.Int64N(int64(startedWithin))))
+		old = f.claim(next, phaseEnding)
 	}
+	f.release(old)
 }
 
 // nextLife is an endpoint that comes after another one under its id. Some clocks are set back, and some tell no time.
@@ -128,25 +137,72 @@
 // list still shows the crashed one.
 const backAfter = 1500 * time.Millisecond
 
-// crash ends an endpoint and starts another one in its place, unless a fault has replaced it or is about to.
+// phase is what becomes of an endpoint that does not stay.
+type phase int
+
+const (
+	phaseStaying phase = iota
+	// phaseLeaving is an endpoint that drains, and that a fault closes.
+	phaseLeaving
+	// phaseEnding is one that a fault closes at once. Its listener may be that of the next one.
+	phaseEnding
+	// phaseCrashed is one that has ended by itself, and may still be listed.
+	phaseCrashed
+)
+
+// endWithin bounds the time in which a fault closes an endpoint that it ends.
+const endWithin = 5 * time.Second
+
+// crash ends an endpoint, unless it is the last one of its service, and starts another one in its place. It reports whether
+// the endpoint has ended.
 func (f *fleet) crash(e *standin.Endpoint) bool {
-	if !f.replacing.TryLock() {
-		return false
-	}
-	defer f.replacing.Unlock()
 	f.mu.Lock()
-	listed := slices.Contains(f.endpoints, e)
-	f.crashed[e] = listed
-	f.mu.Unlock()
-	if !listed {
-		// Its listener may be that of the next one.
+	was, listed := f.phases[e], slices.Contains(f.endpoints, e)
+	if !listed || was == phaseEnding {
+		f.mu.Unlock()
+		return e.AwaitEnd(endWithin)
+	}
+	if !f.hasOther(e) {
+		f.mu.Unlock()
 		return false
 	}
+	f.phases[e] = phaseCrashed
+	f.mu.Unlock()
 	e.Close()
-	f.replacements.Go((&replacement{fleet: f, old: e}).run)
+	if was == phaseStaying {
+		f.replacements.Go((&replacement{fleet: f, old: e}).run)
+	}
 	return true
 }
 
+// hasOther reports whether another endpoint of the same service stays; the caller holds mu.
+func (f *fleet) hasOther(e *standin.Endpoint) bool {
+	return slices.ContainsFunc(f.endpoints, func(o *standin.Endpoint) bool {
+		return o != e && o.Service == e.Service && f.phases[o] == phaseStaying
+	})
+}
+
+// take draws an endpoint that stays for a fault that ends it, or returns nil.
+func (f *fleet) take(r *rand.Rand, p phase) *standin.Endpoint { return f.claim(f.endpoint(r), p) }
+
+// claim returns an endpoint that stays, which a fault ends then, or nil.
+func (f *fleet) claim(e *standin.Endpoint, p phase) *standin.Endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.phases[e] != phaseStaying {
+		return nil
+	}
+	f.phases[e] = p
+	return e
+}
+
+// release lets an endpoint stay that was claimed; nil is ignored.
+func (f *fleet) release(e *standin.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.phases, e)
+}
+
 // replacement puts an endpoint with a new id in the place of one that has crashed.
 type replacement struct {
 	fleet *fleet
