entry, execution: count ends of draining endpoints, and those after an error response

A request that ended a draining endpoint was not known to have ended one: such an endpoint was neither probed nor, when it left the list, connected with the requests that had lost their responses there. An error response of an endpoint (500) cleared a suspect like a success, with all ends that were known.

A draining endpoint is probed like others; when it leaves the list, the requests that lost their responses met its end, and those that run on or whose client left did not. An error response ends a trial and clears nothing; if the endpoint ends within a second, the request was in progress there.

TestTheListShowsEnds asked that the end of a draining endpoint is not reported, which lets a request end one more endpoint than it may; it asks for the report now. It and TestAnErrorResponseClearsNoSuspect failed before.

--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -117,13 +118,15 @@
 	case errors.As(err, &notExecuted):
 		return execution.NotExecuted
 	case errors.As(err, &unknown) && unknown.Answered:
-		return execution.Completed
+		return execution.Failed
 	case ctx.Err() != nil:
 		return execution.Abandoned
 	case err != nil || x.bodyLost:
 		return execution.Lost
 	case isAborted(o):
 		return execution.Abandoned
+	case x.status >= http.StatusInternalServerError:
+		return execution.Failed
 	}
 	return execution.Completed
 }
@@ -144,7 +147,7 @@
 
 // refused reports whether the endpoint refuses connections.
 func (p *endProbe) refused(ctx context.Context) bool {
-	if p.entry.Prober == nil || p.entry.isDraining(p.incarnation.EndpointID) {
+	if p.entry.Prober == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
@@ -167,19 +170,26 @@
 	}
 }
 
-// isDraining reports whether an endpoint is listed as draining: its end is expected.
-func (e *Entry) isDraining(endpoint string) bool {
-	f := e.fleet.Load()
-	i, ok := f.version().Index(endpoint)
-	return ok && f.version().Proto().GetEndpoints()[i].GetDraining()
-}
-
 // endpointEnded connects the end of an endpoint's earlier incarnations with the requests that were in progress there. The
-// current incarnation, if any, goes on. The returned channel is closed once control instances know of it or don't answer.
+// current incarnation, if any, goes on. The returned channel is closed once a control instance knows of it.
 func (e *Entry) endpointEnded(endpoint, service string, current *incarnation.ID, evidence string) (reported <-chan struct{}) {
+	return e.reportEnded(endpoint, service, evidence, func() []execution.Participant {
+		return e.executions.EndpointEnded(time.Now(), endpoint, current)
+	})
+}
+
+// endpointDrained is endpointEnded for an endpoint that has left after draining: only requests that lost their responses met its
+// end, as others may go on there.
+func (e *Entry) endpointDrained(endpoint, service string) {
+	e.reportEnded(endpoint, service, "it left the list after draining", func() []execution.Participant {
+		return e.executions.EndpointDrained(time.Now(), endpoint)
+	})
+}
+
+func (e *Entry) reportEnded(endpoint, service, evidence string, claim func() []execution.Participant) (reported <-chan struct{}) {
 	// Another request may have claimed the participants, whose report must then be awaited.
 	e.endsMu.Lock()
-	participants := e.executions.EndpointEnded(time.Now(), endpoint, current)
+	participants := claim()
 	reported = e.reportEnd(service, participants)
 	e.endsMu.Unlock()
 	if len(participants) == 0 {
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -165,6 +165,24 @@
 	})
 }
 
+// TestAnErrorResponseClearsNoSuspect guards against a request that ends endpoints, and is taken for harmless as one of them
+// answered with an error first.
+func TestAnErrorResponseClearsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){slowReset, respond(http.StatusInternalServerError, "panic")}}
+		control := &fakeControl{}
+		e := newSuspectEntry(t, s, control)
+		serveAttempt(t, e, "/once/1", "1")
+		if got := serveAttempt(t, e, "/once/1", "2"); got != http.StatusInternalServerError {
+			t.Errorf("status %d", got)
+		}
+		synctest.Wait()
+		if control.registry.Empty() || e.suspects.Empty() {
+			t.Error("no longer suspected")
+		}
+	})
+}
+
 // TestNoCallWithoutAnEnd: requests that nothing ended under cost a look-up, also where responses are lost.
 func TestNoCallWithoutAnEnd(t *testing.T) {
 	s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){connectionReset, respond(200, "ok")}}
@@ -177,7 +195,7 @@
 }
 
 // TestTheListShowsEnds guards against ends that no connection shows: an endpoint that leaves the list ended with the requests that
-// lost their responses there, unless it was draining.
+// lost their responses there, also if it was draining.
 func TestTheListShowsEnds(t *testing.T) {
 	for _, draining := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
@@ -196,8 +214,8 @@
 			e.Watch.UpdateList(l, time.Now())
 			e.refresh()
 			synctest.Wait()
-			if reported := control.registry.Len() > 0; reported == draining {
-				t.Errorf("draining %v: reported %v", draining, reported)
+			if control.registry.Len() == 0 {
+				t.Errorf("draining %v: not reported", draining)
 			}
 		})
 	}
--- a/rockbarrow/entry/updates.go
+++ b/rockbarrow/entry/updates.go
@@ -191,7 +191,9 @@
 	present = slices.CompactFunc(present, func(a, b *fleetpb.Endpoint) bool { return a == b })
 	incarnations := e.currentIncarnations(now, present, to.Number())
 	for _, p := range absent {
-		if !p.GetDraining() && !e.draining.isDraining(p.GetId()) {
+		if p.GetDraining() || e.draining.isDraining(p.GetId()) {
+			e.endpointDrained(p.GetId(), p.GetService())
+		} else {
 			e.endpointEnded(p.GetId(), p.GetService(), nil, "it left the list")
 		}
 	}
--- a/rockbarrow/execution/tracker.go
+++ b/rockbarrow/execution/tracker.go
@@ -16,6 +16,8 @@
 	// lostFor is how long an execution without a known outcome is remembered: the endpoint's end may become known
 	// only when it leaves the list.
 	lostFor = 6 * time.Second
+	// failedFor is how long after an error response the endpoint's end belongs to the same failure.
+	failedFor = time.Second
 	// maxLost bounds the remembered executions of one endpoint, at a few times its usual slots.
 	maxLost = 256
 )
@@ -23,17 +25,30 @@
 // Result is how an execution ended.
 type Result int
 
-// The results. An execution is Lost if the response broke off or did not come, and Abandoned if the client left.
+// The results. An execution is Lost if the response broke off or did not come, Abandoned if the client left, and Failed if the
+// endpoint answered with an error of its own.
 const (
 	Running Result = iota
 	Completed
 	NotExecuted
 	Lost
 	Abandoned
+	Failed
 )
 
 func (r Result) String() string {
-	return [...]string{"running", "completed", "not executed", "lost", "abandoned"}[r]
+	return [...]string{"running", "completed", "not executed", "lost", "abandoned", "failed"}[r]
+}
+
+// remembered returns how long the endpoint's end may still belong to an execution with this result.
+func (r Result) remembered() time.Duration {
+	switch r {
+	case Lost, Abandoned:
+		return lostFor
+	case Failed:
+		return failedFor
+	}
+	return 0
 }
 
 // Request is a request that is executed. Its methods are safe for concurrent use.
@@ -113,7 +128,7 @@
 // Finish records the result of an execution, once.
 func (t *Tracker) Finish(now time.Time, x *Execution, r Result) {
 	var p Participant
-	if r == Lost || r == Abandoned {
+	if r.remembered() > 0 {
 		p = x.participantAt(now)
 	}
 	t.mu.Lock()
@@ -145,8 +160,7 @@
 			kept = append(kept, x)
 			continue
 		}
-		unknown := x.result == Lost || x.result == Abandoned
-		if unknown && now.Sub(x.end) < lostFor && lost <= maxLost {
+		if now.Sub(x.end) < x.result.remembered() && lost <= maxLost {
 			kept = append(kept, x)
 			continue
 		}
@@ -163,8 +177,16 @@
 // EndpointEnded returns the requests that were in progress at incarnations of an endpoint that ended, and that no earlier call
 // returned. The current incarnation, if any, goes on. Requests that completed there are not among them.
 func (t *Tracker) EndpointEnded(now time.Time, endpoint string, current *incarnation.ID) []Participant {
-	var out []Participant
-	for _, x := range t.claim(now, endpoint, current) {
+	return t.claimParticipants(now, endpoint, func(x *Execution) bool { return current == nil || !x.endpoint.Matches(*current) })
+}
+
+// EndpointDrained is EndpointEnded for an endpoint that was draining: it returns those that lost their responses.
+func (t *Tracker) EndpointDrained(now time.Time, endpoint string) []Participant {
+	return t.claimParticipants(now, endpoint, func(x *Execution) bool { return x.result == Lost })
+}
+
+func (t *Tracker) claimParticipants(now time.Time, endpoint string, met func(*Execution) bool) (out []Participant) {
+	for _, x := range t.claim(now, endpoint, met) {
 		if x.request != nil {
 			out = append(out, x.participantAt(now))
 			continue
@@ -174,14 +196,14 @@
 	return out
 }
 
-// claim marks the executions at ended incarnations and returns copies of them.
-func (t *Tracker) claim(now time.Time, endpoint string, current *incarnation.ID) []Execution {
+// claim marks the executions that met an end and returns copies of them.
+func (t *Tracker) claim(now time.Time, endpoint string, met func(*Execution) bool) []Execution {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.compact(now, endpoint)
 	var out []Execution
 	for _, x := range t.byEndpoint[endpoint] {
-		if x.endpointEnded || current != nil && x.endpoint.Matches(*current) {
+		if x.endpointEnded || !met(x) {
 			continue
 		}
 		x.endpointEnded = true
