quarantine, controller, entry: no execution is granted after three ends

What callers saw: endpoints ended under a request beyond the third, one after the other.

Cause: what bounds the ends of a request rested on somebody else's patience, or on who was asked. (1) Three ends that may be chance held a request for 10 s, and then an execution was granted again, whatever was known: the client was expected to have given up. (2) While no control instance answered, the instance that saw an end answered its client, whose next attempt came to an instance that knew of none. (3) One control instance granted executions; where entry instances reached different ones, each had trials of its own.

- A request with three ends is not sent for ten minutes after the last one.
Whether they may be chance decides the answer: 400, or 502 without a time.
A completion does not clear such a request of one sender.
Ends of granted executions count each, of those that overlapped before any end was known one counts as before, but no more than one more is granted.
- A trial counts like an end until its outcome is reported, not until its time is over.
One whose client left or whose endpoint gives no answer is probed, or left to the list.
- All control instances that answer have to agree to an execution.
The last one is not granted while one of them is silent, nor if an entry instance was lost since shortly before the first end, as it may have sent the request.
Without a majority of the voters no request of a program is granted.
- A client whose execution ended an endpoint is answered once a control instance knows of it, or when its time is over.

An end of an endpoint whose start time is unknown is no longer withdrawn because its id is still listed: another incarnation may have started.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -97,6 +97,8 @@
 	propagation propagation
 	loads       loads
 	suspects    quarantine.Registry
+	// entryLostAt is when an entry instance was last silent, nil if never.
+	entryLostAt atomic.Pointer[time.Time]
 	// suspectWake is true while waiting calls are about to be answered for changed suspects.
 	suspectWake  atomic.Bool
 	incarnations incarnationTracker
--- a/rockbarrow/controller/presence.go
+++ b/rockbarrow/controller/presence.go
@@ -118,8 +118,9 @@
 	return out
 }
 
-// entryDomains counts the entry instances per failure domain and returns the total number present.
-func (r *presence) entryDomains(now time.Time) (out []*fleetpb.EntryDomain, present uint32) {
+// entryDomains counts the entry instances per failure domain, and returns the total number present and whether one of those
+// that are known was not heard for entrySilence.
+func (r *presence) entryDomains(now time.Time) (out []*fleetpb.EntryDomain, present uint32, silent bool) {
 	byName := map[string]*fleetpb.EntryDomain{}
 	for _, i := range r.fleet.Instances(now, fleetpb.Role_ROLE_ENTRY, knownTimeout) {
 		name := i.Member.GetFailureDomain()
@@ -128,6 +129,7 @@
 			out = append(out, byName[name])
 		}
 		byName[name].Known++
+		silent = silent || now.Sub(i.LastHeard) > entrySilence
 		if now.Sub(i.LastHeard) < membership.LivenessTimeout {
 			present++
 		}
@@ -138,7 +140,7 @@
 			}
 		}
 	}
-	return out, present
+	return out, present, silent
 }
 
 // controlMembers returns the control instances heard within the given time, including this one,
--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -51,7 +51,7 @@
 	}
 	for _, p := range report.GetFinished() {
 		if k, err := quarantine.KeysFromProto(p.GetKeys()); err == nil {
-			c.suspects.Finish(k, incarnation.ID{EndpointID: p.GetEndpoint(), StartMS: p.GetBornMs()})
+			c.suspects.Finish(k, incarnation.ID{EndpointID: p.GetEndpoint(), StartMS: p.GetBornMs()}, p.GetAsker())
 		}
 	}
 	c.suspects.Merge(now, report.GetKnown(), false)
@@ -78,34 +78,6 @@
 	return n
 }
 
-// RequestTrial decides whether a suspect may be sent to an endpoint.
-func (c *Controller) RequestTrial(_ context.Context, req *fleetpb.TrialRequest) (*fleetpb.TrialReply, error) {
-	now, before := time.Now(), c.suspects.Sequence()
-	k, err := quarantine.KeysFromProto(req.GetKeys())
-	if err != nil {
-		return nil, status.Error(codes.InvalidArgument, err.Error())
-	}
-	c.suspects.Merge(now, req.GetKnown(), false)
-	known := c.suspects.Knowledge(now, k)
-	d := c.suspects.Ask(now, quarantine.Question{
-		Keys: k, Endpoint: incarnation.ID{EndpointID: req.GetEndpoint(), StartMS: req.GetBornMs()}, Asker: req.GetAsker(), Insist: req.GetInsist(),
-		Until: now.Add(min(time.Duration(req.GetUntilMs())*time.Millisecond, maxTrial)),
-	})
-	c.notifySuspects(before)
-	c.Log.WithFields(logrus.Fields{
-		"key": k.Request.String(), "endpoint": req.GetEndpoint(), "born_ms": req.GetBornMs(), "asker": req.GetAsker(), "decision": decisionProto(d).String(),
-		"known_ends": known.Ends, "trials": known.Trials,
-	}).Info("a suspect is to be sent")
-	out := &fleetpb.TrialReply{Decision: decisionProto(d), Suspects: c.suspects.Of(now, k)}
-	if h, ok := d.(quarantine.Held); ok {
-		out.RetryAfterMs = uint64(h.RetryAfter.Milliseconds())
-	}
-	return out, nil
-}
-
-// maxTrial bounds how long an execution whose outcome is not reported keeps other attempts waiting.
-const maxTrial = 30 * time.Second
-
 func decisionProto(d quarantine.Decision) fleetpb.TrialReply_Decision {
 	switch d.(type) {
 	case quarantine.Free:
@@ -228,8 +200,9 @@
 	}
 	before := c.suspects.Sequence()
 	for _, id := range c.suspects.EndedBefore(now.Add(-falseEndAge)) {
+		// Without a start time, the listed one may have started after the end.
 		i, ok := indexOfIncarnation(l.Version(), id)
-		if !ok || id.StartMS == 0 && l.List().GetEndpoints()[i].GetBornMs() != 0 || l.List().GetEndpoints()[i].GetDraining() {
+		if !ok || id.StartMS == 0 || l.List().GetEndpoints()[i].GetBornMs() != id.StartMS || l.List().GetEndpoints()[i].GetDraining() {
 			continue
 		}
 		c.suspects.Withdraw(now, id)
--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -118,7 +118,11 @@
 	}
 	summary := &memberSummary{at: now, control: c.controlMembers(now, membership.LivenessTimeout)}
 	summary.controlChecksum = membersChecksum(summary.control)
-	summary.entryDomains, summary.presentEntries = c.presence.entryDomains(now)
+	var silent bool
+	summary.entryDomains, summary.presentEntries, silent = c.presence.entryDomains(now)
+	if silent {
+		c.entryLostAt.Store(&now)
+	}
 	c.cachedSummary.Store(summary)
 	c.quotas.SetMissingShare(silentShare(summary.entryDomains))
 	return summary
--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -24,6 +24,8 @@
 	// probeTimeout bounds a probe of an endpoint that lost a response. An ended process refuses a connection within a
 	// round trip; one behind a partition does not answer, which tells nothing.
 	probeTimeout = 100 * time.Millisecond
+	// abandonedProbeDelay is the time until the endpoint of a trial whose client left is probed: it may still end over it.
+	abandonedProbeDelay = time.Second
 	// maxLoggedParticipants bounds the requests that one log line names.
 	maxLoggedParticipants = 20
 )
@@ -92,19 +94,33 @@
 	x.execution = nil
 	defer func() { x.onTrial = false }()
 	p := &endProbe{entry: x.entry, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
-	ended := result == execution.Lost && p.refused(ctx)
+	if result == execution.Abandoned && x.onTrial {
+		trial := finishedTrial{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker()}
+		time.AfterFunc(abandonedProbeDelay, (&abandonedTrial{endProbe: p, trial: trial}).run)
+		return
+	}
+	probed := ProbeAccepted
+	if result == execution.Lost {
+		probed = p.probe(ctx)
+	}
 	switch {
-	case result != execution.Lost || ended:
+	case result != execution.Lost || probed == ProbeRefused:
 	case x.onTrial:
 		// A suspect is not sent again before its last execution is understood.
-		ended = wait.For(ctx, reprobeDelay) && p.refused(ctx)
+		if wait.For(ctx, reprobeDelay) {
+			probed = p.probe(ctx)
+		}
 	default:
 		time.AfterFunc(reprobeDelay, p.run)
 	}
-	if !ended {
-		x.reportOutcome(result)
+	if probed != ProbeRefused {
+		// A trial at an endpoint that gives no answer goes on until the list tells what became of it.
+		if !x.onTrial || probed == ProbeAccepted {
+			x.reportOutcome(result)
+		}
 		return
 	}
+	// While no control instance can be told, other instances know nothing of the end, and the client is kept from asking them.
 	select {
 	case <-p.report():
 	case <-ctx.Done():
@@ -145,17 +161,17 @@
 	maxConnections int
 }
 
-// refused reports whether the endpoint refuses connections.
-func (p *endProbe) refused(ctx context.Context) bool {
+// probe connects to the endpoint.
+func (p *endProbe) probe(ctx context.Context) ProbeResult {
 	if p.entry.Prober == nil {
-		return false
+		return ProbeAccepted
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	result := p.entry.Prober.Probe(ctx, p.endpoint.Config(), p.incarnation, p.maxConnections)
 	p.entry.Log.WithFields(logrus.Fields{"endpoint": p.incarnation.EndpointID, "born_ms": p.incarnation.StartMS, "connection": result.String()}).
 		Info("an endpoint that lost a response was probed")
-	return result == ProbeRefused
+	return result
 }
 
 // report reports the end.
@@ -165,11 +181,26 @@
 
 // run probes once more.
 func (p *endProbe) run() {
-	if p.refused(context.Background()) {
+	if p.probe(context.Background()) == ProbeRefused {
 		p.report()
 	}
 }
 
+// abandonedTrial finds out what became of a trial whose client left.
+type abandonedTrial struct {
+	*endProbe
+	trial finishedTrial
+}
+
+func (a *abandonedTrial) run() {
+	switch a.probe(context.Background()) {
+	case ProbeRefused:
+		a.report()
+	case ProbeAccepted:
+		a.entry.finishTrial(a.trial)
+	}
+}
+
 // endpointEnded connects the end of an endpoint's earlier incarnations with the requests that were in progress there. The
 // current incarnation, if any, goes on. The returned channel is closed once a control instance knows of it.
 func (e *Entry) endpointEnded(endpoint, service string, current *incarnation.ID, evidence string) (reported <-chan struct{}) {
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -26,7 +26,8 @@
 	// long it does: a few times the duration of most executions.
 	trialPollInterval = 30 * time.Millisecond
 	maxTrialWait      = 300 * time.Millisecond
-	// reportRetryInterval is how often ends are reported again that no control instance was told of, and maxUnreported bounds them.
+	// reportRetryInterval is how often news are reported again that no control instance was told of, and maxUnreported bounds those
+	// of each kind.
 	reportRetryInterval = 200 * time.Millisecond
 	maxUnreported       = 256
 	// maxOccupied is how many endpoints a suspect leaves to other suspects.
@@ -54,11 +55,15 @@
 	return fmt.Sprintf("entry: %d endpoints ended while they executed this request, which is not sent any more: %s; key %s", len(names), strings.Join(names, ", "), e.Key)
 }
 
-// HeldError reports that a request is not sent for some time because endpoints ended under it, which may be chance.
+// HeldError reports that a request is not sent because as many endpoints ended under it as may, which may be chance, or may have
+// ended. In that case, more is known after RetryAfter; otherwise it is zero, and the request is not sent any more.
 type HeldError struct{ RetryAfter time.Duration }
 
 func (e *HeldError) Error() string {
-	return "entry: endpoints ended while they executed this request, which is not sent for a while"
+	if e.RetryAfter > 0 {
+		return "entry: endpoints ended while they executed this request, which is not sent until it is known how many"
+	}
+	return "entry: endpoints ended while they executed this request, which may be chance, but it is not sent any more"
 }
 
 // ReceiveSuspects applies what control instances know of suspects.
@@ -89,7 +94,8 @@
 	switch {
 	case x.streamStarted:
 		return Aborted{Reason: err.Error()}
-	case x.failedExecutions > 0:
+	case x.failedExecutions > 0 || err.RetryAfter == 0:
+		// Nothing tells the client to come again for what is not sent any more.
 		return Rejected{Status: http.StatusBadGateway, Reason: err.Error()}
 	}
 	return Rejected{Status: http.StatusServiceUnavailable, RetryAfter: err.RetryAfter, Reason: err.Error()}
@@ -140,11 +146,14 @@
 	}
 }
 
+// asker identifies the attempt in trials.
+func (x *exchange) asker() string { return x.entry.Watch.Self.GetInstance() + "/" + x.request.ID }
+
 // ask asks a control instance about a suspect. If none answers, the suspect is not sent: other instances may send it, too. Where all
 // are of an earlier version, it is sent like other requests.
 func (x *exchange) ask(ctx context.Context, p *placement.Endpoint) quarantine.Decision {
 	now, keys, e := time.Now(), x.Keys(), x.entry
-	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: e.Watch.Self.GetInstance() + "/" + x.request.ID, Insist: x.occupied >= maxOccupied, Until: x.deadline}
+	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: x.asker(), Insist: x.occupied >= maxOccupied, Until: x.deadline}
 	reply, err := e.SuspectControl.RequestTrial(ctx, &fleetpb.TrialRequest{
 		Keys: keys.Proto(), Service: x.service.GetName(), Endpoint: q.Endpoint.EndpointID, BornMs: q.Endpoint.StartMS,
 		Asker: q.Asker, UntilMs: uint64(max(0, q.Until.Sub(now).Milliseconds())), Known: e.suspects.Of(now, keys), Insist: q.Insist,
@@ -185,26 +194,45 @@
 		e.suspects.Completed(time.Now(), keys)
 		e.reports.add(pendingReport{completed: []quarantine.Keys{keys}})
 	case x.onTrial:
-		e.suspects.Finish(keys, x.endpoint)
-		e.reports.add(pendingReport{finished: []finishedTrial{{keys: keys, endpoint: x.endpoint}}})
+		e.finishTrial(finishedTrial{keys: keys, endpoint: x.endpoint, asker: x.asker()})
 	}
 }
 
+// finishTrial reports that an execution of a suspect is over and told nothing.
+func (e *Entry) finishTrial(t finishedTrial) {
+	e.suspects.Finish(t.keys, t.endpoint, t.asker)
+	e.reports.add(pendingReport{finished: []finishedTrial{t}})
+}
+
 // pendingReport is what control instances have to be told.
 type pendingReport struct {
 	ends      []quarantine.End
 	completed []quarantine.Keys
 	finished  []finishedTrial
-	// done are closed once it was told, or could not be.
+	// done are closed once it was told.
 	done []chan struct{}
 }
 
-func (p pendingReport) len() int { return len(p.ends) + len(p.completed) + len(p.finished) }
+func (p *pendingReport) len() int { return len(p.ends) + len(p.completed) + len(p.finished) }
+
+// add appends another report.
+func (p *pendingReport) add(o pendingReport) {
+	p.ends, p.completed = append(p.ends, o.ends...), append(p.completed, o.completed...)
+	p.finished, p.done = append(p.finished, o.finished...), append(p.done, o.done...)
+}
+
+// trim drops the oldest news of each kind beyond a number.
+func (p *pendingReport) trim(n int) {
+	p.ends = p.ends[max(0, len(p.ends)-n):]
+	p.completed = p.completed[max(0, len(p.completed)-n):]
+	p.finished = p.finished[max(0, len(p.finished)-n):]
+}
 
 // finishedTrial is a suspect's execution whose outcome says nothing.
 type finishedTrial struct {
 	keys     quarantine.Keys
 	endpoint incarnation.ID
+	asker    string
 }
 
 // suspectReports collects reports, so that those that come together are sent together. The zero value is ready to use.
@@ -216,14 +244,12 @@
 
 func (r *suspectReports) init() { r.ready = make(chan struct{}, 1) }
 
-// add adds a report. The returned channel is closed once it was told to control instances, or could not be.
+// add adds a report. The returned channel is closed once it, and all before it, was told to a control instance.
 func (r *suspectReports) add(p pendingReport) <-chan struct{} {
 	done := make(chan struct{})
+	p.done = append(p.done, done)
 	r.mu.Lock()
-	r.pending.ends = append(r.pending.ends, p.ends...)
-	r.pending.completed = append(r.pending.completed, p.completed...)
-	r.pending.finished = append(r.pending.finished, p.finished...)
-	r.pending.done = append(r.pending.done, done)
+	r.pending.add(p)
 	r.mu.Unlock()
 	select {
 	case r.ready <- struct{}{}:
@@ -250,8 +276,7 @@
 			e.sendReport(ctx, e.reports.take())
 		case <-retry.C:
 			if e.unreported.len() > 0 {
-				e.reports.add(e.unreported)
-				e.unreported = pendingReport{}
+				e.sendReport(ctx, pendingReport{})
 			}
 		case <-ctx.Done():
 			return
@@ -259,15 +284,22 @@
 	}
 }
 
+// sendReport tells control instances what is unreported, and then p.
 func (e *Entry) sendReport(ctx context.Context, p pendingReport) {
-	defer func() {
-		for _, done := range p.done {
-			close(done)
-		}
-	}()
-	if p.len() == 0 {
+	e.unreported.add(p)
+	p = e.unreported
+	if p.len() > 0 && !e.tellControl(ctx, p) {
+		e.unreported.trim(maxUnreported)
 		return
 	}
+	e.unreported = pendingReport{}
+	for _, done := range p.done {
+		close(done)
+	}
+}
+
+// tellControl reports whether a control instance was told, or all are of an earlier version.
+func (e *Entry) tellControl(ctx context.Context, p pendingReport) bool {
 	now := time.Now()
 	report := &fleetpb.EndReport{}
 	for _, end := range p.ends {
@@ -277,24 +309,23 @@
 		report.Completed = append(report.Completed, k.Proto())
 	}
 	for _, f := range p.finished {
-		report.Finished = append(report.Finished, &fleetpb.FinishedTrial{Keys: f.keys.Proto(), Endpoint: f.endpoint.EndpointID, BornMs: f.endpoint.StartMS})
+		report.Finished = append(report.Finished, &fleetpb.FinishedTrial{Keys: f.keys.Proto(), Endpoint: f.endpoint.EndpointID, BornMs: f.endpoint.StartMS, Asker: f.asker})
 	}
 	suspects, err := e.SuspectControl.ReportEnds(ctx, report)
 	var unsupported *watch.UnsupportedError
 	if errors.As(err, &unsupported) {
-		return
+		return true
 	}
 	if err != nil {
 		e.Log.WithError(err).WithField("ends", len(p.ends)).Warn("no control instance was told of endpoints that ended")
-		e.unreported.ends = append(e.unreported.ends, p.ends...)
-		e.unreported.ends = e.unreported.ends[max(0, len(e.unreported.ends)-maxUnreported):]
-		return
+		return false
 	}
 	e.suspects.Merge(time.Now(), suspects, true)
+	return true
 }
 
-// reportEnd records an end and tells control instances of it. The returned channel is closed once they know, or don't answer, of this
-// end and of those reported before: the client's next attempt, at whichever instance, is then decided on with this knowledge.
+// reportEnd records an end and tells control instances of it. The returned channel is closed once one of them knows of this end and
+// of those reported before: the client's next attempt, at whichever instance, is then decided on with this knowledge.
 func (e *Entry) reportEnd(service string, participants []execution.Participant) (reported <-chan struct{}) {
 	if e.SuspectControl == nil {
 		return closedChan
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -183,6 +183,23 @@
 	})
 }
 
+// TestTheClientWaitsUntilControlKnowsOfAnEnd guards against a next attempt at an instance that knows of no end, as no control
+// instance could be told of it.
+func TestTheClientWaitsUntilControlKnowsOfAnEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := &fakeControl{}
+		control.cutOff.Store(true)
+		e := newSuspectEntry(t, &fakeSender{responses: []func(EndpointRequest) (*Response, error){slowReset}}, control)
+		const cutOff = 500 * time.Millisecond
+		time.AfterFunc(cutOff, func() { control.cutOff.Store(false) })
+		start := time.Now()
+		serveAttempt(t, e, "/once/1", "1")
+		if took := time.Since(start); control.registry.Empty() || took > cutOff+2*reportRetryInterval {
+			t.Errorf("answered after %v, known %v", took, !control.registry.Empty())
+		}
+	})
+}
+
 // TestNoCallWithoutAnEnd: requests that nothing ended under cost a look-up, also where responses are lost.
 func TestNoCallWithoutAnEnd(t *testing.T) {
 	s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){connectionReset, respond(200, "ok")}}
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -24,7 +24,8 @@
 // Occupied means that another suspect is being tried at the endpoint.
 type Occupied struct{}
 
-// Held means that the request is not sent for some time: it has met as many ends as it may, which may be chance.
+// Held means that the request is not sent: it has met as many ends as it may, which may be chance, or may have met them. In that
+// case, more is known after RetryAfter; otherwise it is zero.
 type Held struct{ RetryAfter time.Duration }
 
 // Refused means that the request is not sent any more.
@@ -53,8 +54,8 @@
 	if s := firstRefused(list); s != nil {
 		return s.refusal()
 	}
-	if hold := longestHold(now, list); hold > 0 {
-		return Held{RetryAfter: hold}
+	if isExhausted(list) {
+		return Held{}
 	}
 	return Busy{}
 }
@@ -63,6 +64,8 @@
 type Knowledge struct {
 	// Ends are the endpoints that ended under it, and Trials the executions whose outcome is not known.
 	Ends, Trials int
+	// FirstEnd is when the first of them was noticed.
+	FirstEnd time.Time
 }
 
 // Knowledge returns what is known of a request.
@@ -71,6 +74,11 @@
 	defer r.mu.Unlock()
 	for _, s := range r.suspectsOf(now, k) {
 		out.Ends, out.Trials = max(out.Ends, len(s.evidence)), max(out.Trials, len(s.trials))
+		for _, e := range s.evidence {
+			if out.FirstEnd.IsZero() || e.at.Before(out.FirstEnd) {
+				out.FirstEnd = e.at
+			}
+		}
 	}
 	return out
 }
@@ -85,10 +93,14 @@
 	Insist bool
 	// Until is when the execution is over at the latest.
 	Until time.Time
+	// Unknown is how many ends may never be known, as instances that may have sent the request are lost, and Uncertain is true if
+	// one more may be known later.
+	Unknown   int
+	Uncertain bool
 }
 
 // Ask decides whether a request may be sent to an endpoint. A suspect that is granted must be reported by [Registry.RecordEnd],
-// [Registry.Completed] or [Registry.Finish] in time. Until then it counts like an end.
+// [Registry.Completed] or [Registry.Finish]. Until then it counts like an end, as does one whose instance never reports.
 func (r *Registry) Ask(now time.Time, q Question) Decision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -99,13 +111,13 @@
 	if s := firstRefused(list); s != nil {
 		return s.refusal()
 	}
-	if hold := longestHold(now, list); hold > 0 {
-		return Held{RetryAfter: hold}
+	if isExhausted(list) {
+		return Held{}
 	}
 	for _, s := range list {
-		s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.asker == q.Asker || !now.Before(t.until) })
-		if len(s.trials) >= max(1, MaxEnds-s.count()) {
-			return Busy{}
+		s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.asker == q.Asker })
+		if d := s.roomFor(now, q); d != nil {
+			return d
 		}
 	}
 	others := r.trialsAt(now, q.Endpoint)
@@ -121,13 +133,16 @@
 	return Granted{}
 }
 
-// Finish ends the trial of a request at an endpoint whose outcome says nothing. A later trial at another endpoint goes on.
-func (r *Registry) Finish(k Keys, endpoint incarnation.ID) {
+// Finish ends the trial of a request at an endpoint whose outcome says nothing, or all its trials there if asker is empty. A
+// later trial at another endpoint goes on.
+func (r *Registry) Finish(k Keys, endpoint incarnation.ID, asker string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, key := range k.all() {
 		if s := r.suspects[key]; s != nil {
-			s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.endpoint.Matches(endpoint) })
+			s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool {
+				return t.endpoint.Matches(endpoint) && (asker == "" || t.asker == asker)
+			})
 		}
 	}
 }
@@ -141,14 +156,24 @@
 	return nil
 }
 
-// longestHold returns how much longer suspects are held.
-func longestHold(now time.Time, list []*suspect) (hold time.Duration) {
-	for _, s := range list {
-		if s.count() >= MaxEnds {
-			hold = max(hold, s.lastEnd().Add(holdTime).Sub(now))
-		}
+// isExhausted reports whether a suspect has met as many ends as it may.
+func isExhausted(list []*suspect) bool {
+	return slices.ContainsFunc(list, func(s *suspect) bool { return s.count() >= MaxEnds })
+}
+
+// roomFor returns nil if the suspect may be sent to one more endpoint, even if each of its trials ends one and all ends that may
+// be unknown have happened.
+func (s *suspect) roomFor(now time.Time, q Question) Decision {
+	met := s.count() + len(s.trials) + q.Unknown
+	switch {
+	case met+1 < MaxEnds, met < MaxEnds && !q.Uncertain:
+		return nil
+	case slices.ContainsFunc(s.trials, func(t *trial) bool { return now.Before(t.until) }):
+		return Busy{}
+	case met < MaxEnds:
+		return Held{RetryAfter: uncertainRetry}
 	}
-	return hold
+	return Held{}
 }
 
 // trialsAt returns the trials at an endpoint; the caller holds mu.
--- a/rockbarrow/quarantine/memory.go
+++ b/rockbarrow/quarantine/memory.go
@@ -11,7 +11,7 @@
 
 const (
 	// endTTL is how long an end is remembered: participants may be reported late, and rates are measured.
-	endTTL = suspectTTL
+	endTTL = time.Minute
 	// clearedTTL is how long it is remembered that a key was cleared, so that late news do not bring it back.
 	clearedTTL = 30 * time.Second
 )
--- a/rockbarrow/quarantine/message.go
+++ b/rockbarrow/quarantine/message.go
@@ -140,7 +140,7 @@
 	for _, e := range s.evidence {
 		out.Ends = append(out.Ends, &fleetpb.SuspectEnd{
 			Endpoint: e.endpoint.EndpointID, BornMs: e.endpoint.StartMS, AgeMs: ageMS(now, e.at),
-			ExposureMs: uint64(max(0, e.exposure.Milliseconds())), Sender: e.sender, Alone: e.alone,
+			ExposureMs: uint64(max(0, e.exposure.Milliseconds())), Sender: e.sender, Alone: e.alone, Granted: e.granted,
 		})
 	}
 	return out
@@ -173,12 +173,12 @@
 	for _, e := range p.GetEnds() {
 		at := before(now, e.GetAgeMs())
 		id := incarnation.ID{EndpointID: e.GetEndpoint(), StartMS: e.GetBornMs()}
-		if c, ok := r.cleared[key]; ok && c.at.After(at) || now.Sub(at) > verdictTTL || r.isExplainedFor(id, key) {
+		if c, ok := r.cleared[key]; ok && c.at.After(at) || now.Sub(at) > suspectTTL || r.isExplainedFor(id, key) {
 			continue
 		}
 		news = append(news, evidence{
 			endpoint: id, at: at,
-			exposure: milliseconds(e.GetExposureMs()), sender: e.GetSender(), alone: e.GetAlone(),
+			exposure: milliseconds(e.GetExposureMs()), sender: e.GetSender(), alone: e.GetAlone(), granted: e.GetGranted(),
 		})
 	}
 	if len(news) == 0 {
--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -16,12 +16,11 @@
 	MaxEnds = 3
 	// minSenders is how many senders of one content must have met an end before the content itself is a suspect.
 	minSenders = 2
-	// suspectTTL is how long a suspect is remembered after the last news of it. Clients give up long before.
-	suspectTTL = time.Minute
-	// holdTime is how long a suspect that may not meet another end is held if it is not refused. Clients have given up by then.
-	holdTime = 10 * time.Second
-	// verdictTTL is how long a request is refused. After that, a new build or another endpoint gets a chance.
-	verdictTTL = 10 * time.Minute
+	// suspectTTL is how long a suspect is remembered after its last end. After that, a new build or another endpoint gets a
+	// chance.
+	suspectTTL = 10 * time.Minute
+	// uncertainRetry is when to ask again for a request that is not sent because an end may be unknown.
+	uncertainRetry = time.Second
 	// restartTime is the least time in which an endpoint is back. Until then, an endpoint that is ending may accept connections
 	// and reset them.
 	restartTime = 500 * time.Millisecond
@@ -91,6 +90,8 @@
 	sender uint64
 	// alone is true if no other suspect was being tried at the endpoint.
 	alone bool
+	// granted is true if the execution was granted when the request was suspected already.
+	granted bool
 	// explained is true if another request is refused for the end.
 	explained bool
 }
@@ -182,12 +183,12 @@
 // addEvidence adds an end to a suspect unless it is known; the caller holds mu.
 func (r *Registry) addEvidence(now time.Time, s *suspect, e evidence) {
 	if i := slices.IndexFunc(s.trials, func(t *trial) bool { return t.endpoint.Matches(e.endpoint) }); i >= 0 {
-		e.alone = s.trials[i].alone
+		e.alone, e.granted = s.trials[i].alone, true
 		s.trials = slices.Delete(s.trials, i, i+1)
 	}
 	for i, known := range s.evidence {
 		if known.isSame(e) {
-			s.evidence[i].alone = known.alone || e.alone
+			s.evidence[i].alone, s.evidence[i].granted = known.alone || e.alone, known.granted || e.granted
 			return
 		}
 	}
@@ -212,11 +213,15 @@
 	s.updated, s.sequence = now, r.sequence
 }
 
-// Completed clears a request that completed, and identical content with it.
+// Completed clears a request that completed, and identical content with it. A request of one sender that has met [MaxEnds]
+// stays: an attempt that began before may complete, and its sender may send it again all the same.
 func (r *Registry) Completed(now time.Time, k Keys) {
 	r.mu.Lock()
 	defer r.unlock()
 	for _, key := range k.all() {
+		if s := r.suspects[key]; s != nil && !s.shared && s.count() >= MaxEnds {
+			continue
+		}
 		r.clear(now, key)
 	}
 }
@@ -270,29 +275,28 @@
 	return out
 }
 
-// count returns how many ends count against the bound. Of executions of a shared request that overlapped, one does: its clients
-// send it on, whatever becomes of one of them.
+// count returns how many ends count against the bound: all, unless several clients may send the request at a time. Of their
+// executions that overlapped, and were sent before any end was known, one counts, as each client has met one end. If that
+// hides the last ends that are allowed, one more is.
 func (s *suspect) count() int {
 	if !s.shared {
 		return len(s.evidence)
 	}
 	list := slices.SortedFunc(slices.Values(s.evidence), func(a, b evidence) int { return a.at.Compare(b.at) })
-	n := 0
+	granted, distinct := 0, 0
 	var last time.Time
 	for _, e := range list {
-		if n == 0 || !e.at.Add(-e.exposure).Before(last) {
-			n, last = n+1, e.at
+		switch {
+		case e.granted:
+			granted++
+		case distinct == 0 || !e.at.Add(-e.exposure).Before(last):
+			distinct, last = distinct+1, e.at
 		}
 	}
-	return n
+	return max(granted+distinct, min(len(list), MaxEnds-1))
 }
 
-func (s *suspect) isExpired(now time.Time) bool {
-	if !s.refusedAt.IsZero() {
-		return now.Sub(s.refusedAt) > verdictTTL
-	}
-	return now.Sub(s.updated) > suspectTTL
-}
+func (s *suspect) isExpired(now time.Time) bool { return now.Sub(s.updated) > suspectTTL }
 
 // senders returns how many senders met an end.
 func (s *suspect) senders() int {
--- a/rockbarrow/watch/suspects.go
+++ b/rockbarrow/watch/suspects.go
@@ -22,6 +22,9 @@
 // instance's process. A client's next attempt comes 100 ms after the last one.
 const suspectTimeout = 100 * time.Millisecond
 
+// trialTimeout bounds a call that asks for an execution, in which a control instance asks all others.
+const trialTimeout = 200 * time.Millisecond
+
 // UnsupportedError reports that the control instances that answer are of an earlier version, which knows no suspects.
 type UnsupportedError struct{}
 
@@ -139,7 +142,7 @@
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, suspectTimeout)
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
 	defer cancel()
 	return fleetpb.NewControlClient(conn).RequestTrial(ctx, req)
 }
