controller: suspects are kept on the disk

What callers saw: after a loss of power of all control and entry instances, requests under which three endpoints had ended were sent to three more.

Cause: ends were known in the memory of processes only, so that whoever had just started knew of none. A control instance now saves its suspects in a cell beside its votes, up to 1,024 with the most ends first, and answers the report of an end once they are synced, or after 50 ms. It reads them at its start; ages go on.

TestSuspectsOutliveALossOfAllProcesses fails without the cell.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -97,6 +97,8 @@
 	propagation propagation
 	loads       loads
 	suspects    quarantine.Registry
+	// suspectStore keeps them on the disk.
+	suspectStore *suspectStore
 	// entryLostAt is when an entry instance was last silent, nil if never.
 	entryLostAt atomic.Pointer[time.Time]
 	// suspectWake is true while waiting calls are about to be answered for changed suspects.
@@ -150,6 +152,9 @@
 		return err
 	}
 	c.votes = votes
+	if err := c.openSuspects(); err != nil {
+		return err
+	}
 	c.tables.init(c)
 	c.incarnations.controller = c
 	c.reach.Store(&fleetpb.Reach{FailureDomains: []string{c.Self.GetFailureDomain()}, AllRelay: true})
@@ -193,6 +198,7 @@
 	go c.runReach(ctx)
 	go c.runLearning(ctx)
 	go c.runFalseEnds(ctx)
+	go c.suspectStore.run(ctx)
 	if c.Decode != nil {
 		go c.tables.loop(ctx)
 	}
--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -29,7 +29,7 @@
 )
 
 // ReportEnds records which requests were in progress at endpoints that ended, and how suspects fared.
-func (c *Controller) ReportEnds(_ context.Context, report *fleetpb.EndReport) (*fleetpb.EndReportReply, error) {
+func (c *Controller) ReportEnds(ctx context.Context, report *fleetpb.EndReport) (*fleetpb.EndReportReply, error) {
 	now, before := time.Now(), c.suspects.Sequence()
 	out := &fleetpb.EndReportReply{}
 	for _, p := range report.GetEnds() {
@@ -56,6 +56,9 @@
 	}
 	c.suspects.Merge(now, report.GetKnown(), false)
 	c.notifySuspects(before)
+	if len(report.GetEnds()) > 0 {
+		c.suspectStore.await(ctx, c.suspects.Sequence())
+	}
 	return out, nil
 }
 
@@ -141,8 +144,11 @@
 	return known
 }
 
-// notifySuspects wakes waiting calls if suspects have changed.
+// notifySuspects wakes waiting calls if suspects have changed, and has them saved.
 func (c *Controller) notifySuspects(before uint64) {
+	if c.suspects.Sequence() != before {
+		c.suspectStore.notify()
+	}
 	if c.suspects.Sequence() != before && c.suspectWake.CompareAndSwap(false, true) {
 		time.AfterFunc(suspectWakeDelay, func() {
 			c.suspectWake.Store(false)
--- a/rockbarrow/controller/suspects_test.go
+++ b/rockbarrow/controller/suspects_test.go
@@ -188,3 +188,22 @@
 		t.Errorf("decision %v", d)
 	}
 }
+
+// TestSuspectsOutliveALossOfAllProcesses guards against a count that is kept in memory alone: a request is sent to three endpoints
+// again after control and entry instances have ended.
+func TestSuspectsOutliveALossOfAllProcesses(t *testing.T) {
+	cluster := startCluster(t)
+	keys := suspectKeys()
+	for _, in := range cluster {
+		endUnder(t, in.controller, keys, "e-1", "e-2", "e-3")
+	}
+	for _, in := range cluster {
+		in.stop()
+	}
+	for _, in := range cluster {
+		in.start(nil)
+		if d := decisionOf(t, in.controller, keys); d != fleetpb.TrialReply_DECISION_REFUSED {
+			t.Errorf("%s: decision %v", in.member.GetInstance(), d)
+		}
+	}
+}
