entry, backend: a trial that lost its response counts until its endpoint is known not to have ended

A probe now tells an endpoint with a connection that was opened before the execution, and is still open, from one that accepts a new one; only the former ends the trial, otherwise the list does. What no control instance was told of is logged once for each end, not with each try.

--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -32,22 +32,24 @@
 
 // Prober finds out whether endpoints have ended.
 type Prober interface {
-	// Probe connects to the endpoint.
-	Probe(ctx context.Context, e *configpb.Endpoint, i incarnation.ID, maxConnections int) ProbeResult
+	// Probe connects to the endpoint. The result is ProbeOpen if a connection that was opened before since is still open.
+	Probe(ctx context.Context, e *configpb.Endpoint, i incarnation.ID, since time.Time, maxConnections int) ProbeResult
 }
 
 // ProbeResult is what a connection to an endpoint shows.
 type ProbeResult int
 
-// An endpoint that refuses connections has ended. One that gives no answer, or resets the connection, may have.
+// An endpoint that refuses connections has ended, and one with another connection that is still open (ProbeOpen) has not. One that
+// accepts a connection may have started again, and one that gives no answer, or resets the connection, may have ended.
 const (
 	ProbeAccepted ProbeResult = iota
 	ProbeRefused
 	ProbeUnanswered
+	ProbeOpen
 )
 
 func (r ProbeResult) String() string {
-	return [...]string{"accepted", "refused", "unanswered"}[r]
+	return [...]string{"accepted", "refused", "unanswered", "open"}[r]
 }
 
 // RequestID returns the id that the client chose.
@@ -93,13 +95,13 @@
 	x.entry.executions.Finish(time.Now(), x.execution, result)
 	x.execution = nil
 	defer func() { x.onTrial = false }()
-	p := &endProbe{entry: x.entry, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
+	p := &endProbe{entry: x.entry, since: x.sentAt, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
 	if result == execution.Abandoned && x.onTrial {
 		trial := finishedTrial{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker()}
 		time.AfterFunc(abandonedProbeDelay, (&abandonedTrial{endProbe: p, trial: trial}).run)
 		return
 	}
-	probed := ProbeAccepted
+	probed := ProbeOpen
 	if result == execution.Lost {
 		probed = p.probe(ctx)
 	}
@@ -114,8 +116,8 @@
 		time.AfterFunc(reprobeDelay, p.run)
 	}
 	if probed != ProbeRefused {
-		// A trial at an endpoint that gives no answer goes on until the list tells what became of it.
-		if !x.onTrial || probed == ProbeAccepted {
+		// A trial at an endpoint that may have ended goes on until the list tells what became of it.
+		if !x.onTrial || probed == ProbeOpen {
 			x.reportOutcome(result)
 		}
 		return
@@ -158,6 +160,7 @@
 	endpoint       *placement.Endpoint
 	incarnation    incarnation.ID
 	service        string
+	since          time.Time
 	maxConnections int
 }
 
@@ -168,7 +171,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	result := p.entry.Prober.Probe(ctx, p.endpoint.Config(), p.incarnation, p.maxConnections)
+	result := p.entry.Prober.Probe(ctx, p.endpoint.Config(), p.incarnation, p.since, p.maxConnections)
 	p.entry.Log.WithFields(logrus.Fields{"endpoint": p.incarnation.EndpointID, "born_ms": p.incarnation.StartMS, "connection": result.String()}).
 		Info("an endpoint that lost a response was probed")
 	return result
@@ -196,7 +199,7 @@
 	switch a.probe(context.Background()) {
 	case ProbeRefused:
 		a.report()
-	case ProbeAccepted:
+	case ProbeAccepted, ProbeOpen:
 		a.entry.finishTrial(a.trial)
 	}
 }
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -286,20 +286,25 @@
 
 // sendReport tells control instances what is unreported, and then p.
 func (e *Entry) sendReport(ctx context.Context, p pendingReport) {
+	hasNews := p.len() > 0
 	e.unreported.add(p)
-	p = e.unreported
-	if p.len() > 0 && !e.tellControl(ctx, p) {
-		e.unreported.trim(maxUnreported)
-		return
+	if e.unreported.len() > 0 {
+		if err := e.tellControl(ctx, e.unreported); err != nil {
+			if hasNews {
+				e.Log.WithError(err).WithField("ends", len(p.ends)).Warn("no control instance was told of endpoints that ended")
+			}
+			e.unreported.trim(maxUnreported)
+			return
+		}
 	}
-	e.unreported = pendingReport{}
-	for _, done := range p.done {
+	for _, done := range e.unreported.done {
 		close(done)
 	}
+	e.unreported = pendingReport{}
 }
 
-// tellControl reports whether a control instance was told, or all are of an earlier version.
-func (e *Entry) tellControl(ctx context.Context, p pendingReport) bool {
+// tellControl returns nil if a control instance was told, or all are of an earlier version.
+func (e *Entry) tellControl(ctx context.Context, p pendingReport) error {
 	now := time.Now()
 	report := &fleetpb.EndReport{}
 	for _, end := range p.ends {
@@ -314,14 +319,12 @@
 	suspects, err := e.SuspectControl.ReportEnds(ctx, report)
 	var unsupported *watch.UnsupportedError
 	if errors.As(err, &unsupported) {
-		return true
+		return nil
 	}
-	if err != nil {
-		e.Log.WithError(err).WithField("ends", len(p.ends)).Warn("no control instance was told of endpoints that ended")
-		return false
+	if err == nil {
+		e.suspects.Merge(time.Now(), suspects, true)
 	}
-	e.suspects.Merge(time.Now(), suspects, true)
-	return true
+	return err
 }
 
 // reportEnd records an end and tells control instances of it. The returned channel is closed once one of them knows of this end and
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -20,7 +20,7 @@
 // endedProber takes each endpoint that loses a response for ended.
 type endedProber struct{}
 
-func (endedProber) Probe(context.Context, *configpb.Endpoint, incarnation.ID, int) ProbeResult {
+func (endedProber) Probe(context.Context, *configpb.Endpoint, incarnation.ID, time.Time, int) ProbeResult {
 	return ProbeRefused
 }
 
