controller, quarantine: trials are kept on the disk

After a restart nobody can tell their outcome, so that each counts like an end.

TestTrialsOutliveALossOfAllProcesses: granted once more before.

--- a/rockbarrow/controller/suspect_store.go
+++ b/rockbarrow/controller/suspect_store.go
@@ -52,7 +52,7 @@
 	if now := time.Now(); savedAt.After(now) {
 		savedAt = now
 	}
-	c.suspects.Merge(savedAt, record.GetSuspects(), true)
+	c.suspects.Restore(savedAt, record.GetSuspects())
 	if n := len(record.GetSuspects()); n > 0 {
 		c.Log.WithField("suspects", n).Info("suspects were restored")
 	}
--- a/rockbarrow/controller/suspects_test.go
+++ b/rockbarrow/controller/suspects_test.go
@@ -189,6 +189,24 @@
 	}
 }
 
+// TestTrialsOutliveALossOfAllProcesses guards against an execution that nobody can tell the outcome of, as it was in progress when all
+// processes ended: it counts like an end.
+func TestTrialsOutliveALossOfAllProcesses(t *testing.T) {
+	p := startSingle(t)
+	keys := suspectKeys()
+	waitFor(t, func() bool { return p.controller.reach.Load().GetMajority() })
+	endUnder(t, p.controller, keys, "e-1")
+	if d := decisionOf(t, p.controller, keys); d != fleetpb.TrialReply_DECISION_GRANTED {
+		t.Fatalf("decision %v", d)
+	}
+	p.stop()
+	p.start(nil)
+	waitFor(t, func() bool { return p.controller.reach.Load().GetMajority() })
+	if d := decisionAs(t, p.controller, keys, "another"); d != fleetpb.TrialReply_DECISION_HELD {
+		t.Errorf("decision %v", d)
+	}
+}
+
 // TestSuspectsOutliveALossOfAllProcesses guards against a count that is kept in memory alone: a request is sent to three endpoints
 // again after control and entry instances have ended.
 func TestSuspectsOutliveALossOfAllProcesses(t *testing.T) {
--- a/rockbarrow/controller/trials.go
+++ b/rockbarrow/controller/trials.go
@@ -95,6 +95,7 @@
 	}
 	d := c.suspects.Ask(now, q)
 	if _, granted := d.(quarantine.Granted); granted && objection == nil {
+		c.suspectStore.await(ctx, c.suspects.Sequence())
 		return d
 	} else if granted {
 		c.suspects.Finish(q.Keys, q.Endpoint, q.Asker)
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -127,8 +127,10 @@
 	for _, t := range others {
 		t.alone = false
 	}
+	r.sequence++
 	for _, s := range list {
 		s.trials = append(s.trials, &trial{asker: q.Asker, endpoint: q.Endpoint, until: q.Until.Add(trialSlack), alone: len(others) == 0})
+		s.sequence = r.sequence
 	}
 	return Granted{}
 }
@@ -138,8 +140,10 @@
 func (r *Registry) Finish(k Keys, endpoint incarnation.ID, asker string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.sequence++
 	for _, key := range k.all() {
 		if s := r.suspects[key]; s != nil {
+			s.sequence = r.sequence
 			s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool {
 				return t.endpoint.Matches(endpoint) && (asker == "" || t.asker == asker)
 			})
--- a/rockbarrow/quarantine/message.go
+++ b/rockbarrow/quarantine/message.go
@@ -137,6 +137,9 @@
 	if !s.refusedAt.IsZero() {
 		out.Refused, out.RefusedAgeMs = true, ageMS(now, s.refusedAt)
 	}
+	for _, t := range s.trials {
+		out.Trials = append(out.Trials, &fleetpb.SuspectTrial{Endpoint: t.endpoint.EndpointID, BornMs: t.endpoint.StartMS, Asker: t.asker})
+	}
 	for _, e := range s.evidence {
 		out.Ends = append(out.Ends, &fleetpb.SuspectEnd{
 			Endpoint: e.endpoint.EndpointID, BornMs: e.endpoint.StartMS, AgeMs: ageMS(now, e.at),
@@ -160,6 +163,23 @@
 	r.evict(now)
 }
 
+// Restore adds what an earlier process of this instance knew. The outcome of its trials is not known any more.
+func (r *Registry) Restore(savedAt time.Time, list []*fleetpb.Suspect) {
+	r.Merge(savedAt, list, true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range list {
+		key, err := keyFromBytes(p.GetKey())
+		s := r.suspects[key]
+		if err != nil || s == nil {
+			continue
+		}
+		for _, t := range p.GetTrials() {
+			s.trials = append(s.trials, &trial{asker: t.GetAsker(), endpoint: incarnation.ID{EndpointID: t.GetEndpoint(), StartMS: t.GetBornMs()}, until: savedAt})
+		}
+	}
+}
+
 // merge adds what another registry knows of a key; the caller holds mu.
 func (r *Registry) merge(now time.Time, key Key, p *fleetpb.Suspect, verdicts bool) {
 	if p.GetCleared() {
