--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -205,7 +205,7 @@
 	crashPatience = time.Minute
 )
 
-// crashDelays are the times from the arrival of such a request to the crash.
+// crashDelays are the times from the arrival of such a request to the crash, the longest one last.
 var crashDelays = []time.Duration{20 * time.Millisecond, 50 * time.Millisecond, 300 * time.Millisecond, time.Second}
 
 // crasher sends requests that crash endpoints, one after another. The ledger tells if one is run by more than it may.
@@ -234,6 +234,8 @@
 			c.soak.fleet.ledger.Count(fmt.Sprint("requests that crash endpoints with status ", a.Status))
 		}
 	}
+	// A request whose client was stopped may still be in progress at an endpoint.
+	wait.For(context.WithoutCancel(ctx), crashDelays[len(crashDelays)-1])
 }
 
 // crashTokens is the limit of tokens of such a turn.
