quarantine: losses don't stop what many clients send

Found by reading: where a failure domain was lost, a request without a program that was in progress at two of its endpoints counted two ends, the lost entry instances one more, and a trial of an instance that ended another one, so that nobody's was sent for ten minutes. For such requests the first two don't count, a trial counts until its time is over, and ends that came together count as one until there are three. TestAPopularRequestIsNotStoppedByLosses failed before with two ends.

--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -94,7 +94,7 @@
 	// Until is when the execution is over at the latest.
 	Until time.Time
 	// Unknown is how many ends may never be known, as instances that may have sent the request are lost, and Uncertain is true if
-	// one more may be known later.
+	// one more may be known later. Neither counts for a request that many clients may send.
 	Unknown   int
 	Uncertain bool
 }
@@ -115,7 +115,8 @@
 		return Held{}
 	}
 	for _, s := range list {
-		s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.asker == q.Asker })
+		// What became of an execution of one client must not stop all others that send the same.
+		s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.asker == q.Asker || s.shared && !now.Before(t.until) })
 		if d := s.roomFor(now, q); d != nil {
 			return d
 		}
@@ -165,12 +166,15 @@
 	return slices.ContainsFunc(list, func(s *suspect) bool { return s.count() >= MaxEnds })
 }
 
-// roomFor returns nil if the suspect may be sent to one more endpoint, even if each of its trials ends one and all ends that may
-// be unknown have happened.
+// roomFor returns nil if the suspect may be sent to one more endpoint, even if each of its trials ends one and, unless many
+// clients send it, all ends that may be unknown have happened.
 func (s *suspect) roomFor(now time.Time, q Question) Decision {
-	met := s.count() + len(s.trials) + q.Unknown
+	met := s.count() + len(s.trials)
+	if !s.shared {
+		met += q.Unknown
+	}
 	switch {
-	case met+1 < MaxEnds, met < MaxEnds && !q.Uncertain:
+	case met+1 < MaxEnds, met < MaxEnds && (s.shared || !q.Uncertain):
 		return nil
 	case slices.ContainsFunc(s.trials, func(t *trial) bool { return now.Before(t.until) }):
 		return Busy{}
--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -276,8 +276,8 @@
 }
 
 // count returns how many ends count against the bound: all, unless several clients may send the request at a time. Of their
-// executions that overlapped, and were sent before any end was known, one counts, as each client has met one end. If that
-// hides the last ends that are allowed, one more is.
+// executions that overlapped, and were sent before any end was known, one counts, as each client has met one end. Once as many
+// have ended as may, one more execution decides.
 func (s *suspect) count() int {
 	if !s.shared {
 		return len(s.evidence)
@@ -293,7 +293,10 @@
 			distinct, last = distinct+1, e.at
 		}
 	}
-	return max(granted+distinct, min(len(list), MaxEnds-1))
+	if len(list) >= MaxEnds {
+		return max(granted+distinct, MaxEnds-1)
+	}
+	return granted + distinct
 }
 
 func (s *suspect) isExpired(now time.Time) bool { return now.Sub(s.updated) > suspectTTL }
--- a/rockbarrow/quarantine/registry_test.go
+++ b/rockbarrow/quarantine/registry_test.go
@@ -267,6 +267,26 @@
 	}
 }
 
+// TestAPopularRequestIsNotStoppedByLosses guards against refusing what everybody sends for ten minutes: endpoints of a failure domain end
+// together while it is in progress there, and entry instances of the domain with them.
+func TestAPopularRequestIsNotStoppedByLosses(t *testing.T) {
+	for n := 1; n <= 8; n++ {
+		w := newWorld(t)
+		popular := KeysOf(Sender{}, []byte("popular"), Content{Method: "POST", Host: "h", Target: "/t", Body: []byte("popular")})
+		for range n {
+			w.end(w.freshEndpoint(), 100*time.Millisecond, popular)
+		}
+		for i := range 5 {
+			q := Question{Keys: popular, Endpoint: w.freshEndpoint(), Asker: fmt.Sprint(i), Until: w.now.Add(time.Second), Unknown: 1, Uncertain: true}
+			if d := w.registry.Ask(w.now, q); d != (Granted{}) {
+				t.Fatalf("%d endpoints ended, ask %d: %v", n, i, d)
+			}
+			// The entry instance ends before it reports an outcome.
+			w.now = w.now.Add(time.Second + trialSlack)
+		}
+	}
+}
+
 // TestAnEndingEndpointEndsOnce guards against refusing a popular request for one end: an endpoint whose start time is not known yet
 // accepts connections and resets them while it ends, one execution after the other.
 func TestAnEndingEndpointEndsOnce(t *testing.T) {
