jsonlist, wire, endpointlist: a large entry of a list costs itself only

Cause: the limit of a page cut it inside the entry, so that all behind it was unknown. What is too long in a string or another token is left out while a page is read now, and the page's limit holds for what is kept.

TestALargeEntryHidesNoOther and the new row of TestEntriesAroundOneThatCannotBeRead failed before. TestLargePageIsEnded asked that no more than 4 MB is read of a page; it asks that no more is kept, and no more than 32 MB read.

--- a/rockbarrow/endpointlist/list.go
+++ b/rockbarrow/endpointlist/list.go
@@ -22,8 +22,8 @@
 
 const (
 	fetchTimeout = time.Second
-	// maxListSize bounds the response body in bytes.
-	maxListSize = 4 << 20
+	// maxListSize bounds what is kept of the response body in bytes, and maxListRead what is read.
+	maxListSize, maxListRead = 4 << 20, 32 << 20
 )
 
 // The fields of the list.
@@ -114,7 +114,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("endpointlist: status %d", resp.StatusCode)
 	}
-	return Decode(io.LimitReader(resp.Body, maxListSize))
+	return Decode(resp.Body)
 }
 
 // UnreadableError reports a list of which entries could not be read.
@@ -130,12 +130,12 @@
 
 // Decode decodes a list. With an [UnreadableError], it returns the entries that could be read.
 func Decode(r io.Reader) (*List, error) {
-	b, err := io.ReadAll(r)
+	text, err := jsonlist.Read(r, maxListSize, maxListRead)
 	if err != nil {
 		return nil, errors.Wrap(err, "endpointlist: read")
 	}
 	unreadable := &UnreadableError{}
-	object := jsonlist.Split(string(b), instancesField, endpointsField)
+	object := jsonlist.Split(text.Text, instancesField, endpointsField)
 	out := &List{
 		Instances: decodeEntries(object.Lists[instancesField], unreadable),
 		Endpoints: decodeEntries(object.Lists[endpointsField], unreadable),
@@ -143,6 +143,9 @@
 	if err := json.Unmarshal([]byte(object.Frame), &List{}); err != nil {
 		unreadable.Reason = err.Error()
 	}
+	if !text.Whole {
+		unreadable.Reason = fmt.Sprintf("%d of its bytes were read, and there are more", text.Size)
+	}
 	if unreadable.Reason != "" {
 		return out, unreadable
 	}
