controller: an execution is not granted to who has stopped asking

Found by reading: an entry instance waits 0.2 s for the decision on a suspect and then asks the next control instance, or gives up; the first one had granted the execution, whose outcome nobody reports, and which counts like an end since trials do. It is withdrawn now. Of several objections of other control instances the most lasting one is the answer. A control instance that stops waits for its write of suspects, as it does for votes (the test's folder was not empty).

TestAnAskerThatDoesNotWaitHasNoTrial guards it.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -191,14 +191,16 @@
 	return nil
 }
 
-// Run performs the background work of the instance until ctx is done, then waits for votes in
-// progress.
+// Run performs the background work of the instance until ctx is done, then waits for votes and
+// writes in progress.
 func (c *Controller) Run(ctx context.Context) {
+	var saves sync.WaitGroup
+	defer saves.Wait()
+	saves.Go(func() { c.suspectStore.run(ctx) })
 	go c.watch.Run(ctx)
 	go c.runReach(ctx)
 	go c.runLearning(ctx)
 	go c.runFalseEnds(ctx)
-	go c.suspectStore.run(ctx)
 	if c.Decode != nil {
 		go c.tables.loop(ctx)
 	}
--- a/rockbarrow/controller/suspects_test.go
+++ b/rockbarrow/controller/suspects_test.go
@@ -175,6 +175,26 @@
 	}
 }
 
+// TestAnAskerThatDoesNotWaitHasNoTrial guards against an execution that is granted to an instance that has given up asking: its outcome is
+// never reported, and it would count like an end.
+func TestAnAskerThatDoesNotWaitHasNoTrial(t *testing.T) {
+	p := startSingle(t)
+	keys := suspectKeys()
+	waitFor(t, func() bool { return p.controller.reach.Load().GetMajority() })
+	endUnder(t, p.controller, keys, "e-1")
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	for i := range 5 {
+		_, err := p.controller.RequestTrial(ctx, &fleetpb.TrialRequest{Keys: keys, Service: "s", Endpoint: "next", Asker: fmt.Sprint(i), UntilMs: 1000})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if d := decisionOf(t, p.controller, keys); d != fleetpb.TrialReply_DECISION_GRANTED {
+		t.Errorf("decision %v", d)
+	}
+}
+
 // TestNoTrialWithoutAMajority guards against both sides of a partition that grant executions.
 func TestNoTrialWithoutAMajority(t *testing.T) {
 	cluster := startCluster(t)
--- a/rockbarrow/controller/trials.go
+++ b/rockbarrow/controller/trials.go
@@ -77,27 +77,24 @@
 		UntilMs: req.GetUntilMs(), Known: c.suspects.Of(now, q.Keys), Insist: req.GetInsist(), Relayed: true,
 	})
 	now = time.Now()
-	var objection quarantine.Decision
 	for _, r := range replies {
 		c.suspects.Merge(now, r.GetSuspects(), false)
-		switch r.GetDecision() {
-		case fleetpb.TrialReply_DECISION_BUSY:
-			objection = quarantine.Busy{}
-		case fleetpb.TrialReply_DECISION_OCCUPIED:
-			objection = quarantine.Occupied{}
-		case fleetpb.TrialReply_DECISION_HELD:
-			objection = quarantine.Held{RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond}
-		}
 	}
 	q.Uncertain = minority || silent
 	if c.mayHideEnd(known.FirstEnd) {
 		q.Unknown = 1
 	}
 	d := c.suspects.Ask(now, q)
-	if _, granted := d.(quarantine.Granted); granted && objection == nil {
-		c.suspectStore.await(ctx, c.suspects.Sequence())
-		return d
-	} else if granted {
+	if _, granted := d.(quarantine.Granted); granted {
+		objection := objectionOf(replies)
+		if objection == nil {
+			c.suspectStore.await(ctx, c.suspects.Sequence())
+			if ctx.Err() == nil {
+				return d
+			}
+			// The asker does not wait any more, and would never report an outcome.
+			objection = quarantine.Busy{}
+		}
 		c.suspects.Finish(q.Keys, q.Endpoint, q.Asker)
 		d = objection
 	}
@@ -107,6 +104,23 @@
 	return d
 }
 
+// objectionOf returns the decision of control instances that do not agree to an execution, the most lasting one, or nil.
+func objectionOf(replies []*fleetpb.TrialReply) (objection quarantine.Decision) {
+	for _, r := range replies {
+		switch r.GetDecision() {
+		case fleetpb.TrialReply_DECISION_HELD:
+			return quarantine.Held{RetryAfter: time.Duration(r.GetRetryAfterMs()) * time.Millisecond}
+		case fleetpb.TrialReply_DECISION_BUSY:
+			objection = quarantine.Busy{}
+		case fleetpb.TrialReply_DECISION_OCCUPIED:
+			if objection == nil {
+				objection = quarantine.Occupied{}
+			}
+		}
+	}
+	return objection
+}
+
 // minorityRetry is when to ask again where most control instances are out of reach.
 const minorityRetry = time.Second
 
