controller: an end may be hidden only by a loss around the first one

TestSuspectsReachEntriesAtOnce failed once: its call was answered by a change of the majority. It waits for that first.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -99,8 +99,7 @@
 	suspects    quarantine.Registry
 	// suspectStore keeps them on the disk.
 	suspectStore *suspectStore
-	// entryLostAt is when an entry instance was last silent, nil if never.
-	entryLostAt atomic.Pointer[time.Time]
+	entryLosses  entryLosses
 	// suspectWake is true while waiting calls are about to be answered for changed suspects.
 	suspectWake  atomic.Bool
 	incarnations incarnationTracker
--- a/rockbarrow/controller/suspects_test.go
+++ b/rockbarrow/controller/suspects_test.go
@@ -48,6 +48,8 @@
 // instance is answered as soon as an end is reported, and again when an operator clears the suspect.
 func TestSuspectsReachEntriesAtOnce(t *testing.T) {
 	c := startCluster(t)[0].controller
+	// A change of the majority answers a waiting call, too.
+	waitFor(t, func() bool { return c.reach.Load().GetMajority() })
 	var process, sequence uint64
 	watch := func() []*fleetpb.Suspect {
 		reply, err := c.Watch(t.Context(), &fleetpb.WatchRequest{
@@ -195,6 +197,38 @@
 	}
 }
 
+// TestALossHidesAnEndOnlyBeforeTheFirstOne guards against a last execution that is granted though an entry instance was lost that may
+// have sent the request, and against one that is not for an instance that was lost later or long before.
+func TestALossHidesAnEndOnlyBeforeTheFirstOne(t *testing.T) {
+	now := time.Now()
+	for _, test := range []struct {
+		since, loss    time.Duration
+		observed, lost bool
+	}{
+		{since: -time.Hour, loss: -time.Second, observed: true, lost: true},
+		{since: -time.Hour, loss: time.Second, observed: true, lost: true},
+		{since: -time.Hour, loss: lossAfter + time.Second, observed: true},
+		{since: -time.Hour, loss: -lossBefore - time.Second, observed: true},
+		{since: -time.Second, loss: -time.Minute},
+	} {
+		c := &Controller{}
+		c.resetObservation(now.Add(test.since))
+		c.entryLosses.add(now.Add(test.loss))
+		if observed, lost := c.entriesAround(now); observed != test.observed || lost != test.lost {
+			t.Errorf("%+v: observed %v, lost %v", test, observed, lost)
+		}
+	}
+	// A short restart shows in the first call of the new process only.
+	c := startCluster(t)[0].controller
+	for i, process := range []uint64{0, c.processID} {
+		at := time.Now()
+		c.recordRequest(at, &fleetpb.WatchRequest{Sender: &fleetpb.Member{Instance: "entry"}, Role: fleetpb.Role_ROLE_ENTRY, WantsSuspects: true, SuspectProcess: process})
+		if _, lost := c.entriesAround(at.Add(time.Duration(i) * time.Hour)); lost != (process == 0) {
+			t.Errorf("process %d: lost %v", process, lost)
+		}
+	}
+}
+
 // TestNoTrialWithoutAMajority guards against both sides of a partition that grant executions.
 func TestNoTrialWithoutAMajority(t *testing.T) {
 	cluster := startCluster(t)
--- a/rockbarrow/controller/trials.go
+++ b/rockbarrow/controller/trials.go
@@ -21,10 +21,6 @@
 	maxTrial = 30 * time.Second
 	// confirmTimeout bounds a call to another control instance before an execution is granted.
 	confirmTimeout = 60 * time.Millisecond
-	// entrySilence is the silence after which an entry instance may have ended or be cut off: two of its calls.
-	entrySilence = 700 * time.Millisecond
-	// entryLossWindow is how long before the first known end of a request an entry instance that was lost may have sent it.
-	entryLossWindow = 5 * time.Second
 )
 
 // RequestTrial decides whether a suspect may be sent to an endpoint. Other control instances that answer have to agree: each may
@@ -53,6 +49,7 @@
 		"known_ends": known.Ends, "trials": known.Trials, "relayed": req.GetRelayed(),
 	}).Info("a suspect is to be sent")
 	out := &fleetpb.TrialReply{Decision: decisionProto(d), Suspects: c.suspects.Of(now, k)}
+	out.Observed, out.EntryLost = c.entriesAround(known.FirstEnd)
 	if h, ok := d.(quarantine.Held); ok {
 		out.RetryAfterMs = uint64(h.RetryAfter.Milliseconds())
 	}
@@ -77,11 +74,13 @@
 		UntilMs: req.GetUntilMs(), Known: c.suspects.Of(now, q.Keys), Insist: req.GetInsist(), Relayed: true,
 	})
 	now = time.Now()
+	observed, entryLost := c.entriesAround(known.FirstEnd)
 	for _, r := range replies {
 		c.suspects.Merge(now, r.GetSuspects(), false)
+		observed, entryLost = observed || r.GetObserved(), entryLost || r.GetEntryLost()
 	}
 	q.Uncertain = minority || silent
-	if c.mayHideEnd(known.FirstEnd) {
+	if entryLost || !observed {
 		q.Unknown = 1
 	}
 	d := c.suspects.Ask(now, q)
@@ -174,12 +173,3 @@
 		return err
 	})
 }
-
-// mayHideEnd reports whether an entry instance was lost or cut off since some time before the first end of a request: it may
-// have sent the request to an endpoint, and can't tell what came of it. What happened before this instance observed the
-// others is not known.
-func (c *Controller) mayHideEnd(firstEnd time.Time) bool {
-	since := firstEnd.Add(-entryLossWindow)
-	at := c.entryLostAt.Load()
-	return at != nil && at.After(since) || c.observingSince.Load().After(since)
-}
--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -45,6 +45,10 @@
 	c.observeListNumber(req.GetListNumber())
 	switch req.GetRole() {
 	case fleetpb.Role_ROLE_ENTRY:
+		if req.GetWantsSuspects() && req.GetSuspectProcess() == 0 {
+			// It has just started, and an earlier process of it may have ended.
+			c.entryLosses.add(now)
+		}
 		c.loads.record(now, req.GetSender().GetInstance(), req.GetUses(), req.GetCompact())
 		c.incarnations.probeAfterLoss(now, req.GetUses())
 		c.quotas.Add(now, req.GetCustomerUses())
@@ -121,7 +125,7 @@
 	var silent bool
 	summary.entryDomains, summary.presentEntries, silent = c.presence.entryDomains(now)
 	if silent {
-		c.entryLostAt.Store(&now)
+		c.entryLosses.add(now)
 	}
 	c.cachedSummary.Store(summary)
 	c.quotas.SetMissingShare(silentShare(summary.entryDomains))
