--- a/rockbarrow/jsonlist/shorten.go
+++ b/rockbarrow/jsonlist/shorten.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"io"
-	"strings"
 )
 
 const (
@@ -65,21 +64,45 @@
 const structural = "{}[],:"
 
 func (s *shortener) add(b []byte) {
-	for _, c := range b {
-		isQuote := c == '"' && !s.escaped
-		if isQuote || !s.inString && strings.IndexByte(structural, c) >= 0 {
-			s.inString, s.run, s.marked = s.inString != isQuote, 0, false
-			s.kept.WriteByte(c)
+	for len(b) > 0 {
+		if s.escaped {
+			s.escaped = false
+			s.token(b[:1])
+			b = b[1:]
 			continue
 		}
-		s.escaped = s.inString && c == '\\' && !s.escaped
-		s.run++
-		switch {
-		case s.run <= maxRun:
+		end := structural + `"`
+		if s.inString {
+			end = `"\\`
+		}
+		n := bytes.IndexAny(b, end)
+		if n < 0 {
+			s.token(b)
+			return
+		}
+		s.token(b[:n])
+		switch c := b[n]; c {
+		case '\\':
+			s.escaped = true
+			s.token(b[n : n+1])
+		default:
+			s.inString = s.inString != (c == '"')
+			s.run, s.marked = 0, false
 			s.kept.WriteByte(c)
-		case !s.marked && (s.inString || strings.IndexByte(whiteSpace, c) < 0):
-			s.marked = true
-			s.kept.WriteByte(leftOut)
 		}
+		b = b[n+1:]
+	}
+}
+
+// token adds bytes of a token.
+func (s *shortener) token(b []byte) {
+	kept := b[:max(0, min(len(b), maxRun-s.run))]
+	s.run += len(b)
+	s.kept.Write(kept)
+	left := b[len(kept):]
+	if s.marked || len(left) == 0 || !s.inString && len(bytes.Trim(left, whiteSpace)) == 0 {
+		return
 	}
+	s.marked = true
+	s.kept.WriteByte(leftOut)
 }
