entry, controller, quarantine: a trial that is over with an unknown outcome keeps nobody waiting

Whether such an endpoint has started again is not known, so that the trial counts, but the client's next attempts were told to wait for it until its time limit (503, another attempt is in progress) instead of the final 502. The entry instance reports that it is over. TestATrialWithAnUnknownOutcomeIsOver guards it.

--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -51,7 +51,12 @@
 	}
 	for _, p := range report.GetFinished() {
 		if k, err := quarantine.KeysFromProto(p.GetKeys()); err == nil {
-			c.suspects.Finish(k, incarnation.ID{EndpointID: p.GetEndpoint(), StartMS: p.GetBornMs()}, p.GetAsker())
+			id := incarnation.ID{EndpointID: p.GetEndpoint(), StartMS: p.GetBornMs()}
+			if p.GetUnknown() {
+				c.suspects.Expire(now, k, id, p.GetAsker())
+			} else {
+				c.suspects.Finish(k, id, p.GetAsker())
+			}
 		}
 	}
 	c.suspects.Merge(now, report.GetKnown(), false)
--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -116,10 +116,12 @@
 		time.AfterFunc(reprobeDelay, p.run)
 	}
 	if probed != ProbeRefused {
-		// A trial at an endpoint that may have ended goes on until the list tells what became of it.
-		if !x.onTrial || probed == ProbeOpen {
-			x.reportOutcome(result)
+		if x.onTrial && probed != ProbeOpen {
+			// The trial counts until the list tells what became of the endpoint.
+			x.entry.reports.add(pendingReport{finished: []finishedTrial{{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker(), unknown: true}}})
+			return
 		}
+		x.reportOutcome(result)
 		return
 	}
 	// While no control instance can be told, other instances know nothing of the end, and the client is kept from asking them.
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -228,11 +228,12 @@
 	p.finished = p.finished[max(0, len(p.finished)-n):]
 }
 
-// finishedTrial is a suspect's execution whose outcome says nothing.
+// finishedTrial is a suspect's execution whose outcome says nothing, or is unknown.
 type finishedTrial struct {
 	keys     quarantine.Keys
 	endpoint incarnation.ID
 	asker    string
+	unknown  bool
 }
 
 // suspectReports collects reports, so that those that come together are sent together. The zero value is ready to use.
@@ -314,7 +315,7 @@
 		report.Completed = append(report.Completed, k.Proto())
 	}
 	for _, f := range p.finished {
-		report.Finished = append(report.Finished, &fleetpb.FinishedTrial{Keys: f.keys.Proto(), Endpoint: f.endpoint.EndpointID, BornMs: f.endpoint.StartMS, Asker: f.asker})
+		report.Finished = append(report.Finished, &fleetpb.FinishedTrial{Keys: f.keys.Proto(), Endpoint: f.endpoint.EndpointID, BornMs: f.endpoint.StartMS, Asker: f.asker, Unknown: f.unknown})
 	}
 	suspects, err := e.SuspectControl.ReportEnds(ctx, report)
 	var unsupported *watch.UnsupportedError
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -152,6 +152,23 @@
 	}
 }
 
+// Expire ends the time of a trial that is over, and at whose endpoint nobody can tell what became of it.
+func (r *Registry) Expire(now time.Time, k Keys, endpoint incarnation.ID, asker string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, key := range k.all() {
+		s := r.suspects[key]
+		if s == nil {
+			continue
+		}
+		for _, t := range s.trials {
+			if t.endpoint.Matches(endpoint) && t.asker == asker && now.Before(t.until) {
+				t.until = now
+			}
+		}
+	}
+}
+
 func firstRefused(list []*suspect) *suspect {
 	for _, s := range list {
 		if !s.refusedAt.IsZero() {
--- a/rockbarrow/quarantine/registry_test.go
+++ b/rockbarrow/quarantine/registry_test.go
@@ -191,6 +191,27 @@
 	}
 }
 
+// TestATrialWithAnUnknownOutcomeIsOver guards against clients that are told to wait for an execution that is over.
+func TestATrialWithAnUnknownOutcomeIsOver(t *testing.T) {
+	w := newWorld(t)
+	k, at := keysOf("p", "deadly"), w.freshEndpoint()
+	for range MaxEnds - 1 {
+		w.now = w.now.Add(time.Second)
+		w.end(w.freshEndpoint(), 50*time.Millisecond, k)
+	}
+	if d := w.ask(k, at, "x"); d != (Granted{}) {
+		t.Fatalf("%T", d)
+	}
+	w.registry.Expire(w.now, k, at, "another")
+	if d := w.ask(k, w.freshEndpoint(), "y"); d != (Busy{}) {
+		t.Errorf("%T during the trial", d)
+	}
+	w.registry.Expire(w.now, k, at, "x")
+	if d := w.ask(k, w.freshEndpoint(), "y"); d != (Held{}) {
+		t.Errorf("%T after the trial", d)
+	}
+}
+
 // TestManySuspectsShareEndpoints guards against refusing suspects because others are tried at all endpoints: they share them, and
 // an end there tells nothing for sure.
 func TestManySuspectsShareEndpoints(t *testing.T) {
