--- a/rockbarrow/quarantine/doc.go
+++ b/rockbarrow/quarantine/doc.go
@@ -7,11 +7,14 @@
 //
 //   - A request that was in progress at an endpoint that ended is a suspect. It is identified by its [Key], which is the same for all
 //     its attempts. Identical content is a suspect of its own if several senders sent it.
-//   - A suspect that completes anywhere is cleared.
+//   - A suspect that completes anywhere is cleared, unless one sender has met [MaxEnds] ends under it.
 //   - A suspect is sent only as [Registry.Ask] grants it: to no more endpoints at a time than may still end under it, and if
 //     possible to those without other suspects.
-//   - A suspect under which [MaxEnds] endpoints ended is refused, unless endpoints of the service end so often by themselves that
-//     this is likely to be chance: then it is held for some time. Ends under a refused request are no evidence against others.
+//   - A suspect under which [MaxEnds] endpoints ended is not sent any more. It is refused, unless endpoints of the service end so
+//     often by themselves that this is likely to be chance: then it is held, which differs in what the client is told. Ends
+//     under a refused request are no evidence against others.
+//   - What may be an end counts like one: a trial until its outcome is known, and one end more if an instance that may have sent
+//     the request was lost.
 //
 // A registry does no I/O and reads no clock. Control instances decide; entry instances hold a copy, by which they look up
 // requests, and decide alone only if no control instance answers.
