entry: each execution of an attempt is a trial of its own

Found by reading: the second execution of a repeatable request within one attempt asked under the same name as the first one, and so took the place of its trial, also if it was not known whether that one's endpoint had ended. TestEachExecutionOfAnAttemptIsATrial guards it.

--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -97,7 +97,7 @@
 	defer func() { x.onTrial = false }()
 	p := &endProbe{entry: x.entry, since: x.sentAt, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
 	if result == execution.Abandoned && x.onTrial {
-		trial := finishedTrial{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker()}
+		trial := finishedTrial{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker}
 		time.AfterFunc(abandonedProbeDelay, (&abandonedTrial{endProbe: p, trial: trial}).run)
 		return
 	}
@@ -118,7 +118,7 @@
 	if probed != ProbeRefused {
 		if x.onTrial && probed != ProbeOpen {
 			// The trial counts until the list tells what became of the endpoint.
-			x.entry.reports.add(pendingReport{finished: []finishedTrial{{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker(), unknown: true}}})
+			x.entry.reports.add(pendingReport{finished: []finishedTrial{{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker, unknown: true}}})
 			return
 		}
 		x.reportOutcome(result)
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -78,8 +78,9 @@
 	// execution is the one in progress, or nil, and executions are all of the request.
 	execution  *execution.Execution
 	executions []*execution.Execution
-	// onTrial is true if a control instance granted the execution of a suspect.
+	// onTrial is true if a control instance granted the execution of a suspect, and asker identifies it there.
 	onTrial bool
+	asker   string
 	// occupied is how many endpoints were left to other suspects.
 	occupied int
 	// bodyLost is true if the endpoint broke off a response that was forwarded in part.
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -124,6 +124,7 @@
 	case quarantine.Held:
 		return &HeldError{RetryAfter: d.RetryAfter}
 	}
+	x.asker = x.nextAsker()
 	for start := time.Now(); ; {
 		switch d := x.ask(ctx, p).(type) {
 		case quarantine.Free:
@@ -146,14 +147,16 @@
 	}
 }
 
-// asker identifies the attempt in trials.
-func (x *exchange) asker() string { return x.entry.Watch.Self.GetInstance() + "/" + x.request.ID }
+// nextAsker identifies the next execution of the attempt in trials: one whose outcome is unknown must not be taken for it.
+func (x *exchange) nextAsker() string {
+	return fmt.Sprintf("%s/%s/%d", x.entry.Watch.Self.GetInstance(), x.request.ID, x.dispatches)
+}
 
 // ask asks a control instance about a suspect. If none answers, the suspect is not sent: other instances may send it, too. Where all
 // are of an earlier version, it is sent like other requests.
 func (x *exchange) ask(ctx context.Context, p *placement.Endpoint) quarantine.Decision {
 	now, keys, e := time.Now(), x.Keys(), x.entry
-	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: x.asker(), Insist: x.occupied >= maxOccupied, Until: x.deadline}
+	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: x.asker, Insist: x.occupied >= maxOccupied, Until: x.deadline}
 	reply, err := e.SuspectControl.RequestTrial(ctx, &fleetpb.TrialRequest{
 		Keys: keys.Proto(), Service: x.service.GetName(), Endpoint: q.Endpoint.EndpointID, BornMs: q.Endpoint.StartMS,
 		Asker: q.Asker, UntilMs: uint64(max(0, q.Until.Sub(now).Milliseconds())), Known: e.suspects.Of(now, keys), Insist: q.Insist,
@@ -194,7 +197,7 @@
 		e.suspects.Completed(time.Now(), keys)
 		e.reports.add(pendingReport{completed: []quarantine.Keys{keys}})
 	case x.onTrial:
-		e.finishTrial(finishedTrial{keys: keys, endpoint: x.endpoint, asker: x.asker()})
+		e.finishTrial(finishedTrial{keys: keys, endpoint: x.endpoint, asker: x.asker})
 	}
 }
 
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -200,6 +200,20 @@
 	})
 }
 
+// TestEachExecutionOfAnAttemptIsATrial guards against an attempt whose second execution takes the place of the first one, though it is not
+// known what became of that one's endpoint.
+func TestEachExecutionOfAnAttemptIsATrial(t *testing.T) {
+	x := &exchange{entry: newEntry(t, &fakeSender{}), request: newRequest("/repeat/1")}
+	first := x.nextAsker()
+	if first != x.nextAsker() {
+		t.Error("an execution that has not begun has two names")
+	}
+	x.dispatches++
+	if first == x.nextAsker() {
+		t.Error("two executions have one name")
+	}
+}
+
 // TestNoCallWithoutAnEnd: requests that nothing ended under cost a look-up, also where responses are lost.
 func TestNoCallWithoutAnEnd(t *testing.T) {
 	s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){connectionReset, respond(200, "ok")}}
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -87,7 +87,7 @@
 type Question struct {
 	Keys     Keys
 	Endpoint incarnation.ID
-	// Asker identifies the client's attempt: if it asks again, its earlier trial is over.
+	// Asker identifies one execution of the client's attempt. If it asks again, it has not begun.
 	Asker string
 	// Insist is true if the suspect may share the endpoint with others: there may be more suspects than endpoints.
 	Insist bool
