standin, soak: endpoints that fall silent under a request

Endpoints of the stand-in could only close. One whose machine loses power keeps its connections open and leaves new ones unanswered, and the platform lists it for some seconds more.

--- a/rockbench/soak/crashing_on_test.go
+++ b/rockbench/soak/crashing_on_test.go
@@ -154,3 +154,26 @@
 		})
 	}
 }
+
+// TestNothingIsSentAfterThreeSilentEnds guards against ends that only the list shows: until then, a request whose endpoints fell silent
+// was sent as one that nothing ended under, and executions that were over for longer had been forgotten by then.
+func TestNothingIsSentAfterThreeSilentEnds(t *testing.T) {
+	for _, silentFor := range []time.Duration{5 * time.Second, 9 * time.Second} {
+		t.Run(fmt.Sprint("listed for ", silentFor), func(t *testing.T) {
+			f := crashFleet(t)
+			f.silentFor = silentFor
+			ctx, stop := context.WithCancel(t.Context())
+			join := runBystanders(t, ctx, f)
+			var list []*standin.CrashingRequest
+			for i, path := range []string{"/repeat/", "/turn/", "/once/"} {
+				c := crashingClient(f, i, path, 25*time.Second, 0)
+				c.Silent, c.Timeout = true, 2*time.Second
+				list = append(list, c)
+			}
+			runCrashing(t, f, list)
+			stop()
+			join()
+			reportAll(t, f)
+		})
+	}
+}
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -61,11 +61,15 @@
 	control []*instance
 	stores  []*instance
 	entries []*instance
-	// mu guards endpoints, phases and lives.
+	// mu guards endpoints, phases, silent and lives.
 	mu        sync.Mutex
 	endpoints []*standin.Endpoint
 	// phases are those of endpoints that don't stay, some of which are still listed.
 	phases map[*standin.Endpoint]phase
+	// silent are crashed endpoints that neither answer nor close connections.
+	silent []*standin.Endpoint
+	// silentFor is how long they stay in the list, zero for the default.
+	silentFor time.Duration
 	// replacements are under way for crashed endpoints.
 	replacements sync.WaitGroup
 	// fresh are endpoints of services that came with a later version. No fault has them.
@@ -415,7 +419,7 @@
 	}
 	// Nobody sends requests any more that crash endpoints.
 	f.replacements.Wait()
-	for _, e := range append(f.endpoints, f.fresh...) {
+	for _, e := range slices.Concat(f.endpoints, f.fresh, f.silent) {
 		e.Close()
 	}
 	if f.listens != nil {
--- a/rockbench/soak/lives.go
+++ b/rockbench/soak/lives.go
@@ -3,6 +3,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -137,6 +138,9 @@
 // list still shows the crashed one.
 const backAfter = 1500 * time.Millisecond
 
+// silentFor is the same for an endpoint that falls silent, unless a test sets another time: the platform notices it later.
+const silentFor = 5 * time.Second
+
 // phase is what becomes of an endpoint that does not stay.
 type phase int
 
@@ -153,9 +157,9 @@
 // endWithin bounds the time in which a fault closes an endpoint that it ends.
 const endWithin = 5 * time.Second
 
-// crash ends an endpoint, unless it is the last one of its service, and starts another one in its place. It reports whether
-// the endpoint has ended.
-func (f *fleet) crash(e *standin.Endpoint) bool {
+// crash ends an endpoint or has it fall silent, unless it is the last one of its service, and starts another one in its place. It
+// reports whether the endpoint has ended.
+func (f *fleet) crash(e *standin.Endpoint, silent bool) bool {
 	f.mu.Lock()
 	was, listed := f.phases[e], slices.Contains(f.endpoints, e)
 	if !listed || was == phaseEnding {
@@ -168,13 +172,31 @@
 	}
 	f.phases[e] = phaseCrashed
 	f.mu.Unlock()
-	e.Close()
+	f.endOf(e, silent)
 	if was == phaseStaying {
-		f.replacements.Go((&replacement{fleet: f, old: e}).run)
+		after := backAfter
+		if silent {
+			after = cmp.Or(f.silentFor, silentFor)
+		}
+		f.replacements.Go((&replacement{fleet: f, old: e, after: after}).run)
 	}
 	return true
 }
 
+// endOf closes an endpoint or has it fall silent. A silent one is closed with the fleet.
+func (f *fleet) endOf(e *standin.Endpoint, silent bool) {
+	if !silent {
+		e.Close()
+		return
+	}
+	if err := e.Silence(); err != nil {
+		f.ledger.AddViolation("%s: %v", e.ID, err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = append(f.silent, e)
+}
+
 // hasOther reports whether another endpoint of the same service stays; the caller holds mu.
 func (f *fleet) hasOther(e *standin.Endpoint) bool {
 	return slices.ContainsFunc(f.endpoints, func(o *standin.Endpoint) bool {
@@ -207,10 +229,11 @@
 type replacement struct {
 	fleet *fleet
 	old   *standin.Endpoint
+	after time.Duration
 }
 
 func (r *replacement) run() {
-	time.Sleep(backAfter)
+	time.Sleep(r.after)
 	r.fleet.removeEndpoint(r.old)
 	if _, err := r.fleet.addEndpoint(r.old.Service, r.old.Domain); err != nil {
 		r.fleet.ledger.AddViolation("%v", err)
