entry, quarantine, execution, backend: executions at silent endpoints count until these answer

What callers saw: a request under which endpoints fell silent was sent on, nine to thirteen endpoints ended under one. Cause: a first execution whose endpoint answers nobody left no trace at control, as only a refused connection or the list shows an end; it was forgotten after 6 s, before the list told; an idle connection to a machine without power is open and was taken for a sign of life.

An execution of a program's request that is over without an outcome, at an endpoint that answers nobody, is reported and counts like a trial; one whose client leaves after 0.4 s without progress is reported at once and taken back if the endpoint answers. The endpoint is probed until it does, refuses or leaves the list; executions there are remembered until then. Less than three of them without a known end decide nothing, as endpoints that are cut off lose them, too.

--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -55,10 +55,11 @@
 			if p.GetUnknown() {
 				c.suspects.Expire(now, k, id, p.GetAsker())
 			} else {
-				c.suspects.Finish(k, id, p.GetAsker())
+				c.suspects.Finish(now, k, id, p.GetAsker())
 			}
 		}
 	}
+	c.suspects.RecordLost(now, quarantine.LostFromProto(report.GetLost()))
 	c.suspects.Merge(now, report.GetKnown(), false)
 	c.notifySuspects(before)
 	if len(report.GetEnds()) > 0 {
--- a/rockbarrow/controller/trials.go
+++ b/rockbarrow/controller/trials.go
@@ -94,7 +94,7 @@
 			// The asker does not wait any more, and would never report an outcome.
 			objection = quarantine.Busy{}
 		}
-		c.suspects.Finish(q.Keys, q.Endpoint, q.Asker)
+		c.suspects.Finish(now, q.Keys, q.Endpoint, q.Asker)
 		d = objection
 	}
 	go (&trialWithdrawal{controller: c, report: &fleetpb.EndReport{Finished: []*fleetpb.FinishedTrial{
--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -32,7 +32,8 @@
 
 // Prober finds out whether endpoints have ended.
 type Prober interface {
-	// Probe connects to the endpoint. The result is ProbeOpen if a connection that was opened before since is still open.
+	// Probe connects to the endpoint. The result is ProbeOpen if a connection that was opened before since is still open. Without
+	// since, open connections tell nothing, and a new one is opened.
 	Probe(ctx context.Context, e *configpb.Endpoint, i incarnation.ID, since time.Time, maxConnections int) ProbeResult
 }
 
@@ -92,14 +93,23 @@
 		return
 	}
 	result := x.resultOf(ctx, o, err)
-	x.entry.executions.Finish(time.Now(), x.execution, result)
+	current := x.execution
+	x.entry.executions.Finish(time.Now(), current, result)
 	x.execution = nil
-	defer func() { x.onTrial = false }()
-	p := &endProbe{entry: x.entry, since: x.sentAt, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
-	if result == execution.Abandoned && x.onTrial {
+	defer func() { x.onTrial, x.lossCause = false, nil }()
+	p := &endProbe{entry: x.entry, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
+	switch {
+	case result == execution.Lost && !isSilence(x.lossCause) && !isSilence(err):
+		p.since = x.sentAt
+	case result == execution.Abandoned && x.onTrial:
 		trial := finishedTrial{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker}
 		time.AfterFunc(abandonedProbeDelay, (&abandonedTrial{endProbe: p, trial: trial}).run)
 		return
+	case result == execution.Abandoned && time.Since(x.progressAt) >= minSilence && x.Program() != "":
+		a := &abandonedExecution{endProbe: p, lost: x.lostExecution()}
+		// The client may come again before the probe is over.
+		x.entry.executionLost(p, current, a.lost)
+		go a.run()
 	}
 	probed := ProbeOpen
 	if result == execution.Lost {
@@ -119,8 +129,12 @@
 		if x.onTrial && probed != ProbeOpen {
 			// The trial counts until the list tells what became of the endpoint.
 			x.entry.reports.add(pendingReport{finished: []finishedTrial{{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker, unknown: true}}})
+			x.entry.executions.SetUnresolved(current)
 			return
 		}
+		if probed == ProbeUnanswered {
+			x.awaitReport(ctx, x.entry.executionLost(p, current, x.lostExecution()))
+		}
 		x.reportOutcome(result)
 		return
 	}
@@ -131,6 +145,18 @@
 	}
 }
 
+// awaitReport waits until a control instance knows of a lost execution, up to lostReportTimeout: not all endpoints that answer nobody
+// have ended, and where no control instance answers, the request may go on elsewhere.
+func (x *exchange) awaitReport(ctx context.Context, reported <-chan struct{}) {
+	t := time.NewTimer(lostReportTimeout)
+	defer t.Stop()
+	select {
+	case <-reported:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 func (x *exchange) resultOf(ctx context.Context, o Outcome, err error) execution.Result {
 	var notExecuted *NotExecutedError
 	var unknown *OutcomeUnknownError
@@ -158,10 +184,11 @@
 
 // endProbe finds out whether an endpoint that lost a response has ended.
 type endProbe struct {
-	entry          *Entry
-	endpoint       *placement.Endpoint
-	incarnation    incarnation.ID
-	service        string
+	entry       *Entry
+	endpoint    *placement.Endpoint
+	incarnation incarnation.ID
+	service     string
+	// since is when the request was sent, zero if the endpoint may have fallen silent.
 	since          time.Time
 	maxConnections int
 }
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -78,6 +78,7 @@
 	domains                   domainHealth
 	sessions                  sessionEndpoints
 	executions                execution.Tracker
+	silent                    silentEndpoints
 	// suspects is this instance's copy of what control instances know.
 	suspects quarantine.Registry
 	// endsMu is held while the participants of an end are claimed and reported.
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -85,16 +85,18 @@
 	occupied int
 	// bodyLost is true if the endpoint broke off a response that was forwarded in part.
 	bodyLost bool
-	keysOnce sync.Once
-	keys     quarantine.Keys
+	// lossCause is the error that ended the response of the execution in progress, or nil.
+	lossCause error
+	keysOnce  sync.Once
+	keys      quarantine.Keys
 	// chosen and endpoint are the endpoint that the request was sent to last.
 	chosen   *placement.Endpoint
 	endpoint incarnation.ID
-	// sentAt is when the request was sent to it.
-	sentAt     time.Time
-	status     int
-	listNumber uint64
-	listAgeMS  int64
+	// sentAt is when the request was sent to it, and progressAt when an event arrived since, or sentAt.
+	sentAt, progressAt time.Time
+	status             int
+	listNumber         uint64
+	listAgeMS          int64
 	// ownTime is the time spent on quotas and stores, without the endpoints.
 	ownTime time.Duration
 	// releaseSlot releases the concurrency slot once, nil if the end of serve releases it.
@@ -224,6 +226,7 @@
 	x.chosen, x.endpoint = p, p.Life()
 	x.dispatches++
 	x.sentAt = time.Now()
+	x.progressAt = x.sentAt
 	x.beginExecution(x.sentAt)
 	resp, err := x.entry.Sender.Send(attemptCtx, EndpointRequest{
 		Request: x.request, Body: x.body, Endpoint: p.Config(), Incarnation: x.endpoint, Deadline: x.deadline,
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -52,6 +52,7 @@
 	answer, err := x.readAnswer(resp)
 	defer answer.release()
 	if err != nil {
+		x.lossCause = err
 		x.recordOversized(err)
 		x.recordLost(ctx)
 		return nil, x.responseLost(done, placement.Result{}, err.Error())
@@ -77,7 +78,7 @@
 	if err != nil {
 		x.recordOversized(err)
 		x.recordLost(ctx)
-		x.bodyLost = true
+		x.bodyLost, x.lossCause = true, err
 		return Aborted{Reason: err.Error()}, nil
 	}
 	return Completed{}, nil
@@ -100,7 +101,8 @@
 		x.events.scan(buf[:n])
 		if complete := x.events.takeComplete(); len(complete) > 0 {
 			stalls.recordProgress()
-			timer.recordEvents(time.Now(), x.events.count)
+			x.progressAt = time.Now()
+			timer.recordEvents(x.progressAt, x.events.count)
 			write := x.writer.Write
 			if err == io.EOF && x.events.isComplete() && !x.handling.history {
 				// The response ends right after this. A turn with history is stored before.
@@ -123,8 +125,10 @@
 			done(placement.Result{OK: true, Stream: timer.timing(x.events.count, x.service.GetTokensPerEvent())})
 			return Completed{}, nil
 		case err == io.EOF:
+			x.lossCause = err
 			return nil, x.responseLost(done, placement.Result{}, "the stream ended inside an event")
 		case err != nil:
+			x.lossCause = err
 			x.recordOversized(err)
 			x.recordLost(ctx)
 			return nil, x.responseLost(done, placement.Result{OK: ctx.Err() != nil}, "the stream broke off: "+err.Error())
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -69,8 +69,10 @@
 // ReceiveSuspects applies what control instances know of suspects.
 func (e *Entry) ReceiveSuspects(list []*fleetpb.Suspect) { e.suspects.Merge(time.Now(), list, true) }
 
-// KnownSuspects returns the suspects known here.
-func (e *Entry) KnownSuspects() []*fleetpb.Suspect { return e.suspects.List(time.Now()) }
+// KnownSuspects returns the suspects known here, and the requests that lost executions here.
+func (e *Entry) KnownSuspects() []*fleetpb.Suspect {
+	return append(e.suspects.List(time.Now()), e.silent.suspects()...)
+}
 
 // checkRefused refuses a request that is known to end endpoints, before anything is spent on it.
 func (x *exchange) checkRefused() Outcome {
@@ -203,7 +205,7 @@
 
 // finishTrial reports that an execution of a suspect is over and told nothing.
 func (e *Entry) finishTrial(t finishedTrial) {
-	e.suspects.Finish(t.keys, t.endpoint, t.asker)
+	e.suspects.Finish(time.Now(), t.keys, t.endpoint, t.asker)
 	e.reports.add(pendingReport{finished: []finishedTrial{t}})
 }
 
@@ -212,16 +214,20 @@
 	ends      []quarantine.End
 	completed []quarantine.Keys
 	finished  []finishedTrial
+	lost      []quarantine.LostExecution
 	// done are closed once it was told.
 	done []chan struct{}
 }
 
-func (p *pendingReport) len() int { return len(p.ends) + len(p.completed) + len(p.finished) }
+func (p *pendingReport) len() int {
+	return len(p.ends) + len(p.completed) + len(p.finished) + len(p.lost)
+}
 
 // add appends another report.
 func (p *pendingReport) add(o pendingReport) {
 	p.ends, p.completed = append(p.ends, o.ends...), append(p.completed, o.completed...)
 	p.finished, p.done = append(p.finished, o.finished...), append(p.done, o.done...)
+	p.lost = append(p.lost, o.lost...)
 }
 
 // trim drops the oldest news of each kind beyond a number.
@@ -229,6 +235,7 @@
 	p.ends = p.ends[max(0, len(p.ends)-n):]
 	p.completed = p.completed[max(0, len(p.completed)-n):]
 	p.finished = p.finished[max(0, len(p.finished)-n):]
+	p.lost = p.lost[max(0, len(p.lost)-n):]
 }
 
 // finishedTrial is a suspect's execution whose outcome says nothing, or is unknown.
@@ -320,6 +327,9 @@
 	for _, f := range p.finished {
 		report.Finished = append(report.Finished, &fleetpb.FinishedTrial{Keys: f.keys.Proto(), Endpoint: f.endpoint.EndpointID, BornMs: f.endpoint.StartMS, Asker: f.asker, Unknown: f.unknown})
 	}
+	for _, l := range p.lost {
+		report.Lost = append(report.Lost, l.Proto())
+	}
 	suspects, err := e.SuspectControl.ReportEnds(ctx, report)
 	var unsupported *watch.UnsupportedError
 	if errors.As(err, &unsupported) {
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -51,6 +51,16 @@
 		}
 		c.registry.Completed(now, k)
 	}
+	for _, p := range r.GetFinished() {
+		k, err := quarantine.KeysFromProto(p.GetKeys())
+		if err != nil {
+			return nil, err
+		}
+		if !p.GetUnknown() {
+			c.registry.Finish(now, k, incarnation.ID{EndpointID: p.GetEndpoint(), StartMS: p.GetBornMs()}, p.GetAsker())
+		}
+	}
+	c.registry.RecordLost(now, quarantine.LostFromProto(r.GetLost()))
 	return c.registry.List(now), nil
 }
 
@@ -66,8 +76,11 @@
 	}
 	d := c.registry.Ask(now, quarantine.Question{Keys: k, Endpoint: incarnation.ID{EndpointID: r.GetEndpoint()}, Asker: r.GetAsker(), Until: now.Add(time.Second)})
 	reply := &fleetpb.TrialReply{Decision: fleetpb.TrialReply_DECISION_GRANTED, Suspects: c.registry.Of(now, k)}
-	if _, refused := d.(quarantine.Refused); refused {
+	switch d := d.(type) {
+	case quarantine.Refused:
 		reply.Decision = fleetpb.TrialReply_DECISION_REFUSED
+	case quarantine.Held:
+		reply.Decision, reply.RetryAfterMs = fleetpb.TrialReply_DECISION_HELD, uint64(d.RetryAfter.Milliseconds())
 	}
 	return reply, nil
 }
--- a/rockbarrow/execution/tracker.go
+++ b/rockbarrow/execution/tracker.go
@@ -16,6 +16,8 @@
 	// lostFor is how long an execution without a known outcome is remembered: the endpoint's end may become known
 	// only when it leaves the list.
 	lostFor = 6 * time.Second
+	// unresolvedFor is the same where the endpoint answers nobody, unless it answers or its end becomes known before.
+	unresolvedFor = 10 * time.Minute
 	// failedFor is how long after an error response the endpoint's end belongs to the same failure.
 	failedFor = time.Second
 	// maxLost bounds the remembered executions of one endpoint, at a few times its usual slots.
@@ -73,11 +75,21 @@
 	result      Result
 	// end is when the execution was over.
 	end time.Time
+	// unresolved is true while the endpoint answers nobody.
+	unresolved bool
 	// endpointEnded is true once the end of the endpoint was connected with the execution.
 	endpointEnded bool
 	basis         Basis
 }
 
+// remembered returns how long the endpoint's end may still belong to an execution that is over.
+func (x *Execution) remembered() time.Duration {
+	if x.unresolved {
+		return unresolvedFor
+	}
+	return x.result.remembered()
+}
+
 // Basis is what an instance rested on when it sent a request.
 type Basis struct {
 	// Granted is true if a control instance granted the execution. Otherwise the request was not suspected.
@@ -125,6 +137,24 @@
 	x.basis = b
 }
 
+// SetUnresolved records that the endpoint of an execution answers nobody.
+func (t *Tracker) SetUnresolved(x *Execution) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	x.unresolved = true
+}
+
+// Resolve records that an endpoint answers, which shows that executions did not end it.
+func (t *Tracker) Resolve(endpoint incarnation.ID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.byEndpoint[endpoint.EndpointID] {
+		if x.endpoint.Matches(endpoint) {
+			x.unresolved = false
+		}
+	}
+}
+
 // Finish records the result of an execution, once.
 func (t *Tracker) Finish(now time.Time, x *Execution, r Result) {
 	var p Participant
@@ -160,7 +190,7 @@
 			kept = append(kept, x)
 			continue
 		}
-		if now.Sub(x.end) < x.result.remembered() && lost <= maxLost {
+		if now.Sub(x.end) < x.remembered() && lost <= maxLost && !x.endpointEnded {
 			kept = append(kept, x)
 			continue
 		}
@@ -182,7 +212,7 @@
 
 // EndpointDrained is EndpointEnded for an endpoint that was draining: it returns those that lost their responses.
 func (t *Tracker) EndpointDrained(now time.Time, endpoint string) []Participant {
-	return t.claimParticipants(now, endpoint, func(x *Execution) bool { return x.result == Lost })
+	return t.claimParticipants(now, endpoint, func(x *Execution) bool { return x.result == Lost || x.unresolved })
 }
 
 func (t *Tracker) claimParticipants(now time.Time, endpoint string, met func(*Execution) bool) (out []Participant) {
@@ -209,6 +239,7 @@
 		x.endpointEnded = true
 		out = append(out, *x)
 	}
+	t.compact(now, endpoint)
 	return out
 }
 
--- a/rockbarrow/execution/tracker_test.go
+++ b/rockbarrow/execution/tracker_test.go
@@ -69,3 +69,26 @@
 		t.Errorf("%d endpoints", n)
 	}
 }
+
+// TestUnresolvedExecutionsAreRemembered guards against forgetting what was in progress at an endpoint that fell silent before the list
+// tells that it has ended: the end was connected with no request.
+func TestUnresolvedExecutionsAreRemembered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := incarnation.ID{EndpointID: "e"}
+	var tracker Tracker
+	for i, answers := range []bool{false, true} {
+		x := tracker.Begin(now, request("r"), at)
+		tracker.Finish(now, x, Lost)
+		tracker.SetUnresolved(x)
+		now = now.Add(lostFor + time.Second)
+		if answers {
+			tracker.Resolve(at)
+		}
+		if n := len(tracker.EndpointEnded(now, "e", nil)); n != 1-i {
+			t.Errorf("answers %v: %d requests met the end", answers, n)
+		}
+	}
+	if n := len(tracker.byEndpoint); n != 0 {
+		t.Errorf("%d endpoints are remembered", n)
+	}
+}
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -138,9 +138,11 @@
 
 // Finish ends the trial of a request at an endpoint whose outcome says nothing, or all its trials there if asker is empty. A
 // later trial at another endpoint goes on.
-func (r *Registry) Finish(k Keys, endpoint incarnation.ID, asker string) {
+func (r *Registry) Finish(now time.Time, k Keys, endpoint incarnation.ID, asker string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
+	defer r.unlock()
+	r.init()
+	r.over[asker] = now
 	r.sequence++
 	for _, key := range k.all() {
 		if s := r.suspects[key]; s != nil {
@@ -148,6 +150,9 @@
 			s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool {
 				return t.endpoint.Matches(endpoint) && (asker == "" || t.asker == asker)
 			})
+			if len(s.trials) == 0 && len(s.evidence) == 0 {
+				delete(r.suspects, key)
+			}
 		}
 	}
 }
@@ -195,7 +200,7 @@
 		return nil
 	case slices.ContainsFunc(s.trials, func(t *trial) bool { return now.Before(t.until) }):
 		return Busy{}
-	case met < MaxEnds:
+	case met < MaxEnds, slices.ContainsFunc(s.trials, func(t *trial) bool { return t.lost }):
 		return Held{RetryAfter: uncertainRetry}
 	}
 	return Held{}
--- a/rockbarrow/quarantine/memory.go
+++ b/rockbarrow/quarantine/memory.go
@@ -12,7 +12,7 @@
 const (
 	// endTTL is how long an end is remembered: participants may be reported late, and rates are measured.
 	endTTL = time.Minute
-	// clearedTTL is how long it is remembered that a key was cleared, so that late news do not bring it back.
+	// clearedTTL is how long it is remembered that a key was cleared, or an execution over, so that late news do not bring it back.
 	clearedTTL = 30 * time.Second
 )
 
@@ -20,6 +20,7 @@
 func (r *Registry) evict(now time.Time) {
 	maps.DeleteFunc(r.suspects, func(_ Key, s *suspect) bool { return s.isExpired(now) })
 	maps.DeleteFunc(r.cleared, func(_ Key, c clearance) bool { return now.Sub(c.at) > clearedTTL })
+	maps.DeleteFunc(r.over, func(_ string, at time.Time) bool { return now.Sub(at) > clearedTTL })
 	r.evictEnds(now)
 	if len(r.suspects) > maxSuspects {
 		r.evictSuspects()
--- a/rockbarrow/quarantine/message.go
+++ b/rockbarrow/quarantine/message.go
@@ -69,7 +69,8 @@
 
 func ageMS(now, at time.Time) uint64 { return uint64(max(0, now.Sub(at).Milliseconds())) }
 
-// Changes returns what changed after a sequence number, and the number of the last change.
+// Changes returns what changed after a sequence number, and the number of the last change. Requests that only lost executions are
+// left out as long as that decides nothing.
 func (r *Registry) Changes(now time.Time, since uint64) ([]*fleetpb.Suspect, uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -78,7 +79,7 @@
 	}
 	var out []*fleetpb.Suspect
 	for _, s := range r.suspects {
-		if s.sequence > since && !s.isExpired(now) {
+		if s.sequence > since && !s.isExpired(now) && s.mayHaveEnded() {
 			out = append(out, s.proto(now))
 		}
 	}
@@ -99,8 +100,14 @@
 
 // List returns all suspects, those refused first, then by the number of ends.
 func (r *Registry) List(now time.Time) []*fleetpb.Suspect {
-	out, _ := r.Changes(now, 0)
-	out = slices.DeleteFunc(out, func(s *fleetpb.Suspect) bool { return s.GetCleared() })
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []*fleetpb.Suspect
+	for _, s := range r.suspects {
+		if !s.isExpired(now) {
+			out = append(out, r.protoOf(now, s))
+		}
+	}
 	slices.SortFunc(out, func(a, b *fleetpb.Suspect) int {
 		return cmp.Or(compareBool(b.GetRefused(), a.GetRefused()), cmp.Compare(len(b.GetEnds()), len(a.GetEnds())), slices.Compare(a.GetKey(), b.GetKey()))
 	})
@@ -124,7 +131,7 @@
 	var out []*fleetpb.Suspect
 	for _, key := range k.all() {
 		if s := r.suspects[key]; s != nil && !s.isExpired(now) {
-			out = append(out, s.proto(now))
+			out = append(out, r.protoOf(now, s))
 		} else if c, ok := r.cleared[key]; ok {
 			out = append(out, &fleetpb.Suspect{Key: key[:], Cleared: true, ClearedAgeMs: ageMS(now, c.at)})
 		}
@@ -132,13 +139,22 @@
 	return out
 }
 
+// protoOf returns the message for a suspect, without lost executions if they are another registry's news.
+func (r *Registry) protoOf(now time.Time, s *suspect) *fleetpb.Suspect {
+	out := s.proto(now)
+	if r.Follower {
+		out.Trials = slices.DeleteFunc(out.Trials, (*fleetpb.SuspectTrial).GetLost)
+	}
+	return out
+}
+
 func (s *suspect) proto(now time.Time) *fleetpb.Suspect {
 	out := &fleetpb.Suspect{Key: s.key[:], Content: s.content, Shared: s.shared, Service: s.service, Program: s.program, Route: s.route}
 	if !s.refusedAt.IsZero() {
 		out.Refused, out.RefusedAgeMs = true, ageMS(now, s.refusedAt)
 	}
 	for _, t := range s.trials {
-		out.Trials = append(out.Trials, &fleetpb.SuspectTrial{Endpoint: t.endpoint.EndpointID, BornMs: t.endpoint.StartMS, Asker: t.asker})
+		out.Trials = append(out.Trials, &fleetpb.SuspectTrial{Endpoint: t.endpoint.EndpointID, BornMs: t.endpoint.StartMS, Asker: t.asker, Lost: t.lost})
 	}
 	for _, e := range s.evidence {
 		out.Ends = append(out.Ends, &fleetpb.SuspectEnd{
@@ -175,7 +191,9 @@
 			continue
 		}
 		for _, t := range p.GetTrials() {
-			s.trials = append(s.trials, &trial{asker: t.GetAsker(), endpoint: incarnation.ID{EndpointID: t.GetEndpoint(), StartMS: t.GetBornMs()}, until: savedAt})
+			if !t.GetLost() {
+				s.trials = append(s.trials, &trial{asker: t.GetAsker(), endpoint: trialEndpoint(t), until: savedAt})
+			}
 		}
 	}
 }
@@ -201,7 +219,8 @@
 			exposure: milliseconds(e.GetExposureMs()), sender: e.GetSender(), alone: e.GetAlone(), granted: e.GetGranted(),
 		})
 	}
-	if len(news) == 0 {
+	lost := r.lostNews(p, key)
+	if len(news) == 0 && len(lost) == 0 {
 		return
 	}
 	s := r.suspectOf(now, key)
@@ -209,6 +228,7 @@
 	for _, e := range news {
 		r.addEvidence(now, s, e)
 	}
+	r.mergeLost(now, s, lost)
 	if verdicts && p.GetRefused() && s.refusedAt.IsZero() {
 		s.refusedAt = before(now, p.GetRefusedAgeMs())
 	}
--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -72,7 +72,7 @@
 	// program and route are those of the last report.
 	program, route string
 	evidence       []evidence
-	// trials are the executions that were granted and whose outcome is not known yet.
+	// trials are the executions whose outcome is not known yet: those that were granted, and lost ones.
 	trials []*trial
 	// refusedAt is when the request was refused first, zero if it is not refused.
 	refusedAt time.Time
@@ -104,6 +104,8 @@
 	until    time.Time
 	// alone is true if there was no other trial at the endpoint.
 	alone bool
+	// lost is true if it was not granted, as no end was known then.
+	lost bool
 }
 
 // ended is an incarnation that ended.
@@ -139,6 +141,8 @@
 	ends     map[string][]*ended
 	endCount int
 	cleared  map[Key]clearance
+	// over holds when executions were over, by their askers, so that late news don't bring them back.
+	over map[string]time.Time
 	// sequence numbers the changes of suspects.
 	sequence uint64
 }
@@ -183,7 +187,7 @@
 // addEvidence adds an end to a suspect unless it is known; the caller holds mu.
 func (r *Registry) addEvidence(now time.Time, s *suspect, e evidence) {
 	if i := slices.IndexFunc(s.trials, func(t *trial) bool { return t.endpoint.Matches(e.endpoint) }); i >= 0 {
-		e.alone, e.granted = s.trials[i].alone, true
+		e.alone, e.granted = s.trials[i].alone, !s.trials[i].lost
 		s.trials = slices.Delete(s.trials, i, i+1)
 	}
 	for i, known := range s.evidence {
@@ -266,7 +270,7 @@
 // suspectsOf returns the suspects that a request matches; the caller holds mu.
 func (r *Registry) suspectsOf(now time.Time, k Keys) []*suspect {
 	var out []*suspect
-	if s := r.suspects[k.Request]; s != nil && !s.isExpired(now) {
+	if s := r.suspects[k.Request]; s != nil && !s.isExpired(now) && s.mayHaveEnded() {
 		out = append(out, s)
 	}
 	if s := r.suspects[k.Content]; s != nil && k.HasContent && s.senders() >= minSenders && !s.isExpired(now) {
@@ -299,6 +303,13 @@
 	return granted + distinct
 }
 
+// mayHaveEnded reports whether an end is known, or as many may have happened as may. Fewer lost executions show nothing: endpoints that
+// are cut off lose them, too.
+func (s *suspect) mayHaveEnded() bool {
+	granted := slices.ContainsFunc(s.trials, func(t *trial) bool { return !t.lost })
+	return len(s.evidence) > 0 || granted || len(s.trials) >= MaxEnds
+}
+
 func (s *suspect) isExpired(now time.Time) bool { return now.Sub(s.updated) > suspectTTL }
 
 // senders returns how many senders met an end.
@@ -320,7 +331,7 @@
 
 func (r *Registry) init() {
 	if r.suspects == nil {
-		r.suspects, r.ends, r.cleared = map[Key]*suspect{}, map[string][]*ended{}, map[Key]clearance{}
+		r.suspects, r.ends, r.cleared, r.over = map[Key]*suspect{}, map[string][]*ended{}, map[Key]clearance{}, map[string]time.Time{}
 	}
 }
 
--- a/rockbarrow/quarantine/registry_test.go
+++ b/rockbarrow/quarantine/registry_test.go
@@ -154,8 +154,8 @@
 	if w.ask(a, one, "x") != (Granted{}) || w.ask(a, two, "y") != (Granted{}) || w.ask(a, w.freshEndpoint(), "z") != (Busy{}) {
 		t.Error("after one end, not exactly two executions at a time")
 	}
-	w.registry.Finish(a, one, "")
-	w.registry.Finish(a, two, "")
+	w.registry.Finish(w.now, a, one, "")
+	w.registry.Finish(w.now, a, two, "")
 	w.now = w.now.Add(time.Minute / 2)
 	w.end(w.freshEndpoint(), time.Second, a, b)
 	at, other := w.freshEndpoint(), w.freshEndpoint()
@@ -173,11 +173,11 @@
 	if d := w.ask(a, other, "first"); d != (Granted{}) {
 		t.Errorf("the same attempt: %T", d)
 	}
-	w.registry.Finish(a, at, "")
+	w.registry.Finish(w.now, a, at, "")
 	if d := w.ask(a, at, "second"); d != (Busy{}) {
 		t.Errorf("after late news of an earlier trial: %T", d)
 	}
-	w.registry.Finish(a, other, "")
+	w.registry.Finish(w.now, a, other, "")
 	if d := w.ask(a, at, "second"); d != (Granted{}) {
 		t.Errorf("after the trial: %T", d)
 	}
@@ -185,7 +185,7 @@
 	if d := w.ask(a, at, "third"); d != (Held{}) {
 		t.Errorf("after the time of a trial whose outcome was never reported: %T", d)
 	}
-	w.registry.Finish(a, at, "")
+	w.registry.Finish(w.now, a, at, "")
 	if d := w.ask(a, at, "third"); d != (Granted{}) {
 		t.Errorf("after a late report: %T", d)
 	}
