entry, quarantine: what a silent endpoint's executions may have done is known at once

From the second lost execution on, control decides. A hung or silent endpoint is watched until it answers, refuses or leaves the list.

--- a/rockbarrow/controller/suspects.go
+++ b/rockbarrow/controller/suspects.go
@@ -59,7 +59,11 @@
 			}
 		}
 	}
-	c.suspects.RecordLost(now, quarantine.LostFromProto(report.GetLost()))
+	lost := quarantine.LostFromProto(report.GetLost())
+	c.suspects.RecordLost(now, lost)
+	for _, l := range lost {
+		out.Suspects = append(out.Suspects, c.suspects.Of(now, l.Keys)...)
+	}
 	c.suspects.Merge(now, report.GetKnown(), false)
 	c.notifySuspects(before)
 	if len(report.GetEnds()) > 0 {
--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -24,8 +24,6 @@
 	// probeTimeout bounds a probe of an endpoint that lost a response. An ended process refuses a connection within a
 	// round trip; one behind a partition does not answer, which tells nothing.
 	probeTimeout = 100 * time.Millisecond
-	// abandonedProbeDelay is the time until the endpoint of a trial whose client left is probed: it may still end over it.
-	abandonedProbeDelay = time.Second
 	// maxLoggedParticipants bounds the requests that one log line names.
 	maxLoggedParticipants = 20
 )
@@ -98,18 +96,13 @@
 	x.execution = nil
 	defer func() { x.onTrial, x.lossCause = false, nil }()
 	p := &endProbe{entry: x.entry, endpoint: x.chosen, incarnation: x.endpoint, service: x.service.GetName(), maxConnections: x.connectionLimit()}
-	switch {
-	case result == execution.Lost && !isSilence(x.lossCause) && !isSilence(err):
-		p.since = x.sentAt
-	case result == execution.Abandoned && x.onTrial:
-		trial := finishedTrial{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker}
-		time.AfterFunc(abandonedProbeDelay, (&abandonedTrial{endProbe: p, trial: trial}).run)
+	if result == execution.Abandoned {
+		x.abandon(p, current)
 		return
-	case result == execution.Abandoned && time.Since(x.progressAt) >= minSilence && x.Program() != "":
-		a := &abandonedExecution{endProbe: p, lost: x.lostExecution()}
-		// The client may come again before the probe is over.
-		x.entry.executionLost(p, current, a.lost)
-		go a.run()
+	}
+	silent := isSilence(x.lossCause) || isSilence(err)
+	if !silent {
+		p.since = x.sentAt
 	}
 	probed := ProbeOpen
 	if result == execution.Lost {
@@ -122,17 +115,17 @@
 		if wait.For(ctx, reprobeDelay) {
 			probed = p.probe(ctx)
 		}
-	default:
+	case !silent || x.Program() == "":
 		time.AfterFunc(reprobeDelay, p.run)
 	}
 	if probed != ProbeRefused {
 		if x.onTrial && probed != ProbeOpen {
 			// The trial counts until the list tells what became of the endpoint.
-			x.entry.reports.add(pendingReport{finished: []finishedTrial{{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker, unknown: true}}})
 			x.entry.executions.SetUnresolved(current)
+			x.entry.reports.add(pendingReport{finished: []finishedTrial{{keys: x.Keys(), endpoint: x.endpoint, asker: x.asker, unknown: true}}})
 			return
 		}
-		if probed == ProbeUnanswered {
+		if result == execution.Lost && (silent || probed == ProbeUnanswered) {
 			x.awaitReport(ctx, x.entry.executionLost(p, current, x.lostExecution()))
 		}
 		x.reportOutcome(result)
@@ -145,6 +138,18 @@
 	}
 }
 
+// abandon finds out later what became of an execution without a response whose client left, or whose time was over.
+func (x *exchange) abandon(p *endProbe, current *execution.Execution) {
+	switch {
+	case x.onTrial:
+		x.entry.executions.SetUnresolved(current)
+		x.entry.silent.add(p, x.lostExecution())
+	case x.Program() != "" && time.Since(x.progressAt) >= minSilence:
+		// The client may come again at once.
+		x.entry.executionLost(p, current, x.lostExecution())
+	}
+}
+
 // awaitReport waits until a control instance knows of a lost execution, up to lostReportTimeout: not all endpoints that answer nobody
 // have ended, and where no control instance answers, the request may go on elsewhere.
 func (x *exchange) awaitReport(ctx context.Context, reported <-chan struct{}) {
@@ -218,21 +223,6 @@
 	}
 }
 
-// abandonedTrial finds out what became of a trial whose client left.
-type abandonedTrial struct {
-	*endProbe
-	trial finishedTrial
-}
-
-func (a *abandonedTrial) run() {
-	switch a.probe(context.Background()) {
-	case ProbeRefused:
-		a.report()
-	case ProbeAccepted, ProbeOpen:
-		a.entry.finishTrial(a.trial)
-	}
-}
-
 // endpointEnded connects the end of an endpoint's earlier incarnations with the requests that were in progress there. The
 // current incarnation, if any, goes on. The returned channel is closed once a control instance knows of it.
 func (e *Entry) endpointEnded(endpoint, service string, current *incarnation.ID, evidence string) (reported <-chan struct{}) {
--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -79,6 +79,8 @@
 	switch d := d.(type) {
 	case quarantine.Refused:
 		reply.Decision = fleetpb.TrialReply_DECISION_REFUSED
+	case quarantine.Busy:
+		reply.Decision = fleetpb.TrialReply_DECISION_BUSY
 	case quarantine.Held:
 		reply.Decision, reply.RetryAfterMs = fleetpb.TrialReply_DECISION_HELD, uint64(d.RetryAfter.Milliseconds())
 	}
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -91,6 +91,9 @@
 // RecordResponse records that a response has started.
 func (e *Endpoint) RecordResponse(now time.Time) { e.lastResponse.Store(now.UnixNano()) }
 
+// LastResponse returns when the last response started.
+func (e *Endpoint) LastResponse() time.Time { return time.Unix(0, e.lastResponse.Load()) }
+
 // RecordConnectionLoss records that a call or an idle connection was closed
 // without a response, which may mean that the endpoint has restarted.
 func (e *Endpoint) RecordConnectionLoss() { e.lostConnections.Add(1) }
--- a/rockbarrow/quarantine/ask.go
+++ b/rockbarrow/quarantine/ask.go
@@ -64,10 +64,17 @@
 type Knowledge struct {
 	// Ends are the endpoints that ended under it, and Trials the executions whose outcome is not known.
 	Ends, Trials int
-	// FirstEnd is when the first of them was noticed.
+	// FirstEnd is when the first of the ends, or of the lost executions, was noticed.
 	FirstEnd time.Time
 }
 
+// note notes an end or a lost execution.
+func (k *Knowledge) note(at time.Time) {
+	if k.FirstEnd.IsZero() || at.Before(k.FirstEnd) {
+		k.FirstEnd = at
+	}
+}
+
 // Knowledge returns what is known of a request.
 func (r *Registry) Knowledge(now time.Time, k Keys) (out Knowledge) {
 	r.mu.Lock()
@@ -75,8 +82,11 @@
 	for _, s := range r.suspectsOf(now, k) {
 		out.Ends, out.Trials = max(out.Ends, len(s.evidence)), max(out.Trials, len(s.trials))
 		for _, e := range s.evidence {
-			if out.FirstEnd.IsZero() || e.at.Before(out.FirstEnd) {
-				out.FirstEnd = e.at
+			out.note(e.at)
+		}
+		for _, t := range s.trials {
+			if t.lost {
+				out.note(t.until)
 			}
 		}
 	}
@@ -143,10 +153,12 @@
 	defer r.unlock()
 	r.init()
 	r.over[asker] = now
-	r.sequence++
 	for _, key := range k.all() {
 		if s := r.suspects[key]; s != nil {
-			s.sequence = r.sequence
+			if s.mayHaveEnded() {
+				r.sequence++
+				s.sequence = r.sequence
+			}
 			s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool {
 				return t.endpoint.Matches(endpoint) && (asker == "" || t.asker == asker)
 			})
--- a/rockbarrow/quarantine/lost.go
+++ b/rockbarrow/quarantine/lost.go
@@ -33,20 +33,23 @@
 		}
 		s := r.suspectOf(now, l.Keys.Request)
 		s.service, s.program, s.route = l.Service, l.Program, l.Route
-		r.addLost(now, s, l.Asker, l.Endpoint)
+		r.addLost(now, s, &trial{asker: l.Asker, endpoint: l.Endpoint, until: now, lost: true})
 	}
 	r.evict(now)
 }
 
 // addLost adds a lost execution unless its outcome is known; the caller holds mu.
-func (r *Registry) addLost(now time.Time, s *suspect, asker string, endpoint incarnation.ID) {
-	known := func(t *trial) bool { return t.asker == asker }
-	_, over := r.over[asker]
-	if over || slices.ContainsFunc(s.trials, known) || s.hasEvidence(evidence{endpoint: endpoint}) || len(s.trials) >= maxEvidence {
+func (r *Registry) addLost(now time.Time, s *suspect, lost *trial) {
+	known := func(t *trial) bool { return t.asker == lost.asker }
+	_, over := r.over[lost.asker]
+	if over || slices.ContainsFunc(s.trials, known) || s.hasEvidence(evidence{endpoint: lost.endpoint}) || len(s.trials) >= maxEvidence {
 		return
 	}
-	s.trials = append(s.trials, &trial{asker: asker, endpoint: endpoint, until: now, lost: true})
-	r.touch(now, s)
+	s.trials = append(s.trials, lost)
+	s.updated = now
+	if s.mayHaveEnded() {
+		r.touch(now, s)
+	}
 }
 
 // lostNews returns the lost executions in another registry's message that may be new here; the caller holds mu.
@@ -62,13 +65,10 @@
 	return out
 }
 
-// mergeLost adds lost executions that another registry knows, in place of those known to a follower; the caller holds mu.
+// mergeLost adds lost executions that another registry knows; the caller holds mu.
 func (r *Registry) mergeLost(now time.Time, s *suspect, list []*fleetpb.SuspectTrial) {
-	if r.Follower {
-		s.trials = slices.DeleteFunc(s.trials, func(t *trial) bool { return t.lost })
-	}
 	for _, t := range list {
-		r.addLost(now, s, t.GetAsker(), trialEndpoint(t))
+		r.addLost(now, s, &trial{asker: t.GetAsker(), endpoint: trialEndpoint(t), until: before(now, t.GetLostAgeMs()), lost: true})
 	}
 }
 
--- a/rockbarrow/quarantine/message.go
+++ b/rockbarrow/quarantine/message.go
@@ -154,7 +154,11 @@
 		out.Refused, out.RefusedAgeMs = true, ageMS(now, s.refusedAt)
 	}
 	for _, t := range s.trials {
-		out.Trials = append(out.Trials, &fleetpb.SuspectTrial{Endpoint: t.endpoint.EndpointID, BornMs: t.endpoint.StartMS, Asker: t.asker, Lost: t.lost})
+		m := &fleetpb.SuspectTrial{Endpoint: t.endpoint.EndpointID, BornMs: t.endpoint.StartMS, Asker: t.asker, Lost: t.lost}
+		if t.lost {
+			m.LostAgeMs = ageMS(now, t.until)
+		}
+		out.Trials = append(out.Trials, m)
 	}
 	for _, e := range s.evidence {
 		out.Ends = append(out.Ends, &fleetpb.SuspectEnd{
--- a/rockbarrow/quarantine/registry.go
+++ b/rockbarrow/quarantine/registry.go
@@ -303,11 +303,11 @@
 	return granted + distinct
 }
 
-// mayHaveEnded reports whether an end is known, or as many may have happened as may. Fewer lost executions show nothing: endpoints that
-// are cut off lose them, too.
+// mayHaveEnded reports whether an end is known, or executions may have ended as many endpoints as leaves one at the most. A single lost
+// execution shows nothing: endpoints that are slow or cut off lose them, too.
 func (s *suspect) mayHaveEnded() bool {
 	granted := slices.ContainsFunc(s.trials, func(t *trial) bool { return !t.lost })
-	return len(s.evidence) > 0 || granted || len(s.trials) >= MaxEnds
+	return len(s.evidence) > 0 || granted || len(s.trials) >= MaxEnds-1
 }
 
 func (s *suspect) isExpired(now time.Time) bool { return now.Sub(s.updated) > suspectTTL }
