--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -61,7 +61,7 @@
 
 func (e *HeldError) Error() string {
 	if e.RetryAfter > 0 {
-		return "entry: endpoints ended while they executed this request, which is not sent until it is known how many"
+		return "entry: endpoints ended, or may have ended, while they executed this request, which is not sent until it is known how many"
 	}
 	return "entry: endpoints ended while they executed this request, which may be chance, but it is not sent any more"
 }
--- a/rockctl/suspects.go
+++ b/rockctl/suspects.go
@@ -30,18 +30,26 @@
 		if s.GetContent() {
 			of = "content"
 		}
+		if len(s.GetEnds()) == 0 {
+			state = "lost executions"
+		}
 		if s.GetRefused() {
 			state = "refused for " + milliseconds(s.GetRefusedAgeMs())
 		}
-		var ends []string
+		var places []string
 		for _, e := range s.GetEnds() {
 			text := fmt.Sprintf("%s %s ago, after %s", e.GetEndpoint(), milliseconds(e.GetAgeMs()), milliseconds(e.GetExposureMs()))
 			if e.GetAlone() {
 				text += ", alone"
 			}
-			ends = append(ends, text)
+			places = append(places, text)
+		}
+		for _, t := range s.GetTrials() {
+			if t.GetLost() {
+				places = append(places, fmt.Sprintf("%s without an answer %s ago", t.GetEndpoint(), milliseconds(t.GetLostAgeMs())))
+			}
 		}
-		fmt.Fprintf(w, "%x\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", s.GetKey(), of, state, s.GetService(), s.GetRoute(), s.GetProgram(), len(ends), strings.Join(ends, "; "))
+		fmt.Fprintf(w, "%x\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", s.GetKey(), of, state, s.GetService(), s.GetRoute(), s.GetProgram(), len(s.GetEnds()), strings.Join(places, "; "))
 	}
 	fmt.Fprintf(w, "\nchange %d\n", r.GetSequence())
 }
