--- a/rockbarrow/quarantine/doc.go
+++ b/rockbarrow/quarantine/doc.go
@@ -13,8 +13,8 @@
 //   - A suspect under which [MaxEnds] endpoints ended is not sent any more. It is refused, unless endpoints of the service end so
 //     often by themselves that this is likely to be chance: then it is held, which differs in what the client is told. Ends
 //     under a refused request are no evidence against others.
-//   - What may be an end counts like one: a trial until its outcome is known, and one end more if an instance that may have sent
-//     the request was lost.
+//   - What may be an end counts like one: a trial until its outcome is known, an execution at an endpoint that may have fallen silent
+//     ([LostExecution]) until the endpoint answers, and one end more if an instance that may have sent the request was lost.
 //
 // A registry does no I/O and reads no clock. Control instances decide; entry instances hold a copy, by which they look up
 // requests, and decide alone only if no control instance answers.
--- a/rockbarrow/quarantine/lost.go
+++ b/rockbarrow/quarantine/lost.go
@@ -28,7 +28,8 @@
 	defer r.unlock()
 	r.init()
 	for _, l := range list {
-		if _, cleared := r.cleared[l.Keys.Request]; cleared || l.Keys.Shared {
+		_, cleared := r.cleared[l.Keys.Request]
+		if _, over := r.over[l.Asker]; cleared || over || l.Keys.Shared {
 			continue
 		}
 		s := r.suspectOf(now, l.Keys.Request)
@@ -41,8 +42,7 @@
 // addLost adds a lost execution unless its outcome is known; the caller holds mu.
 func (r *Registry) addLost(now time.Time, s *suspect, lost *trial) {
 	known := func(t *trial) bool { return t.asker == lost.asker }
-	_, over := r.over[lost.asker]
-	if over || slices.ContainsFunc(s.trials, known) || s.hasEvidence(evidence{endpoint: lost.endpoint}) || len(s.trials) >= maxEvidence {
+	if slices.ContainsFunc(s.trials, known) || s.hasEvidence(evidence{endpoint: lost.endpoint}) || len(s.trials) >= maxEvidence {
 		return
 	}
 	s.trials = append(s.trials, lost)
