placement, entry: a request that is sent is no answer

Answers have a time of their own now. TestARequestIsNoAnswer and the new phase of TestSilentEndpointsAreCounted fail without it.

--- a/rockbarrow/entry/silent.go
+++ b/rockbarrow/entry/silent.go
@@ -127,7 +127,7 @@
 func (s *silentEndpoint) needsProbe() bool {
 	s.entry.silent.mu.Lock()
 	defer s.entry.silent.mu.Unlock()
-	return !s.connected && !s.endpoint.LastResponse().After(s.harmless)
+	return !s.connected && !s.endpoint.LastAnswer().After(s.harmless)
 }
 
 // setConnected notes that the endpoint accepted a connection.
@@ -148,7 +148,7 @@
 func (s *silentEndpoints) look(silent *silentEndpoint, listed bool) (next time.Duration, over []quarantine.LostExecution) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answers := silent.endpoint.LastResponse().After(silent.harmless)
+	answers := silent.endpoint.LastAnswer().After(silent.harmless)
 	switch {
 	case !answers && listed:
 		silent.answered = false
--- a/rockbarrow/entry/silent_test.go
+++ b/rockbarrow/entry/silent_test.go
@@ -69,13 +69,18 @@
 			if n := s.sent.Load(); n != quarantine.MaxEnds || last != http.StatusServiceUnavailable {
 				t.Errorf("%s: sent to %d endpoints, status %d at last", path, n, last)
 			}
-			s.answers.Store(true)
-			for _, e := range entries {
-				for i := range 30 {
-					serveFor(t.Context(), e, "/once/1", fmt.Sprint(i), fmt.Sprint("innocent", i))
+			for _, answers := range []bool{false, true} {
+				s.answers.Store(answers)
+				for _, e := range entries {
+					for i := range 30 {
+						serveFor(t.Context(), e, "/once/1", fmt.Sprint(i), fmt.Sprint("innocent", i))
+					}
+				}
+				time.Sleep(time.Minute)
+				if status := serveFor(t.Context(), entries[0], path, "between", "deadly"); !answers && status != http.StatusServiceUnavailable {
+					t.Errorf("%s: status %d although other requests got no answer either", path, status)
 				}
 			}
-			time.Sleep(time.Minute)
 			if status := serveFor(t.Context(), entries[0], path, "later", "deadly"); status != http.StatusOK {
 				t.Errorf("%s: status %d after all answer", path, status)
 			}
--- a/rockbarrow/placement/endpoint.go
+++ b/rockbarrow/placement/endpoint.go
@@ -67,6 +67,8 @@
 	// lastResponse is when the endpoint last sent a response, or when it became
 	// busy after being idle, in Unix nanoseconds.
 	lastResponse atomic.Int64
+	// lastAnswer is when the endpoint last sent a response, in nanoseconds since 1970, zero if it has not.
+	lastAnswer atomic.Int64
 	// answered and failed count finished calls of this instance.
 	answered, failed atomic.Uint64
 	// lostConnections counts calls and idle connections that were closed without
@@ -89,10 +91,13 @@
 const unresponsiveAfter = 1200 * time.Millisecond
 
 // RecordResponse records that a response has started.
-func (e *Endpoint) RecordResponse(now time.Time) { e.lastResponse.Store(now.UnixNano()) }
+func (e *Endpoint) RecordResponse(now time.Time) {
+	e.lastResponse.Store(now.UnixNano())
+	e.lastAnswer.Store(now.UnixNano())
+}
 
-// LastResponse returns when the last response started.
-func (e *Endpoint) LastResponse() time.Time { return time.Unix(0, e.lastResponse.Load()) }
+// LastAnswer returns when the last response started.
+func (e *Endpoint) LastAnswer() time.Time { return time.Unix(0, e.lastAnswer.Load()) }
 
 // RecordConnectionLoss records that a call or an idle connection was closed
 // without a response, which may mean that the endpoint has restarted.
--- a/rockbarrow/placement/spread_test.go
+++ b/rockbarrow/placement/spread_test.go
@@ -81,6 +81,19 @@
 	}
 }
 
+// TestARequestIsNoAnswer guards against an endpoint that counts as answering because a request is sent to it.
+func TestARequestIsNoAnswer(t *testing.T) {
+	f, now := spreadFleet(20), time.Unix(1000, 0)
+	c, _ := f.Choose(now, spreadRequest(), rand.New(rand.NewPCG(1, 1)))
+	if at := c.Endpoint().LastAnswer(); !at.Before(now) {
+		t.Errorf("an answer at %v", at)
+	}
+	c.Endpoint().RecordResponse(now)
+	if at := c.Endpoint().LastAnswer(); !at.Equal(now) {
+		t.Errorf("the last answer at %v", at)
+	}
+}
+
 func TestUnresponsiveEndpointIsAvoided(t *testing.T) {
 	f, r, now := spreadFleet(20), rand.New(rand.NewPCG(1, 1)), time.Unix(1, 0)
 	req := spreadRequest()
