watch, operator, requestlog: logs tell which table a version has, and when no majority is followed

Nothing logged what a configuration was validated as, beside what its table was built from, nor that all followed control instances answer and report no majority of the voters.

--- a/rockbarrow/controller/tables.go
+++ b/rockbarrow/controller/tables.go
@@ -106,7 +106,7 @@
 	t.updated = make(chan struct{})
 	t.mu.Unlock()
 	t.controller.Log.WithFields(logrus.Fields{
-		"config_version": table.Version(), "routes": table.RouteCount(), "changed": len(change.GetRoutes()) + len(change.GetRemovedRoutes()),
+		"config_version": table.Version(), "table": table.ShortDigest(), "routes": table.RouteCount(), "changed": len(change.GetRoutes()) + len(change.GetRemovedRoutes()),
 		"took_ms": time.Since(begun).Milliseconds(),
 	}).Info("the routing table of a configuration is made")
 }
--- a/rockbarrow/entry/updates.go
+++ b/rockbarrow/entry/updates.go
@@ -108,7 +108,7 @@
 	if t.Version() > old.Version() {
 		e.table.Store(t)
 		e.Log.WithFields(logrus.Fields{
-			"config_version": t.Version(), "routes": t.RouteCount(),
+			"config_version": t.Version(), "table": t.ShortDigest(), "routes": t.RouteCount(),
 			"since_news_ms": time.Since(notified).Milliseconds(), "took_ms": time.Since(start).Milliseconds(),
 		}).Info("a configuration is in force")
 	}
--- a/rockbarrow/routing/digest.go
+++ b/rockbarrow/routing/digest.go
@@ -5,6 +5,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 )
 
 // setHash is the hash of a set: the lane-wise sum of its elements' SHA-256. Elements
@@ -58,6 +59,12 @@
 	return digest[:]
 }
 
+// ShortDigest returns the beginning of the digest, for logs.
+func (t *Table) ShortDigest() string {
+	const shown = 4
+	return hex.EncodeToString(t.Digest()[:shown])
+}
+
 // baseDigest returns the digest that names t as a change's base, nil for the empty table.
 func (t *Table) baseDigest() []byte {
 	if t.orEmpty() == empty {
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -106,7 +106,9 @@
 	reported reportedUses
 	// votes are the answers of voters.
 	votes lease.VoterStates
-	ctx   context.Context
+	// minoritySince is when no followed control instance reached a majority of the voters any more, zero while one does.
+	minoritySince time.Time
+	ctx           context.Context
 }
 
 // Run follows control instances until ctx ends.
@@ -284,5 +286,30 @@
 		c.upsertTarget(m.GetAddress(), m)
 	}
 	c.updateFollowed(now)
+	c.logMajority(now)
 	return wasUnreachable
 }
+
+// logMajority logs when no followed control instance reaches a majority of the voters any more, and when one does again. c.mu must be held.
+func (c *Client) logMajority(now time.Time) {
+	if c.Role == fleetpb.Role_ROLE_CONTROL {
+		return
+	}
+	var answering []string
+	majority := false
+	for _, t := range c.targets {
+		if t.answeredWithin(now, unreachableAfter) {
+			answering = append(answering, t.address)
+			majority = majority || t.reach.GetMajority()
+		}
+	}
+	switch {
+	case !majority && c.minoritySince.IsZero():
+		c.minoritySince = now
+		c.Log.WithField("control", answering).Warn("no followed control instance reaches a majority of the voters")
+	case majority && !c.minoritySince.IsZero():
+		c.Log.WithFields(logrus.Fields{"control": answering, "after_ms": now.Sub(c.minoritySince).Milliseconds()}).
+			Info("a followed control instance reaches a majority of the voters again")
+		c.minoritySince = time.Time{}
+	}
+}
--- a/rockbench/requestlog/lives.go
+++ b/rockbench/requestlog/lives.go
@@ -62,6 +62,8 @@
 	Call                 string
 	Status               int
 	ConfigVersion, State uint64
+	// Table is the beginning of the digest of a configuration's routing table.
+	Table string
 	// Endpoint and BornMS are an endpoint that ended, InProgress how many requests it had, and Keys those of some of them.
 	Endpoint   string
 	BornMS     uint64
--- a/rockbench/requestlog/read.go
+++ b/rockbench/requestlog/read.go
@@ -52,6 +52,7 @@
 	Status   int       `json:"status"`
 	Version  uint64    `json:"config_version"`
 	State    uint64    `json:"state"`
+	Table    string    `json:"table"`
 	Endpoint string    `json:"endpoint"`
 	BornMS   uint64    `json:"born_ms"`
 	// InProgress is how many requests an endpoint that ended had, and Participants are some of them.
@@ -78,7 +79,7 @@
 		}
 		out := Event{
 			At: stamp(b[:at], e.Time), Instance: e.Instance, Role: e.Role, Message: e.Message, Ready: e.Ready,
-			Call: e.Call, Status: e.Status, ConfigVersion: e.Version, State: e.State, Endpoint: e.Endpoint, BornMS: e.BornMS, InProgress: e.InProgress,
+			Call: e.Call, Status: e.Status, ConfigVersion: e.Version, State: e.State, Table: e.Table, Endpoint: e.Endpoint, BornMS: e.BornMS, InProgress: e.InProgress,
 		}
 		for _, r := range e.Participants {
 			out.Keys = append(out.Keys, r.Key)
--- a/rockbench/requestlog/requestlog_test.go
+++ b/rockbench/requestlog/requestlog_test.go
@@ -130,8 +130,9 @@
   1.2 c2 {"msg":"an operator's call","role":"control","instance":"c2","call":"POST /v1/config/replace","status":200,"config_version":7}
   1.1 c2 {"msg":"a newer state is in force","role":"control","instance":"c2","config_version":7,"state":9}
   1.3 e1 {"msg":"a newer state is in force","role":"entry","instance":"e1","config_version":7,"state":9}
-  1.1 c1 {"msg":"the routing table of a configuration is made","role":"control","instance":"c1","config_version":7}
-  1.4 e1 {"msg":"a configuration is in force","role":"entry","instance":"e1","config_version":7}
+  1.1 c1 {"msg":"the routing table of a configuration is made","role":"control","instance":"c1","config_version":7,"table":"aa"}
+  1.0 c1 {"msg":"a configuration is chosen","role":"control","instance":"c1","config_version":7,"table":"bb"}
+  1.4 e1 {"msg":"a configuration is in force","role":"entry","instance":"e1","config_version":7,"table":"aa"}
   2.9 e2 {"msg":"a configuration is in force","role":"entry","instance":"e2","config_version":7}
   3.0 c1 {"msg":"an operator's call","role":"control","instance":"c1","call":"POST /v1/config/replace","status":400,"config_version":8}
   5.0 c2 {"msg":"votes were restored","role":"control","instance":"c2","config_version":6,"state":8}
@@ -146,8 +147,8 @@
 	}
 	rows := strings.Split(strings.TrimSpace(out.String()), "\n")[1:]
 	for i, want := range []string{
-		"7 1s c1 0 2 300ms 300ms 1 100ms 100ms 2 1.9s 1.9s e2",
-		"8 - - 1 0 - - 0 - - 0 - - -",
+		"7 1s c1 0 2 300ms 300ms 1 100ms 100ms 2 1.9s 1.9s e2 2",
+		"8 - - 1 0 - - 0 - - 0 - - - 0",
 		"restored 5s c2 version 6 state 8",
 	} {
 		if got := strings.Join(strings.Fields(rows[i]), " "); got != want {
--- a/rockbench/requestlog/versions.go
+++ b/rockbench/requestlog/versions.go
@@ -16,6 +16,7 @@
 // Messages about a configuration on its way to the entry instances.
 const (
 	operatorCall = "an operator's call"
+	chosen       = "a configuration is chosen"
 	tableMade    = "the routing table of a configuration is made"
 	tableInForce = "a configuration is in force"
 	restored     = "votes were restored"
@@ -52,6 +53,8 @@
 	refused      int
 	// reached holds the first time of each stage by instance. Later times belong to restarted instances.
 	reached [stages]map[string]time.Duration
+	// tables holds the digests of the tables that the configuration was validated as, and that were made of it.
+	tables map[string]bool
 }
 
 // Add takes an event.
@@ -62,12 +65,16 @@
 	case e.ConfigVersion == 0:
 	case e.Message == operatorCall && e.Call == replaceCall:
 		t.version(e.ConfigVersion).answer(e)
+	case e.Message == chosen:
+		t.version(e.ConfigVersion).addTable(e)
 	case Step(e.Message) == StepState:
 		t.version(e.ConfigVersion).reach(heard, e)
 	case e.Message == tableMade:
 		t.version(e.ConfigVersion).reach(made, e)
+		t.version(e.ConfigVersion).addTable(e)
 	case e.Message == tableInForce:
 		t.version(e.ConfigVersion).reach(inForce, e)
+		t.version(e.ConfigVersion).addTable(e)
 	}
 }
 
@@ -100,18 +107,28 @@
 	}
 }
 
+func (v *version) addTable(e Event) {
+	if e.Table == "" {
+		return
+	}
+	if v.tables == nil {
+		v.tables = map[string]bool{}
+	}
+	v.tables[e.Table] = true
+}
+
 // Write prints a row for each version and one for each start of a voter. Delays count from the acknowledgement, and are
-// negative where an instance was earlier.
+// negative where an instance was earlier. The last cell is how many different tables the version has: more than one is an error.
 func (t *Versions) Write(w io.Writer) error {
 	out := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(out, "version\tacknowledged\tby\trefused\theard by\tp50\tlast\ttables\tp50\tlast\tin force at\tp50\tlast\tinstance")
+	fmt.Fprintln(out, "version\tacknowledged\tby\trefused\theard by\tp50\tlast\ttables\tp50\tlast\tin force at\tp50\tlast\tinstance\tdifferent")
 	for _, n := range slices.Sorted(maps.Keys(t.versions)) {
 		v := t.versions[n]
 		fmt.Fprintf(out, "%d\t%s\t%s\t%d", n, v.acknowledgedAt(), cmp.Or(v.by, "-"), v.refused)
 		for s := range stages {
 			fmt.Fprintf(out, "\t%s", v.delays(s))
 		}
-		fmt.Fprintf(out, "\t%s\n", v.last(inForce))
+		fmt.Fprintf(out, "\t%s\t%d\n", v.last(inForce), len(v.tables))
 	}
 	for _, e := range t.restores {
 		fmt.Fprintf(out, "restored\t%v\t%s\tversion %d\tstate %d\n", round(e.At), e.Instance, e.ConfigVersion, e.State)
