operator, soak: failing tests of configurations that are acknowledged and not obeyed

Callers saw 404 on routes of an acknowledged version, or its old time limits, for good or as long as a cut between control instances lasted.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -27,6 +27,8 @@
 	seeds = 3
 	// portSpan is how many internal ports an instance has.
 	portSpan = 6
+	// extraControl is the distance of the numbers of control instances in one failure domain.
+	extraControl = 100
 	// grace is the time from the stop signal to the kill.
 	grace = 8
 	// readyWithin bounds the start of the fleet.
@@ -58,6 +60,7 @@
 	domains int
 	// binary is this build.
 	binary  string
+	sides   *sides
 	control []*instance
 	stores  []*instance
 	entries []*instance
@@ -109,9 +112,9 @@
 	f := &fleet{
 		phases: map[*standin.Endpoint]phase{},
 		dir:    cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
-		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))},
+		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))}, sides: &sides{},
 	}
-	if cfg.Before == "" {
+	if cfg.Before == "" && !cfg.NoCustomers {
 		f.customers = newCustomers(f.ledger, rand.New(rand.NewPCG(cfg.Seed, seedOfCustomers)))
 	}
 	var err error
@@ -126,7 +129,7 @@
 	if cfg.Before != "" {
 		program = cfg.Before
 	}
-	if err := f.plan(program, cfg.EntriesEach); err != nil {
+	if err := f.plan(program, cfg); err != nil {
 		return nil, stop, err
 	}
 	first := &firstStart{fleet: f, r: rand.New(rand.NewPCG(cfg.Seed, seedOfStarts)), out: cfg.Out}
@@ -215,7 +218,7 @@
 }
 
 // plan gives each instance its address, folder and proxy.
-func (f *fleet) plan(binary string, entriesEach int) error {
+func (f *fleet) plan(binary string, cfg Config) error {
 	first, err := freePorts()
 	if err != nil {
 		return err
@@ -239,22 +242,24 @@
 		if err := in.open(f.dir); err != nil {
 			return nil, err
 		}
-		in.proxy, err = newProxy(in.plan.PeerAddress(), in.plan.PeerListen())
+		in.proxy, err = newProxy(in, f.sides)
 		return in, errors.Wrap(err, "soak: proxy")
 	}
-	for d := range f.domains {
-		c, err := add("control", d, 1)
+	for i := range max(f.domains, cfg.Control) {
+		c, err := add("control", i%f.domains, 1+i/f.domains*extraControl)
 		if err != nil {
 			return err
 		}
 		c.plan.OperatorAddress = fmt.Sprintf("%s:%d", c.plan.IP, first+portSpan)
 		f.control = append(f.control, c)
+	}
+	for d := range f.domains {
 		s, err := add("store", d, 2)
 		if err != nil {
 			return err
 		}
 		f.stores = append(f.stores, s)
-		for i := range entriesEach {
+		for i := range cfg.EntriesEach {
 			e, err := add("entry", d, 3+i)
 			if err != nil {
 				return err
@@ -265,6 +270,7 @@
 			f.entries = append(f.entries, e)
 		}
 	}
+	f.sides.all = slices.Concat(f.control, f.stores)
 	f.operator = &standin.Operator{Addresses: f.operators(), Recorder: f.ledger, Secrets: f.customers.held()}
 	return nil
 }
--- /dev/null
+++ b/rockbench/soak/foreign.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"strings"
+
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
+)
+
+// foreignValues are what a field of another writer may hold, by the name of the known field that it resembles.
+var foreignValues = map[string]string{
+	"version": "4000000000", "routes": "[]", "services": "[]", "limits": "null", "tenants": "[]",
+	"timeoutMs": "1", "goalMs": "1", "priority": "9", "service": `"nobody"`, "weight": "0", "split": "[]",
+	"host": `"other.example"`, "pathPrefix": `"/other/"`, "name": `"other"`, "type": `"streaming"`,
+	"maxAttempts": "0", "maxBodyBytes": "1", "apiKeys": "[]", "retainS": "0",
+}
+
+// fieldVariants turn the name of a known field into one that is not known and resembles it.
+var fieldVariants = []func(string) string{
+	strings.ToUpper,
+	func(name string) string { return strings.ToUpper(name[:1]) + name[1:] },
+	func(name string) string { return name + "_" },
+	func(name string) string { return name[:1] + "-" + name[1:] },
+}
+
+// foreignFields adds fields of other writers to configurations.
+type foreignFields struct {
+	r *rand.Rand
+	// every is how many known fields there are for a foreign one.
+	every int
+}
+
+// extend returns a document with fields of other writers at the end of its objects.
+func (x *foreignFields) extend(document []byte) ([]byte, error) {
+	in := jsontext.NewDecoder(bytes.NewReader(document))
+	buf := &bytes.Buffer{}
+	out := jsontext.NewEncoder(buf)
+	// names are those of the open objects, nil for an array.
+	var names [][]string
+	for in.PeekKind() != jsontext.KindInvalid {
+		tok, err := in.ReadToken()
+		if err != nil {
+			return nil, errors.Wrap(err, "soak: configuration")
+		}
+		switch tok.Kind() {
+		case jsontext.KindBeginObject, jsontext.KindBeginArray:
+			names = append(names, nil)
+		case jsontext.KindEndArray:
+			names = names[:len(names)-1]
+		case jsontext.KindEndObject:
+			if err := x.write(out, names[len(names)-1]); err != nil {
+				return nil, err
+			}
+			names = names[:len(names)-1]
+		case jsontext.KindString:
+			if kind, n := in.StackIndex(in.StackDepth()); kind == jsontext.KindBeginObject && n%2 == 1 {
+				names[len(names)-1] = append(names[len(names)-1], tok.String())
+			}
+		}
+		if err := out.WriteToken(tok); err != nil {
+			return nil, errors.Wrap(err, "soak: configuration")
+		}
+	}
+	return bytes.TrimSpace(buf.Bytes()), nil
+}
+
+// write adds foreign fields to an object with the given names.
+func (x *foreignFields) write(out *jsontext.Encoder, names []string) error {
+	for _, name := range names {
+		value, ok := foreignValues[name]
+		if !ok || x.r.IntN(x.every) > 0 {
+			continue
+		}
+		variant := fieldVariants[x.r.IntN(len(fieldVariants))](name)
+		if err := out.WriteToken(jsontext.String(variant)); err != nil {
+			return errors.Wrap(err, "soak: foreign field")
+		}
+		if err := out.WriteValue(jsontext.Value(value)); err != nil {
+			return errors.Wrap(err, "soak: foreign field")
+		}
+	}
+	return nil
+}
--- a/rockbench/soak/proxy.go
+++ b/rockbench/soak/proxy.go
@@ -39,17 +39,20 @@
 	listener net.Listener
 	target   string
 	mode     atomic.Int32
+	// sides tells which senders are cut off from the instance.
+	sides *sides
+	owner *instance
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
 }
 
-func newProxy(address, target string) (*proxy, error) {
-	l, err := net.Listen("tcp", address)
+func newProxy(owner *instance, s *sides) (*proxy, error) {
+	l, err := net.Listen("tcp", owner.plan.PeerAddress())
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: l, target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{listener: l, target: owner.plan.PeerListen(), sides: s, owner: owner, conns: map[net.Conn]bool{}}
 	go p.loop()
 	return p, nil
 }
@@ -91,21 +94,32 @@
 			c.Close()
 			continue
 		}
-		t, err := net.Dial("tcp", p.target)
-		if err != nil {
-			c.Close()
-			continue
-		}
-		p.keep(c)
-		p.keep(t)
-		go (&pipe{proxy: p, from: c, to: t}).run()
-		go (&pipe{proxy: p, from: t, to: c, answers: true}).run()
+		go p.connect(c)
 	}
 }
 
+// connect opens the other half of a connection, and carries bytes both ways. One from behind a cut is not answered until it ends.
+func (p *proxy) connect(c net.Conn) {
+	from := p.sides.sender(c)
+	for p.sides.separate(from, p.owner) {
+		time.Sleep(holdTick)
+	}
+	t, err := net.Dial("tcp", p.target)
+	if err != nil {
+		c.Close()
+		return
+	}
+	p.keep(c)
+	p.keep(t)
+	go (&pipe{proxy: p, sender: from, from: c, to: t}).run()
+	go (&pipe{proxy: p, sender: from, from: t, to: c, answers: true}).run()
+}
+
 // pipe carries one direction of one connection.
 type pipe struct {
-	proxy    *proxy
+	proxy *proxy
+	// sender is the instance that opened the connection, nil if no cut concerns it.
+	sender   *instance
 	from, to net.Conn
 	answers  bool
 }
@@ -130,6 +144,10 @@
 // hold waits as the mode says and reports whether bytes go on.
 func (p *pipe) hold() bool {
 	for {
+		if p.proxy.sides.separate(p.sender, p.proxy.owner) {
+			time.Sleep(holdTick)
+			continue
+		}
 		switch mode(p.proxy.mode.Load()) {
 		case delay:
 			time.Sleep(delayBy)
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -39,6 +39,10 @@
 	// Programs run at a time, EntriesEach entry instances in each of Domains failure domains, of which
 	// there are three at least.
 	Programs, EntriesEach, Domains int
+	// Control is the number of control instances, at least one in each failure domain.
+	Control int
+	// NoCustomers leaves customers out: with them, each entry instance follows all control instances.
+	NoCustomers bool
 	// Before is the program of another version that all instances begin with; they are
 	// upgraded one after another while faults come. Empty is this build.
 	Before string
