watch: followers look for control instances that reach a majority of the voters

Callers at some entry instances met an older configuration for as long as a cut between control instances lasted: such an instance followed three of them, all on the side without a majority, which answered and so were kept. An answer counted as being in touch, whatever it said of its reach. Now others are preferred, for 16 s, to a control instance that reports no majority; while none of those followed reports one, three others are tried each 250 ms, and the first answer of a newly followed one does not wait. The primary, which is asked for updates and told of running calls, is one with a majority where there is one. Stores follow in the same way, and get views so.

--- a/rockbarrow/watch/follow.go
+++ b/rockbarrow/watch/follow.go
@@ -22,6 +22,11 @@
 	// answer. It doubles up to maxBackoff.
 	minBackoff = 2 * time.Second
 	maxBackoff = 16 * time.Second
+	// minorityMemory is how long others are preferred to a control instance that reported no majority of the voters.
+	minorityMemory = 16 * time.Second
+	// rotateInterval is the time in which at most maxFollowed others are tried while no followed control instance reaches a
+	// majority. A few such intervals are well within the time in which a change must be in force.
+	rotateInterval = 250 * time.Millisecond
 )
 
 // updateFollowed starts loops for the control instances to follow and ends the others. c.mu must be held.
@@ -53,10 +58,14 @@
 		if order := cmp.Compare(a.backoffRemaining(now), b.backoffRemaining(now)); order != 0 {
 			return order
 		}
+		if order := a.minorityReport(now).Compare(b.minorityReport(now)); order != 0 {
+			return order
+		}
 		return cmp.Compare(a.rank, b.rank)
 	})
-	local := c.firstMatching(all, maxFollowedLocal, func(t *target) bool { return c.isLocal(t) && t.backoffRemaining(now) == 0 })
-	others := c.firstMatching(all, maxFollowed-len(local), func(t *target) bool { return !slices.Contains(local, t) && !c.isLocal(t) })
+	preferred := func(t *target) bool { return t.backoffRemaining(now) == 0 && t.minorityReport(now).IsZero() }
+	local := c.firstMatching(all, maxFollowedLocal, func(t *target) bool { return c.isLocal(t) && preferred(t) })
+	others := c.firstMatching(all, maxFollowed-len(local), func(t *target) bool { return !c.isLocal(t) && preferred(t) })
 	out := append(local, others...)
 	return append(out, c.firstMatching(all, maxFollowed-len(out), func(t *target) bool { return !slices.Contains(out, t) })...)
 }
@@ -107,6 +116,50 @@
 	return max(0, t.backoffUntil.Sub(now))
 }
 
+// minorityReport returns when the target reported that it reaches no majority of the voters, zero if it is to be preferred again.
+func (t *target) minorityReport(now time.Time) time.Time {
+	if now.Sub(t.minorityAt) >= minorityMemory {
+		return time.Time{}
+	}
+	return t.minorityAt
+}
+
+// recordReach makes other control instances preferred to one that answers but reaches no majority of the voters: it may be cut
+// off from those that learn of changes. While none of those followed reaches a majority, the others are tried in turn. The
+// client's mu must be held.
+func (t *target) recordReach(now time.Time) {
+	c := t.client
+	switch {
+	case t.reach.GetMajority():
+		t.minorityAt = time.Time{}
+	case c.followsMajority(now):
+		if t.minorityReport(now).IsZero() {
+			t.minorityAt = now
+		}
+	case c.mayRotate(now):
+		t.minorityAt = now
+	}
+}
+
+// mayRotate reports whether a followed control instance may make room for another one now, and counts it. c.mu must be held.
+func (c *Client) mayRotate(now time.Time) bool {
+	if now.Sub(c.rotatedAt) >= rotateInterval {
+		c.rotatedAt, c.rotated = now, 0
+	}
+	c.rotated++
+	return c.rotated <= maxFollowed
+}
+
+// followsMajority reports whether a followed control instance reaches a majority of the voters. c.mu must be held.
+func (c *Client) followsMajority(now time.Time) bool {
+	for _, t := range c.targets {
+		if t.wanted && t.answeredWithin(now, unreachableAfter) && t.reach.GetMajority() {
+			return true
+		}
+	}
+	return false
+}
+
 // startBackoff makes other targets preferred for a while. The client's mu must be held.
 func (t *target) startBackoff(now time.Time) {
 	t.backoff = min(max(minBackoff, 2*t.backoff), maxBackoff)
--- a/rockbarrow/watch/follow_test.go
+++ b/rockbarrow/watch/follow_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"time"
 
@@ -135,7 +136,7 @@
 	c := newFollowingClient(t, "entry", 25)
 	answer := func(reach *fleetpb.Reach) int {
 		all, _ := c.followed()
-		c.recordAnswer(all[0], &fleetpb.WatchReply{Responder: all[0].member, Reach: reach}, time.Now())
+		c.recordAnswer(time.Now(), all[0], &fleetpb.WatchReply{Responder: all[0].member, Reach: reach}, time.Now())
 		all, _ = c.followed()
 		return len(all)
 	}
@@ -156,6 +157,78 @@
 	}
 }
 
+// TestAFollowerOfOneSideFindsTheOther guards against an instance that keeps following control instances without a majority of the
+// voters while others, which it could reach, have one.
+func TestAFollowerOfOneSideFindsTheOther(t *testing.T) {
+	// The control instances with a majority are the first two, as of three voters.
+	majority := func(t *target) bool { return t.address == "control-0" || t.address == "control-1" }
+	for _, n := range []int{4, 5, 6, 8, 25} {
+		found, passes := 0, 0
+		const followers = 200
+		for i := range followers {
+			c := newFollowingClient(t, fmt.Sprint("entry-", i), n)
+			now := time.Now()
+			for pass := 0; ; pass++ {
+				all, _ := c.followed()
+				if slices.ContainsFunc(all, majority) {
+					found, passes = found+1, max(passes, pass)
+					break
+				}
+				if now = now.Add(rotateInterval); pass > n {
+					break
+				}
+				for _, a := range all {
+					c.recordAnswer(now, a, &fleetpb.WatchReply{Responder: a.member, Reach: &fleetpb.Reach{AllRelay: true, Majority: majority(a)}}, now)
+				}
+			}
+		}
+		if found != followers {
+			t.Errorf("%d control instances: %d of %d followers found one with a majority", n, found, followers)
+		}
+		if most := (n + maxFollowed - 1) / maxFollowed; passes > most {
+			t.Errorf("%d control instances: a follower looked %d times, want %d at the most", n, passes, most)
+		}
+	}
+}
+
+// TestFollowersSettleWhereTheMajorityIs guards against instances that go on changing whom they follow, while control is cut or lost or
+// after it, and against an update that is requested from a control instance without a majority.
+func TestFollowersSettleWhereTheMajorityIs(t *testing.T) {
+	c := newFollowingClient(t, "entry", 8)
+	now := time.Now()
+	inMajority := func(t *target) bool { return t.member.GetFailureDomain() != "domain-2" }
+	answer := func(has func(*target) bool) (changed bool) {
+		before, _ := c.followed()
+		for _, a := range before {
+			c.recordAnswer(now, a, &fleetpb.WatchReply{Responder: a.member, Reach: &fleetpb.Reach{AllRelay: true, Majority: has(a)}}, now)
+		}
+		after, _ := c.followed()
+		return slices.ContainsFunc(after, func(t *target) bool { return !slices.Contains(before, t) })
+	}
+	answer(func(*target) bool { return true })
+	if all, local := c.followed(); len(all) != maxFollowed || len(local) != maxFollowedLocal {
+		t.Fatalf("%d are followed, %d of them local", len(all), len(local))
+	}
+	for range 4 {
+		now = now.Add(longPollTimeout)
+		answer(inMajority)
+	}
+	if answer(inMajority) {
+		t.Error("others are followed although a majority is")
+	}
+	if p := c.primary(now); p == nil || !inMajority(p) {
+		t.Errorf("the primary %v has no majority", p)
+	}
+	now = now.Add(minorityMemory + time.Second)
+	c.mu.Lock()
+	c.updateFollowed(now)
+	c.mu.Unlock()
+	answer(func(*target) bool { return true })
+	if all, local := c.followed(); len(all) != maxFollowed || len(local) != maxFollowedLocal {
+		t.Errorf("%d are followed after the cut, %d of them local", len(all), len(local))
+	}
+}
+
 // TestCutOffIsDerivedFromReach checks that the voters are counted through the followed control instances.
 func TestCutOffIsDerivedFromReach(t *testing.T) {
 	c := newFollowingClient(t, "entry", 25)
@@ -169,12 +242,12 @@
 	}
 	_, local := c.followed()
 	reply := &fleetpb.WatchReply{Responder: local[0].member, Reach: &fleetpb.Reach{AllRelay: true, Majority: true, FailureDomains: []string{"domain-4"}}}
-	c.recordAnswer(local[0], reply, time.Now())
+	c.recordAnswer(time.Now(), local[0], reply, time.Now())
 	if c.CutOff() || !c.ReachesDomain("domain-4") || c.ReachesDomain("domain-9") {
 		t.Error("cut off although a control instance reaches a majority of the voters")
 	}
 	reply.Reach = &fleetpb.Reach{AllRelay: true}
-	c.recordAnswer(local[0], reply, time.Now())
+	c.recordAnswer(time.Now(), local[0], reply, time.Now())
 	if !c.CutOff() || c.ReachesDomain("domain-4") {
 		t.Error("not cut off although the only control instance that answers is")
 	}
--- a/rockbarrow/watch/target.go
+++ b/rockbarrow/watch/target.go
@@ -39,7 +39,9 @@
 	backoff      time.Duration
 	// reach tells which other control instances it has heard from just now, as it reports, and
 	// knownControl which ones it knows.
-	reach        *fleetpb.Reach
+	reach *fleetpb.Reach
+	// minorityAt is when it reported that it reaches no majority of the voters, zero if its last report says otherwise.
+	minorityAt   time.Time
 	knownControl []*fleetpb.Member
 	controlSum   uint64
 	// relayedSequence is the last sequence number of relayed data that it acknowledged.
@@ -97,8 +99,8 @@
 	if maxWait == 0 {
 		maxWait = longPollTimeout
 	}
-	if c.Role == fleetpb.Role_ROLE_CONTROL && !t.hasAnswered() {
-		// Leases depend on the peer's accepted state, so the first answer must not wait.
+	if !t.hasAnswered() {
+		// Leases depend on the peer's accepted state, and whom to follow on its reach, so the first answer must not wait.
 		maxWait = 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait+answerSlack)
--- a/rockbarrow/watch/uses.go
+++ b/rockbarrow/watch/uses.go
@@ -73,8 +73,9 @@
 }
 
 // primary returns the control instance that delivers updates and the loads of
-// other entry instances. It prefers the sender's failure domain, as traffic between
-// domains is costly, and then the lowest rank, which spreads the senders.
+// other entry instances. It prefers one that reaches a majority of the voters, then the
+// sender's failure domain, as traffic between domains is costly, and then the lowest
+// rank, which spreads the senders.
 func (c *Client) primary(now time.Time) *target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -88,6 +89,9 @@
 }
 
 func (c *Client) isPreferred(t, o *target) bool {
+	if majority := t.reach.GetMajority(); majority != o.reach.GetMajority() {
+		return majority
+	}
 	if local := c.isLocal(t); local != c.isLocal(o) {
 		return local
 	}
--- a/rockbarrow/watch/watch.go
+++ b/rockbarrow/watch/watch.go
@@ -106,6 +106,10 @@
 	reported reportedUses
 	// votes are the answers of voters.
 	votes lease.VoterStates
+	// rotated counts the followed control instances that made room for others since rotatedAt, as none of those followed
+	// reached a majority of the voters.
+	rotatedAt time.Time
+	rotated   int
 	// minoritySince is when no followed control instance reached a majority of the voters any more, zero while one does.
 	minoritySince time.Time
 	ctx           context.Context
@@ -251,7 +255,7 @@
 // handleReply processes the answer to a call that was sent at asked. Ages in the
 // answer count from earliestSent. List is the reply's list, nil if it contains no newer one.
 func (c *Client) handleReply(t *target, r *fleetpb.WatchReply, list *catalog.List, asked, earliestSent time.Time) {
-	if wasUnreachable := c.recordAnswer(t, r, asked); wasUnreachable {
+	if wasUnreachable := c.recordAnswer(time.Now(), t, r, asked); wasUnreachable {
 		c.Log.WithField("control", t.address).Info("control instance is reached again")
 	}
 	c.ApplyReply(r)
@@ -269,10 +273,9 @@
 
 // recordAnswer records that a target has answered, and reports whether it was
 // unreachable before.
-func (c *Client) recordAnswer(t *target, r *fleetpb.WatchReply, asked time.Time) (wasUnreachable bool) {
+func (c *Client) recordAnswer(now time.Time, t *target, r *fleetpb.WatchReply, asked time.Time) (wasUnreachable bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := time.Now()
 	t.member, t.lastAnswer, t.answered, t.reach = r.GetResponder(), now, true, r.GetReach()
 	t.backoff, t.backoffUntil, t.relayedSequence = 0, time.Time{}, r.GetRelayedSequence()
 	if storage := r.GetResponder().GetStorage(); c.Role == fleetpb.Role_ROLE_CONTROL && storage != 0 {
@@ -285,6 +288,7 @@
 	for _, m := range t.knownControl {
 		c.upsertTarget(m.GetAddress(), m)
 	}
+	t.recordReach(now)
 	c.updateFollowed(now)
 	c.logMajority(now)
 	return wasUnreachable
@@ -296,13 +300,12 @@
 		return
 	}
 	var answering []string
-	majority := false
 	for _, t := range c.targets {
 		if t.answeredWithin(now, unreachableAfter) {
 			answering = append(answering, t.address)
-			majority = majority || t.reach.GetMajority()
 		}
 	}
+	majority := c.followsMajority(now)
 	switch {
 	case !majority && c.minoritySince.IsZero():
 		c.minoritySince = now
