controller, document, operator, wire: tables are built from what was validated

An operator's document was validated by a strict reading and acknowledged; each control instance then built its table by a lax reading of the same text, kept for configurations of earlier versions. Callers saw 404 or old values for good: a field of another writer that resembles a known one gave the lax reading another version, time limit or service, or no table at all, which was not tried again. Sent again, such a document was judged by the lax reading, took version 500 where it said 10, and each later version up to that was acknowledged and never in force.

What is acknowledged and what is obeyed were computed twice. Now the decoded form, encoded, is what is validated, by building the table from it, and is stored in the state beside the text: at every control instance tables are built from it alone. It travels as a difference, to those that say that they understand it. A document in force that is sent again is confirmed by the state's version, without reading it. A configuration without a decoded form, of an earlier version, is read strictly first, and gets the state's version. A table that can't be built is tried again each second, and logged as an error once.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -256,17 +256,36 @@
 	return c.update
 }
 
-// PutConfiguration applies a configuration unless the current one has the same or a higher version. It returns
-// once a majority of the voters has stored the outcome and other control instances know it, see applyCommand.
-func (c *Controller) PutConfiguration(ctx context.Context, version uint64, doc []byte) error {
-	digest := document.Digest(doc)
-	return c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
-		if s.GetNumber() == 0 || version <= s.GetConfiguration().GetVersion() {
+// PutConfiguration applies the configuration that an operator sent as the given text, unless the current one has the same or a
+// higher version. D is its decoded form, which is stored with it and is all that routing tables are built from. It
+// returns a [routing.InvalidError] if no table can be built, otherwise once a majority of the voters has stored the outcome and
+// other control instances know it, see applyCommand.
+func (c *Controller) PutConfiguration(ctx context.Context, d *fleetpb.Document, text []byte) error {
+	cfg, err := document.NewConfiguration(d, text)
+	if err != nil {
+		return err
+	}
+	table, err := c.tables.validate(cfg)
+	if err != nil {
+		return err
+	}
+	s, err := c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
+		if s.GetNumber() == 0 || cfg.GetVersion() <= s.GetConfiguration().GetVersion() {
 			return nil
 		}
-		s.Configuration = &fleetpb.Configuration{Version: version, Document: doc, Digest: digest}
+		s.Configuration = cfg
 		return s
 	})
+	if s.GetConfiguration() == cfg {
+		c.Log.WithFields(logrus.Fields{"config_version": cfg.GetVersion(), "table": table.ShortDigest()}).Info("a configuration is chosen")
+	}
+	return err
+}
+
+// Confirm returns once a majority of the voters has confirmed the newest state and other control instances know it.
+func (c *Controller) Confirm(ctx context.Context) error {
+	_, err := c.applyCommand(ctx, nil)
+	return err
 }
 
 // Read returns the newest state stored by a majority of the voters.
--- a/rockbarrow/controller/controller_test.go
+++ b/rockbarrow/controller/controller_test.go
@@ -149,7 +149,11 @@
 
 func putConfiguration(t testing.TB, p *testInstance, version uint64, document string) {
 	t.Helper()
-	waitFor(t, func() bool { return p.controller.PutConfiguration(t.Context(), version, []byte(document)) == nil })
+	d := &fleetpb.Document{Version: version}
+	if read, err := decode([]byte(document)); err == nil {
+		d = read
+	}
+	waitFor(t, func() bool { return p.controller.PutConfiguration(t.Context(), d, []byte(document)) == nil })
 }
 
 func configVersion(p *testInstance) uint64 {
@@ -197,7 +201,7 @@
 	cluster[2].stop()
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	if err := cluster[0].controller.PutConfiguration(ctx, 2, []byte("two")); err == nil {
+	if err := cluster[0].controller.PutConfiguration(ctx, &fleetpb.Document{Version: 2}, []byte("two")); err == nil {
 		t.Error("a configuration was accepted by one of three voters")
 	}
 	ctx, cancel = context.WithTimeout(t.Context(), 50*time.Millisecond)
--- a/rockbarrow/controller/coordinator.go
+++ b/rockbarrow/controller/coordinator.go
@@ -264,7 +264,7 @@
 func (c *Controller) Retire(ctx context.Context, name string) error {
 	var refused error
 	p := c.planner(time.Now())
-	err := c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
+	_, err := c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
 		refused = p.CheckRetire(s, name)
 		if refused != nil || slices.Contains(s.GetView().GetLeaving(), name) || slices.Contains(s.GetRetired(), name) {
 			return nil
--- a/rockbarrow/controller/evacuations.go
+++ b/rockbarrow/controller/evacuations.go
@@ -48,7 +48,7 @@
 	if !slices.Contains(c.FailureDomains, domain) {
 		return &UnknownDomainError{Name: domain}
 	}
-	return c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
+	_, err := c.applyCommand(ctx, func(s *fleetpb.State) *fleetpb.State {
 		list := next(s.GetEvacuations())
 		if s.GetNumber() == 0 || len(list) == len(s.GetEvacuations()) {
 			return nil
@@ -56,4 +56,5 @@
 		s.Evacuations = list
 		return s
 	})
+	return err
 }
--- a/rockbarrow/controller/propagation.go
+++ b/rockbarrow/controller/propagation.go
@@ -12,6 +12,7 @@
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/schema/fleetpb"
 )
 
 // propagationTimeout bounds the wait for other control instances to know a state. It is several round trips of a busy
@@ -57,16 +58,16 @@
 // applyCommand applies an operator's change. It returns once the outcome is chosen and known to the control instances
 // heard recently: if only this instance knew it, a failure right after the acknowledgement would delay it everywhere.
 // Unresponsive instances are waited for no longer than propagationTimeout.
-func (c *Controller) applyCommand(ctx context.Context, change register.Change) error {
+func (c *Controller) applyCommand(ctx context.Context, change register.Change) (*fleetpb.State, error) {
 	s, err := c.Change(ctx, change)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if lagging := c.awaitPropagation(ctx, s.GetNumber()); len(lagging) > 0 {
 		c.Log.WithFields(logrus.Fields{"state": s.GetNumber(), "config_version": s.GetConfiguration().GetVersion(), "control": lagging}).
 			Warn("a change is acknowledged before these control instances know it")
 	}
-	return nil
+	return s, nil
 }
 
 // awaitPropagation returns the names of the control instances that do not know a state when the wait ends.
--- a/rockbarrow/controller/tables.go
+++ b/rockbarrow/controller/tables.go
@@ -24,15 +24,19 @@
 // about ten seconds at three changes per second. A change of 1,400 routes takes some 14 KB.
 const maxTableChanges = 32
 
+// buildRetryInterval is the delay after a table could not be built.
+const buildRetryInterval = time.Second
+
 // tables builds the routing table of each new configuration on behalf of all entry instances, and
 // keeps the changes between consecutive tables.
 type tables struct {
 	controller *Controller
 	// wakeup has a capacity of one and signals that a newer state may be known.
 	wakeup chan struct{}
-	// rejectedVersion is the newest configuration version that could not be built. Only the loop
-	// uses it.
-	rejectedVersion uint64
+	// failedVersion is the newest configuration version that could not be built, and retryAt when it is tried again. Only the
+	// loop uses them.
+	failedVersion uint64
+	retryAt       time.Time
 
 	mu     sync.Mutex
 	newest *builtTable
@@ -71,21 +75,29 @@
 // loop builds tables until ctx is done. It runs separately so that a large configuration delays no
 // other updates.
 func (t *tables) loop(ctx context.Context) {
+	var retry <-chan time.Time
 	for {
 		select {
 		case <-t.wakeup:
-			t.update(t.controller.State().GetConfiguration())
+		case <-retry:
 		case <-ctx.Done():
 			return
 		}
+		retry = nil
+		if !t.update(time.Now(), t.controller.State().GetConfiguration()) {
+			retry = time.After(buildRetryInterval)
+		}
 	}
 }
 
-// update builds the table of a configuration that is newer than the current table.
-func (t *tables) update(cfg *fleetpb.Configuration) {
+// update builds the table of a configuration that is newer than the current table. It reports whether no such one is left.
+func (t *tables) update(now time.Time, cfg *fleetpb.Configuration) bool {
 	before := t.table()
-	if cfg.GetVersion() <= max(before.Version(), t.rejectedVersion) {
-		return
+	if cfg.GetVersion() <= before.Version() {
+		return true
+	}
+	if cfg.GetVersion() == t.failedVersion && now.Before(t.retryAt) {
+		return false
 	}
 	begun := time.Now()
 	table, change, err := t.build(before, cfg)
@@ -94,9 +106,12 @@
 		parts, err = pack(change)
 	}
 	if err != nil {
-		t.rejectedVersion = cfg.GetVersion()
-		t.controller.Log.WithError(err).WithField("config_version", cfg.GetVersion()).Error("failed to build the routing table of a configuration")
-		return
+		if t.failedVersion < cfg.GetVersion() {
+			t.failedVersion = cfg.GetVersion()
+			t.controller.Log.WithError(err).WithField("config_version", cfg.GetVersion()).Error("failed to build the routing table of a configuration, will retry")
+		}
+		t.retryAt = now.Add(buildRetryInterval)
+		return false
 	}
 	t.mu.Lock()
 	t.newest = &builtTable{Table: table}
@@ -109,10 +124,17 @@
 		"config_version": table.Version(), "table": table.ShortDigest(), "routes": table.RouteCount(), "changed": len(change.GetRoutes()) + len(change.GetRemovedRoutes()),
 		"took_ms": time.Since(begun).Milliseconds(),
 	}).Info("the routing table of a configuration is made")
+	return true
+}
+
+// validate builds the table of a configuration that is not accepted yet, from what would be stored.
+func (t *tables) validate(cfg *fleetpb.Configuration) (*routing.Table, error) {
+	table, _, err := t.build(t.table(), cfg)
+	return table, err
 }
 
 func (t *tables) build(before *routing.Table, cfg *fleetpb.Configuration) (*routing.Table, *fleetpb.TableChange, error) {
-	d, err := t.controller.Decode(cfg.GetDocument())
+	d, err := document.Decoded(cfg, t.controller.Decode)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/rockbarrow/controller/tables_test.go
+++ b/rockbarrow/controller/tables_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -132,7 +133,7 @@
 	c := &Controller{Decode: decode, Log: discardLog()}
 	c.tables.init(c)
 	for v := uint64(1); v < maxTableChanges+5; v++ {
-		c.tables.update(&fleetpb.Configuration{Version: v, Document: configuration(t, v, int(v))})
+		c.tables.update(time.Now(), &fleetpb.Configuration{Version: v, Document: configuration(t, v, int(v))})
 	}
 	if n := len(c.tables.changes); n != maxTableChanges {
 		t.Errorf("%d changes are kept, want %d", n, maxTableChanges)
@@ -155,11 +156,11 @@
 func TestTableWaitsForVersion(t *testing.T) {
 	c := &Controller{Decode: decode, Log: discardLog()}
 	c.tables.init(c)
-	c.tables.update(&fleetpb.Configuration{Version: 1, Document: configuration(t, 1, 1)})
+	c.tables.update(time.Now(), &fleetpb.Configuration{Version: 1, Document: configuration(t, 1, 1)})
 	s := &countingStream{ctx: t.Context()}
 	done := make(chan error, 1)
 	go func() { done <- c.Table(&fleetpb.TableRequest{Version: 2}, s) }()
-	c.tables.update(&fleetpb.Configuration{Version: 2, Document: configuration(t, 2, 2)})
+	c.tables.update(time.Now(), &fleetpb.Configuration{Version: 2, Document: configuration(t, 2, 2)})
 	if err := <-done; err != nil || s.parts != 1 {
 		t.Errorf("%d parts, %v", s.parts, err)
 	}
@@ -170,8 +171,8 @@
 	}
 }
 
-// A configuration that cannot be decoded must be tried only once and leave the current table in
-// place.
+// A configuration that cannot be decoded must not be tried all the time, must be tried again, and must leave the current table
+// in place.
 func TestAConfigurationThatIsNotReadableChangesNothing(t *testing.T) {
 	c := &Controller{Log: discardLog()}
 	tries := 0
@@ -180,14 +181,21 @@
 		return decode(b)
 	}
 	c.tables.init(c)
-	c.tables.update(&fleetpb.Configuration{Version: 1, Document: configuration(t, 1, 1)})
+	c.tables.update(time.Now(), &fleetpb.Configuration{Version: 1, Document: configuration(t, 1, 1)})
 	for range 2 {
-		c.tables.update(&fleetpb.Configuration{Version: 2, Document: []byte("\xff")})
+		c.tables.update(time.Now(), &fleetpb.Configuration{Version: 2, Document: []byte("\xff")})
 	}
 	if v := c.RoutingTable().Version(); v != 1 || tries != 2 {
 		t.Errorf("version %d after %d tries", v, tries)
 	}
-	c.tables.update(&fleetpb.Configuration{Version: 3, Document: configuration(t, 3, 3)})
+	later := time.Now().Add(buildRetryInterval)
+	if c.tables.update(later, &fleetpb.Configuration{Version: 2, Document: []byte("\xff")}) || tries != 3 {
+		t.Errorf("%d tries a while later, want 3", tries)
+	}
+	if !c.tables.update(later.Add(buildRetryInterval), &fleetpb.Configuration{Version: 2, Document: configuration(t, 2, 2)}) || c.RoutingTable().Version() != 2 {
+		t.Errorf("version %d, want 2 once it is readable", c.RoutingTable().Version())
+	}
+	c.tables.update(time.Now(), &fleetpb.Configuration{Version: 3, Document: configuration(t, 3, 3)})
 	if v := c.RoutingTable().Version(); v != 3 {
 		t.Errorf("version %d, want 3", v)
 	}
@@ -229,3 +237,47 @@
 	log.SetOutput(io.Discard)
 	return logrus.NewEntry(log)
 }
+
+// TestTablesAreBuiltFromWhatWasValidated guards against control instances that read a document once more, each by its own
+// reading, and obey something else than what was acknowledged.
+func TestTablesAreBuiltFromWhatWasValidated(t *testing.T) {
+	cluster := startCluster(t)
+	// Only the decoded form, as validated, says what the text means.
+	text := []byte("a text that nobody reads")
+	accepted := mustDecode(t, configuration(t, 3, 5))
+	waitFor(t, func() bool { return cluster[0].controller.PutConfiguration(t.Context(), accepted, text) == nil })
+	want, err := routing.New(accepted)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The form is kept by changes of the state that are made elsewhere, and by a restart.
+	cluster[1].controller.FailureDomains = []string{"a"}
+	waitFor(t, func() bool { return cluster[1].controller.Evacuate(t.Context(), "a") == nil })
+	cluster[2].stop()
+	cluster[2].start(nil)
+	for _, p := range cluster {
+		waitFor(t, func() bool { return p.controller.RoutingTable().Version() == 3 })
+		if got := p.controller.RoutingTable(); got.ShortDigest() != want.ShortDigest() {
+			t.Errorf("%s: table %s, want %s", p.member.GetInstance(), got.ShortDigest(), want.ShortDigest())
+		}
+		s, err := p.controller.Read(t.Context())
+		if err != nil || string(s.GetConfiguration().GetDocument()) != string(text) {
+			t.Errorf("read %q, %v", s.GetConfiguration().GetDocument(), err)
+		}
+	}
+}
+
+// TestAnInvalidConfigurationIsNotStored guards against an acknowledged configuration of which no table can be built.
+func TestAnInvalidConfigurationIsNotStored(t *testing.T) {
+	cluster := startCluster(t)
+	putConfiguration(t, cluster[0], 1, "one")
+	invalid := mustDecode(t, configuration(t, 2, 1))
+	invalid.Routes[0].TimeoutMs = 0
+	var reason *routing.InvalidError
+	if err := cluster[0].controller.PutConfiguration(t.Context(), invalid, []byte("two")); !errors.As(err, &reason) {
+		t.Errorf("%v, want an InvalidError", err)
+	}
+	if s, err := cluster[1].controller.Read(t.Context()); err != nil || s.GetConfiguration().GetVersion() != 1 {
+		t.Errorf("version %d, %v, want 1", s.GetConfiguration().GetVersion(), err)
+	}
+}
--- a/rockbarrow/document/cache.go
+++ b/rockbarrow/document/cache.go
@@ -61,12 +61,27 @@
 	differences []diffEntry
 }
 
-type entry struct{ digest, document []byte }
+// form is a form of documents. A base is only of use to documents of its own form.
+type form int
+
+const (
+	// asSent is a document as its sender wrote it.
+	asSent form = iota
+	// decoded is the decoded form of a configuration.
+	decoded
+	forms
+)
+
+type entry struct {
+	form             form
+	digest, document []byte
+}
 
 type diffEntry struct{ base, digest, frame []byte }
 
-// AddState adds the document of a state, which may be nil. It sets the digest if it
-// is missing, as in states of version 0.2.0; such a state must not be shared yet.
+// AddState adds the document of a state, which may be nil, and its decoded form. It sets
+// the digest if it is missing, as in states of version 0.2.0; such a state must not be
+// shared yet.
 func (c *Cache) AddState(st *fleetpb.State) {
 	cfg := st.GetConfiguration()
 	if len(cfg.GetDocument()) == 0 {
@@ -76,10 +91,15 @@
 		cfg.Digest = Digest(cfg.GetDocument())
 	}
 	c.Put(cfg.GetDocument(), cfg.GetDigest())
+	if d := cfg.GetDecoded(); len(d.GetDocument()) > 0 {
+		c.put(decoded, d.GetDocument(), d.GetDigest())
+	}
 }
 
 // Put adds a document, or marks it as the newest.
-func (c *Cache) Put(document, digest []byte) {
+func (c *Cache) Put(document, digest []byte) { c.put(asSent, document, digest) }
+
+func (c *Cache) put(f form, document, digest []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if i := c.indexOf(digest); i >= 0 {
@@ -87,16 +107,27 @@
 		c.documents = append(slices.Delete(c.documents, i, i+1), n)
 		return
 	}
-	c.documents = append(c.documents, entry{digest: digest, document: document})
+	c.documents = append(c.documents, entry{form: f, digest: digest, document: document})
 	capacity := c.Capacity
 	if capacity == 0 {
 		capacity = defaultCapacity
 	}
-	if len(c.documents) > capacity {
-		c.documents = slices.Delete(c.documents, 0, 1)
+	if of := c.indexesOf(f); len(of) > capacity {
+		c.documents = slices.Delete(c.documents, of[0], of[0]+1)
 	}
 }
 
+// indexesOf returns the indexes of the documents of a form.
+func (c *Cache) indexesOf(f form) []int {
+	var out []int
+	for i, n := range c.documents {
+		if n.form == f {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 func (c *Cache) indexOf(digest []byte) int {
 	return slices.IndexFunc(c.documents, func(n entry) bool { return bytes.Equal(n.digest, digest) })
 }
@@ -105,9 +136,12 @@
 func (c *Cache) Held() *fleetpb.Held {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	h := &fleetpb.Held{}
-	for _, n := range c.documents[max(0, len(c.documents)-defaultCapacity):] {
-		h.Digests = append(h.Digests, n.digest)
+	h := &fleetpb.Held{Decoded: true}
+	for f := range forms {
+		of := c.indexesOf(f)
+		for _, i := range of[max(0, len(of)-defaultCapacity):] {
+			h.Digests = append(h.Digests, c.documents[i].digest)
+		}
 	}
 	return h
 }
@@ -115,6 +149,10 @@
 // Pack encodes a document for a receiver that holds the given documents. A nil held
 // means that the receiver supports whole documents only.
 func (c *Cache) Pack(document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
+	return c.pack(asSent, document, digest, held)
+}
+
+func (c *Cache) pack(f form, document, digest []byte, held *fleetpb.Held) *fleetpb.Packed {
 	whole := &fleetpb.Packed{Document: document, Digest: digest}
 	if held == nil || len(document) == 0 || len(digest) == 0 {
 		return whole
@@ -122,7 +160,7 @@
 	if holdsDigest(held, digest) {
 		return &fleetpb.Packed{Digest: digest}
 	}
-	base, frame, err := c.differenceFor(document, digest, held)
+	base, frame, err := c.differenceFor(f, document, digest, held)
 	if err != nil {
 		if c.Log != nil {
 			c.Log.WithError(err).Warn("computing a difference failed, sending the whole document")
@@ -136,14 +174,14 @@
 	return slices.ContainsFunc(h.GetDigests(), func(d []byte) bool { return bytes.Equal(d, digest) })
 }
 
-// differenceFor returns a difference against the newest document that both sides
-// hold, or against nothing.
-func (c *Cache) differenceFor(document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
+// differenceFor returns a difference against the newest document of a form that both
+// sides hold, or against nothing.
+func (c *Cache) differenceFor(f form, document, digest []byte, held *fleetpb.Held) (base, frame []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var common entry
 	for _, n := range slices.Backward(c.documents) {
-		if holdsDigest(held, n.digest) {
+		if n.form == f && holdsDigest(held, n.digest) {
 			common = n
 			break
 		}
@@ -166,7 +204,9 @@
 
 // Unpack decodes a document and adds it. After an error the whole document must be
 // requested from the sender.
-func (c *Cache) Unpack(p *fleetpb.Packed) ([]byte, error) {
+func (c *Cache) Unpack(p *fleetpb.Packed) ([]byte, error) { return c.unpack(asSent, p) }
+
+func (c *Cache) unpack(f form, p *fleetpb.Packed) ([]byte, error) {
 	document, err := c.resolve(p)
 	if err != nil {
 		return nil, err
@@ -175,7 +215,7 @@
 	if len(p.GetDigest()) > 0 && !bytes.Equal(digest, p.GetDigest()) {
 		return nil, &DigestError{want: p.GetDigest(), got: digest}
 	}
-	c.Put(document, digest)
+	c.put(f, document, digest)
 	return document, nil
 }
 
--- a/rockbarrow/document/cache_test.go
+++ b/rockbarrow/document/cache_test.go
@@ -275,3 +275,69 @@
 		}
 	}
 }
+
+// newDecodedState is newState with a decoded form, of which the text tells nothing.
+func newDecodedState(t *testing.T, version uint64, n int) *fleetpb.State {
+	t.Helper()
+	st, d := newState(version, n), &fleetpb.Document{Version: version}
+	for i := range n {
+		d.Routes = append(d.Routes, &fleetpb.Route{Name: fmt.Sprintf("route-%x", i*7919), Host: fmt.Sprintf("h%x.example", i*104729), TimeoutMs: 400})
+	}
+	cfg, err := NewConfiguration(d, st.GetConfiguration().GetDocument())
+	if err != nil {
+		t.Fatal(err)
+	}
+	st.Configuration = cfg
+	return st
+}
+
+// TestTheDecodedFormTravelsWithItsDocument guards against an instance that gets a configuration without what it was validated as, and
+// against messages that grow with it.
+func TestTheDecodedFormTravelsWithItsDocument(t *testing.T) {
+	sender, receiver := &Cache{Capacity: 8}, &Cache{}
+	for v := uint64(1); v < 6; v++ {
+		next := newDecodedState(t, v, 1000+int(v))
+		sender.AddState(next)
+		message := sender.PackState(next, receiver.Held())
+		if size := proto.Size(message); v > 1 && size > 1000 {
+			t.Errorf("%d bytes were sent for one route", size)
+		}
+		got, err := receiver.UnpackState(roundTrip(t, message))
+		if err != nil || !proto.Equal(got, next) {
+			t.Fatalf("version %d: another state came out, %v", v, err)
+		}
+		d, err := Decoded(got.GetConfiguration(), nil)
+		if err != nil || d.GetVersion() != v || len(d.GetRoutes()) != 1000+int(v) {
+			t.Errorf("version %d with %d routes, %v", d.GetVersion(), len(d.GetRoutes()), err)
+		}
+	}
+	t.Run("the receiver lost the base of the form", func(t *testing.T) {
+		last := newDecodedState(t, 6, 1006)
+		sender.AddState(last)
+		message := roundTrip(t, sender.PackState(last, receiver.Held()))
+		other := &Cache{}
+		other.Put(newDecodedState(t, 5, 1005).GetConfiguration().GetDocument(), message.GetConfiguration().GetBase())
+		var base *BaseError
+		if _, err := other.UnpackState(message); !errors.As(err, &base) {
+			t.Errorf("%v, want a BaseError", err)
+		}
+	})
+	t.Run("the receiver is of an earlier version", func(t *testing.T) {
+		st := newDecodedState(t, 7, 10)
+		sender.AddState(st)
+		held := receiver.Held()
+		held.Decoded = false
+		if d := sender.PackState(st, held).GetConfiguration().GetDecoded(); d != nil {
+			t.Errorf("it got %v, which it would keep as it is", d)
+		}
+	})
+}
+
+// TestAConfigurationOfAnEarlierVersionIsRead: it has no decoded form, and may have been given its version by another reading.
+func TestAConfigurationOfAnEarlierVersionIsRead(t *testing.T) {
+	read := func([]byte) (*fleetpb.Document, error) { return &fleetpb.Document{Version: 5}, nil }
+	d, err := Decoded(&fleetpb.Configuration{Version: 3, Document: []byte("text")}, read)
+	if err != nil || d.GetVersion() != 3 {
+		t.Errorf("version %d, %v, want 3", d.GetVersion(), err)
+	}
+}
--- a/rockbarrow/entry/updates.go
+++ b/rockbarrow/entry/updates.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/catalog"
+	"rockbarrow.dev/rockbarrow/document"
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/routing"
@@ -121,7 +122,7 @@
 	if len(c.GetDocument()) == 0 && e.FetchTable != nil {
 		return e.FetchTable(ctx, old, c.GetVersion())
 	}
-	d, err := e.Decode(c.GetDocument())
+	d, err := document.Decoded(c, e.Decode)
 	if err != nil {
 		return old, err
 	}
