soak: routes move, are split anew and get other time limits, races and stale documents show, control is cut into halves

Routes of the soak only came and went, versions that raced differed in what nobody looks at, its documents came from our own encoder alone, and no cut parted control while others reached both sides. Each probe is now judged by what all versions that may be in force say of its path: the services that it may go to and whether its time limit ends it. Two configurations that race have a route each that the other has not; older and equal versions with other content are sent; fields of other writers stand in all documents; control, or control and stores, are cut into halves.

--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -44,6 +44,8 @@
 	{"silent links", link(silence)},
 	{"answers cut off", link(oneWay)},
 	{"reset links", link(reset)},
+	{"control is cut into halves", cutControl},
+	{"control and stores are cut into halves", cutDisks},
 	{"lost answers", loseAnswers},
 	{"an endpoint is replaced", replaceEndpoint},
 	{"an endpoint starts again under its id", restartEndpoint},
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -49,6 +49,8 @@
 	seedOfProbes = 6 << 32
 	// seedOfCrashes does the same for requests that crash endpoints.
 	seedOfCrashes = 7 << 32
+	// seedOfFields does the same for fields of other writers, of which there is one for foreignEvery known ones.
+	seedOfFields, foreignEvery = 8 << 32, 40
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -75,7 +77,7 @@
 	silentFor time.Duration
 	// replacements are under way for crashed endpoints.
 	replacements sync.WaitGroup
-	// fresh are endpoints of services that came with a later version. No fault has them.
+	// fresh are endpoints of the slow service and of services that came with a later version. No fault has them.
 	fresh    []*standin.Endpoint
 	list     *standin.List
 	listens  net.Listener
@@ -136,6 +138,10 @@
 	if err := first.run(ctx); err != nil {
 		return nil, stop, err
 	}
+	if cfg.Before == "" {
+		// Earlier versions obey the fields of other writers.
+		f.operator.Extend = (&foreignFields{r: rand.New(rand.NewPCG(cfg.Seed, seedOfFields)), every: foreignEvery}).extend
+	}
 	return f, stop, f.await(ctx)
 }
 
@@ -156,6 +162,13 @@
 			}
 		}
 	}
+	for d := range freshEndpoints {
+		e := f.newEndpoint(fmt.Sprint(slowName, "-", d), slowName, fmt.Sprint("domain-", d))
+		e.ServiceTime = slowService
+		if err := f.startFresh(e); err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
@@ -324,9 +337,11 @@
 
 // sendNext is deploy for who holds configuring.
 func (f *fleet) sendNext(ctx context.Context) error {
-	if err := f.change(); err != nil {
+	changes, err := f.change()
+	if err != nil {
 		return err
 	}
+	f.history.send(f.version, changes)
 	f.customers.change()
 	if err := f.operator.Deploy(ctx, f.document(f.version)); err != nil {
 		return err
@@ -336,36 +351,64 @@
 	return nil
 }
 
-// race lets two operators send different configurations of one version at one moment. They differ in what no
-// check of routes looks at.
+// race lets two operators send different configurations of one version at one moment. Each has a route that the other has not, so that
+// it shows which one is in force.
 func (f *fleet) race(ctx context.Context) error {
 	f.configuring.Lock()
 	defer f.configuring.Unlock()
-	if err := f.change(); err != nil {
+	changes, err := f.change()
+	if err != nil {
 		return err
 	}
-	one, other := f.document(f.version), f.document(f.version)
-	other.Limits.BodyBytes *= 2
-	err := f.operator.DeployConcurrently(ctx, one, other)
+	var documents []*fleetpb.Document
+	for i := range 2 {
+		path := fmt.Sprintf("/contested-%d-%d/", f.version, i)
+		changes[path] = behaviour{services: []string{toolService}, contested: true}
+		f.routes.contested = path
+		documents = append(documents, f.document(f.version))
+		f.routes.contestants = append(f.routes.contestants, path)
+	}
+	f.routes.contested = ""
+	f.history.send(f.version, changes)
+	err = f.operator.DeployConcurrently(ctx, documents[0], documents[1])
 	if err == nil {
 		f.history.acknowledge(f.version)
 	}
 	return err
 }
 
-// change makes the next version.
-func (f *fleet) change() error {
+// deployStale sends other content under a version that was acknowledged, or an older one. It must change nothing.
+func (f *fleet) deployStale(ctx context.Context, r *rand.Rand) error {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
+	version := f.history.newest()
+	if version > 1 && r.IntN(2) == 0 {
+		version = 1 + r.Uint64N(version)
+	}
+	d := f.document(version)
+	d.Routes = slices.DeleteFunc(d.Routes, func(x *fleetpb.Route) bool { return x.GetPrefix() != firstRoute && r.IntN(2) == 0 })
+	for _, x := range d.Routes {
+		x.TimeoutMs, x.Shares = 1, []*fleetpb.Share{{Service: slowName, Weight: 1}}
+	}
+	return f.operator.DeployStale(ctx, d)
+}
+
+// change makes the next version, and returns what it changes. The contested routes of earlier versions end.
+func (f *fleet) change() (map[string]behaviour, error) {
 	f.version++
-	added, removed := f.routes.change()
+	changes := f.routes.change()
 	if f.routes.r.IntN(freshEvery) == 0 {
 		path, err := f.addFreshService()
 		if err != nil {
-			return err
+			return nil, err
 		}
-		added = append(added, path)
+		changes[path] = f.routes.behaviour(path)
 	}
-	f.history.send(f.version, added, removed)
-	return nil
+	for _, path := range f.routes.contestants {
+		changes[path] = behaviour{}
+	}
+	f.routes.contestants = nil
+	return changes, nil
 }
 
 // addFreshService adds a route to a service that is new in the next version, and endpoints of it.
@@ -373,17 +416,25 @@
 	service := fmt.Sprint("fresh-", f.version)
 	for d := range freshEndpoints {
 		e := f.newEndpoint(service+fmt.Sprint("-", d), service, fmt.Sprint("domain-", d))
-		if err := e.Start(anyPort); err != nil {
-			return "", errors.Wrap(err, "soak: endpoint")
+		if err := f.startFresh(e); err != nil {
+			return "", err
 		}
-		f.mu.Lock()
-		f.fresh = append(f.fresh, e)
-		f.publish()
-		f.mu.Unlock()
 	}
 	return f.routes.addTo(service), nil
 }
 
+// startFresh starts an endpoint that no fault has.
+func (f *fleet) startFresh(e *standin.Endpoint) error {
+	if err := e.Start(anyPort); err != nil {
+		return errors.Wrap(err, "soak: endpoint")
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.fresh = append(f.fresh, e)
+	f.publish()
+	return nil
+}
+
 // publish puts all endpoints in the list. The caller holds mu.
 func (f *fleet) publish() { f.list.Set(append(slices.Clone(f.endpoints), f.fresh...)...) }
 
--- a/rockbench/soak/routes.go
+++ b/rockbench/soak/routes.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"time"
 
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbarrow/wait"
@@ -18,24 +20,48 @@
 	// fewRoutes is the most that most changes add or take away, and manyRoutes the most of
 	// one in manyEvery.
 	fewRoutes, manyRoutes, manyEvery = 3, 2000, 3
+	// movedRoutes is the most that a change moves to another service or splits anew.
+	movedRoutes = 4
+	// slowRoutes is how many routes have a slow service, whose time limits change, one in limitEvery versions.
+	slowRoutes, limitEvery = 3, 2
 	// sampledRoutes is how many routes of each kind are looked at in the end.
 	sampledRoutes = 10
 )
 
-// routes are those that come and go while a soak lasts, all of one host.
+// toolService is the service of most routes, and slowName that of those with changing time limits.
+const (
+	toolService = "tool"
+	slowName    = "slow"
+)
+
+// routes are those that come, move and go while a soak lasts, all of one host.
 type routes struct {
 	r *rand.Rand
 	// next numbers the routes, so that none comes back.
 	next       int
 	live, gone []string
-	// fresh holds the services of routes that don't go to the tools.
-	fresh map[string]string
+	// shares holds those of routes that don't go to the tools, and limits the time limits of those with a slow service, in ms.
+	shares map[string][]*fleetpb.Share
+	limits map[string]uint32
+	// fresh are the services that came with a version.
+	fresh []string
+	// contested is the path that a configuration has and another one of its version has not, and contestants are those of the
+	// newest version.
+	contested   string
+	contestants []string
 }
 
-// change adds some routes and takes some away. The first one stays.
-func (x *routes) change() (added, removed []string) {
+// change adds some routes, takes some away, moves some, and changes time limits. The first one stays.
+func (x *routes) change() map[string]behaviour {
+	changes := map[string]behaviour{}
 	if x.next == 0 {
 		x.live = append(x.live, firstRoute)
+		x.shares, x.limits = map[string][]*fleetpb.Share{}, map[string]uint32{}
+		for i := range slowRoutes {
+			path := fmt.Sprintf("/slow-%d/", i)
+			x.limits[path] = longLimit
+			changes[path] = x.behaviour(path)
+		}
 	}
 	most := fewRoutes
 	if x.r.IntN(manyEvery) == 0 {
@@ -43,14 +69,24 @@
 	}
 	for range min(len(x.live)-1, x.r.IntN(most)) {
 		i := 1 + x.r.IntN(len(x.live)-1)
-		removed = append(removed, x.live[i])
+		changes[x.live[i]] = behaviour{}
+		x.gone = append(x.gone, x.live[i])
 		x.live = slices.Delete(x.live, i, i+1)
 	}
 	for range 1 + x.r.IntN(most) {
-		added = append(added, x.add())
+		path := x.add()
+		changes[path] = x.behaviour(path)
 	}
-	x.gone = append(x.gone, removed...)
-	return added, removed
+	for range x.r.IntN(movedRoutes) {
+		path := x.move()
+		changes[path] = x.behaviour(path)
+	}
+	if x.r.IntN(limitEvery) == 0 {
+		path := fmt.Sprintf("/slow-%d/", x.r.IntN(slowRoutes))
+		x.limits[path] = shortLimit + longLimit - x.limits[path]
+		changes[path] = x.behaviour(path)
+	}
+	return changes
 }
 
 // add adds a route.
@@ -61,22 +97,57 @@
 	return path
 }
 
-// addTo adds a route to a service that no other route goes to.
+// addTo adds a route to a service that is new.
 func (x *routes) addTo(service string) string {
-	if x.fresh == nil {
-		x.fresh = map[string]string{}
-	}
 	path := x.add()
-	x.fresh[path] = service
+	x.fresh = append(x.fresh, service)
+	x.shares[path] = []*fleetpb.Share{{Service: service, Weight: 1}}
 	return path
 }
 
-// services returns those of routes that are there.
+// move gives one of the newest routes another service, or splits it between two, one of which may get nothing.
+func (x *routes) move() string {
+	path := x.live[len(x.live)-1-x.r.IntN(min(len(x.live)-1, movedRoutes))]
+	services := append([]string{toolService}, x.fresh...)
+	one, other := services[x.r.IntN(len(services))], services[x.r.IntN(len(services))]
+	x.shares[path] = []*fleetpb.Share{{Service: one, Weight: 1 + x.r.Uint32N(3)}}
+	if one != other {
+		x.shares[path] = append(x.shares[path], &fleetpb.Share{Service: other, Weight: x.r.Uint32N(3)})
+	}
+	return path
+}
+
+// behaviour returns that of a live route.
+func (x *routes) behaviour(path string) behaviour {
+	if limit, ok := x.limits[path]; ok {
+		return behaviour{services: []string{slowName}, slow: true, limited: limit == shortLimit}
+	}
+	b := behaviour{}
+	for _, s := range x.sharesOf(path) {
+		if s.GetWeight() > 0 {
+			b.services = append(b.services, s.GetService())
+		}
+	}
+	return b
+}
+
+func (x *routes) sharesOf(path string) []*fleetpb.Share {
+	if s, ok := x.shares[path]; ok {
+		return s
+	}
+	return []*fleetpb.Share{{Service: toolService, Weight: 1}}
+}
+
+// services returns those of live routes, without the tools.
 func (x *routes) services() []*fleetpb.Service {
-	var out []*fleetpb.Service
+	out := []*fleetpb.Service{{Name: slowName, MaxConnections: 300}}
+	known := map[string]bool{toolService: true}
 	for _, path := range x.live {
-		if name, ok := x.fresh[path]; ok {
-			out = append(out, &fleetpb.Service{Name: name, MaxConnections: 300})
+		for _, s := range x.sharesOf(path) {
+			if !known[s.GetService()] {
+				known[s.GetService()] = true
+				out = append(out, &fleetpb.Service{Name: s.GetService(), MaxConnections: 300})
+			}
 		}
 	}
 	return out
@@ -85,16 +156,21 @@
 // document returns them as a configuration holds them.
 func (x *routes) document() []*fleetpb.Route {
 	var out []*fleetpb.Route
-	for _, prefix := range x.live {
-		service, ok := x.fresh[prefix]
-		if !ok {
-			service = "tool"
-		}
+	add := func(prefix string, limit uint32, shares []*fleetpb.Share) {
 		out = append(out, &fleetpb.Route{
-			Name: prefix, Host: host, Prefix: prefix, Kind: fleetpb.RouteKind_ROUTE_KIND_REPEATABLE, TimeoutMs: 2000, ObjectiveMs: 200,
-			MaxAttempts: 2, Shares: []*fleetpb.Share{{Service: service, Weight: 1}},
+			Name: prefix, Host: host, Prefix: prefix, Kind: fleetpb.RouteKind_ROUTE_KIND_REPEATABLE, TimeoutMs: limit, ObjectiveMs: 200,
+			MaxAttempts: 2, Shares: shares,
 		})
 	}
+	for _, prefix := range x.live {
+		add(prefix, 2000, x.sharesOf(prefix))
+	}
+	for _, prefix := range slices.Sorted(maps.Keys(x.limits)) {
+		add(prefix, x.limits[prefix], []*fleetpb.Share{{Service: slowName, Weight: 1}})
+	}
+	if x.contested != "" {
+		add(x.contested, 2000, x.sharesOf(x.contested))
+	}
 	return out
 }
 
@@ -119,30 +195,34 @@
 	}
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, e := range f.entries {
-		for _, path := range append(f.routes.sample(f.routes.live), f.routes.live[len(f.routes.live)-1]) {
-			f.awaitRoute(ctx, client, e, path, true)
-		}
-		for _, path := range f.routes.sample(f.routes.gone) {
-			f.awaitRoute(ctx, client, e, path, false)
+		live := append(f.routes.sample(f.routes.live), f.routes.live[len(f.routes.live)-1])
+		live = slices.AppendSeq(live, maps.Keys(f.routes.limits))
+		for _, path := range append(live, f.routes.sample(f.routes.gone)...) {
+			f.awaitBehaviour(ctx, client, e, path)
 		}
 	}
 }
 
-// awaitRoute asks for a path until the answer shows that it is routed, or is not.
-func (f *fleet) awaitRoute(ctx context.Context, client *http.Client, e *instance, path string, routed bool) {
+// awaitBehaviour asks for a path until the answer is of the newest configuration.
+func (f *fleet) awaitBehaviour(ctx context.Context, client *http.Client, e *instance, path string) {
+	want := behaviour{}
+	if slices.Contains(f.routes.live, path) || f.routes.limits[path] > 0 {
+		want = f.routes.behaviour(path)
+	}
 	last := "no answer"
 	for n := 0; ctx.Err() == nil; n++ {
-		id := fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n)
-		status, err := standin.Probe(ctx, client, e.plan.ConsumerAddress, host, path+"x", id)
+		sent := time.Now()
+		status, service, err := standin.ProbeService(ctx, client, e.plan.ConsumerAddress, host, path+"x", fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n))
+		a := answer{status: status, service: service, took: time.Since(sent)}
 		switch {
 		case err != nil:
 			last = err.Error()
-		case routed && status == http.StatusOK, !routed && status == http.StatusNotFound:
+		case a.tells() && want.allows(a):
 			return
 		default:
-			last = fmt.Sprint("status ", status)
+			last = fmt.Sprintf("status %d of %q", status, service)
 		}
 		wait.For(ctx, checkEvery)
 	}
-	f.ledger.AddViolation("%s does not route by the newest configuration: %s, routed there: %v, %s", e.plan.Instance, path, routed, last)
+	f.ledger.AddViolation("%s does not route by the newest configuration: %s, want %v, %s", e.plan.Instance, path, want, last)
 }
--- a/rockbench/soak/sides.go
+++ b/rockbench/soak/sides.go
@@ -25,6 +25,8 @@
 	all []*instance
 	// other holds those on the second side while a cut lasts.
 	other map[*instance]bool
+	// healed is when the last cut ended.
+	healed time.Time
 }
 
 // separate reports whether a cut lies between two instances. A sender that is not known is on no side.
@@ -54,7 +56,14 @@
 func (s *sides) heal() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.other = nil
+	s.other, s.healed = nil, time.Now()
+}
+
+// wholeSince reports whether there has been no cut since a time.
+func (s *sides) wholeSince(at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.other == nil && s.healed.Before(at)
 }
 
 // sender returns the instance that opened a connection, or nil if no cut concerns it. All processes are on this machine, so that the
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -96,11 +96,13 @@
 	}
 	running.Go(func() { s.operate(faulty) })
 	for i, e := range s.fleet.entries {
-		p := &prober{
-			fleet: s.fleet, entry: e, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfProbes+uint64(i))),
-			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		for _, slow := range []bool{false, true} {
+			p := &prober{
+				fleet: s.fleet, entry: e, slow: slow, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfProbes+uint64(i))),
+				client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+			}
+			running.Go(func() { p.run(faulty) })
 		}
-		running.Go(func() { p.run(faulty) })
 	}
 	if s.cfg.Before == "" {
 		// Instances of an earlier version send such a request on, whatever others know of it.
@@ -151,7 +153,7 @@
 }
 
 // operate changes the configuration now and then, alone and against another operator, sends what must not be
-// taken, and reads it all the time.
+// taken and what must not be in force, and reads it all the time.
 func (s *soak) operate(ctx context.Context) {
 	r := rand.New(rand.NewPCG(s.cfg.Seed, seedOfOperators))
 	for i := 1; ctx.Err() == nil; i++ {
@@ -162,7 +164,9 @@
 			s.fleet.sendInvalid(ctx, r)
 		case 2:
 			err = s.fleet.race(ctx)
-		case 5:
+		case 3:
+			err = s.fleet.deployStale(ctx, r)
+		case 0, 5:
 			err = s.fleet.deploy(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
