--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -65,6 +65,22 @@
 	{"power is lost everywhere", endAll((*fleet).all, powerLost)},
 }
 
+// cuts are the kinds that cut control into halves.
+var cuts = []fault{
+	{"control is cut into halves", cutControl},
+	{"control and stores are cut into halves", cutDisks},
+}
+
+// calmFaults concern neither control nor stores.
+var calmFaults = []fault{
+	{"pause an entry", pauseOne(func(f *fleet) []*instance { return f.entries })},
+	{"kill an entry", endOne(syscall.SIGKILL, func(f *fleet) []*instance { return f.entries })},
+	{"lost answers", loseAnswers},
+	{"an endpoint is replaced", replaceEndpoint},
+	{"another writer's entries are in the list", foreignList},
+	{"new settings", hangUp},
+}
+
 // diskFaults lose a disk. Two never come at once, as one loss is tolerated.
 var diskFaults = []fault{
 	{"wipe a store", wipeOne(func(f *fleet) []*instance { return f.stores })},
