controller: a change is acknowledged only once its loss of sight is not tolerated

An operator's change was acknowledged 0.2 s after it was chosen although no other control instance was known to know it, as on a machine that is far too busy. If its instance is lost then and a voter's disk stalls, nobody can confirm it: a round needs a majority of writes. Now as many others as losses are tolerated must know it, one of them in another failure domain, before it is acknowledged; unresponsive ones beyond that are waited for 0.2 s as before. Where these don't learn of it in the time of the call the answer is 503, and the change, sent again, is acknowledged once they do.

Not reproduced on real processes.

--- a/rockbarrow/controller/propagation.go
+++ b/rockbarrow/controller/propagation.go
@@ -9,13 +9,14 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/register"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
-// propagationTimeout bounds the wait for other control instances to know a state. It is several round trips of a busy
+// propagationTimeout bounds the wait for all other control instances to know a state. It is several round trips of a busy
 // instance, and leaves most of an operator's call.
 const propagationTimeout = 200 * time.Millisecond
 
@@ -57,37 +58,66 @@
 
 // applyCommand applies an operator's change. It returns once the outcome is chosen and known to the control instances
 // heard recently: if only this instance knew it, a failure right after the acknowledgement would delay it everywhere.
-// Unresponsive instances are waited for no longer than propagationTimeout.
+// Unresponsive instances are waited for no longer than propagationTimeout, unless a tolerated loss of those that know it would leave
+// none.
 func (c *Controller) applyCommand(ctx context.Context, change register.Change) (*fleetpb.State, error) {
 	s, err := c.Change(ctx, change)
 	if err != nil {
 		return nil, err
 	}
-	if lagging := c.awaitPropagation(ctx, s.GetNumber()); len(lagging) > 0 {
+	lagging, err := c.awaitPropagation(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	if len(lagging) > 0 {
 		c.Log.WithFields(logrus.Fields{"state": s.GetNumber(), "config_version": s.GetConfiguration().GetVersion(), "control": lagging}).
 			Warn("a change is acknowledged before these control instances know it")
 	}
 	return s, nil
 }
 
-// awaitPropagation returns the names of the control instances that do not know a state when the wait ends.
-func (c *Controller) awaitPropagation(ctx context.Context, state uint64) []string {
+// awaitPropagation returns the names of the control instances that do not know a state when the wait ends. It fails if too few
+// others are known to know it when ctx ends.
+func (c *Controller) awaitPropagation(ctx context.Context, s *fleetpb.State) ([]string, error) {
 	timeout := time.NewTimer(propagationTimeout)
 	defer timeout.Stop()
+	waited := false
 	for {
 		known, changed := c.propagation.snapshot()
-		lagging := slices.DeleteFunc(instanceNames(c.controlMembers(time.Now(), rankTimeout)), func(name string) bool {
-			return name == c.Self.GetInstance() || known[name] >= state
-		})
-		if len(lagging) == 0 {
-			return nil
+		var aware, lagging []*fleetpb.Member
+		for _, m := range c.controlMembers(time.Now(), rankTimeout) {
+			switch {
+			case m.GetInstance() == c.Self.GetInstance():
+			case known[m.GetInstance()] >= s.GetNumber():
+				aware = append(aware, m)
+			default:
+				lagging = append(lagging, m)
+			}
+		}
+		survives := c.survivesLoss(s, aware)
+		if survives && (waited || len(lagging) == 0) {
+			return instanceNames(lagging), nil
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return lagging
+			waited = true
 		case <-ctx.Done():
-			return lagging
+			if survives {
+				return instanceNames(lagging), nil
+			}
+			return nil, &UnavailableError{Cause: errors.New("too few other control instances are known to have learned of the change")}
 		}
 	}
 }
+
+// survivesLoss reports whether the tolerated losses, or that of the own failure domain, leave an instance that knows a
+// state, if the given others do.
+func (c *Controller) survivesLoss(s *fleetpb.State, aware []*fleetpb.Member) bool {
+	elsewhere := func(m *fleetpb.Member) bool { return m.GetFailureDomain() != c.Self.GetFailureDomain() }
+	wanted := min(c.FaultTolerance, len(s.GetVoters())/2)
+	if len(aware) < wanted {
+		return false
+	}
+	return wanted == 0 || slices.ContainsFunc(aware, elsewhere) || !slices.ContainsFunc(s.GetVoters(), elsewhere)
+}
--- a/rockbarrow/controller/propagation_test.go
+++ b/rockbarrow/controller/propagation_test.go
@@ -3,10 +3,14 @@
 package controller
 
 import (
+	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -38,6 +42,41 @@
 	}
 }
 
+// TestAnAcknowledgementSurvivesTheLossOfItsInstance guards against a configuration that is acknowledged on a busy machine before any
+// other control instance knows it, and that nobody can confirm after the loss of the one that does.
+func TestAnAcknowledgementSurvivesTheLossOfItsInstance(t *testing.T) {
+	member := func(name, domain string) *fleetpb.Member {
+		return &fleetpb.Member{Instance: name, FailureDomain: domain}
+	}
+	c := &Controller{Self: member("a", "domain-1"), FaultTolerance: 1, Log: discardLog()}
+	s := &fleetpb.State{Number: 7, Voters: []*fleetpb.Member{c.Self, member("b", "domain-2"), member("c", "domain-3")}}
+	hear := func(m *fleetpb.Member, state uint64) {
+		c.recordRequest(time.Now(), &fleetpb.WatchRequest{Role: fleetpb.Role_ROLE_CONTROL, Sender: m, StateNumber: state})
+	}
+	hear(member("b", "domain-2"), 6)
+	hear(member("near", "domain-1"), 7)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*propagationTimeout)
+	defer cancel()
+	var unavailable *UnavailableError
+	if _, err := c.awaitPropagation(ctx, s); !errors.As(err, &unavailable) {
+		t.Errorf("%v, want an UnavailableError while none in another failure domain knows it", err)
+	}
+	hear(member("c", "domain-3"), 6)
+	hear(member("b", "domain-2"), 7)
+	if lagging, err := c.awaitPropagation(t.Context(), s); err != nil || !slices.Equal(lagging, []string{"c"}) {
+		t.Errorf("%v, %v, want only c not to know it", lagging, err)
+	}
+	c.FaultTolerance = 2
+	s.Voters = append(s.Voters, member("d", "domain-1"), member("e", "domain-2"))
+	if c.survivesLoss(s, []*fleetpb.Member{member("b", "domain-2")}) {
+		t.Error("two losses may leave nobody that knows it")
+	}
+	c.FaultTolerance = 0
+	if !c.survivesLoss(&fleetpb.State{Voters: s.Voters[:1]}, nil) {
+		t.Error("a deployment that tolerates no loss waits for others")
+	}
+}
+
 // TestEachFollowedInstanceTellsOfNews guards against an entry instance whose primary stalled, and that is notified of a newer
 // configuration by the others only at the end of their long polls.
 func TestEachFollowedInstanceTellsOfNews(t *testing.T) {
