entry: a turn that can't be stored ends with its time limit

A response whose turn waited for stores could end a second after its route's time limit, where callers may expect it within half a second: with frozen stores all turns that complete near the limit did. It is given up 0.4 s after the limit now; an earlier deadline of the client still leaves a second, as the turn was executed.

--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -21,6 +21,9 @@
 	// minSettleTimeout is the least time for settling a turn, even if its deadline is near,
 	// because the response fails if the turn is not stored.
 	minSettleTimeout = time.Second
+	// maxOverrun is how long after the route's time limit a response may end for that: less than the half second after which
+	// the platform counts it as unanswered.
+	maxOverrun = 400 * time.Millisecond
 )
 
 // prepare reserves tokens and builds the body for endpoints.
@@ -137,7 +140,7 @@
 	start := time.Now()
 	defer func() { x.ownTime += time.Since(start) }()
 	// A disconnect of the client must not prevent this, because the turn was executed.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), max(minSettleTimeout, time.Until(x.deadline)))
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), x.settleDeadline(start))
 	defer cancel()
 	err := x.entry.Stores.Settle(ctx, x.grant, x.spentTokens(true), &fleetpb.Turn{
 		Id: x.request.ID, Previous: x.request.PreviousTurn, Home: x.grant.Home(), Input: x.request.Body, Output: x.events.output,
@@ -150,6 +153,20 @@
 	return Completed{}
 }
 
+// settleDeadline returns when settling a turn is given up. A client may set an earlier deadline than the route, which must not
+// prevent it.
+func (x *exchange) settleDeadline(now time.Time) time.Time {
+	limit := x.request.Arrived.Add(time.Duration(x.route.GetTimeoutMs())*time.Millisecond + maxOverrun)
+	least := now.Add(minSettleTimeout)
+	if least.After(limit) {
+		least = limit
+	}
+	if least.Before(x.deadline) {
+		return x.deadline
+	}
+	return least
+}
+
 // spentTokens returns the tokens to charge. A stream counts its received events, and one more
 // if it is incomplete. Any other response counts its maximum, or nothing if it is an error.
 func (x *exchange) spentTokens(complete bool) uint64 {
