soak: who opened a connection is looked up only while a cut lasts; fields of other writers are part of the stand-ins

Each connection read the kernel's table of all connections: with many of them the proxies fell behind by minutes.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -140,7 +140,7 @@
 	}
 	if cfg.Before == "" {
 		// Earlier versions obey the fields of other writers.
-		f.operator.Extend = (&foreignFields{r: rand.New(rand.NewPCG(cfg.Seed, seedOfFields)), every: foreignEvery}).extend
+		f.operator.Extend = (&standin.ForeignFields{Rand: rand.New(rand.NewPCG(cfg.Seed, seedOfFields)), Every: foreignEvery}).Extend
 	}
 	return f, stop, f.await(ctx)
 }
--- a/rockbench/soak/obeyed_test.go
+++ b/rockbench/soak/obeyed_test.go
@@ -24,7 +24,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f.operator.Extend = (&foreignFields{r: rand.New(rand.NewPCG(1, 0)), every: 4}).extend
+	f.operator.Extend = (&standin.ForeignFields{Rand: rand.New(rand.NewPCG(1, 0)), Every: 4}).Extend
 	client := &http.Client{Transport: &http.Transport{}}
 	t.Cleanup(client.CloseIdleConnections)
 	for range 8 {
--- a/rockbench/soak/proxy.go
+++ b/rockbench/soak/proxy.go
@@ -94,14 +94,13 @@
 			c.Close()
 			continue
 		}
-		go p.connect(c)
+		go p.connect(&peerConn{Conn: c, accepted: time.Now()})
 	}
 }
 
 // connect opens the other half of a connection, and carries bytes both ways. One from behind a cut is not answered until it ends.
-func (p *proxy) connect(c net.Conn) {
-	from := p.sides.sender(c)
-	for p.sides.separate(from, p.owner) {
+func (p *proxy) connect(c *peerConn) {
+	for p.sides.separate(c, p.owner) {
 		time.Sleep(holdTick)
 	}
 	t, err := net.Dial("tcp", p.target)
@@ -111,15 +110,15 @@
 	}
 	p.keep(c)
 	p.keep(t)
-	go (&pipe{proxy: p, sender: from, from: c, to: t}).run()
-	go (&pipe{proxy: p, sender: from, from: t, to: c, answers: true}).run()
+	go (&pipe{proxy: p, conn: c, from: c, to: t}).run()
+	go (&pipe{proxy: p, conn: c, from: t, to: c, answers: true}).run()
 }
 
 // pipe carries one direction of one connection.
 type pipe struct {
 	proxy *proxy
-	// sender is the instance that opened the connection, nil if no cut concerns it.
-	sender   *instance
+	// conn is the connection that the peer has opened.
+	conn     *peerConn
 	from, to net.Conn
 	answers  bool
 }
@@ -144,7 +143,7 @@
 // hold waits as the mode says and reports whether bytes go on.
 func (p *pipe) hold() bool {
 	for {
-		if p.proxy.sides.separate(p.sender, p.proxy.owner) {
+		if p.proxy.sides.separate(p.conn, p.proxy.owner) {
 			time.Sleep(holdTick)
 			continue
 		}
--- a/rockbench/soak/sides.go
+++ b/rockbench/soak/sides.go
@@ -3,7 +3,7 @@
 package soak
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -11,8 +11,8 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"rockbarrow.dev/rockbarrow/wait"
@@ -20,6 +20,10 @@
 
 // sides cuts instances with disks into two halves, both of which everyone else reaches.
 type sides struct {
+	// active is true while a cut lasts.
+	active  atomic.Bool
+	sockets sockets
+
 	mu sync.Mutex
 	// all are the instances that may be cut off from each other.
 	all []*instance
@@ -29,8 +33,12 @@
 	healed time.Time
 }
 
-// separate reports whether a cut lies between two instances. A sender that is not known is on no side.
-func (s *sides) separate(from, to *instance) bool {
+// separate reports whether a cut lies between the sender of a connection and an instance. A sender that is not known is on no side.
+func (s *sides) separate(c *peerConn, to *instance) bool {
+	if !s.active.Load() {
+		return false
+	}
+	from := s.sender(c)
 	if from == nil {
 		return false
 	}
@@ -50,12 +58,14 @@
 	for _, in := range other {
 		s.other[in] = true
 	}
+	s.active.Store(true)
 	return true
 }
 
 func (s *sides) heal() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.active.Store(false)
 	s.other, s.healed = nil, time.Now()
 }
 
@@ -66,40 +76,62 @@
 	return s.other == nil && s.healed.Before(at)
 }
 
+// peerConn is a connection that an instance has opened.
+type peerConn struct {
+	net.Conn
+	accepted time.Time
+	// resolve guards from, the instance that opened it, nil if no cut concerns it.
+	resolve sync.Once
+	from    *instance
+}
+
 // sender returns the instance that opened a connection, or nil if no cut concerns it. All processes are on this machine, so that the
-// addresses tell nothing.
-func (s *sides) sender(c net.Conn) *instance {
-	inode := socketInode(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
-	if inode == "" {
-		return nil
-	}
-	s.mu.Lock()
-	all := s.all
-	s.mu.Unlock()
-	for _, in := range all {
-		if pid, ok := in.pid(); ok && holdsSocket(pid, inode) {
-			return in
+// addresses tell nothing. It takes time, and is only asked for while a cut lasts.
+func (s *sides) sender(c *peerConn) *instance {
+	c.resolve.Do(func() {
+		inode := s.sockets.inode(c)
+		s.mu.Lock()
+		all := s.all
+		s.mu.Unlock()
+		for _, in := range all {
+			if pid, ok := in.pid(); ok && inode != "" && holdsSocket(pid, inode) {
+				c.from = in
+				return
+			}
 		}
-	}
-	return nil
+	})
+	return c.from
 }
 
-// socketInode returns the inode of the socket with the given addresses, empty if there is none.
-func socketInode(local, remote *net.TCPAddr) string {
-	f, err := os.Open("/proc/net/tcp")
-	if err != nil {
-		return ""
-	}
-	defer f.Close()
-	const localField, remoteField, inodeField = 1, 2, 9
-	wantLocal, wantRemote := hexAddress(local), hexAddress(remote)
-	for lines := bufio.NewScanner(f); lines.Scan(); {
-		fields := strings.Fields(lines.Text())
-		if len(fields) > inodeField && fields[localField] == wantLocal && fields[remoteField] == wantRemote {
-			return fields[inodeField]
+// sockets is the kernel's table of connections, read when one is asked for that is newer.
+type sockets struct {
+	mu    sync.Mutex
+	table []byte
+	at    time.Time
+}
+
+// inode returns the inode of the socket at the other end of a connection, empty if there is none.
+func (s *sockets) inode(c *peerConn) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.at.After(c.accepted) {
+		at := time.Now()
+		table, err := os.ReadFile("/proc/net/tcp")
+		if err != nil {
+			return ""
 		}
+		s.table, s.at = table, at
+	}
+	addresses := fmt.Sprintf(" %s %s ", hexAddress(c.RemoteAddr().(*net.TCPAddr)), hexAddress(c.LocalAddr().(*net.TCPAddr)))
+	_, rest, ok := bytes.Cut(s.table, []byte(addresses))
+	// The inode follows the state, queues, timer, retransmissions, user and timeout.
+	const inodeField = 6
+	line, _, _ := bytes.Cut(rest, []byte("\n"))
+	fields := bytes.Fields(line)
+	if !ok || len(fields) <= inodeField {
+		return ""
 	}
-	return ""
+	return string(fields[inodeField])
 }
 
 // hexAddress returns an address as the kernel's table has it: the bytes in the order of the machine.
