controller: a majority cut off in one failure domain may acknowledge changes

The condition that another failure domain knows a change was never met where the only majority of the voters lies in one failure domain and the others are cut off: no change was acknowledged until the cut healed. It holds now only while an instance of another failure domain is heard.

--- a/rockbarrow/controller/propagation.go
+++ b/rockbarrow/controller/propagation.go
@@ -94,7 +94,7 @@
 				lagging = append(lagging, m)
 			}
 		}
-		survives := c.survivesLoss(s, aware)
+		survives := c.survivesLoss(s, aware, lagging)
 		if survives && (waited || len(lagging) == 0) {
 			return instanceNames(lagging), nil
 		}
@@ -112,12 +112,13 @@
 }
 
 // survivesLoss reports whether the tolerated losses, or that of the own failure domain, leave an instance that knows a
-// state, if the given others do.
-func (c *Controller) survivesLoss(s *fleetpb.State, aware []*fleetpb.Member) bool {
+// state, given the other instances heard recently that know it and those that don't. None may be heard from other failure domains,
+// as when a majority of the voters is cut off in the own one.
+func (c *Controller) survivesLoss(s *fleetpb.State, aware, lagging []*fleetpb.Member) bool {
 	elsewhere := func(m *fleetpb.Member) bool { return m.GetFailureDomain() != c.Self.GetFailureDomain() }
 	wanted := min(c.FaultTolerance, len(s.GetVoters())/2)
 	if len(aware) < wanted {
 		return false
 	}
-	return wanted == 0 || slices.ContainsFunc(aware, elsewhere) || !slices.ContainsFunc(s.GetVoters(), elsewhere)
+	return wanted == 0 || slices.ContainsFunc(aware, elsewhere) || !slices.ContainsFunc(lagging, elsewhere)
 }
