--- a/rockbench/soak/proxy.go
+++ b/rockbench/soak/proxy.go
@@ -94,7 +94,7 @@
 			c.Close()
 			continue
 		}
-		go p.connect(&peerConn{Conn: c, accepted: time.Now()})
+		go p.connect(&peerConn{Conn: c})
 	}
 }
 
--- a/rockbench/soak/sides.go
+++ b/rockbench/soak/sides.go
@@ -3,9 +3,7 @@
 package soak
 
 import (
-	"bytes"
 	"context"
-	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -21,8 +19,7 @@
 // sides cuts instances with disks into two halves, both of which everyone else reaches.
 type sides struct {
 	// active is true while a cut lasts.
-	active  atomic.Bool
-	sockets sockets
+	active atomic.Bool
 
 	mu sync.Mutex
 	// all are the instances that may be cut off from each other.
@@ -79,7 +76,6 @@
 // peerConn is a connection that an instance has opened.
 type peerConn struct {
 	net.Conn
-	accepted time.Time
 	// resolve guards from, the instance that opened it, nil if no cut concerns it.
 	resolve sync.Once
 	from    *instance
@@ -89,12 +85,15 @@
 // addresses tell nothing. It takes time, and is only asked for while a cut lasts.
 func (s *sides) sender(c *peerConn) *instance {
 	c.resolve.Do(func() {
-		inode := s.sockets.inode(c)
+		inode, err := socketInode(c.RemoteAddr().(*net.TCPAddr), c.LocalAddr().(*net.TCPAddr))
+		if err != nil {
+			return
+		}
 		s.mu.Lock()
 		all := s.all
 		s.mu.Unlock()
 		for _, in := range all {
-			if pid, ok := in.pid(); ok && inode != "" && holdsSocket(pid, inode) {
+			if pid, ok := in.pid(); ok && holdsSocket(pid, inode) {
 				c.from = in
 				return
 			}
@@ -103,50 +102,14 @@
 	return c.from
 }
 
-// sockets is the kernel's table of connections, read when one is asked for that is newer.
-type sockets struct {
-	mu    sync.Mutex
-	table []byte
-	at    time.Time
-}
-
-// inode returns the inode of the socket at the other end of a connection, empty if there is none.
-func (s *sockets) inode(c *peerConn) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.at.After(c.accepted) {
-		at := time.Now()
-		table, err := os.ReadFile("/proc/net/tcp")
-		if err != nil {
-			return ""
-		}
-		s.table, s.at = table, at
-	}
-	addresses := fmt.Sprintf(" %s %s ", hexAddress(c.RemoteAddr().(*net.TCPAddr)), hexAddress(c.LocalAddr().(*net.TCPAddr)))
-	_, rest, ok := bytes.Cut(s.table, []byte(addresses))
-	// The inode follows the state, queues, timer, retransmissions, user and timeout.
-	const inodeField = 6
-	line, _, _ := bytes.Cut(rest, []byte("\n"))
-	fields := bytes.Fields(line)
-	if !ok || len(fields) <= inodeField {
-		return ""
-	}
-	return string(fields[inodeField])
-}
-
-// hexAddress returns an address as the kernel's table has it: the bytes in the order of the machine.
-func hexAddress(a *net.TCPAddr) string {
-	return fmt.Sprintf("%08X:%04X", binary.NativeEndian.Uint32(a.IP.To4()), a.Port)
-}
-
-func holdsSocket(pid int, inode string) bool {
+func holdsSocket(pid int, inode uint32) bool {
 	dir := fmt.Sprintf("/proc/%d/fd", pid)
 	fds, err := os.ReadDir(dir)
 	if err != nil {
 		return false
 	}
 	for _, fd := range fds {
-		if to, err := os.Readlink(filepath.Join(dir, fd.Name())); err == nil && to == "socket:["+inode+"]" {
+		if to, err := os.Readlink(filepath.Join(dir, fd.Name())); err == nil && to == fmt.Sprintf("socket:[%d]", inode) {
 			return true
 		}
 	}
