document: a whole state that is unpacked is not modified

A voter that accepts its own proposal unpacks the same message that other goroutines encode for their acceptors: the decoded form was put in place once more while they read it.

--- a/rockbarrow/document/cache_test.go
+++ b/rockbarrow/document/cache_test.go
@@ -322,6 +322,13 @@
 			t.Errorf("%v, want a BaseError", err)
 		}
 	})
+	t.Run("a whole state that others use", func(t *testing.T) {
+		st := newDecodedState(t, 8, 10)
+		form := st.GetConfiguration().GetDecoded()
+		if got, err := receiver.UnpackState(st); err != nil || got.GetConfiguration().GetDecoded() != form {
+			t.Errorf("the form was replaced while others may read it, %v", err)
+		}
+	})
 	t.Run("the receiver is of an earlier version", func(t *testing.T) {
 		st := newDecodedState(t, 7, 10)
 		sender.AddState(st)
--- a/rockbarrow/document/state.go
+++ b/rockbarrow/document/state.go
@@ -42,8 +42,9 @@
 	}
 }
 
-// UnpackState decodes a received state in place and adds its document. After an error
-// the state must not be used, and the whole state must be requested from the sender.
+// UnpackState decodes a received state in place and adds its document. A whole state is
+// not modified, as it may be shared. After an error the state must not be used, and the
+// whole state must be requested from the sender.
 func (c *Cache) UnpackState(st *fleetpb.State) (*fleetpb.State, error) {
 	cfg := st.GetConfiguration()
 	if len(cfg.GetDocument())+len(cfg.GetDigest()) == 0 {
@@ -67,7 +68,9 @@
 		if err != nil {
 			return nil, err
 		}
-		cfg.Decoded = whole(form)
+		if len(p.GetDocument()) == 0 {
+			cfg.Decoded = whole(form)
+		}
 	}
 	return st, nil
 }
