--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -19,7 +19,6 @@
 
 	"rockbarrow.dev/platform/settings"
 	"rockbarrow.dev/platform/standin"
-	"rockbarrow.dev/schema/fleetpb"
 )
 
 const (
@@ -328,101 +327,6 @@
 	return nil
 }
 
-// deploy sends the next version of the configuration.
-func (f *fleet) deploy(ctx context.Context) error {
-	f.configuring.Lock()
-	defer f.configuring.Unlock()
-	return f.sendNext(ctx)
-}
-
-// sendNext is deploy for who holds configuring.
-func (f *fleet) sendNext(ctx context.Context) error {
-	changes, err := f.change()
-	if err != nil {
-		return err
-	}
-	f.history.send(f.version, changes)
-	f.customers.change()
-	if err := f.operator.Deploy(ctx, f.document(f.version)); err != nil {
-		return err
-	}
-	f.history.acknowledge(f.version)
-	f.customers.acknowledged(time.Now())
-	return nil
-}
-
-// race lets two operators send different configurations of one version at one moment. Each has a route that the other has not, so that
-// it shows which one is in force.
-func (f *fleet) race(ctx context.Context) error {
-	f.configuring.Lock()
-	defer f.configuring.Unlock()
-	changes, err := f.change()
-	if err != nil {
-		return err
-	}
-	var documents []*fleetpb.Document
-	for i := range 2 {
-		path := fmt.Sprintf("/contested-%d-%d/", f.version, i)
-		changes[path] = behaviour{services: []string{toolService}, contested: true}
-		f.routes.contested = path
-		documents = append(documents, f.document(f.version))
-		f.routes.contestants = append(f.routes.contestants, path)
-	}
-	f.routes.contested = ""
-	f.history.send(f.version, changes)
-	err = f.operator.DeployConcurrently(ctx, documents[0], documents[1])
-	if err == nil {
-		f.history.acknowledge(f.version)
-	}
-	return err
-}
-
-// deployStale sends other content under a version that was acknowledged, or an older one. It must change nothing.
-func (f *fleet) deployStale(ctx context.Context, r *rand.Rand) error {
-	f.configuring.Lock()
-	defer f.configuring.Unlock()
-	version := f.history.newest()
-	if version > 1 && r.IntN(2) == 0 {
-		version = 1 + r.Uint64N(version)
-	}
-	d := f.document(version)
-	d.Routes = slices.DeleteFunc(d.Routes, func(x *fleetpb.Route) bool { return x.GetPrefix() != firstRoute && r.IntN(2) == 0 })
-	for _, x := range d.Routes {
-		x.TimeoutMs, x.Shares = 1, []*fleetpb.Share{{Service: slowName, Weight: 1}}
-	}
-	return f.operator.DeployStale(ctx, d)
-}
-
-// change makes the next version, and returns what it changes. The contested routes of earlier versions end.
-func (f *fleet) change() (map[string]behaviour, error) {
-	f.version++
-	changes := f.routes.change()
-	if f.routes.r.IntN(freshEvery) == 0 {
-		path, err := f.addFreshService()
-		if err != nil {
-			return nil, err
-		}
-		changes[path] = f.routes.behaviour(path)
-	}
-	for _, path := range f.routes.contestants {
-		changes[path] = behaviour{}
-	}
-	f.routes.contestants = nil
-	return changes, nil
-}
-
-// addFreshService adds a route to a service that is new in the next version, and endpoints of it.
-func (f *fleet) addFreshService() (path string, err error) {
-	service := fmt.Sprint("fresh-", f.version)
-	for d := range freshEndpoints {
-		e := f.newEndpoint(service+fmt.Sprint("-", d), service, fmt.Sprint("domain-", d))
-		if err := f.startFresh(e); err != nil {
-			return "", err
-		}
-	}
-	return f.routes.addTo(service), nil
-}
-
 // startFresh starts an endpoint that no fault has.
 func (f *fleet) startFresh(e *standin.Endpoint) error {
 	if err := e.Start(anyPort); err != nil {
@@ -438,32 +342,6 @@
 // publish puts all endpoints in the list. The caller holds mu.
 func (f *fleet) publish() { f.list.Set(append(slices.Clone(f.endpoints), f.fresh...)...) }
 
-// document returns the configuration of a version.
-func (f *fleet) document(version uint64) *fleetpb.Document {
-	route := func(name, service string, kind fleetpb.RouteKind) *fleetpb.Route {
-		return &fleetpb.Route{
-			Name: name, Host: host, Prefix: "/" + name + "/", Kind: kind, TimeoutMs: 5000, ObjectiveMs: 200, MaxAttempts: 2,
-			Shares: []*fleetpb.Share{{Service: service, Weight: 1}},
-		}
-	}
-	turn := route("turn", "model", fleetpb.RouteKind_ROUTE_KIND_STREAM)
-	turn.History, turn.RetainMs = true, 60_000
-	work := []*fleetpb.Route{turn, route("once", "tool", fleetpb.RouteKind_ROUTE_KIND_ONCE), route("repeat", "tool", fleetpb.RouteKind_ROUTE_KIND_REPEATABLE)}
-	for _, r := range work {
-		r.Keyed = f.customers != nil
-	}
-	return &fleetpb.Document{
-		Version:   version,
-		Customers: f.customers.document(),
-		Limits:    &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
-		Services: append(f.routes.services(),
-			&fleetpb.Service{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
-			&fleetpb.Service{Name: "tool", MaxConnections: 300},
-		),
-		Routes: append(f.routes.document(), work...),
-	}
-}
-
 // stop ends all processes that were started, and the stand-ins.
 func (f *fleet) stop() {
 	for _, in := range f.all() {
