consumer, soak: failing tests of limits that are acknowledged and not obeyed

By the same question asked of the other limits: headerTimeoutMs and idleTimeoutMs are validated, acknowledged, and read by nothing. The stand-in operator sends the timeouts; the soak's fleet can change its limits.

--- a/rockbench/soak/configurations.go
+++ b/rockbench/soak/configurations.go
@@ -9,6 +9,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -124,7 +126,7 @@
 	return &fleetpb.Document{
 		Version:   version,
 		Customers: f.customers.document(),
-		Limits:    &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+		Limits:    proto.CloneOf(f.limits),
 		Services: append(f.routes.services(),
 			&fleetpb.Service{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
 			&fleetpb.Service{Name: "tool", MaxConnections: 300},
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -19,6 +19,7 @@
 
 	"rockbarrow.dev/platform/settings"
 	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/schema/fleetpb"
 )
 
 const (
@@ -85,6 +86,7 @@
 	// configuring is held while a configuration is sent, and while one has to stay.
 	configuring sync.Mutex
 	version     uint64
+	limits      *fleetpb.Limits
 	routes      *routes
 	history     history
 	// customers are those of the configuration, nil if it has none.
@@ -113,6 +115,7 @@
 	f := &fleet{
 		phases: map[*standin.Endpoint]phase{},
 		dir:    cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
+		limits: &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))}, sides: &sides{},
 	}
 	if cfg.Before == "" && !cfg.NoCustomers {
--- a/rockbench/soak/obeyed_test.go
+++ b/rockbench/soak/obeyed_test.go
@@ -4,9 +4,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
@@ -85,3 +89,66 @@
 		t.Error(b)
 	}
 }
+
+// connect opens a connection to an entry instance.
+func connect(t *testing.T, e *instance) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", e.plan.ConsumerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c.(*net.TCPConn)
+}
+
+// TestConnectionsObeyTheConfiguredTimeouts guards against an entry instance that acknowledged timeouts of connections have no effect on:
+// it closes those whose clients still may use them, and keeps others.
+func TestConnectionsObeyTheConfiguredTimeouts(t *testing.T) {
+	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: seeds, NoCustomers: true})
+	if stop != nil {
+		t.Cleanup(stop)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	deploy := func(header, idle time.Duration) {
+		t.Helper()
+		f.limits.HeaderTimeoutMs, f.limits.IdleTimeoutMs = uint32(header.Milliseconds()), uint32(idle.Milliseconds())
+		if err := f.deploy(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.awaitServed(t, client, f.routes.live[len(f.routes.live)-1])
+	}
+	const short, middle, long = 500 * time.Millisecond, 3 * time.Second, 20 * time.Second
+	// unset is the shorter of the defaults.
+	const unset = 5 * time.Second
+	e := f.entries[0]
+
+	deploy(short, short)
+	for name, c := range map[string]*net.TCPConn{"idle": connect(t, e), "a head that goes on slowly": connect(t, e)} {
+		if name == "idle" {
+			if status, err := standin.ProbeSlowly(c, host, firstRoute+"x", name, 0); status != http.StatusOK {
+				t.Fatalf("%s: status %d, %v", name, status, err)
+			}
+		} else {
+			io.WriteString(c, "GET ")
+		}
+		c.SetReadDeadline(time.Now().Add(short + applyWithin))
+		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("%s: the connection is kept for %v, the timeout is %v", name, short+applyWithin, short)
+		}
+	}
+
+	deploy(middle, middle)
+	kept := connect(t, e)
+	if status, err := standin.ProbeSlowly(kept, host, firstRoute+"x", "kept", 0); status != http.StatusOK {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	deploy(long, long)
+	<-time.After(middle + time.Second)
+	if status, err := standin.ProbeSlowly(kept, host, firstRoute+"x", "kept again", unset+time.Second); status != http.StatusOK {
+		t.Errorf("idle for %v, then a head of %v, of %v allowed: status %d, %v", middle+time.Second, unset+time.Second, long, status, err)
+	}
+}
