consumer, entry: a request is read and routed by limits of one configuration

Cause: the limits that a request is read by were those of the table at that moment, or defaults without one, and its routes those of the table later on: after the wait of an instance that starts, or after a body that takes long. Limits that were acknowledged were not obeyed in between: 413, which clients take as final, for what is allowed, and sent on what is forbidden. Change: a request is read after the wait for a configuration, and its size is checked once more by the table that routes it. Without a configuration the 503 comes before the body is read. The wait still counts for the time limit.

--- a/rockbarrow/entry/api.go
+++ b/rockbarrow/entry/api.go
@@ -27,7 +27,9 @@
 	// Path is the path component of Target. Routing uses it.
 	Path string
 	Body []byte
-	// Arrived is when the request was read. ClientTimeout is how long the client waits
+	// HeaderBytes is the size of the request line and the headers as they were read.
+	HeaderBytes int
+	// Arrived is when the request was read, less the wait for a configuration. ClientTimeout is how long the client waits
 	// from then on, zero if unknown.
 	Arrived       time.Time
 	ClientTimeout time.Duration
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -21,7 +21,6 @@
 	"rockbarrow.dev/rockbarrow/stores"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbarrow/watch"
-	"rockbarrow.dev/schema/fleetpb"
 )
 
 const (
@@ -188,23 +187,17 @@
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
-// Limits returns the limits for clients, or nil before a configuration is loaded.
-func (e *Entry) Limits() *fleetpb.Limits {
-	t := e.table.Load()
-	if t == nil {
-		return nil
-	}
-	return t.Limits()
-}
-
-// Serve handles a request and writes its response to w.
+// Serve handles a request and writes its response to w. The request is read after [Entry.AwaitInitialized].
 func (e *Entry) Serve(ctx context.Context, req *Request, w ResponseWriter) Outcome {
 	e.inFlight.Add(1)
 	defer e.inFlight.Add(-1)
-	e.awaitInitialized(ctx)
+	e.awaitInitialized(ctx, req.Arrived)
 	t, f := e.table.Load(), e.fleet.Load()
 	if t == nil || f == nil {
-		return e.finish(&exchange{entry: e, request: req}, Rejected{Status: http.StatusServiceUnavailable, RetryAfter: shortRetryAfter, Reason: "this instance has not learned what to serve yet"})
+		return e.finish(&exchange{entry: e, request: req}, notInitialized)
+	}
+	if o := checkSize(t, req); o != nil {
+		return e.finish(&exchange{entry: e, request: req, table: t}, o)
 	}
 	route, ok := t.Match(req.Host, req.Path)
 	if !ok {
@@ -248,6 +241,9 @@
 	initPollInterval = 20 * time.Millisecond
 )
 
+// notInitialized is the refusal of an instance that has no configuration or no list.
+var notInitialized = Rejected{Status: http.StatusServiceUnavailable, RetryAfter: shortRetryAfter, Reason: "this instance has not learned what to serve yet"}
+
 // isInitialized reports whether a configuration and a list are loaded, and its keys, if any,
 // were confirmed.
 func (e *Entry) isInitialized() bool {
@@ -255,9 +251,19 @@
 	return t != nil && e.fleet.Load() != nil && !(t.CustomerCount() > 0 && e.Lease.Unconfirmed())
 }
 
-// awaitInitialized waits until isInitialized or initTimeout has passed.
-func (e *Entry) awaitInitialized(ctx context.Context) {
-	for end := time.Now().Add(initTimeout); !e.isInitialized(); {
+// AwaitInitialized waits for an instance that has just started, initTimeout at most, and returns a refusal if no configuration is in
+// force then. A request is read after it, since the configuration has the limits of requests.
+func (e *Entry) AwaitInitialized(ctx context.Context) *Rejected {
+	e.awaitInitialized(ctx, time.Now())
+	if e.table.Load() == nil {
+		return &notInitialized
+	}
+	return nil
+}
+
+// awaitInitialized waits until isInitialized or initTimeout after start.
+func (e *Entry) awaitInitialized(ctx context.Context, start time.Time) {
+	for end := start.Add(initTimeout); !e.isInitialized(); {
 		if !wait.For(ctx, initPollInterval) || time.Now().After(end) {
 			return
 		}
