soak: versions change the limit of bodies

Cause: all versions of the soak had one limit of bodies, the default, so that no run could tell whose limit is obeyed. Change: every second version changes it, from 64 KB to 1 MB and back; probes with bodies of 100 KB must get 413 or an answer as a version says that may be in force. Versions sent late for an old number carry limits of one byte.

--- a/rockbench/soak/behaviour.go
+++ b/rockbench/soak/behaviour.go
@@ -16,6 +16,8 @@
 	services []string
 	// slow is true if these answer after slowService only, and limited if the time limit is shorter than that.
 	slow, limited bool
+	// tight is true if requests have bodies larger than the limit.
+	tight bool
 	// contested is true if one of two configurations of the version has the path, and the other has not.
 	contested bool
 }
@@ -38,7 +40,7 @@
 // tells reports whether an answer tells anything of the version in force: others are due to faults.
 func (a answer) tells() bool {
 	switch a.status {
-	case http.StatusOK, http.StatusNotFound:
+	case http.StatusOK, http.StatusNotFound, http.StatusRequestEntityTooLarge:
 		return true
 	case http.StatusGatewayTimeout:
 		return a.took < slowService
@@ -52,11 +54,13 @@
 	switch a.status {
 	case http.StatusNotFound:
 		return !routed || b.contested
+	case http.StatusRequestEntityTooLarge:
+		return routed && b.tight
 	case http.StatusGatewayTimeout:
 		// Only endpoints of the slow service take longer than a time limit.
 		return routed && (b.limited || !b.slow)
 	}
-	return routed && !b.limited && slices.Contains(b.services, a.service)
+	return routed && !b.limited && !b.tight && slices.Contains(b.services, a.service)
 }
 
 // step is the behaviour of a path from a version on.
--- a/rockbench/soak/configurations.go
+++ b/rockbench/soak/configurations.go
@@ -73,6 +73,7 @@
 	}
 	d := f.document(version)
 	d.Routes = slices.DeleteFunc(d.Routes, func(x *fleetpb.Route) bool { return x.GetPrefix() != firstRoute && r.IntN(2) == 0 })
+	d.Limits.BodyBytes, d.Limits.HeaderBytes = 1, 1
 	for _, x := range d.Routes {
 		x.TimeoutMs, x.Shares = 1, []*fleetpb.Share{{Service: slowName, Weight: 1}}
 	}
@@ -123,10 +124,14 @@
 	for _, r := range work {
 		r.Keyed = f.customers != nil
 	}
+	limits := proto.CloneOf(f.limits)
+	if f.routes.tight {
+		limits.BodyBytes = tightBytes
+	}
 	return &fleetpb.Document{
 		Version:   version,
 		Customers: f.customers.document(),
-		Limits:    proto.CloneOf(f.limits),
+		Limits:    limits,
 		Services: append(f.routes.services(),
 			&fleetpb.Service{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
 			&fleetpb.Service{Name: "tool", MaxConnections: 300},
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -115,7 +115,7 @@
 	f := &fleet{
 		phases: map[*standin.Endpoint]phase{},
 		dir:    cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
-		limits: &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20},
+		limits: &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: wideBytes},
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))}, sides: &sides{},
 	}
 	if cfg.Before == "" && !cfg.NoCustomers {
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbarrow/wait"
 )
 
@@ -27,6 +26,8 @@
 	enoughProbes, leastShare = 20, 4
 	// firstRoute is in all configurations.
 	firstRoute = "/first/"
+	// largePath is a path of the first route to which large bodies are sent.
+	largePath = firstRoute + "large/"
 )
 
 // prober sends requests to one entry instance while faults last. Each response must match a version that may be in force, given
@@ -82,7 +83,7 @@
 	}
 	sent = time.Now()
 	id := fmt.Sprintf("in-force-%s-%v-%d", p.entry.plan.Instance, p.slow, p.n)
-	status, service, err := standin.ProbeService(ctx, p.client, p.entry.plan.ConsumerAddress, host, path+"x", id)
+	status, service, err := probePath(ctx, p.client, p.entry, path, id)
 	if err != nil || ctx.Err() != nil {
 		status = 0
 	}
@@ -107,7 +108,7 @@
 	sent, a, free, same := p.ask(ctx, path)
 	h := &p.fleet.history
 	at, due := h.state(path), h.due(sent)
-	if len(at.last().services) > 0 && due >= at.last().version && free && a.status != 0 && !p.slow && !at.last().contested {
+	if len(at.last().services) > 0 && due >= at.last().version && free && a.status != 0 && !p.slow && !at.last().contested && !at.last().tight {
 		p.added.add(a.status)
 	}
 	if !a.tells() || !same {
--- a/rockbench/soak/routes.go
+++ b/rockbench/soak/routes.go
@@ -24,6 +24,8 @@
 	movedRoutes = 4
 	// slowRoutes is how many routes have a slow service, whose time limits change, one in limitEvery versions.
 	slowRoutes, limitEvery = 3, 2
+	// tightBytes and wideBytes are the limits of bodies, and largeBytes the size of those sent to largePath, which is between them.
+	tightBytes, largeBytes, wideBytes = 64 << 10, 100 << 10, 1 << 20
 	// sampledRoutes is how many routes of each kind are looked at in the end.
 	sampledRoutes = 10
 )
@@ -43,6 +45,9 @@
 	// shares holds those of routes that don't go to the tools, and limits the time limits of those with a slow service, in ms.
 	shares map[string][]*fleetpb.Share
 	limits map[string]uint32
+	// versions counts the changes. Bodies are limited to tightBytes if tight is true; no draw changes it, so that those of seeds stay.
+	versions int
+	tight    bool
 	// fresh are the services that came with a version.
 	fresh []string
 	// contested is the path that a configuration has and another one of its version has not, and contestants are those of the
@@ -86,6 +91,11 @@
 		x.limits[path] = shortLimit + longLimit - x.limits[path]
 		changes[path] = x.behaviour(path)
 	}
+	if x.versions%limitEvery == 0 {
+		x.tight = !x.tight
+		changes[largePath] = x.behaviour(largePath)
+	}
+	x.versions++
 	return changes
 }
 
@@ -119,6 +129,9 @@
 
 // behaviour returns that of a live route.
 func (x *routes) behaviour(path string) behaviour {
+	if path == largePath {
+		return behaviour{services: []string{toolService}, tight: x.tight}
+	}
 	if limit, ok := x.limits[path]; ok {
 		return behaviour{services: []string{slowName}, slow: true, limited: limit == shortLimit}
 	}
@@ -196,7 +209,7 @@
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, e := range f.entries {
 		live := append(f.routes.sample(f.routes.live), f.routes.live[len(f.routes.live)-1])
-		live = slices.AppendSeq(live, maps.Keys(f.routes.limits))
+		live = append(slices.AppendSeq(live, maps.Keys(f.routes.limits)), largePath)
 		for _, path := range append(live, f.routes.sample(f.routes.gone)...) {
 			f.awaitBehaviour(ctx, client, e, path)
 		}
@@ -206,13 +219,13 @@
 // awaitBehaviour asks for a path until the answer is of the newest configuration.
 func (f *fleet) awaitBehaviour(ctx context.Context, client *http.Client, e *instance, path string) {
 	want := behaviour{}
-	if slices.Contains(f.routes.live, path) || f.routes.limits[path] > 0 {
+	if path == largePath || slices.Contains(f.routes.live, path) || f.routes.limits[path] > 0 {
 		want = f.routes.behaviour(path)
 	}
 	last := "no answer"
 	for n := 0; ctx.Err() == nil; n++ {
 		sent := time.Now()
-		status, service, err := standin.ProbeService(ctx, client, e.plan.ConsumerAddress, host, path+"x", fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n))
+		status, service, err := probePath(ctx, client, e, path, fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n))
 		a := answer{status: status, service: service, took: time.Since(sent)}
 		switch {
 		case err != nil:
@@ -229,3 +242,13 @@
 	}
 	f.ledger.AddViolation("%s does not route by the newest configuration: %s, want %v, %s", e.plan.Instance, path, want, last)
 }
+
+// probePath sends a request for a path to an entry instance, with a large body for largePath, and returns the status and the service that
+// answered.
+func probePath(ctx context.Context, client *http.Client, e *instance, path, id string) (status int, service string, err error) {
+	size := len(id)
+	if path == largePath {
+		size = largeBytes
+	}
+	return standin.ProbeSized(ctx, client, e.plan.ConsumerAddress, host, path+"x", id, size)
+}
