--- a/rockbarrow/config/source_test.go
+++ b/rockbarrow/config/source_test.go
@@ -44,6 +44,13 @@
 // newTestSource returns the source of instance a2 in failure domain a. The control
 // instances are a1, b1 and c1.
 func newTestSource(t *testing.T, peers fakePeers) *Source {
+	t.Helper()
+	s, _ := newTestSourceAndTable(t, peers)
+	return s
+}
+
+// newTestSourceAndTable also returns the table of its peers.
+func newTestSourceAndTable(t *testing.T, peers fakePeers) (*Source, *roster.Table) {
 	t.Helper()
 	all := []roster.Peer{
 		roster.NewPeer("a1", "a", "", false, true), roster.NewPeer("a2", "a", "", false, false), roster.NewPeer("a3", "a", "", false, false),
@@ -60,7 +67,7 @@
 	if err := s.Start(nil, nil); err != nil {
 		t.Fatal(err)
 	}
-	return s
+	return s, table
 }
 
 func pullReply(version, appliedIndex, index uint64, isControl, learned bool) *peerpb.PullReply {
@@ -117,3 +124,35 @@
 		t.Fatal("learned from peers that have not learned the configuration")
 	}
 }
+
+// TestWhoIsCutOffConfirmsNothing guards against a configuration that counts as confirmed, so that calls are made by it that must not be
+// made by a stale one, while a majority of the control instances may have a newer one: the confirmation came from a control instance
+// without a majority, from a push, or from the lack of any peer to ask.
+func TestWhoIsCutOffConfirmsNothing(t *testing.T) {
+	tests := map[string]func(s *Source, table *roster.Table){
+		"a control instance alone": func(s *Source, _ *roster.Table) { (&pull{source: s, instance: "a1"}).run() },
+		"a push":                   func(s *Source, _ *roster.Table) { s.Push(pullReply(3, 4, 4, true, true)) },
+		"no peer": func(s *Source, table *roster.Table) {
+			for i := range 100 {
+				table.Handle(time.Unix(1001+int64(i), 0), roster.Tick{})
+			}
+			s.pullFromRandomPeer(t.Context())
+		},
+	}
+	for name, ask := range tests {
+		t.Run(name, func(t *testing.T) {
+			peers := fakePeers{"a1": pullReply(3, 4, 4, true, true), "b1": pullReply(3, 4, 4, true, true)}
+			s, table := newTestSourceAndTable(t, peers)
+			s.learn(t.Context())
+			if !s.Learned() {
+				t.Fatal("not learned from a majority")
+			}
+			delete(peers, "b1")
+			before := s.confirmedAt.Load()
+			ask(s, table)
+			if s.confirmedAt.Load() != before {
+				t.Error("the configuration is confirmed")
+			}
+		})
+	}
+}
