config, schema: only a majority of control instances confirms a configuration

Cause: in the own interface an instance took its configuration for confirmed when any control instance that had learned once replied, at any push, and when it knew of nobody to ask. A side that is cut off confirmed itself for ever, and calls with max_stale_seconds were made by what others had replaced. Replies pass on the age of the confirmation (confirmed_age_ms), so that instances of the own failure domain do, too. Earlier control instances pass on none: until they are upgraded, such calls get configuration_stale. Not measured at scale.

--- a/rockbarrow/config/learn.go
+++ b/rockbarrow/config/learn.go
@@ -16,6 +16,8 @@
 type pull struct {
 	source   *Source
 	instance string
+	// start is when the request was sent.
+	start time.Time
 	reply    *peerpb.PullReply
 	wait     *sync.WaitGroup
 }
@@ -28,14 +30,12 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	s := p.source
+	p.start = time.Now()
 	reply, err := s.Peers.Pull(ctx, p.instance, s.Snapshot().Version())
 	if err != nil {
 		return
 	}
 	p.reply = reply
-	if reply.GetControl() && reply.GetLearned() {
-		s.confirmedAt.Store(time.Now().UnixNano())
-	}
 	switch current := s.current.Load(); {
 	case reply.GetDocument() != nil:
 		s.Update(reply.GetDocument(), reply.GetFoldedIndex())
@@ -44,6 +44,20 @@
 		// of a new leader.
 		s.Update(current.snapshot.Document(), reply.GetFoldedIndex())
 	}
+	if reply.ConfirmedAgeMs != nil {
+		// The version is now at least the peer's.
+		s.confirm(p.start.Add(-time.Duration(reply.GetConfirmedAgeMs()) * time.Millisecond))
+	}
+}
+
+// confirm records that the active version was the newest at a time.
+func (s *Source) confirm(at time.Time) {
+	for {
+		old := s.confirmedAt.Load()
+		if at.UnixNano() <= old || s.confirmedAt.CompareAndSwap(old, at.UnixNano()) {
+			return
+		}
+	}
 }
 
 // pullFromRandomPeer pulls from a random control instance or peer of the own
@@ -56,15 +70,67 @@
 		}
 	}
 	if len(candidates) == 0 {
-		s.confirmedAt.Store(time.Now().UnixNano())
 		return
 	}
 	go (&pull{source: s, instance: candidates[rand.IntN(len(candidates))]}).run()
 }
 
+// refresh pulls from a peer, or on a control instance from all others, whose majority confirms the version.
+func (s *Source) refresh(ctx context.Context) {
+	if s.isControl() {
+		go s.pullFromControl()
+		return
+	}
+	s.pullFromRandomPeer(ctx)
+}
+
+// pullFromControl pulls from all other control instances.
+func (s *Source) pullFromControl() {
+	start := time.Now()
+	var wait sync.WaitGroup
+	var pulls []*pull
+	size := 0
+	for _, i := range s.View().Instances() {
+		if !i.Control() {
+			continue
+		}
+		size++
+		if i.Instance() == s.Instance {
+			continue
+		}
+		p := &pull{source: s, instance: i.Instance(), wait: &wait}
+		pulls = append(pulls, p)
+		wait.Add(1)
+		go p.run()
+	}
+	wait.Wait()
+	if votes, index := s.controlVotes(pulls); votes > size/2 && s.appliedAll(index) {
+		s.confirm(start)
+	}
+}
+
+// controlVotes returns the number of control instances that replied, including this one, and their newest journal index.
+func (s *Source) controlVotes(pulls []*pull) (votes int, index uint64) {
+	if s.isControl() {
+		votes, index = 1, s.voter.lastIndex()
+	}
+	for _, p := range pulls {
+		if p.reply.GetControl() {
+			votes++
+			index = max(index, p.reply.GetControlIndex())
+		}
+	}
+	return votes, index
+}
+
+// appliedAll reports whether the active version contains the control journal up to an index. A majority of the voters includes one whose
+// journal has every accepted command.
+func (s *Source) appliedAll(index uint64) bool { return index > 0 && s.current.Load().appliedIndex >= index }
+
 // learn pulls from all control instances and all peers of the own failure
 // domain, and decides whether the latest version is known.
 func (s *Source) learn(context.Context) {
+	start := time.Now()
 	var wait sync.WaitGroup
 	var pulls []*pull
 	controlSize, domainSize := 0, 0
@@ -85,42 +151,32 @@
 		go p.run()
 	}
 	wait.Wait()
-	s.evaluateReplies(pulls, controlSize, domainSize)
+	s.evaluateReplies(start, pulls, controlSize, domainSize)
 }
 
 // evaluateReplies sets learned if a majority of the control instances,
 // including this one, or of the own failure domain has replied and none of
-// them knows a newer state.
-func (s *Source) evaluateReplies(pulls []*pull, controlSize, domainSize int) {
-	controlVotes, domainVotes := 0, 0
-	index, version := uint64(0), uint64(0)
-	if s.isControl() {
-		controlVotes++
-		index = s.voter.lastIndex()
-	}
+// them knows a newer state. The requests were sent from start on.
+func (s *Source) evaluateReplies(start time.Time, pulls []*pull, controlSize, domainSize int) {
+	domainVotes, version := 0, uint64(0)
 	for _, p := range pulls {
 		r := p.reply
 		if r == nil {
 			continue
 		}
-		if r.GetControl() {
-			controlVotes++
-			index = max(index, r.GetControlIndex())
-		}
 		i, _ := s.View().Find(p.instance)
 		if i.Domain() == s.Domain && r.GetLearned() {
 			domainVotes++
 			version = max(version, r.GetVersion())
 		}
 	}
+	controlVotes, index := s.controlVotes(pulls)
 	current := s.current.Load()
 	switch {
 	case controlVotes > controlSize/2:
-		// A majority of the voters includes one whose journal has every accepted
-		// command.
-		if current.appliedIndex >= index && index > 0 {
+		if s.appliedAll(index) {
 			s.controlUnreachable.Store(false)
-			s.confirmedAt.Store(time.Now().UnixNano())
+			s.confirm(start)
 			s.learned.Store(true)
 		}
 	case domainVotes > domainSize/2:
--- a/rockbarrow/config/source.go
+++ b/rockbarrow/config/source.go
@@ -106,9 +106,9 @@
 	// controlUnreachable is set if the version was learned from the own failure
 	// domain only.
 	controlUnreachable atomic.Bool
-	// confirmedAt is when the version was last confirmed, in nanoseconds since
-	// 1970: by control instances, by a push from any peer, or because there was
-	// no peer to ask.
+	// confirmedAt is the newest time at which the version is known to have been
+	// the newest one that a majority of the control instances had, in nanoseconds
+	// since 1970.
 	confirmedAt atomic.Int64
 	round       atomic.Uint64
 	requests    atomic.Uint64
@@ -155,8 +155,9 @@
 // failure domain only.
 func (s *Source) ControlUnreachable() bool { return s.controlUnreachable.Load() }
 
-// Age returns the time since the version was last confirmed: by control
-// instances, by a push from any peer, or because there was no peer to ask.
+// Age returns the time since the version was last confirmed by a majority of
+// the control instances, asked by this instance or by the peer that it pulled
+// from.
 func (s *Source) Age() time.Duration {
 	at := s.confirmedAt.Load()
 	if at == 0 {
@@ -205,8 +206,13 @@
 
 // Pull replies to a peer that has the given version.
 func (s *Source) Pull(version uint64) *peerpb.PullReply {
+	// The age is read first: it must not be that of a version that comes after the one sent.
+	confirmed, age := s.confirmedAt.Load() > 0, s.Age()
 	current := s.current.Load()
 	out := &peerpb.PullReply{Version: current.snapshot.Version(), FoldedIndex: current.appliedIndex, Learned: s.learned.Load()}
+	if confirmed {
+		out.ConfirmedAgeMs = proto.Uint64(uint64(max(0, age.Milliseconds()+1)))
+	}
 	if out.GetVersion() > version {
 		out.Document = current.snapshot.Document()
 	}
@@ -222,7 +228,6 @@
 	if reply.GetDocument() != nil {
 		s.Update(reply.GetDocument(), reply.GetFoldedIndex())
 	}
-	s.confirmedAt.Store(time.Now().UnixNano())
 }
 
 // HandlePeerVersion pulls from a peer if its version is newer than the active
@@ -269,7 +274,7 @@
 		}
 		if now.Sub(lastPull) >= s.PullInterval {
 			lastPull = now
-			s.pullFromRandomPeer(ctx)
+			s.refresh(ctx)
 		}
 	}
 }
--- a/rockbarrow/config/source_test.go
+++ b/rockbarrow/config/source_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/sirupsen/logrus"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"rockbarrow.dev/rockbarrow/control"
 	"rockbarrow.dev/rockbarrow/journal"
@@ -156,3 +157,48 @@
 		})
 	}
 }
+
+// TestAPeerPassesOnTheAgeOfItsConfirmation guards against a configuration that counts as newer than the majority that confirmed it.
+func TestAPeerPassesOnTheAgeOfItsConfirmation(t *testing.T) {
+	const age = 5 * time.Second
+	reply := pullReply(3, 4, 0, false, true)
+	reply.ConfirmedAgeMs = proto.Uint64(uint64(age.Milliseconds()))
+	s := newTestSource(t, fakePeers{"a3": reply})
+	before := time.Now()
+	(&pull{source: s, instance: "a3"}).run()
+	confirmed := time.Unix(0, s.confirmedAt.Load())
+	if confirmed.Before(before.Add(-age)) || confirmed.After(time.Now().Add(-age)) {
+		t.Fatalf("confirmed %v before now, want %v", time.Since(confirmed), age)
+	}
+	if got := s.Pull(3).GetConfirmedAgeMs(); got < uint64(age.Milliseconds()) {
+		t.Errorf("passed on as %d ms", got)
+	}
+	s.confirm(before)
+	(&pull{source: s, instance: "a3"}).run()
+	if s.confirmedAt.Load() != before.UnixNano() {
+		t.Error("an older confirmation replaces a newer one")
+	}
+}
+
+// TestAControlInstanceIsConfirmedByAMajority guards against control instances that confirm to others what a majority has not confirmed
+// to them, or never confirm.
+func TestAControlInstanceIsConfirmedByAMajority(t *testing.T) {
+	tests := map[string]struct {
+		peers fakePeers
+		want  bool
+	}{
+		"a majority":                 {fakePeers{"b1": pullReply(3, 4, 4, true, true)}, true},
+		"one that has a newer entry": {fakePeers{"b1": pullReply(3, 4, 5, true, true)}, false},
+		"alone":                      {fakePeers{"a2": pullReply(3, 4, 4, false, true), "a3": pullReply(3, 4, 4, false, true)}, false},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := newTestSource(t, test.peers)
+			s.Instance = "a1"
+			s.pullFromControl()
+			if got := s.Pull(3).ConfirmedAgeMs != nil; got != test.want {
+				t.Errorf("confirmed: %v, want %v", got, test.want)
+			}
+		})
+	}
+}
