--- a/rockbarrow/config/learn.go
+++ b/rockbarrow/config/learn.go
@@ -18,8 +18,8 @@
 	instance string
 	// start is when the request was sent.
 	start time.Time
-	reply    *peerpb.PullReply
-	wait     *sync.WaitGroup
+	reply *peerpb.PullReply
+	wait  *sync.WaitGroup
 }
 
 // run sends the request and activates the returned version if it is newer.
@@ -125,7 +125,9 @@
 
 // appliedAll reports whether the active version contains the control journal up to an index. A majority of the voters includes one whose
 // journal has every accepted command.
-func (s *Source) appliedAll(index uint64) bool { return index > 0 && s.current.Load().appliedIndex >= index }
+func (s *Source) appliedAll(index uint64) bool {
+	return index > 0 && s.current.Load().appliedIndex >= index
+}
 
 // learn pulls from all control instances and all peers of the own failure
 // domain, and decides whether the latest version is known.
