config, entry: rounds of pulls and the default limit of bodies are written once

Cause: read again as a whole, the change had two copies of the loop that pulls from several peers, and the default of maxBodyBytes stood in limits.go and, for turns, in oversized.go. Change: pullFrom serves learning and confirming; turns take the limit from limitsOf; the package comment tells what confirms a configuration. Result: no behaviour changes; packages config and entry pass with -race.

--- a/rockbarrow/config/learn.go
+++ b/rockbarrow/config/learn.go
@@ -19,14 +19,10 @@
 	// start is when the request was sent.
 	start time.Time
 	reply *peerpb.PullReply
-	wait  *sync.WaitGroup
 }
 
 // run sends the request and activates the returned version if it is newer.
 func (p *pull) run() {
-	if p.wait != nil {
-		defer p.wait.Done()
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	s := p.source
@@ -87,28 +83,34 @@
 // pullFromControl pulls from all other control instances.
 func (s *Source) pullFromControl() {
 	start := time.Now()
-	var wait sync.WaitGroup
-	var pulls []*pull
-	size := 0
+	var control []string
 	for _, i := range s.View().Instances() {
-		if !i.Control() {
-			continue
-		}
-		size++
-		if i.Instance() == s.Instance {
-			continue
+		if i.Control() {
+			control = append(control, i.Instance())
 		}
-		p := &pull{source: s, instance: i.Instance(), wait: &wait}
-		pulls = append(pulls, p)
-		wait.Add(1)
-		go p.run()
 	}
-	wait.Wait()
+	pulls, size := s.pullFrom(control), len(control)
 	if votes, index := s.controlVotes(pulls); votes > size/2 && s.appliedAll(index) {
 		s.confirm(start)
 	}
 }
 
+// pullFrom pulls from some instances without this one, and returns once all have replied or failed.
+func (s *Source) pullFrom(instances []string) []*pull {
+	var wait sync.WaitGroup
+	var pulls []*pull
+	for _, i := range instances {
+		if i != s.Instance {
+			pulls = append(pulls, &pull{source: s, instance: i})
+		}
+	}
+	for _, p := range pulls {
+		wait.Go(p.run)
+	}
+	wait.Wait()
+	return pulls
+}
+
 // controlVotes returns the number of control instances that replied, including this one, and their newest journal index.
 func (s *Source) controlVotes(pulls []*pull) (votes int, index uint64) {
 	if s.isControl() {
@@ -133,8 +135,7 @@
 // domain, and decides whether the latest version is known.
 func (s *Source) learn(context.Context) {
 	start := time.Now()
-	var wait sync.WaitGroup
-	var pulls []*pull
+	var instances []string
 	controlSize, domainSize := 0, 0
 	for _, i := range s.View().Instances() {
 		sameDomain := i.Domain() == s.Domain
@@ -144,16 +145,11 @@
 		if i.Control() {
 			controlSize++
 		}
-		if i.Instance() == s.Instance || !sameDomain && !i.Control() {
-			continue
+		if sameDomain || i.Control() {
+			instances = append(instances, i.Instance())
 		}
-		p := &pull{source: s, instance: i.Instance(), wait: &wait}
-		pulls = append(pulls, p)
-		wait.Add(1)
-		go p.run()
 	}
-	wait.Wait()
-	s.evaluateReplies(start, pulls, controlSize, domainSize)
+	s.evaluateReplies(start, s.pullFrom(instances), controlSize, domainSize)
 }
 
 // evaluateReplies sets learned if a majority of the control instances,
--- a/rockbarrow/config/source.go
+++ b/rockbarrow/config/source.go
@@ -14,6 +14,12 @@
 // the instance has learned the latest version known to a majority of the control
 // instances or, if these are unreachable, to a majority of its failure domain.
 //
+// # Confirmation
+//
+// Control instances regularly pull from all others. A majority of them, none of
+// which has a newer journal entry, confirms the version as of the time of the
+// request. Replies to other instances pass on the age of that confirmation.
+//
 // # Control instances
 //
 // On a control instance the source also holds a replica of the control journal.
--- a/rockbarrow/entry/oversized.go
+++ b/rockbarrow/entry/oversized.go
@@ -51,8 +51,6 @@
 	// configured limit of request bodies.
 	minBodyLimit    = 16 << 20
 	bodyLimitFactor = 4
-	// defaultTurnLimit bounds the output of a turn in bytes if the configuration does not limit bodies.
-	defaultTurnLimit = 1 << 20
 	// freeStreamBytes is what a stream may hold in buffers without a charge to the memory budget.
 	freeStreamBytes = 64 << 10
 )
@@ -63,12 +61,7 @@
 }
 
 // turnLimit returns the limit of a turn's output in bytes. The output becomes a part of the next turn's body.
-func (x *exchange) turnLimit() int {
-	if n := x.table.Limits().GetBodyBytes(); n > 0 {
-		return int(n)
-	}
-	return defaultTurnLimit
-}
+func (x *exchange) turnLimit() int { return int(limitsOf(x.table).BodyBytes) }
 
 // limitBody makes reads beyond the limit of the body return an [OversizedError]. A body that is known to be too long is
 // one at once.
--- a/rockbarrow/entry/oversized_test.go
+++ b/rockbarrow/entry/oversized_test.go
@@ -77,7 +77,7 @@
 			{"comments", "plain", respondEndlessly(200, event(1), ": c\n\n"), PartEvent, 2 * maxEventBytes},
 			{"events that were sent before", "plain", respondEndlessly(200, event(7), event(7)), PartEvent, 0},
 			{"events", "plain", respondEndlessly(200, "", "data: "+long+"\n\n"), PartBody, minBodyLimit},
-			{"events of a turn that is stored", "k", respondEndlessly(200, "", "data: "+long+"\n\n"), PartTurn, 2 * defaultTurnLimit},
+			{"events of a turn that is stored", "k", respondEndlessly(200, "", "data: "+long+"\n\n"), PartTurn, 2 * defaultBodyBytes},
 			{"a body", "once", respondEndlessly(200, "", "b"), PartBody, minBodyLimit},
 			{"an error response", "once", respondEndlessly(500, "", "b"), PartBody, minBodyLimit},
 		} {
@@ -145,7 +145,7 @@
 		// Keep-alives between two events have the size of one event.
 		quiet := event(1) + strings.Repeat(":\n\n", maxEventBytes/4) + event(2)
 		many := strings.Repeat("data: d\n\n", 500_000)
-		turn := strings.Repeat("data: "+strings.Repeat("d", 1023)+"\n\n", defaultTurnLimit/1024)
+		turn := strings.Repeat("data: "+strings.Repeat("d", 1023)+"\n\n", defaultBodyBytes/1024)
 		for i, test := range []struct {
 			path      string
 			responses []func(EndpointRequest) (*Response, error)
