stores: TestLargeRepliesAreNotStreamed holds the stream until its first call is sent

Cause: a fault of the test. The first call opens the stream in the background and is sent on it if it is open by then, which is allowed; the test expected that it never is. Change: the store confirms the stream only after the first call, so that both the unary call before and the streamed one after are checked, always.

--- a/rockbarrow/stores/reopen_test.go
+++ b/rockbarrow/stores/reopen_test.go
@@ -28,6 +28,8 @@
 	// old is true if the store is of a version without streams, silent if it does not
 	// answer.
 	old, silent bool
+	// unconfirmed, unless nil, delays the confirmation of streams until it is closed.
+	unconfirmed chan struct{}
 	// broken ends one stream with an error for each element.
 	broken           chan struct{}
 	reservations     int
@@ -53,6 +55,9 @@
 	if s.old {
 		return s.UnimplementedStoreServer.Calls(stream)
 	}
+	if s.unconfirmed != nil {
+		<-s.unconfirmed
+	}
 	ended := make(chan error, 1)
 	go func() { ended <- (&store.Store{}).ServeCalls(stream, s) }()
 	select {
@@ -181,10 +186,10 @@
 // replies delay those to other calls on the stream.
 func TestLargeRepliesAreNotStreamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fake := &countingStore{}
+		fake := &countingStore{unconfirmed: make(chan struct{})}
 		c, m := serveInMemory(t, fake)
 		c.Watch.UpdateState(&fleetpb.State{Number: 1, View: &fleetpb.View{Epoch: 1, Copies: 1, Members: []*fleetpb.Member{m}}})
-		// The stream is opened by the first call.
+		// The first call opens the stream, which is confirmed after it: otherwise the call itself may be sent on it.
 		steps := []struct {
 			program      string
 			reservations int
@@ -202,6 +207,10 @@
 			if streamed := fake.streamed.Load() > before; streamed != step.streamed {
 				t.Errorf("call %d: on the stream: %v, want %v", i, streamed, step.streamed)
 			}
+			if i == 0 {
+				close(fake.unconfirmed)
+				synctest.Wait()
+			}
 		}
 	})
 }
