soak: TestConnectionsObeyTheConfiguredTimeouts opens its connections in turn

Cause: a fault of the test. It opened two connections at once and took them in the order of a map: with the slow head first (one time in eight), the other had sent nothing for as long, and was closed by the header timeout of 500 ms too, as it must be. Change: each connection is opened when it is used. Bounds are unchanged.

--- a/rockbench/soak/obeyed_test.go
+++ b/rockbench/soak/obeyed_test.go
@@ -127,7 +127,9 @@
 	e := f.entries[0]
 
 	deploy(short, short)
-	for name, c := range map[string]*net.TCPConn{"idle": connect(t, e), "a head that goes on slowly": connect(t, e)} {
+	// One after the other: the time of a connection's first head runs from its start.
+	for _, name := range []string{"idle", "a head that goes on slowly"} {
+		c := connect(t, e)
 		if name == "idle" {
 			if status, err := standin.ProbeSlowly(c, host, firstRoute+"x", name, 0); status != http.StatusOK {
 				t.Fatalf("%s: status %d, %v", name, status, err)
