--- a/rockbench/soak/obeyed_test.go
+++ b/rockbench/soak/obeyed_test.go
@@ -52,12 +52,18 @@
 	ctx, cancel := context.WithTimeout(t.Context(), applyWithin)
 	defer cancel()
 	for _, e := range f.entries {
-		status, err := 0, error(nil)
-		for n := 0; status != http.StatusOK; n++ {
+		for n, answered := 0, "nothing"; ; n++ {
 			if !wait.For(ctx, 10*time.Millisecond) {
-				t.Fatalf("%s: %s has status %d %v after version %d was acknowledged, %v", e.plan.Instance, path, status, applyWithin, f.version, err)
+				t.Fatalf("%s: %s has last answered %s, %v after version %d was acknowledged", path, e.plan.Instance, answered, applyWithin, f.version)
+			}
+			status, err := standin.Probe(ctx, client, e.plan.ConsumerAddress, host, path+"x", fmt.Sprintf("served%s%s%d-%d", e.plan.Instance, path, f.version, n))
+			if status == http.StatusOK {
+				break
+			}
+			// A probe that is cut off by the end of the time says nothing.
+			if ctx.Err() == nil {
+				answered = fmt.Sprintf("%d %v", status, err)
 			}
-			status, err = standin.Probe(ctx, client, e.plan.ConsumerAddress, host, path+"x", fmt.Sprintf("served%s%s%d-%d", e.plan.Instance, path, f.version, n))
 		}
 	}
 }
