entry: a failing test of retries that are sent before an end is known

Cause: an ending endpoint may still accept a connection. The second probe comes 50 ms later, and the retry within the attempt does not wait for it, so that two ends are known to the entry instance alone. The test fails on this code: "0 of 1 retries were sent with the end before them known".

--- a/rockbarrow/entry/suspects_test.go
+++ b/rockbarrow/entry/suspects_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -266,3 +267,35 @@
 		})
 	}
 }
+
+// closingProber shows each endpoint as an ending process does: its listener accepts once more.
+type closingProber struct{ probed sync.Map }
+
+func (p *closingProber) Probe(_ context.Context, _ *configpb.Endpoint, i incarnation.ID, _ time.Time, _ int) ProbeResult {
+	if _, again := p.probed.LoadOrStore(i, true); again {
+		return ProbeRefused
+	}
+	return ProbeAccepted
+}
+
+// TestAnEndIsKnownBeforeTheRetry guards against a retry within an attempt that is sent while no control instance knows of the end
+// before it, since the ending endpoint still accepted a connection: both ends are lost with this instance.
+func TestAnEndIsKnownBeforeTheRetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		control := &fakeControl{}
+		sent, known := 0, 0
+		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){func(r EndpointRequest) (*Response, error) {
+			sent++
+			if control.registry.Len() > 0 {
+				known++
+			}
+			return slowReset(r)
+		}}}
+		e := newSuspectEntry(t, s, control)
+		e.Prober = &closingProber{}
+		serveAttempt(t, e, "/repeat/1", "1")
+		if sent > 1 && known != sent-1 {
+			t.Errorf("%d of %d retries were sent with the end before them known", known, sent-1)
+		}
+	})
+}
