--- a/review/kit2/cluster.go
+++ b/review/kit2/cluster.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	// memoryMB is the memory of a small entry instance.
+	// memoryMB is the memory of an entry instance on the sheet of the site spoc-rockbarrow.
 	memoryMB = 284
 	// restartDelay is the time after which the platform starts a process again that has ended.
 	restartDelay = 500 * time.Millisecond
