soak: failing tests of planned stops that lose requests

Three tests with real processes fail on this code, each run of them: of sixteen requests completed 1 to 7 s into a stop, nine are run by an endpoint and get no answer; all nine requests behind others get none; and four of six first requests on connections that were open get none.

--- a/rockbench/soak/configurations.go
+++ b/rockbench/soak/configurations.go
@@ -132,10 +132,10 @@
 		Version:   version,
 		Customers: f.customers.document(),
 		Limits:    limits,
-		Services: append(f.routes.services(),
+		Services: append(append(f.routes.services(), f.extraServices...),
 			&fleetpb.Service{Name: "model", MaxConnections: 300, TokensPerEvent: 3, Slots: 64, CacheTokens: 100_000},
 			&fleetpb.Service{Name: "tool", MaxConnections: 300},
 		),
-		Routes: append(f.routes.document(), work...),
+		Routes: slices.Concat(f.routes.document(), f.extraRoutes, work),
 	}
 }
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -89,6 +89,9 @@
 	limits      *fleetpb.Limits
 	routes      *routes
 	history     history
+	// extraServices and extraRoutes are in each configuration beside those that change.
+	extraServices []*fleetpb.Service
+	extraRoutes   []*fleetpb.Route
 	// customers are those of the configuration, nil if it has none.
 	customers *customers
 	// lives counts the endpoints made, so that each has an id of its own.
