entry: a stop begins only what can end, and answers the rest

Callers of a stopping instance lost their connections without an answer, after an endpoint had run their requests, also those that may not be repeated. A stop waited for requests until 0.7 s before the end of its grace period and cut what was left, but a request that became whole at any moment before was begun with the whole time limit of its route.

A stop has two moments now. Until load balancers have removed the instance it begins requests as before. Later ones begin only if their time limit ends before the stop does; others are refused at once as not run, for others to serve. The end of the stop limits what endpoints are told, attempts, waits in queues and the storing of turns, and an attempt that may not end before it is not begun. The log line of each request that ends meanwhile has the field "stopping".

--- a/rockbarrow/entry/admission.go
+++ b/rockbarrow/entry/admission.go
@@ -276,7 +276,7 @@
 
 // firstEventTimeout is how long after its arrival the client waits for the first event.
 func (x *exchange) firstEventTimeout() time.Duration {
-	total := x.deadline.Sub(x.request.Arrived)
+	total := x.endTime().Sub(x.request.Arrived)
 	if pauseMS := x.route.GetPauseMs(); pauseMS > 0 {
 		return min(total, time.Duration(pauseMS)*time.Millisecond)
 	}
--- a/rockbarrow/entry/customer_test.go
+++ b/rockbarrow/entry/customer_test.go
@@ -262,7 +262,7 @@
 // TestLimiterArrivalHasCustomer guards against a limiter that can't share slots fairly among customers.
 func TestLimiterArrivalHasCustomer(t *testing.T) {
 	x := &exchange{
-		request: newRequest("/turn/1"), route: &fleetpb.Route{Priority: 1}, customer: &fleetpb.Customer{Name: "a", Priority: 2, RequestsPerSecond: 7},
+		entry: &Entry{}, request: newRequest("/turn/1"), route: &fleetpb.Route{Priority: 1}, customer: &fleetpb.Customer{Name: "a", Priority: 2, RequestsPerSecond: 7},
 	}
 	if got := x.arrival(); got.Customer != "a" || got.Weight != 7 || got.Priority != x.priority() || got.Priority == 1 {
 		t.Errorf("%+v", got)
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -73,11 +73,14 @@
 	// tableUpdates and listUpdates are handled by separate goroutines, so that a slow
 	// configuration does not delay a list.
 	tableUpdates, listUpdates *signal
-	stopped                   atomic.Bool
-	domains                   domainHealth
-	sessions                  sessionEndpoints
-	executions                execution.Tracker
-	silent                    silentEndpoints
+	// stop is the planned stop in progress, or nil. requestsEnded ends with it, by endRequests.
+	stop          atomic.Pointer[Stop]
+	requestsEnded context.Context
+	endRequests   context.CancelFunc
+	domains       domainHealth
+	sessions      sessionEndpoints
+	executions    execution.Tracker
+	silent        silentEndpoints
 	// suspects is this instance's copy of what control instances know.
 	suspects quarantine.Registry
 	// endsMu is held while the participants of an end are claimed and reported.
@@ -100,6 +103,7 @@
 // Init prepares the entry for NotifyChanged. It must be called before the watch client runs.
 func (e *Entry) Init() {
 	e.tableUpdates, e.listUpdates = newSignal(), newSignal()
+	e.requestsEnded, e.endRequests = context.WithCancel(context.Background())
 	e.reports.init()
 	e.suspects.Follower = true
 }
@@ -136,7 +140,7 @@
 // CanServe reports whether this instance can serve requests. If not, the string is the reason.
 func (e *Entry) CanServe() (bool, string) {
 	switch {
-	case e.stopped.Load():
+	case e.stop.Load() != nil:
 		return false, "stopping"
 	case e.table.Load() == nil:
 		return false, "no configuration is loaded"
@@ -181,9 +185,6 @@
 	return max(minRetryElsewhere, balancerRemovalTime-now.Sub(time.Unix(0, since)))
 }
 
-// SetStopping makes Ready and CanServe return false. Requests are still served.
-func (e *Entry) SetStopping() { e.stopped.Store(true) }
-
 // InFlight returns the number of requests being served.
 func (e *Entry) InFlight() int64 { return e.inFlight.Load() }
 
@@ -205,11 +206,11 @@
 	}
 	x := &exchange{entry: e, request: req, table: t, route: route, writer: w}
 	x.service = t.Service(routing.PickService(route, x.splitKey()))
-	x.deadline = req.Arrived.Add(time.Duration(route.GetTimeoutMs()) * time.Millisecond)
-	if req.ClientTimeout > 0 && req.Arrived.Add(req.ClientTimeout).Before(x.deadline) {
-		x.deadline = req.Arrived.Add(req.ClientTimeout)
+	x.deadline = req.Arrived.Add(requestTime(route.GetTimeoutMs(), req.ClientTimeout))
+	if o := x.checkStop(time.Now()); o != nil {
+		return e.finish(x, o)
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := x.withDeadline(ctx)
 	defer cancel()
 	x.handling = handlingOf(route, req)
 	x.events.dropOutput, x.events.maxOutput = !x.handling.history, x.turnLimit()
@@ -291,6 +292,9 @@
 		"reason": reason, "config_version": x.table.Version(), "list": x.listNumber, "list_age_ms": x.listAgeMS,
 		"took_ms": took.Milliseconds(), "own_ms": x.ownTime.Milliseconds(), "waited_ms": x.waitTime.Milliseconds(), "left_ms": r.TimeToFinish.Milliseconds(),
 	}
+	if e.stop.Load() != nil {
+		fields["stopping"] = true
+	}
 	x.logExecutions(fields)
 	e.Log.WithFields(fields).Log(level, "request ended")
 	return o
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -126,7 +126,7 @@
 func (x *exchange) serve(ctx context.Context) Outcome {
 	if x.handling.outlivesClient() {
 		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), x.deadline)
+		ctx, cancel = x.withDeadline(context.WithoutCancel(ctx))
 		defer cancel()
 	}
 	if o := x.prepare(ctx); o != nil {
@@ -179,11 +179,21 @@
 // request, so that an unresponsive endpoint does not use it up. Streams have stall detection
 // instead.
 func (x *exchange) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
+	left := time.Until(x.endTime())
+	d := x.attemptTime(left)
+	if d == left {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, d)
+}
+
+// attemptTime returns the part of the time left that the next attempt may take.
+func (x *exchange) attemptTime(left time.Duration) time.Duration {
 	attemptsLeft := int(x.route.GetMaxAttempts()) - x.failedExecutions
 	if x.handling.streamed || !x.handling.repeatable || attemptsLeft < 2 {
-		return context.WithCancel(ctx)
+		return left
 	}
-	return context.WithTimeout(ctx, time.Until(x.deadline)/time.Duration(attemptsLeft))
+	return left / time.Duration(attemptsLeft)
 }
 
 // choose selects an endpoint and occupies a slot there.
@@ -210,6 +220,9 @@
 	if !x.entry.hasValidKey(x, time.Now()) {
 		return nil, nil, &NotExecutedError{Endpoint: "none", Reason: "the key could not be confirmed lately", Busy: true}
 	}
+	if !x.mayBeginAttempt() {
+		return nil, nil, &NotExecutedError{Endpoint: "none", Reason: "the instance stops before an execution could end", Busy: true}
+	}
 	choice, ok := x.choose()
 	if !ok {
 		return nil, nil, &NotExecutedError{Endpoint: "none", Reason: "no endpoint has room", Busy: true}
@@ -229,7 +242,7 @@
 	x.progressAt = x.sentAt
 	x.beginExecution(x.sentAt)
 	resp, err := x.entry.Sender.Send(attemptCtx, EndpointRequest{
-		Request: x.request, Body: x.body, Endpoint: p.Config(), Incarnation: x.endpoint, Deadline: x.deadline,
+		Request: x.request, Body: x.body, Endpoint: p.Config(), Incarnation: x.endpoint, Deadline: x.endTime(),
 		Priority: x.endpointPriority(), MaxConnections: x.connectionLimit(),
 		Stream: x.handling.streamed, ResumeAfter: x.events.lastID,
 		Customer: x.customer.GetName(), StripKey: x.table.CustomerCount() > 0 || x.route.GetKeyed(),
@@ -328,5 +341,5 @@
 // canRetry reports whether a request that may have been executed may be sent again.
 func (x *exchange) canRetry() bool {
 	allowed := x.handling.resumable || x.handling.repeatable && !x.streamStarted
-	return allowed && x.failedExecutions < int(x.route.GetMaxAttempts()) && x.dispatches < maxDispatches
+	return allowed && x.failedExecutions < int(x.route.GetMaxAttempts()) && x.dispatches < maxDispatches && x.mayBeginAttempt()
 }
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -86,7 +86,7 @@
 
 // canFailOver reports whether the request may be repeated after an error response.
 func (x *exchange) canFailOver() bool {
-	return x.handling.repeatable && x.failedExecutions+1 < int(x.route.GetMaxAttempts()) && x.dispatches < maxDispatches
+	return x.handling.repeatable && x.failedExecutions+1 < int(x.route.GetMaxAttempts()) && x.dispatches < maxDispatches && x.mayBeginAttempt()
 }
 
 // forwardEvents forwards each event once it is complete, so that another endpoint can resume
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -158,7 +158,7 @@
 // are of an earlier version, it is sent like other requests.
 func (x *exchange) ask(ctx context.Context, p *placement.Endpoint) quarantine.Decision {
 	now, keys, e := time.Now(), x.Keys(), x.entry
-	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: x.asker, Insist: x.occupied >= maxOccupied, Until: x.deadline}
+	q := quarantine.Question{Keys: keys, Endpoint: p.Life(), Asker: x.asker, Insist: x.occupied >= maxOccupied, Until: x.endTime()}
 	reply, err := e.SuspectControl.RequestTrial(ctx, &fleetpb.TrialRequest{
 		Keys: keys.Proto(), Service: x.service.GetName(), Endpoint: q.Endpoint.EndpointID, BornMs: q.Endpoint.StartMS,
 		Asker: q.Asker, UntilMs: uint64(max(0, q.Until.Sub(now).Milliseconds())), Known: e.suspects.Of(now, keys), Insist: q.Insist,
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -154,7 +154,7 @@
 }
 
 // settleDeadline returns when settling a turn is given up. A client may set an earlier deadline than the route, which must not
-// prevent it.
+// prevent it. A stop of the instance does.
 func (x *exchange) settleDeadline(now time.Time) time.Time {
 	limit := x.request.Arrived.Add(time.Duration(x.route.GetTimeoutMs())*time.Millisecond + maxOverrun)
 	least := now.Add(minSettleTimeout)
@@ -162,7 +162,10 @@
 		least = limit
 	}
 	if least.Before(x.deadline) {
-		return x.deadline
+		least = x.deadline
+	}
+	if s := x.entry.stop.Load(); s != nil && s.End.Add(stopSettleTime).Before(least) {
+		return s.End.Add(stopSettleTime)
 	}
 	return least
 }
--- a/rockbarrow/entry/turn_test.go
+++ b/rockbarrow/entry/turn_test.go
@@ -26,6 +26,7 @@
 		{"the client's deadline and the limit are near", limit - 100*time.Millisecond, limit - 110*time.Millisecond, limit + maxOverrun},
 	} {
 		x := &exchange{
+			entry:   &Entry{},
 			request: &Request{Arrived: arrived}, route: &fleetpb.Route{TimeoutMs: uint32(limit.Milliseconds())}, deadline: arrived.Add(test.deadline),
 		}
 		if got := x.settleDeadline(arrived.Add(test.done)).Sub(arrived); got != test.want {
