entry: a stop gives up no attempt for one that it refuses

Found by the review of the planned stop, each shown by a test that failed:

A stream whose endpoint paused for a second was cancelled, to be resumed elsewhere, and the resumption refused: clients lost it 3 s before the end of the stop (TestAStopKeepsAStreamThatPauses). An attempt of a repeatable request was given half of the time that is left, and the retry then refused: 502 450 ms before the end (TestAStopKeepsAnAttemptWithoutARetry). Both ask the same question at the same moment now, mayBeginAttempt, and it counts to the route's objective for what may be repeated: an attempt that takes longer ends with an honest 502 or 504. The wait for a configuration outlasted the process (TestAStopDoesNotWaitForAConfiguration); a stop ends it.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -264,7 +264,7 @@
 
 // awaitInitialized waits until isInitialized or initTimeout after start.
 func (e *Entry) awaitInitialized(ctx context.Context, start time.Time) {
-	for end := start.Add(initTimeout); !e.isInitialized(); {
+	for end := start.Add(initTimeout); !e.isInitialized() && e.stop.Load() == nil; {
 		if !wait.For(ctx, initPollInterval) || time.Now().After(end) {
 			return
 		}
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -179,17 +179,18 @@
 // request, so that an unresponsive endpoint does not use it up. Streams have stall detection
 // instead.
 func (x *exchange) withAttemptTimeout(ctx context.Context) (context.Context, context.CancelFunc) {
-	left := time.Until(x.endTime())
-	d := x.attemptTime(left)
-	if d == left {
+	now := time.Now()
+	left := x.endTime().Sub(now)
+	d := x.attemptTime(left, x.failedExecutions)
+	if d == left || !x.mayBeginAttemptAt(now.Add(d), x.failedExecutions+1) {
 		return context.WithCancel(ctx)
 	}
 	return context.WithTimeout(ctx, d)
 }
 
-// attemptTime returns the part of the time left that the next attempt may take.
-func (x *exchange) attemptTime(left time.Duration) time.Duration {
-	attemptsLeft := int(x.route.GetMaxAttempts()) - x.failedExecutions
+// attemptTime returns the part of the time left that the next attempt may take after some failed executions.
+func (x *exchange) attemptTime(left time.Duration, failedExecutions int) time.Duration {
+	attemptsLeft := int(x.route.GetMaxAttempts()) - failedExecutions
 	if x.handling.streamed || !x.handling.repeatable || attemptsLeft < 2 {
 		return left
 	}
--- a/rockbarrow/entry/stalls.go
+++ b/rockbarrow/entry/stalls.go
@@ -27,8 +27,9 @@
 // another endpoint can resume the stream.
 type stallDetector struct {
 	domains *domainHealth
-	// canResume is true if another endpoint can resume the stream.
+	// canResume is true if another endpoint can resume the stream, and mayResume reports whether it may still begin.
 	canResume bool
+	mayResume func() bool
 	cancel    func()
 
 	mu    sync.Mutex
@@ -47,7 +48,7 @@
 func (x *exchange) watchStalls(cancel func()) (*stallDetector, func()) {
 	d := &stallDetector{
 		domains: &x.entry.domains, cancel: cancel, lastProgress: time.Now(), streaming: x.streamStarted,
-		canResume: x.handling.resumable && x.failedExecutions+1 < int(x.route.GetMaxAttempts()),
+		canResume: x.handling.resumable && x.failedExecutions+1 < int(x.route.GetMaxAttempts()), mayResume: x.mayBeginAttempt,
 	}
 	if !x.handling.streamed && !x.handling.repeatable {
 		// The request can't be repeated, so it waits for a response until its deadline.
@@ -104,7 +105,7 @@
 }
 
 func (d *stallDetector) isStalled(pause time.Duration) bool {
-	if d.canResume && d.streaming && pause >= stallTimeout {
+	if d.canResume && d.streaming && pause >= stallTimeout && d.mayResume() {
 		return true
 	}
 	return pause >= unreachableStallTimeout && d.domains.isUnreachable(d.domain)
--- a/rockbarrow/entry/stalls_test.go
+++ b/rockbarrow/entry/stalls_test.go
@@ -86,8 +86,8 @@
 		{"no endpoint chosen", &stallDetector{domains: d}, time.Minute, false},
 		{"short pause in an unreachable domain", &stallDetector{domains: d, domain: "far", streaming: true}, unreachableStallTimeout - 1, false},
 		{"pause in an unreachable domain", &stallDetector{domains: d, domain: "far"}, unreachableStallTimeout, true},
-		{"queued at a reachable endpoint", &stallDetector{domains: d, domain: "near", canResume: true}, time.Minute, false},
-		{"resumable stream", &stallDetector{domains: d, domain: "near", canResume: true, streaming: true}, stallTimeout, true},
+		{"queued at a reachable endpoint", &stallDetector{domains: d, domain: "near", canResume: true, mayResume: func() bool { return true }}, time.Minute, false},
+		{"resumable stream", &stallDetector{domains: d, domain: "near", canResume: true, mayResume: func() bool { return true }, streaming: true}, stallTimeout, true},
 	}
 	for _, test := range tests {
 		if got := test.p.isStalled(test.pause); got != test.want {
@@ -106,7 +106,7 @@
 			detector *stallDetector
 			want     time.Duration
 		}{
-			{&stallDetector{domains: &domainHealth{}, domain: "near", canResume: true}, stallTimeout},
+			{&stallDetector{domains: &domainHealth{}, domain: "near", canResume: true, mayResume: func() bool { return true }}, stallTimeout},
 			{&stallDetector{domains: far, domain: "far"}, unreachableStallTimeout},
 		} {
 			d := test.detector
--- a/rockbarrow/entry/stop.go
+++ b/rockbarrow/entry/stop.go
@@ -85,14 +85,21 @@
 	return Rejected{Status: http.StatusServiceUnavailable, RetryAfter: stopRetryAfter, Reason: reason}
 }
 
-// mayBeginAttempt reports whether the instance runs for as long as a further attempt may take.
-func (x *exchange) mayBeginAttempt() bool {
+// mayBeginAttempt reports whether the instance runs for as long as the next attempt may need.
+func (x *exchange) mayBeginAttempt() bool { return x.mayBeginAttemptAt(time.Now(), x.failedExecutions) }
+
+// mayBeginAttemptAt is mayBeginAttempt for a later moment, when some executions will have failed.
+func (x *exchange) mayBeginAttemptAt(at time.Time, failedExecutions int) bool {
 	s := x.entry.stop.Load()
 	if s == nil {
 		return true
 	}
-	now := time.Now()
-	return s.admits(now, now.Add(x.attemptTime(x.deadline.Sub(now))))
+	d := x.attemptTime(x.deadline.Sub(at), failedExecutions)
+	if objective := time.Duration(x.route.GetObjectiveMs()) * time.Millisecond; x.handling.repeatable && objective > 0 {
+		// One that takes longer can be repeated elsewhere.
+		d = min(d, objective)
+	}
+	return s.admits(at, at.Add(d))
 }
 
 // endTime returns when the request is ended: at its deadline, or before with a stop.
