stores, entry: lines of requests name the stores that replied

The line "request ended" of a turn whose history is kept now names the stores that made it durable (stores) and the epoch under which they did (view); that of a 404 for an unknown turn those that do not have it, the view, whether it was changing (view_change), and which of them do not hold all records from before the view (incomplete). The names are known from the replies that the request waited for: no call and no line more.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -295,6 +295,7 @@
 	if e.stop.Load() != nil {
 		fields["stopping"] = true
 	}
+	x.logReplies(fields)
 	x.logExecutions(fields)
 	e.Log.WithFields(fields).Log(level, "request ended")
 	return o
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -53,6 +53,8 @@
 
 	// grant is the reservation at the stores, or nil.
 	grant *stores.Grant
+	// replies are those of the stores that acknowledged the turn, or that do not have the one that it continues.
+	replies stores.Replies
 	// body is the body that endpoints get.
 	body []byte
 	// events scans the event stream of the response, across all endpoints that produced it.
--- a/rockbarrow/entry/turn.go
+++ b/rockbarrow/entry/turn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/stores"
@@ -91,6 +92,7 @@
 	case errors.As(err, &over):
 		return nil, Rejected{Status: http.StatusPaymentRequired, Reason: err.Error()}
 	case errors.As(err, &unknown):
+		x.replies = unknown.Replies
 		return nil, Rejected{Status: http.StatusNotFound, Reason: err.Error()}
 	}
 	return nil, Rejected{Status: http.StatusServiceUnavailable, RetryAfter: longRetryAfter, Reason: err.Error()}
@@ -149,10 +151,25 @@
 	if err != nil {
 		return Aborted{Reason: "the turn was not stored: " + err.Error()}
 	}
+	x.replies = x.grant.StoredBy()
 	x.entry.sessions.record(x.request.Program, x.request.Session, x.endpoint, x.request.PromptTokens+x.spentTokens(true))
 	return Completed{}
 }
 
+// logReplies adds to the log fields of a request which stores acknowledged its turn, or which do not have the turn that it continues.
+func (x *exchange) logReplies(fields logrus.Fields) {
+	if x.replies.Epoch() == 0 {
+		return
+	}
+	fields["stores"], fields["view"] = x.replies.Stores(), x.replies.Epoch()
+	if x.replies.IsChanging() {
+		fields["view_change"] = true
+	}
+	if len(x.replies.Incomplete()) > 0 {
+		fields["incomplete"] = x.replies.Incomplete()
+	}
+}
+
 // settleDeadline returns when settling a turn is given up. A client may set an earlier deadline than the route, which must not
 // prevent it. A stop of the instance does.
 func (x *exchange) settleDeadline(now time.Time) time.Time {
--- a/rockbarrow/ledger/tracker.go
+++ b/rockbarrow/ledger/tracker.go
@@ -80,6 +80,17 @@
 	return out
 }
 
+// Incomplete returns the instance names of the stores that answered the call without holding all records from before the view.
+func (t *QuorumTracker) Incomplete() []string {
+	var out []string
+	for _, m := range t.Members() {
+		if t.acked[m.GetStorage()] && !t.complete[m.GetStorage()] {
+			out = append(out, m.GetInstance())
+		}
+	}
+	return out
+}
+
 // Refuse counts a store that refused or failed the call.
 func (t *QuorumTracker) Refuse(storage uint64) { t.refused[storage] = true }
 
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -75,8 +75,13 @@
 	// endpoint served the program's most recent settled turn, as reported by the store
 	// that replied last among those that named one; its id is empty if none did.
 	endpoint incarnation.ID
+	// storedBy are the replies that made the turn durable, empty until it is settled with its record.
+	storedBy Replies
 }
 
+// StoredBy returns the replies of the stores that acknowledged the turn's record, empty until [Client.Settle] has stored it.
+func (g *Grant) StoredBy() Replies { return g.storedBy }
+
 // History returns the preceding turns, oldest first.
 func (g *Grant) History() []*fleetpb.Turn { return g.history }
 
@@ -238,7 +243,7 @@
 func (s *backgroundSettlement) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := s.client.writeToQuorum(ctx, s.turn.Program, s.turn.settleRequest(s.spent, s.endpoint))
+	_, err := s.client.writeToQuorum(ctx, s.turn.Program, s.turn.settleRequest(s.spent, s.endpoint))
 	if err != nil {
 		s.client.Watch.Log.WithError(err).WithField("request", s.turn.ID).
 			Warn("reservation was not settled and keeps counting with its maximum")
@@ -259,25 +264,33 @@
 func (c *Client) Settle(ctx context.Context, g *Grant, spent uint64, done *fleetpb.Turn) error {
 	t := g.turn
 	req := t.settleRequest(spent, incarnation.ID{EndpointID: done.GetEndpoint(), StartMS: done.GetBornMs()})
+	var storedBy Replies
 	if done != nil && done.GetHome() != t.Program {
 		// The chain belongs to an earlier program and is kept by its stores.
-		if err := c.writeToQuorum(ctx, done.GetHome(), &fleetpb.SettleRequest{Turn: done}); err != nil {
+		replies, err := c.writeToQuorum(ctx, done.GetHome(), &fleetpb.SettleRequest{Turn: done})
+		if err != nil {
 			return err
 		}
+		storedBy = replies
 	} else {
 		req.Turn = done
 	}
-	if err := c.writeToQuorum(ctx, t.Program, req); err != nil {
+	replies, err := c.writeToQuorum(ctx, t.Program, req)
+	if err != nil {
 		return err
 	}
+	if req.GetTurn() != nil {
+		storedBy = replies
+	}
+	g.storedBy = storedBy
 	if done != nil {
 		c.TurnCache.Add(done)
 	}
 	return nil
 }
 
-// writeToQuorum writes a record to a quorum of the program's group.
-func (c *Client) writeToQuorum(ctx context.Context, program string, req *fleetpb.SettleRequest) error {
+// writeToQuorum writes a record to a quorum of the program's group, and returns its replies.
+func (c *Client) writeToQuorum(ctx context.Context, program string, req *fleetpb.SettleRequest) (Replies, error) {
 	for {
 		view := c.Watch.State().GetView()
 		tracker := ledger.NewQuorumTracker(view, program)
@@ -287,10 +300,10 @@
 			storeRequest[*fleetpb.SettleReply]{unary: op.unary, call: op.call, reply: op.reply},
 			func(*fleetpb.SettleReply) {})
 		if outcome == quorumReached {
-			return nil
+			return newReplies(view, tracker), nil
 		}
 		if outcome == aborted || !waitRetry(ctx) {
-			return &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
+			return Replies{}, &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
 		}
 	}
 }
--- a/rockbarrow/stores/errors.go
+++ b/rockbarrow/stores/errors.go
@@ -27,8 +27,12 @@
 	return fmt.Sprintf("stores: budget exceeded: %d tokens used, %d requested, budget %d", e.Used, e.MaxTokens, e.Budget)
 }
 
-// UnknownTurnError reports that a read quorum of the stores does not have a turn.
-type UnknownTurnError struct{ Turn string }
+// UnknownTurnError reports that a read quorum of the stores does not have a turn, or that it belongs to another customer.
+type UnknownTurnError struct {
+	Turn string
+	// Replies are those of the stores that do not have it. It is empty if another customer has it.
+	Replies Replies
+}
 
 func (e *UnknownTurnError) Error() string { return "stores: unknown turn " + e.Turn }
 
--- a/rockbarrow/stores/history.go
+++ b/rockbarrow/stores/history.go
@@ -119,7 +119,9 @@
 			c.Watch.Log.WithFields(logrus.Fields{
 				"turn": id, "view": view.GetEpoch(), "view_change": len(view.GetPrior()) > 0, "answered_by": tracker.Answered(),
 			}).Info("turn is unknown to its stores")
-			return &UnknownTurnError{Turn: id}
+			replies := newReplies(view, tracker)
+			replies.incomplete = tracker.Incomplete()
+			return &UnknownTurnError{Turn: id, Replies: replies}
 		}
 		if outcome == aborted || !waitRetry(ctx) {
 			return &UnavailableError{Reason: reason, Epoch: view.GetEpoch()}
