requestlog: a table of turns that were not found

rockbench requests had no answer to the question whether a 404 for a turn was the loss of one that was acknowledged. Its new last table joins the lines of all instances: a row for each turn that was not found although it was acknowledged before the request came, or that is missing from a chain, with the stores that acknowledged it and those that denied it; then the numbers of each kind. It counts dropped lines and entry instances that ended without a word, as a missing line proves nothing then.

TestLostTurnsAreToldFromForgedNames: acknowledged before, never, stored by too few, acknowledged later, missing from a chain, no route. go test -race ./requestlog passes.

--- a/rockbench/requestlog/lives.go
+++ b/rockbench/requestlog/lives.go
@@ -69,6 +69,8 @@
 	BornMS     uint64
 	InProgress int
 	Keys       []string
+	// Lines is how many log lines were dropped.
+	Lines int
 }
 
 // Lives tells how long instances took from their starts to each step. Add events in the
@@ -136,6 +138,19 @@
 	w.lives = append(w.lives, l)
 }
 
+// silent returns how many processes of a role ended without a word.
+func (t *Lives) silent(role string) int {
+	n := 0
+	for _, wave := range t.waves {
+		for _, l := range wave.lives {
+			if l.role == role && l.end == silent {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Write prints a row for each role in each wave of starts: how long its steps took, and how
 // many of its processes ended in each way.
 func (t *Lives) Write(w io.Writer) error {
--- a/rockbench/requestlog/read.go
+++ b/rockbench/requestlog/read.go
@@ -38,7 +38,16 @@
 	// Key identifies the request over all its attempts. It and Executions are empty if it completed at its first endpoint.
 	Key        string      `json:"key"`
 	Executions []Execution `json:"executions"`
-	Message    string      `json:"msg"`
+	// Previous is the turn that the request continues. Stores are those that acknowledged the request's turn, or that do not have
+	// the previous one, Incomplete those of the latter that do not hold all records, and View is the epoch under which they replied.
+	Previous   string    `json:"previous"`
+	Stores     []string  `json:"stores"`
+	Incomplete []string  `json:"incomplete"`
+	View       uint64    `json:"view"`
+	Time       time.Time `json:"time"`
+	Message    string    `json:"msg"`
+	// At is the time of the line, as in [Event].
+	At time.Duration `json:"-"`
 }
 
 // event is what a line about an instance holds.
@@ -57,6 +66,7 @@
 	BornMS   uint64    `json:"born_ms"`
 	// InProgress is how many requests an endpoint that ended had, and Participants are some of them.
 	InProgress   int `json:"in_progress"`
+	Lines        int `json:"lines"`
 	Participants []struct {
 		Key string `json:"key"`
 	} `json:"participants"`
@@ -70,7 +80,7 @@
 	for n := 1; s.Scan(); n++ {
 		b := s.Bytes()
 		at := bytes.IndexByte(b, '{')
-		if at < 0 || !bytes.Contains(b[at:], []byte(`"role"`)) || bytes.Contains(b[at:], []byte(ended)) {
+		if at < 0 || !bytes.Contains(b[at:], []byte(`"role"`)) && !bytes.Contains(b[at:], []byte(linesDropped)) || bytes.Contains(b[at:], []byte(ended)) {
 			continue
 		}
 		var e event
@@ -80,6 +90,7 @@
 		out := Event{
 			At: stamp(b[:at], e.Time), Instance: e.Instance, Role: e.Role, Message: e.Message, Ready: e.Ready,
 			Call: e.Call, Status: e.Status, ConfigVersion: e.Version, State: e.State, Table: e.Table, Endpoint: e.Endpoint, BornMS: e.BornMS, InProgress: e.InProgress,
+			Lines: e.Lines,
 		}
 		for _, r := range e.Participants {
 			out.Keys = append(out.Keys, r.Key)
@@ -117,6 +128,7 @@
 			return errors.Wrapf(err, "requestlog: line %d", n)
 		}
 		if l.Message == ended {
+			l.At = stamp(b[:at], l.Time)
 			yield(l)
 		}
 	}
--- a/rockbench/requestlog/requestlog_test.go
+++ b/rockbench/requestlog/requestlog_test.go
@@ -180,3 +180,47 @@
 		}
 	}
 }
+
+// TestLostTurnsAreToldFromForgedNames: 64 turns were answered with 404, and the logs of all instances could not tell a turn that was
+// acknowledged and lost from a name that nobody was ever given.
+func TestLostTurnsAreToldFromForgedNames(t *testing.T) {
+	const log = `  1.0 a {"msg":"starting","role":"entry","instance":"a"}
+  2.0 a {"msg":"request ended","instance":"a","request":"t-1","status":200,"took_ms":500,"stores":["s-1","s-2"],"view":4}
+  2.1 a {"msg":"request ended","instance":"a","request":"t-2","previous":"t-1","status":0,"reason":"the turn was not stored: stores: unavailable under view 4: s-1: gone"}
+  3.0 b {"msg":"request ended","instance":"b","request":"t-3","previous":"t-1","status":404,"took_ms":5,"reason":"stores: unknown turn t-1","stores":["s-3","s-4"],"view":6,"view_change":true,"incomplete":["s-4"]}
+  3.1 b {"msg":"request ended","instance":"b","request":"t-4","previous":"t-2","status":404,"took_ms":5,"reason":"stores: unknown turn t-2","stores":["s-3","s-4"],"view":6}
+  3.2 b {"msg":"request ended","instance":"b","request":"t-5","previous":"forged","status":404,"took_ms":5,"reason":"stores: unknown turn forged","stores":["s-3","s-4"],"view":6}
+  3.3 b {"msg":"request ended","instance":"b","request":"t-6","previous":"t-7","status":404,"took_ms":5,"reason":"stores: unknown turn t-7","stores":["s-3","s-4"],"view":6}
+  3.4 b {"msg":"request ended","instance":"b","request":"t-8","previous":"t-7","status":503,"took_ms":5,"reason":"stores: unavailable under view 0: turn t-1 is missing from the chain"}
+  3.5 b {"msg":"request ended","instance":"b","request":"t-9","status":404,"took_ms":5,"reason":"no route"}
+  3.6 a {"msg":"request ended","instance":"a","request":"t-7","status":200,"took_ms":500,"stores":["s-1","s-2"],"view":6}
+{"level":"warning","msg":"log lines were dropped","lines":3}
+  4.0 a {"msg":"starting","role":"entry","instance":"a"}
+`
+	var turns Turns
+	if err := Read(strings.NewReader(log), turns.Add); err != nil {
+		t.Fatal(err)
+	}
+	if err := ReadEvents(strings.NewReader(log), turns.AddEvent); err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	if err := turns.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	rows := strings.Split(strings.TrimSpace(out.String()), "\n")[1:]
+	want := []string{
+		"t-1 404 3s b 6 s-3,s-4 s-4 2s a 4 s-1,s-2 t-3",
+		"t-1 503 3.4s b 0 - - 2s a 4 s-1,s-2 t-8",
+		"5 turns were not found: 1 had been acknowledged before, 1 were acknowledged during or after it, 1 had a predecessor that was not found, " +
+			"and no line tells that 2 others were ever acknowledged; 2 turns were acknowledged; 3 lines were dropped, and 1 entry instances ended without a word",
+	}
+	if len(rows) != len(want) {
+		t.Fatalf("%s", out.String())
+	}
+	for i := range want {
+		if got := strings.Join(strings.Fields(rows[i]), " "); got != want[i] {
+			t.Errorf("row %d: %s, want %s", i, got, want[i])
+		}
+	}
+}
--- a/rockbench/requests.go
+++ b/rockbench/requests.go
@@ -14,8 +14,8 @@
 )
 
 // runRequests prints how the requests in a log ended, what went wrong with programs, how
-// instances started, how configurations came into force, and which requests were in progress at
-// endpoints that ended; "-" is standard input.
+// instances started, how configurations came into force, which requests were in progress at
+// endpoints that ended, and which turns were lost; "-" is standard input.
 func runRequests(out io.Writer, file string) error {
 	b, err := readLog(file)
 	if err != nil {
@@ -25,10 +25,12 @@
 	var programs requestlog.Programs
 	var lives requestlog.Lives
 	var ends requestlog.Ends
+	var turns requestlog.Turns
 	err = requestlog.Read(bytes.NewReader(b), func(l requestlog.Line) {
 		table.Add(l)
 		programs.Add(l)
 		ends.Add(l)
+		turns.Add(l)
 	})
 	if err != nil {
 		return err
@@ -38,11 +40,12 @@
 		lives.Add(e)
 		versions.Add(e)
 		ends.AddEvent(e)
+		turns.AddEvent(e)
 	})
 	if err != nil {
 		return err
 	}
-	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives, &versions, &ends} {
+	for _, t := range []interface{ Write(io.Writer) error }{&table, &programs, &lives, &versions, &ends, &turns} {
 		if err := t.Write(out); err != nil {
 			return err
 		}
