membership: a member that missed the end of a change stays complete

Callers would have seen 503 for every turn of some programs, for good, although all but the tolerated disks were back.

Cause: a change of the view may end without a member that is down and has nothing to copy. When it came back it counted as incomplete, although it holds what it held before, until it had copied from a read quorum of the others. If disks are lost before that, there may be no such quorum: one of three stores with one disk lost, or one of five copies with two. Nothing can be copied then, the change that replaces the lost disks never ends, and neither reservations nor proofs of absence count.

Change: when a change ends without members, the view keeps the epoch of the view before it (prior_epoch), and stores are complete that have copied for it. All others have copied for the change itself, or it would not have ended, so that it holds for the missing members alone; one that was incomplete before stays so.

--- a/rockbarrow/ledger/copying.go
+++ b/rockbarrow/ledger/copying.go
@@ -2,19 +2,24 @@
 
 package ledger
 
-import "rockbarrow.dev/schema/fleetpb"
+import (
+	"cmp"
+
+	"rockbarrow.dev/schema/fleetpb"
+)
 
 // IsComplete reports whether a store that copied its records for an epoch holds all
 // records of its groups from before a view.
 //
 // Outside of a view change, that takes the copies for the change before. During one,
 // it takes those for the change that led to the prior view: when that ended, the same
-// members had nothing to copy.
+// members had nothing to copy. If a change ended without a member that had nothing to copy,
+// that member is as complete as it was before: all others have copied.
 func IsComplete(v *fleetpb.View, copiedEpoch uint64) bool {
 	if len(v.GetPrior()) > 0 {
 		return copiedEpoch+1 >= PriorEpoch(v)
 	}
-	return copiedEpoch+1 >= v.GetEpoch()
+	return copiedEpoch+1 >= cmp.Or(v.GetPriorEpoch(), v.GetEpoch())
 }
 
 // PriorEpoch returns the epoch of the view of the prior members.
--- a/rockbarrow/membership/losses_test.go
+++ b/rockbarrow/membership/losses_test.go
@@ -220,6 +220,30 @@
 	}
 }
 
+// TestMemberThatMissedTheEndOfAChangeIsComplete guards against the end of all service after the loss of one disk: a view change had ended
+// without a member that had nothing to copy and was down. It counted as incomplete when it came back, so that the one complete store
+// that the lost disk had left was too few to copy from.
+func TestMemberThatMissedTheEndOfAChangeIsComplete(t *testing.T) {
+	a, b, c := member("a", 1), member("b", 2), member("c", 3)
+	emptyA, emptyB := member("a", 4), member("b", 5)
+	f := newFleet(t, a, b, c)
+	f.stop(a)
+	f.run(time.Second)
+	f.start(emptyA)
+	f.run(250 * time.Millisecond)
+	// The store that lost its disk copies from both others, of which one is down right after it.
+	f.copy(emptyA)
+	f.stop(c)
+	f.run(3 * time.Second)
+	f.wantWritable()
+	f.stop(b)
+	f.run(time.Second)
+	f.start(c)
+	f.start(emptyB)
+	f.run(12 * time.Second)
+	f.wantWritable()
+}
+
 // TestSmallerViewWaitsForAllCopies guards against the loss of records by one disk: a view
 // shrank with the copy of a single store, while the other one was down.
 func TestSmallerViewWaitsForAllCopies(t *testing.T) {
--- a/rockbarrow/membership/plan.go
+++ b/rockbarrow/membership/plan.go
@@ -109,7 +109,13 @@
 	if missing > 0 && !ledger.ReadQuorumInAllGroups(v.GetMembers(), p.Copies, p.hasCopied(v.GetEpoch())) {
 		return false
 	}
-	v.Prior, v.Abandoned, v.PriorEpoch = nil, nil, 0
+	if missing > 0 {
+		// The missing members have copied for no later view, and need not.
+		v.PriorEpoch = ledger.PriorEpoch(v)
+	} else {
+		v.PriorEpoch = 0
+	}
+	v.Prior, v.Abandoned = nil, nil
 	v.Epoch++
 	retireNonMembers(s)
 	return true
