relay: a stall revives no earlier incarnation of a store

A control instance that was stalled treats all instances as heard at that moment, and plans the view in the same step. A store that lost its disk and came back within the last minute is known by both incarnations, if the earlier one called this control instance and the later one calls others. Both then counted as heard at the same time, and the earlier one won: by reading, the planner would put the disk that is gone in the place of the one that holds the records, and go back to it some four seconds later, with the members that named the lost disk left as an abandoned attempt. One more lost disk is needed then than were lost.

An incarnation that a later one has followed is now forgotten at a stall.

TestAStallRevivesNoEarlierIncarnation failed before: "the earlier one called this instance: ... storage:1, want storage 2", and so when both had called others.

--- a/rockbarrow/relay/fleet.go
+++ b/rockbarrow/relay/fleet.go
@@ -121,18 +121,7 @@
 			newest[name] = known
 		}
 	}
-	for _, i := range f.direct {
-		merge(*i)
-	}
-	for _, r := range f.relays {
-		for _, u := range r.followers {
-			i := u.Instance
-			if u.regular {
-				i.LastHeard = r.lastHeard
-			}
-			merge(i)
-		}
-	}
+	f.each(merge)
 	out := make([]Instance, 0, len(newest))
 	for _, i := range newest {
 		out = append(out, i)
@@ -157,16 +146,54 @@
 	}
 }
 
-// MarkAllHeard treats all instances as heard now, after this process was stalled.
+// each calls yield with what is known of each instance by each control instance; the caller holds mu.
+func (f *Fleet) each(yield func(Instance)) {
+	for _, i := range f.direct {
+		yield(*i)
+	}
+	for _, r := range f.relays {
+		for _, u := range r.followers {
+			yield(r.instance(u))
+		}
+	}
+}
+
+// instance returns a follower as the relaying control instance knows it.
+func (r *relayState) instance(u *relayedFollower) Instance {
+	i := u.Instance
+	if u.regular {
+		i.LastHeard = r.lastHeard
+	}
+	return i
+}
+
+// MarkAllHeard treats all instances as heard now, after this process was stalled, but for incarnations of stores that others
+// have followed.
 func (f *Fleet) MarkAllHeard(now time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, i := range f.direct {
+	newest := map[string]Instance{}
+	f.each(func(i Instance) {
+		name := i.Member.GetInstance()
+		if known, ok := newest[name]; !ok || known.LastHeard.Before(i.LastHeard) {
+			newest[name] = i
+		}
+	})
+	isFollowed := func(m *fleetpb.Member) bool { return newest[m.GetInstance()].Member.GetStorage() != m.GetStorage() }
+	for name, i := range f.direct {
+		if isFollowed(i.Member) {
+			delete(f.direct, name)
+			continue
+		}
 		i.LastHeard = now
 	}
 	for _, r := range f.relays {
 		r.lastHeard = now
-		for _, u := range r.followers {
+		for name, u := range r.followers {
+			if isFollowed(u.Member) {
+				delete(r.followers, name)
+				continue
+			}
 			u.LastHeard = now
 		}
 	}
--- a/rockbarrow/relay/relay_test.go
+++ b/rockbarrow/relay/relay_test.go
@@ -207,3 +207,46 @@
 		fleet.Instances(start, fleetpb.Role_ROLE_ENTRY, time.Hour)
 	})
 }
+
+// TestAStallRevivesNoEarlierIncarnation guards against a lost disk that becomes a member again: after a stall all instances count as
+// heard, also the incarnation of a store that another one has followed, whichever of them called this control instance itself.
+func TestAStallRevivesNoEarlierIncarnation(t *testing.T) {
+	call := func(storage uint64) *fleetpb.WatchRequest {
+		req := watchRequest("store-1", fleetpb.Role_ROLE_STORE)
+		req.Sender.Storage = storage
+		return req
+	}
+	relayed := func(f *Fleet, at time.Time, from string, storage uint64) {
+		var r Reports
+		r.RecordCall(at, call(storage))
+		f.ApplyRelayed(at, from, r.Since(at, 0, nil))
+	}
+	later, stalled := start.Add(10*time.Second), start.Add(20*time.Second)
+	for _, test := range []struct {
+		name string
+		hear func(f *Fleet)
+	}{
+		{"the earlier one called this instance", func(f *Fleet) {
+			f.RecordCall(start, call(1))
+			relayed(f, later, "control-1", 2)
+		}},
+		{"the later one called this instance", func(f *Fleet) {
+			relayed(f, start, "control-1", 1)
+			f.RecordCall(later, call(2))
+		}},
+		{"each called another one", func(f *Fleet) {
+			for n := range 8 {
+				relayed(f, start, fmt.Sprint("control-", n), 1)
+			}
+			relayed(f, later, "control-8", 2)
+		}},
+	} {
+		var f Fleet
+		test.hear(&f)
+		f.MarkAllHeard(stalled)
+		got := f.Instances(stalled, fleetpb.Role_ROLE_STORE, time.Second)
+		if len(got) != 1 || got[0].Member.GetStorage() != 2 {
+			t.Errorf("%s: %v, want storage 2", test.name, got)
+		}
+	}
+}
