--- a/rockbarrow/membership/search_test.go
+++ b/rockbarrow/membership/search_test.go
@@ -213,8 +213,8 @@
 	return out
 }
 
-// comeBack starts stores whose time has come, and removes those that were emptied.
-func (s *search) comeBack() {
+// restart starts stores whose time has come, and removes those that were emptied.
+func (s *search) restart() {
 	for k, st := range s.stores {
 		switch {
 		case s.gone[k] || slices.Contains(s.state.GetRetired(), st.member.GetInstance()):
@@ -382,7 +382,7 @@
 
 func (s *search) run() {
 	for s.step = range searchSteps {
-		s.comeBack()
+		s.restart()
 		s.happen()
 		s.plan()
 		for _, st := range s.present() {
@@ -396,7 +396,7 @@
 	}
 	for end := s.now.Add(searchCalm); s.now.Before(end); s.now = s.now.Add(searchStep) {
 		s.step++
-		s.comeBack()
+		s.restart()
 		s.plan()
 		for _, st := range s.present() {
 			s.copy(st, 1)
