daemon: each instance has a metrics registry of its own

Two instances in one process registered the same collectors in the default registry, which panics, so that no test could run a daemon in its own process. Each instance has a registry with the collectors of the Go runtime and of the process, which the default one had.

--- a/rockbarrow/daemon/build.go
+++ b/rockbarrow/daemon/build.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 	grpccreds "google.golang.org/grpc/credentials"
@@ -68,7 +70,10 @@
 }
 
 func (d *Daemon) buildMetrics() error {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// The default registry would allow one instance in a process.
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:          "rockbarrow",
 		Tags:            map[string]string{"instance_name": d.Settings.Instance, "failure_domain": d.Settings.Domain},
