host: a stopping owner begins no call and hands over what it can't end

Calls that came to a busy run in a planned stop were taken, also the last moment before timing.drain_ms, queued behind the call in progress and cut with it. An attempt that failed late was repeated at another endpoint. At the end the owner just went: its callers were found another one only once it counted as dead. An instance that was alone in its failure domain answered creations and reads of runs that it did not own with 404 during its stop.

program.StopBegun makes the owner refuse new and waiting calls as not run, so that whoever forwarded them sends them to the next owner, and repeat no attempt: what certainly did not run is refused likewise, the rest is handed over. The event comes with the signal where another instance can own the run, or else once load balancers have moved on (RefuseCalls). program.StopEnded hands the open call over: its callers are redirected to the next owner, which repeats it or settles it as unknown. Without a next owner a call that may not be repeated is settled, and others stay open for the owner after a restart. Instances forward no call that arrives after RefuseCalls. Runs that a stopping instance does not take are refused with not_serving, never as unknown. An instance with a disk that is alone in its failure domain takes runs until RefuseCalls; without a disk they could be lost with it.

The daemon does not call RefuseCalls and EndCalls yet; its tests come with that. TestAStoppingOwnerBeginsNoCall, TestAStoppingOwnerRetriesNoCall and TestTheEndOfAStopEndsTheOpenCall hold for the state machine.

--- a/rockbarrow/host/host.go
+++ b/rockbarrow/host/host.go
@@ -73,8 +73,10 @@
 	calls  atomic.Uint64
 	// stopping is never cleared once it is set.
 	stopping atomic.Bool
-	started  time.Time
-	initOnce sync.Once
+	// callsRefused is set once no call and no run begins here or is forwarded from here. It is never cleared.
+	callsRefused atomic.Bool
+	started      time.Time
+	initOnce     sync.Once
 	// underReplicated counts runs that lack replicas, owned the owned runs and
 	// replicated the others, all as of the last tick.
 	underReplicated, owned, replicated atomic.Int64
@@ -171,19 +173,6 @@
 	return h.owned.Load(), h.replicated.Load(), h.underReplicated.Load()
 }
 
-// Stop refuses new work and returns the number of runs with a call in progress.
-// It may be called repeatedly.
-func (h *Host) Stop() int {
-	h.stopping.Store(true)
-	busy := 0
-	for _, r := range h.allRuns() {
-		if r.busy() {
-			busy++
-		}
-	}
-	return busy
-}
-
 // findRun returns the run of a name, and creates it if requested.
 func (h *Host) findRun(name string, create bool) *run {
 	s := h.shard(name)
--- a/rockbarrow/host/perform.go
+++ b/rockbarrow/host/perform.go
@@ -52,6 +52,8 @@
 		r.dispatch(o, a)
 	case program.Abort:
 		r.abort(a)
+	case program.HandOver:
+		r.handOver(o, a)
 	case program.ReleaseMemory:
 		go (&engineRelease{run: r, endpoint: a.Endpoint}).loop()
 	case program.ReturnBudget:
--- a/rockbarrow/host/route.go
+++ b/rockbarrow/host/route.go
@@ -65,6 +65,8 @@
 	attempt uint32
 	offset  uint64
 	started time.Time
+	// early is true if calls were not refused yet when the request arrived. Only such a request is taken to the next owner.
+	early bool
 }
 
 // Do forwards a request to the run's owner and passes its events to emit. It
@@ -73,7 +75,7 @@
 func (h *Host) Do(ctx context.Context, req *peerpb.DoRequest, emit func(*peerpb.DoEvent) error) error {
 	ctx, cancel := context.WithTimeout(ctx, h.CallTimeout)
 	defer cancel()
-	r := &router{host: h, req: req, emit: emit, started: time.Now()}
+	r := &router{host: h, req: req, emit: emit, started: time.Now(), early: !h.callsRefused.Load()}
 	for round := 0; ; round++ {
 		known, done := r.tryAll(ctx)
 		if done {
@@ -85,6 +87,9 @@
 		if !known && round+1 >= notFoundRounds {
 			return emit(problem.Event(r.notFoundProblem()))
 		}
+		if h.callsRefused.Load() && begins(req) {
+			return emit(problem.Event(r.finalProblem()))
+		}
 		if time.Since(r.started) > searchTimeout {
 			return emit(problem.Event(r.finalProblem()))
 		}
@@ -218,6 +223,10 @@
 		return nil
 	}
 	r.lastProblem = nil
+	if instance != r.host.Instance && r.host.callsRefused.Load() && begins(req) && !(takeOver && r.early) {
+		r.lastProblem = stopProblem()
+		return nil, false
+	}
 	var err error
 	if instance == r.host.Instance {
 		err = r.host.Serve(ctx, req, emit)
--- a/rockbarrow/host/run.go
+++ b/rockbarrow/host/run.go
@@ -33,6 +33,10 @@
 	slot *attemptSlot
 	// nextCampaign is the earliest time of the next campaign.
 	nextCampaign time.Time
+	// toldOfStop is the owner that knows that the instance stops.
+	toldOfStop *owner.Owner
+	// handedOver is set once the run was left to another instance in a stop.
+	handedOver bool
 	// released is set if the last ownership ended because the run was settled.
 	released bool
 
@@ -105,7 +109,7 @@
 		return false
 	}
 	if r.host.isOwnBallot(ballot) {
-		return r.endedUnexpectedly() || owner.NeedsRepair(members, v, r.name, HomeDomain(r.name), r.host.self())
+		return !r.wasHandedOver() && (r.endedUnexpectedly() || owner.NeedsRepair(members, v, r.name, HomeDomain(r.name), r.host.self()))
 	}
 	if v.IsWriterAlive(ballot) {
 		return false
--- a/rockbarrow/host/serve.go
+++ b/rockbarrow/host/serve.go
@@ -95,8 +95,8 @@
 	if !known && !create {
 		return nil, redirect("", false)
 	}
-	if h.stopping.Load() {
-		return nil, redirect("", false)
+	if h.stopping.Load() && !h.mayClaimAtStop(view) {
+		return nil, h.redirectAtStop(r, create)
 	}
 	if !known {
 		return h.claimRun(r, claimOptions{view: view, create: true, keyed: req.GetCreate().GetKeyed()})
@@ -123,15 +123,11 @@
 	if !h.stopping.Load() || r.busy() {
 		return r, nil
 	}
-	members, _, known := r.membership()
-	if !known {
-		return r, nil
-	}
-	m, ok := owner.Successor(members.Without(h.self()), h.View())
-	if !ok {
+	next := r.successor()
+	if next == "" {
 		return r, nil
 	}
-	return nil, redirect(m.Instance(), true)
+	return nil, redirect(next, true)
 }
 
 func (h *Host) claimRun(r *run, c claimOptions) (*run, *peerpb.DoEvent) {
--- a/rockbarrow/program/attempt.go
+++ b/rockbarrow/program/attempt.go
@@ -159,6 +159,15 @@
 	if c.charged+c.reserve > m.state.Remaining()+m.state.reserved {
 		return m.cancelCall(now, c, problem.New(problem.BudgetExhausted, reason))
 	}
+	switch {
+	case m.stopping && c.charged == 0:
+		// The next owner can take it as a new call.
+		return m.cancelCall(now, c, stopRefusal())
+	case m.stopping && m.successor != "":
+		return m.handOver()
+	case m.stopping:
+		return m.cancelCall(now, c, p)
+	}
 	return []Action{m.place(c)}
 }
 
--- a/rockbarrow/program/call.go
+++ b/rockbarrow/program/call.go
@@ -98,6 +98,9 @@
 	if p := m.assignSequence(c); p != nil {
 		return refuse(e.ID, problem.Certain(p))
 	}
+	if m.stopping {
+		return refuse(e.ID, stopRefusal())
+	}
 	return m.enqueue(now, c)
 }
 
--- a/rockbarrow/program/machine.go
+++ b/rockbarrow/program/machine.go
@@ -39,6 +39,9 @@
 	loaded bool
 	// ownershipLost is never reset.
 	ownershipLost bool
+	// stopping is set once the owner begins no call, and never reset. successor is the next owner, or "".
+	stopping  bool
+	successor string
 	// open is the started call at the next sequence, or nil.
 	open *call
 	// waiting holds the calls that have not started, ordered by sequence, without
@@ -134,8 +137,12 @@
 		return m.parentCredited(now)
 	case Ticked:
 		return m.tick(now)
+	case StopBegun:
+		return m.beginStop(e)
+	case StopEnded:
+		return m.endStop(now, e)
 	case OwnershipLost:
-		return m.loseOwnership(e)
+		return m.leave(&peerpb.Redirect{Instance: e.By})
 	}
 	return nil
 }
@@ -281,11 +288,11 @@
 	return m.notifyListeners(c, problem.Event(p), true)
 }
 
-// loseOwnership redirects every waiting caller to the next owner, where a resend
-// under the same request id returns the outcome of the call.
-func (m *Machine) loseOwnership(e OwnershipLost) []Action {
+// leave redirects every waiting caller to the next owner, where a resend under
+// the same request id returns the outcome of the call.
+func (m *Machine) leave(to *peerpb.Redirect) []Action {
 	m.ownershipLost = true
-	redirect := &peerpb.DoEvent{Body: &peerpb.DoEvent_Redirect{Redirect: &peerpb.Redirect{Instance: e.By}}}
+	redirect := &peerpb.DoEvent{Body: &peerpb.DoEvent_Redirect{Redirect: to}}
 	var out []Action
 	for _, id := range m.listeners() {
 		out = append(out, Reply{ID: id, Event: redirect, Done: true})
