caller: bodies are bounded in time, and a stop refuses what is late

The server limited the time of a head (10 s) but not that of a body, so that a slow one held one of limits.streams for as long as its caller liked, and was cut by a stop without an answer.

A body has limits.call_seconds to arrive, and is refused when a stop begins no request any more. Creations of runs and calls of services are refused then at once. not_run is true only where the request has no id under which it may have been sent before, as package problem promises. Requests in progress end with the context Stop.Ended, so that their handlers answer.

--- a/rockbarrow/caller/runs.go
+++ b/rockbarrow/caller/runs.go
@@ -92,6 +92,9 @@
 	if p != nil {
 		return nil, p
 	}
+	if q.server.Stop.late() {
+		return nil, stopRefusal(key)
+	}
 	run, p := q.server.Homes.NewRunID(q.customer.GetName(), key, b)
 	if p != nil {
 		return nil, p
--- a/rockbarrow/caller/server.go
+++ b/rockbarrow/caller/server.go
@@ -57,7 +57,11 @@
 	MaxBody int64
 	// MaxStreams bounds requests under way.
 	MaxStreams int
-	Metrics    tally.Scope
+	// BodyTimeout bounds the time in which a request's body arrives; 0 means no limit.
+	BodyTimeout time.Duration
+	// Stop has the moments of a planned stop.
+	Stop    Stop
+	Metrics tally.Scope
 	// MetricsPage serves /metrics.
 	MetricsPage http.Handler
 	Log         *logrus.Entry
@@ -124,6 +128,9 @@
 			s.refuse(w, problem.Retry(problem.Overloaded, "too many requests are under way at this instance", time.Second))
 			return
 		}
+		ctx, cancel := s.Stop.limit(r.Context())
+		defer cancel()
+		r = r.WithContext(ctx)
 		r.Body = http.MaxBytesReader(w, r.Body, s.MaxBody)
 		snapshot := s.Config()
 		key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
@@ -199,11 +206,14 @@
 }
 
 func (q *request) body() ([]byte, *peerpb.Problem) {
-	b, err := io.ReadAll(q.r.Body)
+	b, err := q.readBody()
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, problem.New(problem.TooLarge, "body: more than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 	}
+	if p := q.lateBody(err); p != nil {
+		return nil, p
+	}
 	if err != nil {
 		return nil, problem.New(problem.BadRequest, "body: "+err.Error())
 	}
--- a/rockbarrow/caller/server_test.go
+++ b/rockbarrow/caller/server_test.go
@@ -43,6 +43,12 @@
 }
 
 func serve(t *testing.T, r *fakeRouter) *httptest.Server {
+	t.Helper()
+	return serveWith(t, r, func(*Server) {})
+}
+
+// serveWith serves with a server that is changed first.
+func serveWith(t *testing.T, r Router, change func(*Server)) *httptest.Server {
 	t.Helper()
 	snapshot := control.NewSnapshot(&configpb.Document{
 		Version:   3,
@@ -57,6 +63,7 @@
 		Instance: "w1", Domain: "west", Router: r, Config: func() *control.Snapshot { return snapshot }, Ready: func() string { return "" },
 		Homes: fakeHomes{}, MaxBody: 4096, MaxStreams: 8, Metrics: tally.NoopScope, MetricsPage: http.NotFoundHandler(), Log: logrus.NewEntry(log),
 	}
+	change(s)
 	srv := httptest.NewServer(s.Handler())
 	t.Cleanup(srv.Close)
 	return srv
--- a/rockbarrow/caller/services.go
+++ b/rockbarrow/caller/services.go
@@ -73,6 +73,9 @@
 	if p != nil {
 		return "", p
 	}
+	if q.server.Stop.late() {
+		return "", stopRefusal(key)
+	}
 	if key != "" {
 		key = "service-" + v.GetName() + "-" + key
 	}
