daemon: a stop answers every request within its time

Callers of a stopping instance lost their connections without an answer: calls in progress at timing.drain_ms, among them those forwarded to other owners, which nobody waited for; bodies still arriving; requests behind another one and first requests, which http.Server.Shutdown closes. Operators' calls were cut by grpc.Server.Stop. The stop took up to 2 s longer than timing.drain_ms.

A stop has three moments. 2.5 s after the signal, when load balancers have moved on, no call, run, body or change of the configuration begins. 1 s before the end the calls in progress are handed over or settled, and 0.5 s later what is left is answered: undetermined, or a stream's problem event. caller.Conns closes each connection once nothing is on it, after a read of what the system holds, as package consumer does; the server goes on to serve what net/http has read ahead, because it is not shut down before. Operators' calls are completed or end as undetermined, watches end as the instance stops. Callers' requests and operators' calls in progress hold the stop back like runs do.

--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -71,6 +71,7 @@
 	failed chan error
 	// stopping is set before the first request is refused.
 	stopping stopFlag
+	stop     *plannedStop
 }
 
 // Run serves until ctx is done and then stops without aborting calls in
@@ -80,6 +81,9 @@
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.started = time.Now()
 	d.failed = make(chan error, 4)
+	d.stop = newPlannedStop()
+	defer d.stop.setLate()
+	defer d.stop.setEnded()
 	if err := d.build(); err != nil {
 		return err
 	}
@@ -97,14 +101,26 @@
 	daemon    *Daemon
 	callers   *http.Server
 	peers     *grpc.Server
-	operators *grpc.Server
+	operators *gracefulStop
 	test      *http.Server
 	wait      sync.WaitGroup
+	// callerServer answers the requests on conns.
+	callerServer *caller.Server
+	conns        caller.Conns
+
+	// stopListening keeps addresses from being listened at again.
+	stopListening context.CancelFunc
+
+	mu              sync.Mutex
+	callerListeners []net.Listener
 }
 
 func (d *Daemon) serve(ctx context.Context) error {
 	s := &servers{daemon: d}
-	if err := s.listen(ctx); err != nil {
+	listening, stopListening := context.WithCancel(ctx)
+	defer stopListening()
+	s.stopListening = stopListening
+	if err := s.listen(listening); err != nil {
 		return err
 	}
 	tasks, stopTasks := context.WithCancel(context.Background())
@@ -115,12 +131,14 @@
 	}
 	d.Log.Info("serving")
 	var err error
+	var end time.Time
 	select {
 	case <-ctx.Done():
-		d.drain()
+		end = s.drain()
 	case err = <-d.failed:
+		end = time.Now().Add(closeTime)
 	}
-	s.close()
+	s.close(end)
 	stopTasks()
 	s.wait.Wait()
 	d.Log.Info("stopped")
@@ -151,24 +169,6 @@
 	return out
 }
 
-// drain refuses new work, and waits for the calls in progress and until the
-// runs replicated here have their replicas elsewhere.
-func (d *Daemon) drain() {
-	d.stopping.set()
-	d.Log.Info("stopping: reporting not ready and completing calls in progress")
-	deadline := time.Now().Add(settings.Milliseconds(d.Settings.Timing.DrainMS))
-	earliestStop := time.Now().Add(propagationDelay)
-	for time.Now().Before(deadline) {
-		busy := d.host.Stop()
-		_, _, underReplicated := d.host.RunCounts()
-		if busy == 0 && underReplicated == 0 && time.Now().After(earliestStop) && !d.domainUnderReplicated() {
-			return
-		}
-		time.Sleep(drainPollInterval)
-	}
-	d.Log.WithField("busy", d.host.Stop()).Warn("drain timeout exceeded")
-}
-
 // domainUnderReplicated reports whether a live instance of the failure domain
 // owns runs that lack replicas.
 func (d *Daemon) domainUnderReplicated() bool {
@@ -183,18 +183,23 @@
 func (s *servers) listen(ctx context.Context) error {
 	d := s.daemon
 	secure := d.credentials.secure
-	s.callers = &http.Server{Handler: d.callerServer().Handler(), MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second}
+	s.callerServer = d.callerServer()
+	s.callers = &http.Server{
+		Handler: s.callerServer.Handler(), MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second,
+		ConnState: s.conns.State,
+	}
 	s.peers = peer.New(&peer.Server{Host: d.host, Config: d.source, Roster: d.membership, Cut: d.partition, Secure: secure}, d.credentials.server)
-	s.operators = operator.New(&operator.Server{
+	s.operators = &gracefulStop{done: make(chan struct{}), server: operator.New(&operator.Server{
 		Instance: d.Settings.Instance, Config: d.source, Host: d.host, View: d.membership.View, Peers: d.client, Secure: secure,
-	}, d.credentials.server)
+		Stopping: d.stop.late, Ended: d.stop.ended,
+	}, d.credentials.server)}
 	for _, l := range []struct {
 		name, address string
 		serve         func(net.Listener) error
 	}{
-		{"callers", d.Settings.Listen.Callers, s.callers.Serve},
+		{"callers", d.Settings.Listen.Callers, s.serveCallers},
 		{"peers", d.Settings.Listen.Peers, s.peers.Serve},
-		{"operators", d.Settings.Listen.Operators, s.operators.Serve},
+		{"operators", d.Settings.Listen.Operators, s.operators.server.Serve},
 	} {
 		if err := s.start(ctx, l.name, l.address, l.serve); err != nil {
 			return err
@@ -233,27 +238,12 @@
 	a.address.Serve(ctx, a.listener, a.serve)
 }
 
-// close closes the listeners. Answers to callers that are being written are
-// completed.
-func (s *servers) close() {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
-	defer cancel()
-	if err := s.callers.Shutdown(ctx); err != nil {
-		s.callers.Close()
-	}
-	s.operators.Stop()
-	s.peers.Stop()
-	if s.test != nil {
-		s.test.Close()
-	}
-}
-
 func (d *Daemon) callerServer() *caller.Server {
 	l := d.Settings.Limits
 	return &caller.Server{
 		Instance: d.Settings.Instance, Domain: d.Settings.Domain,
 		Router: d.host, Config: d.source.Snapshot, Ready: d.notReadyReason, Homes: d.host,
-		MaxBody: l.BodyBytes, MaxStreams: l.Streams,
+		MaxBody: l.BodyBytes, MaxStreams: l.Streams, BodyTimeout: time.Duration(l.CallSeconds) * time.Second, Stop: d.stop.callers(),
 		Metrics: d.scope, MetricsPage: d.metricsHandler, Log: d.Log,
 	}
 }
--- a/rockbarrow/operator/server.go
+++ b/rockbarrow/operator/server.go
@@ -56,6 +56,9 @@
 	Peers    Peers
 	// Secure is true when callers must show a certificate.
 	Secure bool
+	// Stopping is done once a stop waits for the calls in progress, which ends watches. Ended is done once calls in progress are
+	// answered.
+	Stopping, Ended context.Context
 }
 
 // New returns a gRPC server that serves s.
@@ -81,6 +84,9 @@
 	if err := s.admit(ctx, info.FullMethod); err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.Ended, cancel)()
 	return next(ctx, req)
 }
 
@@ -179,6 +185,8 @@
 		select {
 		case <-stream.Context().Done():
 			return stream.Context().Err()
+		case <-s.Stopping.Done():
+			return status.Error(codes.Unavailable, "the instance stops")
 		case <-t.C:
 		}
 	}
