soak: time in which the machine stands still is no process's

The soak now looks every 20 ms whether it runs. What it missed, from 120 ms on, is added to the grace period of a planned stop, and is not counted in the 200 ms after the last byte of a request that no endpoint has run.

--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -97,6 +97,8 @@
 	extraRoutes   []*fleetpb.Route
 	// calls are the requests around planned stops that ended without an answer.
 	calls lostCalls
+	// watchdog tells when the machine was too busy.
+	watchdog watchdog
 	// customers are those of the configuration, nil if it has none.
 	customers *customers
 	// lives counts the endpoints made, so that each has an id of its own.
@@ -386,3 +388,12 @@
 	}
 	return out
 }
+
+// counts returns what was counted, with the stalls of the machine.
+func (f *fleet) counts() map[string]int {
+	out := f.ledger.Counts()
+	f.watchdog.mu.Lock()
+	defer f.watchdog.mu.Unlock()
+	out["stalls of the machine"] = len(f.watchdog.stalls)
+	return out
+}
--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -46,6 +46,8 @@
 	// meant is true while the process is meant to run; one that ends by itself
 	// then has failed.
 	meant bool
+	// hangUps are the times of SIGHUP.
+	hangUps []time.Time
 	// ends tells of each process that has failed, also of those that were started again since.
 	ends []string
 }
@@ -172,11 +174,21 @@
 	if in.cmd == nil {
 		return
 	}
+	if s == syscall.SIGHUP {
+		in.hangUps = append(in.hangUps, time.Now())
+	}
 	if err := in.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		in.log.WriteString("soak: signal: " + err.Error() + "\n")
 	}
 }
 
+// hungUp reports whether the instance got a SIGHUP between two times, after which it reads its settings.
+func (in *instance) hungUp(from, to time.Time) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return slices.ContainsFunc(in.hangUps, func(at time.Time) bool { return !at.Before(from) && !at.After(to) })
+}
+
 // expectEnd lets the process end without having failed. The channel is closed once it has ended, and nil if there is none.
 func (in *instance) expectEnd() chan struct{} {
 	in.mu.Lock()
