soak: endpoints send responses without end to the smallest instances

A promise is broken if an entry instance has held more memory than it has, by the peak that the system tells of its process, at each planned stop and at the end.

The product before the fixes was not run with such responses. TestSoakWithPlannedStops, the three tests of planned stops and TestProcessesOverTheirMemoryAreTold pass under -race.

--- a/rockbench/soak/callers.go
+++ b/rockbench/soak/callers.go
@@ -36,8 +36,8 @@
 	mostBehind = 4
 	mostApart  = 500 * time.Millisecond
 	behindTime = time.Second
-	// answerWithin bounds the wait for an answer behind another one: a body and a time limit, and what the instance needs.
-	answerWithin = mostSending + 9*time.Second + 6*time.Second
+	// answerWait bounds the wait for an answer behind another one: a body and a time limit, and what the instance needs.
+	answerWait = mostSending + 9*time.Second + 6*time.Second
 	// redial is the pause after a connection that was refused.
 	redial = 100 * time.Millisecond
 )
@@ -93,7 +93,7 @@
 	open := true
 	for i, call := range w.calls {
 		// Without a deadline a connection that hangs would never be reported.
-		_ = conn.SetReadDeadline(time.Now().Add(answerWithin))
+		_ = conn.SetReadDeadline(time.Now().Add(answerWait))
 		closes := call.read(r, c.fleet.ledger)
 		if closes || call.err != nil {
 			open = false
@@ -251,7 +251,7 @@
 
 // answerStatuses are those that a request may get: all routes are in all configurations, and all requests are valid.
 var answerStatuses = []int{
-	http.StatusOK, http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
+	http.StatusOK, http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout,
 }
 
 // read reads the answer and reports whether it says that the connection closes.
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -54,6 +54,8 @@
 	// seedOfCallers does the same for clients around planned stops, and seedOfStops for these.
 	seedOfCallers = 9 << 32
 	seedOfStops   = 10 << 32
+	// seedOfEndless does the same for endpoints that send responses without end.
+	seedOfEndless = 11 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -295,6 +297,9 @@
 				return err
 			}
 			e.plan.DataDir = ""
+			if cfg.Callers > 0 && d%2 == 1 {
+				e.plan.MemoryMB = smallMB
+			}
 			e.plan.ConsumerAddress = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan)
 			e.plan.ReadyAddress = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan+1)
 			f.entries = append(f.entries, e)
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -134,6 +134,9 @@
 	s.fleet.replacements.Wait()
 	s.fleet.customers.check()
 	s.fleet.calls.check(s.fleet.ledger, &s.fleet.watchdog)
+	for _, e := range s.fleet.entries {
+		s.fleet.checkMemory(e)
+	}
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.AddViolation("no control instance is sure of the configuration after the faults")
 	}
--- a/rockbench/soak/stops.go
+++ b/rockbench/soak/stops.go
@@ -25,7 +25,7 @@
 	downFor = time.Second
 )
 
-// goPlanned starts planned stops in series, and clients whose requests these may not lose.
+// goPlanned starts planned stops in series, clients whose requests these may not lose, and responses without end.
 func (s *soak) goPlanned(running *sync.WaitGroup, faulty, finish context.Context) {
 	if s.cfg.Callers == 0 || s.cfg.Before != "" {
 		// Instances of an earlier version lose such requests.
@@ -35,6 +35,8 @@
 		c := &caller{fleet: s.fleet, entry: s.fleet.entries[i%uint64(len(s.fleet.entries))], number: i, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfCallers+i))}
 		running.Go(func() { c.loop(faulty, finish) })
 	}
+	x := &endless{fleet: s.fleet, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfEndless))}
+	running.Go(func() { x.loop(faulty) })
 	entries := &stopper{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfStops))}
 	running.Go(func() { entries.loop(faulty, entries.stopEntries) })
 	disks := &stopper{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfStops+1))}
@@ -142,6 +144,9 @@
 // end stops the process, which breaks a promise unless it ends within the grace period.
 func (p *plannedStop) end() {
 	in := p.instance
+	if in.role == "entry" {
+		p.fleet.checkMemory(in)
+	}
 	exited := in.expectEnd()
 	begun := time.Now()
 	in.signal(syscall.SIGTERM)
