--- a/rockbench/soak/callers.go
+++ b/rockbench/soak/callers.go
@@ -269,6 +269,9 @@
 		return true
 	}
 	l.Count(fmt.Sprintf("%s calls with status %d", c.how, c.status))
+	if _, stopping := c.instance.claimed.plannedSince(time.Now()); stopping {
+		l.Count("calls answered in planned stops")
+	}
 	switch {
 	case !slices.Contains(answerStatuses, c.status):
 		l.AddViolation("request %s gets status %d: %s", c.id, c.status, body)
--- a/rockbench/soak/losses.go
+++ b/rockbench/soak/losses.go
@@ -36,6 +36,9 @@
 			continue
 		}
 		ledger.Count(c.how + " calls without an answer")
+		if !c.instance.claimed.hasFault(c.begun.Add(-contact), c.ended) {
+			ledger.Count("calls without an answer that no fault met")
+		}
 		if why := c.loss(ledger.HasRun(c.id), w); why != "" {
 			ledger.AddViolation("%s: request %s %s", c.instance.plan.Instance, c.id, why)
 		}
--- a/rockbench/soak/soak_test.go
+++ b/rockbench/soak/soak_test.go
@@ -47,7 +47,7 @@
 	for _, b := range report.Broken {
 		t.Error(b)
 	}
-	for _, name := range []string{"planned stops", "slow calls with status 200", "behind calls with status 200", "whole calls with status 200"} {
+	for _, name := range []string{"planned stops", "calls answered in planned stops", "slow calls with status 200", "behind calls with status 200", "whole calls with status 200"} {
 		if report.Counts[name] == 0 {
 			t.Errorf("no %s", name)
 		}
