--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -51,6 +51,11 @@
 	seedOfCrashes = 7 << 32
 	// seedOfFields does the same for fields of other writers, of which there is one for foreignEvery known ones.
 	seedOfFields, foreignEvery = 8 << 32, 40
+	// seedOfCallers does the same for clients around planned stops, and seedOfStops for these.
+	seedOfCallers = 9 << 32
+	seedOfStops   = 10 << 32
+	// seedOfEndless does the same for endpoints that send responses without end.
+	seedOfEndless = 11 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -92,6 +97,10 @@
 	// extraServices and extraRoutes are in each configuration beside those that change.
 	extraServices []*fleetpb.Service
 	extraRoutes   []*fleetpb.Route
+	// calls are the requests around planned stops that ended without an answer.
+	calls lostCalls
+	// watchdog tells when the machine was too busy.
+	watchdog watchdog
 	// customers are those of the configuration, nil if it has none.
 	customers *customers
 	// lives counts the endpoints made, so that each has an id of its own.
@@ -139,13 +148,18 @@
 	if err := f.plan(program, cfg); err != nil {
 		return nil, stop, err
 	}
+	if cfg.Callers > 0 {
+		if err := f.startLasting(); err != nil {
+			return nil, stop, err
+		}
+	}
 	first := &firstStart{fleet: f, r: rand.New(rand.NewPCG(cfg.Seed, seedOfStarts)), out: cfg.Out}
 	if err := first.run(ctx); err != nil {
 		return nil, stop, err
 	}
 	if cfg.Before == "" {
 		// Earlier versions obey the fields of other writers.
-		f.operator.Extend = (&standin.ForeignFields{Rand: rand.New(rand.NewPCG(cfg.Seed, seedOfFields)), Every: foreignEvery}).Extend
+		f.operator.Extend = (&standin.ForeignFields{Rand: rand.New(rand.NewPCG(cfg.Seed, seedOfFields)), Every: foreignEvery, Except: lastingPrefix}).Extend
 	}
 	return f, stop, f.await(ctx)
 }
@@ -283,6 +297,9 @@
 				return err
 			}
 			e.plan.DataDir = ""
+			if cfg.Callers > 0 && d%2 == 1 {
+				e.plan.MemoryMB = smallMB
+			}
 			e.plan.ConsumerAddress = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan)
 			e.plan.ReadyAddress = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan+1)
 			f.entries = append(f.entries, e)
@@ -376,3 +393,12 @@
 	}
 	return out
 }
+
+// counts returns what was counted, with the stalls of the machine.
+func (f *fleet) counts() map[string]int {
+	out := f.ledger.Counts()
+	f.watchdog.mu.Lock()
+	defer f.watchdog.mu.Unlock()
+	out["stalls of the machine"] = len(f.watchdog.stalls)
+	return out
+}
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -43,6 +43,9 @@
 	Control int
 	// NoCustomers leaves customers out: with them, each entry instance follows all control instances.
 	NoCustomers bool
+	// Callers is the number of clients of each entry instance whose requests planned stops may not lose, which come in series then.
+	// With zero there are neither.
+	Callers int
 	// Before is the program of another version that all instances begin with; they are
 	// upgraded one after another while faults come. Empty is this build.
 	Before string
@@ -69,12 +72,15 @@
 		return nil, err
 	}
 	s := &soak{cfg: cfg, fleet: f, start: time.Now()}
+	watched, still := context.WithCancel(ctx)
+	defer still()
+	go f.watchdog.run(watched)
 	s.play(ctx)
 	if err := ctx.Err(); err != nil {
 		// Whatever was under way was cut off, which breaks no promise.
 		return nil, errors.Wrap(err, "soak: stopped")
 	}
-	return &Report{Seed: cfg.Seed, Counts: f.ledger.Counts(), Broken: append(f.ledger.Violations(), f.failures()...)}, nil
+	return &Report{Seed: cfg.Seed, Counts: f.counts(), Broken: append(f.ledger.Violations(), f.failures()...)}, nil
 }
 
 type soak struct {
@@ -118,6 +124,7 @@
 		u := &upgrader{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfUpgrades)), finish: finish}
 		running.Go(func() { u.loop(faulty) })
 	}
+	s.goPlanned(&running, faulty, finish)
 	lanes := s.lanes()
 	for i, lane := range lanes {
 		d := &disturber{soak: s, faults: lane, r: rand.New(rand.NewPCG(s.cfg.Seed, uint64(i)))}
@@ -126,6 +133,10 @@
 	running.Wait()
 	s.fleet.replacements.Wait()
 	s.fleet.customers.check()
+	s.fleet.calls.check(s.fleet.ledger, &s.fleet.watchdog)
+	for _, e := range s.fleet.entries {
+		s.fleet.checkMemory(e)
+	}
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.AddViolation("no control instance is sure of the configuration after the faults")
 	}
