node: stops of store and control instances finish what they have begun

Operators of a stopping control instance lost their connections without an answer. Their server had no stop of its own: it lasted for as long as peers' calls took to end, 0.3 s at the most, and the controller's background work, with its rounds, ended before both. Peers' calls were cancelled after 0.3 s, less than their own time limits, and after what they depend on had ended: reported ends of endpoints were no longer saved, the copier did not run.

Calls that only wait for updates are answered at once, and streams of calls end after their replies.

--- a/rockbarrow/controller/controller.go
+++ b/rockbarrow/controller/controller.go
@@ -141,6 +141,10 @@
 	// updateMu guards update, which is closed and replaced whenever a newer state or list is known.
 	updateMu sync.Mutex
 	update   chan struct{}
+
+	// stopping is closed by EndWaits. It ends the calls that wait for updates.
+	stopping chan struct{}
+	endWaits sync.Once
 }
 
 // Open loads the votes from disk. The instance answers vote requests once Open has returned.
@@ -186,7 +190,7 @@
 	c.processID = rand.Uint64()
 	c.quotas.Params, c.quotas.Process = c.QuotaTerms, c.processID
 	c.quotas.Start(time.Now())
-	c.update = make(chan struct{})
+	c.update, c.stopping = make(chan struct{}), make(chan struct{})
 	return nil
 }
 
@@ -250,6 +254,9 @@
 	c.updateMu.Unlock()
 }
 
+// EndWaits ends the calls that wait for updates, now and from now on. Everything else goes on.
+func (c *Controller) EndWaits() { c.endWaits.Do(func() { close(c.stopping) }) }
+
 func (c *Controller) updateChan() <-chan struct{} {
 	c.updateMu.Lock()
 	defer c.updateMu.Unlock()
--- a/rockbarrow/controller/tables.go
+++ b/rockbarrow/controller/tables.go
@@ -220,6 +220,8 @@
 		}
 		select {
 		case <-wait:
+		case <-c.stopping:
+			return status.Error(codes.Unavailable, "controller: the instance stops")
 		case <-stream.Context().Done():
 			return stream.Context().Err()
 		}
--- a/rockbarrow/controller/updates.go
+++ b/rockbarrow/controller/updates.go
@@ -32,6 +32,8 @@
 		case <-c.confirmationTimer(req):
 		case <-wait.C:
 			return c.reply(req, acknowledged), nil
+		case <-c.stopping:
+			return c.reply(req, acknowledged), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
--- a/rockbarrow/store/store.go
+++ b/rockbarrow/store/store.go
@@ -60,8 +60,9 @@
 	copiedEpoch, completeEpoch atomic.Uint64
 	// viewChanged wakes the copier.
 	viewChanged chan struct{}
-	// stopping is closed when Run ends. It ends the streams of calls.
-	stopping chan struct{}
+	// stopping is closed by EndStreams. It ends the streams of calls.
+	stopping   chan struct{}
+	endStreams sync.Once
 }
 
 // HasRecords reports whether a data directory holds records.
@@ -146,7 +147,7 @@
 // Run copies records when the view changes and removes expired ones until ctx ends.
 // It must be called once.
 func (s *Store) Run(ctx context.Context) {
-	defer close(s.stopping)
+	defer s.EndStreams()
 	c := &copier{store: s}
 	go c.loop(ctx)
 	t := time.NewTicker(expiryInterval)
@@ -161,6 +162,10 @@
 	}
 }
 
+// EndStreams ends the streams of calls, each after the replies to its calls in progress. Clients send further calls one by one, or
+// elsewhere if the process stops.
+func (s *Store) EndStreams() { s.endStreams.Do(func() { close(s.stopping) }) }
+
 func (s *Store) expire() {
 	s.mu.Lock()
 	s.state.Expire(time.Now())
