entry: a stop ends after settlements and reports in the background

A reservation counts with its maximum until it is settled. Settlements of turns that aren't stored, and releases of those that were not run, are sent behind the response, and an instance that stopped ended without them: its connections to stores were closed as soon as the last connection of a client was. The budget of the program then lacked those tokens for good, and later turns got 402. In the same way control instances were not told that a program did not start, whose part of its customer's quota then stayed taken, and how suspects fared.

With nothing to do it returns at once.

TestSettlementsInTheBackgroundAreAwaited, without the wait, got "budget exceeded: 80 tokens used, 80 requested, budget 100" for a settled and for a released reservation; now both turns are admitted. That it is lost by a real process was not shown: the last connection stays open for 0.2 s after its response, which is enough for stores that answer in time.

--- a/rockbarrow/entry/customer.go
+++ b/rockbarrow/entry/customer.go
@@ -141,7 +141,7 @@
 	case !x.mayHaveRun:
 		x.entry.Quota.Refund(now, x.customer, x.charge)
 		if x.charge.HasCommitment() {
-			go x.runEndProgram()
+			x.entry.background.Go(x.runEndProgram)
 		}
 	case x.handling.streamed:
 		x.entry.needs.RecordTurn(now, x.route.GetName(), x.firstTurn, x.request.TimeToFinish)
--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -98,6 +98,8 @@
 	// speeds is used by runReachability only.
 	speeds   speedReporter
 	inFlight atomic.Int64
+	// background are the calls to control instances that no response waits for.
+	background sync.WaitGroup
 }
 
 // Init prepares the entry for NotifyChanged. It must be called before the watch client runs.
--- a/rockbarrow/entry/stop.go
+++ b/rockbarrow/entry/stop.go
@@ -44,6 +44,25 @@
 	time.AfterFunc(time.Until(s.End), e.endRequests)
 }
 
+// Finish waits, until ctx ends, for what requests have left to do in the background: the settlement of their reservations, and what
+// control instances are told of them. It is called once no request is in progress, and reports whether all is done.
+func (e *Entry) Finish(ctx context.Context) bool {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Stores.AwaitSettled()
+		e.background.Wait()
+		// An empty report is told once all before it are.
+		<-e.reports.add(pendingReport{})
+	}()
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // LatestBegin returns until when a stopping instance begins a request, false if it does not stop. A client timeout of zero is
 // unknown.
 func (e *Entry) LatestBegin(host, path string, clientTimeout time.Duration) (time.Time, bool) {
--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,8 @@
 	sampleCache sampleCache
 	spent       spentPrograms
 	large       largePrograms
+	// settling are the settlements in the background.
+	settling sync.WaitGroup
 }
 
 // Turn describes a turn to reserve tokens for.
@@ -224,9 +227,12 @@
 
 func (c *Client) settleAsync(ctx context.Context, t Turn, spent uint64, endpoint incarnation.ID) {
 	s := &backgroundSettlement{client: c, turn: t, spent: spent, endpoint: endpoint}
-	go s.run(context.WithoutCancel(ctx))
+	c.settling.Go(func() { s.run(context.WithoutCancel(ctx)) })
 }
 
+// AwaitSettled waits for the settlements in the background. None may begin meanwhile.
+func (c *Client) AwaitSettled() { c.settling.Wait() }
+
 // backgroundSettlement writes a settlement without a caller waiting for it.
 type backgroundSettlement struct {
 	client   *Client
