--- a/rockbarrow/dial/dial.go
+++ b/rockbarrow/dial/dial.go
@@ -172,15 +172,15 @@
 	p.conns, p.closed = nil, true
 }
 
-// NewServer returns a gRPC server with limits that match those of the pool.
-func NewServer() *grpc.Server {
-	return grpc.NewServer(
+// NewServer returns a gRPC server with limits that match those of the pool, and further options.
+func NewServer(options ...grpc.ServerOption) *grpc.Server {
+	return grpc.NewServer(append([]grpc.ServerOption{
 		grpc.NumStreamWorkers(streamWorkers),
 		grpc.ReadBufferSize(bufferSize), grpc.WriteBufferSize(bufferSize),
 		grpc.StaticStreamWindowSize(windowSize), grpc.StaticConnWindowSize(windowSize),
 		grpc.MaxRecvMsgSize(maxMessageSize), grpc.MaxSendMsgSize(maxMessageSize),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: pingInterval, Timeout: pingTimeout}),
-	)
+	}, options...)...)
 }
 
 func connectDefault(ctx context.Context, address string) (net.Conn, error) {
