soak: a test of planned stops during a start

An instance of each role is stopped while it waits for each of its addresses and for its data folder.

--- a/rockbench/soak/planned_stop_peers_test.go
+++ b/rockbench/soak/planned_stop_peers_test.go
@@ -10,8 +10,10 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -254,3 +256,43 @@
 	}
 	reportAll(t, f)
 }
+
+// TestAStopDuringAStart guards against a process that fails, or stays until it is killed, if it is stopped while it waits for one of its
+// addresses or its data folder.
+func TestAStopDuringAStart(t *testing.T) {
+	binary, err := build(t.Context(), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := func(t *testing.T, in *instance, waiting string) {
+		in.plan.GraceSeconds = grace
+		in.mustStart(t)
+		awaitLogged(t, in, waiting)
+		start := time.Now()
+		in.stop(syscall.SIGTERM)
+		if code := in.cmd.ProcessState.ExitCode(); code != 0 || time.Since(start) > grace*time.Second {
+			t.Errorf("%s: it ended with code %d after %v: %s", waiting, code, time.Since(start), in.tail())
+		}
+		t.Logf("%s: ended after %v", waiting, time.Since(start))
+	}
+	eachRole(t, binary, func(t *testing.T, in *instance) {
+		for n := range in.serves() {
+			next := solo(t, binary, in.role)
+			s := next.serves()[n]
+			held, err := net.Listen("tcp", s.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stop(t, next, `"what":"`+s.name+`"`)
+			held.Close()
+		}
+		if in.role == "entry" {
+			return
+		}
+		// A file is no folder.
+		if err := os.WriteFile(in.plan.DataDir, nil, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		stop(t, in, "the data folder can't be used yet")
+	})
+}
