entry: a response that has not begun is answered when it is lost

Cause: a stream counted as forwarded once its head was handed to net/http, which sends nothing before the first bytes of the body. A loss then was a cut, although a 502 could be sent. The same for a plain body while the memory budget has no room for its first bytes.

Change: the head is handed on with the first bytes of the body, or its end. Until then a lost response is answered with 502, a resumed stream may end with the next endpoint's error response, and a refusal is a refusal. Clients get the head no later than before, as it was buffered until then. What is charged for a stream that was begun stays as it was.

--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -174,7 +174,7 @@
 		return execution.Abandoned
 	case err != nil || x.bodyLost:
 		return execution.Lost
-	case isAborted(o):
+	case isCut(o):
 		return execution.Abandoned
 	case x.status >= http.StatusInternalServerError:
 		return execution.Failed
@@ -182,9 +182,13 @@
 	return execution.Completed
 }
 
-func isAborted(o Outcome) bool {
-	_, ok := o.(Aborted)
-	return ok
+// isCut reports whether this instance ended the response of an endpoint.
+func isCut(o Outcome) bool {
+	switch o.(type) {
+	case Aborted, Rejected:
+		return true
+	}
+	return false
 }
 
 // endProbe finds out whether an endpoint that lost a response has ended.
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -59,8 +59,10 @@
 	events eventScanner
 	// streamCharge is what the buffers of events are charged to the memory budget, in bytes.
 	streamCharge int64
-	// streamStarted is true once the header of an event stream was forwarded.
+	// streamStarted is true once an endpoint has begun an event stream.
 	streamStarted bool
+	// headWritten is true once the header of a response was forwarded, and with it the first part of the body or its end.
+	headWritten bool
 
 	// mayHaveRun is true once an endpoint may have executed the request.
 	mayHaveRun bool
@@ -313,7 +315,7 @@
 	switch {
 	case ctx.Err() == nil && x.canRetry():
 		return nil
-	case x.streamStarted:
+	case x.headWritten:
 		return Aborted{Reason: err.Error()}
 	case ctx.Err() != nil:
 		return Rejected{Status: http.StatusGatewayTimeout, Reason: err.Error()}
@@ -326,7 +328,7 @@
 	switch {
 	case ctx.Err() == nil && x.dispatches < maxDispatches && err.Endpoint != "none":
 		return nil
-	case x.streamStarted:
+	case x.headWritten:
 		return Aborted{Reason: err.Error()}
 	case x.failedExecutions > 0 && ctx.Err() != nil:
 		return Rejected{Status: http.StatusGatewayTimeout, Reason: err.Error()}
@@ -340,6 +342,6 @@
 
 // canRetry reports whether a request that may have been executed may be sent again.
 func (x *exchange) canRetry() bool {
-	allowed := x.handling.resumable || x.handling.repeatable && !x.streamStarted
+	allowed := x.handling.resumable || x.handling.repeatable && !x.headWritten
 	return allowed && x.failedExecutions < int(x.route.GetMaxAttempts()) && x.dispatches < maxDispatches && x.mayBeginAttempt()
 }
--- a/rockbarrow/entry/forward.go
+++ b/rockbarrow/entry/forward.go
@@ -45,10 +45,11 @@
 // response was lost before its first byte was forwarded.
 func (x *exchange) forwardBuffered(ctx context.Context, resp *Response, done func(placement.Result)) (Outcome, error) {
 	defer resp.Body.Close()
-	if x.streamStarted {
+	if x.headWritten {
 		// The client has the header of an event stream.
 		return nil, x.responseUnusable(done, resp.Status, "resumed with status ")
 	}
+	x.streamStarted = false
 	answer, err := x.readAnswer(resp)
 	defer answer.release()
 	if err != nil {
@@ -61,19 +62,27 @@
 	if failed && x.canFailOver() {
 		return nil, x.responseUnusable(done, resp.Status, "")
 	}
-	x.status = resp.Status
 	if answer.complete {
 		done(placement.Result{OK: !failed})
 		x.endSlot()
-		x.writer.Start(resp.Status, resp.Header, int64(len(answer.body)))
+		x.writeHead(resp, int64(len(answer.body)))
 		return x.write(answer.body), nil
 	}
-	x.writer.Start(resp.Status, resp.Header, resp.ContentLength)
-	if o := x.write(answer.body); o != (Completed{}) {
-		done(placement.Result{OK: true})
-		return o, nil
+	if len(answer.body) > 0 {
+		x.writeHead(resp, resp.ContentLength)
+		if o := x.write(answer.body); o != (Completed{}) {
+			done(placement.Result{OK: true})
+			return o, nil
+		}
+	}
+	_, err = io.CopyBuffer(bodyWriter{exchange: x, resp: resp}, resp.Body, answer.copyBuffer())
+	if err != nil && !x.headWritten {
+		x.lossCause = err
+		x.recordOversized(err)
+		x.recordLost(ctx)
+		return nil, x.responseLost(done, placement.Result{}, err.Error())
 	}
-	_, err = io.CopyBuffer(newBodyWriter(x.writer), resp.Body, answer.copyBuffer())
+	x.writeHead(resp, resp.ContentLength)
 	done(placement.Result{OK: err == nil})
 	if err != nil {
 		x.recordOversized(err)
@@ -93,7 +102,7 @@
 // the stream if this one stops inside an event. It returns an error if the stream broke off.
 func (x *exchange) forwardEvents(ctx context.Context, resp *Response, done func(placement.Result), stalls *stallDetector) (Outcome, error) {
 	defer resp.Body.Close()
-	x.startEventStream(resp)
+	x.startEventStream()
 	buf := make([]byte, readBufferSize)
 	timer := streamTimer{sent: x.sentAt, startCount: x.events.count}
 	for {
@@ -108,6 +117,7 @@
 				// The response ends right after this. A turn with history is stored before.
 				write = x.writer.WriteLast
 			}
+			x.writeHead(resp, -1)
 			if writeErr := write(complete); writeErr != nil {
 				done(placement.Result{OK: true})
 				return Aborted{Reason: "the client left: " + writeErr.Error()}, nil
@@ -118,10 +128,11 @@
 			err = limitErr
 		} else if chargeErr := x.chargeStream(ctx); chargeErr != nil {
 			done(placement.Result{OK: true})
-			return Aborted{Reason: "the stream was not buffered: " + chargeErr.Error()}, nil
+			return x.afterPart("the stream was not buffered: " + chargeErr.Error()), nil
 		}
 		switch {
 		case err == io.EOF && x.events.isComplete():
+			x.writeHead(resp, -1)
 			done(placement.Result{OK: true, Stream: timer.timing(x.events.count, x.service.GetTokensPerEvent())})
 			return Completed{}, nil
 		case err == io.EOF:
@@ -136,15 +147,31 @@
 	}
 }
 
-// startEventStream forwards the header, unless an earlier endpoint's header was forwarded.
-func (x *exchange) startEventStream(resp *Response) {
-	if !x.streamStarted {
-		x.streamStarted, x.status = true, resp.Status
-		x.writer.Start(resp.Status, resp.Header, -1)
-	}
+// startEventStream begins with the events of an endpoint. The header is forwarded with the first of them: a client that has
+// nothing yet can be told that the response was lost.
+func (x *exchange) startEventStream() {
+	x.streamStarted = true
 	x.events.startSource()
 }
 
+// writeHead forwards the status and the header, unless those of an earlier response were forwarded. A part of the body, or its
+// end, follows.
+func (x *exchange) writeHead(resp *Response, length int64) {
+	if x.headWritten {
+		return
+	}
+	x.headWritten, x.status = true, resp.Status
+	x.writer.Start(resp.Status, resp.Header, length)
+}
+
+// afterPart returns the outcome of a request that may have run and gets no more bytes.
+func (x *exchange) afterPart(reason string) Outcome {
+	if x.headWritten {
+		return Aborted{Reason: reason}
+	}
+	return Rejected{Status: http.StatusBadGateway, Reason: reason}
+}
+
 func (x *exchange) write(b []byte) Outcome {
 	if err := x.writer.Write(b); err != nil {
 		return Aborted{Reason: "the client left: " + err.Error()}
@@ -152,13 +179,15 @@
 	return Completed{}
 }
 
-// bodyWriter implements [io.Writer] on a ResponseWriter.
-type bodyWriter struct{ writer ResponseWriter }
-
-func newBodyWriter(w ResponseWriter) io.Writer { return bodyWriter{writer: w} }
+// bodyWriter implements [io.Writer]. The header is forwarded with the first bytes.
+type bodyWriter struct {
+	exchange *exchange
+	resp     *Response
+}
 
 func (w bodyWriter) Write(b []byte) (int, error) {
-	if err := w.writer.Write(b); err != nil {
+	w.exchange.writeHead(w.resp, w.resp.ContentLength)
+	if err := w.exchange.writer.Write(b); err != nil {
 		return 0, err
 	}
 	return len(b), nil
--- a/rockbarrow/entry/suspects.go
+++ b/rockbarrow/entry/suspects.go
@@ -94,7 +94,7 @@
 func (x *exchange) hold(err *HeldError) Outcome {
 	x.entry.Metrics.Counter("requests_held").Inc(1)
 	switch {
-	case x.streamStarted:
+	case x.headWritten:
 		return Aborted{Reason: err.Error()}
 	case x.failedExecutions > 0 || err.RetryAfter == 0:
 		// Nothing tells the client to come again for what is not sent any more.
@@ -106,7 +106,7 @@
 // refuse returns the outcome of a request that ends endpoints. The client must not send it again.
 func (x *exchange) refuse(err *RefusedError) Outcome {
 	x.entry.Metrics.Counter("requests_quarantined").Inc(1)
-	if x.streamStarted {
+	if x.headWritten {
 		return Aborted{Reason: err.Error()}
 	}
 	return Rejected{Status: http.StatusBadRequest, Reason: err.Error()}
