durable: a record that could not be read back is refused

Cause: the limit of a frame (64 MB) held for reading only. A longer record, such as a history that has grown large, was written and counted as synced. At the next start it was taken for a torn tail, and it and all records of the segment behind it were dropped; a value of a cell replaced the one before it in the same way, and after two of them the cell counted as damaged.

Change: Append and Save refuse it with TooLargeError, and write nothing of the call.

--- a/rockbarrow/durable/cell.go
+++ b/rockbarrow/durable/cell.go
@@ -12,6 +12,9 @@
 	"github.com/pkg/errors"
 )
 
+// seqSize is the size of a value's number in bytes.
+const seqSize = 8
+
 // Cell is one value on a disk. A [Cell.Save] that fails leaves the value before
 // it in force.
 type Cell struct {
@@ -81,14 +84,14 @@
 // adopt takes the value of a file if it is whole and newer.
 func (c *Cell) adopt(b []byte) {
 	payload, _, ok := nextFrame(b)
-	if !ok || len(payload) < 8 {
+	if !ok || len(payload) < seqSize {
 		return
 	}
 	seq := binary.BigEndian.Uint64(payload)
 	if seq <= c.seq {
 		return
 	}
-	c.seq, c.value = seq, payload[8:]
+	c.seq, c.value = seq, payload[seqSize:]
 }
 
 // file returns the name of the file that holds a value.
@@ -103,13 +106,16 @@
 	return c.value
 }
 
-// Save writes and syncs a new value.
+// Save writes and syncs a new value. The error is a [TooLargeError] if it could not be read back.
 func (c *Cell) Save(value []byte) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	seq := c.seq + 1
 	payload := binary.BigEndian.AppendUint64(nil, seq)
 	payload = append(payload, value...)
+	if err := checkSize(payload); err != nil {
+		return err
+	}
 	if err := c.folder.replace(c.file(seq), appendFrame(nil, payload)); err != nil {
 		return err
 	}
--- a/rockbarrow/durable/frame.go
+++ b/rockbarrow/durable/frame.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"hash/crc32"
 )
 
@@ -13,8 +14,26 @@
 // maxFrame bounds a frame, so that a broken length is not believed.
 const maxFrame = 64 << 20
 
+// TooLargeError reports a record or value that could not be read back.
+type TooLargeError struct {
+	// Size is the size in bytes, and Limit the largest.
+	Size, Limit int
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("durable: %d bytes are too many, the limit is %d", e.Size, e.Limit)
+}
+
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
+// checkSize returns a [TooLargeError] if a payload does not fit into a frame.
+func checkSize(payload []byte) error {
+	if len(payload) > maxFrame {
+		return &TooLargeError{Size: len(payload), Limit: maxFrame}
+	}
+	return nil
+}
+
 // appendFrame appends a payload with its header.
 func appendFrame(b, payload []byte) []byte {
 	b = binary.BigEndian.AppendUint32(b, uint32(len(payload)))
--- a/rockbarrow/durable/log.go
+++ b/rockbarrow/durable/log.go
@@ -116,11 +116,16 @@
 }
 
 // Append writes records and returns once all are synced. After an error each may
-// or may not be there.
+// or may not be there; after a [TooLargeError] none is.
 func (l *Log) Append(ctx context.Context, payloads ...[]byte) error {
 	if len(payloads) == 0 {
 		return nil
 	}
+	for _, payload := range payloads {
+		if err := checkSize(payload); err != nil {
+			return err
+		}
+	}
 	p := &pending{payloads: payloads, done: make(chan error, 1)}
 	select {
 	case <-l.closing:
