watch: a stream of routing tables has a limit

Cause: an entry instance adds the parts of a stream to a table for as long as each next part comes within 0.4 s. A control instance that streams without end fills its memory, or keeps it from ever asking another one.

Change: a stream has 32 MB of decoded parts, each of which counts as at least 1 KB. Beyond that its call is canceled, and the next control instance is asked.

--- a/rockbarrow/watch/table.go
+++ b/rockbarrow/watch/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"slices"
 	"time"
@@ -23,6 +24,24 @@
 // a large table on a slow link completes.
 const partTimeout = 400 * time.Millisecond
 
+const (
+	// maxTableBytes limits what one stream of parts has, decoded: twice the text of the largest configuration that operators can
+	// send.
+	maxTableBytes = 32 << 20
+	// minPartBytes is what a part counts as at least, so that empty ones come to an end, too.
+	minPartBytes = 1 << 10
+)
+
+// TableSizeError reports that a stream of parts exceeds its limit.
+type TableSizeError struct {
+	// Limit is the limit in bytes.
+	Limit int
+}
+
+func (e *TableSizeError) Error() string {
+	return fmt.Sprintf("watch: a stream of routing tables exceeds %d bytes", e.Limit)
+}
+
 // TableFetchError is returned if no control instance delivered a table.
 type TableFetchError struct {
 	// Version is the requested version.
@@ -145,6 +164,8 @@
 	table *routing.Table
 	// update builds the next table; nil between changes.
 	update *routing.Update
+	// size is that of all parts in bytes, decoded.
+	size int
 }
 
 // addPart applies a part.
@@ -153,6 +174,9 @@
 	if err != nil {
 		return err
 	}
+	if f.size += max(len(b), minPartBytes); f.size > maxTableBytes {
+		return &TableSizeError{Limit: maxTableBytes}
+	}
 	change := &fleetpb.TableChange{}
 	if err := proto.Unmarshal(b, change); err != nil {
 		return errors.Wrap(err, "watch: decode routing table part")
