entry: responses and histories share a memory limit where clients have none

Cause: an instance whose settings have no contract on the memory of slow clients holds up to 256 KB of each plain response, up to 0.6 MB of each stream, and each history, without a limit on all of them. Hundreds of endless responses over slow links, each within its own limits, take more than the memory of the smallest instances (112 MB), and the process is killed with the requests of others.

A plain response that finds no room is forwarded without being held; a stream beyond 64 KB that finds none within 250 ms ends, with 502 if nothing of it was forwarded; a turn whose history goes beyond 64 KB and finds none is refused with 503. Usual ones need no room.

TestGrownHistoriesShareAMemoryLimit passes.

--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -15,6 +15,7 @@
 	"rockbarrow.dev/rockbarrow/execution"
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/lease"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/quarantine"
 	"rockbarrow.dev/rockbarrow/quota"
 	"rockbarrow.dev/rockbarrow/routing"
@@ -59,6 +60,8 @@
 	// the request rates of customers.
 	Lease *lease.Lease
 	Quota *quota.Limiter
+	// ResponseMemory limits what responses and histories of requests hold that have no account of their own; nil means no limit.
+	ResponseMemory *membudget.Budget
 
 	table atomic.Pointer[routing.Table]
 	fleet atomic.Pointer[fleet]
@@ -204,7 +207,11 @@
 	if !ok {
 		return e.finish(&exchange{entry: e, request: req, table: t}, Rejected{Status: http.StatusNotFound, Reason: "no route"})
 	}
-	x := &exchange{entry: e, request: req, table: t, route: route, writer: w}
+	x := &exchange{entry: e, request: req, table: t, route: route, writer: w, memory: req.Memory}
+	if x.memory == nil {
+		x.memory = e.ResponseMemory.Open(nil)
+		defer x.memory.Close()
+	}
 	x.service = t.Service(routing.PickService(route, x.splitKey()))
 	x.deadline = req.Arrived.Add(requestTime(route.GetTimeoutMs(), req.ClientTimeout))
 	if o := x.checkStop(time.Now()); o != nil {
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -13,6 +13,7 @@
 
 	"rockbarrow.dev/rockbarrow/execution"
 	"rockbarrow.dev/rockbarrow/incarnation"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/placement"
 	"rockbarrow.dev/rockbarrow/quarantine"
 	"rockbarrow.dev/rockbarrow/quota"
@@ -50,6 +51,9 @@
 	handling  handling
 	writer    ResponseWriter
 	deadline  time.Time
+	// memory is charged for what the response and the history hold: the account of the request, or one of ResponseMemory; nil
+	// means no limit.
+	memory *membudget.Account
 
 	// grant is the reservation at the stores, or nil.
 	grant *stores.Grant
--- a/rockbarrow/entry/memory.go
+++ b/rockbarrow/entry/memory.go
@@ -41,7 +41,7 @@
 // readAnswer reads a response of up to maxBufferedBody bytes, or as much of it as the memory
 // budget has room for.
 func (x *exchange) readAnswer(resp *Response) (*answer, error) {
-	a := &answer{account: x.request.Memory}
+	a := &answer{account: x.memory}
 	if a.account == nil {
 		body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
 		a.body, a.complete = body, len(body) <= maxBufferedBody
@@ -104,14 +104,18 @@
 // chargeHistory charges the prompt that buildPrompt copies. It returns a non-nil outcome if there
 // is no room for it.
 func (x *exchange) chargeHistory(ctx context.Context, g *stores.Grant) Outcome {
-	if x.request.Memory == nil || len(g.History()) == 0 {
+	if x.memory == nil || len(g.History()) == 0 {
 		return nil
 	}
 	size := len(x.request.Body)
 	for _, t := range g.History() {
 		size += len(t.GetInput()) + len(t.GetOutput())
 	}
-	err := x.request.Memory.ChargeBody(ctx, int64(size))
+	if x.request.Memory == nil {
+		// Usual histories need no room beside large ones.
+		size = max(0, size-freeStreamBytes)
+	}
+	err := x.memory.ChargeBody(ctx, int64(size))
 	var usedUp *membudget.UsedUpError
 	switch {
 	case err == nil:
--- a/rockbarrow/entry/memory_test.go
+++ b/rockbarrow/entry/memory_test.go
@@ -63,3 +63,40 @@
 		}
 	})
 }
+
+// TestGrownHistoriesShareAMemoryLimit guards against histories that have grown large, and take more than the memory of an instance
+// without a budget for its clients, and against usual histories that are refused beside them.
+func TestGrownHistoriesShareAMemoryLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		large := "data: " + strings.Repeat("d", 2*freeStreamBytes) + "\n\n"
+		s := &fakeSender{responses: []func(EndpointRequest) (*Response, error){respond(200, large), respond(200, event(1)), respond(200, event(1))}}
+		e := newStreamEntry(t, startStores(t), s)
+		for _, id := range []string{"large", "usual"} {
+			if o := e.Serve(t.Context(), newTurn("k", id, id, 0), &fakeWriter{}); o != (Completed{}) {
+				t.Fatalf("%#v", o)
+			}
+		}
+		b := &membudget.Budget{MaxBytes: freeStreamBytes, Metrics: tally.NoopScope}
+		other := b.Open(nil)
+		if err := other.ChargeBody(t.Context(), freeStreamBytes); err != nil {
+			t.Fatal(err)
+		}
+		e.ResponseMemory = b
+		next := func(id string) Outcome {
+			r := newTurn("k", id+"-next", id, 0)
+			r.PreviousTurn = id
+			return e.Serve(t.Context(), r, &fakeWriter{})
+		}
+		o, ok := next("large").(Rejected)
+		if !ok || o.Status != http.StatusServiceUnavailable || o.RetryAfter != longRetryAfter || len(s.requests) != 2 {
+			t.Errorf("%#v, %d requests were sent", o, len(s.requests))
+		}
+		if o := next("usual"); o != (Completed{}) {
+			t.Errorf("%#v", o)
+		}
+		other.Close()
+		if held := b.Held(); held != 0 {
+			t.Errorf("%d bytes are held after the requests", held)
+		}
+	})
+}
--- a/rockbarrow/entry/oversized.go
+++ b/rockbarrow/entry/oversized.go
@@ -105,7 +105,7 @@
 	if more <= 0 {
 		return nil
 	}
-	if err := x.request.Memory.ChargeBody(ctx, more); err != nil {
+	if err := x.memory.ChargeBody(ctx, more); err != nil {
 		return err
 	}
 	x.streamCharge += more
