engine, service: answers that are coming in share a memory limit

Cause: an answer of an engine or a service has a limit of 8 MB and a line one of 1 MB, but nothing bounds all of them: hundreds of endless answers at once take gigabytes, up to limits.streams (4,096) times 8 MB.

Change: what an answer holds beyond 64 KB is charged to a budget of 64 MB, eight of the largest, which engines and services share. Usual answers need no room.

What a run keeps of an answer is not charged.

--- a/rockbarrow/daemon/build.go
+++ b/rockbarrow/daemon/build.go
@@ -145,7 +145,7 @@
 func (d *Daemon) buildHost() {
 	d.host = &host.Host{
 		Instance: d.Settings.Instance, Domain: d.Settings.Domain, Incarnation: d.incarnation,
-		Peers: d.client, Backends: backends(), Dispatcher: d.dispatcher,
+		Peers: d.client, Backends: backends(d.scope), Dispatcher: d.dispatcher,
 		View:        d.membership.View,
 		Lease:       settings.Milliseconds(d.Settings.Timing.LeaseMS),
 		CallTimeout: time.Duration(d.Settings.Limits.CallSeconds) * time.Second,
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"rockbarrow.dev/rockbarrow/gossip"
 	"rockbarrow.dev/rockbarrow/host"
 	"rockbarrow.dev/rockbarrow/listen"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/operator"
 	"rockbarrow.dev/rockbarrow/peer"
 	"rockbarrow.dev/rockbarrow/roster"
@@ -34,6 +35,8 @@
 const (
 	// maxAnswerBytes bounds the size of an answer.
 	maxAnswerBytes = 8 << 20
+	// maxAnswersBytes bounds all answers that are coming in: eight of the largest, beside usual ones.
+	maxAnswersBytes = 8 * maxAnswerBytes
 	// maxHeadBytes bounds the headers of responses in bytes.
 	maxHeadBytes = 64 << 10
 	// streamStallTimeout bounds the time between two parts of an engine's
@@ -322,7 +325,8 @@
 }
 
 // backends returns the clients for engines and services.
-func backends() *backend.Set {
+func backends(scope tally.Scope) *backend.Set {
+	memory := &membudget.Budget{MaxBytes: maxAnswersBytes, Metrics: scope}
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 256,
@@ -332,7 +336,7 @@
 	}
 	h := &http.Client{Transport: transport}
 	return &backend.Set{
-		Engine:  &engine.Client{HTTP: h, Stall: streamStallTimeout, MaxAnswer: maxAnswerBytes},
-		Service: &service.Client{HTTP: h, MaxAnswer: maxAnswerBytes},
+		Engine:  &engine.Client{HTTP: h, Stall: streamStallTimeout, MaxAnswer: maxAnswerBytes, Memory: memory},
+		Service: &service.Client{HTTP: h, MaxAnswer: maxAnswerBytes, Memory: memory},
 	}
 }
--- a/rockbarrow/daemon/endless_test.go
+++ b/rockbarrow/daemon/endless_test.go
@@ -9,9 +9,13 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"rockbarrow.dev/rockbarrow/engine"
 	"rockbarrow.dev/rockbarrow/host"
 	"rockbarrow.dev/schema/configpb"
@@ -74,7 +78,7 @@
 // TestEndlessAnswerIsEnded guards against an instance that stores or reads an engine's or a service's answer without an end, in its
 // head or its body, and against the answers of others that it loses over that.
 func TestEndlessAnswerIsEnded(t *testing.T) {
-	set := backends()
+	set := backends(tally.NoopScope)
 	const ok = "HTTP/1.1 200 OK\r\n"
 	const chunked = ok + "Transfer-Encoding: chunked\r\n\r\n"
 	notRun := "HTTP/1.1 503 x\r\n" + engine.HeaderNotRun + ": true\r\n\r\n"
@@ -125,3 +129,99 @@
 		Deadline: time.Now().Add(time.Minute),
 	}, func(uint64, string) {})
 }
+
+// TestManyAnswersStayInTheirMemory guards against answers that are within their limit one by one, and together take the memory of the
+// instance, and against usual answers that are lost beside them.
+func TestManyAnswersStayInTheirMemory(t *testing.T) {
+	const ok = "HTTP/1.1 200 OK\r\n\r\n"
+	chunk := `data: {"choices":[{"delta":{"content":"` + strings.Repeat("c", 8<<10) + `"}}]}` + "\n\n"
+	usual := newEndless(t, "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n"+strings.Repeat("b", 60_000), "")
+	for _, test := range []struct {
+		name, service, beginning, piece string
+		pieces                          int
+	}{
+		// Each stops just below its limit, and does not end.
+		{"services", "s", ok, strings.Repeat("b", 64<<10), 127},
+		{"engines", "", ok, chunk, 1023},
+		{"lines of engines", "", ok + "data: ", strings.Repeat("b", 64<<10), 15},
+	} {
+		set := backends(tally.NoopScope)
+		memory := set.Engine.Memory
+		memory.MaxBytes = 16 << 20
+		stop := make(chan struct{})
+		server := &halted{t: t, beginning: test.beginning, body: strings.Repeat(test.piece, test.pieces), stop: stop}
+		address := server.start()
+		ctx, cancel := context.WithCancel(t.Context())
+		var calls sync.WaitGroup
+		var ended atomic.Int64
+		const many = 32
+		for range many {
+			calls.Go(func() {
+				set.Call(ctx, host.Attempt{
+					Endpoint: &configpb.Endpoint{Name: "e", Address: address, Service: test.service}, Created: &recordpb.Created{}, Intent: &recordpb.Intent{},
+					Deadline: time.Now().Add(time.Minute),
+				}, func(uint64, string) {})
+				ended.Add(1)
+			})
+		}
+		// Those that find no room fail, the others stay.
+		for ended.Load() < many/2 {
+			if held := memory.Held(); held > memory.MaxBytes {
+				t.Fatalf("%s: %d bytes are held", test.name, held)
+			}
+			select {
+			case <-time.After(5 * time.Millisecond):
+			case <-t.Context().Done():
+				t.Fatal(t.Context().Err())
+			}
+		}
+		if r := callWith(t, set.Call, usual.address(), "s"); len(r.Answer.GetContent()) != 60_000 {
+			t.Errorf("%s: a usual answer beside them: %d bytes, %s", test.name, len(r.Answer.GetContent()), r.Reason)
+		}
+		cancel()
+		close(stop)
+		calls.Wait()
+		if held := memory.Held(); held != 0 {
+			t.Errorf("%s: %d bytes are held after the calls", test.name, held)
+		}
+	}
+}
+
+// halted sends the same bytes as the answer to each request, and neither goes on nor ends.
+type halted struct {
+	t               *testing.T
+	beginning, body string
+	stop            chan struct{}
+}
+
+func (h *halted) start() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	h.t.Cleanup(func() { l.Close() })
+	go h.loop(l)
+	return "http://" + l.Addr().String()
+}
+
+func (h *halted) loop(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go h.serve(c)
+	}
+}
+
+func (h *halted) serve(c net.Conn) {
+	defer c.Close()
+	r, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	io.Copy(io.Discard, r.Body)
+	if _, err := io.WriteString(c, h.beginning+h.body); err == nil {
+		<-h.stop
+	}
+}
--- a/rockbarrow/engine/client.go
+++ b/rockbarrow/engine/client.go
@@ -20,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/recordpb"
 )
@@ -37,6 +38,9 @@
 const (
 	// maxLine bounds one line of a stream in bytes.
 	maxLine = 1 << 20
+	// freeAnswer is what an answer may have without a charge to Memory, in bytes, so that usual answers need no room beside
+	// large ones.
+	freeAnswer = 64 << 10
 	// streamFactor bounds a whole stream as a multiple of the answer's bound. A chunk has some 200 bytes beside its content.
 	streamFactor = 256
 )
@@ -48,6 +52,8 @@
 	Stall time.Duration
 	// MaxAnswer bounds an answer in bytes.
 	MaxAnswer int
+	// Memory bounds all answers that are coming in, services' as well; nil means no limit.
+	Memory *membudget.Budget
 }
 
 // StatusError says that an engine answered with another status than expected.
@@ -121,8 +127,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return Refusal(a.Endpoint, resp)
 	}
-	r := &reading{client: c, attempt: a, emit: emit, stall: stall, start: start}
-	return r.all(http.MaxBytesReader(nil, resp.Body, streamFactor*int64(c.MaxAnswer)))
+	r := &reading{client: c, attempt: a, emit: emit, stall: stall, start: start, held: Held{Account: c.Memory.Open(nil)}}
+	defer r.held.Account.Close()
+	return r.all(ctx, http.MaxBytesReader(nil, resp.Body, streamFactor*int64(c.MaxAnswer)))
 }
 
 func (c *Client) request(ctx context.Context, a host.Attempt) (*http.Request, error) {
@@ -190,11 +197,47 @@
 	content strings.Builder
 	finish  string
 	usage   *usage
+	held    Held
 }
 
-func (r *reading) all(body io.Reader) host.Result {
+// Held charges what an answer holds while it comes in.
+type Held struct {
+	Account *membudget.Account
+	charged int
+}
+
+// Grow charges what an answer holds now, in bytes. It may wait for room. The error is that of [membudget.Account.ChargeBody].
+func (h *Held) Grow(ctx context.Context, size int) error {
+	more := size - freeAnswer - h.charged
+	if more <= 0 {
+		return nil
+	}
+	if err := h.Account.ChargeBody(ctx, int64(more)); err != nil {
+		return errors.Wrap(err, "engine: the answer has no room")
+	}
+	h.charged += more
+	return nil
+}
+
+// lineSplitter splits a stream into lines, and charges the buffer for a long one.
+type lineSplitter struct {
+	ctx     context.Context
+	reading *reading
+}
+
+func (l *lineSplitter) split(data []byte, atEOF bool) (int, []byte, error) {
+	n, line, err := bufio.ScanLines(data, atEOF)
+	if n > 0 || err != nil {
+		return n, line, err
+	}
+	// The scanner doubles a buffer that is full.
+	return 0, nil, l.reading.held.Grow(l.ctx, l.reading.content.Cap()+2*len(data))
+}
+
+func (r *reading) all(ctx context.Context, body io.Reader) host.Result {
 	s := bufio.NewScanner(body)
 	s.Buffer(make([]byte, 0, 4096), maxLine)
+	s.Split((&lineSplitter{ctx: ctx, reading: r}).split)
 	for s.Scan() {
 		data, ok := strings.CutPrefix(s.Text(), "data: ")
 		if !ok {
@@ -203,7 +246,7 @@
 		if data == "[DONE]" {
 			return r.done()
 		}
-		if err := r.chunk(data); err != nil {
+		if err := r.chunk(ctx, data); err != nil {
 			return r.failed(err.Error())
 		}
 	}
@@ -213,7 +256,7 @@
 	return r.failed("the stream ended early")
 }
 
-func (r *reading) chunk(data string) error {
+func (r *reading) chunk(ctx context.Context, data string) error {
 	var c chunk
 	if err := json.Unmarshal([]byte(data), &c); err != nil {
 		return errors.Wrap(err, "engine: stream")
@@ -236,6 +279,9 @@
 		if r.content.Len()+len(choice.Delta.Content) > r.client.MaxAnswer {
 			return errors.New("engine: the answer is too long")
 		}
+		if err := r.held.Grow(ctx, 2*(r.content.Len()+len(choice.Delta.Content))); err != nil {
+			return err
+		}
 		r.content.WriteString(choice.Delta.Content)
 		r.emit(offset, choice.Delta.Content)
 	}
--- a/rockbarrow/service/client.go
+++ b/rockbarrow/service/client.go
@@ -16,6 +16,7 @@
 
 	"rockbarrow.dev/rockbarrow/engine"
 	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/recordpb"
 )
@@ -25,8 +26,13 @@
 	HTTP *http.Client
 	// MaxAnswer bounds an answer in bytes.
 	MaxAnswer int64
+	// Memory bounds all answers that are coming in, engines' as well; nil means no limit.
+	Memory *membudget.Budget
 }
 
+// firstBuffer is the size of the first buffer for an answer in bytes.
+const firstBuffer = 4 << 10
+
 // Call sends an attempt and returns its whole answer.
 func (c *Client) Call(ctx context.Context, a host.Attempt, _ func(uint64, string)) host.Result {
 	w := &engine.Writing{}
@@ -50,7 +56,7 @@
 	if c.refused(a, resp) {
 		return engine.Refusal(a.Endpoint, resp)
 	}
-	return c.answer(a, resp, time.Since(start))
+	return c.answer(ctx, a, resp, time.Since(start))
 }
 
 // refused reports whether an answer is no answer of the service: its own word
@@ -67,8 +73,33 @@
 	return false
 }
 
-func (c *Client) answer(a host.Attempt, resp *http.Response, first time.Duration) host.Result {
-	b, err := io.ReadAll(io.LimitReader(resp.Body, c.MaxAnswer+1))
+// read reads an answer, and one byte more than its limit if it is too long. It charges the buffer as it grows.
+func (c *Client) read(ctx context.Context, r io.Reader, held *engine.Held) ([]byte, error) {
+	b := make([]byte, 0, firstBuffer)
+	for int64(len(b)) <= c.MaxAnswer {
+		if len(b) == cap(b) {
+			size := min(2*cap(b), int(c.MaxAnswer)+1)
+			if err := held.Grow(ctx, size); err != nil {
+				return nil, err
+			}
+			b = append(make([]byte, 0, size), b...)
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if err == io.EOF {
+			return b, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
+func (c *Client) answer(ctx context.Context, a host.Attempt, resp *http.Response, first time.Duration) host.Result {
+	held := &engine.Held{Account: c.Memory.Open(nil)}
+	defer held.Account.Close()
+	b, err := c.read(ctx, resp.Body, held)
 	if err != nil {
 		return host.Result{Reason: "service " + a.Endpoint.GetName() + ": " + err.Error()}
 	}
