--- a/rockbarrow/entry/entry.go
+++ b/rockbarrow/entry/entry.go
@@ -60,8 +60,8 @@
 	// the request rates of customers.
 	Lease *lease.Lease
 	Quota *quota.Limiter
-	// ResponseMemory limits what responses and histories of requests hold that have no account of their own; nil means no limit.
-	ResponseMemory *membudget.Budget
+	// SharedMemory limits what the bodies, responses and histories of requests hold that have no account of their own; nil means no limit.
+	SharedMemory *membudget.Budget
 
 	table atomic.Pointer[routing.Table]
 	fleet atomic.Pointer[fleet]
@@ -209,7 +209,7 @@
 	}
 	x := &exchange{entry: e, request: req, table: t, route: route, writer: w, memory: req.Memory}
 	if x.memory == nil {
-		x.memory = e.ResponseMemory.Open(nil)
+		x.memory = e.SharedMemory.Open(nil)
 		defer x.memory.Close()
 	}
 	x.service = t.Service(routing.PickService(route, x.splitKey()))
--- a/rockbarrow/entry/exchange.go
+++ b/rockbarrow/entry/exchange.go
@@ -51,7 +51,7 @@
 	handling  handling
 	writer    ResponseWriter
 	deadline  time.Time
-	// memory is charged for what the response and the history hold: the account of the request, or one of ResponseMemory; nil
+	// memory is charged for what the response and the history hold: the account of the request, or one of SharedMemory; nil
 	// means no limit.
 	memory *membudget.Account
 
--- a/rockbarrow/entry/memory_test.go
+++ b/rockbarrow/entry/memory_test.go
@@ -81,7 +81,7 @@
 		if err := other.ChargeBody(t.Context(), freeStreamBytes); err != nil {
 			t.Fatal(err)
 		}
-		e.ResponseMemory = b
+		e.SharedMemory = b
 		next := func(id string) Outcome {
 			r := newTurn("k", id+"-next", id, 0)
 			r.PreviousTurn = id
