stores: settlements in the background outlive a restart of stores

A settlement that no response waits for was given up after 0.8 s. Where most stores of a program's group were away for longer, as when they are stopped at the same moment and start again, the reservation kept its maximum for good and later turns got 402.

Such a settlement is now tried for 30 s: again once the stores are reached, which the probes of the client find out, after a delay that doubles from 0.4 s, and for 0.25 s each time, so that stores that answer but refuse get little more work.

TestSettlementsOutliveARestartOfStores, all stores away for 2 s, failed before: "budget exceeded: 80 tokens used, 80 requested, budget 100"; now the turn is admitted. A turn that comes before the settlement may still get 402. The load of many such settlements was not measured.

--- a/rockbarrow/stores/client.go
+++ b/rockbarrow/stores/client.go
@@ -27,6 +27,11 @@
 	// budgetRetryDelay is the delay between these attempts. A reservation takes
 	// about 5 ms.
 	budgetRetryDelay = 25 * time.Millisecond
+	// settleTimeout is how long a settlement in the background is tried: longer than the stores of a program are away in planned
+	// stops, with a grace period of some ten seconds, or until others take their place. settleRetryDelay is the delay before the second
+	// try, and doubles, as stores that are reached may refuse all. Tries after the first take unresponsiveAfter at the most.
+	settleTimeout    = 30 * time.Second
+	settleRetryDelay = 400 * time.Millisecond
 )
 
 // Client calls store instances. The exported fields must be set before the first call.
@@ -242,13 +247,33 @@
 }
 
 func (s *backgroundSettlement) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	until, delay := time.Now().Add(settleTimeout), settleRetryDelay
+	for err := s.try(ctx, callTimeout); err != nil; err = s.try(ctx, unresponsiveAfter) {
+		ok := s.awaitStores(ctx, delay, until)
+		delay *= 2
+		if !ok {
+			s.client.Watch.Log.WithError(err).WithField("request", s.turn.ID).
+				Warn("reservation was not settled and keeps counting with its maximum")
+			return
+		}
+	}
+}
+
+func (s *backgroundSettlement) try(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	err := s.client.writeToQuorum(ctx, s.turn.Program, s.turn.settleRequest(s.spent, s.endpoint))
-	if err != nil {
-		s.client.Watch.Log.WithError(err).WithField("request", s.turn.ID).
-			Warn("reservation was not settled and keeps counting with its maximum")
+	return s.client.writeToQuorum(ctx, s.turn.Program, s.turn.settleRequest(s.spent, s.endpoint))
+}
+
+// awaitStores waits for a delay, and then until the program's stores are reached, which probes find out. It returns false at a time.
+func (s *backgroundSettlement) awaitStores(ctx context.Context, delay time.Duration, until time.Time) bool {
+	for wait.For(ctx, delay) && time.Now().Before(until) {
+		if s.client.ProgramReachable(s.turn.Program) {
+			return true
+		}
+		delay = probeInterval
 	}
+	return false
 }
 
 // settleRequest returns the request that settles the turn's reservation.
--- a/rockbarrow/stores/settling_test.go
+++ b/rockbarrow/stores/settling_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"rockbarrow.dev/rockbarrow/incarnation"
 	"rockbarrow.dev/rockbarrow/stores"
@@ -35,3 +36,29 @@
 		}
 	}
 }
+
+// TestSettlementsOutliveARestartOfStores guards against reservations that count with their maximum for good because most stores of the
+// program were stopped when they were to be settled.
+func TestSettlementsOutliveARestartOfStores(t *testing.T) {
+	g := newTestCluster(t)
+	go g.client.Run(t.Context())
+	const budget, most = 100, 80
+	grant, err := g.client.Reserve(t.Context(), stores.Turn{ID: "1", Program: "p", MaxTokens: most, Budget: budget})
+	g.noError(err)
+	for _, s := range g.stores {
+		s.stop()
+	}
+	g.client.Release(t.Context(), grant)
+	<-time.After(2 * time.Second)
+	for _, s := range g.stores {
+		s.start()
+	}
+	g.publishState()
+	for !g.client.ProgramReachable("p") {
+		sleepBriefly()
+	}
+	g.client.AwaitSettled()
+	if _, err := g.client.Reserve(t.Context(), stores.Turn{ID: "2", Program: "p", MaxTokens: most, Budget: budget}); err != nil {
+		t.Errorf("a turn after one that was released while the stores started again: %v", err)
+	}
+}
