owner: a run that was taken over is at risk until the first tick

Readiness and planned stops wait while runs lack copies.

TestARunIsAtRiskFromItsTakeoverToTheFirstTick failed before with 'a run is not at risk before its owner has begun'.

--- a/rockbarrow/owner/owner.go
+++ b/rockbarrow/owner/owner.go
@@ -100,6 +100,8 @@
 	// fullyReplicated is true if the set of members needs no change. atRisk is true
 	// if the stop of leaving members could leave too few copies or votes.
 	fullyReplicated, atRisk bool
+	// ticked is true once atRisk is known.
+	ticked bool
 }
 
 // unconfirmedReply is a reply that waits for the ownership to be confirmed.
@@ -115,8 +117,9 @@
 func (o *Owner) FullyReplicated() bool { return o.fullyReplicated }
 
 // AtRisk reports whether, as of the last tick, the journal does not serve or the
-// loss of leaving members would leave too few copies or votes.
-func (o *Owner) AtRisk() bool { return o.atRisk }
+// loss of leaving members would leave too few copies or votes. A run that was
+// taken over is at risk until the first tick.
+func (o *Owner) AtRisk() bool { return o.atRisk || !o.ticked && o.InitialMembers == nil }
 
 // Members returns the members of the journal.
 func (o *Owner) Members() journal.Members { return o.writer.Members() }
@@ -158,6 +161,7 @@
 
 func (o *Owner) tick(now time.Time, v *roster.View) []Action {
 	out := o.stepWriter(now, journal.Resend{})
+	o.ticked = true
 	o.atRisk = !o.writer.Serves() || v != nil && AtRisk(o.writer.Members(), v, o.Run, o.Domain)
 	if !o.writer.Serves() {
 		if now.Sub(o.started) < serveTimeout {
--- a/rockbarrow/owner/owner_test.go
+++ b/rockbarrow/owner/owner_test.go
@@ -93,3 +93,24 @@
 		}
 	}
 }
+
+// Guards against a stop, or a readiness, between a takeover and the first look at the run's copies, when the run may lack some.
+func TestARunIsAtRiskFromItsTakeoverToTheFirstTick(t *testing.T) {
+	tr := newTestRun(false)
+	if tr.o.AtRisk() {
+		t.Fatal("a new run, whose members were chosen for it, is at risk")
+	}
+	b := journal.NewMember("b", 1)
+	next := &Owner{Run: "d.r", Domain: "d", Self: b, Incarnation: 2, Replica: tr.replicas[b]}
+	if !next.AtRisk() {
+		t.Fatal("a run is not at risk before its owner has begun")
+	}
+	tr.repliesFrom(next, Start{Round: 2})
+	if !next.Serves() || !next.AtRisk() {
+		t.Fatalf("serves %v, at risk %v, want both", next.Serves(), next.AtRisk())
+	}
+	tr.repliesFrom(next, Ticked{})
+	if next.AtRisk() {
+		t.Fatal("a run with all copies stays at risk")
+	}
+}
