problem: what a stopping instance refuses may be resent at once

Refusals of a stopping instance told callers to come back after 1 s, though other instances take the request at once; entry instances say 1 ms.

--- a/rockbarrow/caller/stop.go
+++ b/rockbarrow/caller/stop.go
@@ -45,7 +45,7 @@
 // stopRefusal returns the reply to a request that does not begin because the instance stops. It certainly did not run if it has
 // no id under which it may have been sent before.
 func stopRefusal(id string) *peerpb.Problem {
-	p := problem.Retry(problem.NotServing, "the instance stops before the request could end", time.Second)
+	p := problem.Retry(problem.NotServing, "the instance stops before the request could end", problem.StopRetryAfter)
 	if id == "" {
 		p = problem.Certain(p)
 	}
--- a/rockbarrow/host/stop.go
+++ b/rockbarrow/host/stop.go
@@ -3,8 +3,6 @@
 package host
 
 import (
-	"time"
-
 	"rockbarrow.dev/rockbarrow/owner"
 	"rockbarrow.dev/rockbarrow/problem"
 	"rockbarrow.dev/rockbarrow/program"
@@ -132,5 +130,5 @@
 // stopProblem returns the reply to a request that is not begun because the
 // instance stops. An earlier sending of it may have run.
 func stopProblem() *peerpb.Problem {
-	return problem.Retry(problem.NotServing, "the instance stops before the request could end", time.Second)
+	return problem.Retry(problem.NotServing, "the instance stops before the request could end", problem.StopRetryAfter)
 }
--- a/rockbarrow/problem/problem.go
+++ b/rockbarrow/problem/problem.go
@@ -65,6 +65,10 @@
 	Stale Type = "configuration_stale"
 )
 
+// StopRetryAfter is the retry delay of what a stopping instance refuses: others
+// take it at once.
+const StopRetryAfter = time.Millisecond
+
 // entry is what goes with each type.
 type entry struct {
 	kind   Type
--- a/rockbarrow/program/stop.go
+++ b/rockbarrow/program/stop.go
@@ -25,7 +25,7 @@
 
 // stopRefusal returns the reply to a call that does not begin because the owner stops.
 func stopRefusal() *peerpb.Problem {
-	return problem.Certain(problem.Retry(problem.NotServing, "the run's owner stops before the call could end", time.Second))
+	return problem.Certain(problem.Retry(problem.NotServing, "the run's owner stops before the call could end", problem.StopRetryAfter))
 }
 
 // beginStop refuses the waiting calls, so that they are sent to the next owner.
