--- a/rockbarrow/endpointlist/endless_test.go
+++ b/rockbarrow/endpointlist/endless_test.go
@@ -42,7 +42,7 @@
 		written := make(chan int, 1)
 		go writeEndlessly(l, test.beginning, test.piece, endlessBytes, written)
 		p.URL = "http://" + l.Addr().String()
-		list, err := p.fetch(t.Context())
+		list, err := p.read(t.Context())
 		l.Close()
 		if err == nil || test.kept > 0 && (list == nil || len(list.Instances) < test.kept || list.Instances[0].State != "gone") {
 			t.Errorf("%s: %.200v, %v", test.name, list, err)
--- a/rockbarrow/endpointlist/list.go
+++ b/rockbarrow/endpointlist/list.go
@@ -102,6 +102,10 @@
 func (p *Poller) fetch(ctx context.Context) (*List, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
+	return p.read(ctx)
+}
+
+func (p *Poller) read(ctx context.Context) (*List, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "endpointlist: create request")
