--- a/rockbarrow/membership/plan_test.go
+++ b/rockbarrow/membership/plan_test.go
@@ -331,6 +331,25 @@
 	}
 }
 
+// TestAStartingControlInstanceRefusesNoRetirement guards against an operator's order that is refused for good by a control instance
+// that has not heard the stores yet.
+func TestAStartingControlInstanceRefusesNoRetirement(t *testing.T) {
+	a, b, c := member("a", 1), member("b", 2), member("c", 3)
+	p := newPlanner(a, b)
+	p.Uptime = minUptime
+	var starting *StartingError
+	if err := p.CheckRetire(newState(a, b), "c"); !errors.As(err, &starting) {
+		t.Errorf("%v for a store that was not heard, want a StartingError", err)
+	}
+	if err := p.CheckRetire(newState(a, b), "a"); !errors.As(err, &starting) {
+		t.Errorf("%v while a store was not heard, want a StartingError", err)
+	}
+	p = newPlanner(a, b, c)
+	if err := p.CheckRetire(newState(a, b), "a"); err != nil {
+		t.Errorf("%v once it was, want none", err)
+	}
+}
+
 func TestPlannerVoters(t *testing.T) {
 	now := time.Unix(100, 0)
 	seen := func(m *fleetpb.Member, ago time.Duration) Peer {
--- a/rockbarrow/membership/retire.go
+++ b/rockbarrow/membership/retire.go
@@ -14,6 +14,13 @@
 
 func (e *UnknownStoreError) Error() string { return "membership: unknown store " + e.Name }
 
+// StartingError reports that this control instance has not run long enough to have heard all stores.
+type StartingError struct{ Name string }
+
+func (e *StartingError) Error() string {
+	return "membership: this control instance has just started and does not know whether store " + e.Name + " can be retired"
+}
+
 // TooFewStoresError reports that a store can't be retired without losing the fault tolerance.
 type TooFewStoresError struct{ Remaining, Needed int }
 
@@ -22,7 +29,8 @@
 }
 
 // CheckRetire returns an error if a store can't be retired, because it is unknown or
-// because too few stores would remain for a write quorum to survive the tolerated losses.
+// because too few stores would remain for a write quorum to survive the tolerated losses. The error is a [StartingError] if
+// neither is certain.
 // Only present stores count, or all members while silent ones can't count as lost.
 func (p Planner) CheckRetire(s *fleetpb.State, name string) error {
 	v := s.GetView()
@@ -40,6 +48,10 @@
 			present[m.GetInstance()] = true
 		}
 	}
+	starting := p.Uptime <= minUptime
+	if !known && starting {
+		return &StartingError{Name: name}
+	}
 	if !known {
 		return &UnknownStoreError{Name: name}
 	}
@@ -49,7 +61,11 @@
 			remaining++
 		}
 	}
-	if needed := p.minMembers(); remaining < needed {
+	needed := p.minMembers()
+	if remaining < needed && starting {
+		return &StartingError{Name: name}
+	}
+	if remaining < needed {
 		return &TooFewStoresError{Remaining: remaining, Needed: needed}
 	}
 	return nil
