--- a/rockbench/soak/obeyed_test.go
+++ b/rockbench/soak/obeyed_test.go
@@ -179,3 +179,38 @@
 		t.Errorf("idle for %v, then a head of %v, of %v allowed: status %d, %v", middle+time.Second, unset+time.Second, long, status, err)
 	}
 }
+
+// TestTheLimitOfHeadsIsObeyed guards against an acknowledged limit of heads that is in force only up to that of the HTTP library.
+func TestTheLimitOfHeadsIsObeyed(t *testing.T) {
+	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: seeds, NoCustomers: true})
+	if stop != nil {
+		t.Cleanup(stop)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: &http.Transport{}}
+	t.Cleanup(client.CloseIdleConnections)
+	for i, test := range []struct {
+		limit, size, status int
+	}{
+		{limit: 16 << 10, size: 12 << 10, status: http.StatusOK},
+		{limit: 16 << 10, size: 24 << 10, status: http.StatusRequestHeaderFieldsTooLarge},
+		{limit: 3 << 20, size: 900 << 10, status: http.StatusOK},
+		{limit: 3 << 20, size: 2900 << 10, status: http.StatusOK},
+		{limit: 3 << 20, size: 3100 << 10, status: http.StatusRequestHeaderFieldsTooLarge},
+		{limit: 64 << 10, size: 900 << 10, status: http.StatusRequestHeaderFieldsTooLarge},
+	} {
+		f.limits.HeaderBytes = uint32(test.limit)
+		if err := f.deploy(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		f.awaitServed(t, client, f.routes.live[len(f.routes.live)-1])
+		for _, e := range f.entries {
+			status, err := standin.ProbeHead(t.Context(), client, e.plan.ConsumerAddress, host, firstRoute+"x", fmt.Sprint("head-", e.plan.Instance, i), test.size)
+			if status != test.status {
+				t.Errorf("a head of %d bytes of %d: status %d, %v, want %d", test.size, test.limit, status, err, test.status)
+			}
+		}
+	}
+}
