--- a/rockbarrow/entry/limits.go
+++ b/rockbarrow/entry/limits.go
@@ -25,6 +25,8 @@
 	HeaderBytes int
 	// HeaderTimeout is how long a request's headers may take, IdleTimeout how long a connection may have no request.
 	HeaderTimeout, IdleTimeout time.Duration
+	// Default is true while no configuration is in force.
+	Default bool
 }
 
 // Limits returns the limits of the configuration in force, and the defaults of those that it does not set.
@@ -32,7 +34,9 @@
 	if t := e.table.Load(); t != nil {
 		return limitsOf(t)
 	}
-	return limitsOf(&routing.Table{})
+	l := limitsOf(&routing.Table{})
+	l.Default = true
+	return l
 }
 
 func limitsOf(t *routing.Table) ClientLimits {
