--- a/rockbench/soak/configurations.go
+++ b/rockbench/soak/configurations.go
@@ -63,6 +63,13 @@
 	return err
 }
 
+// resend sends the configuration that was acknowledged last once more. It must not be refused.
+func (f *fleet) resend(ctx context.Context) {
+	f.configuring.Lock()
+	defer f.configuring.Unlock()
+	f.operator.Resend(ctx)
+}
+
 // deployStale sends other content under a version that was acknowledged, or an older one. It must change nothing.
 func (f *fleet) deployStale(ctx context.Context, r *rand.Rand) error {
 	f.configuring.Lock()
--- a/rockbench/soak/invalid.go
+++ b/rockbench/soak/invalid.go
@@ -67,4 +67,6 @@
 		b = spoiled
 	}
 	f.operator.ExpectRefusal(ctx, s.name, b)
+	// Without a draw, so that those of seeds stay.
+	f.operator.ExpectRefusal(ctx, "no bytes", nil)
 }
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -195,6 +195,7 @@
 			err = s.fleet.deployStale(ctx, r)
 		case 0, 5:
 			err = s.fleet.deploy(ctx)
+			s.fleet.resend(ctx)
 		}
 		if err != nil && ctx.Err() == nil {
 			s.fleet.ledger.AddViolation("a configuration was not taken: %v", err)
