--- /dev/null
+++ b/rockbench/soak/crowd_test.go
@@ -0,0 +1,398 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/platform/wire"
+	"rockbarrow.dev/rockbarrow/wait"
+)
+
+// The machines under test: the memory of the smallest entry instances, less than control instances have, and few descriptors.
+const (
+	crowdEntryMB   = 88
+	crowdControlMB = 128
+	crowdFDs       = 1024
+)
+
+const (
+	// manyClients send bodies of manyBytes, and fewClients some of largeBodyBytes.
+	manyClients, manyBytes     = 1500, 64 << 10
+	fewClients, largeBodyBytes = 400, 900 << 10
+	// crowdSends bounds the time for which a client of a crowd tries to send.
+	crowdSends = 20 * time.Second
+	// crowdWait bounds the wait for the answer to an ordinary request, crowdRead that for an answer to a client of a crowd.
+	crowdWait, crowdRead = 20 * time.Second, 100 * time.Millisecond
+	// crowdDials is how many clients connect at a time, so that none waits for its first packet to be sent again.
+	crowdDials = 100
+)
+
+// crowd is a number of clients of one address that don't behave.
+type crowd struct {
+	clients int
+	// send sends what a client sends, and leaves its connection open.
+	send func(c net.Conn, id string)
+	// address is where they connect.
+	address string
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// run connects all clients and returns once each has sent what it could. The returned function closes them.
+func (x *crowd) run(t *testing.T) (leave func()) {
+	dials := make(chan struct{}, crowdDials)
+	var sending sync.WaitGroup
+	for i := range x.clients {
+		dials <- struct{}{}
+		c, err := net.DialTimeout("tcp", x.address, crowdSends)
+		<-dials
+		if err != nil {
+			// It is refused, or the instance has no descriptor for it.
+			continue
+		}
+		x.mu.Lock()
+		x.conns = append(x.conns, c)
+		x.mu.Unlock()
+		c.SetWriteDeadline(time.Now().Add(crowdSends))
+		sending.Go(func() { x.send(c, x.id(i)) })
+	}
+	sending.Wait()
+	return func() {
+		for _, c := range x.conns {
+			c.Close()
+		}
+	}
+}
+
+func (x *crowd) id(i int) string { return fmt.Sprint("crowd-", i) }
+
+// checkAnswers checks what the clients were answered: a refusal that says that a request is not run, and when to send it again.
+func (x *crowd) checkAnswers(t *testing.T, f *fleet) {
+	counts := map[int]int{}
+	deadline := time.Now().Add(crowdRead)
+	for _, c := range x.conns {
+		c.SetReadDeadline(deadline)
+	}
+	for _, c := range x.conns {
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			continue
+		}
+		counts[resp.StatusCode]++
+		if resp.StatusCode == http.StatusServiceUnavailable && x.isConsumer(f) && resp.Header.Get("Retry-After") == "" {
+			t.Errorf("503 without Retry-After")
+		}
+		if resp.StatusCode < 300 && resp.StatusCode >= 200 {
+			t.Errorf("status %d for a request that was not whole", resp.StatusCode)
+		}
+	}
+	for i := range x.clients {
+		if f.ledger.HasRun(x.id(i)) {
+			t.Errorf("%s has run, although it was not whole", x.id(i))
+		}
+	}
+	t.Logf("answers: %v", counts)
+}
+
+func (x *crowd) isConsumer(f *fleet) bool { return x.address == f.entries[0].plan.ConsumerAddress }
+
+// crowdFleet starts a fleet, with limited memory and descriptors for the first instance of each role.
+func crowdFleet(t *testing.T) *fleet {
+	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: seeds, NoCustomers: true})
+	if stop != nil {
+		t.Cleanup(stop)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The limit of bodies changes with the versions.
+	for f.routes.tight {
+		if err := f.deploy(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for in, mb := range map[*instance]int{f.entries[0]: crowdEntryMB, f.control[0]: crowdControlMB} {
+		in.stop(syscall.SIGKILL)
+		in.plan.MemoryMB, in.plan.MaxFDs = mb, crowdFDs
+		if err := in.start(); err != nil {
+			t.Fatal(err)
+		}
+		pid, _ := in.pid()
+		limit := &unix.Rlimit{Cur: crowdFDs, Max: crowdFDs}
+		if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, limit, nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), readyWithin)
+	defer cancel()
+	for !f.entries[0].ready() {
+		if !wait.For(ctx, holdTick) {
+			t.Fatal("the entry instance is not ready")
+		}
+	}
+	for !f.answersOperator(ctx, f.control[0]) {
+		if !wait.For(ctx, holdTick) {
+			t.Fatal("the control instance does not answer")
+		}
+	}
+	return f
+}
+
+// answersConsumer sends an ordinary request to an entry instance, on a new connection, and reports whether it is served.
+func (f *fleet) answersConsumer(ctx context.Context, e *instance, id string) bool {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	status, err := standin.Probe(ctx, client, e.plan.ConsumerAddress, host, firstRoute+"x", id)
+	return err == nil && status == http.StatusOK
+}
+
+// answersOperator sends a read of the configuration to a control instance, on a new connection, and reports whether it is answered.
+func (f *fleet) answersOperator(ctx context.Context, c *instance) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.plan.OperatorAddress+"/v1/config/read", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err == nil && resp.StatusCode == http.StatusOK
+}
+
+// check has a crowd send to an instance, while it stays and once it has gone, an ordinary request must be answered. The process must live,
+// within its memory and descriptors.
+func (x *crowd) check(t *testing.T, f *fleet, in *instance, ordinary func(ctx context.Context, n int) bool) {
+	t.Helper()
+	pid, ok := in.pid()
+	if !ok {
+		t.Fatal("the process does not run")
+	}
+	life := in.life()
+	p := &footprint{pid: pid, address: x.address}
+	done := make(chan struct{})
+	var sampling sync.WaitGroup
+	sampling.Go(func() { p.loop(done) })
+	leave := x.run(t)
+	asked := 0
+	answered := func() bool {
+		ctx, cancel := context.WithTimeout(t.Context(), crowdWait)
+		defer cancel()
+		for {
+			asked++
+			if ordinary(ctx, asked) {
+				return true
+			}
+			if !wait.For(ctx, holdTick) {
+				return false
+			}
+		}
+	}
+	if !answered() {
+		t.Error("no ordinary request is answered while the crowd stays")
+	}
+	x.checkAnswers(t, f)
+	leave()
+	if !answered() {
+		t.Error("no ordinary request is answered once the crowd has gone")
+	}
+	close(done)
+	sampling.Wait()
+	peak, err := peakKB(pid)
+	if err != nil || in.failed() || in.life() != life {
+		t.Errorf("the process has ended: %v %v", err, in.failures())
+	}
+	t.Logf("%s: peak %d MB; with %d MB unread %d MB of %d; %d descriptors; asked %d times", in.plan.Instance, peak>>10, p.unread>>20, p.memory>>20, in.plan.MemoryMB, p.files, asked)
+	if peak > in.plan.MemoryMB<<10 || p.memory > int64(in.plan.MemoryMB)<<20 {
+		t.Errorf("%s has held %d MB, and %d MB with what was unread; its machine has %d MB", in.plan.Instance, peak>>10, p.memory>>20, in.plan.MemoryMB)
+	}
+	if p.files > crowdFDs {
+		t.Errorf("%s had %d descriptors open, of %d", in.plan.Instance, p.files, crowdFDs)
+	}
+}
+
+// checkConsumers is check for clients of the first entry instance.
+func checkConsumers(t *testing.T, clients int, send func(c net.Conn, id string)) {
+	t.Helper()
+	f := crowdFleet(t)
+	e := f.entries[0]
+	x := &crowd{clients: clients, send: send, address: e.plan.ConsumerAddress}
+	x.check(t, f, e, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
+}
+
+// checkOperators is check for clients of the first control instance.
+func checkOperators(t *testing.T, clients int, send func(c net.Conn, id string)) {
+	t.Helper()
+	f := crowdFleet(t)
+	c := f.control[0]
+	x := &crowd{clients: clients, send: send, address: c.plan.OperatorAddress}
+	x.check(t, f, c, func(ctx context.Context, _ int) bool { return f.answersOperator(ctx, c) })
+}
+
+// bodyHead is the head of a consumer's request whose body is framed by a header.
+func bodyHead(id, framing string) string {
+	return "POST " + firstRoute + "x HTTP/1.1\r\nHost: " + host + "\r\n" + wire.RequestID + ": " + id + "\r\n" + framing + "\r\n\r\n"
+}
+
+// documentHead is the head of an operator's request.
+func documentHead(framing string) string {
+	return "POST /v1/config/replace HTTP/1.1\r\nHost: " + host + "\r\n" + framing + "\r\n\r\n"
+}
+
+const chunkedFraming = "Transfer-Encoding: chunked"
+
+func lengthFraming(n int64) string { return fmt.Sprint("Content-Length: ", n) }
+
+// sendPieces sends the same piece a number of times with a pause in between, until it is not taken any more.
+func sendPieces(c net.Conn, piece string, n int, pause time.Duration) {
+	for range n {
+		if _, err := io.WriteString(c, piece); err != nil {
+			return
+		}
+		if pause > 0 {
+			<-time.After(pause)
+		}
+	}
+}
+
+var (
+	manyBody  = strings.Repeat("x", manyBytes)
+	largeBody = strings.Repeat("x", largeBodyBytes)
+)
+
+// TestCrowdOfBodies guards against an entry instance that runs out of memory over bodies of legal size that stop just short of their end.
+func TestCrowdOfBodies(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[1:])
+	})
+}
+
+// TestCrowdOfBodiesInPieces guards against the same if they come piece by piece.
+func TestCrowdOfBodiesInPieces(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes)))
+		sendPieces(c, manyBody[:manyBytes/64-1], 64, 20*time.Millisecond)
+	})
+}
+
+// TestCrowdOfLargeBodies guards against the same with few large bodies, which also wait unread.
+func TestCrowdOfLargeBodies(t *testing.T) {
+	checkConsumers(t, fewClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(largeBodyBytes))+largeBody[1:])
+	})
+}
+
+// TestCrowdOfLargeChunks guards against the same with one chunk each.
+func TestCrowdOfLargeChunks(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, chunkedFraming)+fmt.Sprintf("%x\r\n", manyBytes-1)+manyBody[1:]+"\r\n")
+	})
+}
+
+// TestCrowdOfTinyChunks guards against the same with chunks of one byte.
+func TestCrowdOfTinyChunks(t *testing.T) {
+	chunks := strings.Repeat("1\r\nx\r\n", 6000)
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, chunkedFraming)+chunks)
+	})
+}
+
+// TestCrowdOfAnnouncedBodies guards against the same with bodies far over the limit that are announced.
+func TestCrowdOfAnnouncedBodies(t *testing.T) {
+	checkConsumers(t, fewClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(4<<30))+largeBody)
+	})
+}
+
+// TestCrowdOfEndlessChunks guards against the same with bodies over the limit that are just sent.
+func TestCrowdOfEndlessChunks(t *testing.T) {
+	chunk := fmt.Sprintf("%x\r\n", 200<<10) + largeBody[:200<<10] + "\r\n"
+	checkConsumers(t, fewClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, chunkedFraming))
+		sendPieces(c, chunk, 20, 0)
+	})
+}
+
+// TestCrowdOfHeads guards against the same with heads of legal size.
+func TestCrowdOfHeads(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, "GET "+firstRoute+" HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+manyBody[:15<<10])
+	})
+}
+
+// TestCrowdOfLargeHeads guards against the same with heads over the limit.
+func TestCrowdOfLargeHeads(t *testing.T) {
+	checkConsumers(t, fewClients, func(c net.Conn, id string) {
+		io.WriteString(c, "GET "+firstRoute+" HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+largeBody)
+	})
+}
+
+// TestCrowdOfSmallBodies guards against clients that take all descriptors for good with a body that stops short of its end.
+func TestCrowdOfSmallBodies(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(1000))+manyBody[:999])
+	})
+}
+
+// TestCrowdOfExpectedBodies guards against the same with bodies that are asked for and never sent.
+func TestCrowdOfExpectedBodies(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes)+"\r\nExpect: 100-continue"))
+	})
+}
+
+// TestCrowdOfIdleConnections guards against clients that take all descriptors with connections on which nothing comes.
+func TestCrowdOfIdleConnections(t *testing.T) {
+	checkConsumers(t, manyClients, func(net.Conn, string) {})
+}
+
+// TestCrowdOfDocuments guards against a control instance that runs out of memory over documents that stop just short of their end.
+func TestCrowdOfDocuments(t *testing.T) {
+	checkOperators(t, manyClients, func(c net.Conn, _ string) {
+		io.WriteString(c, documentHead(lengthFraming(manyBytes))+manyBody[1:])
+	})
+}
+
+// TestCrowdOfAnnouncedDocuments guards against the same with documents far over the limit that are announced.
+func TestCrowdOfAnnouncedDocuments(t *testing.T) {
+	checkOperators(t, fewClients, func(c net.Conn, _ string) {
+		io.WriteString(c, documentHead(lengthFraming(4<<30))+largeBody)
+	})
+}
+
+// TestCrowdOfDocumentHeads guards against the same with heads of operators' requests.
+func TestCrowdOfDocumentHeads(t *testing.T) {
+	checkOperators(t, manyClients, func(c net.Conn, _ string) {
+		io.WriteString(c, "GET /v1/config/read HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+manyBody[:60_000])
+	})
+}
+
+// TestCrowdOfProbes guards against an entry instance that runs out of memory or descriptors over heads at the port of the load balancer.
+func TestCrowdOfProbes(t *testing.T) {
+	f := crowdFleet(t)
+	e := f.entries[0]
+	x := &crowd{clients: manyClients, address: e.plan.ReadyAddress, send: func(c net.Conn, _ string) {
+		io.WriteString(c, "GET /v1/readyz HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+manyBody[:60_000])
+	}}
+	x.check(t, f, e, func(ctx context.Context, n int) bool {
+		return e.ready() && f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n))
+	})
+}
