--- a/rockbarrow/membudget/account.go
+++ b/rockbarrow/membudget/account.go
@@ -35,6 +35,11 @@
 	pause time.Duration
 	// progress is when the client last accepted bytes. It is valid while the client is blocked.
 	progress time.Time
+	// evict ends the reading of the request; it is nil while the request is not being read. lastRead is when bytes of it last came.
+	evict    func()
+	lastRead time.Time
+	// waiting is true while a charge waits for room.
+	waiting bool
 	// cut is true once the client is to be disconnected.
 	cut, closed bool
 }
@@ -65,9 +70,71 @@
 	return a.endCharge(c, time.Since(start), err)
 }
 
+// BeginReading notes that the request is being read until EndReading. If the budget is used up, evict may be called once to end that,
+// after the request has made no progress for a while. It must not block.
+func (a *Account) BeginReading(evict func()) {
+	if a == nil {
+		return
+	}
+	b := a.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed {
+		return
+	}
+	if b.reading == nil {
+		b.reading = map[*Account]bool{}
+	}
+	b.reading[a] = true
+	a.evict, a.lastRead = evict, time.Now()
+}
+
+// RecordRead notes that bytes of the request have come.
+func (a *Account) RecordRead(now time.Time) {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.lastRead = now
+}
+
+// EndReading notes that the request is whole, or not read any more.
+func (a *Account) EndReading() {
+	if a == nil {
+		return
+	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	delete(a.budget.reading, a)
+	a.evict = nil
+}
+
+// TryBody charges bytes of the request and reports whether there is room. It does not wait.
+func (a *Account) TryBody(n int64) bool {
+	if a == nil {
+		return true
+	}
+	b := a.budget
+	var evicted evictions
+	defer evicted.run()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.waiting) > 0 || b.held+n > b.MaxBytes {
+		evicted.add(b.takeStalled(time.Now(), n))
+		b.countRefusal()
+		return false
+	}
+	a.bodyBytes += n
+	b.add(n)
+	return true
+}
+
 // startCharge charges bytes if there is room, or returns the charge that waits for it.
 func (a *Account) startCharge(n int64) *charge {
 	b := a.budget
+	var evicted evictions
+	defer evicted.run()
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if len(b.waiting) == 0 && b.held+n <= b.MaxBytes {
@@ -77,6 +144,9 @@
 	}
 	c := &charge{account: a, bytes: n, granted: make(chan struct{})}
 	b.waiting = append(b.waiting, c)
+	a.waiting = true
+	evicted.add(b.takeStalled(time.Now(), n))
+	b.scheduleCheck()
 	return c
 }
 
@@ -86,6 +156,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a.waited += waited
+	a.waiting = false
 	i := slices.Index(b.waiting, c)
 	if i < 0 {
 		return nil
@@ -200,7 +271,8 @@
 	if a.closed {
 		return
 	}
-	a.closed = true
+	a.closed, a.evict = true, nil
 	delete(b.blocked, a)
+	delete(b.reading, a)
 	b.add(-a.bytes())
 }
--- a/rockbarrow/membudget/budget.go
+++ b/rockbarrow/membudget/budget.go
@@ -3,6 +3,8 @@
 package membudget
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +20,8 @@
 	// checkInterval is the interval at which slow clients are looked for while the budget is used
 	// up. Bodies wait several times longer.
 	checkInterval = 50 * time.Millisecond
+	// stallTime is how long a request that is being read may make no progress while others need its room.
+	stallTime = 200 * time.Millisecond
 )
 
 // Client is the client of a request.
@@ -38,6 +42,8 @@
 	waiting []*charge
 	// blocked are the accounts whose client does not accept more bytes.
 	blocked map[*Account]bool
+	// reading are the accounts of requests that are being read.
+	reading map[*Account]bool
 	// checking is true while a check for slow clients is scheduled.
 	checking bool
 }
@@ -102,17 +108,85 @@
 		close(c.granted)
 	}
 	b.Metrics.Gauge("held_bytes").Update(float64(b.held))
-	if b.isUsedUp() && !b.checking {
+	if b.isUsedUp() {
+		b.scheduleCheck()
+	}
+}
+
+// scheduleCheck has the budget checked after checkInterval. The caller holds mu.
+func (b *Budget) scheduleCheck() {
+	if !b.checking {
 		b.checking = true
 		time.AfterFunc(checkInterval, b.check)
 	}
 }
 
-// check disconnects slow clients if the budget is still used up, and schedules the next check.
+// check disconnects slow clients if the budget is still used up, ends the reading of requests that make no progress if others wait for
+// their room, and schedules the next check.
 func (b *Budget) check() {
-	for _, a := range b.takeSlow(time.Now()) {
+	now := time.Now()
+	for _, a := range b.takeSlow(now) {
 		a.client.Disconnect()
 	}
+	b.takeNeeded(now).run()
+}
+
+// evictions are functions that end the reading of requests. They are called without the budget's lock.
+type evictions []func()
+
+func (e *evictions) add(others evictions) { *e = append(*e, others...) }
+
+func (e *evictions) run() {
+	for _, evict := range *e {
+		evict()
+	}
+}
+
+// takeNeeded takes the requests whose reading ends for the sake of those that wait, and of the reserve.
+func (b *Budget) takeNeeded(now time.Time) *evictions {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	need := max(0, b.held-b.usableBytes())
+	for _, c := range b.waiting {
+		need += c.bytes
+	}
+	out := b.takeStalled(now, need)
+	if len(b.waiting) > 0 {
+		b.scheduleCheck()
+	}
+	return &out
+}
+
+// takeStalled takes requests that are being read and have made no progress for stallTime, until they hold a number of bytes: first those
+// that hold the most for the longest time. The caller holds mu, and calls the functions without it.
+func (b *Budget) takeStalled(now time.Time, need int64) (out evictions) {
+	for a := range b.reading {
+		if a.evict == nil {
+			// It was evicted, and is about to release its bytes.
+			need -= a.bytes()
+		}
+	}
+	if need <= 0 {
+		return nil
+	}
+	var stalled []*Account
+	for a := range b.reading {
+		if a.evict != nil && a.bytes() > 0 && now.Sub(a.lastRead) >= stallTime && !a.waiting {
+			stalled = append(stalled, a)
+		}
+	}
+	weight := func(a *Account) float64 { return float64(a.bytes()) * now.Sub(a.lastRead).Seconds() }
+	slices.SortFunc(stalled, func(a, c *Account) int { return cmp.Compare(weight(c), weight(a)) })
+	for _, a := range stalled {
+		if need <= 0 {
+			break
+		}
+		need -= a.bytes()
+		out = append(out, a.evict)
+		a.evict = nil
+		b.Metrics.Counter("requests_evicted").Inc(1)
+	}
+	return out
 }
 
 // takeSlow marks and returns the clients to disconnect at now.
--- a/rockbarrow/membudget/budget_test.go
+++ b/rockbarrow/membudget/budget_test.go
@@ -141,3 +141,38 @@
 	}
 	a.Close()
 }
+
+// TestWhoMakesNoProgressGivesWay guards against requests that stop short of their end and keep the room of others for good, and against one
+// that gives way although it makes progress.
+func TestWhoMakesNoProgressGivesWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBudget()
+		evicted := map[string]int{}
+		open := func(name string, n int64) *Account {
+			a := b.Open(nil)
+			a.BeginReading(func() {
+				evicted[name]++
+				a.Close()
+			})
+			if err := a.ChargeBody(t.Context(), n); err != nil {
+				t.Fatal(err)
+			}
+			return a
+		}
+		large, small, whole := open("large", 800*kb), open("small", 100*kb), open("whole", 300*kb)
+		whole.EndReading()
+		slow := open("slow", 300*kb)
+		advance(2 * stallTime)
+		slow.RecordRead(time.Now())
+		open("usual", 200*kb).Close()
+		if len(evicted) != 1 || evicted["large"] != 1 {
+			t.Errorf("evicted: %v, want the largest one that made no progress", evicted)
+		}
+		for _, a := range []*Account{large, small, whole, slow} {
+			a.Close()
+		}
+		if b.Held() != 0 {
+			t.Errorf("%d bytes are held", b.Held())
+		}
+	})
+}
--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -396,3 +396,36 @@
 		return e.ready() && f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n))
 	})
 }
+
+// TestTheLargestRequestIsServedSlowly guards against a limit that the largest request meets, with the largest head, from a client with a slow
+// link, at an instance with little memory.
+func TestTheLargestRequestIsServedSlowly(t *testing.T) {
+	f := crowdFleet(t)
+	e := f.entries[0]
+	c := connect(t, e)
+	const id, pieces = "largest", 100
+	body := strings.Repeat("x", int(f.limits.BodyBytes))
+	head, _, _ := strings.Cut(standin.RawRequest(http.MethodPost, host, firstRoute+"x", id, body, true), "\r\n\r\n")
+	const name = "\r\nX-Long: "
+	head += name + strings.Repeat("y", int(f.limits.HeaderBytes)-len(head)-len(name)) + "\r\n\r\n"
+	for _, part := range []string{head, body} {
+		for i := range pieces {
+			if _, err := io.WriteString(c, part[len(part)*i/pieces:len(part)*(i+1)/pieces]); err != nil {
+				t.Fatal(err)
+			}
+			<-time.After(20 * time.Millisecond)
+		}
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil || resp.StatusCode != http.StatusOK || string(answer) != standin.ExpectedAnswer(id) {
+		t.Errorf("status %d, %q, %v", resp.StatusCode, answer, err)
+	}
+	for _, b := range append(f.ledger.Violations(), f.failures()...) {
+		t.Error(b)
+	}
+}
