--- a/rockbench/soak/crowd.go
+++ b/rockbench/crowd/footprint.go
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: MIT
 
-package soak
+// Package crowd plays clients that don't behave, many at once, and measures what they cost a process: memory, bytes that it does not read, and
+// descriptors.
+package crowd
 
 import (
 	"bytes"
@@ -13,25 +15,37 @@
 	"time"
 )
 
-// crowdSample is the interval at which the memory of a process is sampled.
-const crowdSample = 20 * time.Millisecond
+// sampleInterval is the interval at which the memory of a process is sampled.
+const sampleInterval = 20 * time.Millisecond
 
-// footprint follows what a process takes of its machine.
-type footprint struct {
-	pid int
-	// address is where its clients connect.
-	address string
+// Footprint follows what a process takes of its machine. Set PID and Address before Loop.
+type Footprint struct {
+	PID int
+	// Address is where its clients connect.
+	Address string
 
-	mu sync.Mutex
-	// memory is the largest sum of its resident memory and the bytes that have arrived for it and are not read, in bytes. unread are the
-	// latter at that moment, and files the most descriptors it had.
-	memory, unread int64
-	files          int
+	mu   sync.Mutex
+	most Usage
 }
 
-// loop samples the process until done is closed.
-func (p *footprint) loop(done <-chan struct{}) {
-	t := time.NewTicker(crowdSample)
+// Usage is what a process takes of its machine.
+type Usage struct {
+	// Memory is the sum of its resident memory and the bytes that have arrived for it and are not read, in bytes; Unread are the latter.
+	Memory, Unread int64
+	// Files is its number of descriptors.
+	Files int
+}
+
+// Most returns the largest memory with what was unread at that moment, and the most descriptors.
+func (p *Footprint) Most() Usage {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.most
+}
+
+// Loop samples the process until done is closed.
+func (p *Footprint) Loop(done <-chan struct{}) {
+	t := time.NewTicker(sampleInterval)
 	defer t.Stop()
 	for {
 		p.sample()
@@ -43,25 +57,25 @@
 	}
 }
 
-func (p *footprint) sample() {
-	unread, err := unreadBytes(p.address)
+func (p *Footprint) sample() {
+	unread, err := unreadBytes(p.Address)
 	if err != nil {
 		return
 	}
-	resident, err := residentBytes(p.pid)
+	resident, err := residentBytes(p.PID)
 	if err != nil {
 		return
 	}
-	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.pid))
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.PID))
 	if err != nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if resident+unread > p.memory {
-		p.memory, p.unread = resident+unread, unread
+	if resident+unread > p.most.Memory {
+		p.most.Memory, p.most.Unread = resident+unread, unread
 	}
-	p.files = max(p.files, len(files))
+	p.most.Files = max(p.most.Files, len(files))
 }
 
 // residentBytes returns the resident memory of a process.
--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -20,6 +20,7 @@
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/platform/wire"
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/crowd"
 )
 
 // The machines under test: the memory of the smallest entry instances, less than control instances have, and few descriptors.
@@ -33,84 +34,30 @@
 	// manyClients send bodies of manyBytes, and fewClients some of largeBodyBytes.
 	manyClients, manyBytes     = 1500, 64 << 10
 	fewClients, largeBodyBytes = 400, 900 << 10
-	// crowdSends bounds the time for which a client of a crowd tries to send.
-	crowdSends = 20 * time.Second
-	// crowdWait bounds the wait for the answer to an ordinary request, crowdRead that for an answer to a client of a crowd.
-	crowdWait, crowdRead = 20 * time.Second, 100 * time.Millisecond
-	// crowdDials is how many clients connect at a time, so that none waits for its first packet to be sent again.
-	crowdDials = 100
+	// crowdWait bounds the wait for the answer to an ordinary request.
+	crowdWait = 20 * time.Second
 )
 
-// crowd is a number of clients of one address that don't behave.
-type crowd struct {
-	clients int
-	// send sends what a client sends, and leaves its connection open.
-	send func(c net.Conn, id string)
-	// address is where they connect.
-	address string
-
-	mu    sync.Mutex
-	conns []net.Conn
-}
-
-// run connects all clients and returns once each has sent what it could. The returned function closes them.
-func (x *crowd) run(t *testing.T) (leave func()) {
-	dials := make(chan struct{}, crowdDials)
-	var sending sync.WaitGroup
-	for i := range x.clients {
-		dials <- struct{}{}
-		c, err := net.DialTimeout("tcp", x.address, crowdSends)
-		<-dials
-		if err != nil {
-			// It is refused, or the instance has no descriptor for it.
-			continue
-		}
-		x.mu.Lock()
-		x.conns = append(x.conns, c)
-		x.mu.Unlock()
-		c.SetWriteDeadline(time.Now().Add(crowdSends))
-		sending.Go(func() { x.send(c, x.id(i)) })
-	}
-	sending.Wait()
-	return func() {
-		for _, c := range x.conns {
-			c.Close()
-		}
-	}
-}
-
-func (x *crowd) id(i int) string { return fmt.Sprint("crowd-", i) }
-
 // checkAnswers checks what the clients were answered: a refusal that says that a request is not run, and when to send it again.
-func (x *crowd) checkAnswers(t *testing.T, f *fleet) {
+func checkAnswers(t *testing.T, f *fleet, x *crowd.Crowd) {
 	counts := map[int]int{}
-	deadline := time.Now().Add(crowdRead)
-	for _, c := range x.conns {
-		c.SetReadDeadline(deadline)
-	}
-	for _, c := range x.conns {
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			continue
-		}
+	for _, resp := range x.Answers() {
 		counts[resp.StatusCode]++
-		if resp.StatusCode == http.StatusServiceUnavailable && x.isConsumer(f) && resp.Header.Get("Retry-After") == "" {
+		if resp.StatusCode == http.StatusServiceUnavailable && x.Address == f.entries[0].plan.ConsumerAddress && resp.Header.Get("Retry-After") == "" {
 			t.Errorf("503 without Retry-After")
 		}
 		if resp.StatusCode < 300 && resp.StatusCode >= 200 {
 			t.Errorf("status %d for a request that was not whole", resp.StatusCode)
 		}
 	}
-	for i := range x.clients {
-		if f.ledger.HasRun(x.id(i)) {
-			t.Errorf("%s has run, although it was not whole", x.id(i))
+	for i := range x.Clients {
+		if f.ledger.HasRun(x.ID(i)) {
+			t.Errorf("%s has run, although it was not whole", x.ID(i))
 		}
 	}
 	t.Logf("answers: %v", counts)
 }
 
-func (x *crowd) isConsumer(f *fleet) bool { return x.address == f.entries[0].plan.ConsumerAddress }
-
 // crowdFleet starts a fleet, with limited memory and descriptors for the first instance of each role.
 func crowdFleet(t *testing.T) *fleet {
 	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: seeds, NoCustomers: true})
@@ -178,20 +125,20 @@
 	return err == nil && resp.StatusCode == http.StatusOK
 }
 
-// check has a crowd send to an instance, while it stays and once it has gone, an ordinary request must be answered. The process must live,
+// checkCrowd has a crowd send to an instance, while it stays and once it has gone, an ordinary request must be answered. The process must live,
 // within its memory and descriptors.
-func (x *crowd) check(t *testing.T, f *fleet, in *instance, ordinary func(ctx context.Context, n int) bool) {
+func checkCrowd(t *testing.T, f *fleet, in *instance, x *crowd.Crowd, ordinary func(ctx context.Context, n int) bool) {
 	t.Helper()
 	pid, ok := in.pid()
 	if !ok {
 		t.Fatal("the process does not run")
 	}
 	life := in.life()
-	p := &footprint{pid: pid, address: x.address}
+	p := &crowd.Footprint{PID: pid, Address: x.Address}
 	done := make(chan struct{})
 	var sampling sync.WaitGroup
-	sampling.Go(func() { p.loop(done) })
-	leave := x.run(t)
+	sampling.Go(func() { p.Loop(done) })
+	x.Run()
 	asked := 0
 	answered := func() bool {
 		ctx, cancel := context.WithTimeout(t.Context(), crowdWait)
@@ -209,8 +156,8 @@
 	if !answered() {
 		t.Error("no ordinary request is answered while the crowd stays")
 	}
-	x.checkAnswers(t, f)
-	leave()
+	checkAnswers(t, f, x)
+	x.Leave()
 	if !answered() {
 		t.Error("no ordinary request is answered once the crowd has gone")
 	}
@@ -220,31 +167,32 @@
 	if err != nil || in.failed() || in.life() != life {
 		t.Errorf("the process has ended: %v %v", err, in.failures())
 	}
-	t.Logf("%s: peak %d MB; with %d MB unread %d MB of %d; %d descriptors; asked %d times", in.plan.Instance, peak>>10, p.unread>>20, p.memory>>20, in.plan.MemoryMB, p.files, asked)
-	if peak > in.plan.MemoryMB<<10 || p.memory > int64(in.plan.MemoryMB)<<20 {
-		t.Errorf("%s has held %d MB, and %d MB with what was unread; its machine has %d MB", in.plan.Instance, peak>>10, p.memory>>20, in.plan.MemoryMB)
+	most := p.Most()
+	t.Logf("%s: peak %d MB; with %d MB unread %d MB of %d; %d descriptors; asked %d times", in.plan.Instance, peak>>10, most.Unread>>20, most.Memory>>20, in.plan.MemoryMB, most.Files, asked)
+	if peak > in.plan.MemoryMB<<10 || most.Memory > int64(in.plan.MemoryMB)<<20 {
+		t.Errorf("%s has held %d MB, and %d MB with what was unread; its machine has %d MB", in.plan.Instance, peak>>10, most.Memory>>20, in.plan.MemoryMB)
 	}
-	if p.files > crowdFDs {
-		t.Errorf("%s had %d descriptors open, of %d", in.plan.Instance, p.files, crowdFDs)
+	if most.Files > crowdFDs {
+		t.Errorf("%s had %d descriptors open, of %d", in.plan.Instance, most.Files, crowdFDs)
 	}
 }
 
-// checkConsumers is check for clients of the first entry instance.
+// checkConsumers is checkCrowd for clients of the first entry instance.
 func checkConsumers(t *testing.T, clients int, send func(c net.Conn, id string)) {
 	t.Helper()
 	f := crowdFleet(t)
 	e := f.entries[0]
-	x := &crowd{clients: clients, send: send, address: e.plan.ConsumerAddress}
-	x.check(t, f, e, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
+	x := &crowd.Crowd{Clients: clients, Send: send, Address: e.plan.ConsumerAddress}
+	checkCrowd(t, f, e, x, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
 }
 
-// checkOperators is check for clients of the first control instance.
+// checkOperators is checkCrowd for clients of the first control instance.
 func checkOperators(t *testing.T, clients int, send func(c net.Conn, id string)) {
 	t.Helper()
 	f := crowdFleet(t)
 	c := f.control[0]
-	x := &crowd{clients: clients, send: send, address: c.plan.OperatorAddress}
-	x.check(t, f, c, func(ctx context.Context, _ int) bool { return f.answersOperator(ctx, c) })
+	x := &crowd.Crowd{Clients: clients, Send: send, Address: c.plan.OperatorAddress}
+	checkCrowd(t, f, c, x, func(ctx context.Context, _ int) bool { return f.answersOperator(ctx, c) })
 }
 
 // bodyHead is the head of a consumer's request whose body is framed by a header.
@@ -261,18 +209,6 @@
 
 func lengthFraming(n int64) string { return fmt.Sprint("Content-Length: ", n) }
 
-// sendPieces sends the same piece a number of times with a pause in between, until it is not taken any more.
-func sendPieces(c net.Conn, piece string, n int, pause time.Duration) {
-	for range n {
-		if _, err := io.WriteString(c, piece); err != nil {
-			return
-		}
-		if pause > 0 {
-			<-time.After(pause)
-		}
-	}
-}
-
 var (
 	manyBody  = strings.Repeat("x", manyBytes)
 	largeBody = strings.Repeat("x", largeBodyBytes)
@@ -289,7 +225,7 @@
 func TestCrowdOfBodiesInPieces(t *testing.T) {
 	checkConsumers(t, manyClients, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes)))
-		sendPieces(c, manyBody[:manyBytes/64-1], 64, 20*time.Millisecond)
+		crowd.SendPieces(c, manyBody[:manyBytes/64-1], 64, 20*time.Millisecond)
 	})
 }
 
@@ -327,7 +263,7 @@
 	chunk := fmt.Sprintf("%x\r\n", 200<<10) + largeBody[:200<<10] + "\r\n"
 	checkConsumers(t, fewClients, func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, chunkedFraming))
-		sendPieces(c, chunk, 20, 0)
+		crowd.SendPieces(c, chunk, 20, 0)
 	})
 }
 
@@ -389,10 +325,10 @@
 func TestCrowdOfProbes(t *testing.T) {
 	f := crowdFleet(t)
 	e := f.entries[0]
-	x := &crowd{clients: manyClients, address: e.plan.ReadyAddress, send: func(c net.Conn, _ string) {
+	x := &crowd.Crowd{Clients: manyClients, Address: e.plan.ReadyAddress, Send: func(c net.Conn, _ string) {
 		io.WriteString(c, "GET /v1/readyz HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+manyBody[:60_000])
 	}}
-	x.check(t, f, e, func(ctx context.Context, n int) bool {
+	checkCrowd(t, f, e, x, func(ctx context.Context, n int) bool {
 		return e.ready() && f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n))
 	})
 }
