--- a/rockbarrow/caller/conns.go
+++ b/rockbarrow/caller/conns.go
@@ -5,9 +5,13 @@
 import (
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"rockbarrow.dev/rockbarrow/inbound"
+	"rockbarrow.dev/rockbarrow/membudget"
 )
 
 const (
@@ -23,6 +27,10 @@
 // Conns tracks the connections of callers, so that a stop closes none with a request on it. http.Server.Shutdown closes a
 // connection after its response whatever has arrived behind the request, and a new one whatever has arrived. The zero value is ready.
 type Conns struct {
+	// Bounds limits what the connections take, and Memory what their large heads take; nil means no limit. Set them before Listener.
+	Bounds *inbound.Limits
+	Memory *membudget.Budget
+
 	mu      sync.Mutex
 	open    map[*conn]struct{}
 	closing atomic.Bool
@@ -31,7 +39,12 @@
 }
 
 // Listener returns a listener whose connections are tracked.
-func (t *Conns) Listener(l net.Listener) net.Listener { return &listener{Listener: l, conns: t} }
+func (t *Conns) Listener(l net.Listener) net.Listener {
+	if t.Bounds != nil {
+		t.Bounds.Prepare(l)
+	}
+	return &listener{Listener: l, conns: t}
+}
 
 // State follows the use of connections; it is the ConnState of their server.
 func (t *Conns) State(c net.Conn, state http.ConnState) {
@@ -42,6 +55,13 @@
 	tracked.mu.Lock()
 	defer tracked.mu.Unlock()
 	tracked.idle = state == http.StateIdle || state == http.StateNew
+	tracked.active = state == http.StateActive
+	if tracked.idle {
+		tracked.progress = time.Now()
+	}
+	if state != http.StateNew {
+		tracked.endHead(state != http.StateActive)
+	}
 }
 
 // Close closes each connection once no request is on it, and returns once all are closed or the time is over.
@@ -70,20 +90,34 @@
 	conns *Conns
 }
 
-// Accept returns the next connection.
+// Accept returns the next connection. Those that there is no room for are closed.
 func (l *listener) Accept() (net.Conn, error) {
-	raw, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		raw, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.conns.add(raw); c != nil {
+			return c, nil
+		}
+		// The error is ignored because nothing was read from the connection.
+		_ = raw.Close()
 	}
-	c := &conn{Conn: raw, conns: l.conns, idle: true}
-	l.conns.mu.Lock()
-	defer l.conns.mu.Unlock()
-	if l.conns.open == nil {
-		l.conns.open = map[*conn]struct{}{}
+}
+
+// add tracks a connection. It returns nil if there is no room for it.
+func (t *Conns) add(raw net.Conn) *conn {
+	c := &conn{Conn: raw, conns: t, idle: true, progress: time.Now()}
+	if t.Bounds != nil && !t.Bounds.Add(c, raw) {
+		return nil
 	}
-	l.conns.open[c] = struct{}{}
-	return c, nil
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.open == nil {
+		t.open = map[*conn]struct{}{}
+	}
+	t.open[c] = struct{}{}
+	return c
 }
 
 // conn is a tracked connection.
@@ -94,42 +128,112 @@
 	mu sync.Mutex
 	// idle is true from the end of a response, or the start of the connection, until the first byte of a request is read.
 	idle bool
-	// reading is true during a read. net/http reads only when it has nothing of a further request.
-	reading bool
+	// active is true from the end of a head until the end of its response.
+	active bool
+	// reading is the size of the buffer of a read in progress, zero without one. net/http reads only when it has nothing of a further
+	// request; during a response it detects a disconnect with reads of one byte.
+	reading int
+	// progress is when bytes were last read, or the connection became idle.
+	progress time.Time
+	// headBytes is the size of the head as far as it was read, and head is charged for it; nil without a large one.
+	headBytes int64
+	head      *membudget.Account
 	// interrupted is true if the read has a deadline after which the connection is closed.
 	interrupted bool
 }
 
+// errNoRoom reports a head that there is no memory for. net/http responds to other errors than timeouts.
+var errNoRoom error = os.ErrDeadlineExceeded
+
 // Read reads from the connection.
 func (c *conn) Read(b []byte) (int, error) {
-	c.beginRead()
+	c.beginRead(len(b))
 	n, err := c.Conn.Read(b)
-	c.endRead(n)
+	if !c.endRead(n) {
+		return 0, errNoRoom
+	}
 	return n, err
 }
 
-func (c *conn) beginRead() {
+func (c *conn) beginRead(size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
+	c.reading = size
 	if c.conns.closing.Load() {
 		c.interruptIfIdle()
 	}
 }
 
-func (c *conn) endRead(n int) {
+// endRead updates the state after a read, and reports whether there is memory for what was read.
+func (c *conn) endRead(n int) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	c.reading = 0
 	if n == 0 {
-		return
+		return true
 	}
-	c.idle = false
+	c.idle, c.progress = false, time.Now()
 	if c.interrupted {
 		c.interrupted = false
 		// A connection without deadlines is closed.
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
+	return c.active || c.chargeHead(int64(n))
+}
+
+const (
+	// freeHead is the size of a head that is not charged, in bytes, and headCopies how often others are held at the most.
+	freeHead   = 4 << 10
+	headCopies = 3
+)
+
+// chargeHead charges bytes of a head and reports whether there is room. The caller holds mu.
+func (c *conn) chargeHead(n int64) bool {
+	c.headBytes += n
+	if c.headBytes <= freeHead || c.conns.Memory == nil {
+		return true
+	}
+	if c.head == nil {
+		c.head = c.conns.Memory.Open(nil)
+		c.head.BeginReading(c.closeNow)
+	}
+	c.head.RecordRead(time.Now())
+	return c.head.TryBody(n * headCopies)
+}
+
+// endHead lets a head whose request is handled give way no more, and releases its memory once the request has ended. The caller holds mu.
+func (c *conn) endHead(ended bool) {
+	c.headBytes = 0
+	if c.head == nil {
+		return
+	}
+	c.head.EndReading()
+	if ended {
+		c.head.Close()
+		c.head = nil
+	}
+}
+
+// closeNow closes the connection for the sake of others.
+func (c *conn) closeNow() {
+	// The error is ignored because the connection is not used any more.
+	_ = c.Conn.Close()
+}
+
+// Waiting returns since when nothing has come from the client, false while its request is handled.
+func (c *conn) Waiting() (since time.Time, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.progress, !c.active || c.reading > 1
+}
+
+// Evict disconnects the client for the sake of others. A request whose body was being read is refused, unless atOnce is true.
+func (c *conn) Evict(atOnce bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if atOnce || !c.active || c.Conn.SetReadDeadline(time.Unix(1, 0)) != nil {
+		c.closeNow()
+	}
 }
 
 // closeIdle closes the connection soon if no request is on it or arrives.
@@ -141,7 +245,7 @@
 
 // interruptIfIdle ends the read of an idle connection, which net/http then closes. The caller holds mu.
 func (c *conn) interruptIfIdle() {
-	if c.idle && c.reading && !c.interrupted {
+	if c.idle && c.reading > 0 && !c.interrupted {
 		c.interrupted = c.Conn.SetReadDeadline(time.Now().Add(nextRequestWait)) == nil
 	}
 }
@@ -162,5 +266,8 @@
 	c.conns.mu.Lock()
 	delete(c.conns.open, c)
 	c.conns.mu.Unlock()
+	if c.conns.Bounds != nil {
+		c.conns.Bounds.Remove(c)
+	}
 	return c.Conn.Close()
 }
--- a/rockbarrow/caller/server.go
+++ b/rockbarrow/caller/server.go
@@ -22,6 +22,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"rockbarrow.dev/rockbarrow/control"
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/problem"
 	"rockbarrow.dev/schema/configpb"
 	"rockbarrow.dev/schema/peerpb"
@@ -57,6 +58,8 @@
 	MaxBody int64
 	// MaxStreams bounds requests under way.
 	MaxStreams int
+	// Bodies bounds what the bodies of all requests under way take; nil means no limit.
+	Bodies *membudget.Budget
 	// BodyTimeout bounds the time in which a request's body arrives; 0 means no limit.
 	BodyTimeout time.Duration
 	// Stop has the moments of a planned stop.
@@ -115,6 +118,8 @@
 	customer *configpb.Customer
 	snapshot *control.Snapshot
 	server   *Server
+	// memory is charged for the body.
+	memory *membudget.Account
 }
 
 // guard knows the customer and bounds what is under way.
@@ -140,7 +145,8 @@
 			s.refuse(w, problem.New(problem.Unauthorized, "the Authorization header must carry a bearer key that is known"))
 			return
 		}
-		req := &request{w: w, r: r, customer: customer, snapshot: snapshot, server: s}
+		req := &request{w: w, r: r, customer: customer, snapshot: snapshot, server: s, memory: s.Bodies.Open(nil)}
+		defer req.memory.Close()
 		if p := serve(req); p != nil {
 			s.refuse(w, p)
 		}
@@ -211,6 +217,10 @@
 	if errors.As(err, &tooLarge) {
 		return nil, problem.New(problem.TooLarge, "body: more than "+strconv.FormatInt(tooLarge.Limit, 10)+" bytes")
 	}
+	var usedUp *membudget.UsedUpError
+	if errors.As(err, &usedUp) {
+		return nil, q.memoryRefusal()
+	}
 	if p := q.lateBody(err); p != nil {
 		return nil, p
 	}
--- a/rockbarrow/caller/stop.go
+++ b/rockbarrow/caller/stop.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/problem"
 	"rockbarrow.dev/schema/peerpb"
 )
@@ -72,14 +72,29 @@
 	if s.Stop.Late != nil && !late {
 		release = context.AfterFunc(s.Stop.Late, func() { _ = rc.SetReadDeadline(time.Now()) })
 	}
-	b, err := io.ReadAll(q.r.Body)
+	begun := time.Now()
+	b, err := membudget.ReadAll(q.r.Context(), q.r.Body, q.r.ContentLength, q.memory, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
 	release()
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && !late && !s.Stop.late() && (limit == 0 || time.Since(begun) < limit) {
+		err = &membudget.UsedUpError{Bytes: q.r.ContentLength}
+	}
 	return b, err
 }
 
+// memoryRefusal returns the reply to a request whose body has no room.
+func (q *request) memoryRefusal() *peerpb.Problem {
+	// The rest of the body is not awaited.
+	q.w.Header().Set("Connection", "close")
+	p := problem.Retry(problem.Overloaded, "the memory for bodies has no room", time.Second)
+	if q.id() == "" {
+		p = problem.Certain(p)
+	}
+	return p
+}
+
 // lateBody returns the reply to a body that was not whole in time, or nil if err is no such error.
 func (q *request) lateBody(err error) *peerpb.Problem {
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
@@ -90,10 +105,14 @@
 	if !q.server.Stop.late() {
 		return problem.New(problem.BadRequest, "body: was not whole within "+q.server.BodyTimeout.String())
 	}
-	id := q.r.Header.Get(HeaderKey)
-	if id == "" {
-		// A call of a run has an id by its sequence.
-		id = q.r.PathValue("run") + q.r.Header.Get(HeaderRun)
+	return stopRefusal(q.id())
+}
+
+// id returns what an earlier sending of the request may have run under, "" if there is nothing.
+func (q *request) id() string {
+	if id := q.r.Header.Get(HeaderKey); id != "" {
+		return id
 	}
-	return stopRefusal(id)
+	// A call of a run has an id by its sequence.
+	return q.r.PathValue("run") + q.r.Header.Get(HeaderRun)
 }
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,6 +24,7 @@
 	"rockbarrow.dev/rockbarrow/engine"
 	"rockbarrow.dev/rockbarrow/gossip"
 	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/inbound"
 	"rockbarrow.dev/rockbarrow/listen"
 	"rockbarrow.dev/rockbarrow/membudget"
 	"rockbarrow.dev/rockbarrow/operator"
@@ -187,6 +189,7 @@
 	d := s.daemon
 	secure := d.credentials.secure
 	s.callerServer = d.callerServer()
+	s.conns.Bounds, s.conns.Memory = d.callerBounds(), s.callerServer.Bodies
 	s.callers = &http.Server{
 		Handler: s.callerServer.Handler(), MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second,
 		ConnState: s.conns.State,
@@ -247,10 +250,25 @@
 		Instance: d.Settings.Instance, Domain: d.Settings.Domain,
 		Router: d.host, Config: d.source.Snapshot, Ready: d.notReadyReason, Homes: d.host,
 		MaxBody: l.BodyBytes, MaxStreams: l.Streams, BodyTimeout: time.Duration(l.CallSeconds) * time.Second, Stop: d.stop.callers(),
+		Bodies:  &membudget.Budget{MaxBytes: l.BodiesBytes, Metrics: d.scope.SubScope("caller_bodies")},
 		Metrics: d.scope, MetricsPage: d.metricsHandler, Log: d.Log,
 	}
 }
 
+// callerReceiveBytes is what the receive buffers of callers may take beyond the smallest size of each.
+const callerReceiveBytes = 32 << 20
+
+// callerBounds returns the bounds of the connections of callers, of which half of the descriptors are kept for endpoints, peers and files.
+func (d *Daemon) callerBounds() *inbound.Limits {
+	most := d.Settings.Limits.Connections
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil {
+		most = int(min(uint64(most), files.Cur/2))
+	}
+	evicted := d.scope.Counter("connections_evicted")
+	return &inbound.Limits{MaxConns: most, ReceiveBytes: callerReceiveBytes, OnEvict: func() { evicted.Inc(1) }}
+}
+
 // notReadyReason returns why load balancers should not send requests to this
 // instance, or "" if it is ready.
 func (d *Daemon) notReadyReason() string {
--- a/rockbarrow/settings/settings.go
+++ b/rockbarrow/settings/settings.go
@@ -69,9 +69,13 @@
 
 // Limits bounds what callers may ask.
 type Limits struct {
-	BodyBytes    int64 `toml:"body_bytes"`
-	HeaderBytes  int   `toml:"header_bytes"`
-	Streams      int   `toml:"streams"`
+	BodyBytes   int64 `toml:"body_bytes"`
+	HeaderBytes int   `toml:"header_bytes"`
+	Streams     int   `toml:"streams"`
+	// BodiesBytes limits the bodies and large heads of all requests together, and Connections the connections of callers. Half of the
+	// descriptors limit these too.
+	BodiesBytes  int64 `toml:"bodies_bytes"`
+	Connections  int   `toml:"connections"`
 	Queue        int   `toml:"queue"`
 	QueueSeconds int   `toml:"queue_seconds"`
 	CallSeconds  int   `toml:"call_seconds"`
@@ -117,6 +121,9 @@
 // Error describes the key and the expected value in one line.
 func (e *FieldError) Error() string { return fmt.Sprintf("%s: %s", e.Key, e.Expected) }
 
+// bodiesFactor is how many of the largest bodies must have room: two, while the buffer of another one grows.
+const bodiesFactor = 4
+
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
@@ -124,6 +131,8 @@
 			BodyBytes:    4 << 20,
 			HeaderBytes:  32 << 10,
 			Streams:      4096,
+			BodiesBytes:  64 << 20,
+			Connections:  16384,
 			Queue:        512,
 			QueueSeconds: 10,
 			CallSeconds:  120,
@@ -281,6 +290,8 @@
 	}{
 		{"limits.body_bytes", float64(s.Limits.BodyBytes), 1 << 10, 1 << 30},
 		{"limits.header_bytes", float64(s.Limits.HeaderBytes), 1 << 10, 1 << 20},
+		{"limits.bodies_bytes", float64(s.Limits.BodiesBytes), bodiesFactor * float64(s.Limits.BodyBytes), 1 << 40},
+		{"limits.connections", float64(s.Limits.Connections), 1, 1 << 20},
 		{"limits.streams", float64(s.Limits.Streams), 1, 1 << 20},
 		{"limits.queue", float64(s.Limits.Queue), 1, 1 << 20},
 		{"limits.queue_seconds", float64(s.Limits.QueueSeconds), 1, 3600},
--- a/rockbench/scene/crowd_test.go
+++ b/rockbench/scene/crowd_test.go
@@ -16,6 +16,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"rockbarrow.dev/rockbarrow/settings"
 	"rockbarrow.dev/rockbench/crowd"
 )
 
@@ -38,7 +39,9 @@
 // live, within its memory and descriptors.
 func checkCallers(t *testing.T, clients int, send func(c net.Conn, id string)) {
 	t.Helper()
-	s := &Scene{Engines: 1, Seed: 1}
+	s := &Scene{Engines: 1, Seed: 1, Adjust: func(s *settings.Settings) {
+		s.Limits.Connections, s.Limits.BodiesBytes = crowdFDs/2, crowdMB<<20/6
+	}}
 	t.Cleanup(s.Stop)
 	ctx, cancel := context.WithTimeout(t.Context(), startTime)
 	defer cancel()
