--- a/rockbench/crowd/crowd.go
+++ b/rockbench/crowd/crowd.go
@@ -4,10 +4,11 @@
 
 import (
 	"bufio"
-	"fmt"
+	"cmp"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -22,6 +23,8 @@
 type Crowd struct {
 	Clients int
 	Address string
+	// Name begins the ids of their requests; empty stands for "crowd-".
+	Name string
 	// Send sends what a client sends, and leaves its connection open.
 	Send func(c net.Conn, id string)
 
@@ -29,7 +32,7 @@
 }
 
 // ID returns the id of a client's request.
-func (x *Crowd) ID(i int) string { return fmt.Sprint("crowd-", i) }
+func (x *Crowd) ID(i int) string { return cmp.Or(x.Name, "crowd-") + strconv.Itoa(i) }
 
 // Run connects all clients and returns once each has sent what it could.
 func (x *Crowd) Run() {
--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -18,7 +18,6 @@
 	"golang.org/x/sys/unix"
 
 	"rockbarrow.dev/platform/standin"
-	"rockbarrow.dev/platform/wire"
 	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/rockbench/crowd"
 )
@@ -38,15 +37,16 @@
 	crowdWait = 20 * time.Second
 )
 
-// checkAnswers checks what the clients were answered: a refusal that says that a request is not run, and when to send it again.
-func checkAnswers(t *testing.T, f *fleet, x *crowd.Crowd) {
+// checkAnswers checks what the clients were answered: a refusal that says that a request is not run, and when to send it again. If begun is
+// true, each has sent whole requests before the one that is not.
+func checkAnswers(t *testing.T, f *fleet, x *crowd.Crowd, begun bool) {
 	counts := map[int]int{}
 	for _, resp := range x.Answers() {
 		counts[resp.StatusCode]++
 		if resp.StatusCode == http.StatusServiceUnavailable && x.Address == f.entries[0].plan.ConsumerAddress && resp.Header.Get("Retry-After") == "" {
 			t.Errorf("503 without Retry-After")
 		}
-		if resp.StatusCode < 300 && resp.StatusCode >= 200 {
+		if resp.StatusCode < 300 && resp.StatusCode >= 200 && !begun {
 			t.Errorf("status %d for a request that was not whole", resp.StatusCode)
 		}
 	}
@@ -127,7 +127,7 @@
 
 // checkCrowd has a crowd send to an instance, while it stays and once it has gone, an ordinary request must be answered. The process must live,
 // within its memory and descriptors.
-func checkCrowd(t *testing.T, f *fleet, in *instance, x *crowd.Crowd, ordinary func(ctx context.Context, n int) bool) {
+func checkCrowd(t *testing.T, f *fleet, in *instance, x *crowd.Crowd, begun bool, ordinary func(ctx context.Context, n int) bool) {
 	t.Helper()
 	pid, ok := in.pid()
 	if !ok {
@@ -156,7 +156,7 @@
 	if !answered() {
 		t.Error("no ordinary request is answered while the crowd stays")
 	}
-	checkAnswers(t, f, x)
+	checkAnswers(t, f, x, begun)
 	x.Leave()
 	if !answered() {
 		t.Error("no ordinary request is answered once the crowd has gone")
@@ -179,11 +179,17 @@
 
 // checkConsumers is checkCrowd for clients of the first entry instance.
 func checkConsumers(t *testing.T, clients int, send func(c net.Conn, id string)) {
+	t.Helper()
+	checkConsumersBehind(t, clients, false, send)
+}
+
+// checkConsumersBehind is checkConsumers for clients that may send whole requests first.
+func checkConsumersBehind(t *testing.T, clients int, begun bool, send func(c net.Conn, id string)) {
 	t.Helper()
 	f := crowdFleet(t)
 	e := f.entries[0]
 	x := &crowd.Crowd{Clients: clients, Send: send, Address: e.plan.ConsumerAddress}
-	checkCrowd(t, f, e, x, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
+	checkCrowd(t, f, e, x, begun, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
 }
 
 // checkOperators is checkCrowd for clients of the first control instance.
@@ -192,12 +198,7 @@
 	f := crowdFleet(t)
 	c := f.control[0]
 	x := &crowd.Crowd{Clients: clients, Send: send, Address: c.plan.OperatorAddress}
-	checkCrowd(t, f, c, x, func(ctx context.Context, _ int) bool { return f.answersOperator(ctx, c) })
-}
-
-// bodyHead is the head of a consumer's request whose body is framed by a header.
-func bodyHead(id, framing string) string {
-	return "POST " + firstRoute + "x HTTP/1.1\r\nHost: " + host + "\r\n" + wire.RequestID + ": " + id + "\r\n" + framing + "\r\n\r\n"
+	checkCrowd(t, f, c, x, false, func(ctx context.Context, _ int) bool { return f.answersOperator(ctx, c) })
 }
 
 // documentHead is the head of an operator's request.
@@ -205,10 +206,6 @@
 	return "POST /v1/config/replace HTTP/1.1\r\nHost: " + host + "\r\n" + framing + "\r\n\r\n"
 }
 
-const chunkedFraming = "Transfer-Encoding: chunked"
-
-func lengthFraming(n int64) string { return fmt.Sprint("Content-Length: ", n) }
-
 var (
 	manyBody  = strings.Repeat("x", manyBytes)
 	largeBody = strings.Repeat("x", largeBodyBytes)
@@ -300,6 +297,32 @@
 	checkConsumers(t, manyClients, func(net.Conn, string) {})
 }
 
+// TestCrowdBehindAnsweredRequests guards against the same with bodies that follow an answered request on its connection.
+func TestCrowdBehindAnsweredRequests(t *testing.T) {
+	checkConsumersBehind(t, manyClients, true, func(c net.Conn, id string) {
+		// The answer is not read: it may be a refusal.
+		io.WriteString(c, standin.RawRequest(http.MethodGet, host, firstRoute+"x", id+"-first", "", true))
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[1:])
+	})
+}
+
+// TestCrowdOfReaders guards against the same with clients that send requests one behind another and never read an answer.
+func TestCrowdOfReaders(t *testing.T) {
+	checkConsumersBehind(t, fewClients, true, func(c net.Conn, id string) {
+		for i := range 50 {
+			io.WriteString(c, standin.RawRequest(http.MethodGet, host, firstRoute+"x", fmt.Sprint(id, "-", i), "", true))
+		}
+	})
+}
+
+// TestCrowdOfConnectionsThatLeave guards against the same with connections that are opened and closed at once, some of them in a body.
+func TestCrowdOfConnectionsThatLeave(t *testing.T) {
+	checkConsumers(t, 2*manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[:20<<10])
+		c.Close()
+	})
+}
+
 // TestCrowdOfDocuments guards against a control instance that runs out of memory over documents that stop just short of their end.
 func TestCrowdOfDocuments(t *testing.T) {
 	checkOperators(t, manyClients, func(c net.Conn, _ string) {
@@ -328,7 +351,7 @@
 	x := &crowd.Crowd{Clients: manyClients, Address: e.plan.ReadyAddress, Send: func(c net.Conn, _ string) {
 		io.WriteString(c, "GET /v1/readyz HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+manyBody[:60_000])
 	}}
-	checkCrowd(t, f, e, x, func(ctx context.Context, n int) bool {
+	checkCrowd(t, f, e, x, false, func(ctx context.Context, n int) bool {
 		return e.ready() && f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n))
 	})
 }
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -56,6 +56,8 @@
 	seedOfStops   = 10 << 32
 	// seedOfEndless does the same for endpoints that send responses without end.
 	seedOfEndless = 11 << 32
+	// seedOfCrowds does the same for crowds of clients that don't behave.
+	seedOfCrowds = 12 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
--- a/rockbench/soak/stops.go
+++ b/rockbench/soak/stops.go
@@ -25,7 +25,8 @@
 	downFor = time.Second
 )
 
-// goPlanned starts planned stops in series, clients whose requests these may not lose, and responses without end.
+// goPlanned starts planned stops in series, clients whose requests these may not lose, responses without end, and
+// clients that don't behave.
 func (s *soak) goPlanned(running *sync.WaitGroup, faulty, finish context.Context) {
 	if s.cfg.Callers == 0 || s.cfg.Before != "" {
 		// Instances of an earlier version lose such requests.
@@ -37,6 +38,8 @@
 	}
 	x := &endless{fleet: s.fleet, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfEndless))}
 	running.Go(func() { x.loop(faulty) })
+	c := &crowds{fleet: s.fleet, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfCrowds))}
+	running.Go(func() { c.loop(faulty) })
 	entries := &stopper{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfStops))}
 	running.Go(func() { entries.loop(faulty, entries.stopEntries) })
 	disks := &stopper{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfStops+1))}
