--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -59,7 +59,7 @@
 }
 
 // crowdFleet starts a fleet, with limited memory and descriptors for the first instance of each role.
-func crowdFleet(t *testing.T) *fleet {
+func crowdFleet(t *testing.T, contracts ...string) *fleet {
 	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: seeds, NoCustomers: true})
 	if stop != nil {
 		t.Cleanup(stop)
@@ -75,7 +75,7 @@
 	}
 	for in, mb := range map[*instance]int{f.entries[0]: crowdEntryMB, f.control[0]: crowdControlMB} {
 		in.stop(syscall.SIGKILL)
-		in.plan.MemoryMB, in.plan.MaxFDs = mb, crowdFDs
+		in.plan.MemoryMB, in.plan.MaxFDs, in.plan.Contracts = mb, crowdFDs, contracts
 		if err := in.start(); err != nil {
 			t.Fatal(err)
 		}
@@ -184,9 +184,9 @@
 }
 
 // checkConsumersBehind is checkConsumers for clients that may send whole requests first.
-func checkConsumersBehind(t *testing.T, clients int, begun bool, send func(c net.Conn, id string)) {
+func checkConsumersBehind(t *testing.T, clients int, begun bool, send func(c net.Conn, id string), contracts ...string) {
 	t.Helper()
-	f := crowdFleet(t)
+	f := crowdFleet(t, contracts...)
 	e := f.entries[0]
 	x := &crowd.Crowd{Clients: clients, Send: send, Address: e.plan.ConsumerAddress}
 	checkCrowd(t, f, e, x, begun, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
@@ -297,6 +297,14 @@
 	checkConsumers(t, manyClients, func(net.Conn, string) {})
 }
 
+// TestCrowdOfBodiesUnderAContract guards against the same where the deployment has the contract on slow clients, whose requests have accounts
+// of their own.
+func TestCrowdOfBodiesUnderAContract(t *testing.T) {
+	checkConsumersBehind(t, manyClients, false, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[1:])
+	}, "pressure")
+}
+
 // TestCrowdBehindAnsweredRequests guards against the same with bodies that follow an answered request on its connection.
 func TestCrowdBehindAnsweredRequests(t *testing.T) {
 	checkConsumersBehind(t, manyClients, true, func(c net.Conn, id string) {
