--- a/rockbarrow/caller/conns.go
+++ b/rockbarrow/caller/conns.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"rockbarrow.dev/rockbarrow/inbound"
 	"rockbarrow.dev/rockbarrow/membudget"
 )
@@ -138,6 +140,8 @@
 	// headBytes is the size of the head as far as it was read, and head is charged for it; nil without a large one.
 	headBytes int64
 	head      *membudget.Account
+	// evicted is true once the body of the request is not read any more for the sake of others.
+	evicted atomic.Bool
 	// interrupted is true if the read has a deadline after which the connection is closed.
 	interrupted bool
 }
@@ -152,6 +156,9 @@
 	if !c.endRead(n) {
 		return 0, errNoRoom
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.evicted.Load() {
+		err = &membudget.UsedUpError{}
+	}
 	return n, err
 }
 
@@ -231,6 +238,7 @@
 func (c *conn) Evict(atOnce bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.evicted.Store(true)
 	if atOnce || !c.active || c.Conn.SetReadDeadline(time.Unix(1, 0)) != nil {
 		c.closeNow()
 	}
--- a/rockbarrow/caller/stop.go
+++ b/rockbarrow/caller/stop.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -72,13 +73,16 @@
 	if s.Stop.Late != nil && !late {
 		release = context.AfterFunc(s.Stop.Late, func() { _ = rc.SetReadDeadline(time.Now()) })
 	}
-	begun := time.Now()
-	b, err := membudget.ReadAll(q.r.Context(), q.r.Body, q.r.ContentLength, q.memory, func() { _ = rc.SetReadDeadline(time.Unix(1, 0)) })
+	var evicted atomic.Bool
+	b, err := membudget.ReadAll(q.r.Context(), q.r.Body, q.r.ContentLength, q.memory, func() {
+		evicted.Store(true)
+		_ = rc.SetReadDeadline(time.Unix(1, 0))
+	})
 	release()
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) && !late && !s.Stop.late() && (limit == 0 || time.Since(begun) < limit) {
+	if errors.Is(err, os.ErrDeadlineExceeded) && evicted.Load() {
 		err = &membudget.UsedUpError{Bytes: q.r.ContentLength}
 	}
 	return b, err
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -195,7 +195,9 @@
 		ConnState: s.conns.State,
 	}
 	s.peers = peer.New(&peer.Server{Host: d.host, Config: d.source, Roster: d.membership, Cut: d.partition, Secure: secure}, d.credentials.server)
+	calls := &inbound.Calls{Limits: &inbound.Limits{MaxConns: maxOperators, ReceiveBytes: callerReceiveBytes}}
 	s.operators = &gracefulStop{done: make(chan struct{}), server: operator.New(&operator.Server{
+		Calls:    calls,
 		Instance: d.Settings.Instance, Config: d.source, Host: d.host, View: d.membership.View, Peers: d.client, Secure: secure,
 		Stopping: d.stop.late, Ended: d.stop.ended,
 	}, d.credentials.server)}
@@ -205,7 +207,7 @@
 	}{
 		{"callers", d.Settings.Listen.Callers, s.serveCallers},
 		{"peers", d.Settings.Listen.Peers, s.peers.Serve},
-		{"operators", d.Settings.Listen.Operators, s.operators.server.Serve},
+		{"operators", d.Settings.Listen.Operators, func(l net.Listener) error { return s.operators.server.Serve(calls.Listener(l)) }},
 	} {
 		if err := s.start(ctx, l.name, l.address, l.serve); err != nil {
 			return err
@@ -255,8 +257,12 @@
 	}
 }
 
-// callerReceiveBytes is what the receive buffers of callers may take beyond the smallest size of each.
-const callerReceiveBytes = 32 << 20
+const (
+	// callerReceiveBytes is what the receive buffers of callers, and of operators, may take beyond the smallest size of each.
+	callerReceiveBytes = 32 << 20
+	// maxOperators is the number of connections of operators.
+	maxOperators = 256
+)
 
 // callerBounds returns the bounds of the connections of callers, of which half of the descriptors are kept for endpoints, peers and files.
 func (d *Daemon) callerBounds() *inbound.Limits {
--- a/rockbarrow/operator/server.go
+++ b/rockbarrow/operator/server.go
@@ -19,6 +19,7 @@
 
 	"rockbarrow.dev/rockbarrow/config"
 	"rockbarrow.dev/rockbarrow/host"
+	"rockbarrow.dev/rockbarrow/inbound"
 	"rockbarrow.dev/rockbarrow/keys"
 	"rockbarrow.dev/rockbarrow/program"
 	"rockbarrow.dev/rockbarrow/roster"
@@ -37,6 +38,10 @@
 	maxID = 128
 	// watchEvery is how often a watch looks for a new version.
 	watchEvery = 200 * time.Millisecond
+	// handshakeTimeout bounds the beginning of a connection, maxCalls the calls in progress on one, and maxHeadBytes the headers of each.
+	handshakeTimeout = 5 * time.Second
+	maxCalls         = 32
+	maxHeadBytes     = 64 << 10
 	// explainPage is how many turns an explanation reads at once.
 	explainPage = 100
 )
@@ -59,11 +64,20 @@
 	// Stopping is done once a stop waits for the calls in progress, which ends watches. Ended is done once calls in progress are
 	// answered.
 	Stopping, Ended context.Context
+	// Calls bounds the connections.
+	Calls *inbound.Calls
 }
 
 // New returns a gRPC server that serves s.
 func New(s *Server, creds credentials.TransportCredentials) *grpc.Server {
-	g := grpc.NewServer(grpc.Creds(creds), grpc.UnaryInterceptor(s.unary), grpc.StreamInterceptor(s.stream))
+	options := []grpc.ServerOption{
+		grpc.Creds(creds), grpc.UnaryInterceptor(s.unary), grpc.StreamInterceptor(s.stream),
+		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxConcurrentStreams(maxCalls), grpc.MaxHeaderListSize(maxHeadBytes),
+	}
+	if s.Calls != nil {
+		options = append(options, grpc.StatsHandler(s.Calls))
+	}
+	g := grpc.NewServer(options...)
 	operatorpb.RegisterOperatorServer(g, s)
 	return g
 }
--- a/rockbench/scene/crowd_test.go
+++ b/rockbench/scene/crowd_test.go
@@ -18,6 +18,7 @@
 
 	"rockbarrow.dev/rockbarrow/settings"
 	"rockbarrow.dev/rockbench/crowd"
+	"rockbarrow.dev/rockbench/fleet"
 )
 
 // The machine under test has this memory and as many descriptors.
@@ -38,6 +39,12 @@
 // checkCallers has a crowd send to an instance: while it stays and once it has gone, an ordinary request must be answered. The process must
 // live, within its memory and descriptors.
 func checkCallers(t *testing.T, clients int, send func(c net.Conn, id string)) {
+	t.Helper()
+	checkDaemon(t, clients, send, func(l settings.Listen) string { return l.Callers })
+}
+
+// checkDaemon is checkCallers for clients of one of the instance's addresses. An operator's call must be answered as well.
+func checkDaemon(t *testing.T, clients int, send func(c net.Conn, id string), at func(l settings.Listen) string) {
 	t.Helper()
 	s := &Scene{Engines: 1, Seed: 1, Adjust: func(s *settings.Settings) {
 		s.Limits.Connections, s.Limits.BodiesBytes = crowdFDs/2, crowdMB<<20/6
@@ -52,14 +59,14 @@
 	if err := unix.Prlimit(in.PID(), unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: crowdFDs, Max: crowdFDs}, nil); err != nil {
 		t.Fatal(err)
 	}
-	address, pid := in.Settings.Listen.Callers, in.PID()
+	callers, address, pid := in.Settings.Listen.Callers, at(in.Settings.Listen), in.PID()
 	p := &crowd.Footprint{PID: pid, Address: address}
 	done := make(chan struct{})
 	var sampling sync.WaitGroup
 	sampling.Go(func() { p.Loop(done) })
 	x := &crowd.Crowd{Clients: clients, Address: address, Send: send}
 	x.Run()
-	if !isServed(t, address) {
+	if !isServed(t, callers) || s.awaitVersion(t, in) == 0 {
 		t.Error("no ordinary request is answered while the crowd stays")
 	}
 	counts := map[int]int{}
@@ -70,7 +77,7 @@
 		}
 	}
 	x.Leave()
-	if !isServed(t, address) {
+	if !isServed(t, callers) || s.awaitVersion(t, in) == 0 {
 		t.Error("no ordinary request is answered once the crowd has gone")
 	}
 	close(done)
@@ -88,6 +95,16 @@
 	}
 }
 
+// awaitVersion asks an instance for its configuration, on new connections, until it answers, and returns the version.
+func (s *Scene) awaitVersion(t *testing.T, in *fleet.Instance) (version uint64) {
+	ctx, cancel := context.WithTimeout(t.Context(), crowdWait)
+	defer cancel()
+	for version == 0 && ctx.Err() == nil {
+		version = s.versionOf(ctx, in)
+	}
+	return version
+}
+
 // isServed sends an ordinary request on new connections until one is served.
 func isServed(t *testing.T, address string) bool {
 	ctx, cancel := context.WithTimeout(t.Context(), crowdWait)
@@ -149,3 +166,9 @@
 		io.WriteString(c, callHead("Content-Length: 1000")+largeBody[:999])
 	})
 }
+
+// TestCrowdOfOperatorConnections guards against clients that take all descriptors with connections to the operators' address on which nothing
+// comes.
+func TestCrowdOfOperatorConnections(t *testing.T) {
+	checkDaemon(t, manyClients, func(net.Conn, string) {}, func(l settings.Listen) string { return l.Operators })
+}
