--- a/rockbench/soak/configurations.go
+++ b/rockbench/soak/configurations.go
@@ -42,19 +42,10 @@
 func (f *fleet) race(ctx context.Context) error {
 	f.configuring.Lock()
 	defer f.configuring.Unlock()
-	changes, err := f.change()
+	documents, changes, err := f.contestants()
 	if err != nil {
 		return err
 	}
-	var documents []*fleetpb.Document
-	for i := range 2 {
-		path := fmt.Sprintf("/contested-%d-%d/", f.version, i)
-		changes[path] = behaviour{services: []string{toolService}, contested: true}
-		f.routes.contested = path
-		documents = append(documents, f.document(f.version))
-		f.routes.contestants = append(f.routes.contestants, path)
-	}
-	f.routes.contested = ""
 	f.history.send(f.version, changes)
 	err = f.operator.DeployConcurrently(ctx, documents[0], documents[1])
 	if err == nil {
--- /dev/null
+++ b/rockbench/soak/events.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"rockbarrow.dev/rockbarrow/wait"
+)
+
+const (
+	// eventsBuffer is how many events may wait; more are dropped.
+	eventsBuffer = 64
+	// closeBehind is the most by which most faults come after their event, and farBehind that of the others, which come around the
+	// end of the time in which a change must be in force.
+	closeBehind = 400 * time.Millisecond
+	farBehind   = 2 * applyWithin
+	// farEvery is how many faults there are for one of the latter, and passEvery how many events for one without a fault.
+	farEvery, passEvery = 6, 2
+	// mostReactions is how many faults that follow events may last at a time.
+	mostReactions = 2
+)
+
+// eventKind is a kind of event.
+type eventKind int
+
+const (
+	// changeSent is the moment at which an operator begins to send a change, and changeAcknowledged that at which it learns that
+	// an instance acknowledged it.
+	changeSent eventKind = iota
+	changeAcknowledged
+	// started is the moment at which a process was started.
+	started
+)
+
+// String names an event in reports.
+func (k eventKind) String() string {
+	return []string{"a change is sent to", "a change is acknowledged by", "a process is started of"}[k]
+}
+
+// event is something that happened at an instance.
+type event struct {
+	kind     eventKind
+	instance *instance
+}
+
+// reactor brings faults right after events, at the instances that they happened at. Faults at random moments seldom meet the
+// tenths of a second in which a change is on its way.
+type reactor struct {
+	soak *soak
+	r    *rand.Rand
+	// victim is the failure domain that all these faults meet. With an empty one they meet any instance, and more than
+	// the tolerated losses come together.
+	victim string
+}
+
+// loop ends with ctx and the faults under way.
+func (x *reactor) loop(ctx context.Context) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	slots := make(chan struct{}, mostReactions)
+	for {
+		var e event
+		select {
+		case <-ctx.Done():
+			return
+		case e = <-x.soak.fleet.events:
+		}
+		r := rand.New(rand.NewPCG(x.r.Uint64(), 0))
+		if e.kind == started && e.instance.role == "control" {
+			w := &visitor{fleet: x.soak.fleet, instance: e.instance, r: r}
+			running.Go(func() { w.run(ctx) })
+		}
+		if x.r.IntN(passEvery) == 0 || x.victim != "" && e.instance.plan.FailureDomain != x.victim {
+			continue
+		}
+		select {
+		case slots <- struct{}{}:
+			running.Go(func() {
+				defer func() { <-slots }()
+				x.react(ctx, e, r)
+			})
+		default:
+		}
+	}
+}
+
+// react brings a fault after an event.
+func (x *reactor) react(ctx context.Context, e event, r *rand.Rand) {
+	list := x.faults(e.instance)
+	f := list[r.IntN(len(list))]
+	after := time.Duration(r.Int64N(int64(closeBehind)))
+	if r.IntN(farEvery) == 0 {
+		after = time.Duration(r.Int64N(int64(farBehind)))
+	}
+	last := time.Duration(r.Int64N(int64(mostLasting)))
+	if !wait.For(ctx, after) {
+		return
+	}
+	fmt.Fprintf(x.soak.cfg.Out, "%6.2f s  %s for %d ms, %d ms after %s %s\n",
+		time.Since(x.soak.start).Seconds(), f, last.Milliseconds(), after.Milliseconds(), e.kind, e.instance.plan.Instance)
+	x.soak.fleet.ledger.Count("faults at events")
+	f.run(ctx, x.soak.fleet, r, last)
+}
+
+// faults are those that may follow an event at an instance.
+func (x *reactor) faults(in *instance) []fault {
+	only := func(*fleet) []*instance { return []*instance{in} }
+	domain := func(f *fleet) []*instance {
+		return slices.DeleteFunc(f.all(), func(o *instance) bool { return o.plan.FailureDomain != in.plan.FailureDomain })
+	}
+	out := []fault{
+		{"kill it", killOne(only)},
+		{"its power is lost", endAll(only, powerLost)},
+		{"pause it", pauseOne(only)},
+		{"its links are slow", linkOf(delay, only)},
+		{"its links are silent", linkOf(silence, only)},
+		{"its answers are cut off", linkOf(oneWay, only)},
+		{"its links are reset", linkOf(reset, only)},
+		{"power of its failure domain is lost", endAll(domain, powerLost)},
+	}
+	if in.role != "entry" {
+		out = append(out, fault{"cut it off from the others", cutOff(in)})
+	}
+	if in.role == "entry" || x.victim != "" {
+		return out
+	}
+	return append(out,
+		fault{"wipe it", wipeAlone(in)},
+		fault{"wipe it while all others lose power", wipeAmidLossAlone(in)},
+		fault{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.control }, killed)},
+		fault{"power is lost everywhere", endAll((*fleet).all, powerLost)},
+		fault{"control is cut into halves", cutControl},
+	)
+}
+
+// cutOff cuts an instance off from all others with disks.
+func cutOff(in *instance) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, _ *rand.Rand, last time.Duration) {
+		if !f.sides.cut([]*instance{in}) {
+			return
+		}
+		defer f.sides.heal()
+		wait.For(ctx, applyWithin+last)
+	}
+}
+
+// wipeAlone loses the disk of an instance unless another loss of a disk is under way.
+func wipeAlone(in *instance) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return alone(wipeOne(func(*fleet) []*instance { return []*instance{in} }))
+}
+
+// wipeAmidLossAlone does the same while all others lose power.
+func wipeAmidLossAlone(in *instance) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return alone(wipeAmidLoss(func(*fleet) []*instance { return []*instance{in} }))
+}
+
+// alone keeps losses of disks apart, as one is tolerated.
+func alone(run func(context.Context, *fleet, *rand.Rand, time.Duration)) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+		if !f.wiping.TryLock() {
+			return
+		}
+		defer f.wiping.Unlock()
+		run(ctx, f, r, last)
+	}
+}
+
+// visitor sends all kinds of calls to a control instance that has just started, which may know nothing yet.
+type visitor struct {
+	fleet    *fleet
+	instance *instance
+	r        *rand.Rand
+}
+
+const (
+	// visits is how many calls an instance that starts gets, and visitWithin the time within which most of them come. The
+	// first ones are refused, as nobody listens yet.
+	visits      = 12
+	visitWithin = 600 * time.Millisecond
+)
+
+func (v *visitor) run(ctx context.Context) {
+	o := newLossyOperator(v.fleet, v.r)
+	defer o.client.CloseIdleConnections()
+	for range visits {
+		if !wait.For(ctx, time.Duration(v.r.Int64N(int64(2*visitWithin/visits)))) {
+			return
+		}
+		switch v.r.IntN(4) {
+		case 0:
+			o.sendInvalid(ctx, v.instance)
+		case 1:
+			o.resend(ctx, v.instance)
+		case 2:
+			o.sendNothing(ctx, v.instance)
+		default:
+			o.read(ctx, v.instance)
+		}
+	}
+}
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -178,8 +178,13 @@
 
 // link spoils the way to one instance.
 func link(m mode) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return linkOf(m, func(f *fleet) []*instance { return slices.Concat(f.control, f.stores) })
+}
+
+// linkOf is link for one of some instances.
+func linkOf(m mode, from choose) func(context.Context, *fleet, *rand.Rand, time.Duration) {
 	return func(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
-		in := claim(r, append(append([]*instance(nil), f.control...), f.stores...))
+		in := claim(r, from(f))
 		if in == nil {
 			return
 		}
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -19,6 +19,7 @@
 
 	"rockbarrow.dev/platform/settings"
 	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbench/confighistory"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -58,6 +59,8 @@
 	seedOfEndless = 11 << 32
 	// seedOfCrowds does the same for crowds of clients that don't behave.
 	seedOfCrowds = 12 << 32
+	// seedOfEvents does the same for lossy operators and the faults that follow events.
+	seedOfEvents = 13 << 32
 	// host is the host of all routes.
 	host = "soak.example"
 )
@@ -107,6 +110,12 @@
 	customers *customers
 	// lives counts the endpoints made, so that each has an id of its own.
 	lives int
+	// operations are all calls that replaced or read the configuration, and sent the last documents of lossy operators.
+	operations confighistory.History
+	sent       sentDocuments
+	// events are what faults may follow. wiping is held while a disk is lost by one of them.
+	events chan event
+	wiping sync.Mutex
 	// replacing is held while an endpoint is replaced or starts again: one of each kind always stays.
 	replacing sync.Mutex
 }
@@ -130,6 +139,7 @@
 		phases: map[*standin.Endpoint]phase{},
 		dir:    cfg.Dir, domains: max(seeds, cfg.Domains), ledger: &standin.Recorder{}, list: &standin.List{},
 		limits: &fleetpb.Limits{HeaderBytes: 16 << 10, BodyBytes: wideBytes},
+		events: make(chan event, eventsBuffer),
 		routes: &routes{r: rand.New(rand.NewPCG(cfg.Seed, seedOfRoutes))}, sides: &sides{},
 	}
 	if cfg.Before == "" && !cfg.NoCustomers {
@@ -273,6 +283,7 @@
 			RevokeMS: float64(revokeWithin.Milliseconds()), Quota: quotaTerms,
 		}}
 		in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
+		in.onStart = func() { f.tell(event{kind: started, instance: in}) }
 		if err := in.open(f.dir); err != nil {
 			return nil, err
 		}
@@ -308,7 +319,7 @@
 		}
 	}
 	f.sides.all = slices.Concat(f.control, f.stores)
-	f.operator = &standin.Operator{Addresses: f.operators(), Recorder: f.ledger, Secrets: f.customers.held()}
+	f.operator = &standin.Operator{Addresses: f.operators(), Recorder: f.ledger, Secrets: f.customers.held(), Observe: f.operations.Add}
 	return nil
 }
 
@@ -387,9 +398,14 @@
 	}
 }
 
-// failures names the processes that ended by themselves, at any moment.
+// failures names the processes that ended by themselves, at any moment, and the promises on configurations that operators saw
+// broken.
 func (f *fleet) failures() []string {
-	var out []string
+	v := f.operations.Judge(judgeWithin)
+	if v.Undecided {
+		f.ledger.Count("histories of operators without a verdict")
+	}
+	out := v.Violations
 	for _, in := range f.all() {
 		out = append(out, in.failures()...)
 	}
--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -33,6 +33,9 @@
 	output *os.File
 	proxy  *proxy
 
+	// onStart is called after each start of a process; nil is none.
+	onStart func()
+
 	// claimed is held while a fault has the instance.
 	claimed holds
 
@@ -87,6 +90,9 @@
 	}
 	in.cmd, in.exited, in.meant = cmd, make(chan struct{}), true
 	in.lives++
+	if in.onStart != nil {
+		in.onStart()
+	}
 	go (&reaper{instance: in, cmd: cmd, exited: in.exited}).run()
 	// Only the very first start is one.
 	in.plan.Bootstrap = false
--- a/rockbench/soak/invalid.go
+++ b/rockbench/soak/invalid.go
@@ -48,6 +48,18 @@
 func (f *fleet) sendInvalid(ctx context.Context, r *rand.Rand) {
 	f.configuring.Lock()
 	defer f.configuring.Unlock()
+	why, text := f.invalid(r)
+	if why == "" {
+		return
+	}
+	f.operator.ExpectRefusal(ctx, why, text)
+	// Without a draw, so that those of seeds stay.
+	f.operator.ExpectRefusal(ctx, "no bytes", nil)
+}
+
+// invalid returns one of them and why it is invalid, which is empty if there is nothing of its kind in the configuration, as without
+// customers. The caller holds configuring.
+func (f *fleet) invalid(r *rand.Rand) (why string, text []byte) {
 	s := spoils[r.IntN(len(spoils))]
 	d := f.document(f.version + aboveAll)
 	if s.document != nil {
@@ -56,17 +68,14 @@
 	b, err := wire.EncodeDocument(d, f.customers.held())
 	if err != nil {
 		f.ledger.AddViolation("%v", err)
-		return
+		return "", nil
 	}
 	if s.text != nil {
 		spoiled := s.text(r, bytes.Clone(b))
 		if bytes.Equal(spoiled, b) {
-			// There is nothing of that kind in the configuration, as without customers.
-			return
+			return "", nil
 		}
 		b = spoiled
 	}
-	f.operator.ExpectRefusal(ctx, s.name, b)
-	// Without a draw, so that those of seeds stay.
-	f.operator.ExpectRefusal(ctx, "no bytes", nil)
+	return s.name, b
 }
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -46,6 +46,9 @@
 	// Callers is the number of clients of each entry instance whose requests planned stops may not lose, which come in series then.
 	// With zero there are neither.
 	Callers int
+	// Operators is the number of operators that lose answers, work beside each other and meet faults at events of theirs. With zero one
+	// careful operator changes the configuration.
+	Operators int
 	// Before is the program of another version that all instances begin with; they are
 	// upgraded one after another while faults come. Empty is this build.
 	Before string
@@ -80,7 +83,8 @@
 		// Whatever was under way was cut off, which breaks no promise.
 		return nil, errors.Wrap(err, "soak: stopped")
 	}
-	return &Report{Seed: cfg.Seed, Counts: f.counts(), Broken: append(f.ledger.Violations(), f.failures()...)}, nil
+	failures := f.failures()
+	return &Report{Seed: cfg.Seed, Counts: f.counts(), Broken: append(f.ledger.Violations(), failures...)}, nil
 }
 
 type soak struct {
@@ -100,7 +104,11 @@
 		w := &worker{soak: s, number: i, r: rand.New(rand.NewPCG(s.cfg.Seed, uint64(100+i)))}
 		running.Go(func() { w.loop(faulty, finish) })
 	}
-	running.Go(func() { s.operate(faulty) })
+	if s.cfg.Operators > 0 {
+		s.goLossy(&running, faulty)
+	} else {
+		running.Go(func() { s.operate(faulty) })
+	}
 	for i, e := range s.fleet.entries {
 		for _, slow := range []bool{false, true} {
 			p := &prober{
@@ -110,7 +118,7 @@
 			running.Go(func() { p.run(faulty) })
 		}
 	}
-	if s.cfg.Before == "" {
+	if s.cfg.Before == "" && s.cfg.Programs > 0 {
 		// Instances of an earlier version send such a request on, whatever others know of it.
 		for i := range uint64(crashers) {
 			c := &crasher{soak: s, number: i, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfCrashes+i))}
@@ -141,15 +149,21 @@
 		s.fleet.ledger.AddViolation("no control instance is sure of the configuration after the faults")
 	}
 	s.fleet.checkRoutes(finish)
-	s.fleet.checkEndpoints(finish, s.entries())
+	if s.cfg.Programs > 0 {
+		s.fleet.checkEndpoints(finish, s.entries())
+	}
 	s.fleet.checkEvacuation(finish, s.entries())
 }
 
-// lanes returns the kinds of faults that come beside each other. With control instances beyond one in each failure domain, cuts follow
+// lanes returns the kinds of faults that come beside each other, and beside those at events if there are lossy operators. With control instances beyond one in each failure domain, cuts follow
 // each other, and in each second seed nothing else concerns control: what is late then is late for a cut alone.
 func (s *soak) lanes() [][]fault {
 	all := [][]fault{append(slices.Clone(faults), diskFaults...), faults}
 	switch {
+	case s.cfg.Operators > 0 && s.cfg.Seed%2 == 0:
+		return [][]fault{{{"new settings", hangUp}, {"lost answers", loseAnswers}}}
+	case s.cfg.Operators > 0:
+		return [][]fault{faults}
 	case len(s.fleet.control) <= s.fleet.domains:
 		return all
 	case s.cfg.Seed%2 == 0:
