--- a/rockbench/soak/behaviour.go
+++ b/rockbench/soak/behaviour.go
@@ -219,3 +219,17 @@
 	h.winners[version] = path
 	return ""
 }
+
+// lag returns how long before a time the first version was acknowledged that answers from some intervals can't come of, zero if there
+// is none.
+func (h *history) lag(list []interval, at time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	longest := time.Duration(0)
+	for _, a := range h.acknowledged {
+		if _, ok := firstAfter(list, a.version); !ok {
+			longest = max(longest, at.Sub(a.at))
+		}
+	}
+	return longest
+}
--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -118,6 +118,7 @@
 		{"kill it", killOne(only)},
 		{"its power is lost", endAll(only, powerLost)},
 		{"pause it", pauseOne(only)},
+		{"stop it", stopOne(only)},
 		{"its links are slow", linkOf(delay, only)},
 		{"its links are silent", linkOf(silence, only)},
 		{"its answers are cut off", linkOf(oneWay, only)},
@@ -204,3 +205,18 @@
 		}
 	}
 }
+
+// loseAtTheEnd loses one disk, and the power of all others, as an operator learns that a change is acknowledged. What is read afterwards
+// must be that change.
+func (s *soak) loseAtTheEnd(ctx context.Context) {
+	f := s.fleet
+	if err := f.deploy(ctx); err != nil {
+		f.ledger.AddViolation("a configuration was not taken: %v", err)
+		return
+	}
+	r := rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents-1))
+	disks := slices.Concat(f.control, f.stores)
+	lost := disks[r.IntN(len(disks))]
+	fmt.Fprintf(s.cfg.Out, "%6.2f s  the disk of %s and the power of all others are lost\n", time.Since(s.start).Seconds(), lost.plan.Instance)
+	wipeAmidLoss(func(*fleet) []*instance { return []*instance{lost} })(ctx, f, r, time.Duration(r.Int64N(int64(time.Second))))
+}
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -113,6 +114,9 @@
 	// operations are all calls that replaced or read the configuration, and sent the last documents of lossy operators.
 	operations confighistory.History
 	sent       sentDocuments
+	// lag is the longest time, in ns, for which an undisturbed instance answered by an older version after an acknowledgement, and judged
+	// counts the answers that were looked at for it.
+	lag, judged atomic.Int64
 	// events are what faults may follow. wiping is held while a disk is lost by one of them.
 	events chan event
 	wiping sync.Mutex
@@ -418,5 +422,14 @@
 	f.watchdog.mu.Lock()
 	defer f.watchdog.mu.Unlock()
 	out["stalls of the machine"] = len(f.watchdog.stalls)
+	out["ms of the longest time until a version was in force"] = int(time.Duration(f.lag.Load()).Milliseconds())
+	out["answers judged by the version in force"] = int(f.judged.Load())
 	return out
 }
+
+// noteLag records how long an undisturbed instance went on with an older version.
+func (f *fleet) noteLag(lag time.Duration) {
+	f.judged.Add(1)
+	for old := f.lag.Load(); int64(lag) > old && !f.lag.CompareAndSwap(old, int64(lag)); old = f.lag.Load() {
+	}
+}
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -48,8 +48,34 @@
 	settled []seen
 	// first and added count the answers of the first route and of routes that were added or changed, once these were due.
 	first, added answers
+	// limited counts requests that ran into their time limit while the instance was undisturbed.
+	limited limited
 }
 
+// limited counts requests that ran into their time limit, and those of them that had no answer lateSlack later.
+type limited struct{ all, late int }
+
+// The rule on time limits is broken at an instance once lateRequests, and more than one in lateShare of those that run into their limit, have
+// no final answer lateSlack after it.
+const (
+	lateSlack    = 500 * time.Millisecond
+	lateRequests = 8
+	lateShare    = 4
+)
+
+// add counts a request by how much longer than its limit its answer took.
+func (l *limited) add(over time.Duration) {
+	if over < 0 {
+		return
+	}
+	l.all++
+	if over > lateSlack {
+		l.late++
+	}
+}
+
+func (l *limited) broken() bool { return l.late >= lateRequests && lateShare*l.late > l.all }
+
 // seen is a version whose effect was seen at a time.
 type seen struct {
 	version uint64
@@ -68,6 +94,9 @@
 			p.probe(ctx, path)
 		}
 	}
+	if p.limited.broken() {
+		p.fleet.ledger.AddViolation("%s left %d of %d requests without an answer %v after their time limit", p.entry.plan.Instance, p.limited.late, p.limited.all, lateSlack)
+	}
 	if p.added.all >= enoughProbes && leastShare*p.added.served*p.first.all < p.first.served*p.added.all {
 		p.fleet.ledger.AddViolation("%s serves %d of %d requests on added routes, and %d of %d on the first", p.entry.plan.Instance,
 			p.added.served, p.added.all, p.first.served, p.first.all)
@@ -111,6 +140,13 @@
 	if len(at.last().services) > 0 && due >= at.last().version && free && a.status != 0 && !p.slow && !at.last().contested && !at.last().tight {
 		p.added.add(a.status)
 	}
+	if last := at.last(); free && last.limited && due >= last.version {
+		over := a.took - p.fleet.watchdog.stalled(sent, sent.Add(a.took)) - shortLimit*time.Millisecond
+		if over > lateSlack {
+			p.fleet.ledger.Count("answers half a second after the time limit")
+		}
+		p.limited.add(over)
+	}
 	if !a.tells() || !same {
 		return
 	}
@@ -121,7 +157,11 @@
 	if from, ok := firstAfter(matches, p.shown); ok {
 		p.show(from)
 	}
-	if _, ok := firstAfter(matches, due); !ok && free && p.fleet.controlFreeSince(sent.Add(-applyWithin)) {
+	controlled := free && p.fleet.controlFreeSince(sent.Add(-applyWithin))
+	if controlled {
+		p.fleet.noteLag(h.lag(matches, sent))
+	}
+	if _, ok := firstAfter(matches, due); !ok && controlled {
 		p.violate(at, a, fmt.Sprint(applyWithin, " after version %d was acknowledged"), due)
 	}
 	p.checkContest(at, a)
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -145,6 +145,9 @@
 	for _, e := range s.fleet.entries {
 		s.fleet.checkMemory(e)
 	}
+	if s.cfg.Operators > 0 {
+		s.loseAtTheEnd(finish)
+	}
 	if !s.fleet.operator.Check(finish) {
 		s.fleet.ledger.AddViolation("no control instance is sure of the configuration after the faults")
 	}
--- a/rockbench/soak/time_limits_test.go
+++ b/rockbench/soak/time_limits_test.go
@@ -18,13 +18,6 @@
 	"rockbarrow.dev/schema/fleetpb"
 )
 
-// The rule on time limits is broken once lateRequests, and one request in lateShare, have no final answer lateSlack after their limit.
-const (
-	lateSlack    = 500 * time.Millisecond
-	lateRequests = 8
-	lateShare    = 4
-)
-
 // timeLimits are the time limits of the routes under test, in ms.
 var timeLimits = []uint32{100, 700, 2000}
 
