--- a/rockbarrow/durable/folder.go
+++ b/rockbarrow/durable/folder.go
@@ -72,7 +72,7 @@
 		return errors.Wrap(err, "durable: sync a folder")
 	}
 	defer d.Close()
-	return errors.Wrap(d.Sync(), "durable: sync a folder")
+	return errors.Wrap(openTrace(dir).SyncFolder(d.Sync), "durable: sync a folder")
 }
 
 // writeAndClose writes a file's content, syncs and closes it.
@@ -130,9 +130,7 @@
 }
 
 // sync persists all names of the folder, and all removals.
-func (f *folder) sync() error {
-	return f.trace.SyncFolder(func() error { return SyncDir(f.dir) })
-}
+func (f *folder) sync() error { return SyncDir(f.dir) }
 
 // read syncs a file and returns its content. A killed process may have left content that was never synced, and the caller
 // may act on it.
--- a/rockbarrow/durable/trace.go
+++ b/rockbarrow/durable/trace.go
@@ -35,3 +35,13 @@
 	}
 	return traces[dir]
 }
+
+// openTrace returns the trace of a directory if it was opened before, otherwise nil.
+func openTrace(dir string) *powerloss.Trace {
+	if tracing == "" {
+		return nil
+	}
+	tracesMu.Lock()
+	defer tracesMu.Unlock()
+	return traces[dir]
+}
--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -54,9 +54,9 @@
 type reactor struct {
 	soak *soak
 	r    *rand.Rand
-	// victim is the failure domain that all these faults meet. With an empty one they meet any instance, and more than
-	// the tolerated losses come together.
-	victim string
+	scope scope
+	// domain is the failure domain that they meet if that is their scope.
+	domain string
 }
 
 // loop ends with ctx and the faults under way.
@@ -76,7 +76,7 @@
 			w := &visitor{fleet: x.soak.fleet, instance: e.instance, r: r}
 			running.Go(func() { w.run(ctx) })
 		}
-		if x.r.IntN(passEvery) == 0 || x.victim != "" && e.instance.plan.FailureDomain != x.victim {
+		if x.r.IntN(passEvery) == 0 || x.scope == oneDomain && e.instance.plan.FailureDomain != x.domain {
 			continue
 		}
 		select {
@@ -110,6 +110,9 @@
 
 // faults are those that may follow an event at an instance.
 func (x *reactor) faults(in *instance) []fault {
+	if x.scope == onlyCuts {
+		return append([]fault{{"cut it off from the others", cutOff(in)}}, cuts...)
+	}
 	only := func(*fleet) []*instance { return []*instance{in} }
 	domain := func(f *fleet) []*instance {
 		return slices.DeleteFunc(f.all(), func(o *instance) bool { return o.plan.FailureDomain != in.plan.FailureDomain })
@@ -128,7 +131,7 @@
 	if in.role != "entry" {
 		out = append(out, fault{"cut it off from the others", cutOff(in)})
 	}
-	if in.role == "entry" || x.victim != "" {
+	if in.role == "entry" || x.scope == oneDomain {
 		return out
 	}
 	return append(out,
@@ -180,32 +183,45 @@
 }
 
 const (
-	// visits is how many calls an instance that starts gets, and visitWithin the time within which most of them come. The
-	// first ones are refused, as nobody listens yet.
-	visits      = 12
-	visitWithin = 600 * time.Millisecond
+	// visits is how many calls an instance that starts gets answers to, and visitWithin bounds the time for them. The first ones
+	// come as soon as it listens: it is tried each visitInterval, and most calls after that follow within visitPause.
+	visits        = 12
+	visitWithin   = 3 * time.Second
+	visitInterval = 2 * time.Millisecond
+	visitPause    = 40 * time.Millisecond
 )
 
 func (v *visitor) run(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, visitWithin)
+	defer cancel()
 	o := newLossyOperator(v.fleet, v.r)
+	o.quiet = true
 	defer o.client.CloseIdleConnections()
-	for range visits {
-		if !wait.For(ctx, time.Duration(v.r.Int64N(int64(2*visitWithin/visits)))) {
-			return
+	for answers := 0; answers < visits; {
+		pause := visitInterval
+		if v.visit(ctx, o) != 0 {
+			answers++
+			pause = time.Duration(v.r.Int64N(int64(visitPause)))
 		}
-		switch v.r.IntN(4) {
-		case 0:
-			o.sendInvalid(ctx, v.instance)
-		case 1:
-			o.resend(ctx, v.instance)
-		case 2:
-			o.sendNothing(ctx, v.instance)
-		default:
-			o.read(ctx, v.instance)
+		if !wait.For(ctx, pause) {
+			return
 		}
 	}
 }
 
+// visit makes a call and returns its status, zero without an answer.
+func (v *visitor) visit(ctx context.Context, o *lossyOperator) (status int) {
+	switch v.r.IntN(4) {
+	case 0:
+		return o.sendInvalid(ctx, v.instance)
+	case 1:
+		return o.resend(ctx, v.instance)
+	case 2:
+		return o.sendNothing(ctx, v.instance)
+	}
+	return o.read(ctx, v.instance)
+}
+
 // loseAtTheEnd loses one disk, and the power of all others, as an operator learns that a change is acknowledged. What is read afterwards
 // must be that change.
 func (s *soak) loseAtTheEnd(ctx context.Context) {
--- a/rockbench/soak/operators.go
+++ b/rockbench/soak/operators.go
@@ -68,6 +68,8 @@
 	client *http.Client
 	// preferred gets half of the calls; nil is none.
 	preferred *instance
+	// quiet is true if no faults follow its calls.
+	quiet bool
 }
 
 func newLossyOperator(f *fleet, r *rand.Rand) *lossyOperator {
@@ -164,15 +166,15 @@
 // send sends a document to one instance, or to two at once, and reports whether one acknowledged it.
 func (o *lossyOperator) send(ctx context.Context, d sentDocument) (acknowledged bool) {
 	if o.r.IntN(4) > 0 {
-		return o.sendTo(ctx, o.draw(), o.call(d))
+		return o.sendTo(ctx, o.draw(), o.call(d)) == http.StatusOK
 	}
 	one, other, first, second := o.draw(), o.draw(), o.call(d), o.call(d)
-	var ok bool
+	var status int
 	var sending sync.WaitGroup
-	sending.Go(func() { ok = o.sendTo(ctx, other, second) })
-	acknowledged = o.sendTo(ctx, one, first)
+	sending.Go(func() { status = o.sendTo(ctx, other, second) })
+	acknowledged = o.sendTo(ctx, one, first) == http.StatusOK
 	sending.Wait()
-	return acknowledged || ok
+	return acknowledged || status == http.StatusOK
 }
 
 // patientCall is a call with the time for which its sender waits for the answer.
@@ -192,17 +194,21 @@
 	return c
 }
 
-func (o *lossyOperator) sendTo(ctx context.Context, to *instance, c *patientCall) (acknowledged bool) {
+func (o *lossyOperator) sendTo(ctx context.Context, to *instance, c *patientCall) (status int) {
 	f := o.fleet
-	f.tell(event{kind: changeSent, instance: to})
+	if !o.quiet {
+		f.tell(event{kind: changeSent, instance: to})
+	}
 	c.Address = to.plan.OperatorAddress
-	if o.do(ctx, c) != http.StatusOK {
-		return false
+	if status = o.do(ctx, c); status != http.StatusOK {
+		return status
 	}
 	f.history.acknowledge(c.Version)
 	f.operator.Acknowledge(c.Version, nil)
-	f.tell(event{kind: changeAcknowledged, instance: to})
-	return true
+	if !o.quiet {
+		f.tell(event{kind: changeAcknowledged, instance: to})
+	}
+	return status
 }
 
 // do makes a call and counts its outcome.
@@ -222,32 +228,34 @@
 }
 
 // resend sends one of the last documents once more. It must not be refused for good, whatever was sent since.
-func (o *lossyOperator) resend(ctx context.Context, to *instance) {
-	if d, ok := o.fleet.sent.draw(o.r); ok {
-		o.sendTo(ctx, to, o.call(d))
+func (o *lossyOperator) resend(ctx context.Context, to *instance) (status int) {
+	d, ok := o.fleet.sent.draw(o.r)
+	if !ok {
+		return 0
 	}
+	return o.sendTo(ctx, to, o.call(d))
 }
 
 // sendInvalid sends a document that no instance may accept.
-func (o *lossyOperator) sendInvalid(ctx context.Context, to *instance) {
+func (o *lossyOperator) sendInvalid(ctx context.Context, to *instance) (status int) {
 	f := o.fleet
 	f.configuring.Lock()
 	why, text := f.invalid(o.r)
 	f.configuring.Unlock()
 	if why == "" {
-		return
+		return 0
 	}
-	o.do(ctx, &patientCall{OperatorCall: standin.OperatorCall{Address: to.plan.OperatorAddress, Document: text, Invalid: why}, patience: longPatience})
+	return o.do(ctx, &patientCall{OperatorCall: standin.OperatorCall{Address: to.plan.OperatorAddress, Document: text, Invalid: why}, patience: longPatience})
 }
 
 // sendNothing sends a document without a byte.
-func (o *lossyOperator) sendNothing(ctx context.Context, to *instance) {
-	o.do(ctx, &patientCall{OperatorCall: standin.OperatorCall{Address: to.plan.OperatorAddress, Invalid: "no bytes"}, patience: longPatience})
+func (o *lossyOperator) sendNothing(ctx context.Context, to *instance) (status int) {
+	return o.do(ctx, &patientCall{OperatorCall: standin.OperatorCall{Address: to.plan.OperatorAddress, Invalid: "no bytes"}, patience: longPatience})
 }
 
 // read reads the configuration.
-func (o *lossyOperator) read(ctx context.Context, from *instance) {
-	o.do(ctx, &patientCall{OperatorCall: standin.OperatorCall{Address: from.plan.OperatorAddress, Read: true}, patience: longPatience})
+func (o *lossyOperator) read(ctx context.Context, from *instance) (status int) {
+	return o.do(ctx, &patientCall{OperatorCall: standin.OperatorCall{Address: from.plan.OperatorAddress, Read: true}, patience: longPatience})
 }
 
 // contestants makes two configurations of the next version; the caller holds configuring.
@@ -266,22 +274,34 @@
 	return documents, changes, nil
 }
 
-// goLossy starts the lossy operators and the faults that follow events. In each second seed one failure domain alone meets faults, so that
-// all else has to go on.
+// scope is which instances faults at events meet.
+type scope int
+
+const (
+	// oneDomain is one failure domain alone, so that all else has to go on.
+	oneDomain scope = iota
+	// everywhere is any instance, more at a time than the tolerated losses.
+	everywhere
+	// onlyCuts are cuts between instances with disks, by which nothing is lost.
+	onlyCuts
+)
+
+// scopeOf returns the scope of a seed.
+func scopeOf(seed uint64) scope { return []scope{oneDomain, everywhere, oneDomain, onlyCuts}[seed%4] }
+
+// goLossy starts the lossy operators and the faults that follow events.
 func (s *soak) goLossy(running *sync.WaitGroup, faulty context.Context) {
-	r := rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents))
+	x := &reactor{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents)), scope: scopeOf(s.cfg.Seed)}
 	var preferred *instance
-	victim := ""
-	if s.cfg.Seed%2 == 0 {
-		preferred = s.fleet.control[r.IntN(len(s.fleet.control))]
-		victim = preferred.plan.FailureDomain
+	if x.scope == oneDomain {
+		preferred = s.fleet.control[x.r.IntN(len(s.fleet.control))]
+		x.domain = preferred.plan.FailureDomain
 	}
 	for i := range uint64(s.cfg.Operators) {
 		o := newLossyOperator(s.fleet, rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents+1+i)))
 		o.preferred = preferred
 		running.Go(func() { o.loop(faulty) })
 	}
-	x := &reactor{soak: s, r: r, victim: victim}
 	running.Go(func() { x.loop(faulty) })
 }
 
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -163,10 +163,10 @@
 func (s *soak) lanes() [][]fault {
 	all := [][]fault{append(slices.Clone(faults), diskFaults...), faults}
 	switch {
-	case s.cfg.Operators > 0 && s.cfg.Seed%2 == 0:
-		return [][]fault{{{"new settings", hangUp}, {"lost answers", loseAnswers}}}
-	case s.cfg.Operators > 0:
+	case s.cfg.Operators > 0 && scopeOf(s.cfg.Seed) == everywhere:
 		return [][]fault{faults}
+	case s.cfg.Operators > 0:
+		return [][]fault{{{"new settings", hangUp}, {"lost answers", loseAnswers}}}
 	case len(s.fleet.control) <= s.fleet.domains:
 		return all
 	case s.cfg.Seed%2 == 0:
