--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -52,8 +52,8 @@
 // reactor brings faults right after events, at the instances that they happened at. Faults at random moments seldom meet the
 // tenths of a second in which a change is on its way.
 type reactor struct {
-	soak *soak
-	r    *rand.Rand
+	soak  *soak
+	r     *rand.Rand
 	scope scope
 	// domain is the failure domain that they meet if that is their scope.
 	domain string
