--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -129,15 +129,17 @@
 		{"power of its failure domain is lost", endAll(domain, powerLost)},
 	}
 	if in.role != "entry" {
-		out = append(out, fault{"cut it off from the others", cutOff(in)})
+		out = append(out, fault{"cut it off from the others", cutOff(in)}, fault{"wipe it", wipeAlone(in)})
+	}
+	if in.role == "control" {
+		out = append(out, fault{"replace it", replaceAlone(in)})
 	}
 	if in.role == "entry" || x.scope == oneDomain {
 		return out
 	}
 	return append(out,
-		fault{"wipe it", wipeAlone(in)},
 		fault{"wipe it while all others lose power", wipeAmidLossAlone(in)},
-		fault{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.control }, killed)},
+		fault{"all control instances are killed", endAll((*fleet).controls, killed)},
 		fault{"power is lost everywhere", endAll((*fleet).all, powerLost)},
 		fault{"control is cut into halves", cutControl},
 	)
@@ -231,7 +233,7 @@
 		return
 	}
 	r := rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents-1))
-	disks := slices.Concat(f.control, f.stores)
+	disks := slices.Concat(f.controls(), f.stores)
 	lost := disks[r.IntN(len(disks))]
 	fmt.Fprintf(s.cfg.Out, "%6.2f s  the disk of %s and the power of all others are lost\n", time.Since(s.start).Seconds(), lost.plan.Instance)
 	wipeAmidLoss(func(*fleet) []*instance { return []*instance{lost} })(ctx, f, r, time.Duration(r.Int64N(int64(time.Second))))
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -33,10 +33,10 @@
 // faults are all kinds but those that lose a disk.
 var faults = []fault{
 	{"pause a store", pauseOne(func(f *fleet) []*instance { return f.stores })},
-	{"pause a control instance", pauseOne(func(f *fleet) []*instance { return f.control })},
+	{"pause a control instance", pauseOne(func(f *fleet) []*instance { return f.controls() })},
 	{"pause an entry", pauseOne(func(f *fleet) []*instance { return f.entries })},
 	{"kill a store", killOne(func(f *fleet) []*instance { return f.stores })},
-	{"kill a control instance", killOne(func(f *fleet) []*instance { return f.control })},
+	{"kill a control instance", killOne(func(f *fleet) []*instance { return f.controls() })},
 	{"kill an entry", killOne(func(f *fleet) []*instance { return f.entries })},
 	{"stop an entry", stopOne(func(f *fleet) []*instance { return f.entries })},
 	{"stop a store", stopOne(func(f *fleet) []*instance { return f.stores })},
@@ -56,11 +56,11 @@
 	{"settings are half written", tornSettings},
 	{"nobody reads the logs", dropReaders},
 	{"a store's disk is full", fullDisk(func(f *fleet) []*instance { return f.stores })},
-	{"a control instance's disk is full", fullDisk(func(f *fleet) []*instance { return f.control })},
+	{"a control instance's disk is full", fullDisk(func(f *fleet) []*instance { return f.controls() })},
 	{"a process starts while its addresses are held", heldAddresses},
-	{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.control }, killed)},
+	{"all control instances are killed", endAll(func(f *fleet) []*instance { return f.controls() }, killed)},
 	{"all instances of a failure domain are killed", endDomain},
-	{"power of all control instances is lost", endAll(func(f *fleet) []*instance { return f.control }, powerLost)},
+	{"power of all control instances is lost", endAll(func(f *fleet) []*instance { return f.controls() }, powerLost)},
 	{"power of a failure domain is lost", losePowerOfDomain},
 	{"power is lost everywhere", endAll((*fleet).all, powerLost)},
 }
@@ -84,9 +84,9 @@
 // diskFaults lose a disk. Two never come at once, as one loss is tolerated.
 var diskFaults = []fault{
 	{"wipe a store", wipeOne(func(f *fleet) []*instance { return f.stores })},
-	{"wipe a control instance", wipeOne(func(f *fleet) []*instance { return f.control })},
+	{"wipe a control instance", wipeOne(func(f *fleet) []*instance { return f.controls() })},
 	{"wipe a store while all others lose power", wipeAmidLoss(func(f *fleet) []*instance { return f.stores })},
-	{"wipe a control instance while all others lose power", wipeAmidLoss(func(f *fleet) []*instance { return f.control })},
+	{"wipe a control instance while all others lose power", wipeAmidLoss(func(f *fleet) []*instance { return f.controls() })},
 }
 
 type choose func(f *fleet) []*instance
@@ -178,7 +178,7 @@
 
 // link spoils the way to one instance.
 func link(m mode) func(context.Context, *fleet, *rand.Rand, time.Duration) {
-	return linkOf(m, func(f *fleet) []*instance { return slices.Concat(f.control, f.stores) })
+	return linkOf(m, func(f *fleet) []*instance { return slices.Concat(f.controls(), f.stores) })
 }
 
 // linkOf is link for one of some instances.
@@ -378,7 +378,7 @@
 // drawDomain chooses all instances of one failure domain.
 func drawDomain(r *rand.Rand) choose {
 	return func(f *fleet) []*instance {
-		domain := f.control[r.IntN(len(f.control))].plan.FailureDomain
+		domain := f.controls()[r.IntN(len(f.controls()))].plan.FailureDomain
 		return slices.DeleteFunc(f.all(), func(in *instance) bool { return in.plan.FailureDomain != domain })
 	}
 }
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -72,11 +72,13 @@
 	// domains is the number of failure domains.
 	domains int
 	// binary is this build.
-	binary  string
-	sides   *sides
-	control []*instance
-	stores  []*instance
-	entries []*instance
+	binary string
+	sides  *sides
+	// control are the control instances that were not replaced; controlMu guards it.
+	controlMu sync.RWMutex
+	control   []*instance
+	stores    []*instance
+	entries   []*instance
 	// mu guards endpoints, phases, silent and lives.
 	mu        sync.Mutex
 	endpoints []*standin.Endpoint
@@ -117,6 +119,8 @@
 	// lag is the longest time, in ns, for which an undisturbed instance answered by an older version after an acknowledgement, and judged
 	// counts the answers that were looked at for it.
 	lag, judged atomic.Int64
+	// replaced are control instances that others have replaced; controlMu guards it.
+	replaced []*instance
 	// events are what faults may follow. wiping is held while a disk is lost by one of them.
 	events chan event
 	wiping sync.Mutex
@@ -180,8 +184,15 @@
 	return f, stop, f.await(ctx)
 }
 
+// controls returns the control instances that were not replaced. The caller must not change the list.
+func (f *fleet) controls() []*instance {
+	f.controlMu.RLock()
+	defer f.controlMu.RUnlock()
+	return f.control
+}
+
 func (f *fleet) all() []*instance {
-	return append(append(append([]*instance(nil), f.control...), f.stores...), f.entries...)
+	return append(append(append([]*instance(nil), f.controls()...), f.stores...), f.entries...)
 }
 
 func (f *fleet) startStandIns() error {
@@ -280,19 +291,12 @@
 		domains = append(domains, fmt.Sprint("domain-", d))
 	}
 	add := func(role string, d, n int) (*instance, error) {
-		in := &instance{role: role, binary: binary, plan: settings.FileParams{
+		return f.add(binary, settings.FileParams{
 			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), FailureDomain: domains[d], FailureDomains: domains, IP: ip(d, n),
 			FirstPort: first, LastPort: first + portSpan - 1, Seeds: control, Bootstrap: true,
 			ListAddress: f.listens.Addr().String(), FaultTolerance: 1, MemoryMB: 256, GraceSeconds: grace,
 			RevokeMS: float64(revokeWithin.Milliseconds()), Quota: quotaTerms,
-		}}
-		in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
-		in.onStart = func() { f.tell(event{kind: started, instance: in}) }
-		if err := in.open(f.dir); err != nil {
-			return nil, err
-		}
-		in.proxy, err = newProxy(in, f.sides)
-		return in, errors.Wrap(err, "soak: proxy")
+		}, role)
 	}
 	for i := range max(f.domains, cfg.Control) {
 		c, err := add("control", i%f.domains, 1+i/f.domains*extraControl)
@@ -327,9 +331,22 @@
 	return nil
 }
 
+// add gives an instance with some settings its folder and proxy.
+func (f *fleet) add(binary string, plan settings.FileParams, role string) (*instance, error) {
+	in := &instance{role: role, binary: binary, plan: plan}
+	in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
+	in.onStart = func() { f.tell(event{kind: started, instance: in}) }
+	if err := in.open(f.dir); err != nil {
+		return nil, err
+	}
+	var err error
+	in.proxy, err = newProxy(in, f.sides)
+	return in, errors.Wrap(err, "soak: proxy")
+}
+
 func (f *fleet) operators() []string {
 	var out []string
-	for _, c := range f.control {
+	for _, c := range f.controls() {
 		out = append(out, c.plan.OperatorAddress)
 	}
 	return out
@@ -384,7 +401,7 @@
 
 // stop ends all processes that were started, and the stand-ins.
 func (f *fleet) stop() {
-	for _, in := range f.all() {
+	for _, in := range append(f.all(), f.replaced...) {
 		in.signal(syscall.SIGCONT)
 		in.stop(syscall.SIGKILL)
 		if in.proxy != nil {
@@ -410,7 +427,7 @@
 		f.ledger.Count("histories of operators without a verdict")
 	}
 	out := v.Violations
-	for _, in := range f.all() {
+	for _, in := range append(f.all(), f.replaced...) {
 		out = append(out, in.failures()...)
 	}
 	return out
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -214,13 +214,13 @@
 // they were cut into halves, as a loss beside a cut may leave no majority.
 func (f *fleet) controlFreeSince(at time.Time) bool {
 	free := 0
-	for _, c := range f.control {
+	for _, c := range f.controls() {
 		if c.claimed.freeSince(at) {
 			free++
 		}
 	}
 	if !f.sides.wholeSince(at.Add(-contact)) {
-		return free == len(f.control)
+		return free == len(f.controls())
 	}
-	return 2*free > len(f.control)
+	return 2*free > len(f.controls())
 }
--- a/rockbench/soak/operators.go
+++ b/rockbench/soak/operators.go
@@ -25,6 +25,8 @@
 	mostAttempts = 8
 	// slowSending is the longest pause in the middle of a document.
 	slowSending = 700 * time.Millisecond
+	// staleEvery is how many calls there are for one of an operator whose list still has control instances that were replaced.
+	staleEvery = 6
 	// keptDocuments is how many of the last documents are sent again.
 	keptDocuments = 6
 	// judgeWithin bounds the search for an order of all calls of operators.
@@ -103,7 +105,11 @@
 	if o.preferred != nil && o.r.IntN(2) == 0 {
 		return o.preferred
 	}
-	return o.fleet.control[o.r.IntN(len(o.fleet.control))]
+	list := o.fleet.controls()
+	if o.r.IntN(staleEvery) == 0 {
+		list = append(o.fleet.replacedControls(), list...)
+	}
+	return list[o.r.IntN(len(list))]
 }
 
 // change makes the next version and sends it.
@@ -294,7 +300,7 @@
 	x := &reactor{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents)), scope: scopeOf(s.cfg.Seed)}
 	var preferred *instance
 	if x.scope == oneDomain {
-		preferred = s.fleet.control[x.r.IntN(len(s.fleet.control))]
+		preferred = s.fleet.controls()[x.r.IntN(len(s.fleet.controls()))]
 		x.domain = preferred.plan.FailureDomain
 	}
 	for i := range uint64(s.cfg.Operators) {
--- a/rockbench/soak/sides.go
+++ b/rockbench/soak/sides.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,13 @@
 	return true
 }
 
+// add lets further cuts concern an instance.
+func (s *sides) add(in *instance) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.all = append(slices.Clone(s.all), in)
+}
+
 func (s *sides) heal() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -118,12 +126,12 @@
 
 // cutControl cuts the control instances into two halves.
 func cutControl(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
-	cutHalves(ctx, f, r, last, f.control)
+	cutHalves(ctx, f, r, last, f.controls())
 }
 
 // cutDisks cuts the control and store instances into two halves.
 func cutDisks(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
-	cutHalves(ctx, f, r, last, f.control, f.stores)
+	cutHalves(ctx, f, r, last, f.controls(), f.stores)
 }
 
 // cutHalves cuts each of some groups into two sides. Nothing is lost by it, so that no instance is claimed.
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -167,7 +167,7 @@
 		return [][]fault{faults}
 	case s.cfg.Operators > 0:
 		return [][]fault{{{"new settings", hangUp}, {"lost answers", loseAnswers}}}
-	case len(s.fleet.control) <= s.fleet.domains:
+	case len(s.fleet.controls()) <= s.fleet.domains:
 		return all
 	case s.cfg.Seed%2 == 0:
 		return [][]fault{calmFaults, cuts}
--- a/rockbench/soak/start.go
+++ b/rockbench/soak/start.go
@@ -34,7 +34,7 @@
 func (s *firstStart) run(ctx context.Context) error {
 	all := s.fleet.all()
 	s.r.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	disks := append(append([]*instance(nil), s.fleet.control...), s.fleet.stores...)
+	disks := append(append([]*instance(nil), s.fleet.controls()...), s.fleet.stores...)
 	away, early := s.draw(disks), s.draw(disks)
 	for _, in := range all {
 		wait.For(ctx, time.Duration(s.r.Int64N(int64(startSpread)/int64(len(all)))))
--- a/rockbench/soak/stops.go
+++ b/rockbench/soak/stops.go
@@ -97,7 +97,7 @@
 func (s *stopper) stopDisks(ctx context.Context) {
 	all, role := s.soak.fleet.stores, "stores"
 	if s.r.IntN(2) == 0 {
-		all, role = s.soak.fleet.control, "control instances"
+		all, role = s.soak.fleet.controls(), "control instances"
 	}
 	order, down := s.r.Perm(len(all)), time.Duration(s.r.Int64N(int64(downFor)))
 	s.tell("stop all %s in series, each down for %v", role, down)
