--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -119,6 +119,8 @@
 	// lag is the longest time, in ns, for which an undisturbed instance answered by an older version after an acknowledgement, and judged
 	// counts the answers that were looked at for it.
 	lag, judged atomic.Int64
+	// readAfter is the time in ns from the start of all instances after the last fault until the configuration was read.
+	readAfter atomic.Int64
 	// replaced are control instances that others have replaced; controlMu guards it.
 	replaced []*instance
 	// events are what faults may follow. wiping is held while a disk is lost by one of them.
@@ -326,6 +328,9 @@
 			f.entries = append(f.entries, e)
 		}
 	}
+	if cfg.Operators > 0 {
+		f.limitInstances()
+	}
 	f.sides.all = slices.Concat(f.control, f.stores)
 	f.operator = &standin.Operator{Addresses: f.operators(), Recorder: f.ledger, Secrets: f.customers.held(), Observe: f.operations.Add}
 	return nil
@@ -344,6 +349,21 @@
 	return in, errors.Wrap(err, "soak: proxy")
 }
 
+// limitInstances gives all instances the settings of a deployment of small machines, where an entry instance runs on one thread. Nothing but
+// the instances themselves enforces them.
+func (f *fleet) limitInstances() {
+	for _, in := range f.all() {
+		switch in.role {
+		case "entry":
+			in.plan.CPUShare, in.plan.MemoryMB, in.plan.MaxFDs = 0.4, 284, 4100
+		case "store":
+			in.plan.CPUShare, in.plan.MemoryMB, in.plan.MaxFDs = 0.352, 294, 8200
+		case "control":
+			in.plan.CPUShare, in.plan.MemoryMB, in.plan.MaxFDs = 0.48, 280, 4096
+		}
+	}
+}
+
 func (f *fleet) operators() []string {
 	var out []string
 	for _, c := range f.controls() {
@@ -440,6 +460,9 @@
 	defer f.watchdog.mu.Unlock()
 	out["stalls of the machine"] = len(f.watchdog.stalls)
 	out["ms of the longest time until a version was in force"] = int(time.Duration(f.lag.Load()).Milliseconds())
+	if after := f.readAfter.Load(); after > 0 {
+		out["ms until the configuration was read after the last fault"] = int(time.Duration(after).Milliseconds())
+	}
 	out["answers judged by the version in force"] = int(f.judged.Load())
 	return out
 }
