--- a/rockbench/soak/behaviour.go
+++ b/rockbench/soak/behaviour.go
@@ -171,7 +171,12 @@
 	if len(of) == 0 {
 		return "", false
 	}
-	changed := of[max(0, len(of)-1-r.IntN(recentChanges))]
+	recent := recentChanges
+	if r.IntN(2) == 0 {
+		// Those of the newest few may all be younger than applyWithin.
+		recent = earlierChanges
+	}
+	changed := of[max(0, len(of)-1-r.IntN(recent))]
 	if len(changed) == 0 {
 		return "", false
 	}
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -17,10 +17,11 @@
 	// long after its effect was seen an older one may still be.
 	applyWithin   = 2 * time.Second
 	rollbackSlack = 250 * time.Millisecond
-	// probeInterval is the pause between two probes of an entry instance, and recentChanges how many of the newest
-	// configurations they test.
-	probeInterval = 50 * time.Millisecond
-	recentChanges = 4
+	// probeInterval is the pause between two probes of an entry instance. They test the newest recentChanges configurations, and half of
+	// them the newest earlierChanges, which is more than come within applyWithin.
+	probeInterval  = 50 * time.Millisecond
+	recentChanges  = 4
+	earlierChanges = 24
 	// The success rate of added routes is checked from enoughProbes answers on. It must be at least that of the first route
 	// divided by leastShare.
 	enoughProbes, leastShare = 20, 4
