--- a/rockbarrow/durable/powerloss/trace.go
+++ b/rockbarrow/durable/powerloss/trace.go
@@ -88,6 +88,7 @@
 	if t == nil {
 		return
 	}
+	t.awaitDisk()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	info, err := f.Stat()
@@ -117,6 +118,7 @@
 	if t == nil {
 		return sync()
 	}
+	t.awaitDisk()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	err := sync()
--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -132,7 +132,8 @@
 		{"power of its failure domain is lost", endAll(domain, powerLost)},
 	}
 	if in.role != "entry" {
-		out = append(out, fault{"cut it off from the others", cutOff(in)}, fault{"wipe it", wipeAlone(in)})
+		out = append(out, fault{"cut it off from the others", cutOff(in)}, fault{"wipe it", wipeAlone(in)},
+			fault{"its disk stalls", stallDisk(only, 0)}, fault{"its disk is slow", stallDisk(only, slowSync)})
 	}
 	if in.role == "control" {
 		out = append(out, fault{"replace it", replaceAlone(in)})
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbarrow/durable/powerloss"
 	"rockbarrow.dev/rockbarrow/wait"
 )
 
@@ -305,6 +306,29 @@
 	}
 }
 
+// slowSync is how long a sync takes on a slow disk.
+const slowSync = 50 * time.Millisecond
+
+// stallDisk makes all syncs of one process wait, or each one for some time if that is given.
+func stallDisk(from choose, delay time.Duration) func(context.Context, *fleet, *rand.Rand, time.Duration) {
+	return func(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+		in := claim(r, from(f))
+		if in == nil {
+			return
+		}
+		defer in.claimed.Unlock()
+		end, err := powerloss.Stall(in.plan.DataDir, delay)
+		if err != nil {
+			f.ledger.AddViolation("%v", err)
+			return
+		}
+		wait.For(ctx, last)
+		if err := end(); err != nil {
+			f.ledger.AddViolation("%v", err)
+		}
+	}
+}
+
 // heldAddresses starts a process again while another one still has its addresses.
 func heldAddresses(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
 	in := claim(r, f.all())
