--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -140,6 +140,7 @@
 	at, due := h.state(path), h.due(sent)
 	if len(at.last().services) > 0 && due >= at.last().version && free && a.status != 0 && !p.slow && !at.last().contested && !at.last().tight {
 		p.added.add(a.status)
+		p.fleet.ledger.Count("answers judged on added routes")
 	}
 	if last := at.last(); free && last.limited && due >= last.version {
 		over := a.took - p.fleet.watchdog.stalled(sent, sent.Add(a.took)) - shortLimit*time.Millisecond
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -52,6 +52,8 @@
 	// Before is the program of another version that all instances begin with; they are
 	// upgraded one after another while faults come. Empty is this build.
 	Before string
+	// PlainDocuments leaves out fields of other writers, which earlier versions obey.
+	PlainDocuments bool
 	// Program is the program that all instances run; empty is this build.
 	Program string
 	// Dir holds settings, disks and logs.
