--- a/rockbench/soak/behaviour.go
+++ b/rockbench/soak/behaviour.go
@@ -183,6 +183,35 @@
 	return changed[r.IntN(len(changed))], true
 }
 
+// drawAdded returns a path that one of the newest versions routes and that must be routed at a time, with small bodies to fast endpoints.
+func (h *history) drawAdded(r *rand.Rand, at time.Time) (path string, ok bool) {
+	due := h.due(at)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for range drawAttempts {
+		if len(h.changed) == 0 {
+			return "", false
+		}
+		changed := h.changed[max(0, len(h.changed)-1-r.IntN(earlierChanges))]
+		if len(changed) == 0 {
+			continue
+		}
+		path := changed[r.IntN(len(changed))]
+		if last := h.places[path].last(); last.version <= due && last.isPlain() {
+			return path, true
+		}
+	}
+	return "", false
+}
+
+// drawAttempts bounds the search for a path that fits.
+const drawAttempts = 50
+
+// isPlain reports whether requests for a path are answered at once whenever an endpoint is there.
+func (b behaviour) isPlain() bool {
+	return len(b.services) > 0 && !b.slow && !b.contested && !b.tight
+}
+
 // state returns the current state of a place.
 func (h *history) state(path string) place {
 	h.mu.Lock()
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -123,6 +123,9 @@
 	readAfter atomic.Int64
 	// replaced are control instances that others have replaced; controlMu guards it.
 	replaced []*instance
+	// first and added count the answers of all undisturbed instances; answersMu guards them.
+	answersMu    sync.Mutex
+	first, added answers
 	// events are what faults may follow. wiping is held while a disk is lost by one of them.
 	events chan event
 	wiping sync.Mutex
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -37,8 +37,10 @@
 	fleet *fleet
 	entry *instance
 	// slow is true if it tests the time limits of routes whose service is slow, and false if it tests all others.
-	slow   bool
-	r      *rand.Rand
+	slow bool
+	// addedOnly is true if it tests whether routes that were added are served.
+	addedOnly bool
+	r         *rand.Rand
 	client *http.Client
 	n      int
 
@@ -91,19 +93,28 @@
 		if !p.slow {
 			p.probeFirst(ctx)
 		}
-		if path, ok := p.fleet.history.draw(p.r, p.slow); ok {
+		if path, ok := p.draw(); ok {
 			p.probe(ctx, path)
 		}
 	}
+	p.fleet.countAnswers(p.first, p.added)
 	if p.limited.broken() {
 		p.fleet.ledger.AddViolation("%s left %d of %d requests without an answer %v after their time limit", p.entry.plan.Instance, p.limited.late, p.limited.all, lateSlack)
 	}
-	if p.added.all >= enoughProbes && leastShare*p.added.served*p.first.all < p.first.served*p.added.all {
+	if isUnderserved(p.first, p.added) {
 		p.fleet.ledger.AddViolation("%s serves %d of %d requests on added routes, and %d of %d on the first", p.entry.plan.Instance,
 			p.added.served, p.added.all, p.first.served, p.first.all)
 	}
 }
 
+// draw returns a path to test.
+func (p *prober) draw() (path string, ok bool) {
+	if p.addedOnly {
+		return p.fleet.history.drawAdded(p.r, time.Now())
+	}
+	return p.fleet.history.draw(p.r, p.slow)
+}
+
 // ask sends a request. Free is false if the instance was disturbed or restarted, and same if it was restarted.
 func (p *prober) ask(ctx context.Context, path string) (sent time.Time, a answer, free, same bool) {
 	p.n++
@@ -112,7 +123,7 @@
 		p.life, p.shown, p.settled = life, 0, nil
 	}
 	sent = time.Now()
-	id := fmt.Sprintf("in-force-%s-%v-%d", p.entry.plan.Instance, p.slow, p.n)
+	id := fmt.Sprintf("in-force-%s-%v-%v-%d", p.entry.plan.Instance, p.slow, p.addedOnly, p.n)
 	status, service, err := probePath(ctx, p.client, p.entry, path, id)
 	if err != nil || ctx.Err() != nil {
 		status = 0
@@ -138,7 +149,7 @@
 	sent, a, free, same := p.ask(ctx, path)
 	h := &p.fleet.history
 	at, due := h.state(path), h.due(sent)
-	if len(at.last().services) > 0 && due >= at.last().version && free && a.status != 0 && !p.slow && !at.last().contested && !at.last().tight {
+	if last := at.last(); last.isPlain() && due >= last.version && free && a.status != 0 && !p.slow {
 		p.added.add(a.status)
 		p.fleet.ledger.Count("answers judged on added routes")
 	}
@@ -205,6 +216,34 @@
 	return version
 }
 
+// isUnderserved reports whether routes that were added are served under a quarter as often as the first one.
+func isUnderserved(first, added answers) bool {
+	return added.all >= enoughProbes && leastShare*added.served*first.all < first.served*added.all
+}
+
+// countAnswers adds the answers that one prober got.
+func (f *fleet) countAnswers(first, added answers) {
+	f.answersMu.Lock()
+	defer f.answersMu.Unlock()
+	f.first.sum(first)
+	f.added.sum(added)
+}
+
+// checkAnswers breaks a promise if all undisturbed instances together serve routes that were added too seldom.
+func (f *fleet) checkAnswers() {
+	f.answersMu.Lock()
+	defer f.answersMu.Unlock()
+	if isUnderserved(f.first, f.added) {
+		f.ledger.AddViolation("undisturbed instances serve %d of %d requests on added routes, and %d of %d on the first",
+			f.added.served, f.added.all, f.first.served, f.first.all)
+	}
+}
+
+func (a *answers) sum(other answers) {
+	a.all += other.all
+	a.served += other.served
+}
+
 func (a *answers) add(status int) {
 	a.all++
 	if status == http.StatusOK {
--- a/rockbench/soak/inforce_test.go
+++ b/rockbench/soak/inforce_test.go
@@ -26,3 +26,21 @@
 		}
 	}
 }
+
+// TestUnservedRoutesAreCounted guards against a soak that passes over routes which were added and are not served.
+func TestUnservedRoutesAreCounted(t *testing.T) {
+	for _, test := range []struct {
+		first, added answers
+		want         bool
+	}{
+		{answers{all: 100, served: 100}, answers{all: 20}, true},
+		{answers{all: 100, served: 100}, answers{all: 19}, false},
+		{answers{all: 100, served: 100}, answers{all: 20, served: 4}, true},
+		{answers{all: 100, served: 100}, answers{all: 20, served: 5}, false},
+		{answers{all: 100, served: 10}, answers{all: 40, served: 1}, false},
+	} {
+		if got := isUnderserved(test.first, test.added); got != test.want {
+			t.Errorf("%+v, %+v: %v", test.first, test.added, got)
+		}
+	}
+}
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -121,6 +121,13 @@
 			}
 			running.Go(func() { p.run(faulty) })
 		}
+		if s.cfg.Operators > 0 {
+			p := &prober{
+				fleet: s.fleet, entry: e, addedOnly: true, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfProbes+uint64(len(s.fleet.entries)+i))),
+				client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+			}
+			running.Go(func() { p.run(faulty) })
+		}
 	}
 	if s.cfg.Before == "" && s.cfg.Programs > 0 {
 		// Instances of an earlier version send such a request on, whatever others know of it.
@@ -144,6 +151,7 @@
 	}
 	running.Wait()
 	s.fleet.replacements.Wait()
+	s.fleet.checkAnswers()
 	s.fleet.customers.check()
 	s.fleet.calls.check(s.fleet.ledger, &s.fleet.watchdog)
 	for _, e := range s.fleet.entries {
