--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -41,8 +41,8 @@
 	// addedOnly is true if it tests whether routes that were added are served.
 	addedOnly bool
 	r         *rand.Rand
-	client *http.Client
-	n      int
+	client    *http.Client
+	n         int
 
 	// life is the process to which shown and settled belong.
 	life int
