--- a/rockbench/confighistory/order.go
+++ b/rockbench/confighistory/order.go
@@ -3,7 +3,6 @@
 package confighistory
 
 import (
-	"math"
 	"net/http"
 	"time"
 
@@ -35,30 +34,25 @@
 }
 
 // isOrdered reports whether some order of the calls explains all reads, where each call takes effect between its
-// beginning and its end. Those without a clear answer have no end. The caller holds mu.
+// beginning and its end. The caller holds mu.
 func (h *History) isOrdered(within time.Duration) (ordered, undecided bool) {
-	seen := map[digest]bool{}
-	for _, c := range h.calls {
-		if r, ok := c.operation.(read); ok {
-			seen[r.document] = true
-		}
-	}
+	latest := h.latestEffects()
 	var list []porcupine.Operation
 	for _, c := range h.calls {
-		ended := int64(c.ended)
+		ended := c.ended
 		if r, ok := c.operation.(replace); ok {
 			if r.invalid != "" {
 				continue
 			}
 			if c.status != http.StatusOK {
-				// An order in which nobody reads what such a call sent is one without it, too.
-				if !seen[r.document] {
+				// It may take effect after its end, but not after somebody has read what it sent. An order in which nobody reads that
+				// is one without the call, too.
+				if ended, ok = latest[r.document]; !ok {
 					continue
 				}
-				ended = math.MaxInt64
 			}
 		}
-		list = append(list, porcupine.Operation{Input: c.operation, Call: int64(c.sent), Return: ended})
+		list = append(list, porcupine.Operation{Input: c.operation, Call: int64(c.sent), Return: int64(max(c.sent, ended))})
 	}
 	switch porcupine.CheckOperationsTimeout(register, list, within) {
 	case porcupine.Ok:
@@ -68,3 +62,18 @@
 	}
 	return false, false
 }
+
+// latestEffects returns the end of the first read to end of each document that was read.
+func (h *History) latestEffects() map[digest]time.Duration {
+	out := map[digest]time.Duration{}
+	for _, c := range h.calls {
+		r, ok := c.operation.(read)
+		if !ok {
+			continue
+		}
+		if first, known := out[r.document]; !known || c.ended < first {
+			out[r.document] = c.ended
+		}
+	}
+	return out
+}
