--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -228,9 +228,9 @@
 	return o.read(ctx, v.instance)
 }
 
-// readWithin bounds the time from the start of all instances after the last fault until the configuration is read: for so long operators
+// readLimit bounds the time from the start of all instances after the last fault until the configuration is read: for so long operators
 // try at least.
-const readWithin = contact
+const readLimit = contact
 
 // loseAtTheEnd loses one disk, and the power of all others, as an operator learns that a change is acknowledged. All start again within a
 // second. What is read afterwards must be that change.
@@ -270,7 +270,7 @@
 }
 
 // awaitRead reads the configuration from all control instances until one returns it, and breaks a promise unless that comes within
-// readWithin.
+// readLimit.
 func (f *fleet) awaitRead(ctx context.Context) {
 	begun := time.Now()
 	reading, cancel := context.WithCancel(ctx)
@@ -289,8 +289,8 @@
 		})
 	}
 	readers.Wait()
-	if took := time.Duration(f.readAfter.Load()); took > readWithin {
-		f.ledger.AddViolation("the configuration was read %v after all instances had started, want %v", took, readWithin)
+	if took := time.Duration(f.readAfter.Load()); took > readLimit {
+		f.ledger.AddViolation("the configuration was read %v after all instances had started, want %v", took, readLimit)
 	}
 }
 
