--- a/rockbench/confighistory/history_test.go
+++ b/rockbench/confighistory/history_test.go
@@ -84,8 +84,8 @@
 		s, now, current := newScript(), 0, uint64(0)
 		for version := uint64(1); version < 400; version++ {
 			status := []int{http.StatusOK, 0, http.StatusServiceUnavailable}[r.IntN(3)]
-			for range r.IntN(4) {
-				// The same document is sent to several instances, some of which answer too late.
+			for range r.IntN(100) {
+				// The same document is sent again and again while nobody answers.
 				s.replace(now+r.IntN(20), now+20, 0, version, "x")
 			}
 			s.replace(now, now+20, status, version, "x")
