--- a/rockbench/soak/operators.go
+++ b/rockbench/soak/operators.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,8 +69,8 @@
 	fleet  *fleet
 	r      *rand.Rand
 	client *http.Client
-	// preferred gets half of the calls; nil is none.
-	preferred *instance
+	// preferred is the failure domain whose control instances get half of the calls, empty for none.
+	preferred string
 	// quiet is true if no faults follow its calls.
 	quiet bool
 }
@@ -102,13 +103,13 @@
 
 // draw returns a control instance to call.
 func (o *lossyOperator) draw() *instance {
-	if o.preferred != nil && o.r.IntN(2) == 0 {
-		return o.preferred
-	}
 	list := o.fleet.controls()
 	if o.r.IntN(staleEvery) == 0 {
 		list = append(o.fleet.replacedControls(), list...)
 	}
+	if o.preferred != "" && o.r.IntN(2) == 0 {
+		list = slices.DeleteFunc(slices.Clone(list), func(c *instance) bool { return c.plan.FailureDomain != o.preferred })
+	}
 	return list[o.r.IntN(len(list))]
 }
 
@@ -298,14 +299,12 @@
 // goLossy starts the lossy operators and the faults that follow events.
 func (s *soak) goLossy(running *sync.WaitGroup, faulty context.Context) {
 	x := &reactor{soak: s, r: rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents)), scope: scopeOf(s.cfg.Seed)}
-	var preferred *instance
 	if x.scope == oneDomain {
-		preferred = s.fleet.controls()[x.r.IntN(len(s.fleet.controls()))]
-		x.domain = preferred.plan.FailureDomain
+		x.domain = s.fleet.controls()[x.r.IntN(len(s.fleet.controls()))].plan.FailureDomain
 	}
 	for i := range uint64(s.cfg.Operators) {
 		o := newLossyOperator(s.fleet, rand.New(rand.NewPCG(s.cfg.Seed, seedOfEvents+1+i)))
-		o.preferred = preferred
+		o.preferred = x.domain
 		running.Go(func() { o.loop(faulty) })
 	}
 	running.Go(func() { x.loop(faulty) })
