--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -71,9 +71,9 @@
 			return
 		case e = <-x.soak.fleet.events:
 		}
-		r := rand.New(rand.NewPCG(x.r.Uint64(), 0))
+		seed := x.r.Uint64()
 		if e.kind == started && e.instance.role == "control" {
-			w := &visitor{fleet: x.soak.fleet, instance: e.instance, r: r}
+			w := &visitor{fleet: x.soak.fleet, instance: e.instance, r: rand.New(rand.NewPCG(seed, 0))}
 			running.Go(func() { w.run(ctx) })
 		}
 		if x.r.IntN(passEvery) == 0 || x.scope == oneDomain && e.instance.plan.FailureDomain != x.domain {
@@ -83,7 +83,7 @@
 		case slots <- struct{}{}:
 			running.Go(func() {
 				defer func() { <-slots }()
-				x.react(ctx, e, r)
+				x.react(ctx, e, rand.New(rand.NewPCG(seed, 1)))
 			})
 		default:
 		}
