--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -18,7 +18,6 @@
 
 	"github.com/pkg/errors"
 
-	"rockbarrow.dev/platform/settings"
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbench/confighistory"
 	"rockbarrow.dev/schema/fleetpb"
@@ -233,165 +232,6 @@
 	}
 }
 
-// addEndpoint starts another endpoint.
-func (f *fleet) addEndpoint(service, domain string) (*standin.Endpoint, error) {
-	f.mu.Lock()
-	f.lives++
-	id := fmt.Sprintf("%s-%d", service, f.lives)
-	f.mu.Unlock()
-	e := f.newEndpoint(id, service, domain)
-	return e, f.startEndpoint(e, anyPort)
-}
-
-// anyPort is where endpoints start for the first time.
-const anyPort = "127.0.0.1:0"
-
-func (f *fleet) newEndpoint(id, service, domain string) *standin.Endpoint {
-	return &standin.Endpoint{
-		ID: id, Service: service, Domain: domain, Slots: 64,
-		ServiceTime: 4 * time.Millisecond, Stream: service == "model", Recorder: f.ledger, OnCrash: f.crash,
-	}
-}
-
-// startEndpoint starts an endpoint, whose id is new or was given up, and puts it in the list.
-func (f *fleet) startEndpoint(e *standin.Endpoint, address string) error {
-	if err := e.Start(address); err != nil {
-		return errors.Wrap(err, "soak: endpoint")
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endpoints = append(f.endpoints, e)
-	f.publish()
-	return nil
-}
-
-// endpoint draws one that stays, if there is any.
-func (f *fleet) endpoint(r *rand.Rand) *standin.Endpoint {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	list := slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return f.phases[e] != phaseStaying })
-	if len(list) == 0 {
-		list = f.endpoints
-	}
-	return list[r.IntN(len(list))]
-}
-
-// removeEndpoint takes one off the list.
-func (f *fleet) removeEndpoint(old *standin.Endpoint) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.endpoints = slices.DeleteFunc(slices.Clone(f.endpoints), func(e *standin.Endpoint) bool { return e == old })
-	f.publish()
-}
-
-// plan gives each instance its address, folder and proxy.
-func (f *fleet) plan(binary string, cfg Config) error {
-	first, err := freePorts()
-	if err != nil {
-		return err
-	}
-	var control []string
-	for d := range seeds {
-		control = append(control, fmt.Sprintf("%s:%d", ip(d, 1), first+portSpan))
-	}
-	var domains []string
-	for d := range f.domains {
-		domains = append(domains, fmt.Sprint("domain-", d))
-	}
-	add := func(role string, d, n int) (*instance, error) {
-		return f.add(binary, settings.FileParams{
-			Instance: fmt.Sprintf("%s-%d-%d", role, d, n), FailureDomain: domains[d], FailureDomains: domains, IP: ip(d, n),
-			FirstPort: first, LastPort: first + portSpan - 1, Seeds: control, Bootstrap: true,
-			ListAddress: f.listens.Addr().String(), FaultTolerance: 1, MemoryMB: 256, GraceSeconds: grace,
-			RevokeMS: float64(revokeWithin.Milliseconds()), Quota: quotaTerms,
-		}, role)
-	}
-	for i := range max(f.domains, cfg.Control) {
-		c, err := add("control", i%f.domains, 1+i/f.domains*extraControl)
-		if err != nil {
-			return err
-		}
-		c.plan.OperatorAddress = fmt.Sprintf("%s:%d", c.plan.IP, first+portSpan)
-		f.control = append(f.control, c)
-	}
-	for d := range f.domains {
-		s, err := add("store", d, 2)
-		if err != nil {
-			return err
-		}
-		f.stores = append(f.stores, s)
-		for i := range cfg.EntriesEach {
-			e, err := add("entry", d, 3+i)
-			if err != nil {
-				return err
-			}
-			e.plan.DataDir = ""
-			if cfg.Callers > 0 && d%2 == 1 {
-				e.plan.MemoryMB = smallMB
-			}
-			e.plan.ConsumerAddress = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan)
-			e.plan.ReadyAddress = fmt.Sprintf("%s:%d", e.plan.IP, first+portSpan+1)
-			f.entries = append(f.entries, e)
-		}
-	}
-	if cfg.Operators > 0 {
-		f.limitInstances()
-	}
-	f.sides.all = slices.Concat(f.control, f.stores)
-	f.operator = &standin.Operator{Addresses: f.operators(), Recorder: f.ledger, Secrets: f.customers.held(), Observe: f.operations.Add}
-	return nil
-}
-
-// add gives an instance with some settings its folder and proxy.
-func (f *fleet) add(binary string, plan settings.FileParams, role string) (*instance, error) {
-	in := &instance{role: role, binary: binary, plan: plan}
-	in.plan.DataDir = filepath.Join(f.dir, in.plan.Instance)
-	in.onStart = func() { f.tell(event{kind: started, instance: in}) }
-	if err := in.open(f.dir); err != nil {
-		return nil, err
-	}
-	var err error
-	in.proxy, err = newProxy(in, f.sides)
-	return in, errors.Wrap(err, "soak: proxy")
-}
-
-// limitInstances gives all instances the settings of a deployment of small machines, where an entry instance runs on one thread. Nothing but
-// the instances themselves enforces them.
-func (f *fleet) limitInstances() {
-	for _, in := range f.all() {
-		switch in.role {
-		case "entry":
-			in.plan.CPUShare, in.plan.MemoryMB, in.plan.MaxFDs = 0.4, 284, 4100
-		case "store":
-			in.plan.CPUShare, in.plan.MemoryMB, in.plan.MaxFDs = 0.352, 294, 8200
-		case "control":
-			in.plan.CPUShare, in.plan.MemoryMB, in.plan.MaxFDs = 0.48, 280, 4096
-		}
-	}
-}
-
-func (f *fleet) operators() []string {
-	var out []string
-	for _, c := range f.controls() {
-		out = append(out, c.plan.OperatorAddress)
-	}
-	return out
-}
-
-// ip is the loopback address of an instance.
-func ip(domain, n int) string { return fmt.Sprintf("127.%d.0.%d", 10+domain, n) }
-
-// freePorts returns the first of some ports that were free a moment ago.
-func freePorts() (int, error) {
-	l, err := net.Listen("tcp", ip(0, 1)+":0")
-	if err != nil {
-		return 0, errors.Wrap(err, "soak: ports")
-	}
-	defer l.Close()
-	const highest = 60_000
-	return min(l.Addr().(*net.TCPAddr).Port, highest), nil
-}
-
 // await sends the first configuration and waits until all entries are ready.
 func (f *fleet) await(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
@@ -410,21 +250,6 @@
 	return nil
 }
 
-// startFresh starts an endpoint that no fault has.
-func (f *fleet) startFresh(e *standin.Endpoint) error {
-	if err := e.Start(anyPort); err != nil {
-		return errors.Wrap(err, "soak: endpoint")
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.fresh = append(f.fresh, e)
-	f.publish()
-	return nil
-}
-
-// publish puts all endpoints in the list. The caller holds mu.
-func (f *fleet) publish() { f.list.Set(append(slices.Clone(f.endpoints), f.fresh...)...) }
-
 // stop ends all processes that were started, and the stand-ins.
 func (f *fleet) stop() {
 	for _, in := range append(f.all(), f.replaced...) {
@@ -444,38 +269,3 @@
 		f.listens.Close()
 	}
 }
-
-// failures names the processes that ended by themselves, at any moment, and the promises on configurations that operators saw
-// broken.
-func (f *fleet) failures() []string {
-	v := f.operations.Judge(judgeWithin)
-	if v.Undecided {
-		f.ledger.Count("histories of operators without a verdict")
-	}
-	out := v.Violations
-	for _, in := range append(f.all(), f.replaced...) {
-		out = append(out, in.failures()...)
-	}
-	return out
-}
-
-// counts returns what was counted, with the stalls of the machine.
-func (f *fleet) counts() map[string]int {
-	out := f.ledger.Counts()
-	f.watchdog.mu.Lock()
-	defer f.watchdog.mu.Unlock()
-	out["stalls of the machine"] = len(f.watchdog.stalls)
-	out["ms of the longest time until a version was in force"] = int(time.Duration(f.lag.Load()).Milliseconds())
-	if after := f.readAfter.Load(); after > 0 {
-		out["ms until the configuration was read after the last fault"] = int(time.Duration(after).Milliseconds())
-	}
-	out["answers judged by the version in force"] = int(f.judged.Load())
-	return out
-}
-
-// noteLag records how long an undisturbed instance went on with an older version.
-func (f *fleet) noteLag(lag time.Duration) {
-	f.judged.Add(1)
-	for old := f.lag.Load(); int64(lag) > old && !f.lag.CompareAndSwap(old, int64(lag)); old = f.lag.Load() {
-	}
-}
