--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -22,16 +22,20 @@
 	"rockbarrow.dev/rockbench/crowd"
 )
 
-// The machines under test: the memory of the smallest entry instances, less than control instances have, and few descriptors.
-const (
-	crowdEntryMB   = 88
-	crowdControlMB = 128
-	crowdFDs       = 1024
+// crowdMachine is a machine under test.
+type crowdMachine struct{ entryMB, controlMB, files int }
+
+var (
+	// smallestMachine has the memory of the smallest entry instances, less than control instances have, and few descriptors.
+	smallestMachine = crowdMachine{entryMB: 88, controlMB: 128, files: 1024}
+	// usualMachine is the smallest of the deployments in force.
+	usualMachine = crowdMachine{entryMB: 112, controlMB: 128, files: 4100}
 )
 
 const (
-	// manyClients send bodies of manyBytes, and fewClients some of largeBodyBytes.
+	// manyClients, and mostClients, send bodies of manyBytes, and fewClients some of largeBodyBytes.
 	manyClients, manyBytes     = 1500, 64 << 10
+	mostClients                = 2500
 	fewClients, largeBodyBytes = 400, 900 << 10
 	// crowdWait bounds the wait for the answer to an ordinary request.
 	crowdWait = 20 * time.Second
@@ -59,7 +63,7 @@
 }
 
 // crowdFleet starts a fleet, with limited memory and descriptors for the first instance of each role.
-func crowdFleet(t *testing.T, contracts ...string) *fleet {
+func crowdFleet(t *testing.T, m crowdMachine, contracts ...string) *fleet {
 	f, stop, err := newFleet(t.Context(), Config{Dir: t.TempDir(), EntriesEach: 1, Domains: seeds, NoCustomers: true})
 	if stop != nil {
 		t.Cleanup(stop)
@@ -73,14 +77,14 @@
 			t.Fatal(err)
 		}
 	}
-	for in, mb := range map[*instance]int{f.entries[0]: crowdEntryMB, f.control[0]: crowdControlMB} {
+	for in, mb := range map[*instance]int{f.entries[0]: m.entryMB, f.control[0]: m.controlMB} {
 		in.stop(syscall.SIGKILL)
-		in.plan.MemoryMB, in.plan.MaxFDs, in.plan.Contracts = mb, crowdFDs, contracts
+		in.plan.MemoryMB, in.plan.MaxFDs, in.plan.Contracts = mb, m.files, contracts
 		if err := in.start(); err != nil {
 			t.Fatal(err)
 		}
 		pid, _ := in.pid()
-		limit := &unix.Rlimit{Cur: crowdFDs, Max: crowdFDs}
+		limit := &unix.Rlimit{Cur: uint64(m.files), Max: uint64(m.files)}
 		if err := unix.Prlimit(pid, unix.RLIMIT_NOFILE, limit, nil); err != nil {
 			t.Fatal(err)
 		}
@@ -172,8 +176,8 @@
 	if peak > in.plan.MemoryMB<<10 || most.Memory > int64(in.plan.MemoryMB)<<20 {
 		t.Errorf("%s has held %d MB, and %d MB with what was unread; its machine has %d MB", in.plan.Instance, peak>>10, most.Memory>>20, in.plan.MemoryMB)
 	}
-	if most.Files > crowdFDs {
-		t.Errorf("%s had %d descriptors open, of %d", in.plan.Instance, most.Files, crowdFDs)
+	if most.Files > in.plan.MaxFDs {
+		t.Errorf("%s had %d descriptors open, of %d", in.plan.Instance, most.Files, in.plan.MaxFDs)
 	}
 }
 
@@ -186,7 +190,13 @@
 // checkConsumersBehind is checkConsumers for clients that may send whole requests first.
 func checkConsumersBehind(t *testing.T, clients int, begun bool, send func(c net.Conn, id string), contracts ...string) {
 	t.Helper()
-	f := crowdFleet(t, contracts...)
+	checkMachine(t, smallestMachine, clients, begun, send, contracts...)
+}
+
+// checkMachine is checkConsumersBehind for an instance on a given machine.
+func checkMachine(t *testing.T, m crowdMachine, clients int, begun bool, send func(c net.Conn, id string), contracts ...string) {
+	t.Helper()
+	f := crowdFleet(t, m, contracts...)
 	e := f.entries[0]
 	x := &crowd.Crowd{Clients: clients, Send: send, Address: e.plan.ConsumerAddress}
 	checkCrowd(t, f, e, x, begun, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
@@ -195,7 +205,7 @@
 // checkOperators is checkCrowd for clients of the first control instance.
 func checkOperators(t *testing.T, clients int, send func(c net.Conn, id string)) {
 	t.Helper()
-	f := crowdFleet(t)
+	f := crowdFleet(t, smallestMachine)
 	c := f.control[0]
 	x := &crowd.Crowd{Clients: clients, Send: send, Address: c.plan.OperatorAddress}
 	checkCrowd(t, f, c, x, false, func(ctx context.Context, _ int) bool { return f.answersOperator(ctx, c) })
@@ -218,6 +228,18 @@
 	})
 }
 
+// TestCrowdOfBodiesBesideLoad guards against the same on a machine of the deployments in force whose processor other processes take, so that
+// bytes wait unread.
+func TestCrowdOfBodiesBesideLoad(t *testing.T) {
+	f := crowdFleet(t, usualMachine)
+	e := f.entries[0]
+	x := &crowd.Crowd{Clients: mostClients, Address: e.plan.ConsumerAddress, Send: func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[1:])
+	}}
+	startLoad(t)
+	checkCrowd(t, f, e, x, false, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
+}
+
 // TestCrowdOfBodiesInPieces guards against the same if they come piece by piece.
 func TestCrowdOfBodiesInPieces(t *testing.T) {
 	checkConsumers(t, manyClients, func(c net.Conn, id string) {
@@ -354,7 +376,7 @@
 
 // TestCrowdOfProbes guards against an entry instance that runs out of memory or descriptors over heads at the port of the load balancer.
 func TestCrowdOfProbes(t *testing.T) {
-	f := crowdFleet(t)
+	f := crowdFleet(t, smallestMachine)
 	e := f.entries[0]
 	x := &crowd.Crowd{Clients: manyClients, Address: e.plan.ReadyAddress, Send: func(c net.Conn, _ string) {
 		io.WriteString(c, "GET /v1/readyz HTTP/1.1\r\nHost: "+host+"\r\nX-Long: "+manyBody[:60_000])
@@ -367,7 +389,7 @@
 // TestTheLargestRequestIsServedSlowly guards against a limit that the largest request meets, with the largest head, from a client with a slow
 // link, at an instance with little memory.
 func TestTheLargestRequestIsServedSlowly(t *testing.T) {
-	f := crowdFleet(t)
+	f := crowdFleet(t, smallestMachine)
 	e := f.entries[0]
 	c := connect(t, e)
 	const id, pieces = "largest", 100
