--- a/rockbarrow/caller/conns.go
+++ b/rockbarrow/caller/conns.go
@@ -3,6 +3,8 @@
 package caller
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -66,6 +68,23 @@
 	}
 }
 
+// connKey is the key of the connection in the contexts of its requests.
+type connKey struct{}
+
+// Context notes the connection in the contexts of its requests; it is the ConnContext of their server.
+func (t *Conns) Context(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// body returns the body of a request, for which the receive buffer of its connection grows.
+func body(r *http.Request) io.ReadCloser {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	if !ok || c.conns.Bounds == nil || r.ContentLength == 0 {
+		return r.Body
+	}
+	return &inbound.Body{ReadCloser: r.Body, Limits: c.conns.Bounds, Client: c, Length: r.ContentLength}
+}
+
 // Close closes each connection once no request is on it, and returns once all are closed or the time is over.
 func (t *Conns) Close(end time.Time) {
 	t.closing.Store(true)
--- a/rockbarrow/caller/stop.go
+++ b/rockbarrow/caller/stop.go
@@ -74,7 +74,7 @@
 		release = context.AfterFunc(s.Stop.Late, func() { _ = rc.SetReadDeadline(time.Now()) })
 	}
 	var evicted atomic.Bool
-	b, err := membudget.ReadAll(q.r.Context(), q.r.Body, q.r.ContentLength, q.memory, func() {
+	b, err := membudget.ReadAll(q.r.Context(), body(q.r), q.r.ContentLength, q.memory, func() {
 		evicted.Store(true)
 		_ = rc.SetReadDeadline(time.Unix(1, 0))
 	})
--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -192,10 +192,10 @@
 	s.conns.Bounds, s.conns.Memory = d.callerBounds(), s.callerServer.Bodies
 	s.callers = &http.Server{
 		Handler: s.callerServer.Handler(), MaxHeaderBytes: d.Settings.Limits.HeaderBytes, ReadHeaderTimeout: 10 * time.Second,
-		ConnState: s.conns.State,
+		ConnState: s.conns.State, ConnContext: s.conns.Context,
 	}
 	s.peers = peer.New(&peer.Server{Host: d.host, Config: d.source, Roster: d.membership, Cut: d.partition, Secure: secure}, d.credentials.server)
-	calls := &inbound.Calls{Limits: &inbound.Limits{MaxConns: maxOperators, ReceiveBytes: callerReceiveBytes}}
+	calls := &inbound.Calls{Limits: &inbound.Limits{MaxConns: maxOperators, ReceiveBytes: receiveBytes + maxOperators*inbound.ConnBytes}}
 	s.operators = &gracefulStop{done: make(chan struct{}), server: operator.New(&operator.Server{
 		Calls:    calls,
 		Instance: d.Settings.Instance, Config: d.source, Host: d.host, View: d.membership.View, Peers: d.client, Secure: secure,
@@ -258,8 +258,8 @@
 }
 
 const (
-	// callerReceiveBytes is what the receive buffers of callers, and of operators, may take beyond the smallest size of each.
-	callerReceiveBytes = 32 << 20
+	// receiveBytes is what may wait unread for callers, and for operators, beyond the smallest receive buffer of each.
+	receiveBytes = 32 << 20
 	// maxOperators is the number of connections of operators.
 	maxOperators = 256
 )
@@ -272,7 +272,7 @@
 		most = int(min(uint64(most), files.Cur/2))
 	}
 	evicted := d.scope.Counter("connections_evicted")
-	return &inbound.Limits{MaxConns: most, ReceiveBytes: callerReceiveBytes, OnEvict: func() { evicted.Inc(1) }}
+	return &inbound.Limits{MaxConns: most, ReceiveBytes: receiveBytes + int64(most)*inbound.ConnBytes, OnEvict: func() { evicted.Inc(1) }}
 }
 
 // notReadyReason returns why load balancers should not send requests to this
--- a/rockbarrow/inbound/calls.go
+++ b/rockbarrow/inbound/calls.go
@@ -12,6 +12,9 @@
 	"google.golang.org/grpc/stats"
 )
 
+// callBytes is what a client of a gRPC server may send before it is read.
+const callBytes = 2 * largeBuffer
+
 // Calls bounds the connections of a gRPC server. It is the [stats.Handler] of that server, and wraps its listener.
 type Calls struct {
 	// Limits are the bounds. Set them before Listener.
@@ -141,6 +144,7 @@
 			_ = nc.Close()
 			continue
 		}
+		l.calls.Limits.Grow(c, callBytes)
 		l.calls.mu.Lock()
 		if l.calls.conns == nil {
 			l.calls.conns = map[string]*callConn{}
--- a/rockbarrow/inbound/inbound_test.go
+++ b/rockbarrow/inbound/inbound_test.go
@@ -54,23 +54,57 @@
 	}
 }
 
-// TestReceiveBuffersFitTheirMemory guards against receive buffers that together exceed what they may take.
+// TestReceiveBuffersFitTheirMemory guards against receive buffers that together exceed what they may take, and against a client that gets
+// none of what is left.
 func TestReceiveBuffersFitTheirMemory(t *testing.T) {
 	const all, clients = 16 << 20, 4000
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer inner.Close()
 	l := &Limits{ReceiveBytes: all}
-	total := 0
+	l.Prepare(inner)
+	total := func() (bytes int64) {
+		for _, e := range l.clients {
+			if !e.evicted {
+				bytes += e.receive
+			}
+		}
+		return bytes
+	}
 	for i := range clients {
-		c := &fakeConn{}
-		l.Add(&fakeClient{}, c)
-		if i == 0 && c.receive != maxReceive {
-			t.Errorf("the first client has a buffer of %d bytes", c.receive)
+		c, conn := &fakeClient{}, &fakeConn{}
+		if !l.Add(c, conn) {
+			t.Fatal("a client was not let in")
+		}
+		l.Grow(c, 1<<20)
+		if i == 0 && conn.receive != largeBuffer {
+			t.Errorf("the first client has a buffer of %d bytes", conn.receive)
+		}
+		if conn.receive != 0 && conn.receive <= smallBuffer {
+			t.Fatalf("a client's buffer became %d bytes", conn.receive)
 		}
-		if c.receive < minReceive {
-			t.Fatalf("a client has a buffer of %d bytes", c.receive)
+		if held := l.queue + total(); held > all || l.queue == 0 {
+			t.Fatalf("%d clients may hold %d bytes, of which %d are not accepted", i+1, held, l.queue)
 		}
-		total += c.receive
 	}
-	if total > all+clients*minReceive {
-		t.Errorf("%d bytes", total)
+	for c := range l.clients {
+		l.Remove(c)
+	}
+	if l.receive != 0 || l.evicted != 0 {
+		t.Errorf("%d bytes and %d evicted clients are left", l.receive, l.evicted)
+	}
+}
+
+// TestReceiveBuffersGrowAsNeeded guards against a client that takes more of the receive buffers than its request needs.
+func TestReceiveBuffersGrowAsNeeded(t *testing.T) {
+	l := &Limits{ReceiveBytes: 16 << 20}
+	c, conn := &fakeClient{}, &fakeConn{}
+	l.Add(c, conn)
+	for _, want := range []struct{ bytes, buffer int }{{1000, 0}, {2 * smallBuffer, 0}, {31 << 10, 31 << 9}, {10 << 10, 31 << 9}, {1 << 20, largeBuffer}} {
+		if l.Grow(c, int64(want.bytes)); conn.receive != want.buffer {
+			t.Errorf("a request of %d bytes got a buffer of %d, want %d", want.bytes, conn.receive, want.buffer)
+		}
 	}
 }
