--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -386,6 +386,45 @@
 	})
 }
 
+// TestCrowdOfSlowBodies guards against an instance whose memory bodies take that go on slowly, faster than the slowest allowed, so that none
+// of them stalls.
+func TestCrowdOfSlowBodies(t *testing.T) {
+	checkConsumers(t, manyClients, func(c net.Conn, id string) {
+		io.WriteString(c, bodyHead(id, lengthFraming(largeBodyBytes))+manyBody[:32<<10])
+		go crowd.SendPieces(c, manyBody[:1<<10], 1000, 100*time.Millisecond)
+	})
+}
+
+// TestCrowdOfConnectionsThatComeAgain guards against clients that connect again and again and so get ahead of an ordinary one that connects.
+func TestCrowdOfConnectionsThatComeAgain(t *testing.T) {
+	f := crowdFleet(t, smallestMachine)
+	e := f.entries[0]
+	x := &crowd.Crowd{Clients: manyClients / 10, Address: e.plan.ConsumerAddress, Send: func(_ net.Conn, id string) {
+		go func() {
+			// The latest connections stay open.
+			open := make([]net.Conn, 20)
+			for i := 0; t.Context().Err() == nil; i = (i + 1) % len(open) {
+				c, err := net.DialTimeout("tcp", e.plan.ConsumerAddress, time.Second)
+				if err != nil {
+					continue
+				}
+				io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[:10<<10])
+				if open[i] != nil {
+					open[i].Close()
+				}
+				open[i] = c
+				<-time.After(20 * time.Millisecond)
+			}
+			for _, c := range open {
+				if c != nil {
+					c.Close()
+				}
+			}
+		}()
+	}}
+	checkCrowd(t, f, e, x, false, func(ctx context.Context, n int) bool { return f.answersConsumer(ctx, e, fmt.Sprint("ordinary-", n)) })
+}
+
 // TestTheLargestRequestIsServedSlowly guards against a limit that the largest request meets, with the largest head, from a client with a slow
 // link, at an instance with little memory.
 func TestTheLargestRequestIsServedSlowly(t *testing.T) {
