--- a/rockbench/crowd/crowd.go
+++ b/rockbench/crowd/crowd.go
@@ -27,6 +27,8 @@
 	Name string
 	// Send sends what a client sends, and leaves its connection open.
 	Send func(c net.Conn, id string)
+	// Pause is the time between two clients.
+	Pause time.Duration
 
 	conns []net.Conn
 }
@@ -46,6 +48,9 @@
 		x.conns = append(x.conns, c)
 		c.SetWriteDeadline(time.Now().Add(sendTime))
 		sending.Go(func() { x.Send(c, x.ID(i)) })
+		if x.Pause > 0 {
+			<-time.After(x.Pause)
+		}
 	}
 	sending.Wait()
 }
