--- a/rockbarrow/entry/ends.go
+++ b/rockbarrow/entry/ends.go
@@ -110,11 +110,10 @@
 	}
 	switch {
 	case result != execution.Lost || probed == ProbeRefused:
+	case (x.onTrial || !silent && probed == ProbeAccepted) && wait.For(ctx, reprobeDelay):
+		// Neither a suspect nor a retry is sent before the last execution is understood: what is not known yet is lost with this instance.
+		probed = p.probe(ctx)
 	case x.onTrial:
-		// A suspect is not sent again before its last execution is understood.
-		if wait.For(ctx, reprobeDelay) {
-			probed = p.probe(ctx)
-		}
 	case !silent || x.Program() == "":
 		time.AfterFunc(reprobeDelay, p.run)
 	}
