--- a/rockbench/confighistory/history.go
+++ b/rockbench/confighistory/history.go
@@ -1,9 +1,10 @@
 // SPDX-License-Identifier: MIT
 
-// Package confighistory judges the calls of a run's operators by what control instances promise of configurations: the deployment
-// is a register that holds one configuration, a change replaces it if its version is higher, and a read at any instance returns it.
+// Package confighistory judges a run by what is promised of configurations. For its operators the deployment is a register that holds one
+// configuration: a change replaces it if its version is higher, and a read at any instance returns it. Requests are handled by a version that
+// may be in force: acknowledged long enough before, and not older than one whose effect was seen.
 //
-// Calls are collected while the run lasts, and judged together after it. A call without a clear answer may have taken effect at any
+// Calls and requests are collected while the run lasts, and judged together after it. A call without a clear answer may have taken effect at any
 // time since it was sent, or never.
 package confighistory
 
@@ -21,9 +22,13 @@
 // digest identifies the text of a document.
 type digest [sha256.Size]byte
 
-// History collects calls. The zero value is ready to use.
+// History collects calls and requests. The zero value is ready to use.
 type History struct {
-	mu sync.Mutex
+	// Changes are the configurations that were sent.
+	Changes Changes
+
+	mu      sync.Mutex
+	answers []Answer
 	// begun is the time of the first call; times count from it.
 	begun time.Time
 	calls []call
@@ -118,9 +123,10 @@
 	Violations []string
 	// Undecided is true if the search for an order of all calls took too long; what it would have shown is not known.
 	Undecided bool
+	Seen      Seen
 }
 
-// Judge judges the calls made so far. It takes up to a time for the search for an order of them.
+// Judge judges the calls and requests made so far. It takes up to a time for the search for an order of them.
 func (h *History) Judge(within time.Duration) Verdict {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -128,7 +134,9 @@
 	add := func(format string, args ...any) { v.Violations = append(v.Violations, fmt.Sprintf(format, args...)) }
 	h.checkReplaces(add)
 	h.checkReads(add)
-	if len(v.Violations) > 0 {
+	single := len(v.Violations) == 0
+	v.Seen = h.checkAnswers(add)
+	if !single {
 		// What is wrong by itself has no order.
 		return v
 	}
--- a/rockbench/soak/configurations.go
+++ b/rockbench/soak/configurations.go
@@ -11,6 +11,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"rockbarrow.dev/rockbench/confighistory"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -32,7 +33,7 @@
 	if err := f.operator.Deploy(ctx, f.document(f.version)); err != nil {
 		return err
 	}
-	f.history.acknowledge(f.version)
+	f.operations.Changes.Acknowledge(f.version)
 	f.customers.acknowledged(time.Now())
 	return nil
 }
@@ -49,7 +50,7 @@
 	f.history.send(f.version, changes)
 	err = f.operator.DeployConcurrently(ctx, documents[0], documents[1])
 	if err == nil {
-		f.history.acknowledge(f.version)
+		f.operations.Changes.Acknowledge(f.version)
 	}
 	return err
 }
@@ -65,7 +66,7 @@
 func (f *fleet) deployStale(ctx context.Context, r *rand.Rand) error {
 	f.configuring.Lock()
 	defer f.configuring.Unlock()
-	version := f.history.newest()
+	version := f.operations.Changes.Newest()
 	if version > 1 && r.IntN(2) == 0 {
 		version = 1 + r.Uint64N(version)
 	}
@@ -84,7 +85,7 @@
 }
 
 // change makes the next version, and returns what it changes. The contested routes of earlier versions end.
-func (f *fleet) change() (map[string]behaviour, error) {
+func (f *fleet) change() (map[string]confighistory.Behaviour, error) {
 	f.version++
 	changes := f.routes.change()
 	if f.routes.r.IntN(freshEvery) == 0 {
@@ -95,7 +96,7 @@
 		changes[path] = f.routes.behaviour(path)
 	}
 	for _, path := range f.routes.contestants {
-		changes[path] = behaviour{}
+		changes[path] = confighistory.Behaviour{}
 	}
 	f.routes.contestants = nil
 	return changes, nil
--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/confighistory"
 )
 
 const (
@@ -19,7 +20,7 @@
 	// closeBehind is the most by which most faults come after their event, and farBehind that of the others, which come around the
 	// end of the time in which a change must be in force.
 	closeBehind = 400 * time.Millisecond
-	farBehind   = 2 * applyWithin
+	farBehind   = 2 * confighistory.ApplyWithin
 	// farEvery is how many faults there are for one of the latter, and passEvery how many events for one without a fault.
 	farEvery, passEvery = 6, 2
 	// mostReactions is how many faults that follow events may last at a time.
@@ -153,7 +154,7 @@
 			return
 		}
 		defer f.sides.heal()
-		wait.For(ctx, applyWithin+last)
+		wait.For(ctx, confighistory.ApplyWithin+last)
 	}
 }
 
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -115,16 +115,12 @@
 	// operations are all calls that replaced or read the configuration, and sent the last documents of lossy operators.
 	operations confighistory.History
 	sent       sentDocuments
-	// lag is the longest time, in ns, for which an undisturbed instance answered by an older version after an acknowledgement, and judged
-	// counts the answers that were looked at for it.
-	lag, judged atomic.Int64
+	// seen is what the last judgement looked at.
+	seen atomic.Pointer[confighistory.Seen]
 	// readAfter is the time in ns from the start of all instances after the last fault until the configuration was read.
 	readAfter atomic.Int64
 	// replaced are control instances that others have replaced; controlMu guards it.
 	replaced []*instance
-	// first and added count the answers of all undisturbed instances; answersMu guards them.
-	answersMu    sync.Mutex
-	first, added answers
 	// events are what faults may follow. wiping is held while a disk is lost by one of them.
 	events chan event
 	wiping sync.Mutex
--- a/rockbench/soak/losses.go
+++ b/rockbench/soak/losses.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rockbarrow.dev/platform/standin"
+	"rockbarrow.dev/rockbench/confighistory"
 )
 
 // lossSlack is how long after its last byte a request that was read may be left without an answer by a planned stop.
@@ -86,5 +87,5 @@
 	if stopping {
 		return c.ended.Sub(at) >= grace*time.Second*5/6
 	}
-	return !c.instance.hungUp(c.begun.Add(-applyWithin), c.ended)
+	return !c.instance.hungUp(c.begun.Add(-confighistory.ApplyWithin), c.ended)
 }
--- a/rockbench/soak/obeyed_test.go
+++ b/rockbench/soak/obeyed_test.go
@@ -16,6 +16,7 @@
 
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/confighistory"
 )
 
 // TestFieldsOfOtherWritersChangeNothing guards against a configuration that is acknowledged for what its known fields say, and is
@@ -49,12 +50,12 @@
 // force.
 func (f *fleet) awaitServed(t *testing.T, client *http.Client, path string) {
 	t.Helper()
-	ctx, cancel := context.WithTimeout(t.Context(), applyWithin)
+	ctx, cancel := context.WithTimeout(t.Context(), confighistory.ApplyWithin)
 	defer cancel()
 	for _, e := range f.entries {
 		for n, answered := 0, "nothing"; ; n++ {
 			if !wait.For(ctx, 10*time.Millisecond) {
-				t.Fatalf("%s: %s has last answered %s, %v after version %d was acknowledged", path, e.plan.Instance, answered, applyWithin, f.version)
+				t.Fatalf("%s: %s has last answered %s, %v after version %d was acknowledged", path, e.plan.Instance, answered, confighistory.ApplyWithin, f.version)
 			}
 			status, err := standin.Probe(ctx, client, e.plan.ConsumerAddress, host, path+"x", fmt.Sprintf("served%s%s%d-%d", e.plan.Instance, path, f.version, n))
 			if status == http.StatusOK {
@@ -158,9 +159,9 @@
 			c = connect(t, e)
 			io.WriteString(c, "GET ")
 		}
-		c.SetReadDeadline(time.Now().Add(short + applyWithin))
+		c.SetReadDeadline(time.Now().Add(short + confighistory.ApplyWithin))
 		if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Errorf("%s: the connection is kept for %v, the timeout is %v", name, short+applyWithin, short)
+			t.Errorf("%s: the connection is kept for %v, the timeout is %v", name, short+confighistory.ApplyWithin, short)
 		}
 	}
 
--- a/rockbench/soak/operators.go
+++ b/rockbench/soak/operators.go
@@ -14,6 +14,7 @@
 
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/confighistory"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -210,7 +211,7 @@
 	if status = o.do(ctx, c); status != http.StatusOK {
 		return status
 	}
-	f.history.acknowledge(c.Version)
+	f.operations.Changes.Acknowledge(c.Version)
 	f.operator.Acknowledge(c.Version, nil)
 	if !o.quiet {
 		f.tell(event{kind: changeAcknowledged, instance: to})
@@ -266,13 +267,13 @@
 }
 
 // contestants makes two configurations of the next version; the caller holds configuring.
-func (f *fleet) contestants() (documents []*fleetpb.Document, changes map[string]behaviour, err error) {
+func (f *fleet) contestants() (documents []*fleetpb.Document, changes map[string]confighistory.Behaviour, err error) {
 	if changes, err = f.change(); err != nil {
 		return nil, nil, err
 	}
 	for i := range 2 {
 		path := fmt.Sprintf("/contested-%d-%d/", f.version, i)
-		changes[path] = behaviour{services: []string{toolService}, contested: true}
+		changes[path] = confighistory.Behaviour{Services: []string{toolService}, Contested: true}
 		f.routes.contested = path
 		documents = append(documents, f.document(f.version))
 		f.routes.contestants = append(f.routes.contestants, path)
--- a/rockbench/soak/plan.go
+++ b/rockbench/soak/plan.go
@@ -69,6 +69,8 @@
 	}
 	f.sides.all = slices.Concat(f.control, f.stores)
 	f.operator = &standin.Operator{Addresses: f.operators(), Recorder: f.ledger, Secrets: f.customers.held(), Observe: f.operations.Add}
+	f.operations.Changes.First, f.operations.Changes.Slow = firstRoute, slowService
+	f.history.changes = &f.operations.Changes
 	return nil
 }
 
--- a/rockbench/soak/routes.go
+++ b/rockbench/soak/routes.go
@@ -13,6 +13,7 @@
 
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/confighistory"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -57,8 +58,8 @@
 }
 
 // change adds some routes, takes some away, moves some, and changes time limits. The first one stays.
-func (x *routes) change() map[string]behaviour {
-	changes := map[string]behaviour{}
+func (x *routes) change() map[string]confighistory.Behaviour {
+	changes := map[string]confighistory.Behaviour{}
 	if x.next == 0 {
 		x.live = append(x.live, firstRoute)
 		x.shares, x.limits = map[string][]*fleetpb.Share{}, map[string]uint32{}
@@ -74,7 +75,7 @@
 	}
 	for range min(len(x.live)-1, x.r.IntN(most)) {
 		i := 1 + x.r.IntN(len(x.live)-1)
-		changes[x.live[i]] = behaviour{}
+		changes[x.live[i]] = confighistory.Behaviour{}
 		x.gone = append(x.gone, x.live[i])
 		x.live = slices.Delete(x.live, i, i+1)
 	}
@@ -128,17 +129,17 @@
 }
 
 // behaviour returns that of a live route.
-func (x *routes) behaviour(path string) behaviour {
+func (x *routes) behaviour(path string) confighistory.Behaviour {
 	if path == largePath {
-		return behaviour{services: []string{toolService}, tight: x.tight}
+		return confighistory.Behaviour{Services: []string{toolService}, Tight: x.tight}
 	}
 	if limit, ok := x.limits[path]; ok {
-		return behaviour{services: []string{slowName}, slow: true, limited: limit == shortLimit}
+		return confighistory.Behaviour{Services: []string{slowName}, Takes: slowService, Limit: time.Duration(limit) * time.Millisecond}
 	}
-	b := behaviour{}
+	b := confighistory.Behaviour{}
 	for _, s := range x.sharesOf(path) {
 		if s.GetWeight() > 0 {
-			b.services = append(b.services, s.GetService())
+			b.Services = append(b.Services, s.GetService())
 		}
 	}
 	return b
@@ -218,25 +219,23 @@
 
 // awaitBehaviour asks for a path until the answer is of the newest configuration.
 func (f *fleet) awaitBehaviour(ctx context.Context, client *http.Client, e *instance, path string) {
-	want := behaviour{}
+	want := confighistory.Behaviour{}
 	if path == largePath || slices.Contains(f.routes.live, path) || f.routes.limits[path] > 0 {
 		want = f.routes.behaviour(path)
 	}
 	last := "no answer"
 	for n := 0; ctx.Err() == nil; n++ {
-		sent := time.Now()
-		status, service, err := probePath(ctx, client, e, path, fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n))
-		a := answer{status: status, service: service, took: time.Since(sent)}
+		a, err := f.ask(ctx, client, e, path, fmt.Sprintf("probe%s%s-%d", e.plan.Instance, path, n))
 		switch {
 		case err != nil:
 			last = err.Error()
-		case a.tells() && want.allows(a):
+		case a.Tells(slowService) && want.Allows(a.Response):
 			return
-		case want.limited && status == http.StatusServiceUnavailable:
+		case want.IsLimited() && a.Status == http.StatusServiceUnavailable:
 			// It is known by then that the service takes longer than the time limit.
 			return
 		default:
-			last = fmt.Sprintf("status %d of %q", status, service)
+			last = fmt.Sprintf("status %d of %q", a.Status, a.Service)
 		}
 		wait.For(ctx, checkEvery)
 	}
--- a/rockbench/soak/sides.go
+++ b/rockbench/soak/sides.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/confighistory"
 )
 
 // sides cuts instances with disks into two halves, both of which everyone else reaches.
@@ -147,5 +148,5 @@
 	}
 	defer f.sides.heal()
 	// A configuration that is acknowledged during the cut must be in force while it lasts.
-	wait.For(ctx, applyWithin+time.Second+last)
+	wait.For(ctx, confighistory.ApplyWithin+time.Second+last)
 }
--- a/rockbench/soak/soak.go
+++ b/rockbench/soak/soak.go
@@ -151,7 +151,6 @@
 	}
 	running.Wait()
 	s.fleet.replacements.Wait()
-	s.fleet.checkAnswers()
 	s.fleet.customers.check()
 	s.fleet.calls.check(s.fleet.ledger, &s.fleet.watchdog)
 	for _, e := range s.fleet.entries {
--- a/rockbench/soak/time_limits_test.go
+++ b/rockbench/soak/time_limits_test.go
@@ -15,6 +15,7 @@
 	"rockbarrow.dev/platform/standin"
 	"rockbarrow.dev/platform/wire"
 	"rockbarrow.dev/rockbarrow/wait"
+	"rockbarrow.dev/rockbench/confighistory"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
@@ -54,7 +55,7 @@
 				if status == http.StatusServiceUnavailable && !strings.HasPrefix(r.GetName(), "silent") {
 					t.Errorf("%s: refused, although its endpoints are known", r.GetName())
 				}
-				if took > time.Duration(r.GetTimeoutMs())*time.Millisecond+lateSlack {
+				if took > time.Duration(r.GetTimeoutMs())*time.Millisecond+confighistory.LateSlack {
 					late++
 					t.Logf("%s: status %d, %v, after %v", r.GetName(), status, err, took)
 				}
@@ -62,8 +63,8 @@
 		}
 	}
 	requests.Wait()
-	if late >= lateRequests && lateShare*late > all {
-		t.Errorf("%d of %d requests had no final answer %v after their limit", late, all, lateSlack)
+	if confighistory.AreLate(late, all) {
+		t.Errorf("%d of %d requests had no final answer %v after their limit", late, all, confighistory.LateSlack)
 	}
 	for _, b := range append(f.ledger.Violations(), f.failures()...) {
 		t.Error(b)
