--- a/rockbarrow/pause/pause_test.go
+++ b/rockbarrow/pause/pause_test.go
@@ -18,15 +18,15 @@
 	log := logrus.New()
 	log.SetOutput(&out)
 	scope := tally.NewTestScope("", nil)
-	m := &Monitor{Log: logrus.NewEntry(log), Metrics: scope}
+	m := &Monitor{OnPause: (&Report{Log: logrus.NewEntry(log), Metrics: scope}).OnPause}
 	at := time.Unix(1, 0)
-	for _, gap := range []time.Duration{interval, interval + threshold - time.Millisecond, time.Millisecond} {
+	for _, gap := range []time.Duration{DefaultInterval, DefaultInterval + threshold - time.Millisecond, time.Millisecond} {
 		m.check(at, at.Add(gap))
 	}
 	if out.Len() > 0 {
 		t.Errorf("logged %q", out.String())
 	}
-	m.check(at, at.Add(interval+time.Second))
+	m.check(at, at.Add(DefaultInterval+time.Second))
 	if !strings.Contains(out.String(), "paused_ms=1000") {
 		t.Errorf("logged %q", out.String())
 	}
--- a/rockbench/soak/watchdog.go
+++ b/rockbench/soak/watchdog.go
@@ -6,13 +6,13 @@
 	"context"
 	"sync"
 	"time"
-)
 
-const (
-	// watchdogTick is how often the soak looks whether it runs, and watchdogLate how late it does when that counts as a stall.
-	watchdogTick, watchdogLate = 20 * time.Millisecond, 100 * time.Millisecond
+	"rockbarrow.dev/rockbarrow/pause"
 )
 
+// watchdogInterval is how often the soak looks whether it runs.
+const watchdogInterval = 20 * time.Millisecond
+
 // watchdog records when the machine was too busy to run the soak, which can't tell then when others did what.
 type watchdog struct {
 	mu     sync.Mutex
@@ -20,25 +20,11 @@
 }
 
 func (w *watchdog) run(ctx context.Context) {
-	t := time.NewTicker(watchdogTick)
-	defer t.Stop()
-	for last := time.Now(); ; {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		now := time.Now()
-		w.note(last, now)
-		last = now
-	}
+	(&pause.Monitor{Interval: watchdogInterval, OnPause: w.note}).Run(ctx)
 }
 
 // note records the time between two looks.
 func (w *watchdog) note(last, now time.Time) {
-	if now.Sub(last) < watchdogTick+watchdogLate {
-		return
-	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stalls = append(w.stalls, span{from: last, to: now})
