--- a/rockbench/scene/crowd_test.go
+++ b/rockbench/scene/crowd_test.go
@@ -15,10 +15,13 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
 
 	"rockbarrow.dev/rockbarrow/settings"
 	"rockbarrow.dev/rockbench/crowd"
 	"rockbarrow.dev/rockbench/fleet"
+	"rockbarrow.dev/schema/operatorpb"
 )
 
 // The machine under test has this memory and as many descriptors.
@@ -172,3 +175,49 @@
 func TestCrowdOfOperatorConnections(t *testing.T) {
 	checkDaemon(t, manyClients, func(net.Conn, string) {}, func(l settings.Listen) string { return l.Operators })
 }
+
+const (
+	// messageClients send messageCalls each at once, whose messages have messageBytes, but for the last messageRest of all.
+	messageClients, messageCalls = 8, 32
+	messageBytes, messageRest    = 2 << 20, 64 << 10
+	messageSettle                = 3 * time.Second
+	messagesOfClient             = messageCalls*messageBytes - messageRest
+)
+
+// stallingConn sends nothing after a number of bytes.
+type stallingConn struct {
+	net.Conn
+	left int
+}
+
+func (c *stallingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b[:min(len(b), c.left)])
+	c.left -= n
+	if err == nil && n < len(b) {
+		// The rest is taken and not sent.
+		n = len(b)
+	}
+	return n, err
+}
+
+// TestCrowdOfOperatorMessages guards against a daemon that runs out of memory over operators' messages of legal size that stop just short of
+// their end.
+func TestCrowdOfOperatorMessages(t *testing.T) {
+	request := &operatorpb.ApplyRequest{CommandId: strings.Repeat("x", messageBytes)}
+	checkDaemon(t, messageClients, func(c net.Conn, _ string) {
+		dial := func(context.Context, string) (net.Conn, error) {
+			return &stallingConn{Conn: c, left: messagesOfClient}, nil
+		}
+		conn, err := grpc.NewClient("passthrough:///crowd", grpc.WithContextDialer(dial), grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		t.Cleanup(func() { conn.Close() })
+		for range messageCalls {
+			// The error is that of a connection that was closed.
+			go func() { _, _ = operatorpb.NewOperatorClient(conn).Apply(t.Context(), request) }()
+		}
+		<-time.After(messageSettle)
+	}, func(l settings.Listen) string { return l.Operators })
+}
