--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -195,7 +195,10 @@
 		ConnState: s.conns.State, ConnContext: s.conns.Context,
 	}
 	s.peers = peer.New(&peer.Server{Host: d.host, Config: d.source, Roster: d.membership, Cut: d.partition, Secure: secure}, d.credentials.server)
-	calls := &inbound.Calls{Limits: &inbound.Limits{MaxConns: maxOperators, ReceiveBytes: receiveBytes + maxOperators*inbound.ConnBytes}}
+	calls := &inbound.Calls{
+		Limits:          &inbound.Limits{MaxConns: maxOperators, ReceiveBytes: receiveBytes + maxOperators*inbound.ConnBytes, OnEvict: d.countEviction()},
+		UnfinishedBytes: messageBytes,
+	}
 	s.operators = &gracefulStop{done: make(chan struct{}), server: operator.New(&operator.Server{
 		Calls:    calls,
 		Instance: d.Settings.Instance, Config: d.source, Host: d.host, View: d.membership.View, Peers: d.client, Secure: secure,
@@ -260,6 +263,8 @@
 const (
 	// receiveBytes is what may wait unread for callers, and for operators, beyond the smallest receive buffer of each.
 	receiveBytes = 32 << 20
+	// messageBytes is what may arrive of operators' messages that are not whole, of which one has 4 MB at the most.
+	messageBytes = 32 << 20
 	// maxOperators is the number of connections of operators.
 	maxOperators = 256
 )
@@ -271,8 +276,13 @@
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err == nil {
 		most = int(min(uint64(most), files.Cur/2))
 	}
+	return &inbound.Limits{MaxConns: most, ReceiveBytes: receiveBytes + int64(most)*inbound.ConnBytes, OnEvict: d.countEviction()}
+}
+
+// countEviction returns the function that counts connections which give way.
+func (d *Daemon) countEviction() func() {
 	evicted := d.scope.Counter("connections_evicted")
-	return &inbound.Limits{MaxConns: most, ReceiveBytes: receiveBytes + int64(most)*inbound.ConnBytes, OnEvict: func() { evicted.Inc(1) }}
+	return func() { evicted.Inc(1) }
 }
 
 // notReadyReason returns why load balancers should not send requests to this
--- a/rockbarrow/inbound/calls.go
+++ b/rockbarrow/inbound/calls.go
@@ -17,12 +17,16 @@
 
 // Calls bounds the connections of a gRPC server. It is the [stats.Handler] of that server, and wraps its listener.
 type Calls struct {
-	// Limits are the bounds. Set them before Listener.
-	Limits *Limits
+	// Limits are the bounds of connections, and UnfinishedBytes that of what arrives of messages which are not whole; zero means no limit.
+	// Set them before Listener.
+	Limits          *Limits
+	UnfinishedBytes int64
 
 	mu sync.Mutex
 	// conns are the open connections by the address of their client.
 	conns map[string]*callConn
+	// unfinished is the sum of that of all connections.
+	unfinished int64
 }
 
 // Listener returns a listener whose connections are bounded.
@@ -47,6 +51,8 @@
 // call is a call in progress. gRPC handles its events one after another.
 type call struct {
 	conn *callConn
+	// read is done once the message is whole, or does not come any more.
+	read sync.Once
 	// whole is true once its message has been read.
 	whole bool
 }
@@ -56,10 +62,15 @@
 
 // TagRPC notes a call in its context.
 func (t *Calls) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context {
-	if c, ok := ctx.Value(connKey{}).(*callConn); ok {
-		return context.WithValue(ctx, callKey{}, &call{conn: c})
+	c, ok := ctx.Value(connKey{}).(*callConn)
+	if !ok {
+		return ctx
 	}
-	return ctx
+	rpc := &call{conn: c}
+	t.beginMessage(c)
+	// A call of an unknown method has no other end.
+	context.AfterFunc(ctx, func() { rpc.read.Do(func() { t.endMessage(c, 0) }) })
+	return context.WithValue(ctx, callKey{}, rpc)
 }
 
 // HandleConn does nothing.
@@ -71,8 +82,9 @@
 	if c == nil {
 		return
 	}
-	switch s.(type) {
+	switch s := s.(type) {
 	case *stats.InPayload:
+		c.read.Do(func() { t.endMessage(c.conn, int64(s.WireLength)) })
 		if !c.whole {
 			c.whole = true
 			c.conn.handled.Add(1)
@@ -91,6 +103,12 @@
 	// handled is the number of its calls that are being handled, and progress the Unix time in ns at which bytes were last read.
 	handled, progress atomic.Int64
 	closing           sync.Once
+
+	// The mutex of calls guards the fields below. messages is the number of calls whose message is not whole, and unfinished what has
+	// arrived meanwhile. Nothing is added once evicted is true.
+	messages   int
+	unfinished int64
+	evicted    bool
 }
 
 // Read reads from the connection.
@@ -98,6 +116,7 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.progress.Store(time.Now().UnixNano())
+		c.calls.receive(c, int64(n))
 	}
 	return n, err
 }
@@ -108,6 +127,8 @@
 		c.calls.Limits.Remove(c)
 		c.calls.mu.Lock()
 		defer c.calls.mu.Unlock()
+		c.calls.addUnfinished(c, -c.unfinished)
+		c.evicted = true
 		delete(c.calls.conns, c.RemoteAddr().String())
 	})
 	return c.Conn.Close()
