--- a/rockbench/confighistory/behaviour.go
+++ b/rockbench/confighistory/behaviour.go
@@ -3,8 +3,10 @@
 package confighistory
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -70,6 +72,24 @@
 	Behaviour
 }
 
+// String describes the step.
+func (s Step) String() string {
+	to := strings.Join(s.Services, "+")
+	if len(s.Services) == 0 {
+		to = "nothing"
+	}
+	if s.Tight {
+		to += " tight"
+	}
+	if s.Contested {
+		to += " contested"
+	}
+	if s.IsLimited() {
+		to += " limited"
+	}
+	return fmt.Sprintf("%d %s", s.Version, to)
+}
+
 // Place is a path with its behaviours, in the order of their versions.
 type Place []Step
 
--- a/rockbench/soak/events.go
+++ b/rockbench/soak/events.go
@@ -134,7 +134,7 @@
 			fault{"its disk stalls", stallDisk(only, 0)}, fault{"its disk is slow", stallDisk(only, slowSync)})
 	}
 	if in.role == "control" {
-		out = append(out, fault{"replace it", replaceAlone(in)})
+		out = append(out, fault{"replace it", replaceAlone(in)}, fault{"the list is refused or late", troubleList})
 	}
 	if in.role == "entry" || x.scope == oneDomain {
 		return out
--- a/rockbench/soak/faults.go
+++ b/rockbench/soak/faults.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"slices"
 	"syscall"
@@ -247,6 +248,25 @@
 	f.list.SetExtraEntries()
 }
 
+// mostListDelay bounds the delay of a list that is late: longer than instances wait for it, or not.
+const mostListDelay = 1500 * time.Millisecond
+
+// troubleList has the list refused, late, or both.
+func troubleList(ctx context.Context, f *fleet, r *rand.Rand, last time.Duration) {
+	if !f.listed.TryLock() {
+		return
+	}
+	defer f.listed.Unlock()
+	status := []int{0, http.StatusTooManyRequests, http.StatusServiceUnavailable}[r.IntN(3)]
+	delay := time.Duration(0)
+	if status == 0 || r.IntN(2) == 0 {
+		delay = time.Duration(r.Int64N(int64(mostListDelay)))
+	}
+	f.list.SetTrouble(status, delay)
+	wait.For(ctx, last)
+	f.list.SetTrouble(0, 0)
+}
+
 func hangUp(ctx context.Context, f *fleet, _ *rand.Rand, last time.Duration) {
 	for _, in := range f.all() {
 		in.signal(syscall.SIGHUP)
--- a/rockbench/soak/fleet.go
+++ b/rockbench/soak/fleet.go
@@ -90,8 +90,10 @@
 	// replacements are under way for crashed endpoints.
 	replacements sync.WaitGroup
 	// fresh are endpoints of the slow service and of services that came with a later version. No fault has them.
-	fresh    []*standin.Endpoint
-	list     *standin.List
+	fresh []*standin.Endpoint
+	list  *standin.List
+	// listed is held while the list is refused or late.
+	listed   holds
 	listens  net.Listener
 	ledger   *standin.Recorder
 	operator *standin.Operator
--- a/rockbench/soak/inforce.go
+++ b/rockbench/soak/inforce.go
@@ -79,6 +79,7 @@
 	a.Whole = e.life() == a.Life
 	a.Undisturbed = e.claimed.freeSince(a.Sent) && a.Whole
 	a.Controlled = f.controlFreeSince(a.Sent.Add(-confighistory.ApplyWithin))
+	a.Listed = f.listed.freeSince(a.Sent)
 	a.Stalled = f.watchdog.stalled(a.Sent, a.Sent.Add(a.Took))
 	if ctx.Err() == nil {
 		f.operations.AddAnswer(a)
--- a/rockbench/soak/replace.go
+++ b/rockbench/soak/replace.go
@@ -32,7 +32,7 @@
 		// It never comes back, and stays claimed.
 		in.stop(syscall.SIGKILL)
 		in.proxy.close()
-		next, err := f.replacementOf(in)
+		next, err := f.replacementOf(in, r.IntN(2) == 0)
 		if err != nil {
 			f.ledger.AddViolation("%v", err)
 			return
@@ -50,12 +50,18 @@
 	})
 }
 
-// replacementOf makes the instance that comes in the place of another one.
-func (f *fleet) replacementOf(in *instance) (*instance, error) {
-	n := replacedNumber + len(f.replacedControls())
+// replacementOf makes the instance that comes in the place of another one. It may take the address over of one that was replaced before,
+// which settings may still name.
+func (f *fleet) replacementOf(in *instance, takeOver bool) (*instance, error) {
+	gone := f.replacedControls()
+	n := replacedNumber + len(gone)
 	domain := slices.Index(in.plan.FailureDomains, in.plan.FailureDomain)
 	plan := in.plan
 	plan.Instance, plan.IP, plan.Bootstrap = fmt.Sprintf("control-%d-%d", domain, n), ip(domain, n), false
+	if takeOver && len(gone) > 0 {
+		plan.IP, plan.FirstPort = gone[0].plan.IP, gone[0].plan.FirstPort
+		f.ledger.Count("addresses taken over by another instance")
+	}
 	plan.OperatorAddress = fmt.Sprintf("%s:%d", plan.IP, plan.FirstPort+portSpan)
 	return f.add(in.binary, plan, in.role)
 }
