--- a/rockbarrow/daemon/daemon.go
+++ b/rockbarrow/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"time"
@@ -35,6 +36,8 @@
 )
 
 const (
+	// memoryLimitShare is the runtime's soft limit as a share of limits.memory_bytes.
+	memoryLimitShare = 0.6
 	// maxAnswerBytes bounds the size of an answer.
 	maxAnswerBytes = 8 << 20
 	// maxAnswersBytes bounds all answers that are coming in: eight of the largest, beside usual ones.
@@ -86,6 +89,9 @@
 	d.incarnation = uint64(time.Now().UnixNano())
 	d.started = time.Now()
 	d.failed = make(chan error, 4)
+	if m := d.Settings.Limits.MemoryBytes; m > 0 {
+		defer debug.SetMemoryLimit(debug.SetMemoryLimit(int64(memoryLimitShare * float64(m))))
+	}
 	d.stop = newPlannedStop()
 	defer d.stop.setLate()
 	defer d.stop.setEnded()
@@ -255,7 +261,7 @@
 		Instance: d.Settings.Instance, Domain: d.Settings.Domain,
 		Router: d.host, Config: d.source.Snapshot, Ready: d.notReadyReason, Homes: d.host,
 		MaxBody: l.BodyBytes, MaxStreams: l.Streams, BodyTimeout: time.Duration(l.CallSeconds) * time.Second, Stop: d.stop.callers(),
-		Bodies:  &membudget.Budget{MaxBytes: l.BodiesBytes, Metrics: d.scope.SubScope("caller_bodies")},
+		Bodies:  &membudget.Budget{MaxBytes: l.Bodies(), Metrics: d.scope.SubScope("caller_bodies")},
 		Metrics: d.scope, MetricsPage: d.metricsHandler, Log: d.Log,
 	}
 }
--- a/rockbarrow/settings/settings.go
+++ b/rockbarrow/settings/settings.go
@@ -72,8 +72,11 @@
 	BodyBytes   int64 `toml:"body_bytes"`
 	HeaderBytes int   `toml:"header_bytes"`
 	Streams     int   `toml:"streams"`
+	// MemoryBytes is the memory that the process may take, zero if nothing limits it.
+	MemoryBytes int64 `toml:"memory_bytes"`
 	// BodiesBytes limits the bodies and large heads of all requests together, and Connections the connections of callers. Half of the
 	// descriptors limit these too.
+	// Zero is defaultBodiesBytes, or less where MemoryBytes has no room for that.
 	BodiesBytes  int64 `toml:"bodies_bytes"`
 	Connections  int   `toml:"connections"`
 	Queue        int   `toml:"queue"`
@@ -124,6 +127,22 @@
 // bodiesFactor is how many of the largest bodies must have room: two, while the buffer of another one grows.
 const bodiesFactor = 4
 
+const (
+	// defaultBodiesBytes is limits.bodies_bytes where nothing limits it, and bodiesShare the part of the memory, as 1/n, that it has otherwise.
+	defaultBodiesBytes = 64 << 20
+	bodiesShare        = 6
+	// leastMemory is the smallest limits.memory_bytes, which has room for the largest bodies of the defaults.
+	leastMemory = 96 << 20
+)
+
+// leastMemoryOf returns the lowest value allowed for limits.memory_bytes, which may be left out.
+func leastMemoryOf(value int64) float64 {
+	if value == 0 {
+		return 0
+	}
+	return leastMemory
+}
+
 // Defaults returns the settings that a file may leave out.
 func Defaults() Settings {
 	return Settings{
@@ -131,7 +150,6 @@
 			BodyBytes:    4 << 20,
 			HeaderBytes:  32 << 10,
 			Streams:      4096,
-			BodiesBytes:  64 << 20,
 			Connections:  16384,
 			Queue:        512,
 			QueueSeconds: 10,
@@ -176,6 +194,18 @@
 	return &s, nil
 }
 
+// Bodies returns the limit of bodies in force. Without one of its own it is what MemoryBytes has room for: the process takes up to three
+// times as much.
+func (l *Limits) Bodies() int64 {
+	switch {
+	case l.BodiesBytes != 0:
+		return l.BodiesBytes
+	case l.MemoryBytes == 0:
+		return defaultBodiesBytes
+	}
+	return min(defaultBodiesBytes, l.MemoryBytes/bodiesShare)
+}
+
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9_-]{0,62}$`)
 
 func (s *Settings) check() error {
@@ -290,7 +320,8 @@
 	}{
 		{"limits.body_bytes", float64(s.Limits.BodyBytes), 1 << 10, 1 << 30},
 		{"limits.header_bytes", float64(s.Limits.HeaderBytes), 1 << 10, 1 << 20},
-		{"limits.bodies_bytes", float64(s.Limits.BodiesBytes), bodiesFactor * float64(s.Limits.BodyBytes), 1 << 40},
+		{"limits.memory_bytes", float64(s.Limits.MemoryBytes), leastMemoryOf(s.Limits.MemoryBytes), 1 << 50},
+		{"limits.bodies_bytes", float64(s.Limits.Bodies()), bodiesFactor * float64(s.Limits.BodyBytes), 1 << 40},
 		{"limits.connections", float64(s.Limits.Connections), 1, 1 << 20},
 		{"limits.streams", float64(s.Limits.Streams), 1, 1 << 20},
 		{"limits.queue", float64(s.Limits.Queue), 1, 1 << 20},
--- a/rockbarrow/settings/settings_test.go
+++ b/rockbarrow/settings/settings_test.go
@@ -53,8 +53,32 @@
 	wrong(t, strings.Replace(good, "control = true", "", 1), "peers")
 	wrong(t, strings.Replace(good, "control = true", "control = true\ndisk = true", 1), "peers[0].disk")
 	wrong(t, good+"[limits]\nqueue = 0\n", "limits.queue")
+	wrong(t, good+"[limits]\nmemory_bytes = 1000\n", "limits.memory_bytes")
+	wrong(t, good+"[limits]\nmemory_bytes = -1\n", "limits.memory_bytes")
+	wrong(t, good+"[limits]\nmemory_bytes = 100663296\nbody_bytes = 8388608\n", "limits.bodies_bytes")
 	wrong(t, good+"[timing]\ndead_after_ms = 900\n", "timing.dead_after_ms")
 	wrong(t, good+"[placement]\npolicy = \"luck\"\n", "placement.policy")
 	wrong(t, good+"[tls]\nca = \"/nonexistent\"\n", "tls.ca")
 	wrong(t, good+"instance = 3", "file")
 }
+
+// TestBodiesFitTheMemory guards against a default for bodies that a small machine has no memory for.
+func TestBodiesFitTheMemory(t *testing.T) {
+	for _, test := range []struct {
+		limits string
+		want   int64
+	}{
+		{"", 64 << 20},
+		{"memory_bytes = 100663296", 16 << 20},
+		{"memory_bytes = 1073741824", 64 << 20},
+		{"memory_bytes = 100663296\nbodies_bytes = 33554432", 32 << 20},
+	} {
+		s, err := Parse(good + "[limits]\n" + test.limits + "\n")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Limits.Bodies(); got != test.want {
+			t.Errorf("%q: %d bytes for bodies, want %d", test.limits, got, test.want)
+		}
+	}
+}
--- a/rockbench/scene/crowd_test.go
+++ b/rockbench/scene/crowd_test.go
@@ -49,9 +49,15 @@
 // checkDaemon is checkCallers for clients of one of the instance's addresses. An operator's call must be answered as well.
 func checkDaemon(t *testing.T, clients int, send func(c net.Conn, id string), at func(l settings.Listen) string) {
 	t.Helper()
-	s := &Scene{Engines: 1, Seed: 1, Adjust: func(s *settings.Settings) {
+	checkAdjusted(t, clients, send, at, func(s *settings.Settings) {
 		s.Limits.Connections, s.Limits.BodiesBytes = crowdFDs/2, crowdMB<<20/6
-	}}
+	})
+}
+
+// checkAdjusted is checkDaemon for instances with some settings.
+func checkAdjusted(t *testing.T, clients int, send func(c net.Conn, id string), at func(l settings.Listen) string, adjust func(s *settings.Settings)) {
+	t.Helper()
+	s := &Scene{Engines: 1, Seed: 1, Adjust: adjust}
 	t.Cleanup(s.Stop)
 	ctx, cancel := context.WithTimeout(t.Context(), startTime)
 	defer cancel()
@@ -147,6 +153,13 @@
 	})
 }
 
+// TestCrowdOfCallersWithinAMemory guards against the same where the settings name the memory alone.
+func TestCrowdOfCallersWithinAMemory(t *testing.T) {
+	checkAdjusted(t, fewClients, func(c net.Conn, _ string) {
+		io.WriteString(c, callHead(fmt.Sprint("Content-Length: ", largeBytes))+largeBody[1:])
+	}, func(l settings.Listen) string { return l.Callers }, func(s *settings.Settings) { s.Limits.MemoryBytes = crowdMB << 20 })
+}
+
 // TestCrowdOfCallersInChunks guards against the same with chunked bodies.
 func TestCrowdOfCallersInChunks(t *testing.T) {
 	chunk := fmt.Sprintf("%x\r\n", 100<<10) + largeBody[:100<<10] + "\r\n"
