--- a/rockbench/soak/instance.go
+++ b/rockbench/soak/instance.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,8 @@
 
 	// claimed is held while a fault has the instance.
 	claimed holds
+	// gone is true once another instance has replaced it.
+	gone atomic.Bool
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
--- a/rockbench/soak/replace.go
+++ b/rockbench/soak/replace.go
@@ -30,6 +30,7 @@
 			return
 		}
 		// It never comes back, and stays claimed.
+		in.gone.Store(true)
 		in.stop(syscall.SIGKILL)
 		in.proxy.close()
 		next, err := f.replacementOf(in, r.IntN(2) == 0)
--- a/rockbench/soak/upgrade.go
+++ b/rockbench/soak/upgrade.go
@@ -37,7 +37,12 @@
 }
 
 func (u *upgrader) upgrade(in *instance) {
-	in.claimed.Lock()
+	for !in.claimed.TryLock() {
+		// One that another has replaced is never free again.
+		if in.gone.Load() || !wait.For(u.finish, checkEvery) {
+			return
+		}
+	}
 	defer in.claimed.Unlock()
 	fmt.Fprintf(u.soak.cfg.Out, "%6.2f s  %s is upgraded\n", time.Since(u.soak.start).Seconds(), in.plan.Instance)
 	in.stop(syscall.SIGTERM)
