--- a/rockbench/soak/crowd_test.go
+++ b/rockbench/soak/crowd_test.go
@@ -29,8 +29,9 @@
 var (
 	// smallestMachine has the memory of the smallest entry instances, less than control instances have, and few descriptors.
 	smallestMachine = crowdMachine{entryMB: 88, controlMB: 128, files: 1024}
-	// usualMachine is the smallest of the deployments in force.
+	// usualMachine is the smallest of the deployments in force, and twinMachine that of their small twins.
 	usualMachine = crowdMachine{entryMB: 112, controlMB: 128, files: 4100}
+	twinMachine  = crowdMachine{entryMB: 88, controlMB: 128, files: 4100}
 )
 
 const (
@@ -232,7 +233,18 @@
 // TestCrowdOfBodiesBesideLoad guards against the same on a machine of the deployments in force whose processor other processes take, so that
 // bytes wait unread.
 func TestCrowdOfBodiesBesideLoad(t *testing.T) {
-	f := crowdFleet(t, usualMachine)
+	checkBesideLoad(t, usualMachine)
+}
+
+// TestCrowdOfBodiesBesideLoadOnATwin guards against the same with less memory for as many descriptors.
+func TestCrowdOfBodiesBesideLoadOnATwin(t *testing.T) {
+	checkBesideLoad(t, twinMachine)
+}
+
+// checkBesideLoad is checkCrowd for bodies at an entry instance of a machine, beside load.
+func checkBesideLoad(t *testing.T, m crowdMachine) {
+	t.Helper()
+	f := crowdFleet(t, m)
 	e := f.entries[0]
 	x := &crowd.Crowd{Clients: mostClients, Address: e.plan.ConsumerAddress, Send: func(c net.Conn, id string) {
 		io.WriteString(c, bodyHead(id, lengthFraming(manyBytes))+manyBody[1:])
