--- a/rockbench/soak/replace.go
+++ b/rockbench/soak/replace.go
@@ -33,7 +33,7 @@
 		in.gone.Store(true)
 		in.stop(syscall.SIGKILL)
 		in.proxy.close()
-		next, err := f.replacementOf(in, r.IntN(2) == 0)
+		next, err := f.replacementOf(in, r)
 		if err != nil {
 			f.ledger.AddViolation("%v", err)
 			return
@@ -51,16 +51,20 @@
 	})
 }
 
-// replacementOf makes the instance that comes in the place of another one. It may take the address over of one that was replaced before,
-// which settings may still name.
-func (f *fleet) replacementOf(in *instance, takeOver bool) (*instance, error) {
+// replacementOf makes the instance that comes in the place of another one. In half of the cases it takes over the address of one that is
+// gone, which settings may still name.
+func (f *fleet) replacementOf(in *instance, r *rand.Rand) (*instance, error) {
 	gone := f.replacedControls()
 	n := replacedNumber + len(gone)
+	free := slices.DeleteFunc(append(gone, in), func(of *instance) bool {
+		return slices.ContainsFunc(f.controls(), func(c *instance) bool { return c != in && c.plan.IP == of.plan.IP })
+	})
 	domain := slices.Index(in.plan.FailureDomains, in.plan.FailureDomain)
 	plan := in.plan
 	plan.Instance, plan.IP, plan.Bootstrap = fmt.Sprintf("control-%d-%d", domain, n), ip(domain, n), false
-	if takeOver && len(gone) > 0 {
-		plan.IP, plan.FirstPort = gone[0].plan.IP, gone[0].plan.FirstPort
+	if r.IntN(2) == 0 {
+		of := free[r.IntN(len(free))].plan
+		plan.IP, plan.FirstPort = of.IP, of.FirstPort
 		f.ledger.Count("addresses taken over by another instance")
 	}
 	plan.OperatorAddress = fmt.Sprintf("%s:%d", plan.IP, plan.FirstPort+portSpan)
