--- a/rockbarrow/inbound/calls.go
+++ b/rockbarrow/inbound/calls.go
@@ -129,7 +129,10 @@
 		defer c.calls.mu.Unlock()
 		c.calls.addUnfinished(c, -c.unfinished)
 		c.evicted = true
-		delete(c.calls.conns, c.RemoteAddr().String())
+		// A further connection may come from the same address by now.
+		if address := c.RemoteAddr().String(); c.calls.conns[address] == c {
+			delete(c.calls.conns, address)
+		}
 	})
 	return c.Conn.Close()
 }
--- a/rockbarrow/inbound/messages.go
+++ b/rockbarrow/inbound/messages.go
@@ -35,6 +35,9 @@
 				largest = other
 			}
 		}
+		if largest.unfinished == 0 {
+			break
+		}
 		t.addUnfinished(largest, -largest.unfinished)
 		largest.evicted = true
 		out = append(out, largest)
