--- a/rockbench/soak/callers.go
+++ b/rockbench/soak/callers.go
@@ -103,6 +103,12 @@
 			// What is sent behind it gets no answer either.
 			for _, other := range w.calls[i:] {
 				other.err, other.ended, other.ender = call.err, call.ended, call
+				if other != call {
+					other.told = call.told
+				}
+				if other.told.IsZero() && i > 0 {
+					other.told = w.calls[i-1].told
+				}
 				c.fleet.calls.add(other)
 			}
 			break
@@ -243,6 +249,8 @@
 	due time.Time
 	// ender is the request whose answer the connection ended in, which is the call itself or one before it.
 	ender *call
+	// told is when the head of an answer said that the connection closes, zero if none did.
+	told time.Time
 	// status is that of the answer, zero without one. If err is set, the answer wasn't whole when the connection ended.
 	status int
 	err    error
@@ -262,6 +270,9 @@
 		return true
 	}
 	defer resp.Body.Close()
+	if resp.Close {
+		c.told = time.Now()
+	}
 	c.status = resp.StatusCode
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
--- a/rockbench/soak/losses.go
+++ b/rockbench/soak/losses.go
@@ -52,6 +52,10 @@
 		// The process has not read it whole, or it crossed the end of its connection.
 		return ""
 	}
+	if !run && !c.told.IsZero() && c.begun.After(c.told) {
+		// Behind a head that says that the connection closes, no request is read.
+		return ""
+	}
 	if c.instance.claimed.hasFault(c.begun.Add(-contact), c.ended) {
 		return ""
 	}
@@ -67,7 +71,11 @@
 	if !c.whole.IsZero() {
 		sent = fmt.Sprintf("sent whole %v before", c.ended.Sub(c.whole))
 	}
-	return fmt.Sprintf("of %v, %s, run %v, ended at %s, %s: %v", c.last, sent, run, c.ended.Format("15:04:05.000"), when, c.err)
+	told := "no head before said that the connection closes"
+	if !c.told.IsZero() {
+		told = fmt.Sprintf("begun %v after a head said that the connection closes", c.begun.Sub(c.told))
+	}
+	return fmt.Sprintf("of %v, %s, run %v, ended at %s, %s, %s: %v", c.last, sent, run, c.ended.Format("15:04:05.000"), when, told, c.err)
 }
 
 // isCutInTime reports whether a stream in progress was cut that may be: in the last sixth of the grace period, at its time limit, or around
