--- a/rockbarrow/store/copier.go
+++ b/rockbarrow/store/copier.go
@@ -12,13 +12,14 @@
 
 	"rockbarrow.dev/rockbarrow/ledger"
 	"rockbarrow.dev/rockbarrow/register"
+	"rockbarrow.dev/rockbarrow/wait"
 	"rockbarrow.dev/schema/fleetpb"
 )
 
 const (
-	// copyTimeout limits one attempt to copy the records of a view.
+	// copyTimeout is how long a source may send nothing, and how long a step that does not grow with the records may take.
 	copyTimeout = 3 * time.Second
-	// copyRetryInterval is the interval between attempts.
+	// copyRetryInterval is the interval between attempts, and that at which an attempt looks for a newer view.
 	copyRetryInterval = 200 * time.Millisecond
 	// copyBatchBytes is the size at which a message of a copy is sent.
 	copyBatchBytes = 128 << 10
@@ -66,25 +67,53 @@
 // complete fences older views, copies the missing records and durably records
 // that the store is complete for the view.
 func (c *copier) complete(ctx context.Context, v *fleetpb.View) error {
-	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
-	defer cancel()
 	s := c.store
-	if err := s.fence(ctx, v.GetEpoch()); err != nil {
+	if err := withCopyTimeout(ctx, func(ctx context.Context) error { return s.fence(ctx, v.GetEpoch()) }); err != nil {
 		return err
 	}
 	if !c.nothingToCopy(v) {
-		if err := c.copyAll(ctx, v); err != nil {
+		if err := c.copyWhileNewest(ctx, v); err != nil {
 			return err
 		}
 	}
 	s.copiedEpoch.Store(v.GetEpoch())
-	if err := s.append(ctx, []*fleetpb.Record{{Kind: &fleetpb.Record_WholeEpoch{WholeEpoch: v.GetEpoch()}}}); err != nil {
+	whole := []*fleetpb.Record{{Kind: &fleetpb.Record_WholeEpoch{WholeEpoch: v.GetEpoch()}}}
+	if err := withCopyTimeout(ctx, func(ctx context.Context) error { return s.append(ctx, whole) }); err != nil {
 		return err
 	}
 	s.completeEpoch.Store(v.GetEpoch())
 	return nil
 }
 
+func withCopyTimeout(ctx context.Context, f func(context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	return f(ctx)
+}
+
+// copyWhileNewest copies for as long as no newer view is known.
+func (c *copier) copyWhileNewest(ctx context.Context, v *fleetpb.View) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	go (&viewGuard{store: c.store, epoch: v.GetEpoch(), cancel: cancel}).loop(ctx)
+	return c.copyAll(ctx, v)
+}
+
+// viewGuard ends the copy for a view once a newer one is known.
+type viewGuard struct {
+	store  *Store
+	epoch  uint64
+	cancel context.CancelCauseFunc
+}
+
+func (g *viewGuard) loop(ctx context.Context) {
+	for wait.For(ctx, copyRetryInterval) {
+		if newest := g.store.Watch.State().GetView().GetEpoch(); newest > g.epoch {
+			g.cancel(errors.Errorf("store: view %d is newer", newest))
+		}
+	}
+}
+
 // nothingToCopy reports whether the store has all records already: the first view
 // has no earlier records, and when a view change ends its members have copied them.
 func (c *copier) nothingToCopy(v *fleetpb.View) bool {
@@ -172,15 +201,26 @@
 	if err != nil {
 		return 0, err
 	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	// A copy is given up for want of progress: its length grows with the records.
+	stalled := time.AfterFunc(copyTimeout, func() {
+		cancel(errors.Errorf("store: copy from %s: nothing has come for %v", t.from.GetInstance(), copyTimeout))
+	})
+	defer stalled.Stop()
 	stream, err := fleetpb.NewStoreClient(conn).Copy(ctx, req)
 	if err != nil {
 		return 0, errors.Wrapf(err, "store: copy from %s", t.from.GetInstance())
 	}
 	for first := true; ; first = false {
 		reply, err := stream.Recv()
+		if cause := context.Cause(ctx); err != nil && cause != nil {
+			return 0, cause
+		}
 		if err != nil {
 			return 0, errors.Wrapf(err, "store: copy from %s", t.from.GetInstance())
 		}
+		stalled.Stop()
 		if refusal := reply.GetStatus().GetRefused(); refusal != fleetpb.StoreStatus_REFUSED_NONE {
 			return 0, errors.Errorf("store: %s refused to copy: %v", t.from.GetInstance(), refusal)
 		}
@@ -193,6 +233,7 @@
 		if reply.GetLast() {
 			return completeEpoch, nil
 		}
+		stalled.Reset(copyTimeout)
 	}
 }
 
